--- /dev/null
+++ b/packages/wire/Fields.h
@@ -0,0 +1,216 @@
+//===- Fields.h - Structs to and from CBOR arrays ---------------*- C++ -*-===//
+//
+// Internal. A struct that travels names its fields once:
+//
+//   struct Ping {
+//     static constexpr std::uint16_t WireType = 201; // Messages only.
+//     std::uint64_t Sequence = 0;
+//     template <class Self, class Visitor>
+//     static void fields(Self &M, Visitor &&Visit) {
+//       Visit(M.Sequence);
+//     }
+//   };
+//
+// It travels as an array of its fields in that order. Fields are only ever
+// appended: a reader ignores what it does not know and keeps the default of
+// what an older writer left out. Durations travel as whole microseconds.
+//
+// Heavy: include it in .cpp files only.
+//
+//===----------------------------------------------------------------------===//
+#pragma once
+
+#include "base/Ids.h"
+#include "base/Json.h"
+#include "base/Time.h"
+#include "wire/Blob.h"
+
+#include <limits>
+#include <optional>
+#include <type_traits>
+#include <variant>
+#include <vector>
+
+namespace pimento::wire {
+
+/// Takes any fields; serves only to ask whether T has some.
+struct IgnoreFields {
+  template <class... Fields> void operator()(Fields &...) const {}
+};
+
+template <class T, class = void> struct HasFields : std::false_type {};
+template <class T>
+struct HasFields<
+    T, std::void_t<decltype(T::fields(std::declval<T &>(), IgnoreFields()))>>
+    : std::true_type {};
+
+template <class T> struct IsVector : std::false_type {};
+template <class T> struct IsVector<std::vector<T>> : std::true_type {};
+template <class T> struct IsOptional : std::false_type {};
+template <class T> struct IsOptional<std::optional<T>> : std::true_type {};
+template <class T> struct IsStringId : std::false_type {};
+template <class Tag> struct IsStringId<StringId<Tag>> : std::true_type {};
+
+template <class T> Json toJson(const T &Value) {
+  if constexpr (IsStringId<T>::value) {
+    return Value.Value;
+  } else if constexpr (std::is_same_v<T, RequestId>) {
+    return Json::array({Value.Hi, Value.Lo});
+  } else if constexpr (std::is_same_v<T, AttemptId>) {
+    return Json::array({Value.Request.Hi, Value.Request.Lo, Value.Number});
+  } else if constexpr (std::is_same_v<T, Blob>) {
+    return Json::binary({Value.Data.begin(), Value.Data.end()});
+  } else if constexpr (std::is_same_v<T, Duration>) {
+    return toMicroseconds(Value);
+  } else if constexpr (std::is_enum_v<T>) {
+    return static_cast<std::uint64_t>(Value);
+  } else if constexpr (IsVector<T>::value) {
+    Json Array = Json::array();
+    for (const auto &Element : Value)
+      Array.push_back(toJson(Element));
+    return Array;
+  } else if constexpr (IsOptional<T>::value) {
+    return Value ? toJson(*Value) : Json(nullptr);
+  } else if constexpr (HasFields<T>::value) {
+    Json Array = Json::array();
+    T::fields(Value, [&](const auto &...Field) {
+      (Array.push_back(toJson(Field)), ...);
+    });
+    return Array;
+  } else {
+    return Json(Value);
+  }
+}
+
+/// Reads \p From into \p Value; false where the type or range does not fit.
+template <class T> bool fromJson(const Json &From, T &Value);
+
+template <class T> bool integerFromJson(const Json &From, T &Value) {
+  if (From.is_number_unsigned()) {
+    auto Number = From.get<std::uint64_t>();
+    if (Number > static_cast<std::uint64_t>(std::numeric_limits<T>::max()))
+      return false;
+    Value = static_cast<T>(Number);
+    return true;
+  }
+  if (!From.is_number_integer())
+    return false;
+  auto Number = From.get<std::int64_t>();
+  if constexpr (std::is_unsigned_v<T>) {
+    return false;
+  } else {
+    if (Number < std::numeric_limits<T>::min())
+      return false;
+    Value = static_cast<T>(Number);
+    return true;
+  }
+}
+
+template <class T> bool structFromJson(const Json &From, T &Value) {
+  if (!From.is_array())
+    return false;
+  std::size_t Index = 0;
+  bool Good = true;
+  auto ReadField = [&](auto &Field) {
+    if (Good && Index < From.size())
+      Good = fromJson(From[Index], Field);
+    ++Index;
+  };
+  T::fields(Value, [&](auto &...Field) { (ReadField(Field), ...); });
+  return Good;
+}
+
+template <class T> bool vectorFromJson(const Json &From, T &Value) {
+  if (!From.is_array())
+    return false;
+  Value.clear();
+  Value.reserve(From.size());
+  for (const Json &Element : From) {
+    typename T::value_type Read{};
+    if (!fromJson(Element, Read))
+      return false;
+    Value.push_back(std::move(Read));
+  }
+  return true;
+}
+
+template <class T> bool fromJson(const Json &From, T &Value) {
+  if constexpr (IsStringId<T>::value) {
+    return fromJson(From, Value.Value);
+  } else if constexpr (std::is_same_v<T, std::string>) {
+    if (!From.is_string())
+      return false;
+    Value = From.get_ref<const std::string &>();
+    return true;
+  } else if constexpr (std::is_same_v<T, bool>) {
+    if (!From.is_boolean())
+      return false;
+    Value = From.get<bool>();
+    return true;
+  } else if constexpr (std::is_same_v<T, RequestId>) {
+    return From.is_array() && From.size() == 2 && fromJson(From[0], Value.Hi) &&
+           fromJson(From[1], Value.Lo);
+  } else if constexpr (std::is_same_v<T, AttemptId>) {
+    return From.is_array() && From.size() == 3 &&
+           fromJson(From[0], Value.Request.Hi) &&
+           fromJson(From[1], Value.Request.Lo) &&
+           fromJson(From[2], Value.Number);
+  } else if constexpr (std::is_same_v<T, Blob>) {
+    if (!From.is_binary())
+      return false;
+    const auto &Bytes = From.get_binary();
+    Value.Data.assign(Bytes.begin(), Bytes.end());
+    return true;
+  } else if constexpr (std::is_same_v<T, Duration>) {
+    std::int64_t Count = 0;
+    constexpr std::int64_t Limit = 1000000LL * 86400 * 3660; // Ten years.
+    if (!integerFromJson(From, Count) || Count > Limit || Count < -Limit)
+      return false;
+    Value = microseconds(Count);
+    return true;
+  } else if constexpr (std::is_enum_v<T>) {
+    std::underlying_type_t<T> Number{};
+    if (!integerFromJson(From, Number))
+      return false;
+    Value = static_cast<T>(Number);
+    return true;
+  } else if constexpr (std::is_integral_v<T>) {
+    return integerFromJson(From, Value);
+  } else if constexpr (std::is_floating_point_v<T>) {
+    if (!From.is_number())
+      return false;
+    Value = From.get<T>();
+    return true;
+  } else if constexpr (IsVector<T>::value) {
+    return vectorFromJson(From, Value);
+  } else if constexpr (IsOptional<T>::value) {
+    if (From.is_null()) {
+      Value.reset();
+      return true;
+    }
+    return fromJson(From, Value.emplace());
+  } else {
+    return structFromJson(From, Value);
+  }
+}
+
+/// The CBOR bytes of one struct, for logs and snapshots.
+template <class T> std::string toBytes(const T &Value) {
+  std::string Bytes;
+  Json::to_cbor(toJson(Value), Bytes);
+  return Bytes;
+}
+
+/// The inverse of toBytes(), within \p Limits.
+template <class T>
+Result<T> fromBytes(std::string_view Bytes, const JsonLimits &Limits) {
+  auto Parsed = parseCbor(Bytes, Limits);
+  if (!Parsed)
+    return Parsed.error();
+  T Value{};
+  if (!fromJson(*Parsed, Value))
+    return fail(Code::WireMalformed, "a field has the wrong type");
+  return Value;
+}
+
+} // namespace pimento::wire
--- /dev/null
+++ b/packages/wire/MembershipMessages.h
@@ -0,0 +1,100 @@
+//===- MembershipMessages.h - Liveness and backend servers ------*- C++ -*-===//
+#pragma once
+
+#include "base/Ids.h"
+#include "base/Time.h"
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace pimento {
+
+enum class HostStatus : std::uint8_t { Alive, Suspect, Dead, Leaving };
+
+/// What one host says of another. A higher life wins, then a higher version.
+struct HostUpdate {
+  HostId Host;
+  Incarnation Life = 0;      // Of the host's process.
+  std::uint64_t Version = 0; // Raised by the host itself to refute suspicion.
+  HostStatus Status = HostStatus::Alive;
+
+  template <class Self, class Visitor>
+  static void fields(Self &M, Visitor &&Visit) {
+    Visit(M.Host, M.Life, M.Version, M.Status);
+  }
+};
+
+enum class BackendKind : std::uint8_t { Engine, Plain };
+enum class BackendStatus : std::uint8_t { Serving, Leaving, Gone };
+
+/// What is known of one backend server, apart from its load. A higher life
+/// wins; within a life a higher version.
+struct BackendRecord {
+  BackendId Id;
+  Incarnation Life = 0;      // From its announcements.
+  std::uint64_t Version = 0; // Raised by the host that changes the record.
+  BackendStatus Status = BackendStatus::Serving;
+  BackendKind Kind = BackendKind::Engine;
+  std::string Address; // ip:port
+  DataCentreId DataCentre;
+  ServiceId Service;              // Plain servers: the service they run.
+  std::vector<ModelName> Models;  // Engines: models, adapters and versions.
+  std::uint64_t MemoryTokens = 0; // Engines: KV cache, in tokens.
+  bool ChecksFence = true; // Whether it refuses orders with an old number.
+
+  template <class Self, class Visitor>
+  static void fields(Self &M, Visitor &&Visit) {
+    Visit(M.Id, M.Life, M.Version, M.Status, M.Kind, M.Address, M.DataCentre,
+          M.Service, M.Models, M.MemoryTokens, M.ChecksFence);
+  }
+};
+
+/// A liveness probe. Its answer is an Ack with the same sequence.
+struct Ping {
+  static constexpr std::uint16_t WireType = 201;
+  std::uint64_t Sequence = 0;
+  std::vector<HostUpdate> Hosts;       // Newest news, a bounded number.
+  std::vector<BackendRecord> Backends; // Newest news, a bounded number.
+
+  template <class Self, class Visitor>
+  static void fields(Self &M, Visitor &&Visit) {
+    Visit(M.Sequence, M.Hosts, M.Backends);
+  }
+};
+
+struct Ack {
+  static constexpr std::uint16_t WireType = 202;
+  std::uint64_t Sequence = 0; // Of the Ping.
+  std::vector<HostUpdate> Hosts;
+  std::vector<BackendRecord> Backends;
+
+  template <class Self, class Visitor>
+  static void fields(Self &M, Visitor &&Visit) {
+    Visit(M.Sequence, M.Hosts, M.Backends);
+  }
+};
+
+/// The load that a backend server reported, on its way to the host that
+/// schedules its cell.
+struct LoadReport {
+  static constexpr std::uint16_t WireType = 203;
+  BackendId Backend;
+  Incarnation Life = 0;
+  std::uint64_t Sequence = 0;      // Of the announcement.
+  Duration Age = Duration::zero(); // Of the figures when they were sent.
+  std::uint64_t UsedTokens = 0;    // KV cache held.
+  std::uint32_t Running = 0;       // Requests in the batch.
+  std::uint32_t Waiting = 0;       // Requests that the engine queues itself.
+  std::uint64_t CacheSequence = 0; // Of the first cache event.
+  std::vector<std::uint64_t> CacheAdded;   // Hashes of prefixes.
+  std::vector<std::uint64_t> CacheRemoved; // Hashes of prefixes.
+
+  template <class Self, class Visitor>
+  static void fields(Self &M, Visitor &&Visit) {
+    Visit(M.Backend, M.Life, M.Sequence, M.Age, M.UsedTokens, M.Running,
+          M.Waiting, M.CacheSequence, M.CacheAdded, M.CacheRemoved);
+  }
+};
+
+} // namespace pimento
--- /dev/null
+++ b/packages/wire/Messages.cpp
@@ -0,0 +1,56 @@
+#include "wire/Messages.h"
+
+#include "wire/Fields.h"
+
+namespace pimento {
+
+namespace {
+
+constexpr JsonLimits FrameLimits = {MaxFrameBytes, /*Depth=*/12,
+                                    /*Values=*/1U << 18U};
+
+/// Reads the fields as the type whose number is \p Type.
+template <std::size_t Index = 0>
+bool readAs(std::uint64_t Type, const Json &Fields, Message &M) {
+  if constexpr (Index < std::variant_size_v<Message>) {
+    using Candidate = std::variant_alternative_t<Index, Message>;
+    if (Candidate::WireType == Type)
+      return wire::fromJson(Fields, M.emplace<Index>());
+    return readAs<Index + 1>(Type, Fields, M);
+  }
+  return false;
+}
+
+} // namespace
+
+std::string encode(const Message &M) {
+  Json Frame = std::visit(
+      [](const auto &Content) {
+        return Json::array(
+            {WireVersion, Content.WireType, wire::toJson(Content)});
+      },
+      M);
+  std::string Bytes;
+  Json::to_cbor(Frame, Bytes);
+  return Bytes;
+}
+
+Result<Message> decode(std::string_view Frame) {
+  auto Parsed = parseCbor(Frame, FrameLimits);
+  if (!Parsed)
+    return Parsed.error();
+  const Json &Parts = *Parsed;
+  if (!Parts.is_array() || Parts.size() != 3 ||
+      !Parts[0].is_number_unsigned() || !Parts[1].is_number_unsigned())
+    return fail(Code::WireMalformed,
+                "the frame is not [version, type, fields]");
+  if (Parts[0].get<std::uint64_t>() != WireVersion)
+    return fail(Code::WireVersion, "the frame's version is not known");
+  Message M;
+  if (!readAs(Parts[1].get<std::uint64_t>(), Parts[2], M))
+    return fail(Code::WireMalformed,
+                "the type is not known or a field does not fit it");
+  return M;
+}
+
+} // namespace pimento
--- /dev/null
+++ b/packages/wire/Messages.h
@@ -0,0 +1,50 @@
+//===- Messages.h - All messages between hosts ------------------*- C++ -*-===//
+//
+//   std::string Bytes = encode(Message(Ping{7, {}, {}}));
+//   Result<Message> M = decode(Bytes);
+//
+// One frame is a CBOR array of the wire version, the type's number and the
+// fields. docs/WIRE.md lists the numbers. See Fields.h for how a message may
+// change over time.
+//
+//===----------------------------------------------------------------------===//
+#pragma once
+
+#include "base/Result.h"
+#include "wire/CallMessages.h"
+#include "wire/DocumentMessages.h"
+#include "wire/MembershipMessages.h"
+#include "wire/ScheduleMessages.h"
+
+#include <string>
+#include <string_view>
+#include <variant>
+
+namespace pimento {
+
+using Message =
+    std::variant<Ping, Ack, LoadReport, Ask, Grant, Refusal, Release, Withdraw,
+                 RenewGrants, ClaimRequest, ClaimReply, ClaimResult,
+                 ClaimResultAck, PutDocument, PutDocumentReply, DocumentDigest,
+                 DocumentPull, DocumentText>;
+
+/// A message and the host it goes to.
+struct Outbound {
+  HostId To;
+  Message Content;
+};
+
+/// Raised when a frame can no longer be read by older hosts.
+constexpr std::uint64_t WireVersion = 1;
+
+/// Longest frame, in bytes.
+constexpr std::size_t MaxFrameBytes = 4U << 20U;
+
+/// The frame of \p M.
+std::string encode(const Message &M);
+
+/// The message in \p Frame. Fails with WireMalformed, WireTooLarge or
+/// WireVersion.
+Result<Message> decode(std::string_view Frame);
+
+} // namespace pimento
--- /dev/null
+++ b/packages/wire/tests/WireTest.cpp
@@ -0,0 +1,120 @@
+#define BOOST_TEST_MODULE wire
+#include <boost/test/unit_test.hpp>
+
+#include "base/Random.h"
+#include "wire/Fields.h"
+#include "wire/Messages.h"
+
+#include <set>
+
+using namespace pimento;
+
+namespace {
+
+Code decodeCode(std::string_view Frame) {
+  Failure Why;
+  bool Whole = valueOr<bool>(
+      [&]() -> Result<bool> {
+        auto M = decode(Frame);
+        if (!M)
+          return M.error();
+        return true;
+      },
+      false, Why);
+  return Whole ? Code::Ok : Why.Number;
+}
+
+Message decoded(std::string_view Frame) {
+  Failure Why;
+  Message M = valueOr<Message>([&] { return decode(Frame); }, Ack(), Why);
+  BOOST_TEST((Why.Detail.empty()), Why.Detail);
+  return M;
+}
+
+template <std::size_t Index = 0> void collectTypes(std::vector<int> &Types) {
+  if constexpr (Index < std::variant_size_v<Message>) {
+    Types.push_back(std::variant_alternative_t<Index, Message>::WireType);
+    collectTypes<Index + 1>(Types);
+  }
+}
+
+Ask sampleAsk() {
+  Ask A;
+  A.Attempt = {{5, 6}, 2};
+  A.Account = AccountId("aero");
+  A.Model = ModelName("atlas");
+  A.PromptTokens = 1000000;
+  A.TimeLeft = milliseconds(1500);
+  A.Prefixes = {1, 2, 3};
+  A.Avoid = {BackendId("e1")};
+  return A;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(MessagesSurviveTheWire) {
+  Message M = decoded(encode(sampleAsk()));
+  const auto &Read = std::get<Ask>(M);
+  BOOST_TEST(Read.Attempt == sampleAsk().Attempt);
+  BOOST_TEST(Read.Account == sampleAsk().Account);
+  BOOST_TEST(Read.PromptTokens == 1000000U);
+  BOOST_TEST((Read.TimeLeft == milliseconds(1500)));
+  BOOST_TEST(Read.Prefixes == sampleAsk().Prefixes);
+  BOOST_TEST(Read.Avoid.size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(BytesThatAreNotTextSurviveTheWire) {
+  ClaimReply Reply;
+  Reply.Body.Data = std::string("\0\xff\x80", 3);
+  Message M = decoded(encode(Reply));
+  BOOST_TEST(std::get<ClaimReply>(M).Body.Data == Reply.Body.Data);
+}
+
+BOOST_AUTO_TEST_CASE(TypeNumbersAreUnique) {
+  std::vector<int> Types;
+  collectTypes(Types);
+  std::set<int> Unique(Types.begin(), Types.end());
+  BOOST_TEST(Unique.size() == Types.size());
+}
+
+BOOST_AUTO_TEST_CASE(OlderAndNewerWritersAreUnderstood) {
+  Json Frame = Json::array({WireVersion, Withdraw::WireType, Json::array()});
+  std::string Bytes;
+  Json::to_cbor(Frame, Bytes);
+  BOOST_TEST(std::get<Withdraw>(decoded(Bytes)).Attempt.Number == 0U);
+
+  Frame[2] = Json::array({Json::array({1, 2, 3}), "a field of tomorrow"});
+  Bytes.clear();
+  Json::to_cbor(Frame, Bytes);
+  BOOST_TEST(std::get<Withdraw>(decoded(Bytes)).Attempt.Number == 3U);
+
+  Frame[0] = WireVersion + 1;
+  Bytes.clear();
+  Json::to_cbor(Frame, Bytes);
+  BOOST_TEST(decodeCode(Bytes) == Code::WireVersion);
+}
+
+BOOST_AUTO_TEST_CASE(WrongTypesAreRefused) {
+  for (const Json &Fields :
+       {Json("text"), Json::array({"not an id"}), Json::array({-1}),
+        Json::array({Json::array({1, 2, 1LL << 40})}), Json(nullptr)}) {
+    std::string Bytes;
+    Json::to_cbor(Json::array({WireVersion, Withdraw::WireType, Fields}),
+                  Bytes);
+    BOOST_TEST(decodeCode(Bytes) == Code::WireMalformed, Fields.dump());
+  }
+}
+
+BOOST_AUTO_TEST_CASE(MangledFramesNeverCrash) {
+  Random R(11);
+  std::string Good = encode(sampleAsk());
+  for (int I = 0; I < 20000; ++I) {
+    std::string Bad = Good;
+    for (std::uint64_t Hits = 1 + below(R, 4); Hits > 0; --Hits)
+      Bad[below(R, Bad.size())] = static_cast<char>(below(R, 256));
+    if (below(R, 3) == 0)
+      Bad.resize(below(R, Bad.size()));
+    decodeCode(Bad);
+  }
+  BOOST_TEST(decodeCode(Good) == Code::Ok);
+}
