base: describe HTTP exchanges as data

Cause: reducers need requests, replies and upstream calls without evhttp. Ruled out: passing evhttp structs (they tie decisions to the loop). Before: none.

--- a/packages/base/tests/BaseTest.cpp
+++ b/packages/base/tests/BaseTest.cpp
@@ -1,6 +1,7 @@
 #define BOOST_TEST_MODULE base
 #include <boost/test/unit_test.hpp>
 
+#include "base/Http.h"
 #include "base/Ids.h"
 #include "base/Random.h"
 #include "base/Token.h"
@@ -47,3 +48,9 @@
   BOOST_TEST(bearerToken("Basic secret").empty());
   BOOST_TEST(bearerToken(nullptr).empty());
 }
+
+BOOST_AUTO_TEST_CASE(HeadersAreFoundWithoutRegardToCase) {
+  std::vector<HttpHeader> Headers = {{"X-Request-Id", "7"}, {"Other", "8"}};
+  BOOST_TEST(headerValue(Headers, "x-request-id") == "7");
+  BOOST_TEST(headerValue(Headers, "X-Request").empty());
+}
