--- a/packages/base/Token.h
+++ b/packages/base/Token.h
@@ -14,6 +14,9 @@
 /// SHA-256 of \p Text as 64 lower-case hexadecimal digits.
 std::string sha256Hex(std::string_view Text);
 
+/// HMAC-SHA-256 of \p Text under \p Key as 64 lower-case hexadecimal digits.
+std::string hmacSha256Hex(std::string_view Key, std::string_view Text);
+
 /// Whether both texts are equal, in a time that depends on the lengths only.
 bool equalConstantTime(std::string_view A, std::string_view B);
 
--- a/packages/base/tests/BaseTest.cpp
+++ b/packages/base/tests/BaseTest.cpp
@@ -41,6 +41,9 @@
 BOOST_AUTO_TEST_CASE(TokensAreComparedByDigest) {
   BOOST_TEST(sha256Hex("abc") == "ba7816bf8f01cfea414140de5dae2223"
                                  "b00361a396177a9cb410ff61f20015ad");
+  BOOST_TEST(hmacSha256Hex("key", "The quick brown fox jumps over the lazy "
+                                  "dog") == "f7bc83f430538424b13298e6aa6fb143"
+                                            "ef4d59a14946175997479dbc2d1a3cd8");
   BOOST_TEST(equalConstantTime("same", "same"));
   BOOST_TEST(!equalConstantTime("same", "sane"));
   BOOST_TEST(!equalConstantTime("same", "longer"));
--- /dev/null
+++ b/packages/shell/EventLoop.h
@@ -0,0 +1,72 @@
+//===- EventLoop.h - Owners of libevent's objects ---------------*- C++ -*-===//
+#pragma once
+
+#include "base/Time.h"
+
+#include <event2/event.h>
+
+#include <functional>
+#include <memory>
+
+namespace pimento {
+
+struct EventBaseDeleter {
+  void operator()(event_base *Base) const { event_base_free(Base); }
+};
+using EventBasePtr = std::unique_ptr<event_base, EventBaseDeleter>;
+
+struct EventDeleter {
+  void operator()(event *Event) const { event_free(Event); }
+};
+using EventPtr = std::unique_ptr<event, EventDeleter>;
+
+/// Events of this priority run before all others that are ready.
+constexpr int HighPriority = 0;
+constexpr int PriorityCount = 2;
+
+/// A base with two priorities. Null where the system refuses.
+inline EventBasePtr makeEventBase() {
+  EventBasePtr Base(event_base_new());
+  if (Base)
+    event_base_priority_init(Base.get(), PriorityCount);
+  return Base;
+}
+
+inline timeval toTimeval(Duration D) {
+  constexpr std::int64_t MicrosecondsPerSecond = 1000000;
+  std::int64_t Whole = toMicroseconds(D);
+  timeval Value{};
+  Value.tv_sec = static_cast<time_t>(Whole / MicrosecondsPerSecond);
+  Value.tv_usec = static_cast<suseconds_t>(Whole % MicrosecondsPerSecond);
+  return Value;
+}
+
+/// A timer that calls a function; owned by whoever needs it.
+class Timer {
+public:
+  Timer(event_base *Base, std::function<void()> Function)
+      : Action(std::move(Function)),
+        Event(event_new(Base, -1, 0, &Timer::fire, this)) {}
+  Timer(const Timer &) = delete;
+  Timer &operator=(const Timer &) = delete;
+
+  /// Fires once after \p Delay; replaces an earlier start.
+  void start(Duration Delay) {
+    timeval After = toTimeval(Delay);
+    event_add(Event.get(), &After);
+  }
+  void stop() { event_del(Event.get()); }
+  bool pending() const {
+    return event_pending(Event.get(), EV_TIMEOUT, nullptr) != 0;
+  }
+
+private:
+  static void fire(evutil_socket_t, short, void *Self) {
+    static_cast<Timer *>(Self)->Action();
+  }
+
+  std::function<void()> Action;
+  EventPtr Event;
+};
+
+} // namespace pimento
--- /dev/null
+++ b/packages/shell/HttpServer.cpp
@@ -0,0 +1,487 @@
+#include "shell/HttpServer.h"
+
+#include "base/Problem.h"
+#include "shell/Address.h"
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/http.h>
+#include <event2/keyvalq_struct.h>
+
+#include <sys/socket.h>
+
+#include <unordered_map>
+
+namespace pimento {
+
+namespace {
+
+constexpr Duration SweepInterval = milliseconds(100);
+/// evhttp's own timeouts would cut a long answer; this server keeps its own.
+constexpr Duration NoTimeout = hours(24 * 365);
+
+Duration steadyNow() {
+  return std::chrono::steady_clock::now().time_since_epoch();
+}
+
+HttpMethod methodOf(evhttp_cmd_type Type) {
+  switch (Type) {
+  case EVHTTP_REQ_GET:
+    return HttpMethod::Get;
+  case EVHTTP_REQ_POST:
+    return HttpMethod::Post;
+  case EVHTTP_REQ_PUT:
+    return HttpMethod::Put;
+  case EVHTTP_REQ_DELETE:
+    return HttpMethod::Delete;
+  case EVHTTP_REQ_PATCH:
+    return HttpMethod::Patch;
+  default:
+    return HttpMethod::Other;
+  }
+}
+
+std::string takeBytes(evbuffer *Buffer) {
+  std::string Bytes(evbuffer_get_length(Buffer), '\0');
+  evbuffer_remove(Buffer, Bytes.data(), Bytes.size());
+  return Bytes;
+}
+
+HttpRequest convert(evhttp_request *Request) {
+  HttpRequest Result;
+  Result.Method = methodOf(evhttp_request_get_command(Request));
+  const evhttp_uri *Uri = evhttp_request_get_evhttp_uri(Request);
+  if (const char *Path = Uri ? evhttp_uri_get_path(Uri) : nullptr) {
+    std::size_t Size = 0;
+    char *Decoded = evhttp_uridecode(Path, 0, &Size);
+    if (Decoded)
+      Result.Path.assign(Decoded, Size);
+    std::free(Decoded);
+  }
+  if (const char *Query = Uri ? evhttp_uri_get_query(Uri) : nullptr)
+    Result.Query = Query;
+  const evkeyvalq *Headers = evhttp_request_get_input_headers(Request);
+  for (const evkeyval *Entry = Headers->tqh_first; Entry;
+       Entry = Entry->next.tqe_next)
+    Result.Headers.push_back({Entry->key, Entry->value});
+  Result.Body = takeBytes(evhttp_request_get_input_buffer(Request));
+  return Result;
+}
+
+/// The problem that stands for a status with which evhttp itself refuses.
+Code codeOfStatus(int Status) {
+  switch (Status) {
+  case 413:
+    return Code::BodyTooLarge;
+  case 404:
+    return Code::NotFound;
+  case 405:
+  case 501:
+    return Code::MethodNotAllowed;
+  default:
+    return Code::BadRequest;
+  }
+}
+
+/// A whole HTTP/1.1 reply that also closes the connection.
+std::string rawProblem(Code Number, std::string Detail) {
+  Problem P;
+  P.Number = Number;
+  P.Detail = std::move(Detail);
+  HttpReply Reply = problemReply(P);
+  std::string Text = "HTTP/1.1 " + std::to_string(Reply.Status) + " " +
+                     toString(Number) + "\r\nConnection: close\r\n" +
+                     "Content-Length: " + std::to_string(Reply.Body.size()) +
+                     "\r\n";
+  for (const HttpHeader &Header : Reply.Headers)
+    Text += Header.Name + ": " + Header.Value + "\r\n";
+  return Text + "\r\n" + Reply.Body;
+}
+
+} // namespace
+
+struct HttpServer::Impl {
+  struct Connection;
+
+  struct Exchange {
+    evhttp_request *Request = nullptr;
+    Connection *Link = nullptr;
+    bool Streaming = false;
+  };
+
+  /// One accepted connection. Holds a reference to the bufferevent, because
+  /// evhttp does not tell when it lets go of one that never sent a request.
+  struct Connection {
+    Impl *Server = nullptr;
+    bufferevent *Stream = nullptr;
+    EventPtr Rewrite;    // Replaces a refusal that evhttp wrote.
+    EventPtr CloseWatch; // Sees the caller leave before its reply.
+    ExchangeId Open{};   // The exchange in progress, if any.
+    Duration ReadingSince = Duration::zero(); // Zero: no part of a request.
+    Duration IdleSince = Duration::zero();
+    std::size_t ReadBytes = 0; // Of the request that is being read.
+    bool Replying = false;     // What is written is this server's own reply.
+    bool Closing = false;
+  };
+
+  event_base *Base;
+  HttpServerLimits Limits;
+  HttpServerHooks Hooks;
+  std::uint64_t &NextExchange;
+  evhttp *Http = nullptr;
+  evhttp_bound_socket *Listener = nullptr;
+  std::unordered_map<bufferevent *, std::unique_ptr<Connection>> Connections;
+  std::unordered_map<std::uint64_t, Exchange> Exchanges;
+  std::unique_ptr<Timer> Sweep;
+
+  Impl(event_base *TheBase, HttpServerLimits TheLimits,
+       HttpServerHooks TheHooks, std::uint64_t &Next)
+      : Base(TheBase), Limits(TheLimits), Hooks(std::move(TheHooks)),
+        NextExchange(Next) {}
+
+  // Called by libevent.
+  static bufferevent *accept(event_base *Base, void *Self);
+  static void onRequest(evhttp_request *Request, void *Self);
+  static void onClosed(evhttp_connection *Link, void *Self);
+  static void onFlushed(evhttp_connection *Link, void *Self);
+  static void onInput(evbuffer *, const evbuffer_cb_info *Info, void *Link);
+  static void onOutput(evbuffer *, const evbuffer_cb_info *Info, void *Link);
+  static void onLeft(evutil_socket_t, short, void *Link);
+  static void onReplied(evhttp_request *, void *Link);
+  static void rewrite(evutil_socket_t, short, void *Link);
+
+  void sweep();
+  bool expire(Connection &Link, Duration Now);
+  void breakOff(Connection &Link, Code Number, const char *Detail);
+  Exchange *find(ExchangeId Id);
+  Connection *connectionOf(evhttp_connection *Link);
+  void finish(ExchangeId Id);
+};
+
+bufferevent *HttpServer::Impl::accept(event_base *Base, void *Self) {
+  auto &Server = *static_cast<Impl *>(Self);
+  bufferevent *Stream = bufferevent_socket_new(Base, -1, 0);
+  if (!Stream)
+    return nullptr;
+  bufferevent_incref(Stream);
+  auto Link = std::make_unique<Connection>();
+  Link->Server = &Server;
+  Link->Stream = Stream;
+  Link->IdleSince = steadyNow();
+  Link->Rewrite.reset(event_new(Base, -1, 0, &Impl::rewrite, Link.get()));
+  event_priority_set(Link->Rewrite.get(), HighPriority);
+  evbuffer_add_cb(bufferevent_get_input(Stream), &Impl::onInput, Link.get());
+  evbuffer_add_cb(bufferevent_get_output(Stream), &Impl::onOutput, Link.get());
+  Server.Connections.emplace(Stream, std::move(Link));
+  return Stream;
+}
+
+void HttpServer::Impl::onInput(evbuffer *, const evbuffer_cb_info *Info,
+                               void *Self) {
+  auto &Link = *static_cast<Connection *>(Self);
+  bool Begins = Info->n_added > 0 && Link.Open == ExchangeId{} &&
+                Link.ReadingSince == Duration::zero();
+  Link.ReadBytes += Info->n_added;
+  if (!Begins)
+    return;
+  Link.ReadingSince = steadyNow();
+  Link.ReadBytes = Info->n_added;
+  Link.Replying = false;
+}
+
+/// A reply went out whole. Part of the next request may be there already.
+void HttpServer::Impl::onReplied(evhttp_request *, void *Self) {
+  auto &Link = *static_cast<Connection *>(Self);
+  Link.Replying = false;
+  if (evbuffer_get_length(bufferevent_get_input(Link.Stream)) > 0)
+    Link.ReadingSince = steadyNow();
+}
+
+void HttpServer::Impl::onOutput(evbuffer *, const evbuffer_cb_info *Info,
+                                void *Self) {
+  auto &Link = *static_cast<Connection *>(Self);
+  if (Info->n_added > 0 && !Link.Replying && !Link.Closing)
+    event_active(Link.Rewrite.get(), 0, 0);
+}
+
+/// evhttp wrote a page of its own. It has not gone out yet, because writing
+/// waits for the loop and this event runs first.
+void HttpServer::Impl::rewrite(evutil_socket_t, short, void *Self) {
+  auto &Link = *static_cast<Connection *>(Self);
+  if (Link.Replying || Link.Closing)
+    return;
+  evbuffer *Output = bufferevent_get_output(Link.Stream);
+  constexpr std::size_t StatusLineBytes = 12; // "HTTP/1.1 413"
+  char Start[StatusLineBytes + 1] = {};
+  if (evbuffer_copyout(Output, Start, StatusLineBytes) !=
+      static_cast<ev_ssize_t>(StatusLineBytes))
+    return;
+  int Status = std::atoi(Start + StatusLineBytes - 3);
+  constexpr int FirstErrorStatus = 400;
+  if (Status < FirstErrorStatus)
+    return;
+  Code Number = codeOfStatus(Status);
+  // evhttp calls headers past its limit malformed.
+  if (Number == Code::BadRequest &&
+      Link.ReadBytes > Link.Server->Limits.HeaderBytes)
+    Number = Code::HeaderTooLarge;
+  std::string Text = rawProblem(Number, "");
+  Link.Closing = true;
+  evbuffer_unfreeze(Output, 1);
+  evbuffer_drain(Output, evbuffer_get_length(Output));
+  evbuffer_add(Output, Text.data(), Text.size());
+  evbuffer_freeze(Output, 1);
+  Link.Server->Hooks.Refused(Number);
+}
+
+HttpServer::Impl::Connection *
+HttpServer::Impl::connectionOf(evhttp_connection *Link) {
+  auto Found = Connections.find(evhttp_connection_get_bufferevent(Link));
+  return Found == Connections.end() ? nullptr : Found->second.get();
+}
+
+void HttpServer::Impl::onRequest(evhttp_request *Request, void *Self) {
+  auto &Server = *static_cast<Impl *>(Self);
+  evhttp_connection *Evcon = evhttp_request_get_connection(Request);
+  Connection *Link = Server.connectionOf(Evcon);
+  if (!Link)
+    return;
+  Link->ReadingSince = Duration::zero();
+  ExchangeId Id{Server.NextExchange++};
+  Link->Open = Id;
+  Link->Replying = true;
+  Server.Exchanges[static_cast<std::uint64_t>(Id)] = {Request, Link, false};
+  evhttp_connection_set_closecb(Evcon, &Impl::onClosed, &Server);
+  Link->CloseWatch.reset(event_new(Server.Base, bufferevent_getfd(Link->Stream),
+                                   EV_CLOSED, &Impl::onLeft, Link));
+  event_add(Link->CloseWatch.get(), nullptr);
+  Server.Hooks.Request(Id, convert(Request));
+}
+
+/// evhttp does not read while a reply is pending, so it would not notice. A
+/// caller that closes only its sending side counts as gone as well.
+void HttpServer::Impl::onLeft(evutil_socket_t, short, void *Self) {
+  auto &Link = *static_cast<Connection *>(Self);
+  Exchange *Open = Link.Server->find(Link.Open);
+  if (Open)
+    evhttp_connection_free(evhttp_request_get_connection(Open->Request));
+}
+
+void HttpServer::Impl::onClosed(evhttp_connection *Evcon, void *Self) {
+  auto &Server = *static_cast<Impl *>(Self);
+  Connection *Link = Server.connectionOf(Evcon);
+  if (!Link || Link->Open == ExchangeId{})
+    return;
+  ExchangeId Id = Link->Open;
+  Link->Open = ExchangeId{};
+  Link->CloseWatch.reset();
+  Server.Exchanges.erase(static_cast<std::uint64_t>(Id));
+  Server.Hooks.Left(Id);
+}
+
+void HttpServer::Impl::onFlushed(evhttp_connection *Evcon, void *Self) {
+  auto &Server = *static_cast<Impl *>(Self);
+  Connection *Link = Server.connectionOf(Evcon);
+  if (!Link || Link->Open == ExchangeId{})
+    return;
+  Server.Hooks.Drained(
+      Link->Open, evbuffer_get_length(bufferevent_get_output(Link->Stream)));
+}
+
+/// Sends a problem straight to the socket and shuts it, so that evhttp sees
+/// the end and lets go.
+void HttpServer::Impl::breakOff(Connection &Link, Code Number,
+                                const char *Detail) {
+  Link.Closing = true;
+  evutil_socket_t Socket = bufferevent_getfd(Link.Stream);
+  std::string Text = rawProblem(Number, Detail);
+  if (::send(Socket, Text.data(), Text.size(), MSG_NOSIGNAL | MSG_DONTWAIT) < 0)
+    Hooks.Refused(Code::CallerLeft);
+  else
+    Hooks.Refused(Number);
+  ::shutdown(Socket, SHUT_RDWR);
+}
+
+/// True once evhttp has let go of the connection.
+bool HttpServer::Impl::expire(Connection &Link, Duration Now) {
+  // evhttp keeps this callback set for as long as it holds the connection.
+  bufferevent_event_cb Callback = nullptr;
+  bufferevent_getcb(Link.Stream, nullptr, nullptr, &Callback, nullptr);
+  if (!Callback)
+    return true;
+  if (Link.Closing || Link.Open != ExchangeId{})
+    return false;
+  bool Reading = Link.ReadingSince != Duration::zero();
+  if (Reading && Now - Link.ReadingSince > Limits.ReadTimeout)
+    breakOff(Link, Code::RequestTimeout, "");
+  else if (!Reading && Now - Link.IdleSince > Limits.IdleTimeout) {
+    Link.Closing = true;
+    ::shutdown(bufferevent_getfd(Link.Stream), SHUT_RDWR);
+  } else if (Connections.size() > Limits.Connections)
+    breakOff(Link, Code::Overloaded, "too many connections");
+  return false;
+}
+
+void HttpServer::Impl::sweep() {
+  Duration Now = steadyNow();
+  for (auto It = Connections.begin(); It != Connections.end();) {
+    if (!expire(*It->second, Now)) {
+      ++It;
+      continue;
+    }
+    Connection &Link = *It->second;
+    evbuffer_remove_cb(bufferevent_get_input(Link.Stream), &Impl::onInput,
+                       &Link);
+    evbuffer_remove_cb(bufferevent_get_output(Link.Stream), &Impl::onOutput,
+                       &Link);
+    bufferevent_decref(Link.Stream);
+    It = Connections.erase(It);
+  }
+  Sweep->start(SweepInterval);
+}
+
+HttpServer::Impl::Exchange *HttpServer::Impl::find(ExchangeId Id) {
+  auto Found = Exchanges.find(static_cast<std::uint64_t>(Id));
+  return Found == Exchanges.end() ? nullptr : &Found->second;
+}
+
+/// The reply is whole; the connection waits for its next request.
+void HttpServer::Impl::finish(ExchangeId Id) {
+  Exchange *Ended = find(Id);
+  Connection *Link = Ended->Link;
+  evhttp_request_set_on_complete_cb(Ended->Request, &Impl::onReplied, Link);
+  Exchanges.erase(static_cast<std::uint64_t>(Id));
+  Link->Open = ExchangeId{};
+  Link->CloseWatch.reset();
+  Link->IdleSince = steadyNow();
+}
+
+HttpServer::HttpServer(event_base *Base, HttpServerLimits Limits,
+                       HttpServerHooks Hooks, std::uint64_t &NextExchange)
+    : Data(std::make_unique<Impl>(Base, Limits, std::move(Hooks),
+                                  NextExchange)) {
+  Data->Http = evhttp_new(Base);
+  evhttp_set_max_body_size(Data->Http,
+                           static_cast<ev_ssize_t>(Limits.BodyBytes));
+  evhttp_set_max_headers_size(Data->Http,
+                              static_cast<ev_ssize_t>(Limits.HeaderBytes));
+  evhttp_set_allowed_methods(Data->Http,
+                             EVHTTP_REQ_GET | EVHTTP_REQ_POST | EVHTTP_REQ_PUT |
+                                 EVHTTP_REQ_DELETE | EVHTTP_REQ_PATCH);
+  timeval Never = toTimeval(NoTimeout);
+  evhttp_set_timeout_tv(Data->Http, &Never);
+  evhttp_set_bevcb(Data->Http, &Impl::accept, Data.get());
+  evhttp_set_gencb(Data->Http, &Impl::onRequest, Data.get());
+  Data->Sweep = std::make_unique<Timer>(Base, [this] { Data->sweep(); });
+  Data->Sweep->start(SweepInterval);
+}
+
+HttpServer::~HttpServer() {
+  Data->Hooks.Left = [](ExchangeId) {};
+  Data->Sweep.reset();
+  evhttp_free(Data->Http);
+  for (auto &[Stream, Link] : Data->Connections)
+    bufferevent_decref(Stream);
+}
+
+bool HttpServer::listen(const std::string &Address) {
+  IpPort Target;
+  if (!splitAddress(Address, Target))
+    return false;
+  Data->Listener = evhttp_bind_socket_with_handle(Data->Http, Target.Ip.c_str(),
+                                                  Target.Port);
+  return Data->Listener != nullptr;
+}
+
+void HttpServer::stopListening() {
+  if (Data->Listener)
+    evhttp_del_accept_socket(Data->Http, Data->Listener);
+  Data->Listener = nullptr;
+}
+
+bool HttpServer::holds(ExchangeId Id) const { return Data->find(Id); }
+
+namespace {
+
+void addHeaders(evhttp_request *Request,
+                const std::vector<HttpHeader> &Headers) {
+  evkeyvalq *Output = evhttp_request_get_output_headers(Request);
+  for (const HttpHeader &Header : Headers)
+    evhttp_add_header(Output, Header.Name.c_str(), Header.Value.c_str());
+}
+
+struct BufferDeleter {
+  void operator()(evbuffer *Buffer) const { evbuffer_free(Buffer); }
+};
+using BufferPtr = std::unique_ptr<evbuffer, BufferDeleter>;
+
+BufferPtr bufferOf(std::string_view Bytes) {
+  BufferPtr Buffer(evbuffer_new());
+  evbuffer_add(Buffer.get(), Bytes.data(), Bytes.size());
+  return Buffer;
+}
+
+} // namespace
+
+void HttpServer::reply(ExchangeId Id, const HttpReply &Reply) {
+  Impl::Exchange *Exchange = Data->find(Id);
+  if (!Exchange || Exchange->Streaming)
+    return;
+  evhttp_request *Request = Exchange->Request;
+  Data->finish(Id);
+  addHeaders(Request, Reply.Headers);
+  evhttp_send_reply(Request, Reply.Status, nullptr, bufferOf(Reply.Body).get());
+}
+
+void HttpServer::startStream(ExchangeId Id, int Status,
+                             const std::vector<HttpHeader> &Headers) {
+  Impl::Exchange *Exchange = Data->find(Id);
+  if (!Exchange || Exchange->Streaming)
+    return;
+  Exchange->Streaming = true;
+  addHeaders(Exchange->Request, Headers);
+  evhttp_send_reply_start(Exchange->Request, Status, nullptr);
+}
+
+void HttpServer::sendChunk(ExchangeId Id, std::string_view Bytes) {
+  Impl::Exchange *Exchange = Data->find(Id);
+  if (!Exchange || !Exchange->Streaming || Bytes.empty())
+    return;
+  evhttp_send_reply_chunk_with_cb(Exchange->Request, bufferOf(Bytes).get(),
+                                  &Impl::onFlushed, Data.get());
+}
+
+void HttpServer::endStream(ExchangeId Id) {
+  Impl::Exchange *Exchange = Data->find(Id);
+  if (!Exchange || !Exchange->Streaming)
+    return;
+  evhttp_request *Request = Exchange->Request;
+  Data->finish(Id);
+  evhttp_send_reply_end(Request);
+}
+
+void HttpServer::abort(ExchangeId Id) {
+  Impl::Exchange *Exchange = Data->find(Id);
+  if (!Exchange)
+    return;
+  Impl::Connection &Link = *Exchange->Link;
+  evhttp_connection *Evcon = evhttp_request_get_connection(Exchange->Request);
+  Data->Exchanges.erase(static_cast<std::uint64_t>(Id));
+  Link.Open = ExchangeId{};
+  Link.CloseWatch.reset();
+  Link.Closing = true;
+  evhttp_connection_free(Evcon);
+}
+
+std::size_t HttpServer::connections() const { return Data->Connections.size(); }
+
+std::size_t HttpServer::exchanges() const { return Data->Exchanges.size(); }
+
+std::size_t HttpServer::pendingBytes() const {
+  std::size_t Sum = 0;
+  for (const auto &[Stream, Link] : Data->Connections)
+    Sum += evbuffer_get_length(bufferevent_get_output(Stream));
+  return Sum;
+}
+
+} // namespace pimento
--- /dev/null
+++ b/packages/shell/PeerLinks.cpp
@@ -0,0 +1,293 @@
+#include "shell/PeerLinks.h"
+
+#include "base/Result.h"
+#include "base/Token.h"
+#include "shell/Address.h"
+#include "shell/WebSocket.h"
+
+#include <event2/listener.h>
+#include <openssl/rand.h>
+
+#include <arpa/inet.h>
+
+#include <array>
+#include <deque>
+#include <list>
+#include <map>
+
+namespace pimento {
+
+namespace {
+
+constexpr std::size_t MaxWaitingMessages = 512;
+constexpr std::size_t MaxWaitingBytes = 8U << 20U; // On one link.
+constexpr Duration HandshakeTimeout = seconds(1);
+constexpr Duration RedialInterval = milliseconds(100);
+constexpr std::size_t MaxLinks = 4096;
+
+std::string makeNonce() {
+  std::array<unsigned char, 16> Bytes{};
+  RAND_bytes(Bytes.data(), static_cast<int>(Bytes.size()));
+  return sha256Hex(std::string_view(
+      reinterpret_cast<const char *>(Bytes.data()), Bytes.size()));
+}
+
+struct ListenerDeleter {
+  void operator()(evconnlistener *Listener) const {
+    evconnlistener_free(Listener);
+  }
+};
+
+} // namespace
+
+struct PeerLinks::Impl {
+  /// One connection; its host is empty until its Hello was proved.
+  struct Link {
+    std::unique_ptr<WebSocket> Socket;
+    std::unique_ptr<Timer> Deadline; // Of the handshake.
+    std::string Nonce;               // Sent to the other side.
+    HostId Dialled;                  // Empty on an accepted link.
+    HostId Host;
+    Incarnation Life = 0;
+    bool Dead = false;
+
+    bool ready() const { return !Dead && !Host.empty(); }
+  };
+
+  struct Peer {
+    std::string Address;
+    std::deque<std::string> Waiting; // Frames, while no link is ready.
+    TimePoint NextDial;
+  };
+
+  event_base *Base;
+  HostId Self;
+  Incarnation Life;
+  std::string Token;
+  PeerLinksHooks Hooks;
+  std::map<HostId, Peer> Peers;
+  std::list<Link> Links; // Newest last.
+  std::unique_ptr<evconnlistener, ListenerDeleter> Listener;
+  std::unique_ptr<Timer> Reaper;
+  LinkCounters Counters;
+
+  static void onAccept(evconnlistener *, evutil_socket_t Socket, sockaddr *,
+                       int, void *Self);
+
+  Link &addLink();
+  WebSocketHooks hooksOf(Link &L);
+  void greet(Link &L);
+  void receive(Link &L, std::string_view Frame);
+  void take(Link &L, Message M);
+  void answer(Link &L, const Challenge &C);
+  void accept(Link &L, const Hello &H);
+  void drop(Link &L, Code Number, std::string Detail);
+  void markDead(Link &L);
+  void dial(const HostId &To, Peer &P);
+  bool sendOn(Link &L, const std::string &Frame);
+  Link *readyLink(const HostId &To);
+  void flush(const HostId &To);
+};
+
+PeerLinks::Impl::Link &PeerLinks::Impl::addLink() {
+  Link &L = Links.emplace_back();
+  L.Nonce = makeNonce();
+  L.Deadline = std::make_unique<Timer>(Base, [this, &L] {
+    if (!L.ready())
+      drop(L, Code::PeerUnauthorized, "no handshake in time");
+  });
+  L.Deadline->start(HandshakeTimeout);
+  return L;
+}
+
+WebSocketHooks PeerLinks::Impl::hooksOf(Link &L) {
+  WebSocketHooks Result;
+  Result.Open = [this, &L] { greet(L); };
+  Result.Frame = [this, &L](std::string_view Frame) { receive(L, Frame); };
+  Result.Closed = [this, &L] { markDead(L); };
+  return Result;
+}
+
+void PeerLinks::Impl::greet(Link &L) {
+  L.Socket->send(encode(Challenge{L.Nonce}));
+}
+
+/// websocketpp may stand on the link's stack: it is destroyed a little later.
+void PeerLinks::Impl::markDead(Link &L) {
+  if (L.Dead)
+    return;
+  L.Dead = true;
+  L.Deadline->stop();
+  Reaper->start(Duration::zero());
+}
+
+void PeerLinks::Impl::drop(Link &L, Code Number, std::string Detail) {
+  if (L.Dead)
+    return;
+  L.Socket->close();
+  markDead(L);
+  Hooks.Refused(Number, std::move(Detail));
+}
+
+void PeerLinks::Impl::receive(Link &L, std::string_view Frame) {
+  if (L.Dead)
+    return;
+  ++Counters.MessagesReceived;
+  Counters.BytesReceived += Frame.size();
+  Failure Why;
+  bool Taken = valueOr<bool>(
+      [&]() -> Result<bool> {
+        auto M = decode(Frame);
+        if (!M)
+          return M.error();
+        take(L, std::move(*M));
+        return true;
+      },
+      false, Why);
+  if (!Taken)
+    drop(L, Why.Number, Why.Detail);
+}
+
+void PeerLinks::Impl::take(Link &L, Message M) {
+  if (const auto *C = std::get_if<Challenge>(&M))
+    answer(L, *C);
+  else if (const auto *H = std::get_if<Hello>(&M))
+    accept(L, *H);
+  else if (L.ready())
+    Hooks.Received(L.Host, L.Life, std::move(M));
+  else
+    drop(L, Code::PeerUnauthorized, "a message came before the Hello");
+}
+
+void PeerLinks::Impl::answer(Link &L, const Challenge &C) {
+  Hello H;
+  H.Host = Self;
+  H.Life = Life;
+  H.Proof = linkProof(Token, C.Nonce, Self, Life);
+  L.Socket->send(encode(H));
+}
+
+void PeerLinks::Impl::accept(Link &L, const Hello &H) {
+  std::string Expected = linkProof(Token, L.Nonce, H.Host, H.Life);
+  bool Proved = equalConstantTime(Expected, H.Proof);
+  bool Known = Peers.count(H.Host) > 0 && H.Host != Self;
+  bool Meant = L.Dialled.empty() || L.Dialled == H.Host;
+  if (!Proved || !Known || !Meant) {
+    drop(L, Code::PeerUnauthorized,
+         "the Hello of " + H.Host.Value + " is not proved or not expected");
+    return;
+  }
+  L.Host = H.Host;
+  L.Life = H.Life;
+  L.Deadline->stop();
+  flush(L.Host);
+}
+
+void PeerLinks::Impl::onAccept(evconnlistener *, evutil_socket_t Socket,
+                               sockaddr *, int, void *SelfPointer) {
+  auto &Data = *static_cast<Impl *>(SelfPointer);
+  if (Data.Links.size() >= MaxLinks) {
+    evutil_closesocket(Socket);
+    return;
+  }
+  Link &L = Data.addLink();
+  L.Socket = WebSocket::accepted(Data.Base, Socket, Data.hooksOf(L));
+}
+
+void PeerLinks::Impl::dial(const HostId &To, Peer &P) {
+  TimePoint Now = std::chrono::steady_clock::now();
+  for (const Link &L : Links) {
+    if (!L.Dead && L.Dialled == To)
+      return;
+  }
+  if (Now < P.NextDial)
+    return;
+  P.NextDial = Now + RedialInterval;
+  Link &L = addLink();
+  L.Dialled = To;
+  L.Socket = WebSocket::dial(Base, P.Address, hooksOf(L));
+  if (!L.Socket)
+    markDead(L);
+}
+
+PeerLinks::Impl::Link *PeerLinks::Impl::readyLink(const HostId &To) {
+  Link *Found = nullptr;
+  for (Link &L : Links) {
+    if (L.ready() && L.Host == To)
+      Found = &L;
+  }
+  return Found;
+}
+
+bool PeerLinks::Impl::sendOn(Link &L, const std::string &Frame) {
+  if (L.Socket->pendingBytes() > MaxWaitingBytes || !L.Socket->send(Frame)) {
+    ++Counters.MessagesDropped;
+    return false;
+  }
+  ++Counters.MessagesSent;
+  Counters.BytesSent += Frame.size();
+  return true;
+}
+
+void PeerLinks::Impl::flush(const HostId &To) {
+  Peer &P = Peers[To];
+  Link *L = readyLink(To);
+  while (L && !P.Waiting.empty()) {
+    sendOn(*L, P.Waiting.front());
+    P.Waiting.pop_front();
+  }
+}
+
+PeerLinks::PeerLinks(event_base *Base, HostId Self, Incarnation Life,
+                     std::string Token, const std::vector<PeerSettings> &Peers,
+                     PeerLinksHooks Hooks)
+    : Data(std::make_unique<Impl>()) {
+  Data->Base = Base;
+  Data->Self = std::move(Self);
+  Data->Life = Life;
+  Data->Token = std::move(Token);
+  Data->Hooks = std::move(Hooks);
+  for (const PeerSettings &Peer : Peers)
+    Data->Peers[Peer.Name].Address = Peer.Address;
+  Data->Reaper = std::make_unique<Timer>(Base, [this] {
+    Data->Links.remove_if([](const Impl::Link &L) { return L.Dead; });
+  });
+}
+
+PeerLinks::~PeerLinks() = default;
+
+bool PeerLinks::listen(const std::string &Address) {
+  sockaddr_storage Target{};
+  int Size = sizeof(Target);
+  if (evutil_parse_sockaddr_port(
+          Address.c_str(), reinterpret_cast<sockaddr *>(&Target), &Size) != 0)
+    return false;
+  constexpr int Backlog = 512;
+  Data->Listener.reset(evconnlistener_new_bind(
+      Data->Base, &Impl::onAccept, Data.get(),
+      LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE, Backlog,
+      reinterpret_cast<sockaddr *>(&Target), Size));
+  return Data->Listener != nullptr;
+}
+
+void PeerLinks::send(const HostId &To, const Message &M) {
+  auto Found = Data->Peers.find(To);
+  if (Found == Data->Peers.end() || To == Data->Self)
+    return;
+  Impl::Peer &P = Found->second;
+  std::string Frame = encode(M);
+  if (Impl::Link *L = Data->readyLink(To)) {
+    Data->sendOn(*L, Frame);
+    return;
+  }
+  P.Waiting.push_back(std::move(Frame));
+  if (P.Waiting.size() > MaxWaitingMessages) {
+    P.Waiting.pop_front();
+    ++Data->Counters.MessagesDropped;
+  }
+  Data->dial(To, P);
+}
+
+const LinkCounters &PeerLinks::counters() const { return Data->Counters; }
+
+} // namespace pimento
--- /dev/null
+++ b/packages/shell/Process.cpp
@@ -0,0 +1,334 @@
+#include "shell/Process.h"
+
+#include "base/Problem.h"
+#include "base/Random.h"
+#include "node/Node.h"
+#include "shell/EventLoop.h"
+#include "shell/HttpClient.h"
+#include "shell/HttpServer.h"
+#include "shell/Logger.h"
+#include "shell/Metrics.h"
+#include "shell/PeerLinks.h"
+
+#include <event2/event.h>
+
+#include <csignal>
+#include <deque>
+#include <random>
+
+namespace pimento {
+
+namespace {
+
+constexpr Duration GaugeInterval = seconds(1);
+/// Operators' documents and questions are small.
+constexpr std::size_t OperatorBodyBytes = 4U << 20U;
+constexpr std::size_t OperatorConnections = 256;
+
+TimePoint now() { return std::chrono::steady_clock::now(); }
+
+class Process {
+public:
+  explicit Process(const Settings &S);
+  Process(const Process &) = delete;
+  Process &operator=(const Process &) = delete;
+
+  bool listen();
+  int run();
+
+  // Effects, by type.
+  void operator()(const SendPeer &E) { Links.send(E.To, E.Content); }
+  void operator()(const SendReply &E);
+  void operator()(const StartStream &E);
+  void operator()(const SendChunk &E);
+  void operator()(const EndStream &E);
+  void operator()(const AbortExchange &E);
+  void operator()(const OpenUpstream &E);
+  void operator()(const AbortUpstream &E) { Client.abort(E.Call); }
+  void operator()(const PauseUpstream &E) { Client.pause(E.Call); }
+  void operator()(const ResumeUpstream &E) { Client.resume(E.Call); }
+  void operator()(const LogDecision &E) { Log.write(LogLevel::Info, E.Record); }
+  void operator()(const RecordSample &E) { Numbers.record(E.Sample); }
+  void operator()(const Exit &E);
+
+private:
+  HttpServerHooks serverHooks(bool Operators);
+  HttpClientHooks clientHooks();
+  PeerLinksHooks linkHooks();
+  HttpServerLimits callerLimits() const;
+  HttpServerLimits operatorLimits() const;
+
+  HttpServer &serverOf(ExchangeId Id) {
+    return Operators.holds(Id) ? Operators : Callers;
+  }
+  void dispatch(Event E);
+  void handle(const Event &E);
+  void tick();
+  void recordGauges();
+  bool answerHere(ExchangeId Id, const HttpRequest &Request);
+  static void onSignal(evutil_socket_t, short, void *Self);
+
+  Settings Config;
+  EventBasePtr Base;
+  Logger Log;
+  Metrics Numbers;
+  std::uint64_t NextExchange = 1;
+  Incarnation Life;
+  NodeState Node;
+  HttpServer Callers;
+  HttpServer Operators;
+  HttpClient Client;
+  PeerLinks Links;
+  Timer TickTimer;
+  EventPtr Terminate;
+  EventPtr Interrupt;
+  std::deque<Event> Waiting; // Events that came while another was handled.
+  bool Handling = false;
+  int ExitStatus = 0;
+  TimePoint NextGauges;
+};
+
+std::uint64_t systemSeed() {
+  std::random_device Device;
+  return (static_cast<std::uint64_t>(Device()) << 32U) | Device();
+}
+
+/// Lives of one host rise with time, so that a later one always wins.
+Incarnation makeLife() {
+  auto Wall = std::chrono::system_clock::now().time_since_epoch();
+  return static_cast<Incarnation>(
+      std::chrono::duration_cast<microseconds>(Wall).count());
+}
+
+Process::Process(const Settings &S)
+    : Config(S), Base(makeEventBase()), Log(S.Log, S.Host.Name),
+      Life(makeLife()), Node(makeNode(S, Life, systemSeed(), now())),
+      Callers(Base.get(), callerLimits(), serverHooks(false), NextExchange),
+      Operators(Base.get(), operatorLimits(), serverHooks(true), NextExchange),
+      Client(Base.get(), clientHooks()),
+      Links(Base.get(), S.Host.Name, Life, S.Security.PeerToken, S.Peers,
+            linkHooks()),
+      TickTimer(Base.get(), [this] { tick(); }),
+      Terminate(evsignal_new(Base.get(), SIGTERM, &Process::onSignal, this)),
+      Interrupt(evsignal_new(Base.get(), SIGINT, &Process::onSignal, this)) {
+  event_add(Terminate.get(), nullptr);
+  event_add(Interrupt.get(), nullptr);
+}
+
+HttpServerLimits Process::callerLimits() const {
+  HttpServerLimits L;
+  L.BodyBytes = Config.Limits.BodyBytes;
+  L.HeaderBytes = Config.Limits.HeaderBytes;
+  L.Connections = Config.Limits.Connections;
+  L.ReadTimeout = Config.Limits.ReadTimeout;
+  return L;
+}
+
+HttpServerLimits Process::operatorLimits() const {
+  HttpServerLimits L = callerLimits();
+  L.BodyBytes = OperatorBodyBytes;
+  L.Connections = OperatorConnections;
+  return L;
+}
+
+HttpServerHooks Process::serverHooks(bool ForOperators) {
+  HttpServerHooks Hooks;
+  Hooks.Request = [this, ForOperators](ExchangeId Id, HttpRequest Request) {
+    if (answerHere(Id, Request))
+      return;
+    if (ForOperators)
+      dispatch(OperatorRequest{Id, std::move(Request)});
+    else
+      dispatch(CallerRequest{Id, std::move(Request)});
+  };
+  Hooks.Left = [this](ExchangeId Id) { dispatch(ExchangeLeft{Id}); };
+  Hooks.Drained = [this](ExchangeId Id, std::size_t Pending) {
+    dispatch(ExchangeDrained{Id, Pending});
+  };
+  Hooks.Refused = [this](Code Number) {
+    Numbers.record({SampleKind::Counter, "pimento_unread_requests_total",
+                    std::string("code=\"") + toString(Number) + "\"", 1});
+  };
+  return Hooks;
+}
+
+HttpClientHooks Process::clientHooks() {
+  HttpClientHooks Hooks;
+  Hooks.Sent = [this](UpstreamId Id) { dispatch(UpstreamSent{Id}); };
+  Hooks.Head = [this](UpstreamId Id, int Status,
+                      std::vector<HttpHeader> Headers) {
+    dispatch(UpstreamHead{Id, Status, std::move(Headers)});
+  };
+  Hooks.Data = [this](UpstreamId Id, std::string Bytes) {
+    dispatch(UpstreamData{Id, std::move(Bytes)});
+  };
+  Hooks.End = [this](UpstreamId Id, bool Delimited) {
+    dispatch(UpstreamEnd{Id, Delimited});
+  };
+  Hooks.Failed = [this](UpstreamId Id, UpstreamFailure Why) {
+    dispatch(UpstreamFailed{Id, std::move(Why)});
+  };
+  return Hooks;
+}
+
+PeerLinksHooks Process::linkHooks() {
+  PeerLinksHooks Hooks;
+  Hooks.Received = [this](const HostId &From, Incarnation PeerLife,
+                          Message Content) {
+    dispatch(PeerMessage{From, PeerLife, std::move(Content)});
+  };
+  Hooks.Refused = [this](Code Number, std::string Detail) {
+    DecisionRecord Record;
+    Record.Kind = "link_refused";
+    Record.Reason = std::move(Detail);
+    Record.add("code", static_cast<std::int64_t>(Number));
+    Log.write(LogLevel::Warning, Record);
+  };
+  return Hooks;
+}
+
+bool Process::listen() {
+  const HostSettings &H = Config.Host;
+  struct Port {
+    const char *Key;
+    const std::string &Address;
+    bool Bound;
+  };
+  const Port Ports[] = {
+      {"peer_address", H.PeerAddress, Links.listen(H.PeerAddress)},
+      {"operator_address", H.OperatorAddress,
+       Operators.listen(H.OperatorAddress)},
+      {"caller_address", H.CallerAddress, Callers.listen(H.CallerAddress)},
+  };
+  bool All = true;
+  for (const Port &P : Ports) {
+    if (P.Bound)
+      continue;
+    All = false;
+    Log.write(LogLevel::Error, "start_failed",
+              std::string("cannot listen on [host] ") + P.Key + " " +
+                  P.Address);
+  }
+  return All;
+}
+
+int Process::run() {
+  DecisionRecord Record;
+  Record.Kind = "start";
+  Record.add("life", static_cast<std::int64_t>(Life));
+  Log.write(LogLevel::Info, Record);
+  tick();
+  event_base_dispatch(Base.get());
+  Log.write(LogLevel::Info, "stop", "");
+  return ExitStatus;
+}
+
+/// Metrics live in the shell, not in the node's state.
+bool Process::answerHere(ExchangeId Id, const HttpRequest &Request) {
+  if (Request.Path != "/metrics" || Request.Method != HttpMethod::Get)
+    return false;
+  recordGauges();
+  HttpReply Reply;
+  Reply.Headers.push_back({"Content-Type", "text/plain; version=0.0.4"});
+  Reply.Body = Numbers.text();
+  serverOf(Id).reply(Id, Reply);
+  return true;
+}
+
+/// Effects may cause events at once; those wait for the effects before them.
+void Process::dispatch(Event E) {
+  Waiting.push_back(std::move(E));
+  if (Handling)
+    return;
+  Handling = true;
+  while (!Waiting.empty()) {
+    Event Next = std::move(Waiting.front());
+    Waiting.pop_front();
+    handle(Next);
+  }
+  Handling = false;
+}
+
+void Process::handle(const Event &E) {
+  for (const Effect &Effect : reduce(Node, E, now()))
+    std::visit(*this, Effect);
+}
+
+void Process::tick() {
+  dispatch(Tick());
+  TickTimer.start(TickInterval);
+}
+
+void Process::recordGauges() {
+  auto Gauge = [this](const char *Name, double Value) {
+    Numbers.record({SampleKind::Gauge, Name, "", Value});
+  };
+  const LinkCounters &C = Links.counters();
+  Gauge("pimento_caller_connections",
+        static_cast<double>(Callers.connections()));
+  Gauge("pimento_caller_exchanges", static_cast<double>(Callers.exchanges()));
+  Gauge("pimento_caller_pending_bytes",
+        static_cast<double>(Callers.pendingBytes()));
+  Gauge("pimento_upstream_calls", static_cast<double>(Client.calls()));
+  Gauge("pimento_link_sent_bytes", static_cast<double>(C.BytesSent));
+  Gauge("pimento_link_received_bytes", static_cast<double>(C.BytesReceived));
+  Gauge("pimento_link_sent_messages", static_cast<double>(C.MessagesSent));
+  Gauge("pimento_link_dropped_messages",
+        static_cast<double>(C.MessagesDropped));
+}
+
+void Process::onSignal(evutil_socket_t, short, void *Self) {
+  static_cast<Process *>(Self)->dispatch(StopRequested());
+}
+
+void Process::operator()(const SendReply &E) {
+  serverOf(E.Exchange).reply(E.Exchange, E.Reply);
+}
+
+void Process::operator()(const StartStream &E) {
+  serverOf(E.Exchange).startStream(E.Exchange, E.Status, E.Headers);
+}
+
+void Process::operator()(const SendChunk &E) {
+  serverOf(E.Exchange).sendChunk(E.Exchange, E.Bytes);
+}
+
+void Process::operator()(const EndStream &E) {
+  serverOf(E.Exchange).endStream(E.Exchange);
+}
+
+void Process::operator()(const AbortExchange &E) {
+  serverOf(E.Exchange).abort(E.Exchange);
+}
+
+/// A process that was frozen wakes with effects whose leave has run out.
+void Process::operator()(const OpenUpstream &E) {
+  if (now() <= E.SendBy) {
+    Client.open(E.Call, E.Request);
+    return;
+  }
+  UpstreamFailure Why;
+  Why.BytesSent = false;
+  Why.TimedOut = true;
+  Why.Detail = "the leave to send ran out";
+  dispatch(UpstreamFailed{E.Call, Why});
+}
+
+void Process::operator()(const Exit &E) {
+  ExitStatus = E.Status;
+  // Lets the replies go out that were written just before.
+  timeval Soon = toTimeval(milliseconds(50));
+  event_base_loopexit(Base.get(), &Soon);
+}
+
+} // namespace
+
+int runHost(const Settings &S) {
+  std::signal(SIGPIPE, SIG_IGN);
+  Process Host(S);
+  if (!Host.listen())
+    return 1;
+  return Host.run();
+}
+
+} // namespace pimento
--- /dev/null
+++ b/packages/shell/tests/HttpTest.cpp
@@ -0,0 +1,213 @@
+#define BOOST_TEST_MODULE shell
+#include <boost/test/unit_test.hpp>
+
+#include "base/Problem.h"
+#include "shell/HttpClient.h"
+#include "shell/HttpServer.h"
+#include "shell/tests/Socket.h"
+
+#include <optional>
+
+using namespace pimento;
+using namespace pimento::test;
+
+namespace {
+
+constexpr Duration Patience = seconds(10);
+
+/// A server and a client on one loop.
+struct Fixture {
+  EventBasePtr Base = makeEventBase();
+  std::uint64_t NextExchange = 1;
+  std::vector<std::pair<ExchangeId, HttpRequest>> Requests;
+  std::vector<ExchangeId> Left;
+  std::vector<Code> Refused;
+  std::string Address = freeAddress();
+  HttpServer Server{Base.get(), limits(), hooks(), NextExchange};
+
+  int Status = 0;
+  std::string Body;
+  bool Sent = false;
+  bool Ended = false;
+  bool Delimited = false;
+  std::optional<UpstreamFailure> Failure;
+  HttpClient Client{Base.get(), clientHooks()};
+
+  Fixture() { BOOST_TEST_REQUIRE(Server.listen(Address)); }
+
+  static HttpServerLimits limits() {
+    HttpServerLimits L;
+    L.BodyBytes = 1000;
+    L.HeaderBytes = 2000;
+    L.Connections = 8;
+    L.ReadTimeout = milliseconds(300);
+    return L;
+  }
+  HttpServerHooks hooks() {
+    HttpServerHooks H;
+    H.Request = [this](ExchangeId Id, HttpRequest R) {
+      Requests.emplace_back(Id, std::move(R));
+    };
+    H.Left = [this](ExchangeId Id) { Left.push_back(Id); };
+    H.Drained = [](ExchangeId, std::size_t) {};
+    H.Refused = [this](Code C) { Refused.push_back(C); };
+    return H;
+  }
+  HttpClientHooks clientHooks() {
+    HttpClientHooks H;
+    H.Sent = [this](UpstreamId) { Sent = true; };
+    H.Head = [this](UpstreamId, int S, const std::vector<HttpHeader> &) {
+      Status = S;
+    };
+    H.Data = [this](UpstreamId, const std::string &Bytes) { Body += Bytes; };
+    H.End = [this](UpstreamId, bool Whole) {
+      Ended = true;
+      Delimited = Whole;
+    };
+    H.Failed = [this](UpstreamId, const UpstreamFailure &Why) {
+      Failure = Why;
+    };
+    return H;
+  }
+
+  /// Runs the loop until \p Done or patience ends.
+  template <class F> bool until(F Done) {
+    return runUntil(Base.get(), Patience, Done);
+  }
+
+  /// Sends raw bytes and returns all that comes until the server closes.
+  std::string rawExchange(const std::string &Bytes) {
+    RawSocket Socket(Address);
+    Socket.write(Bytes);
+    until([&] { return Socket.readAvailable(); });
+    return Socket.Received;
+  }
+
+  void open(const UpstreamRequest &R) { Client.open(UpstreamId{1}, R); }
+};
+
+void expectProblem(const std::string &Answer, Code Number) {
+  int Status = info(Number).HttpStatus;
+  BOOST_TEST((Answer.find("HTTP/1.1 " + std::to_string(Status)) == 0), Answer);
+  BOOST_TEST((Answer.find(ProblemContentType) != std::string::npos), Answer);
+  std::string Field =
+      "\"code\":" + std::to_string(static_cast<unsigned>(Number));
+  BOOST_TEST((Answer.find(Field) != std::string::npos), Answer);
+}
+
+} // namespace
+
+BOOST_FIXTURE_TEST_CASE(RequestsAndRepliesCross, Fixture) {
+  UpstreamRequest R;
+  R.Address = Address;
+  R.Method = HttpMethod::Post;
+  R.Target = "/a%20b?c=d";
+  R.Headers = {{"X-Test", "1"}};
+  R.Body = "hello";
+  open(R);
+  BOOST_TEST(until([&] { return !Requests.empty(); }));
+  const HttpRequest &Seen = Requests[0].second;
+  BOOST_TEST(Seen.Path == "/a b");
+  BOOST_TEST(Seen.Query == "c=d");
+  BOOST_TEST(Seen.Body == "hello");
+  BOOST_TEST(headerValue(Seen.Headers, "x-test") == "1");
+  Server.reply(Requests[0].first, jsonReply(201, "{}"));
+  BOOST_TEST(until([&] { return Ended; }));
+  BOOST_TEST(Status == 201);
+  BOOST_TEST(Body == "{}");
+  BOOST_TEST(Delimited);
+  BOOST_TEST(Sent);
+}
+
+BOOST_FIXTURE_TEST_CASE(StreamsArriveInPieces, Fixture) {
+  UpstreamRequest R;
+  R.Address = Address;
+  R.Target = "/";
+  open(R);
+  BOOST_TEST(until([&] { return !Requests.empty(); }));
+  ExchangeId Id = Requests[0].first;
+  Server.startStream(Id, 200, {{"Content-Type", "text/event-stream"}});
+  Server.sendChunk(Id, "one");
+  BOOST_TEST(until([&] { return Body == "one"; }));
+  BOOST_TEST(!Ended);
+  Server.sendChunk(Id, "two");
+  Server.endStream(Id);
+  BOOST_TEST(until([&] { return Ended; }));
+  BOOST_TEST(Body == "onetwo");
+}
+
+BOOST_FIXTURE_TEST_CASE(CutStreamsFail, Fixture) {
+  UpstreamRequest R;
+  R.Address = Address;
+  R.Target = "/";
+  open(R);
+  BOOST_TEST(until([&] { return !Requests.empty(); }));
+  ExchangeId Id = Requests[0].first;
+  Server.startStream(Id, 200, {});
+  Server.sendChunk(Id, "half");
+  BOOST_TEST(until([&] { return Body == "half"; }));
+  Server.abort(Id);
+  BOOST_TEST(until([&] { return Failure.has_value(); }));
+  BOOST_TEST(!Ended);
+  BOOST_TEST(Failure->BytesSent);
+}
+
+BOOST_FIXTURE_TEST_CASE(RefusedConnectionProvesThatNothingWasSent, Fixture) {
+  UpstreamRequest R;
+  R.Address = freeAddress();
+  R.Target = "/";
+  R.Body = "never sent";
+  open(R);
+  BOOST_TEST(until([&] { return Failure.has_value(); }));
+  BOOST_TEST(!Failure->BytesSent);
+  BOOST_TEST(!Sent);
+}
+
+BOOST_FIXTURE_TEST_CASE(CallersThatLeaveAreNoticed, Fixture) {
+  UpstreamRequest R;
+  R.Address = Address;
+  R.Target = "/";
+  open(R);
+  BOOST_TEST(until([&] { return !Requests.empty(); }));
+  Client.abort(UpstreamId{1});
+  BOOST_TEST(until([&] { return !Left.empty(); }));
+  BOOST_TEST((Left[0] == Requests[0].first));
+  Server.reply(Requests[0].first, HttpReply()); // Too late; does nothing.
+}
+
+BOOST_FIXTURE_TEST_CASE(WhatEvhttpRefusesGetsAProblemReply, Fixture) {
+  expectProblem(rawExchange("POST / HTTP/1.1\r\nContent-Length: 5000\r\n\r\n"),
+                Code::BodyTooLarge);
+  expectProblem(rawExchange("nonsense\r\n\r\n"), Code::BadRequest);
+  expectProblem(rawExchange("GET / HTTP/1.1\r\nA: " + std::string(3000, 'x') +
+                            "\r\n\r\n"),
+                Code::HeaderTooLarge);
+  expectProblem(rawExchange("TRACE / HTTP/1.1\r\n\r\n"),
+                Code::MethodNotAllowed);
+  BOOST_TEST(Requests.empty());
+}
+
+BOOST_FIXTURE_TEST_CASE(SlowRequestsGetAProblemReply, Fixture) {
+  expectProblem(rawExchange("POST / HTTP/1.1\r\nContent-Length: 50\r\n\r\nab"),
+                Code::RequestTimeout);
+  expectProblem(rawExchange("GET / HT"), Code::RequestTimeout);
+}
+
+BOOST_FIXTURE_TEST_CASE(ConnectionsAreBounded, Fixture) {
+  std::vector<std::unique_ptr<RawSocket>> Sockets;
+  constexpr int More = 12; // Than the limit of 8.
+  Sockets.reserve(More);
+  for (int I = 0; I < More; ++I)
+    Sockets.push_back(std::make_unique<RawSocket>(Address));
+  BOOST_TEST(until([&] { return Refused.size() >= 4; }));
+  BOOST_TEST(until([&] { return Server.connections() <= 8; }));
+}
+
+BOOST_FIXTURE_TEST_CASE(ConnectionsAreForgottenAfterTheyClose, Fixture) {
+  for (int I = 0; I < 5; ++I) {
+    RawSocket Socket(Address);
+    Socket.write("GET /");
+    BOOST_TEST(until([&] { return Server.connections() > 0; }));
+  }
+  BOOST_TEST(until([&] { return Server.connections() == 0; }));
+}
--- /dev/null
+++ b/packages/shell/tests/LinksTest.cpp
@@ -0,0 +1,101 @@
+#include <boost/test/unit_test.hpp>
+
+#include "shell/PeerLinks.h"
+#include "shell/tests/Socket.h"
+
+#include <memory>
+
+using namespace pimento;
+using namespace pimento::test;
+
+namespace {
+
+constexpr Duration Patience = seconds(10);
+
+struct Host {
+  HostId Name;
+  std::vector<std::pair<HostId, Message>> Received;
+  std::vector<Code> Refused;
+  std::unique_ptr<PeerLinks> Links;
+
+  void start(event_base *Base, Incarnation Life, const std::string &Token,
+             const std::vector<PeerSettings> &Peers) {
+    PeerLinksHooks Hooks;
+    Hooks.Received = [this](const HostId &From, Incarnation, Message M) {
+      Received.emplace_back(From, std::move(M));
+    };
+    Hooks.Refused = [this](Code C, const std::string &) {
+      Refused.push_back(C);
+    };
+    Links = std::make_unique<PeerLinks>(Base, Name, Life, Token, Peers, Hooks);
+    for (const PeerSettings &Peer : Peers) {
+      if (Peer.Name == Name)
+        BOOST_TEST_REQUIRE(Links->listen(Peer.Address));
+    }
+  }
+};
+
+struct Pair {
+  EventBasePtr Base = makeEventBase();
+  Host A{HostId("a"), {}, {}, nullptr};
+  Host B{HostId("b"), {}, {}, nullptr};
+  std::vector<PeerSettings> Peers = {
+      {HostId("a"), DataCentreId("x"), freeAddress(), true},
+      {HostId("b"), DataCentreId("x"), freeAddress(), true}};
+
+  template <class F> bool until(F Done) {
+    return runUntil(Base.get(), Patience, Done);
+  }
+};
+
+Message numbered(std::uint32_t Number) {
+  return Withdraw{AttemptId{{1, 1}, Number}};
+}
+
+} // namespace
+
+BOOST_FIXTURE_TEST_CASE(MessagesCrossInOrder, Pair) {
+  A.start(Base.get(), 1, "secret", Peers);
+  B.start(Base.get(), 2, "secret", Peers);
+  for (std::uint32_t I = 1; I <= 100; ++I)
+    A.Links->send(B.Name, numbered(I));
+  BOOST_TEST(until([&] { return B.Received.size() == 100; }));
+  for (std::uint32_t I = 1; I <= 100; ++I)
+    BOOST_TEST(std::get<Withdraw>(B.Received[I - 1].second).Attempt.Number ==
+               I);
+  BOOST_TEST(B.Received[0].first == A.Name);
+  B.Links->send(A.Name, numbered(7));
+  BOOST_TEST(until([&] { return A.Received.size() == 1; }));
+}
+
+BOOST_FIXTURE_TEST_CASE(AWrongSecretIsRefused, Pair) {
+  A.start(Base.get(), 1, "secret", Peers);
+  B.start(Base.get(), 2, "another", Peers);
+  A.Links->send(B.Name, numbered(1));
+  BOOST_TEST(until([&] { return !A.Refused.empty() && !B.Refused.empty(); }));
+  BOOST_TEST(B.Refused[0] == Code::PeerUnauthorized);
+  BOOST_TEST(B.Received.empty());
+}
+
+BOOST_FIXTURE_TEST_CASE(ARestartedPeerIsReachedAgain, Pair) {
+  A.start(Base.get(), 1, "secret", Peers);
+  B.start(Base.get(), 2, "secret", Peers);
+  A.Links->send(B.Name, numbered(1));
+  BOOST_TEST(until([&] { return B.Received.size() == 1; }));
+  B.Links.reset();
+  B.start(Base.get(), 3, "secret", Peers);
+  BOOST_TEST(until([&] {
+    A.Links->send(B.Name, numbered(2));
+    return B.Received.size() >= 2;
+  }));
+}
+
+BOOST_FIXTURE_TEST_CASE(GarbageOnThePeerPortIsRefused, Pair) {
+  A.start(Base.get(), 1, "secret", Peers);
+  RawSocket Garbage(Peers[0].Address);
+  Garbage.write("GET / HTTP/1.1\r\nUpgrade: something\r\n\r\n\x01\x02");
+  BOOST_TEST(until([&] { return Garbage.readAvailable(); }));
+  RawSocket Silent(Peers[0].Address);
+  BOOST_TEST(until([&] { return Silent.readAvailable(); }));
+  BOOST_TEST(A.Received.empty());
+}
--- /dev/null
+++ b/packages/shell/tests/Socket.h
@@ -0,0 +1,89 @@
+//===- Socket.h - Plain sockets and loops for the tests ---------*- C++ -*-===//
+#pragma once
+
+#include "shell/EventLoop.h"
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <cerrno>
+#include <chrono>
+#include <string>
+
+namespace pimento::test {
+
+inline sockaddr_in loopback(std::uint16_t Port) {
+  sockaddr_in Address{};
+  Address.sin_family = AF_INET;
+  Address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  Address.sin_port = htons(Port);
+  return Address;
+}
+
+/// An address on loopback whose port the system chose and nobody listens on.
+inline std::string freeAddress() {
+  int Socket = ::socket(AF_INET, SOCK_STREAM, 0);
+  sockaddr_in Address = loopback(0);
+  socklen_t Size = sizeof(Address);
+  if (::bind(Socket, reinterpret_cast<sockaddr *>(&Address), Size) != 0 ||
+      ::getsockname(Socket, reinterpret_cast<sockaddr *>(&Address), &Size) != 0)
+    return "";
+  ::close(Socket);
+  return "127.0.0.1:" + std::to_string(ntohs(Address.sin_port));
+}
+
+/// Runs the loop until \p Done holds. False once \p Patience has passed.
+template <class F> bool runUntil(event_base *Base, Duration Patience, F Done) {
+  auto End = std::chrono::steady_clock::now() + Patience;
+  while (!Done()) {
+    if (std::chrono::steady_clock::now() > End)
+      return false;
+    timeval Pause = toTimeval(milliseconds(2));
+    event_base_loopexit(Base, &Pause);
+    event_base_dispatch(Base);
+  }
+  return true;
+}
+
+/// A blocking connection that reads without waiting.
+class RawSocket {
+public:
+  explicit RawSocket(const std::string &Address)
+      : Socket(::socket(AF_INET, SOCK_STREAM, 0)) {
+    auto Port = static_cast<std::uint16_t>(
+        std::stoul(Address.substr(Address.rfind(':') + 1)));
+    sockaddr_in Target = loopback(Port);
+    Connected = ::connect(Socket, reinterpret_cast<sockaddr *>(&Target),
+                          sizeof(Target)) == 0;
+  }
+  ~RawSocket() { ::close(Socket); }
+  RawSocket(const RawSocket &) = delete;
+  RawSocket &operator=(const RawSocket &) = delete;
+
+  void write(const std::string &Bytes) const {
+    ::send(Socket, Bytes.data(), Bytes.size(), MSG_NOSIGNAL);
+  }
+
+  /// Takes what has come; true once the other side has closed.
+  bool readAvailable() {
+    char Chunk[4096];
+    for (;;) {
+      ssize_t Size = ::recv(Socket, Chunk, sizeof(Chunk), MSG_DONTWAIT);
+      if (Size == 0)
+        return true;
+      if (Size < 0)
+        return errno != EAGAIN;
+      Received.append(Chunk, static_cast<std::size_t>(Size));
+    }
+  }
+
+  std::string Received;
+  bool Connected = false;
+
+private:
+  int Socket;
+};
+
+} // namespace pimento::test
--- a/packages/wire/Messages.h
+++ b/packages/wire/Messages.h
@@ -13,6 +13,7 @@
 #include "base/Result.h"
 #include "wire/CallMessages.h"
 #include "wire/DocumentMessages.h"
+#include "wire/LinkMessages.h"
 #include "wire/MembershipMessages.h"
 #include "wire/ScheduleMessages.h"
 
@@ -23,10 +24,10 @@
 namespace pimento {
 
 using Message =
-    std::variant<Ping, Ack, LoadReport, Ask, Grant, Refusal, Release, Withdraw,
-                 RenewGrants, ClaimRequest, ClaimReply, ClaimResult,
-                 ClaimResultAck, PutDocument, PutDocumentReply, DocumentDigest,
-                 DocumentPull, DocumentText>;
+    std::variant<Challenge, Hello, Ping, Ack, LoadReport, Ask, Grant, Refusal,
+                 Release, Withdraw, RenewGrants, ClaimRequest, ClaimReply,
+                 ClaimResult, ClaimResultAck, PutDocument, PutDocumentReply,
+                 DocumentDigest, DocumentPull, DocumentText>;
 
 /// A message and the host it goes to.
 struct Outbound {
