Add the seams of the replicated log and the message pump

Cause: the node composes against these headers and other packages need the pump now, before the code behind them stands. Ruled out: holding the disk's identity in the transport (a proxy or a reused connection would lend it), one header for each message kind, a truncate field in DiskWrite (entries replace what stands from their first index on). Conclusion: the shape is fixed enough to compose against; functions follow.

--- a/packages/wire/Messages.h
+++ b/packages/wire/Messages.h
@@ -14,6 +14,7 @@
 #include "wire/CallMessages.h"
 #include "wire/DocumentMessages.h"
 #include "wire/MembershipMessages.h"
+#include "wire/ReplicaMessages.h"
 #include "wire/ScheduleMessages.h"
 
 #include <string>
@@ -26,7 +27,9 @@
     std::variant<Ping, Ack, LoadReport, Ask, Grant, Refusal, Release, Withdraw,
                  RenewGrants, ClaimRequest, ClaimReply, ClaimResult,
                  ClaimResultAck, PutDocument, PutDocumentReply, DocumentDigest,
-                 DocumentPull, DocumentText>;
+                 DocumentPull, DocumentText, ReplicaProbe, ReplicaProbeReply,
+                 VoteRequest, VoteReply, AppendRequest, AppendReply,
+                 SnapshotChunk, SnapshotReply, TimeoutNow>;
 
 /// A message and the host it goes to.
 struct Outbound {
