Merge the seams of the replicated log; each part lists its own messages

Cause: one variant that every part edits conflicts at each merge. Ruled out: one variant a part (each reducer would need its own codec). Conclusion: parts can add messages side by side.

--- a/packages/wire/DocumentMessages.h
+++ b/packages/wire/DocumentMessages.h
@@ -4,6 +4,7 @@
 #include "base/Codes.h"
 #include "base/Ids.h"
 #include "wire/Blob.h"
+#include "wire/MessageList.h"
 
 #include <cstdint>
 #include <string>
@@ -84,4 +85,8 @@
   }
 };
 
+using DocumentMessages =
+    MessageList<PutDocument, PutDocumentReply, DocumentDigest, DocumentPull,
+                DocumentText>;
+
 } // namespace pimento
--- a/packages/wire/LinkMessages.h
+++ b/packages/wire/LinkMessages.h
@@ -8,6 +8,7 @@
 #pragma once
 
 #include "base/Ids.h"
+#include "wire/MessageList.h"
 
 #include <cstdint>
 #include <string>
@@ -41,4 +42,6 @@
 std::string linkProof(const std::string &Token, const std::string &Nonce,
                       const HostId &Sender, Incarnation Life);
 
+using LinkMessages = MessageList<Challenge, Hello>;
+
 } // namespace pimento
--- a/packages/wire/MembershipMessages.h
+++ b/packages/wire/MembershipMessages.h
@@ -3,6 +3,7 @@
 
 #include "base/Ids.h"
 #include "base/Time.h"
+#include "wire/MessageList.h"
 
 #include <cstdint>
 #include <string>
@@ -97,4 +98,6 @@
   }
 };
 
+using MembershipMessages = MessageList<Ping, Ack, LoadReport>;
+
 } // namespace pimento
--- a/packages/wire/Messages.h
+++ b/packages/wire/Messages.h
@@ -15,6 +15,8 @@
 #include "wire/DocumentMessages.h"
 #include "wire/LinkMessages.h"
 #include "wire/MembershipMessages.h"
+#include "wire/MessageList.h"
+#include "wire/ReplicaMessages.h"
 #include "wire/ScheduleMessages.h"
 
 #include <string>
@@ -23,11 +25,10 @@
 
 namespace pimento {
 
+/// Every message. Each part lists its own in its header.
 using Message =
-    std::variant<Challenge, Hello, Ping, Ack, LoadReport, Ask, Grant, Refusal,
-                 Release, Withdraw, RenewGrants, ClaimRequest, ClaimReply,
-                 ClaimResult, ClaimResultAck, PutDocument, PutDocumentReply,
-                 DocumentDigest, DocumentPull, DocumentText>;
+    JoinedMessages<LinkMessages, ReplicaMessages, MembershipMessages,
+                   ScheduleMessages, CallMessages, DocumentMessages>::Variant;
 
 /// A message and the host it goes to.
 struct Outbound {
--- a/packages/wire/ScheduleMessages.h
+++ b/packages/wire/ScheduleMessages.h
@@ -12,6 +12,7 @@
 #include "base/Codes.h"
 #include "base/Ids.h"
 #include "base/Time.h"
+#include "wire/MessageList.h"
 
 #include <cstdint>
 #include <string>
@@ -128,4 +129,7 @@
   }
 };
 
+using ScheduleMessages =
+    MessageList<Ask, Grant, Refusal, Release, Withdraw, RenewGrants>;
+
 } // namespace pimento
