Add the document package and the seams of membership

Why: the node is composed against these headers, so they come first. `document` holds the schema with its limits, the diff, the state machine that the replicated log applies, the spread to all hosts and the freshness lease; `membership` so far is headers and wire messages only and is not built yet.

Ruled out: one announcement per document and number. Two hosts then have to compare as many numbers as there are services; the revision, counted by the log over all services, is one number and orders every edit.

--- /dev/null
+++ b/packages/document/InForce.cpp
@@ -0,0 +1,172 @@
+#include "document/SpreadParts.h"
+
+#include <algorithm>
+
+namespace pimento {
+
+namespace {
+
+constexpr std::size_t MaxWaits = 64;        // Questions at one time.
+constexpr std::uint32_t MaxAskedAgain = 64; // Hosts asked a second time.
+
+/// The time that the next level down is given.
+Duration patienceBelow(Duration Patience) { return Patience * 7 / 10; }
+
+HostInForce ownAnswer(const SpreadState &S, TimePoint Now) {
+  ServeVerdict V = mayServe(S.Freshness, Now);
+  HostInForce Own;
+  Own.Host = S.Freshness.Config.Self;
+  Own.Revision = S.Freshness.Complete;
+  Own.Serving = V.Serve;
+  if (V.Age != Duration::max())
+    Own.Age = V.Age;
+  return Own;
+}
+
+/// Whoever answers for a range: a host of it that is alive, if there is one.
+HostId delegateOf(const SpreadState &S, std::uint32_t First,
+                  std::uint32_t Last) {
+  for (std::uint32_t Host = First; Host < Last; ++Host) {
+    const HostId &Id = S.Config.Hosts[Host];
+    if (std::find(S.Alive.begin(), S.Alive.end(), Id) != S.Alive.end())
+      return Id;
+  }
+  return S.Config.Hosts[First];
+}
+
+void askRange(const SpreadState &S, const InForceWait &W, std::uint32_t First,
+              std::uint32_t Last, Duration Patience, SpreadOutputs &Out) {
+  if (First >= Last)
+    return;
+  InForceQuery Q = {W.OwnQuery, First, Last, Patience};
+  Out.Messages.push_back({delegateOf(S, First, Last), Q});
+}
+
+/// Asks for [First, Last) in a few parts.
+void askParts(const SpreadState &S, const InForceWait &W, std::uint32_t First,
+              std::uint32_t Last, Duration Patience, SpreadOutputs &Out) {
+  std::uint32_t Count = Last - First;
+  auto Parts = static_cast<std::uint32_t>(
+      std::min<std::size_t>(S.Config.InForceParts, Count));
+  for (std::uint32_t Part = 0; Part < Parts; ++Part)
+    askRange(S, W, First + Count * Part / Parts,
+             First + Count * (Part + 1) / Parts, Patience, Out);
+}
+
+void finish(const InForceWait &W, SpreadOutputs &Out) {
+  std::vector<HostInForce> Hosts;
+  for (const auto &Entry : W.Hosts)
+    Hosts.push_back(Entry.second);
+  if (W.Asker.empty())
+    Out.Answers.push_back({W.Query, std::move(Hosts)});
+  else
+    Out.Messages.push_back({W.Asker, InForceReply{W.Query, std::move(Hosts)}});
+}
+
+/// Asks each missing host itself: the one that was to gather its answer may
+/// be gone.
+void askMissing(const SpreadState &S, InForceWait &W, TimePoint Now,
+                SpreadOutputs &Out) {
+  W.AskMissing = TimePoint::max();
+  std::uint32_t Asked = 0;
+  for (std::uint32_t Host = 0; Host < S.Config.Hosts.size(); ++Host) {
+    if (W.Hosts.count(Host) != 0 || Asked == MaxAskedAgain)
+      continue;
+    ++Asked;
+    askRange(S, W, Host, Host + 1, patienceBelow(W.Until - Now), Out);
+  }
+}
+
+void startWait(SpreadState &S, InForceWait W, const InForceQuery &Q,
+               TimePoint Now, SpreadOutputs &Out) {
+  std::uint32_t Self = S.Freshness.Config.Self;
+  bool Inside = Q.First <= Self && Self < Q.Last;
+  W.OwnQuery = S.NextQuery++;
+  W.Until = Now + Q.Patience;
+  W.Expected = Q.Last - Q.First;
+  if (W.Asker.empty())
+    W.AskMissing = Now + patienceBelow(Q.Patience);
+  if (Inside)
+    W.Hosts.emplace(Self, ownAnswer(S, Now));
+  Duration Below = patienceBelow(patienceBelow(Q.Patience));
+  if (Inside) {
+    askParts(S, W, Q.First, Self, Below, Out);
+    askParts(S, W, Self + 1, Q.Last, Below, Out);
+  } else {
+    askParts(S, W, Q.First, Q.Last, Below, Out);
+  }
+  if (W.Hosts.size() == W.Expected)
+    finish(W, Out);
+  else
+    S.InForceWaits.emplace(W.OwnQuery, std::move(W));
+}
+
+} // namespace
+
+std::uint32_t hostIndex(const SpreadState &S, const HostId &Host) {
+  const auto &Hosts = S.Config.Hosts;
+  auto Found = std::lower_bound(Hosts.begin(), Hosts.end(), Host);
+  if (Found == Hosts.end() || *Found != Host)
+    return static_cast<std::uint32_t>(Hosts.size());
+  return static_cast<std::uint32_t>(Found - Hosts.begin());
+}
+
+std::uint64_t askInForce(SpreadState &S, Duration Patience, TimePoint Now,
+                         SpreadOutputs &Out) {
+  InForceWait W;
+  W.Query = S.NextQuery++;
+  std::uint64_t Query = W.Query;
+  InForceQuery All = {
+      W.Query, 0, static_cast<std::uint32_t>(S.Config.Hosts.size()), Patience};
+  startWait(S, std::move(W), All, Now, Out);
+  return Query;
+}
+
+void onInForceQuery(SpreadState &S, const HostId &From, const InForceQuery &Q,
+                    TimePoint Now, SpreadOutputs &Out) {
+  if (Q.First >= Q.Last || Q.Last > S.Config.Hosts.size() ||
+      Q.Patience <= Duration::zero() || S.InForceWaits.size() >= MaxWaits)
+    return;
+  InForceWait W;
+  W.Query = Q.Query;
+  W.Asker = From;
+  startWait(S, std::move(W), Q, Now, Out);
+}
+
+void onInForceReply(SpreadState &S, const InForceReply &R, SpreadOutputs &Out) {
+  auto Found = S.InForceWaits.find(R.Query);
+  if (Found == S.InForceWaits.end())
+    return;
+  InForceWait &W = Found->second;
+  for (const HostInForce &Host : R.Hosts) {
+    if (Host.Host < S.Config.Hosts.size())
+      W.Hosts.emplace(Host.Host, Host);
+  }
+  if (W.Hosts.size() < W.Expected)
+    return;
+  finish(W, Out);
+  S.InForceWaits.erase(Found);
+}
+
+void tickInForce(SpreadState &S, TimePoint Now, SpreadOutputs &Out) {
+  for (auto At = S.InForceWaits.begin(); At != S.InForceWaits.end();) {
+    InForceWait &W = At->second;
+    if (Now >= W.AskMissing)
+      askMissing(S, W, Now, Out);
+    if (Now < W.Until) {
+      ++At;
+      continue;
+    }
+    finish(W, Out);
+    At = S.InForceWaits.erase(At);
+  }
+}
+
+TimePoint nextInForceDeadline(const SpreadState &S) {
+  TimePoint Next = TimePoint::max();
+  for (const auto &Entry : S.InForceWaits)
+    Next = std::min({Next, Entry.second.Until, Entry.second.AskMissing});
+  return Next;
+}
+
+} // namespace pimento
--- /dev/null
+++ b/packages/document/Spread.cpp
@@ -0,0 +1,387 @@
+#include "document/Spread.h"
+
+#include "document/SpreadParts.h"
+
+#include <algorithm>
+
+namespace pimento {
+
+namespace {
+
+constexpr std::size_t KeptAcks = 4; // Stamps that are counted at once.
+constexpr std::uint32_t MaxAckDoublings = 4;
+constexpr std::uint32_t MaxAckRepeats = 1; // Of a count with hosts below.
+
+void send(SpreadOutputs &Out, const HostId &To, Message M) {
+  Out.Messages.push_back({To, std::move(M)});
+}
+
+/// A host that is alive, or any where none is known to be; empty where this
+/// host is alone.
+HostId randomPeer(SpreadState &S) {
+  if (!S.Alive.empty())
+    return S.Alive[below(S.Rng, S.Alive.size())];
+  std::vector<HostId> Others;
+  for (const HostId &Host : S.Config.Hosts) {
+    if (Host != S.Config.Self)
+      Others.push_back(Host);
+  }
+  return Others.empty() ? HostId() : Others[below(S.Rng, Others.size())];
+}
+
+/// Up to \p Count different hosts other than \p Except.
+std::vector<HostId> randomPeers(SpreadState &S, std::size_t Count,
+                                const HostId &Except) {
+  std::vector<HostId> Chosen;
+  constexpr std::size_t Patience = 4; // Draws for one host.
+  std::size_t Draws = Patience * Count;
+  while (Chosen.size() < Count && Draws-- > 0 && !S.Alive.empty()) {
+    const HostId &Peer = S.Alive[below(S.Rng, S.Alive.size())];
+    if (Peer == Except ||
+        std::find(Chosen.begin(), Chosen.end(), Peer) != Chosen.end())
+      continue;
+    Chosen.push_back(Peer);
+  }
+  return Chosen;
+}
+
+void sendNotices(SpreadState &S, const std::vector<HostId> &To,
+                 SpreadOutputs &Out) {
+  SpreadNotice Notice = {S.Freshness.Newest, S.Freshness.Complete};
+  for (const HostId &Peer : To)
+    send(Out, Peer, Notice);
+}
+
+void startPull(SpreadState &S, const HostId &From, std::uint64_t After,
+               bool Whole, TimePoint Now, SpreadOutputs &Out) {
+  if (From.empty())
+    return;
+  PendingPull &P = S.Pull;
+  if (After == 0)
+    P.Have = S.Freshness.Complete;
+  P.Request = S.NextRequest++;
+  P.From = From;
+  P.Asked = Now;
+  P.After = After;
+  P.Whole = Whole;
+  SpreadPull Message;
+  Message.Request = P.Request;
+  Message.Have = P.Have;
+  Message.After = After;
+  Message.Whole = Whole;
+  Message.Reports = wantsReports(S.Freshness, Now);
+  send(Out, From, Message);
+}
+
+/// Pulls from whoever is known to have more.
+void followHint(SpreadState &S, TimePoint Now, SpreadOutputs &Out) {
+  if (S.Pull.Request != 0 || S.Hint.From.empty())
+    return;
+  SpreadHint Hint = S.Hint;
+  S.Hint = SpreadHint();
+  bool More =
+      S.Freshness.Newest < Hint.Newest || S.Freshness.Complete < Hint.Complete;
+  if (More)
+    startPull(S, Hint.From, 0, false, Now, Out);
+}
+
+AckProgress *findAck(SpreadState &S, const Stamp &Held) {
+  for (AckProgress &Ack : S.Acks) {
+    if (Ack.Held == Held)
+      return &Ack;
+  }
+  return nullptr;
+}
+
+void startAck(SpreadState &S, const HostId &Parent, TimePoint Now) {
+  AckProgress Ack;
+  Ack.Held = S.Freshness.Newest;
+  Ack.Parent = Parent;
+  if (!Parent.empty())
+    Ack.Due = Now + S.Config.AckDelay;
+  S.Acks.push_back(std::move(Ack));
+  if (S.Acks.size() > KeptAcks)
+    S.Acks.erase(S.Acks.begin());
+}
+
+/// A host that has not joined yet may have been counted in its earlier life.
+std::uint32_t countHolders(const SpreadState &S, const AckProgress &Ack) {
+  std::uint32_t Count = S.Freshness.Joined ? 1 : 0;
+  for (const auto &Child : Ack.Below)
+    Count += Child.second;
+  return Count;
+}
+
+void sendAck(SpreadState &S, AckProgress &Ack, TimePoint Now,
+             SpreadOutputs &Out) {
+  std::uint32_t Count = countHolders(S, Ack);
+  Ack.Due = TimePoint::max();
+  if (Count == 0)
+    return;
+  bool Repeat = Count == Ack.Sent;
+  Ack.Sent = Count;
+  send(Out, Ack.Parent, StampAck{Ack.Held, Count});
+  ++Ack.Sends;
+  std::uint32_t Doublings = std::min(Ack.Sends, MaxAckDoublings);
+  if (!Ack.Below.empty() && !Repeat)
+    Ack.Due = Now + S.Config.AckDelay * (1U << Doublings);
+}
+
+void sendDueAcks(SpreadState &S, TimePoint Now, SpreadOutputs &Out) {
+  for (AckProgress &Ack : S.Acks) {
+    if (Now >= Ack.Due)
+      sendAck(S, Ack, Now, Out);
+  }
+}
+
+/// Whether the stamp that was issued last has done its work.
+bool lastStampSettled(const SpreadState &S) {
+  const FreshnessState &F = S.Freshness;
+  return F.Recent.empty() || F.MajorityHeld == F.Recent.back().Content;
+}
+
+void issueIfDue(SpreadState &S, TimePoint Now, SpreadOutputs &Out) {
+  FreshnessState &F = S.Freshness;
+  if (!leads(F, Now))
+    return;
+  bool Edited = F.Complete > S.StampedRevision && lastStampSettled(S);
+  if (!Edited && Now < S.NextStamp)
+    return;
+  issueStamp(F, Now);
+  S.StampedRevision = F.Complete;
+  S.NextStamp = Now + S.Config.StampInterval;
+  S.LastNews = Now;
+  startAck(S, HostId(), Now);
+  sendNotices(S, randomPeers(S, S.Config.LeaderFanout, HostId()), Out);
+}
+
+void tellAccepted(SpreadState &S, SpreadOutputs &Out) {
+  std::uint64_t Known = S.Freshness.MajorityHeld.Revision;
+  if (Known <= S.AcceptedRevision)
+    return;
+  S.AcceptedRevision = Known;
+  Out.Accepted = Known;
+}
+
+void onStampAck(SpreadState &S, const HostId &From, const StampAck &A,
+                TimePoint Now, SpreadOutputs &Out) {
+  AckProgress *Ack = findAck(S, A.Held);
+  if (!Ack || A.Hosts > S.Config.Hosts.size())
+    return;
+  std::uint32_t &Below = Ack->Below[From];
+  if (A.Hosts <= Below)
+    return;
+  Below = A.Hosts;
+  if (!Ack->Parent.empty()) {
+    std::uint32_t Doublings = std::min(Ack->Sends, MaxAckDoublings);
+    Ack->Due = std::min(Ack->Due, Now + S.Config.AckDelay * (1U << Doublings));
+    return;
+  }
+  if (noteHolders(S.Freshness, A.Held, countHolders(S, *Ack)))
+    issueIfDue(S, Now, Out);
+  tellAccepted(S, Out);
+}
+
+void onNotice(SpreadState &S, const HostId &From, const SpreadNotice &N,
+              TimePoint Now, SpreadOutputs &Out) {
+  bool Better = S.Hint.From.empty() || S.Hint.Newest < N.Newest ||
+                S.Hint.Complete < N.Complete;
+  if (Better)
+    S.Hint = {From, N.Newest, N.Complete};
+  followHint(S, Now, Out);
+}
+
+void onPull(SpreadState &S, const HostId &From, const SpreadPull &P,
+            TimePoint Now, SpreadOutputs &Out) {
+  SpreadReply Reply;
+  Reply.Request = P.Request;
+  Reply.Newest = S.Freshness.Newest;
+  if (Reply.Newest.Term != 0)
+    Reply.Age = newestAge(S.Freshness, Now);
+  Reply.Complete = S.Freshness.Complete;
+  if (P.Reports)
+    Reply.Reports.Data = encodeReports(S.Freshness, Now);
+  fillItems(S, P, Reply);
+  send(Out, From, std::move(Reply));
+}
+
+/// Takes in the documents of a reply; returns whether the pull is finished.
+bool takeItems(SpreadState &S, const HostId &From, const SpreadReply &R,
+               TimePoint Now, SpreadOutputs &Out) {
+  for (const DocumentItem &Item : R.Items) {
+    if (takeItem(S, Item, Out))
+      continue;
+    startPull(S, From, 0, /*Whole=*/true, Now, Out);
+    return false;
+  }
+  if (R.Next != 0) {
+    startPull(S, From, R.Next, S.Pull.Whole, Now, Out);
+    return false;
+  }
+  setComplete(S.Freshness, R.Complete);
+  return true;
+}
+
+void onReply(SpreadState &S, const HostId &From, const SpreadReply &R,
+             TimePoint Now, SpreadOutputs &Out) {
+  if (S.Pull.Request == 0 || R.Request != S.Pull.Request || From != S.Pull.From)
+    return;
+  TimePoint Asked = S.Pull.Asked;
+  S.Pull.Request = 0;
+  std::uint64_t CompleteBefore = S.Freshness.Complete;
+  takeItems(S, From, R, Now, Out);
+  bool Newer = adoptStamp(S.Freshness, R.Newest, R.Age, Asked);
+  adoptReports(S.Freshness, R.Newest, R.Reports.Data, Asked);
+  if (Newer) {
+    S.LastNews = Now;
+    startAck(S, From, Now);
+  }
+  if (Newer || S.Freshness.Complete > CompleteBefore)
+    sendNotices(S, randomPeers(S, S.Config.Fanout, From), Out);
+  followHint(S, Now, Out);
+}
+
+/// Gives up a pull that was not answered; somebody else is asked.
+void checkPull(SpreadState &S, TimePoint Now, SpreadOutputs &Out) {
+  if (S.Pull.Request == 0 || Now < S.Pull.Asked + S.Config.PullTimeout)
+    return;
+  S.Pull.Request = 0;
+  followHint(S, Now, Out);
+  if (S.Pull.Request == 0)
+    startPull(S, randomPeer(S), 0, false, Now, Out);
+}
+
+TimePoint quietPullDue(const SpreadState &S) {
+  if (S.Freshness.Newest.Revision > S.Freshness.Complete)
+    return S.NextQuietPull; // Knows of an edit that it lacks.
+  constexpr int Halves = 3; // Of the interval between stamps.
+  return std::max(S.NextQuietPull,
+                  S.LastNews + S.Config.StampInterval * Halves / 2);
+}
+
+void pullWhenQuiet(SpreadState &S, TimePoint Now, SpreadOutputs &Out) {
+  if (S.Pull.Request != 0 || Now < quietPullDue(S) || leads(S.Freshness, Now))
+    return;
+  S.NextQuietPull =
+      Now + between(S.Rng, S.Config.QuietPull * 3 / 4, S.Config.QuietPull);
+  startPull(S, randomPeer(S), 0, false, Now, Out);
+}
+
+void noteVerdict(SpreadState &S, TimePoint Now, SpreadOutputs &Out) {
+  ServeVerdict V = mayServe(S.Freshness, Now);
+  if (V.Reason == S.LastReason)
+    return;
+  S.LastReason = V.Reason;
+  DecisionRecord Decision;
+  Decision.Kind = "freshness";
+  Decision.Reason = toString(V.Reason);
+  Decision.add("serve", V.Serve)
+      .add("age_ms", V.Age == Duration::max() ? -1 : toMilliseconds(V.Age))
+      .add("reports", static_cast<std::int64_t>(V.Reports))
+      .add("revision", static_cast<std::int64_t>(S.Freshness.Complete));
+  Out.Decisions.push_back(std::move(Decision));
+}
+
+} // namespace
+
+SpreadState makeSpread(const SpreadConfig &Config, std::uint64_t Seed,
+                       TimePoint Now) {
+  SpreadState S;
+  S.Config = Config;
+  std::sort(S.Config.Hosts.begin(), S.Config.Hosts.end());
+  S.Rng.seed(Seed);
+  FreshnessConfig Freshness = Config.Freshness;
+  Freshness.Hosts = static_cast<std::uint32_t>(Config.Hosts.size());
+  Freshness.Self = hostIndex(S, Config.Self);
+  S.Freshness = makeFreshness(Freshness, Now);
+  S.LastNews = Now - Config.StampInterval * 2; // Pulls at once.
+  S.NextQuietPull = Now;
+  S.NextStamp = Now;
+  onHosts(S, Config.Hosts);
+  return S;
+}
+
+void onTick(SpreadState &S, TimePoint Now, SpreadOutputs &Out) {
+  issueIfDue(S, Now, Out);
+  tellAccepted(S, Out);
+  sendDueAcks(S, Now, Out);
+  checkPull(S, Now, Out);
+  pullWhenQuiet(S, Now, Out);
+  tickInForce(S, Now, Out);
+  noteVerdict(S, Now, Out);
+}
+
+TimePoint nextDeadline(const SpreadState &S) {
+  TimePoint Next = nextInForceDeadline(S);
+  for (const AckProgress &Ack : S.Acks)
+    Next = std::min(Next, Ack.Due);
+  if (S.Freshness.Term != 0)
+    Next = std::min(Next, S.NextStamp);
+  if (S.Pull.Request != 0)
+    return std::min(Next, S.Pull.Asked + S.Config.PullTimeout);
+  return std::min(Next, quietPullDue(S));
+}
+
+bool onMessage(SpreadState &S, const HostId &From, const Message &M,
+               TimePoint Now, SpreadOutputs &Out) {
+  if (const auto *Notice = std::get_if<SpreadNotice>(&M))
+    onNotice(S, From, *Notice, Now, Out);
+  else if (const auto *Pull = std::get_if<SpreadPull>(&M))
+    onPull(S, From, *Pull, Now, Out);
+  else if (const auto *Reply = std::get_if<SpreadReply>(&M))
+    onReply(S, From, *Reply, Now, Out);
+  else if (const auto *Ack = std::get_if<StampAck>(&M))
+    onStampAck(S, From, *Ack, Now, Out);
+  else if (const auto *Query = std::get_if<InForceQuery>(&M))
+    onInForceQuery(S, From, *Query, Now, Out);
+  else if (const auto *Answer = std::get_if<InForceReply>(&M))
+    onInForceReply(S, *Answer, Out);
+  else
+    return false;
+  return true;
+}
+
+void onStored(SpreadState &S, const Store &From, TimePoint Now,
+              SpreadOutputs &Out) {
+  if (From.Revision <= S.Freshness.Complete)
+    return;
+  for (const auto &[Service, History] : From.Services) {
+    for (const StoredVersion &V : History.Versions) {
+      bool Last = &V == &History.Versions.back();
+      if (V.Text.empty() && !Last)
+        continue; // Dropped from the history.
+      if (V.Revision > S.Freshness.Complete)
+        holdDocument(S, Service, V.Number, V.Revision, V.Text, Out);
+    }
+  }
+  setComplete(S.Freshness, From.Revision);
+  issueIfDue(S, Now, Out);
+}
+
+void onLeadership(SpreadState &S, std::uint64_t Term, TimePoint LeaseUntil,
+                  TimePoint Now, SpreadOutputs &Out) {
+  bool NewTerm = Term != S.Freshness.Term;
+  setLeader(S.Freshness, Term, LeaseUntil);
+  if (!NewTerm || Term == 0)
+    return;
+  S.NextStamp = Now;
+  S.StampedRevision = 0;
+  S.AcceptedRevision = 0;
+  issueIfDue(S, Now, Out);
+}
+
+void onHosts(SpreadState &S, const std::vector<HostId> &Alive) {
+  S.Alive.clear();
+  for (const HostId &Host : Alive) {
+    if (Host != S.Config.Self)
+      S.Alive.push_back(Host);
+  }
+}
+
+const HeldDocument *documentInForce(const SpreadState &S,
+                                    const ServiceId &Service) {
+  auto Found = S.Documents.find(Service);
+  return Found == S.Documents.end() ? nullptr : &Found->second;
+}
+
+} // namespace pimento
--- a/packages/wire/MembershipMessages.h
+++ b/packages/wire/MembershipMessages.h
@@ -36,17 +36,20 @@
   std::uint64_t Version = 0; // Raised by the host that changes the record.
   BackendStatus Status = BackendStatus::Serving;
   BackendKind Kind = BackendKind::Engine;
-  std::string Address; // ip:port
+  std::string Address; // ip:port; empty once it is gone.
   DataCentreId DataCentre;
   ServiceId Service;              // Plain servers: the service they run.
   std::vector<ModelName> Models;  // Engines: models, adapters and versions.
   std::uint64_t MemoryTokens = 0; // Engines: KV cache, in tokens.
-  bool ChecksFence = true; // Whether it refuses orders with an old number.
+  bool ChecksFence = true;    // Whether it refuses orders with an old number.
+  std::uint64_t Sequence = 0; // Of the announcement behind the last change.
+  bool Left = false;          // Said in this life that it leaves: final.
 
   template <class Self, class Visitor>
   static void fields(Self &M, Visitor &&Visit) {
     Visit(M.Id, M.Life, M.Version, M.Status, M.Kind, M.Address, M.DataCentre,
-          M.Service, M.Models, M.MemoryTokens, M.ChecksFence);
+          M.Service, M.Models, M.MemoryTokens, M.ChecksFence, M.Sequence,
+          M.Left);
   }
 };
 
@@ -54,12 +57,13 @@
 struct Ping {
   static constexpr std::uint16_t WireType = 201;
   std::uint64_t Sequence = 0;
-  std::vector<HostUpdate> Hosts;       // Newest news, a bounded number.
+  std::vector<HostUpdate> Hosts; // The sender first, then the newest news.
   std::vector<BackendRecord> Backends; // Newest news, a bounded number.
+  std::uint64_t Digest = 0;            // Of all that the sender knows.
 
   template <class Self, class Visitor>
   static void fields(Self &M, Visitor &&Visit) {
-    Visit(M.Sequence, M.Hosts, M.Backends);
+    Visit(M.Sequence, M.Hosts, M.Backends, M.Digest);
   }
 };
 
@@ -68,10 +72,11 @@
   std::uint64_t Sequence = 0; // Of the Ping.
   std::vector<HostUpdate> Hosts;
   std::vector<BackendRecord> Backends;
+  std::uint64_t Digest = 0;
 
   template <class Self, class Visitor>
   static void fields(Self &M, Visitor &&Visit) {
-    Visit(M.Sequence, M.Hosts, M.Backends);
+    Visit(M.Sequence, M.Hosts, M.Backends, M.Digest);
   }
 };
 
@@ -97,4 +102,92 @@
   }
 };
 
+/// Asks a third host to probe Target, which did not answer the sender.
+struct PingRequest {
+  static constexpr std::uint16_t WireType = 204;
+  std::uint64_t Sequence = 0; // Of the sender's own Ping.
+  HostId Target;
+
+  template <class Self, class Visitor>
+  static void fields(Self &M, Visitor &&Visit) {
+    Visit(M.Sequence, M.Target);
+  }
+};
+
+/// The target of a PingRequest answered.
+struct IndirectAck {
+  static constexpr std::uint16_t WireType = 205;
+  std::uint64_t Sequence = 0; // Of the PingRequest.
+  HostUpdate Target;          // As the target described itself.
+
+  template <class Self, class Visitor>
+  static void fields(Self &M, Visitor &&Visit) {
+    Visit(M.Sequence, M.Target);
+  }
+};
+
+/// News that does not wait for the next probe.
+struct Gossip {
+  static constexpr std::uint16_t WireType = 206;
+  std::vector<HostUpdate> Hosts; // The sender first.
+  std::vector<BackendRecord> Backends;
+
+  template <class Self, class Visitor>
+  static void fields(Self &M, Visitor &&Visit) {
+    Visit(M.Hosts, M.Backends);
+  }
+};
+
+/// A backend server's announcement reached the sender. Goes to the hosts that
+/// watch the server's silence, and answers HeardQuery.
+struct BackendHeard {
+  static constexpr std::uint16_t WireType = 207;
+  BackendId Backend;
+  Incarnation Life = 0;
+  std::uint64_t Sequence = 0;      // Of the announcement.
+  Duration Age = Duration::zero(); // Of the announcement when this was sent.
+
+  template <class Self, class Visitor>
+  static void fields(Self &M, Visitor &&Visit) {
+    Visit(M.Backend, M.Life, M.Sequence, M.Age);
+  }
+};
+
+/// Asks when the receiver last knew of an announcement.
+struct HeardQuery {
+  static constexpr std::uint16_t WireType = 208;
+  BackendId Backend;
+  Incarnation Life = 0;
+
+  template <class Self, class Visitor>
+  static void fields(Self &M, Visitor &&Visit) {
+    Visit(M.Backend, M.Life);
+  }
+};
+
+/// Asks for what differs. Hashes[0] covers the hosts, the others one bucket of
+/// backend servers each.
+struct RegistryPull {
+  static constexpr std::uint16_t WireType = 209;
+  std::vector<std::uint64_t> Hashes;
+
+  template <class Self, class Visitor>
+  static void fields(Self &M, Visitor &&Visit) {
+    Visit(M.Hashes);
+  }
+};
+
+/// What differed, as much as fits.
+struct RegistryPage {
+  static constexpr std::uint16_t WireType = 210;
+  std::vector<HostUpdate> Hosts;
+  std::vector<BackendRecord> Backends;
+  bool More = false; // Something that differs did not fit: pull again.
+
+  template <class Self, class Visitor>
+  static void fields(Self &M, Visitor &&Visit) {
+    Visit(M.Hosts, M.Backends, M.More);
+  }
+};
+
 } // namespace pimento
--- a/packages/wire/Messages.h
+++ b/packages/wire/Messages.h
@@ -25,8 +25,13 @@
 using Message =
     std::variant<Ping, Ack, LoadReport, Ask, Grant, Refusal, Release, Withdraw,
                  RenewGrants, ClaimRequest, ClaimReply, ClaimResult,
-                 ClaimResultAck, PutDocument, PutDocumentReply, DocumentDigest,
-                 DocumentPull, DocumentText>;
+                 ClaimResultAck, PutDocument, PutDocumentReply,
+                 // Membership.
+                 PingRequest, IndirectAck, Gossip, BackendHeard, HeardQuery,
+                 RegistryPull, RegistryPage,
+                 // Documents.
+                 SpreadNotice, SpreadPull, SpreadReply, StampAck, InForceQuery,
+                 InForceReply>;
 
 /// A message and the host it goes to.
 struct Outbound {
