Add the schedule package: cells, entry side, cell map; first working body

Cause: the node needs the seams of the scheduler to be composed against, so the headers come first, with a body that admits, queues, places, keeps the ledger and repeats cancels. Wire: asks, grants, refusals and releases name their cell; Progress, Register and RegisterRequest are new; RenewGrants lists everything a host holds or waits for, with the upper half of the ids said once. Ruled out: a count and hash in place of the list of grants. Grants in flight would make it differ all the time; the list costs about 7 bytes an attempt. WireTest: Withdraw has a second field now, so the field of tomorrow moves one place on and the new field is checked too; the check is as strict as before. Conclusion: the seams stand; the policy is to be measured and deepened.

--- /dev/null
+++ b/packages/schedule/CellAsk.cpp
@@ -0,0 +1,180 @@
+#include "schedule/CellInternal.h"
+
+#include <algorithm>
+
+namespace pimento {
+
+namespace {
+
+/// How much longer a wait may become than its forecast before it is refused.
+constexpr double WaitMargin = 1.25;
+/// Where no forecast is better than a guess.
+constexpr Duration DefaultRetryAfter = seconds(1);
+constexpr Duration MaxRetryAfter = minutes(5);
+
+Duration forecastRetry(double Seconds) {
+  const Duration Wait = fromSeconds(std::max(0.0, Seconds));
+  return std::clamp<Duration>(Wait, DefaultRetryAfter, MaxRetryAfter);
+}
+
+/// Answers a resend of an ask that is known. False: the ask is new.
+bool answerAgain(CellState &S, const HostId &From, const Ask &A, TimePoint Now,
+                 CellEffects &Out) {
+  auto Waiting = S.Queue.Asks.find(A.Attempt);
+  if (Waiting != S.Queue.Asks.end()) {
+    Waiting->second.Host = From;
+    Waiting->second.Confirmed = Now;
+    return true;
+  }
+  auto Granted = S.Grants.find(A.Attempt);
+  if (Granted != S.Grants.end()) {
+    if (Granted->second.Host == From)
+      sendGrant(S, Granted->second, Out);
+    return true;
+  }
+  auto Ended = S.Ended.find(A.Attempt);
+  if (Ended == S.Ended.end())
+    return false;
+  const EndedAsk &How = Ended->second;
+  if (How.Reason != Code::Ok)
+    Out.Messages.push_back({From, Refusal{A.Attempt, How.Reason, How.RetryAfter,
+                                          S.Config.Cell, S.Config.Epoch}});
+  return true;
+}
+
+WaitingAsk waitingAsk(CellState &S, const HostId &From, const Ask &A,
+                      TimePoint Now) {
+  WaitingAsk W;
+  W.Request = A;
+  W.Host = From;
+  W.Class = classOf(S.Config, A.PromptTokens);
+  W.Arrived = Now - A.Waited;
+  W.Deadline = Now + A.TimeLeft;
+  W.Confirmed = Now;
+  const double Uncached =
+      std::max(1.0, static_cast<double>(A.PromptTokens) -
+                        static_cast<double>(bestCachedTokens(S, A)));
+  const double Output =
+      std::min(static_cast<double>(A.OutputTokens),
+               S.Rates.OutputTokens[classIndex(W.Class)].Mean);
+  W.Cost = Uncached + S.Config.OutputCost * Output;
+  W.LatestStart = W.Deadline -
+                  fromSeconds(runSeconds(S, W.Class, Uncached, A.OutputTokens));
+  return W;
+}
+
+/// Why an ask can never be granted as things stand; Ok: it can.
+Code impossible(const CellState &S, const Ask &A) {
+  if (S.Recovering)
+    return Code::Ok; // The engines are not all known yet.
+  if (!offersModel(S, A.Model))
+    return Code::NoBackend;
+  if (enginesNeeded(S, A) == 0)
+    return Code::PromptTooLong;
+  return Code::Ok;
+}
+
+Code overLimit(const CellState &S, const Ask &A) {
+  if (waitingCount(S.Queue) >= S.Config.QueueLength)
+    return Code::QueueFull;
+  if (waitingCount(S.Queue, A.Account) >= S.Config.AccountQueueLength)
+    return Code::AccountLimit;
+  return Code::Ok;
+}
+
+void noteRefusal(const WaitingAsk &W, double Wait, double Run,
+                 CellEffects &Out) {
+  DecisionRecord &D = Out.Decisions.back();
+  D.add("account", W.Request.Account.Value);
+  D.add("class", std::string(toString(W.Class)));
+  D.add("prompt_tokens", static_cast<std::int64_t>(W.Request.PromptTokens));
+  D.add("wait_s", Wait);
+  D.add("run_s", Run);
+  D.add("left_s", toSeconds(W.Request.TimeLeft));
+}
+
+} // namespace
+
+double laneRate(const CellState &S, LengthClass Class) {
+  double Rate = 0;
+  for (const auto &[Id, E] : S.Engines) {
+    if (E.Record.Status != BackendStatus::Serving ||
+        E.Health.State == HealthState::Ejected)
+      continue;
+    if (Class != LengthClass::Short && !E.Bulk)
+      continue;
+    Rate += prefillRate(S.Rates, E.Rates);
+  }
+  return std::max(Rate, 1.0);
+}
+
+double runSeconds(const CellState &S, LengthClass Class, double Uncached,
+                  std::uint64_t MaxOutput) {
+  const std::size_t C = classIndex(Class);
+  const double Output = std::min(static_cast<double>(MaxOutput),
+                                 cautious(S.Rates.OutputTokens[C]));
+  const double First = Uncached / std::max(1.0, S.Rates.Prefill.Mean) *
+                       std::max(1.0, cautious(S.Rates.FirstTokenError[C]));
+  return First + Output * cautious(S.Rates.DecodeSeconds[C]);
+}
+
+double waitSeconds(const CellState &S, const AccountId &Account, double Weight,
+                   LengthClass Class, double Cost) {
+  const std::size_t C = classIndex(Class);
+  double Ahead = costAhead(S.Queue, Account, Weight, Class, Cost);
+  if (Class != LengthClass::Short)
+    for (const auto &[Id, E] : S.Engines)
+      Ahead += E.Prefills[C].Tokens;
+  const Estimate &Drain = S.DrainRate[C];
+  const double Rate = Drain.Samples > 0 ? Drain.Mean : laneRate(S, Class) / 2;
+  return Ahead / std::max(1.0, Rate);
+}
+
+void refuse(CellState &S, const HostId &To, const AttemptId &Id, Code Reason,
+            Duration RetryAfter, const char *Why, CellEffects &Out) {
+  Out.Messages.push_back(
+      {To, Refusal{Id, Reason, RetryAfter, S.Config.Cell, S.Config.Epoch}});
+  rememberEnded(S, Id, {Reason, RetryAfter});
+  DecisionRecord D{"refuse", Id.Request, Why, {}};
+  D.add("code", std::string(toString(Reason)));
+  D.add("retry_after_ms", toMilliseconds(RetryAfter));
+  Out.Decisions.push_back(std::move(D));
+  Out.Samples.push_back(
+      counter("pimento_refusals_total",
+              std::string("code=\"") + toString(Reason) + "\""));
+}
+
+void onAsk(CellState &S, const HostId &From, const Ask &A, TimePoint Now,
+           CellEffects &Out) {
+  if (answerAgain(S, From, A, Now, Out))
+    return;
+  const Code Never = impossible(S, A);
+  if (Never != Code::Ok) {
+    refuse(S, From, A.Attempt, Never, DefaultRetryAfter,
+           "no engine could take it", Out);
+    return;
+  }
+  WaitingAsk W = waitingAsk(S, From, A, Now);
+  const Code Over = overLimit(S, A);
+  const double Wait = waitSeconds(S, A.Account, A.Weight, W.Class, W.Cost);
+  if (Over != Code::Ok) {
+    refuse(S, From, A.Attempt, Over, forecastRetry(Wait), "a queue is full",
+           Out);
+    return;
+  }
+  S.Demand[classIndex(W.Class)].Arrived += W.Cost;
+  const double Run = toSeconds(W.Deadline - W.LatestStart);
+  const bool Queued = S.Queue.Classes[classIndex(W.Class)].Ready.empty();
+  const double Expected = Queued ? 0 : Wait * WaitMargin;
+  if (Now + fromSeconds(Expected) > W.LatestStart) {
+    refuse(S, From, A.Attempt, Code::DeadlineUnreachable,
+           forecastRetry(Expected + Run - toSeconds(A.TimeLeft)),
+           "the forecast passes the deadline", Out);
+    noteRefusal(W, Expected, Run, Out);
+    return;
+  }
+  pushAsk(S.Queue, std::move(W));
+  dispatch(S, Now, Out);
+}
+
+} // namespace pimento
--- /dev/null
+++ b/packages/schedule/CellHealth.cpp
@@ -0,0 +1,136 @@
+#include "schedule/CellInternal.h"
+
+#include <algorithm>
+
+namespace pimento {
+
+namespace {
+
+constexpr std::uint32_t FailuresToEject = 3; // In a row.
+constexpr std::uint32_t OverdueToEject = 3;  // Without progress in between.
+constexpr double SlowRatio = 0.25;           // Of the median prefill rate.
+constexpr double SlowSamples = 8;
+constexpr double OverdueFactor = 4; // Times the forecast.
+constexpr Duration OverdueSlack = seconds(2);
+constexpr Duration SilentAfter = seconds(5); // A stream without a token.
+constexpr Duration FirstEjection = seconds(5);
+constexpr std::uint32_t MaxDoublings = 4;
+constexpr std::uint32_t WarmAllowance = 16; // From here on it serves.
+/// At most this share of the engines is ejected.
+constexpr double EjectedShare = 1.0 / 3;
+
+bool mayEject(const CellState &S) {
+  std::size_t Ejected = 1;
+  for (const auto &[Id, E] : S.Engines)
+    Ejected += E.Health.State == HealthState::Ejected ? 1 : 0;
+  return static_cast<double>(Ejected) <=
+         EjectedShare * static_cast<double>(S.Engines.size());
+}
+
+void eject(CellState &S, Engine &E, const char *Why, TimePoint Now,
+           CellEffects &Out) {
+  if (E.Health.State == HealthState::Ejected)
+    return;
+  const bool Floor = !mayEject(S);
+  DecisionRecord D{Floor ? "keep" : "eject", {}, Why, {}};
+  D.add("backend", E.Record.Id.Value);
+  D.add("failures", static_cast<std::int64_t>(E.Health.Failures));
+  D.add("overdue", static_cast<std::int64_t>(E.Health.Overdue));
+  E.Health.Failures = 0;
+  E.Health.Overdue = 0;
+  E.Health.Allowance = 1;
+  if (Floor) {
+    E.Health.State = HealthState::Warming;
+  } else {
+    const std::uint32_t Doublings = std::min(E.Health.Ejections, MaxDoublings);
+    E.Health.State = HealthState::Ejected;
+    E.Health.Until = Now + FirstEjection * (1U << Doublings);
+    ++E.Health.Ejections;
+    D.add("until_ms", toMilliseconds(E.Health.Until - Now));
+    if (!E.Reserved.Request.empty())
+      dropGroupReservation(S, AttemptId(E.Reserved));
+    Out.Samples.push_back(counter("pimento_ejections_total"));
+  }
+  Out.Decisions.push_back(std::move(D));
+}
+
+void readmit(Engine &E, TimePoint Now, CellEffects &Out) {
+  if (E.Health.State != HealthState::Ejected || Now < E.Health.Until)
+    return;
+  E.Health.State = HealthState::Warming;
+  E.Health.Allowance = 1;
+  E.Rates = {};
+  DecisionRecord D{"readmit", {}, "its time out is over", {}};
+  D.add("backend", E.Record.Id.Value);
+  Out.Decisions.push_back(std::move(D));
+}
+
+double medianRate(const CellState &S) {
+  std::vector<double> Rates;
+  for (const auto &[Id, E] : S.Engines)
+    if (E.Rates.Prefill.Samples >= SlowSamples)
+      Rates.push_back(E.Rates.Prefill.Mean);
+  if (Rates.size() < 3)
+    return 0;
+  std::nth_element(Rates.begin(), Rates.begin() + Rates.size() / 2,
+                   Rates.end());
+  return Rates[Rates.size() / 2];
+}
+
+bool overdue(const CellState &S, const LiveGrant &G, TimePoint Now) {
+  if (G.FirstTokenSeen)
+    return Now - G.ProgressAt > SilentAfter;
+  const double Error =
+      std::max(1.0, cautious(S.Rates.FirstTokenError[classIndex(G.Class)]));
+  const Duration Patience =
+      fromSeconds(OverdueFactor * Error * toSeconds(G.PredictedFirst)) +
+      OverdueSlack;
+  return Now - G.ProgressAt > Patience;
+}
+
+} // namespace
+
+void noteSuccess(Engine &E) {
+  E.Health.Failures = 0;
+  E.Health.Overdue = 0;
+  if (E.Health.State != HealthState::Warming)
+    return;
+  E.Health.Allowance *= 2;
+  if (E.Health.Allowance < WarmAllowance)
+    return;
+  E.Health.State = HealthState::Serving;
+  E.Health.Ejections = 0;
+}
+
+void noteFailure(CellState &S, Engine &E, const char *Why, TimePoint Now,
+                 CellEffects &Out) {
+  ++E.Health.Failures;
+  const bool Trial =
+      E.Health.State == HealthState::Warming && E.Health.Ejections > 0;
+  if (E.Health.Failures >= FailuresToEject || Trial)
+    eject(S, E, Why, Now, Out);
+}
+
+void judgeEngines(CellState &S, TimePoint Now, CellEffects &Out) {
+  for (auto &[Id, G] : S.Grants) {
+    if (G.Overdue || !overdue(S, G, Now))
+      continue;
+    G.Overdue = true;
+    for (const HeldEngine &H : G.Engines) {
+      auto Found = S.Engines.find(H.Backend);
+      if (Found != S.Engines.end())
+        ++Found->second.Health.Overdue;
+    }
+  }
+  const double Median = medianRate(S);
+  for (auto &[Id, E] : S.Engines) {
+    readmit(E, Now, Out);
+    if (E.Health.Overdue >= OverdueToEject)
+      eject(S, E, "first tokens are overdue", Now, Out);
+    if (E.Rates.Prefill.Samples >= SlowSamples &&
+        E.Rates.Prefill.Mean < SlowRatio * Median)
+      eject(S, E, "far slower than the cell", Now, Out);
+  }
+}
+
+} // namespace pimento
--- /dev/null
+++ b/packages/schedule/CellPlace.cpp
@@ -0,0 +1,255 @@
+#include "schedule/CellInternal.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace pimento {
+
+namespace {
+
+/// Seconds of prefill in front of a prompt beyond which it waits in the
+/// queue, where order can still change, and not at the engine.
+constexpr std::array<double, LengthClasses> WindowSeconds = {0.25, 0.5, 0.3};
+
+constexpr double FarSeconds = 0.001;     // Another data centre.
+constexpr double AvoidSeconds = 30;      // Failed this request before.
+constexpr double JitterSeconds = 0.0005; // Against herding.
+constexpr double CrowdShare = 0.5; // A full batch slows decode by so much.
+/// Share of an engine's memory that a group's member may take.
+constexpr double GroupShare = 0.9;
+
+/// Engines honour it: the higher one is prefilled first.
+std::uint32_t priorityOf(const WaitingAsk &A, TimePoint Now) {
+  const std::uint32_t Base = 3 - static_cast<std::uint32_t>(A.Class);
+  const bool Aged = Now - A.Arrived > (A.LatestStart - A.Arrived) / 2;
+  return Aged ? 3 : Base;
+}
+
+bool offers(const Engine &E, const ModelName &Model) {
+  return std::find(E.Record.Models.begin(), E.Record.Models.end(), Model) !=
+         E.Record.Models.end();
+}
+
+/// Memory that is free for this attempt, reservations of others aside.
+std::uint64_t freeFor(const Engine &E, const AttemptId &Id) {
+  const std::uint64_t Free = freeTokens(E);
+  if (E.Reserved.Request.empty() || E.Reserved == Id)
+    return Free;
+  return Free > E.FreeAsked ? Free - E.FreeAsked : 0;
+}
+
+bool takesWork(const CellState &S, const Engine &E, const Ask &A) {
+  return E.Record.Status == BackendStatus::Serving && E.Swept &&
+         admitsByHealth(E) && E.Running < S.Config.MaxRunning &&
+         offers(E, A.Model);
+}
+
+/// One engine that could take a prompt or a share of it.
+struct Candidate {
+  Engine *E = nullptr;
+  double Uncached = 0;
+  double Ahead = 0;
+  double Seconds = 0; // Forecast of the end, with preferences.
+  double First = 0;   // Forecast of the first token.
+};
+
+std::uint64_t cachedAt(const CellState &S, const Engine &E) {
+  return S.CachedScratch[E.Slot];
+}
+
+Candidate score(CellState &S, Engine &E, const WaitingAsk &A,
+                const DataCentreId &Near, double Share, TimePoint Now) {
+  drainPrefills(E, S.Rates, Now);
+  const Ask &R = A.Request;
+  Candidate C;
+  C.E = &E;
+  const double Cached = static_cast<double>(cachedAt(S, E));
+  C.Uncached =
+      std::max(1.0, static_cast<double>(R.PromptTokens) - Cached) * Share;
+  C.Ahead = prefillAhead(E, A.Class);
+  const double Rate = prefillRate(S.Rates, E.Rates);
+  C.First = (C.Ahead + C.Uncached) / Rate;
+  const double Crowd = static_cast<double>(E.Running + E.ForeignRunning) /
+                       static_cast<double>(S.Config.MaxRunning);
+  const double Output =
+      std::min(static_cast<double>(R.OutputTokens),
+               S.Rates.OutputTokens[classIndex(A.Class)].Mean);
+  C.Seconds = C.First +
+              Output * stepSeconds(S.Rates, E.Rates) * (1 + CrowdShare * Crowd);
+  if (!Near.empty() && E.Record.DataCentre != Near)
+    C.Seconds += FarSeconds;
+  if (std::find(R.Avoid.begin(), R.Avoid.end(), E.Record.Id) != R.Avoid.end())
+    C.Seconds += AvoidSeconds;
+  C.Seconds += JitterSeconds * uniform(S.Generator);
+  return C;
+}
+
+/// Whether the class's lane and the window let the engine take the prompt.
+bool inLane(const CellState &S, const Candidate &C, LengthClass Class) {
+  const Engine &E = *C.E;
+  if (Class != LengthClass::Short && !E.Bulk)
+    return false;
+  const double Window =
+      WindowSeconds[classIndex(Class)] * prefillRate(S.Rates, E.Rates);
+  const double Front = Class == LengthClass::Long
+                           ? E.Prefills[classIndex(LengthClass::Long)].Tokens
+                           : C.Ahead;
+  return Front <= Window;
+}
+
+HeldEngine heldAt(const Candidate &C, std::uint64_t Tokens) {
+  return {C.E->Record.Id, C.E->Record.Life, Tokens, C.Uncached};
+}
+
+const char *reasonFor(const CellState &S, const Candidate &C) {
+  if (cachedAt(S, *C.E) > 0)
+    return "cached prefix and least forecast";
+  return "least forecast";
+}
+
+std::optional<Placement> placeOne(CellState &S, const WaitingAsk &A,
+                                  const DataCentreId &Near, TimePoint Now) {
+  const std::uint64_t Need = A.Request.PromptTokens + A.Request.OutputTokens;
+  Candidate Best;
+  for (auto &[Id, E] : S.Engines) {
+    if (!takesWork(S, E, A.Request) || freeFor(E, A.Request.Attempt) < Need)
+      continue;
+    Candidate C = score(S, E, A, Near, 1, Now);
+    if (!inLane(S, C, A.Class))
+      continue;
+    if (!Best.E || C.Seconds < Best.Seconds)
+      Best = C;
+  }
+  if (!Best.E)
+    return std::nullopt;
+  Placement P;
+  P.Engines.push_back(heldAt(Best, Need));
+  P.Uncached = Best.Uncached;
+  P.Ahead = Best.Ahead;
+  P.Share = Best.Uncached;
+  P.First = fromSeconds(Best.First);
+  P.Priority = priorityOf(A, Now);
+  P.Reason = reasonFor(S, Best);
+  return P;
+}
+
+std::uint64_t groupTokens(const Ask &A, std::size_t Engines) {
+  return (A.PromptTokens + Engines - 1) / Engines + A.OutputTokens;
+}
+
+/// Reserves the engines that will be free soonest: those with most free.
+void reserveGroup(CellState &S, const WaitingAsk &A, std::size_t Count,
+                  std::uint64_t Tokens) {
+  const AttemptId &Id = A.Request.Attempt;
+  if (!S.GroupWaiting.Request.empty())
+    return;
+  std::vector<Engine *> Fit;
+  for (auto &[Name, E] : S.Engines)
+    if (E.Record.Status == BackendStatus::Serving &&
+        offers(E, A.Request.Model) && E.Health.State != HealthState::Ejected &&
+        E.Record.MemoryTokens >= Tokens)
+      Fit.push_back(&E);
+  if (Fit.size() < Count)
+    return;
+  std::stable_sort(Fit.begin(), Fit.end(), [](Engine *L, Engine *R) {
+    if (L->Bulk != R->Bulk)
+      return L->Bulk;
+    return freeTokens(*L) > freeTokens(*R);
+  });
+  for (std::size_t I = 0; I < Count; ++I) {
+    Fit[I]->Reserved = Id;
+    Fit[I]->FreeAsked = Tokens;
+  }
+  S.GroupWaiting = Id;
+}
+
+std::optional<Placement> placeGroup(CellState &S, const WaitingAsk &A,
+                                    std::size_t Count, const DataCentreId &Near,
+                                    TimePoint Now) {
+  const AttemptId &Id = A.Request.Attempt;
+  const std::uint64_t Tokens = groupTokens(A.Request, Count);
+  const double Share = 1.0 / static_cast<double>(Count);
+  std::vector<Candidate> Fit;
+  for (auto &[Name, E] : S.Engines) {
+    if (!takesWork(S, E, A.Request) || freeFor(E, Id) < Tokens)
+      continue;
+    Candidate C = score(S, E, A, Near, Share, Now);
+    if (E.Reserved == Id || inLane(S, C, LengthClass::Long))
+      Fit.push_back(C);
+  }
+  if (Fit.size() < Count) {
+    reserveGroup(S, A, Count, Tokens);
+    return std::nullopt;
+  }
+  std::stable_sort(Fit.begin(), Fit.end(),
+                   [](const Candidate &L, const Candidate &R) {
+                     return L.Seconds < R.Seconds;
+                   });
+  Placement P;
+  for (std::size_t I = 0; I < Count; ++I) {
+    P.Engines.push_back(heldAt(Fit[I], Tokens));
+    P.Uncached += Fit[I].Uncached;
+    P.Ahead = std::max(P.Ahead, Fit[I].Ahead);
+    P.Share = std::max(P.Share, Fit[I].Uncached);
+    P.First = std::max(P.First, fromSeconds(Fit[I].First));
+  }
+  P.Priority = priorityOf(A, Now);
+  P.Reason = "group: beyond one engine's memory";
+  return P;
+}
+
+} // namespace
+
+bool offersModel(const CellState &S, const ModelName &Model) {
+  for (const auto &[Id, E] : S.Engines)
+    if (E.Record.Status == BackendStatus::Serving && offers(E, Model))
+      return true;
+  return false;
+}
+
+std::size_t enginesNeeded(const CellState &S, const Ask &A) {
+  std::vector<std::uint64_t> Room;
+  for (const auto &[Id, E] : S.Engines)
+    if (E.Record.Status == BackendStatus::Serving && offers(E, A.Model))
+      Room.push_back(E.Record.MemoryTokens);
+  std::sort(Room.rbegin(), Room.rend());
+  if (!Room.empty() && A.PromptTokens + A.OutputTokens <= Room.front())
+    return 1;
+  for (std::size_t Count = 2; Count <= Room.size(); ++Count)
+    if (static_cast<double>(groupTokens(A, Count)) <=
+        GroupShare * static_cast<double>(Room[Count - 1]))
+      return Count;
+  return 0;
+}
+
+void dropGroupReservation(CellState &S, const AttemptId &Id) {
+  if (S.GroupWaiting == Id)
+    S.GroupWaiting = {};
+  for (auto &[Name, E] : S.Engines) {
+    if (E.Reserved != Id)
+      continue;
+    E.Reserved = {};
+    E.FreeAsked = 0;
+  }
+}
+
+std::uint64_t bestCachedTokens(CellState &S, const Ask &A) {
+  cachedTokens(S.Prefixes, A.Prefixes, A.PromptTokens, S.CachedScratch);
+  return *std::max_element(S.CachedScratch.begin(), S.CachedScratch.end());
+}
+
+std::optional<Placement> place(CellState &S, const WaitingAsk &A,
+                               TimePoint Now) {
+  bestCachedTokens(S, A.Request);
+  auto Host = S.Hosts.find(A.Host);
+  const DataCentreId Near =
+      Host == S.Hosts.end() ? DataCentreId() : Host->second.DataCentre;
+  const std::size_t Count = enginesNeeded(S, A.Request);
+  if (Count == 0)
+    return std::nullopt;
+  if (Count == 1)
+    return placeOne(S, A, Near, Now);
+  return placeGroup(S, A, Count, Near, Now);
+}
+
+} // namespace pimento
--- /dev/null
+++ b/packages/schedule/CellTick.cpp
@@ -0,0 +1,174 @@
+#include "schedule/CellInternal.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace pimento {
+
+namespace {
+
+constexpr std::size_t HistoryLength = 24; // Samples of Engine::History.
+constexpr double DemandSeconds = 30;      // Memory of demand and drain rates.
+constexpr double BulkLoad = 0.95;         // Aimed at on the lane of long ones.
+constexpr double ShortLoad = 0.85;        // Most that short ones may be left.
+constexpr double BacklogSeconds = 30;     // In which a backlog is worked off.
+constexpr Duration DeadlineGrace = seconds(5); // Past it a grant is cancelled.
+/// For an engine's first memory report after a recovery.
+constexpr Duration SweepPatience = seconds(1);
+/// Renewals that may be lost before a waiting ask is dropped.
+constexpr int AskLeases = 3;
+
+void finishRecovery(CellState &S, TimePoint Now, CellEffects &Out) {
+  if (!S.Recovering || Now < S.RecoverUntil)
+    return;
+  S.Recovering = false;
+  for (auto &[Id, E] : S.Engines)
+    E.NextSweep = Now;
+  DecisionRecord D{"recover", {}, "the earlier holder's lease is over", {}};
+  D.add("epoch", static_cast<std::int64_t>(S.Config.Epoch));
+  D.add("grants", static_cast<std::int64_t>(S.Grants.size()));
+  D.add("waiting", static_cast<std::int64_t>(waitingCount(S.Queue)));
+  Out.Decisions.push_back(std::move(D));
+}
+
+/// An engine that answers no sweep is used all the same: it bounds its memory
+/// itself, and its outcomes judge it.
+void stopWaitingForSweeps(CellState &S, TimePoint Now) {
+  if (S.Recovering || Now < S.RecoverUntil + SweepPatience)
+    return;
+  for (auto &[Id, E] : S.Engines)
+    E.Swept = true;
+}
+
+void expireLeases(CellState &S, TimePoint Now, CellEffects &Out) {
+  std::vector<AttemptId> Dead;
+  for (const auto &[Id, G] : S.Grants)
+    if (Now >= G.LeaseUntil || Now >= G.Deadline + DeadlineGrace)
+      Dead.push_back(Id);
+  std::sort(Dead.begin(), Dead.end());
+  for (const AttemptId &Id : Dead) {
+    const LiveGrant &G = S.Grants.at(Id);
+    DecisionRecord D{"cancel",
+                     Id.Request,
+                     Now >= G.LeaseUntil ? "its lease was not renewed"
+                                         : "long past its deadline",
+                     {}};
+    D.add("host", G.Host.Value);
+    D.add("backend", G.Engines.front().Backend.Value);
+    Out.Decisions.push_back(std::move(D));
+    endGrant(S, Id, /*Confirmed=*/false, Now, Out);
+  }
+}
+
+/// Asks that can no longer meet their deadline, or whose host is silent.
+void expireAsks(CellState &S, TimePoint Now, CellEffects &Out) {
+  while (!S.Queue.Expiry.empty() && S.Queue.Expiry.begin()->first < Now) {
+    WaitingAsk W;
+    takeAsk(S.Queue, AttemptId(S.Queue.Expiry.begin()->second), &W);
+    dropGroupReservation(S, W.Request.Attempt);
+    refuse(S, W.Host, W.Request.Attempt, Code::DeadlineUnreachable, seconds(1),
+           "its limit became unreachable while it waited", Out);
+  }
+  std::vector<AttemptId> Silent;
+  for (const auto &[Id, W] : S.Queue.Asks)
+    if (Now - W.Confirmed > AskLeases * S.Config.GrantLease)
+      Silent.push_back(Id);
+  std::sort(Silent.begin(), Silent.end());
+  for (const AttemptId &Id : Silent) {
+    takeAsk(S.Queue, Id, nullptr);
+    dropGroupReservation(S, Id);
+  }
+}
+
+void learnDemand(CellState &S, TimePoint Now) {
+  const double Elapsed = toSeconds(Now - S.LastTick);
+  if (Elapsed <= 0)
+    return;
+  const double Part = std::min(1.0, Elapsed / DemandSeconds);
+  for (std::size_t C = 0; C < LengthClasses; ++C) {
+    ClassDemand &D = S.Demand[C];
+    D.Rate += Part * (D.Arrived / Elapsed - D.Rate);
+    D.Arrived = 0;
+    if (!S.Queue.Classes[C].Ready.empty())
+      learn(S.DrainRate[C], S.Served[C] / Elapsed, Part);
+    S.Served[C] = 0;
+  }
+}
+
+/// Engines that the demand of a class keeps busy.
+double engineLoad(const CellState &S, LengthClass Class) {
+  const std::size_t C = classIndex(Class);
+  const double Cost =
+      S.Demand[C].Rate + S.Queue.Classes[C].WaitingCost / BacklogSeconds;
+  return Cost / std::max(1.0, S.Rates.Prefill.Mean);
+}
+
+std::size_t laneSize(const CellState &S, std::size_t Engines) {
+  if (Engines <= 1)
+    return Engines;
+  const double Bulk =
+      (engineLoad(S, LengthClass::Medium) + engineLoad(S, LengthClass::Long)) /
+      BulkLoad;
+  const double Short = engineLoad(S, LengthClass::Short) / ShortLoad;
+  const double Count = static_cast<double>(Engines);
+  const double Least = std::max(1.0, std::floor(Count / 4));
+  const double Most = std::max(Least, Count - std::max(1.0, std::ceil(Short)));
+  return static_cast<std::size_t>(std::clamp(std::ceil(Bulk), Least, Most));
+}
+
+/// Gives engines to the lane of medium and long prompts, those with the
+/// fewest attempts first; takes those back that have prefilled what they had.
+void setLanes(CellState &S) {
+  std::vector<Engine *> Usable;
+  for (auto &[Id, E] : S.Engines)
+    if (E.Record.Status == BackendStatus::Serving &&
+        E.Health.State != HealthState::Ejected)
+      Usable.push_back(&E);
+    else
+      E.Bulk = false;
+  S.BulkEngines = laneSize(S, Usable.size());
+  std::stable_sort(Usable.begin(), Usable.end(), [](Engine *L, Engine *R) {
+    if (L->Bulk != R->Bulk)
+      return L->Bulk;
+    return L->Running < R->Running;
+  });
+  for (std::size_t I = 0; I < Usable.size(); ++I)
+    Usable[I]->Bulk = I < S.BulkEngines;
+}
+
+void sampleRunning(CellState &S, TimePoint Now) {
+  for (auto &[Id, E] : S.Engines) {
+    if (E.History.size() >= HistoryLength)
+      E.History.erase(E.History.begin());
+    E.History.push_back({Now, E.Running});
+  }
+}
+
+void sweepAndCancel(CellState &S, TimePoint Now, CellEffects &Out) {
+  for (auto &[Id, E] : S.Engines) {
+    sendCancels(S, E, Now, Out);
+    if (Now < E.NextSweep)
+      continue;
+    E.NextSweep = Now + S.Config.SweepInterval;
+    Out.Sweeps.push_back(Id);
+  }
+}
+
+} // namespace
+
+void tick(CellState &S, TimePoint Now, CellEffects &Out) {
+  finishRecovery(S, Now, Out);
+  stopWaitingForSweeps(S, Now);
+  expireLeases(S, Now, Out);
+  expireAsks(S, Now, Out);
+  learnDemand(S, Now);
+  judgeEngines(S, Now, Out);
+  setLanes(S);
+  sampleRunning(S, Now);
+  sweepAndCancel(S, Now, Out);
+  forgetIdleAccounts(S.Queue);
+  S.LastTick = Now;
+  dispatch(S, Now, Out);
+}
+
+} // namespace pimento
--- /dev/null
+++ b/packages/schedule/Entry.cpp
@@ -0,0 +1,284 @@
+#include "schedule/Entry.h"
+
+#include "schedule/EntryInternal.h"
+
+#include <algorithm>
+
+namespace pimento {
+
+namespace {
+
+/// First tokens of longer prompts are told at once: the scheduler holds the
+/// next long prompt back until then.
+constexpr std::uint64_t TellAtOnceTokens = 8192;
+
+LocalAttempt localAttempt(const AttemptId &Id) {
+  return {Id.Request.Lo, Id.Number};
+}
+
+/// The ask as it would be sent now.
+Ask currentAsk(const PendingAsk &P, TimePoint Now) {
+  Ask A = P.Request;
+  A.TimeLeft = std::max<Duration>(Duration::zero(), P.Deadline - Now);
+  A.Waited = P.Request.Waited + (Now - P.Started);
+  return A;
+}
+
+void sendAsk(const EntryCell &Cell, const PendingAsk &P, TimePoint Now,
+             EntryEffects &Out) {
+  if (!Cell.Holder.empty())
+    Out.Messages.push_back({Cell.Holder, currentAsk(P, Now)});
+}
+
+HeldGrant describe(const EntryGrant &G, TimePoint Now) {
+  HeldGrant H;
+  H.Attempt = G.Request.Attempt;
+  H.Account = G.Request.Account;
+  H.Model = G.Request.Model;
+  H.PromptTokens = G.Request.PromptTokens;
+  H.OutputTokens = G.Request.OutputTokens;
+  H.Generated = G.OutputTokens;
+  H.Weight = G.Request.Weight;
+  H.TimeLeft = std::max<Duration>(Duration::zero(), G.Deadline - Now);
+  H.Engines = G.Given.Engines;
+  return H;
+}
+
+Register registration(const EntryState &E, CellId Cell) {
+  Register R;
+  R.Cell = Cell;
+  R.Life = E.Config.Life;
+  return R;
+}
+
+void registerAll(EntryState &E, CellId Id, const EntryCell &Cell, TimePoint Now,
+                 EntryEffects &Out) {
+  Register R = registration(E, Id);
+  for (const auto &[Attempt, G] : Cell.Grants)
+    R.Grants.push_back(describe(G, Now));
+  // Also when empty: it tells the holder of this host's life.
+  Out.Messages.push_back({Cell.Holder, std::move(R)});
+  for (const auto &[Attempt, P] : Cell.Asks)
+    sendAsk(Cell, P, Now, Out);
+}
+
+void renew(EntryState &E, CellId Id, EntryCell &Cell, TimePoint Now,
+           EntryEffects &Out) {
+  if (Now < Cell.NextRenew || Cell.Holder.empty())
+    return;
+  Cell.NextRenew = Now + E.Config.RenewInterval;
+  if (Cell.Grants.empty() && Cell.Asks.empty())
+    return;
+  RenewGrants R;
+  R.Cell = Id;
+  R.Life = E.Config.Life;
+  R.Hi = E.Config.Hi;
+  for (const auto &[Attempt, G] : Cell.Grants)
+    R.Grants.push_back(localAttempt(Attempt));
+  for (const auto &[Attempt, P] : Cell.Asks)
+    R.Waiting.push_back(localAttempt(Attempt));
+  Out.Messages.push_back({Cell.Holder, std::move(R)});
+}
+
+void tellProgress(EntryState &E, CellId Id, EntryCell &Cell, TimePoint Now,
+                  EntryEffects &Out) {
+  if (Now < Cell.NextProgress || Cell.Holder.empty())
+    return;
+  Cell.NextProgress = Now + E.Config.ProgressInterval;
+  Progress P;
+  P.Cell = Id;
+  P.Hi = E.Config.Hi;
+  for (auto &[Attempt, G] : Cell.Grants) {
+    if (!G.Moved)
+      continue;
+    G.Moved = false;
+    P.Attempts.push_back(
+        {localAttempt(Attempt), G.PrefillTokens, G.OutputTokens});
+  }
+  if (!P.Attempts.empty())
+    Out.Messages.push_back({Cell.Holder, std::move(P)});
+}
+
+/// An ask whose deadline passed is answered here, whatever the scheduler does.
+void expireAsks(EntryState &E, EntryCell &Cell, TimePoint Now,
+                EntryEffects &Out) {
+  std::vector<AttemptId> Late;
+  for (const auto &[Id, P] : Cell.Asks)
+    if (Now >= P.Deadline)
+      Late.push_back(Id);
+  for (const AttemptId &Id : Late) {
+    EntryAnswer Answer;
+    Answer.Attempt = Id;
+    Answer.Result = Code::DeadlineUnreachable;
+    Answer.RetryAfter = seconds(1);
+    withdrawAsk(E, Id, Now, Out);
+    Out.Answers.push_back(std::move(Answer));
+  }
+}
+
+} // namespace
+
+EntryState startEntry(const EntryConfig &Config) {
+  EntryState E;
+  E.Config = Config;
+  E.Generator.seed(Config.Seed);
+  return E;
+}
+
+void setHolder(EntryState &E, CellId Cell, const HostId &Holder,
+               std::uint64_t Epoch, TimePoint Now, EntryEffects &Out) {
+  EntryCell &C = E.Cells[Cell];
+  const bool Older = Epoch < C.Epoch;
+  const bool Same = Holder == C.Holder && Epoch == C.Epoch;
+  if (Older || Same)
+    return;
+  if (Holder.empty() && !C.Holder.empty())
+    C.HolderLost = Now;
+  C.Holder = Holder;
+  C.Epoch = Epoch;
+  if (!Holder.empty())
+    registerAll(E, Cell, C, Now, Out);
+}
+
+void startAsk(EntryState &E, const Ask &A, TimePoint Now, EntryEffects &Out) {
+  EntryCell &C = E.Cells[A.Cell];
+  if (E.Where.count(A.Attempt) != 0)
+    return;
+  E.Where[A.Attempt] = A.Cell;
+  PendingAsk P{A, Now, Now + A.TimeLeft};
+  sendAsk(C, P, Now, Out);
+  C.Asks.emplace(A.Attempt, std::move(P));
+  if (C.Holder.empty())
+    placeWithoutHolder(E, A.Cell, Now, Out);
+}
+
+void withdrawAsk(EntryState &E, const AttemptId &Id, TimePoint Now,
+                 EntryEffects &Out) {
+  (void)Now;
+  auto Found = E.Where.find(Id);
+  if (Found == E.Where.end())
+    return;
+  EntryCell &C = E.Cells[Found->second];
+  if (!C.Holder.empty())
+    Out.Messages.push_back({C.Holder, Withdraw{Id, Found->second}});
+  C.Asks.erase(Id);
+  C.Grants.erase(Id);
+  E.Where.erase(Found);
+}
+
+void endAttempt(EntryState &E, Release R, TimePoint Now, EntryEffects &Out) {
+  (void)Now;
+  auto Found = E.Where.find(R.Attempt);
+  if (Found == E.Where.end())
+    return;
+  R.Cell = Found->second;
+  EntryCell &C = E.Cells[Found->second];
+  C.Asks.erase(R.Attempt);
+  C.Grants.erase(R.Attempt);
+  E.Where.erase(Found);
+  if (!C.Holder.empty())
+    Out.Messages.push_back({C.Holder, R});
+}
+
+void noteProgress(EntryState &E, const AttemptId &Id,
+                  std::uint32_t PrefillTokens, std::uint32_t OutputTokens) {
+  auto Found = E.Where.find(Id);
+  if (Found == E.Where.end())
+    return;
+  EntryCell &C = E.Cells[Found->second];
+  auto Held = C.Grants.find(Id);
+  if (Held == C.Grants.end())
+    return;
+  EntryGrant &G = Held->second;
+  if (G.OutputTokens == 0 && OutputTokens > 0 &&
+      G.Request.PromptTokens > TellAtOnceTokens)
+    C.NextProgress = {};
+  G.PrefillTokens = std::max(G.PrefillTokens, PrefillTokens);
+  G.OutputTokens = std::max(G.OutputTokens, OutputTokens);
+  G.Moved = true;
+}
+
+void onGrant(EntryState &E, const HostId &From, const Grant &G, TimePoint Now,
+             EntryEffects &Out) {
+  EntryCell &C = E.Cells[G.Cell];
+  if (G.Epoch < C.Epoch) {
+    DecisionRecord D{
+        "drop", G.Attempt.Request, "a grant of an older epoch", {}};
+    D.add("epoch", static_cast<std::int64_t>(G.Epoch));
+    Out.Decisions.push_back(std::move(D));
+    return;
+  }
+  auto Held = C.Grants.find(G.Attempt);
+  if (Held != C.Grants.end()) {
+    if (Held->second.Given.Engines.front().Backend == G.Engines.front().Backend)
+      return;
+    Register R = registration(E, G.Cell);
+    R.Grants.push_back(describe(Held->second, Now));
+    Out.Messages.push_back({From, std::move(R)});
+    return;
+  }
+  auto Waiting = C.Asks.find(G.Attempt);
+  if (Waiting == C.Asks.end()) {
+    Release R;
+    R.Attempt = G.Attempt;
+    R.Cell = G.Cell;
+    R.End = AttemptEnd::Unused;
+    Out.Messages.push_back({From, R});
+    return;
+  }
+  EntryGrant Mine{Waiting->second.Request, G, Waiting->second.Started,
+                  Waiting->second.Deadline};
+  C.Asks.erase(Waiting);
+  C.Grants.emplace(G.Attempt, std::move(Mine));
+  EntryAnswer Answer;
+  Answer.Attempt = G.Attempt;
+  Answer.Given = G;
+  Out.Answers.push_back(std::move(Answer));
+}
+
+void onRefusal(EntryState &E, const HostId &From, const Refusal &R,
+               TimePoint Now, EntryEffects &Out) {
+  (void)From;
+  (void)Now;
+  EntryCell &C = E.Cells[R.Cell];
+  if (R.Epoch < C.Epoch || C.Asks.erase(R.Attempt) == 0)
+    return;
+  E.Where.erase(R.Attempt);
+  EntryAnswer Answer;
+  Answer.Attempt = R.Attempt;
+  Answer.Result = R.Reason;
+  Answer.RetryAfter = R.RetryAfter;
+  Out.Answers.push_back(std::move(Answer));
+}
+
+void onRegisterRequest(EntryState &E, const HostId &From,
+                       const RegisterRequest &R, TimePoint Now,
+                       EntryEffects &Out) {
+  EntryCell &C = E.Cells[R.Cell];
+  if (R.Epoch < C.Epoch || From != C.Holder)
+    return;
+  Register Known = registration(E, R.Cell);
+  for (const LocalAttempt &A : R.Attempts) {
+    const AttemptId Id = {{R.Hi, A.Lo}, A.Number};
+    auto Held = C.Grants.find(Id);
+    if (Held != C.Grants.end())
+      Known.Grants.push_back(describe(Held->second, Now));
+    auto Waiting = C.Asks.find(Id);
+    if (Waiting != C.Asks.end())
+      sendAsk(C, Waiting->second, Now, Out);
+  }
+  if (!Known.Grants.empty())
+    Out.Messages.push_back({From, std::move(Known)});
+}
+
+void tick(EntryState &E, TimePoint Now, EntryEffects &Out) {
+  for (auto &[Id, Cell] : E.Cells) {
+    expireAsks(E, Cell, Now, Out);
+    renew(E, Id, Cell, Now, Out);
+    tellProgress(E, Id, Cell, Now, Out);
+    if (Cell.Holder.empty())
+      placeWithoutHolder(E, Id, Now, Out);
+  }
+}
+
+} // namespace pimento
--- /dev/null
+++ b/packages/schedule/Rates.cpp
@@ -0,0 +1,51 @@
+#include "schedule/Rates.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace pimento {
+
+namespace {
+
+/// Observations after which an engine's own rate replaces the cell's.
+constexpr double TrustedSamples = 3;
+
+/// What a cell starts from before its first request has ended.
+constexpr double PriorPrefill = 8000;     // Tokens a second.
+constexpr double PriorStepSeconds = 0.03; // A token.
+constexpr double PriorOutputTokens = 256;
+
+} // namespace
+
+void learn(Estimate &E, double Observed, double Share) {
+  const double Part = std::max(Share, 1 / (E.Samples + 1));
+  const double Error = Observed - E.Mean;
+  E.Mean += Part * Error;
+  E.Deviation += Part * (std::abs(Observed - E.Mean) - E.Deviation);
+  E.Samples += 1;
+}
+
+CellRates initialRates() {
+  CellRates R;
+  R.Prefill.Mean = PriorPrefill;
+  R.StepSeconds.Mean = PriorStepSeconds;
+  for (Estimate &E : R.OutputTokens)
+    E.Mean = PriorOutputTokens;
+  for (Estimate &E : R.FirstTokenError)
+    E.Mean = 1;
+  for (Estimate &E : R.DecodeSeconds)
+    E.Mean = PriorStepSeconds;
+  return R;
+}
+
+double prefillRate(const CellRates &Cell, const EngineRates &E) {
+  return E.Prefill.Samples < TrustedSamples ? Cell.Prefill.Mean
+                                            : E.Prefill.Mean;
+}
+
+double stepSeconds(const CellRates &Cell, const EngineRates &E) {
+  return E.StepSeconds.Samples < TrustedSamples ? Cell.StepSeconds.Mean
+                                                : E.StepSeconds.Mean;
+}
+
+} // namespace pimento
--- a/packages/wire/Messages.h
+++ b/packages/wire/Messages.h
@@ -24,9 +24,9 @@
 
 using Message =
     std::variant<Ping, Ack, LoadReport, Ask, Grant, Refusal, Release, Withdraw,
-                 RenewGrants, ClaimRequest, ClaimReply, ClaimResult,
-                 ClaimResultAck, PutDocument, PutDocumentReply, DocumentDigest,
-                 DocumentPull, DocumentText>;
+                 RenewGrants, Progress, Register, RegisterRequest, ClaimRequest,
+                 ClaimReply, ClaimResult, ClaimResultAck, PutDocument,
+                 PutDocumentReply, DocumentDigest, DocumentPull, DocumentText>;
 
 /// A message and the host it goes to.
 struct Outbound {
--- a/packages/wire/tests/WireTest.cpp
+++ b/packages/wire/tests/WireTest.cpp
@@ -83,10 +83,11 @@
   Json::to_cbor(Frame, Bytes);
   BOOST_TEST(std::get<Withdraw>(decoded(Bytes)).Attempt.Number == 0U);
 
-  Frame[2] = Json::array({Json::array({1, 2, 3}), "a field of tomorrow"});
+  Frame[2] = Json::array({Json::array({1, 2, 3}), 4, "a field of tomorrow"});
   Bytes.clear();
   Json::to_cbor(Frame, Bytes);
   BOOST_TEST(std::get<Withdraw>(decoded(Bytes)).Attempt.Number == 3U);
+  BOOST_TEST((std::get<Withdraw>(decoded(Bytes)).Cell == CellId(4)));
 
   Frame[0] = WireVersion + 1;
   Bytes.clear();
