Add the stand-ins: fake-engine and fake-ledger

Cause: the path from a caller to a backend server needs something behind it that batches, holds bounded memory, streams, resumes and fails on demand.

The engine is a pure model (time in, state out) under a thin evhttp server, so that batching, memory, groups and leases can be tested without sockets. The text of an answer is a function of the prompt, which any caller can check.

Ruled out: a discrete step for prefill as well as decode, since the first token would then only come on a multiple of the step; keeping produced text, since it can be derived again at any offset.

--- /dev/null
+++ b/fakes/EngineServer.cpp
@@ -0,0 +1,188 @@
+#include "fakes/EngineServer.h"
+
+#include "fakes/EngineState.h"
+
+#include <utility>
+
+namespace pimento::fakes {
+
+namespace {
+
+/// Between two samples of the load.
+constexpr Duration TickInterval = milliseconds(100);
+/// Ticks between two progress lines of a prefill.
+constexpr std::uint64_t TicksPerProgress = 5;
+/// Between two checks of a group's members.
+constexpr Duration GroupInterval = milliseconds(200);
+/// Shortest time from SIGTERM to the exit, so that callers hear of it.
+constexpr Duration ShortestDrain = seconds(1);
+/// Time for the last answers to leave the process.
+constexpr Duration FlushTime = milliseconds(200);
+
+Json hashTexts(const std::vector<std::uint64_t> &Hashes) {
+  Json Texts = Json::array();
+  for (std::uint64_t Hash : Hashes)
+    Texts.push_back(std::to_string(Hash));
+  return Texts;
+}
+
+Json loadReport(const EngineServer &S) {
+  LoadSample Sample = lagged(S.Load, now());
+  return {{"used_tokens", Sample.UsedTokens},
+          {"running", Sample.Running},
+          {"waiting", Sample.Waiting},
+          {"age_ms", toMilliseconds(now() - Sample.At)}};
+}
+
+Json announcement(EngineServer &S) {
+  if (S.Switches.StopAnnouncing)
+    return nullptr;
+  CacheBatch Batch = takeBatch(S.Feed, now());
+  return {{"id", S.Options.Id},
+          {"incarnation", S.Life},
+          {"address", S.Door.Address},
+          {"kind", "engine"},
+          {"data_centre", S.Options.DataCentre},
+          {"service", ""},
+          {"models", S.Model.Models},
+          {"memory_tokens", S.Model.Config.MemoryTokens},
+          {"checks_fence", S.Orders.Config.ChecksFence},
+          {"leaving", S.Model.Leaving},
+          {"load", loadReport(S)},
+          {"cache",
+           {{"sequence", Batch.Sequence},
+            {"added", hashTexts(Batch.Added)},
+            {"removed", hashTexts(Batch.Removed)}}}};
+}
+
+void sampleLoad(EngineServer &S) {
+  LoadSample Sample;
+  Sample.At = now();
+  Sample.UsedTokens = S.Model.UsedTokens;
+  Sample.Running = S.Model.Batch.size();
+  Sample.Waiting = S.Model.Queue.size();
+  record(S.Load, Sample);
+}
+
+void tick(EngineServer &S, std::uint64_t Ticks) {
+  S.TickTimer->arm(TickInterval);
+  turn(S);
+  sampleLoad(S);
+  if (Ticks % TicksPerProgress == 0)
+    sendProgress(S);
+}
+
+void stopWhenIdle(EngineServer &S) {
+  if (!S.Draining || !S.Lingered || !S.Streams.empty() || !isIdle(S.Model))
+    return;
+  S.Lingered = false; // Once is enough.
+  laterIn(S, FlushTime, [&S] { event_base_loopbreak(S.Base); });
+}
+
+void armTimers(EngineServer &S) {
+  S.ModelTimer = std::make_unique<Timer>(S.Base, [&S] { turn(S); });
+  S.TickTimer = std::make_unique<Timer>(
+      S.Base, [&S, Ticks = std::uint64_t(0)]() mutable { tick(S, ++Ticks); });
+  S.GroupTimer = std::make_unique<Timer>(S.Base, [&S] {
+    S.GroupTimer->arm(GroupInterval);
+    checkGroups(S);
+  });
+  S.TickTimer->arm(TickInterval);
+  S.GroupTimer->arm(GroupInterval);
+}
+
+void fill(EngineServer &S, event_base *Base, const EngineOptions &Options) {
+  S.Base = Base;
+  S.Options = Options;
+  S.Switches = Options.Switches;
+  S.Life = newIncarnation();
+  S.Model.Config = Options.Config;
+  S.Model.Models.insert(Options.Models.begin(), Options.Models.end());
+  S.Orders.Config = Options.Orders;
+  S.Load.Lag = Options.LoadLag;
+  S.Feed.Delay = Options.CacheDelay;
+  S.Feed.GapShare = Options.CacheGapShare;
+  S.Feed.Source.seed(Options.Seed);
+  S.Source.seed(Options.Seed + 1);
+}
+
+} // namespace
+
+void EngineDeleter::operator()(EngineServer *Server) const { delete Server; }
+
+void laterIn(EngineServer &S, Duration In, std::function<void()> F) {
+  later(S.Base, In, [Life = std::weak_ptr<bool>(S.Alive), F = std::move(F)] {
+    if (!Life.expired())
+      F();
+  });
+}
+
+void turn(EngineServer &S) {
+  advance(S.Model, now());
+  if (advanceOrders(S.Model, S.Orders, now()))
+    S.News->announce();
+  push(S.Feed, S.Model.Cache.Events, now());
+  S.Model.Cache.Events.clear();
+  for (auto It = S.Streams.begin(); It != S.Streams.end();) {
+    Stream &T = It->second;
+    ++It; // Feeding may end the stream.
+    feedStream(S, T);
+  }
+  TimePoint Next = nextEvent(S.Model);
+  if (Next != Never)
+    S.ModelTimer->arm(Next - now());
+  else
+    S.ModelTimer->disarm();
+  stopWhenIdle(S);
+}
+
+void applySwitches(EngineServer &S) {
+  bool WasLeaving = S.Model.Leaving;
+  advance(S.Model, now());
+  S.Model.SlowFactor = S.Switches.Slow;
+  S.Model.LeakCancels = S.Switches.LeakCancels;
+  S.Model.Leaving = S.Switches.Leaving || S.Draining;
+  S.TokensSent = 0;
+  if (S.Model.Leaving != WasLeaving)
+    S.News->announce();
+  turn(S);
+}
+
+EnginePtr startEngine(event_base *Base, const EngineOptions &Options,
+                      std::string &Error) {
+  EnginePtr S(new EngineServer);
+  fill(*S, Base, Options);
+  S->Door = listenHttp(Base, Options.Listen, onEngineRequest, S.get());
+  if (!S->Door.Http) {
+    Error = "can't listen on " + Options.Listen;
+    return nullptr;
+  }
+  S->News = std::make_unique<Announcer>(
+      Base, Options.Announce, [Raw = S.get()] { return announcement(*Raw); });
+  armTimers(*S);
+  sampleLoad(*S);
+  S->News->announce();
+  applySwitches(*S);
+  return S;
+}
+
+const std::string &address(const EngineServer &Server) {
+  return Server.Door.Address;
+}
+
+std::uint64_t incarnation(const EngineServer &Server) { return Server.Life; }
+
+const Engine &model(const EngineServer &Server) { return Server.Model; }
+
+void drain(EngineServer &S) {
+  if (S.Draining)
+    return;
+  S.Draining = true;
+  applySwitches(S);
+  laterIn(S, ShortestDrain, [&S] {
+    S.Lingered = true;
+    stopWhenIdle(S);
+  });
+}
+
+} // namespace pimento::fakes
--- /dev/null
+++ b/fakes/EngineState.h
@@ -0,0 +1,94 @@
+//===- EngineState.h - Shared by the engine server's files ------*- C++ -*-===//
+#pragma once
+
+#include "fakes/EngineReports.h"
+#include "fakes/EngineServer.h"
+#include "fakes/Http.h"
+
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace pimento::fakes {
+
+/// One connection that reads an attempt.
+struct Stream {
+  EngineServer *Server = nullptr;
+  std::uint64_t Number = 0;
+  evhttp_request *Req = nullptr;
+  std::string Attempt;
+  bool Muted = false;          // It never gets a reply.
+  bool Started = false;        // Status and headers are sent.
+  bool Writing = false;        // A chunk is on its way.
+  std::uint64_t Offset = 0;    // Next token.
+  std::int64_t SentTokens = 0; // On this connection.
+  std::int64_t SentBytes = 0;  // On this connection, of events.
+  std::int64_t CutAfterTokens = -1;
+  std::int64_t CutAfterBytes = -1;
+  std::int64_t FailAfterTokens = -1;
+};
+
+/// The other engines of a group that this engine leads.
+struct GroupWatch {
+  std::vector<std::string> Members; // ip:port each.
+  bool Running = false;             // Confirmed; watched from here on.
+  std::size_t Pending = 0;          // Members asked that have not answered.
+  bool Lost = false;                // Some member does not hold its part.
+  std::uint64_t Tokens = 0;         // Held by the members together.
+};
+
+struct EngineServer {
+  event_base *Base = nullptr;
+  EngineOptions Options;
+  EngineSwitches Switches;
+  std::uint64_t Life = 0;
+  Engine Model;
+  OrderBook Orders;
+  LoadHistory Load;
+  CacheFeed Feed;
+  Random Source;               // For shares of events.
+  std::int64_t TokensSent = 0; // Since die_after_tokens was set.
+  bool Draining = false;
+  bool Lingered = false; // The shortest drain has passed.
+  std::map<std::uint64_t, Stream> Streams;
+  std::uint64_t LastStream = 0;
+  std::map<std::string, GroupWatch> Groups; // By attempt.
+  std::shared_ptr<bool> Alive = std::make_shared<bool>(true);
+  Listener Door;
+  std::unique_ptr<Timer> ModelTimer; // When the model has something to do.
+  std::unique_ptr<Timer> TickTimer;  // Progress, load samples, loads.
+  std::unique_ptr<Timer> GroupTimer; // Checks of group members.
+  std::unique_ptr<Announcer> News;
+};
+
+/// Calls \p F after \p In unless the server is gone by then.
+void laterIn(EngineServer &S, Duration In, std::function<void()> F);
+/// Brings the model up to now, feeds the streams, sets the next timer.
+void turn(EngineServer &S);
+/// Puts the switches into force.
+void applySwitches(EngineServer &S);
+
+// EngineRoutes.cpp
+void onEngineRequest(evhttp_request *Req, void *Arg);
+void replyRefusal(evhttp_request *Req, int Status, const std::string &Reason,
+                  const std::string &Detail);
+
+// EngineGenerate.cpp
+void serveGenerate(EngineServer &S, evhttp_request *Req);
+void serveResume(EngineServer &S, evhttp_request *Req, const std::string &Id);
+void checkGroups(EngineServer &S);
+
+// EngineStreams.cpp
+Stream &openStream(EngineServer &S, evhttp_request *Req,
+                   const std::string &Attempt);
+/// Sends status and headers.
+void beginStream(EngineServer &S, Stream &T);
+/// Lets go of the request, which the caller answers.
+void closeStream(EngineServer &S, Stream &T);
+/// Sends what the attempt has made and the connection takes.
+void feedStream(EngineServer &S, Stream &T);
+/// Tells streams how far their prefill is.
+void sendProgress(EngineServer &S);
+
+} // namespace pimento::fakes
--- /dev/null
+++ b/fakes/Http.h
@@ -0,0 +1,92 @@
+//===- Http.h - Small HTTP server and client helpers ------------*- C++ -*-===//
+//
+//   Listener L = listenHttp(Base, "127.0.0.1:0", Handler, Arg);
+//   replyJson(Req, 200, Body);
+//   callHttp(Base, {"127.0.0.1:8080", EVHTTP_REQ_GET, "/x"}, OnReply);
+//
+//===----------------------------------------------------------------------===//
+#pragma once
+
+#include "base/Json.h"
+#include "fakes/Libevent.h"
+
+#include <functional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace pimento::fakes {
+
+struct Header {
+  const char *Name = "";
+  std::string Value;
+};
+
+/// An IPv4 address and port.
+struct Endpoint {
+  std::string Ip;
+  std::uint16_t Port = 0; // Zero: chosen by the system.
+};
+
+/// False, and \p E untouched, unless \p Text is "ip:port".
+bool parseEndpoint(std::string_view Text, Endpoint &E);
+
+struct Listener {
+  HttpPtr Http;        // Null where the address can't be bound.
+  std::string Address; // ip:port with the port that was chosen.
+};
+
+using HttpHandler = void (*)(evhttp_request *, void *);
+
+/// Serves \p Address, all methods, bodies up to MaxBodyBytes.
+Listener listenHttp(event_base *Base, const std::string &Address,
+                    HttpHandler Handler, void *Arg);
+
+/// Largest body that is taken: a million-token prompt and its JSON escapes.
+constexpr std::size_t MaxBodyBytes = 64U << 20U;
+
+/// The body of \p Req; it stays in its buffer.
+std::string_view bodyOf(evhttp_request *Req);
+/// A header of the request; empty where there is none.
+std::string headerOf(evhttp_request *Req, const char *Name);
+/// The path without its query.
+std::string pathOf(evhttp_request *Req);
+/// The value of \p Name in the query; empty where there is none.
+std::string queryOf(evhttp_request *Req, const char *Name);
+
+void replyJson(evhttp_request *Req, int Status, const Json &Body,
+               const std::vector<Header> &Headers = {});
+
+/// Closes the connection of \p Req at once and frees the request.
+void cutConnection(evhttp_request *Req);
+
+struct HttpCall {
+  std::string Address; // ip:port
+  evhttp_cmd_type Method = EVHTTP_REQ_GET;
+  std::string Path;
+  std::string Body = {};
+  std::vector<Header> Headers = {};
+  Duration Timeout = seconds(1);
+};
+
+/// What came back; status 0 where no whole reply did.
+struct HttpReply {
+  int Status = 0;
+  std::string Body;
+};
+
+/// One call on its own connection. \p OnReply is called exactly once, never
+/// before callHttp() returns.
+void callHttp(event_base *Base, const HttpCall &Call,
+              std::function<void(const HttpReply &)> OnReply);
+
+/// The value at \p Key if it is an unsigned number that fits.
+bool readCount(const Json &Object, const char *Key, std::uint64_t &Value);
+/// The value at \p Key if it is a text.
+bool readText(const Json &Object, const char *Key, std::string &Value);
+
+/// Prints \p Line on standard output and, where \p File is not empty, writes
+/// it to that file, which appears whole or not at all.
+bool publishReady(const std::string &File, const Json &Line);
+
+} // namespace pimento::fakes
