Mend the merged message lists

Cause: the list of document messages stood twice after the merge. Ruled out: none. Before: document did not compile. After: wire, document and schedule tests pass. Conclusion: lists are checked by the compiler alone; no more is needed.

--- a/packages/wire/DocumentMessages.h
+++ b/packages/wire/DocumentMessages.h
@@ -184,10 +184,6 @@
   }
 };
 
-using DocumentMessages =
-    MessageList<PutDocument, PutDocumentReply, DocumentDigest, DocumentPull,
-                DocumentText>;
-
 using DocumentMessages =
     MessageList<PutDocument, PutDocumentReply, SpreadNotice, SpreadPull,
                 SpreadReply, StampAck, InForceQuery, InForceReply>;
--- a/packages/wire/ScheduleMessages.h
+++ b/packages/wire/ScheduleMessages.h
@@ -239,6 +239,7 @@
 };
 
 using ScheduleMessages =
-    MessageList<Ask, Grant, Refusal, Release, Withdraw, RenewGrants>;
+    MessageList<Ask, Grant, Refusal, Release, Withdraw, RenewGrants, Progress,
+                Register, RegisterRequest>;
 
 } // namespace pimento
