--- a/packages/calls/CallerReply.cpp
+++ b/packages/calls/CallerReply.cpp
@@ -2,7 +2,7 @@
 
 #include "base/Json.h"
 
-namespace pimento {
+namespace pimento::calls {
 
 namespace {
 
@@ -36,29 +36,6 @@
                ",\"choices\":[{\"index\":0," + Choice + "}]" + Rest + "}");
 }
 
-std::int64_t wholeSeconds(Duration D) {
-  auto Whole = std::chrono::duration_cast<seconds>(D);
-  if (Whole < D)
-    ++Whole;
-  return Whole.count();
-}
-
-Json problemBody(const RequestId &Request, const Problem &Why) {
-  const CodeInfo &Row = info(Why.Number);
-  Json Body = {{"type", "about:blank"},
-               {"title", Row.Meaning},
-               {"status", Row.HttpStatus},
-               {"code", static_cast<std::uint16_t>(Row.Number)},
-               {"name", Row.Name},
-               {"outcome", toString(Row.Result)},
-               {"request", toString(Request)}};
-  if (!Why.Detail.empty())
-    Body["detail"] = Why.Detail;
-  if (Why.RetryAfter > Duration::zero())
-    Body["retry_after_ms"] = toMilliseconds(Why.RetryAfter);
-  return Body;
-}
-
 } // namespace
 
 HttpReply completionReply(const CompletionHead &Head, std::string_view Text,
@@ -105,20 +82,12 @@
          event("[DONE]");
 }
 
-HttpReply problemReply(const RequestId &Request, const Problem &Why) {
-  HttpReply Reply;
-  Reply.Status = info(Why.Number).HttpStatus;
-  Reply.Headers = {{"Content-Type", "application/problem+json"},
-                   {"X-Request-Id", toString(Request)}};
-  if (Why.RetryAfter > Duration::zero())
-    Reply.Headers.push_back(
-        {"Retry-After", std::to_string(wholeSeconds(Why.RetryAfter))});
-  Reply.Body = dump(problemBody(Request, Why));
-  return Reply;
-}
-
-std::string chunkProblem(const RequestId &Request, const Problem &Why) {
-  return event(dump(Json({{"error", problemBody(Request, Why)}})));
+std::string chunkProblem(const Problem &Why) {
+  // The same object as in a problem reply.
+  HttpReply Reply = problemReply(Why);
+  while (!Reply.Body.empty() && Reply.Body.back() == '\n')
+    Reply.Body.pop_back();
+  return event("{\"error\":" + Reply.Body + "}");
 }
 
-} // namespace pimento
+} // namespace pimento::calls
--- a/packages/calls/Calls.cpp
+++ b/packages/calls/Calls.cpp
@@ -6,7 +6,7 @@
 
 #include <algorithm>
 
-namespace pimento {
+namespace pimento::calls {
 
 namespace {
 
@@ -46,24 +46,20 @@
 }
 
 /// The caller's limit, capped by the document's and the host's.
-Result<void> setDeadline(Admission &A, Duration DocumentLimit) {
+Result<void> setDeadline(Admission &A, const ServiceRule &Service) {
   const LimitSettings &Limits = A.C.S.Limits;
   BOOST_LEAF_AUTO(Stated, readTimeLimit(A.Incoming));
-  Duration Limit = Stated.value_or(DocumentLimit > Duration::zero()
-                                       ? DocumentLimit
+  Duration Limit = Stated.value_or(Service.DefaultTimeLimit > Duration::zero()
+                                       ? Service.DefaultTimeLimit
                                        : Limits.DefaultTimeLimit);
-  if (DocumentLimit > Duration::zero())
-    Limit = std::min(Limit, DocumentLimit);
+  if (Service.MaxTimeLimit > Duration::zero())
+    Limit = std::min(Limit, Service.MaxTimeLimit);
   Limit = std::min(Limit, Limits.MaxTimeLimit);
   Duration Margin = std::min(A.C.S.Times.AnswerMargin, Limit / 10);
   A.R.Deadline = A.C.Now + Limit - Margin;
   return {};
 }
 
-Duration limitOf(Duration Own, Duration OfService) {
-  return Own > Duration::zero() ? Own : OfService;
-}
-
 /// The first service that offers the model to this account.
 Result<const ModelRule *> findModel(const Context &C, const AccountId &Account,
                                     const ModelName &Model) {
@@ -87,8 +83,6 @@
   A.R.Service = Rule->Service;
   const ServiceRule &Service = A.C.Dir.Services.at(Rule->Service);
   G.Weight = Service.Weights.at(A.R.Account);
-  if (Rule->MaxOutputTokens != 0)
-    G.Wanted.MaxTokens = std::min(G.Wanted.MaxTokens, Rule->MaxOutputTokens);
   G.PromptTokens =
       estimateTokens(A.C.S.Ratios[G.Wanted.Model], G.Wanted.Prompt.size());
   if (Rule->ContextTokens != 0 &&
@@ -98,7 +92,7 @@
                                          std::to_string(Rule->ContextTokens) +
                                          " with the answer");
   G.Prefixes = prefixHashes(G.Wanted.Prompt);
-  return setDeadline(A, limitOf(Rule->TimeLimit, Service.TimeLimit));
+  return setDeadline(A, Service);
 }
 
 Result<void> admitCall(Admission &A) {
@@ -111,13 +105,15 @@
   if (Service.Weights.count(A.R.Account) == 0)
     return fail(Code::Forbidden, "");
   A.R.Service = Call.Wanted.Service;
-  CallRule Rule = callRule(Service, Call.Wanted.Path,
-                           Call.Wanted.Method == HttpMethod::Get);
-  Call.Repeatable = Rule.Repeatable;
+  const CallRule *Rule =
+      callRule(Service, toString(Call.Wanted.Method), Call.Wanted.Path);
+  if (Rule == nullptr)
+    return fail(Code::NotFound, "the service offers no such call");
+  Call.Repeatable = Rule->Repeatable;
   Call.Retention = Service.Retention;
   if (!Call.Repeatable && Call.Wanted.Key.empty())
     return fail(Code::IdempotencyKeyMissing, "");
-  return setDeadline(A, limitOf(Rule.TimeLimit, Service.TimeLimit));
+  return setDeadline(A, Service);
 }
 
 Result<void> admit(Admission &A) {
@@ -132,7 +128,7 @@
 
 void refuse(Admission &A, const Failure &Why) {
   constexpr Duration DefaultRetryAfter = seconds(1);
-  Problem P{Why.Number, Why.Detail, {}};
+  Problem P{Why.Number, Why.Detail, A.R.Id, {}};
   if (info(Why.Number).HttpStatus == 503)
     P.RetryAfter = DefaultRetryAfter;
   decide(A.C, "refuse", A.R.Id, info(Why.Number).Meaning)
@@ -142,7 +138,7 @@
       .add("body_bytes", static_cast<std::int64_t>(A.Incoming.Body.size()));
   count(A.C, "pimento_requests_total",
         std::string("outcome=\"") + toString(info(Why.Number).Result) + "\"");
-  A.C.Out.List.emplace_back(SendReply{A.Exchange, problemReply(A.R.Id, P)});
+  A.C.Out.List.emplace_back(SendReply{A.Exchange, problemReply(P)});
 }
 
 void takeIn(Admission &A) {
@@ -280,7 +276,7 @@
   }
   // Its try is over; while its engines are freed the release will tell.
   if (State.Cleanups.count(G.Attempt) == 0)
-    Out.List.emplace_back(SendWithdraw{{}, {}, {G.Attempt}});
+    Out.List.emplace_back(SendWithdraw{G.Attempt});
 }
 
 void onRefusal(CallsState &State, const Refusal &R, const Directory &Dir,
@@ -326,8 +322,8 @@
 }
 
 void onUpstreamHead(CallsState &State, UpstreamId Upstream, int Status,
-                    std::vector<HttpHeader> Headers, const Directory &Dir,
-                    TimePoint Now, CallsEffects &Out) {
+                    const std::vector<HttpHeader> &Headers,
+                    const Directory &Dir, TimePoint Now, CallsEffects &Out) {
   Context C{State, Dir, Now, Out};
   Event E;
   E.Kind = EventKind::Head;
@@ -423,4 +419,4 @@
          State.Results.empty();
 }
 
-} // namespace pimento
+} // namespace pimento::calls
--- a/packages/calls/Calls.h
+++ b/packages/calls/Calls.h
@@ -47,7 +47,7 @@
 #include <utility>
 #include <vector>
 
-namespace pimento {
+namespace pimento::calls {
 
 /// Where a request stands. docs/design/calls.md lists what each event does.
 enum class Phase : std::uint8_t {
@@ -87,7 +87,6 @@
 /// Times of a request's life.
 struct CallsTimes {
   Duration AnswerMargin = milliseconds(50);  // Before the caller's limit.
-  Duration AskRepeat = milliseconds(500);    // Of an ask without an answer.
   Duration ClaimRepeat = milliseconds(500);  // Of a claim without an answer.
   Duration ClaimRenewal = seconds(2);        // While the call runs.
   Duration StreamSilence = seconds(5);       // Engine without any byte.
@@ -112,11 +111,12 @@
   TimePoint SentAt;       // Zero: nothing was sent.
   TimePoint FirstTokenAt; // Zero: none came.
   EngineStream Stream;
-  std::uint64_t Next = 0;    // Offset of the next token.
-  std::uint32_t Resumes = 0; // Since the last token.
-  std::size_t Reserved = 0;  // Members that hold their memory.
-  TimePoint ReserveAgain;    // When members are asked again while running.
-  int Status = 0;            // Of the reply's head; zero: none came.
+  std::uint64_t Next = 0;      // Offset of the next token.
+  std::uint64_t Prefilled = 0; // Prompt tokens read, as the engine says.
+  std::uint32_t Resumes = 0;   // Since the last token.
+  std::size_t Reserved = 0;    // Members that hold their memory.
+  TimePoint ReserveAgain;      // When members are asked again while running.
+  int Status = 0;              // Of the reply's head; zero: none came.
   std::vector<HttpHeader> Headers;
   std::string Refusal;  // Body of a reply other than 200.
   TimePoint LastByte;   // Sign of life of the engine.
@@ -184,8 +184,6 @@
 /// What an ended attempt may still hold at engines. They are told to cancel it
 /// until each of them confirms.
 struct Cleanup {
-  ServiceId Service;
-  ModelName Model;
   Release Report;                              // Sent once all confirmed.
   std::vector<GrantedEngine> Engines;          // That have not confirmed.
   std::map<std::uint64_t, BackendId> InFlight; // By UpstreamId.
@@ -269,14 +267,6 @@
                   TimePoint Now, CallsEffects &Out);
 void onClaimResultAck(CallsState &State, const ClaimResultAck &A);
 
-/// An ask or a grant that this host holds.
-struct LiveAttempt {
-  Ask Content;
-  std::optional<Grant> Leave;
-};
-/// All of them, to renew them and to register them again at a new scheduler.
-std::vector<LiveAttempt> liveAttempts(const CallsState &State, TimePoint Now);
-
 //===----------------------------------------------------------------------===//
 // Backend servers
 //===----------------------------------------------------------------------===//
@@ -289,8 +279,8 @@
 void onUpstreamSent(CallsState &State, UpstreamId Upstream,
                     const Directory &Dir, TimePoint Now, CallsEffects &Out);
 void onUpstreamHead(CallsState &State, UpstreamId Upstream, int Status,
-                    std::vector<HttpHeader> Headers, const Directory &Dir,
-                    TimePoint Now, CallsEffects &Out);
+                    const std::vector<HttpHeader> &Headers,
+                    const Directory &Dir, TimePoint Now, CallsEffects &Out);
 void onUpstreamData(CallsState &State, UpstreamId Upstream,
                     std::string_view Bytes, const Directory &Dir, TimePoint Now,
                     CallsEffects &Out);
@@ -323,4 +313,4 @@
 /// Whether no request, cleanup or claim's outcome is left.
 bool idle(const CallsState &State);
 
-} // namespace pimento
+} // namespace pimento::calls
--- a/packages/calls/CallsInternal.h
+++ b/packages/calls/CallsInternal.h
@@ -20,7 +20,7 @@
 #include <string>
 #include <string_view>
 
-namespace pimento {
+namespace pimento::calls {
 
 struct Context {
   CallsState &S;
@@ -177,7 +177,6 @@
 PIMENTO_HANDLER(readCallData)
 PIMENTO_HANDLER(endCall)
 PIMENTO_HANDLER(failCall)
-PIMENTO_HANDLER(repeatAsk)
 PIMENTO_HANDLER(stallReserve)
 PIMENTO_HANDLER(checkStream)
 PIMENTO_HANDLER(resumeNow)
@@ -194,4 +193,4 @@
 PIMENTO_HANDLER(expireSettling)
 #undef PIMENTO_HANDLER
 
-} // namespace pimento
+} // namespace pimento::calls
--- a/packages/calls/ClaimLeader.h
+++ b/packages/calls/ClaimLeader.h
@@ -31,7 +31,7 @@
 #include <variant>
 #include <vector>
 
-namespace pimento {
+namespace pimento::calls {
 
 struct ClaimLeaderSettings {
   Duration SendLease = seconds(2);      // From the ask to the first byte.
@@ -116,6 +116,10 @@
                      const std::vector<ClaimChange> &Changes, TimePoint Now,
                      ClaimEffects &Out);
 
+/// The log did not take a proposal. What it held comes again: entry hosts
+/// repeat what is not answered.
+void onClaimsRefused(ClaimLeader &Leader, std::uint64_t Ticket);
+
 /// What membership knows of an entry host: its newest life, and whether it is
 /// dead. A restarted host has a higher life.
 void onHostLife(ClaimLeader &Leader, const HostId &Host, Incarnation Life,
@@ -125,4 +129,4 @@
                 ClaimEffects &Out);
 TimePoint nextClaimWakeup(const ClaimLeader &Leader);
 
-} // namespace pimento
+} // namespace pimento::calls
--- a/packages/calls/Claims.cpp
+++ b/packages/calls/Claims.cpp
@@ -7,7 +7,7 @@
 #include <algorithm>
 #include <charconv>
 
-namespace pimento {
+namespace pimento::calls {
 
 namespace {
 
@@ -334,4 +334,4 @@
   return std::move(A.Changes);
 }
 
-} // namespace pimento
+} // namespace pimento::calls
--- a/packages/calls/Directory.h
+++ b/packages/calls/Directory.h
@@ -16,30 +16,29 @@
 #include <string_view>
 #include <vector>
 
-namespace pimento {
+namespace pimento::calls {
 
 /// How a plain service's calls below one path are treated.
 struct CallRule {
-  std::string Path;        // Below .../calls/, no leading '/'; "a/*": below a.
+  std::string Path;                 // Prefix below .../calls/; no leading '/'.
+  std::vector<std::string> Methods; // Such as "POST".
   bool Repeatable = false; // False: at most once, needs an Idempotency-Key.
-  Duration TimeLimit = Duration::zero(); // Zero: the service's.
 };
 
 /// One service, as its document in force says.
 struct ServiceRule {
-  std::map<AccountId, std::uint32_t> Weights; // Accounts that may use it.
-  std::vector<CallRule> Calls;                // First match counts.
-  Duration TimeLimit = Duration::zero();      // Zero: the host's default.
-  Duration Retention = hours(24);             // Of recorded answers.
+  std::map<AccountId, std::uint32_t> Weights;   // Accounts that may use it.
+  std::vector<CallRule> Calls;                  // Longest prefix counts.
+  Duration DefaultTimeLimit = Duration::zero(); // Zero: the host's.
+  Duration MaxTimeLimit = Duration::zero();     // Zero: the host's.
+  Duration Retention = hours(24);               // Of recorded answers.
   double RetryShare = -1; // Retries for each first try; below 0: the host's.
 };
 
 /// A model, adapter or version that one service offers.
 struct ModelRule {
   ServiceId Service;
-  std::uint64_t ContextTokens = 0;       // Prompt and answer; zero: unbounded.
-  std::uint64_t MaxOutputTokens = 0;     // Zero: as the caller asks.
-  Duration TimeLimit = Duration::zero(); // Zero: the service's.
+  std::uint64_t ContextTokens = 0; // Prompt and answer; zero: unbounded.
 };
 
 /// A plain backend server that takes new work.
@@ -60,9 +59,9 @@
   bool RefuseNew = false; // The host is stopping and past its unready time.
 };
 
-/// The rule for a call; where none matches, a method that only reads is
-/// repeatable and any other is not.
-CallRule callRule(const ServiceRule &Service, std::string_view Path,
-                  bool ReadsOnly);
+/// The rule with the longest prefix of \p Path, in whole segments, that lists
+/// \p Method; null where the service offers no such call.
+const CallRule *callRule(const ServiceRule &Service, std::string_view Method,
+                         std::string_view Path);
 
-} // namespace pimento
+} // namespace pimento::calls
--- a/packages/calls/Health.cpp
+++ b/packages/calls/Health.cpp
@@ -2,7 +2,7 @@
 
 #include <algorithm>
 
-namespace pimento {
+namespace pimento::calls {
 
 namespace {
 
@@ -181,4 +181,4 @@
     --Found->second.InFlight;
 }
 
-} // namespace pimento
+} // namespace pimento::calls
--- a/packages/calls/Health.h
+++ b/packages/calls/Health.h
@@ -15,7 +15,7 @@
 #include <map>
 #include <vector>
 
-namespace pimento {
+namespace pimento::calls {
 
 struct ServerHealth {
   Incarnation Life = 0;        // Of the server that the figures are about.
@@ -74,4 +74,4 @@
 /// A started call ended and says nothing of the server.
 void onCallDropped(HealthState &State, const BackendId &Server);
 
-} // namespace pimento
+} // namespace pimento::calls
--- a/packages/calls/PlainCalls.cpp
+++ b/packages/calls/PlainCalls.cpp
@@ -2,7 +2,7 @@
 
 #include <algorithm>
 
-namespace pimento {
+namespace pimento::calls {
 
 namespace {
 
@@ -18,6 +18,14 @@
   return Found == C.Dir.Servers.end() ? None : Found->second;
 }
 
+/// Whether \p Path is \p Prefix or below it, in whole segments.
+bool isBelow(std::string_view Path, std::string_view Prefix) {
+  if (Path.substr(0, Prefix.size()) != Prefix)
+    return false;
+  return Prefix.empty() || Prefix.back() == '/' ||
+         Path.size() == Prefix.size() || Path[Prefix.size()] == '/';
+}
+
 /// When the ask that a reply cites was sent; nothing where it is too old.
 std::optional<TimePoint> askedAt(const CallPart &Call, std::uint64_t Sequence) {
   for (const ClaimSend &Send : Call.Asked) {
@@ -93,24 +101,19 @@
 
 } // namespace
 
-CallRule callRule(const ServiceRule &Service, std::string_view Path,
-                  bool ReadsOnly) {
+const CallRule *callRule(const ServiceRule &Service, std::string_view Method,
+                         std::string_view Path) {
+  const CallRule *Best = nullptr;
   for (const CallRule &Rule : Service.Calls) {
-    std::string_view Pattern = Rule.Path;
-    bool Below =
-        Pattern.size() >= 2 && Pattern.substr(Pattern.size() - 2) == "/*";
-    if (Below) {
-      Pattern.remove_suffix(1);
-      if (Path.substr(0, Pattern.size()) == Pattern)
-        return Rule;
-    } else if (Path == Pattern) {
-      return Rule;
-    }
+    const std::vector<std::string> &Methods = Rule.Methods;
+    bool Listed =
+        std::find(Methods.begin(), Methods.end(), Method) != Methods.end();
+    if (!Listed || !isBelow(Path, Rule.Path))
+      continue;
+    if (Best == nullptr || Rule.Path.size() > Best->Path.size())
+      Best = &Rule;
   }
-  CallRule Unlisted;
-  Unlisted.Path = std::string(Path);
-  Unlisted.Repeatable = ReadsOnly;
-  return Unlisted;
+  return Best;
 }
 
 void startCall(Context &C, Request &R) {
@@ -306,4 +309,4 @@
   R.Deadline = C.Now + timeLeft(R, C.Now) + C.S.Times.SettleTime;
 }
 
-} // namespace pimento
+} // namespace pimento::calls
--- a/packages/calls/RetryBudget.cpp
+++ b/packages/calls/RetryBudget.cpp
@@ -2,7 +2,7 @@
 
 #include <algorithm>
 
-namespace pimento {
+namespace pimento::calls {
 
 void onFirstTry(RetryBudget &Budget, double Share) {
   ++Budget.FirstTries;
@@ -28,4 +28,4 @@
   return between(Rng, Whole / 2, Whole);
 }
 
-} // namespace pimento
+} // namespace pimento::calls
