calls: prove each mechanism of a request's life by hand-driven tests

Cause: the first bodies had no proof of resume, retries, cancels, claims. Ruled out: golden text of effects for these cases (a changed field would shift all of them); each test asks for the effect that it is about. Before: 7 cases of the caller's API. After: 50 cases green in callsTest.

--- /dev/null
+++ b/packages/calls/tests/GenerationTest.cpp
@@ -0,0 +1,442 @@
+#include <boost/test/unit_test.hpp>
+
+#include "Rig.h"
+
+using namespace pimento;
+using namespace pimento::calls;
+
+namespace {
+
+/// A request whose engine's stream is open.
+struct Running {
+  Rig &R;
+  ExchangeId Exchange{};
+  AttemptId Attempt;
+  UpstreamId Call{};
+
+  Running(Rig &Host, bool Stream) : R(Host) {
+    Exchange = R.complete(Stream);
+    Attempt = R.one<SendAsk>().Content.Attempt;
+    R.grant(Attempt);
+    Call = R.one<OpenUpstream>().Upstream;
+    R.sent(Call);
+    R.head(Call, 200);
+  }
+  std::string token(std::uint64_t Offset, const std::string &Text) {
+    R.data(Call, tokenLine(Attempt, Offset, Text));
+    std::string Written;
+    for (const StreamBytes &S : R.all<StreamBytes>())
+      Written += S.Bytes;
+    return Written;
+  }
+  /// The stream breaks; the host goes on at the same engine.
+  OpenUpstream resume() {
+    R.passAll(milliseconds(60));
+    OpenUpstream Again = R.one<OpenUpstream>();
+    Call = Again.Upstream;
+    return Again;
+  }
+};
+
+bool isDone(const std::string &Bytes) {
+  return Bytes.find("[DONE]") != std::string::npos;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(AStreamedAnswerIsPassedOnWhole) {
+  Rig R;
+  Running G(R, true);
+  BOOST_TEST(G.token(0, "one").find("\"text\":\"one\"") != std::string::npos);
+  BOOST_TEST(R.all<StartStream>().size() == 1U);
+  G.token(1, "two");
+  BOOST_TEST(R.none<StartStream>());
+  R.data(G.Call, endLine(G.Attempt, 2));
+  BOOST_TEST(isDone(R.one<StreamBytes>().Bytes));
+  BOOST_TEST(R.one<EndStream>().Whole);
+  Release Report = R.one<SendRelease>().Content;
+  BOOST_TEST((Report.End == AttemptEnd::Finished));
+  BOOST_TEST(Report.OutputTokens == 2U);
+  BOOST_TEST(Report.CachedTokens == 1U);
+  R.drained(G.Exchange);
+  BOOST_TEST(idle(R.S));
+  BOOST_TEST(R.S.Bytes == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(ABrokenStreamGoesOnAtItsOffset) {
+  Rig R;
+  Running G(R, true);
+  G.token(0, "one");
+  R.fail(G.Call, true);
+  BOOST_TEST(R.none<EndStream>());
+  BOOST_TEST(G.resume().Request.Target ==
+             "/v1/attempts/" + toString(G.Attempt) + "/stream?offset=1");
+  R.head(G.Call, 200);
+  BOOST_TEST(G.token(0, "one").empty()); // A duplicate.
+  BOOST_TEST(!G.token(1, "two").empty());
+  R.data(G.Call, endLine(G.Attempt, 2));
+  BOOST_TEST(R.one<EndStream>().Whole);
+}
+
+BOOST_AUTO_TEST_CASE(ACutAnswerNeverLooksFinished) {
+  // No end marker, an end before its tokens, a gap: all go on at the offset.
+  for (int Way = 0; Way < 3; ++Way) {
+    Rig R;
+    Running G(R, false);
+    G.token(0, "one");
+    if (Way == 0)
+      R.end(G.Call);
+    else if (Way == 1)
+      R.data(G.Call, endLine(G.Attempt, 3));
+    else
+      G.token(2, "three");
+    BOOST_TEST(R.none<SendReply>());
+    BOOST_TEST(G.resume().Request.Target.find("offset=1") != std::string::npos);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(AnotherAttemptsEventsAreDropped) {
+  Rig R;
+  Running G(R, true);
+  AttemptId Other = G.Attempt;
+  ++Other.Request.Lo;
+  R.data(G.Call, tokenLine(Other, 0, "not yours"));
+  BOOST_TEST(R.none<StreamBytes>());
+  R.data(G.Call, endLine(Other, 0));
+  BOOST_TEST(R.none<EndStream>());
+  BOOST_TEST(!G.token(0, "mine").empty());
+}
+
+BOOST_AUTO_TEST_CASE(ALostAttemptIsTriedElsewhereWhileNothingWasSeen) {
+  Rig R;
+  Running G(R, false);
+  G.token(0, "one");
+  R.fail(G.Call, true);
+  G.resume();
+  R.answer(G.Call, 404, {}, "{}");
+  // What it may still hold is cancelled; the next try avoids the engine.
+  BOOST_TEST((R.one<OpenUpstream>().Request.Method == HttpMethod::Delete));
+  R.passAll(milliseconds(50));
+  Ask Second = R.one<SendAsk>().Content;
+  BOOST_TEST(Second.Attempt.Number == 2U);
+  BOOST_REQUIRE(Second.Avoid.size() == 1U);
+  BOOST_TEST(Second.Avoid[0].Value == "e1");
+  R.grant(Second.Attempt, "e2");
+  UpstreamId Call = R.one<OpenUpstream>().Upstream;
+  R.head(Call, 200);
+  R.data(Call,
+         tokenLine(Second.Attempt, 0, "new") + endLine(Second.Attempt, 1));
+  BOOST_TEST(R.one<SendReply>().Reply.Body.find("\"text\":\"new\"") !=
+             std::string::npos);
+}
+
+BOOST_AUTO_TEST_CASE(ALostAttemptEndsAStreamWithAnError) {
+  Rig R;
+  Running G(R, true);
+  G.token(0, "one");
+  R.fail(G.Call, true);
+  G.resume();
+  R.answer(G.Call, 404, {}, "{}");
+  BOOST_TEST(!isDone(R.one<StreamBytes>().Bytes));
+  BOOST_TEST(R.one<StreamBytes>().Bytes.find("\"code\":302") !=
+             std::string::npos);
+  BOOST_TEST(!R.one<EndStream>().Whole);
+}
+
+BOOST_AUTO_TEST_CASE(NotRunIsSaidOnlyWithProof) {
+  // With the proof in each try.
+  Rig Proved;
+  Proved.S.Retries.Attempts = 1;
+  Proved.complete(false);
+  Proved.grant(Proved.one<SendAsk>().Content.Attempt);
+  UpstreamId Call = Proved.one<OpenUpstream>().Upstream;
+  Proved.sent(Call);
+  Proved.answer(Call, 503, {{"X-Not-Run", "1"}}, "{\"reason\":\"memory\"}");
+  BOOST_TEST(outcome(Proved.one<SendReply>()) == "not_run");
+  BOOST_TEST((Proved.one<SendRelease>().Content.End == AttemptEnd::Unused));
+  // Without it.
+  Rig Unproved;
+  Unproved.S.Retries.Attempts = 1;
+  Unproved.complete(false);
+  Unproved.grant(Unproved.one<SendAsk>().Content.Attempt);
+  Call = Unproved.one<OpenUpstream>().Upstream;
+  Unproved.sent(Call);
+  Unproved.answer(Call, 503, {}, "{\"reason\":\"memory\"}");
+  BOOST_TEST(outcome(Unproved.one<SendReply>()) == "failed");
+}
+
+BOOST_AUTO_TEST_CASE(ARefusalAfterATryThatRanIsNotCalledNotRun) {
+  Rig R;
+  Running G(R, false);
+  R.data(G.Call, "data: {\"attempt\": \"" + toString(G.Attempt) +
+                     "\", \"error\": \"broken\"}\n\n");
+  R.passAll(milliseconds(50));
+  AttemptId Second = R.one<SendAsk>().Content.Attempt;
+  R.clear();
+  onRefusal(R.S, {Second, Code::QueueFull, seconds(3), {}, 0}, R.Dir, R.Now,
+            R.Out);
+  BOOST_TEST(outcome(R.one<SendReply>()) == "failed");
+}
+
+BOOST_AUTO_TEST_CASE(ARefusalIsAnsweredAtOnceWithRetryAfter) {
+  Rig R;
+  R.complete(false);
+  AttemptId Attempt = R.one<SendAsk>().Content.Attempt;
+  R.clear();
+  onRefusal(R.S, {Attempt, Code::QueueFull, seconds(3), {}, 0}, R.Dir, R.Now,
+            R.Out);
+  SendReply Reply = R.one<SendReply>();
+  BOOST_TEST(code(Reply) == "201");
+  BOOST_TEST(headerValue(Reply.Reply.Headers, "Retry-After") == "3");
+}
+
+BOOST_AUTO_TEST_CASE(ConnectFailuresAreTriedElsewhereWithinTheBudget) {
+  Rig R;
+  R.complete(false);
+  R.grant(R.one<SendAsk>().Content.Attempt);
+  R.fail(R.one<OpenUpstream>().Upstream, false);
+  BOOST_TEST((R.one<SendRelease>().Content.End == AttemptEnd::Unused));
+  R.passAll(milliseconds(50));
+  BOOST_TEST(R.all<SendAsk>().size() == 1U);
+  // Without budget the answer comes at once, and is honest.
+  Rig Poor;
+  Poor.S.Budgets[ServiceId("text")].Tokens = 0;
+  Poor.complete(false);
+  Poor.grant(Poor.one<SendAsk>().Content.Attempt);
+  Poor.fail(Poor.one<OpenUpstream>().Upstream, false);
+  BOOST_TEST(code(Poor.one<SendReply>()) == "207");
+}
+
+BOOST_AUTO_TEST_CASE(TheAnswerComesBeforeTheLimit) {
+  Rig R;
+  TimePoint Limit = R.Now + milliseconds(800);
+  R.complete(false, {{"X-Request-Timeout-Ms", "800"}});
+  R.grant(R.one<SendAsk>().Content.Attempt);
+  UpstreamId Call = R.one<OpenUpstream>().Upstream;
+  R.sent(Call);
+  R.head(Call, 200);
+  while (R.Now < Limit && R.none<SendReply>())
+    R.pass(milliseconds(5));
+  BOOST_TEST((R.Now < Limit));
+  BOOST_TEST(code(R.one<SendReply>()) == "300");
+  BOOST_TEST(outcome(R.one<SendReply>()) == "failed");
+}
+
+BOOST_AUTO_TEST_CASE(WithoutAGrantTheLimitIsAnsweredAsNotRun) {
+  Rig R;
+  R.complete(false, {{"X-Request-Timeout-Ms", "800"}});
+  R.passAll(milliseconds(790));
+  BOOST_TEST(code(R.one<SendReply>()) == "200");
+  BOOST_TEST(R.all<SendWithdraw>().size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(CancelsAreRepeatedUntilTheEngineConfirms) {
+  Rig R;
+  Running G(R, true);
+  R.left(G.Exchange);
+  BOOST_TEST(R.all<AbortUpstream>().size() == 1U);
+  UpstreamId First = R.one<OpenUpstream>().Upstream;
+  BOOST_TEST(R.none<SendRelease>());
+  R.fail(First, false);
+  R.passAll(milliseconds(150));
+  UpstreamId Second = R.one<OpenUpstream>().Upstream;
+  R.head(Second, 500);
+  R.end(Second);
+  BOOST_TEST(!idle(R.S));
+  R.passAll(milliseconds(250));
+  UpstreamId Third = R.one<OpenUpstream>().Upstream;
+  R.head(Third, 404);
+  BOOST_TEST((R.one<SendRelease>().Content.End == AttemptEnd::Cancelled));
+  BOOST_TEST(idle(R.S));
+  BOOST_TEST(R.S.Upstreams.empty());
+}
+
+BOOST_AUTO_TEST_CASE(CancelsThatNobodyConfirmsAreReportedAsNotKnown) {
+  Rig R;
+  Running G(R, true);
+  R.left(G.Exchange);
+  R.passAll(minutes(2));
+  BOOST_TEST((R.one<SendRelease>().Content.End == AttemptEnd::Failed));
+  BOOST_TEST(idle(R.S));
+}
+
+BOOST_AUTO_TEST_CASE(AnEngineThatIsGoneHoldsNothing) {
+  Rig R;
+  Running G(R, true);
+  R.left(G.Exchange);
+  R.clear();
+  onBackendGone(R.S, BackendId("e1"), R.Out);
+  BOOST_TEST(R.all<SendRelease>().size() == 1U);
+  BOOST_TEST(idle(R.S));
+}
+
+BOOST_AUTO_TEST_CASE(ASlowCallerPausesItsEngineOnly) {
+  Rig R;
+  R.S.Limits.StreamBufferBytes = 1000;
+  Running G(R, true);
+  std::uint64_t Pending = 0;
+  std::uint64_t Offset = 0;
+  while (R.none<PauseUpstream>() && Offset < 100)
+    Pending += G.token(Offset++, std::string(50, 'x')).size();
+  BOOST_TEST(R.one<PauseUpstream>().Paused);
+  BOOST_TEST(Pending < 1500U);
+  BOOST_TEST(R.S.Bytes < 2000U);
+  // A paused stream is not a silent engine.
+  R.passAll(seconds(15));
+  BOOST_TEST(R.none<OpenUpstream>());
+  R.drained(G.Exchange, 700);
+  BOOST_TEST(R.none<PauseUpstream>());
+  R.drained(G.Exchange, 400);
+  BOOST_TEST(!R.one<PauseUpstream>().Paused);
+}
+
+BOOST_AUTO_TEST_CASE(ASilentEngineIsLeftBehind) {
+  Rig R;
+  Running G(R, false);
+  G.token(0, "one");
+  R.passAll(seconds(6));
+  BOOST_TEST(R.all<AbortUpstream>().size() == 1U);
+  BOOST_TEST(R.one<OpenUpstream>().Request.Target.find("offset=1") !=
+             std::string::npos);
+}
+
+BOOST_AUTO_TEST_CASE(AGroupIsReservedWholeBeforeItsLeaderRuns) {
+  Rig R;
+  R.complete(false);
+  AttemptId Attempt = R.one<SendAsk>().Content.Attempt;
+  R.grant(Attempt, "e", 3);
+  for (const char *Member : {"e1:1", "e2:1"}) {
+    OpenUpstream Reserve = R.one<OpenUpstream>();
+    BOOST_TEST(Reserve.Request.Target == "/v1/reservations");
+    BOOST_TEST(Reserve.Request.Address == Member);
+    R.answer(Reserve.Upstream, 200, {}, "{}");
+  }
+  OpenUpstream Generate = R.one<OpenUpstream>();
+  BOOST_TEST(Generate.Request.Target == "/v1/generate");
+  BOOST_TEST(Generate.Request.Address == "e:1");
+  BOOST_TEST(Generate.Request.Body.find("[\"e1:1\",\"e2:1\"]") !=
+             std::string::npos);
+  R.head(Generate.Upstream, 200);
+  // Reservations are kept while it runs.
+  R.passAll(milliseconds(1500));
+  BOOST_TEST(R.all<OpenUpstream>().size() == 4U);
+  R.data(Generate.Upstream, tokenLine(Attempt, 0, "x") + endLine(Attempt, 1));
+  BOOST_TEST(R.all<SendReply>().size() == 1U);
+  // Members are freed before the grant is given back.
+  BOOST_TEST(R.none<SendRelease>());
+  std::vector<OpenUpstream> Cancels = R.all<OpenUpstream>();
+  BOOST_TEST(Cancels.size() == 3U);
+  for (const OpenUpstream &Cancel : Cancels)
+    R.head(Cancel.Upstream, 200);
+  BOOST_TEST((R.one<SendRelease>().Content.End == AttemptEnd::Finished));
+}
+
+BOOST_AUTO_TEST_CASE(AGroupWithoutAMemberRunsNowhere) {
+  Rig R;
+  R.S.Retries.Attempts = 1;
+  R.complete(false);
+  R.grant(R.one<SendAsk>().Content.Attempt, "e", 3);
+  R.answer(R.one<OpenUpstream>().Upstream, 200, {}, "{}");
+  R.answer(R.one<OpenUpstream>().Upstream, 409, {{"X-Not-Run", "1"}},
+           "{\"reason\":\"memory\"}");
+  BOOST_TEST(outcome(R.one<SendReply>()) == "not_run");
+  BOOST_TEST(R.all<OpenUpstream>().size() == 3U); // Cancels, all of them.
+}
+
+BOOST_AUTO_TEST_CASE(ALateGrantIsGivenBack) {
+  Rig R;
+  ExchangeId Exchange = R.complete(false);
+  AttemptId Attempt = R.one<SendAsk>().Content.Attempt;
+  R.left(Exchange);
+  BOOST_TEST(R.all<SendWithdraw>().size() == 1U);
+  R.grant(Attempt);
+  BOOST_TEST(R.all<SendWithdraw>().size() == 1U);
+  BOOST_TEST(R.none<OpenUpstream>());
+}
+
+BOOST_AUTO_TEST_CASE(AnOverloadedHostShedsBeforeItsMemoryGoes) {
+  Rig R;
+  R.S.Limits.TotalBufferBytes = 100000;
+  std::string Body =
+      "{\"model\":\"m\",\"prompt\":\"" + std::string(20000, 'x') + "\"}";
+  std::size_t Taken = 0;
+  for (int I = 0; I < 50; ++I) {
+    R.post("/v1/completions", Body);
+    if (R.none<SendReply>())
+      ++Taken;
+    else
+      BOOST_TEST(code(R.one<SendReply>()) == "202");
+    BOOST_TEST(R.S.Bytes <= 100000U);
+  }
+  BOOST_TEST(Taken >= 3U);
+  BOOST_TEST(Taken < 10U);
+  Rig Many;
+  Many.S.Limits.Requests = 2;
+  Many.complete(false);
+  Many.complete(false);
+  Many.complete(false);
+  BOOST_TEST(code(Many.one<SendReply>()) == "202");
+  BOOST_TEST(headerValue(Many.one<SendReply>().Reply.Headers, "Retry-After") ==
+             "1");
+}
+
+BOOST_AUTO_TEST_CASE(WhoMayNotIsRefusedBeforeAnythingRuns) {
+  Rig R;
+  R.post("/v1/completions", "{}", {}, "wrong");
+  BOOST_TEST(code(R.one<SendReply>()) == "103");
+  R.post("/v1/completions", "{\"model\":\"m\",\"prompt\":\"x\"}", {},
+         "token-b");
+  BOOST_TEST(code(R.one<SendReply>()) == "104");
+  R.post("/v1/completions", "{\"model\":\"none\",\"prompt\":\"x\"}");
+  BOOST_TEST(code(R.one<SendReply>()) == "106");
+  R.post("/v1/completions",
+         "{\"model\":\"m\",\"prompt\":\"x\",\"max_tokens\":100000}");
+  BOOST_TEST(code(R.one<SendReply>()) == "112");
+  R.post("/v1/other", "");
+  BOOST_TEST(code(R.one<SendReply>()) == "110");
+  R.Dir.Fresh = false;
+  R.complete(false);
+  BOOST_TEST(code(R.one<SendReply>()) == "204");
+  R.Dir.RefuseNew = true;
+  R.complete(false);
+  BOOST_TEST(code(R.one<SendReply>()) == "205");
+  BOOST_TEST(idle(R.S));
+}
+
+BOOST_AUTO_TEST_CASE(AGracefulStopFinishesStreamsAndCutsAtItsBound) {
+  Rig R;
+  R.S.Drain.Limit = seconds(20);
+  Running G(R, true);
+  Running Slow(R, true);
+  R.clear();
+  beginDrain(R.S, R.Now, R.Out);
+  R.Dir.RefuseNew = true;
+  G.token(0, "one");
+  R.data(G.Call, endLine(G.Attempt, 1));
+  BOOST_TEST(R.one<EndStream>().Whole);
+  R.drained(G.Exchange);
+  for (int I = 0; I < 19; ++I) {
+    R.pass(seconds(1));
+    Slow.token(static_cast<std::uint64_t>(I), "x");
+  }
+  BOOST_TEST(!idle(R.S));
+  R.pass(seconds(1));
+  BOOST_TEST(R.one<StreamBytes>().Bytes.find("\"code\":306") !=
+             std::string::npos);
+  BOOST_TEST(!R.one<EndStream>().Whole);
+  for (const OpenUpstream &Cancel : R.all<OpenUpstream>())
+    R.head(Cancel.Upstream, 200);
+  R.pass(seconds(1));
+  BOOST_TEST(R.all<CloseExchange>().size() == 1U);
+  BOOST_TEST(idle(R.S));
+}
+
+BOOST_AUTO_TEST_CASE(ACallerThatReadsNothingIsClosed) {
+  Rig R;
+  Running G(R, false);
+  R.data(G.Call, endLine(G.Attempt, 0));
+  BOOST_TEST(R.all<SendReply>().size() == 1U);
+  R.passAll(seconds(31));
+  BOOST_TEST(R.all<CloseExchange>().size() == 1U);
+  BOOST_TEST(idle(R.S));
+}
--- /dev/null
+++ b/packages/calls/tests/PlainTest.cpp
@@ -0,0 +1,330 @@
+#include <boost/test/unit_test.hpp>
+
+#include "Rig.h"
+
+using namespace pimento;
+using namespace pimento::calls;
+
+namespace {
+
+std::vector<HttpHeader> echo(const ClaimRequest &Claim) {
+  return {{"X-Request-Id", toString(Claim.Request)},
+          {"Content-Type", "application/json"}};
+}
+
+/// A sign-off that was given leave; its call is open.
+struct SignOff {
+  ExchangeId Exchange{};
+  ClaimRequest Claim;
+  OpenUpstream Call;
+
+  SignOff(Rig &R, const std::string &Key) {
+    Exchange = R.signOff(Key);
+    Claim = R.one<SendClaim>().Content;
+    R.claimReply(Claim, ClaimState::Granted);
+    Call = R.one<OpenUpstream>();
+  }
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(ASignOffIsClaimedSentOnceAndRecorded) {
+  Rig R;
+  SignOff S(R, "k1");
+  BOOST_TEST(!S.Call.Request.MayReuse);
+  BOOST_TEST(S.Call.SendBy.has_value());
+  BOOST_TEST(headerValue(S.Call.Request.Headers, "Idempotency-Key") == "k1");
+  R.sent(S.Call.Upstream);
+  R.answer(S.Call.Upstream, 201, echo(S.Claim), "{\"done\":1}");
+  BOOST_TEST(R.one<SendReply>().Reply.Status == 201);
+  ClaimResult Result = R.one<SendClaimResult>().Content;
+  BOOST_TEST((Result.End == ClaimEnd::Answered));
+  BOOST_TEST(Result.Body.Data == "{\"done\":1}");
+  // Repeated until it is durable.
+  R.passAll(milliseconds(600));
+  BOOST_TEST(R.all<SendClaimResult>().size() == 1U);
+  onClaimResultAck(R.S, {S.Claim.Request});
+  R.drained(S.Exchange);
+  BOOST_TEST(idle(R.S));
+  BOOST_TEST(R.S.Turns.empty());
+}
+
+BOOST_AUTO_TEST_CASE(ACallThatMayNotBeRepeatedNeedsAKey) {
+  Rig R;
+  R.post("/v1/services/ledger/calls/sign-offs", "{}");
+  BOOST_TEST(code(R.one<SendReply>()) == "107");
+  R.post("/v1/services/ledger/calls/unlisted", "{}");
+  BOOST_TEST(code(R.one<SendReply>()) == "110");
+  R.post("/v1/services/none/calls/a", "{}");
+  BOOST_TEST(code(R.one<SendReply>()) == "105");
+}
+
+BOOST_AUTO_TEST_CASE(AStaleLeaveIsNotUsed) {
+  Rig R;
+  R.signOff("k1");
+  ClaimRequest Claim = R.one<SendClaim>().Content;
+  // The process was frozen for longer than the lease.
+  R.Now += seconds(3);
+  R.claimReply(Claim, ClaimState::Granted);
+  BOOST_TEST(R.none<OpenUpstream>());
+  R.pass(milliseconds(1));
+  ClaimRequest Again = R.one<SendClaim>().Content;
+  BOOST_TEST(Again.Sequence == Claim.Sequence + 1);
+  R.claimReply(Again, ClaimState::Granted);
+  BOOST_TEST((*R.one<OpenUpstream>().SendBy == R.Now + seconds(2)));
+}
+
+BOOST_AUTO_TEST_CASE(AfterAByteWasSentNothingIsSentAgain) {
+  Rig R;
+  SignOff S(R, "k1");
+  R.sent(S.Call.Upstream);
+  R.fail(S.Call.Upstream, true);
+  BOOST_TEST(R.none<OpenUpstream>());
+  BOOST_TEST(outcome(R.one<SendReply>()) == "unknown");
+  BOOST_TEST((R.one<SendClaimResult>().Content.End == ClaimEnd::Unknown));
+  // A failure that claims otherwise is not believed either.
+  Rig Odd;
+  SignOff T(Odd, "k1");
+  Odd.sent(T.Call.Upstream);
+  Odd.fail(T.Call.Upstream, false);
+  BOOST_TEST(outcome(Odd.one<SendReply>()) == "unknown");
+}
+
+BOOST_AUTO_TEST_CASE(AConnectThatFailedGoesToAnotherServerWithinTheLease) {
+  Rig R;
+  SignOff S(R, "k1");
+  R.fail(S.Call.Upstream, false);
+  OpenUpstream Second = R.one<OpenUpstream>();
+  BOOST_TEST(Second.Request.Address != S.Call.Request.Address);
+  BOOST_TEST((*Second.SendBy == *S.Call.SendBy));
+  R.fail(Second.Upstream, false);
+  BOOST_TEST(code(R.one<SendReply>()) == "207");
+  BOOST_TEST((R.one<SendClaimResult>().Content.End == ClaimEnd::NotRun));
+}
+
+BOOST_AUTO_TEST_CASE(AConnectThatOutlastsTheLeaseNeedsNewLeave) {
+  Rig R;
+  SignOff S(R, "k1");
+  R.Now += milliseconds(2100);
+  R.fail(S.Call.Upstream, false);
+  BOOST_TEST(R.none<OpenUpstream>());
+  BOOST_TEST(!R.one<SendClaim>().Content.Sent);
+}
+
+BOOST_AUTO_TEST_CASE(OnlyAProtocolRefusalProvesNotRunOnceSent) {
+  Rig R;
+  SignOff S(R, "k1");
+  R.sent(S.Call.Upstream);
+  R.answer(S.Call.Upstream, 503, {{"X-Not-Run", "1"}}, "");
+  BOOST_TEST(outcome(R.one<SendReply>()) == "not_run");
+  BOOST_TEST((R.one<SendClaimResult>().Content.End == ClaimEnd::NotRun));
+  // Any other answer is the server's own, and is kept.
+  Rig Other;
+  SignOff T(Other, "k1");
+  Other.sent(T.Call.Upstream);
+  Other.answer(T.Call.Upstream, 503, echo(T.Claim), "busy");
+  BOOST_TEST(Other.one<SendReply>().Reply.Status == 503);
+  BOOST_TEST((Other.one<SendClaimResult>().Content.End == ClaimEnd::Answered));
+}
+
+BOOST_AUTO_TEST_CASE(CutAndCrossedAnswersAreUnknown) {
+  Rig Cut;
+  SignOff S(Cut, "k1");
+  std::vector<HttpHeader> Headers = echo(S.Claim);
+  Headers.push_back({"Content-Length", "100"});
+  Cut.answer(S.Call.Upstream, 200, Headers, "short");
+  BOOST_TEST(outcome(Cut.one<SendReply>()) == "unknown");
+  Rig Crossed;
+  SignOff T(Crossed, "k1");
+  ClaimRequest Other = T.Claim;
+  ++Other.Request.Lo;
+  Crossed.head(T.Call.Upstream, 200, echo(Other));
+  BOOST_TEST(outcome(Crossed.one<SendReply>()) == "unknown");
+}
+
+BOOST_AUTO_TEST_CASE(RecordedAnswersAreGivenAgain) {
+  Rig R;
+  R.signOff("k1");
+  ClaimReply Reply;
+  Reply.Request = R.one<SendClaim>().Content.Request;
+  Reply.State = ClaimState::Recorded;
+  Reply.Status = 201;
+  Reply.Body.Data = "first";
+  R.clear();
+  onClaimReply(R.S, Reply, R.Dir, R.Now, R.Out);
+  BOOST_TEST(R.one<SendReply>().Reply.Status == 201);
+  BOOST_TEST(R.one<SendReply>().Reply.Body == "first");
+  BOOST_TEST(R.none<OpenUpstream>());
+  // An answer that was too large to be kept is not passed off as whole.
+  R.signOff("k2");
+  Reply.Request = R.one<SendClaim>().Content.Request;
+  Reply.Truncated = true;
+  R.clear();
+  onClaimReply(R.S, Reply, R.Dir, R.Now, R.Out);
+  BOOST_TEST(outcome(R.one<SendReply>()) == "unknown");
+}
+
+BOOST_AUTO_TEST_CASE(EachReplyOfThePartitionIsToldAsItIs) {
+  struct Case {
+    ClaimState State;
+    const char *Outcome;
+    int Status;
+  };
+  for (const Case &C : {Case{ClaimState::Unknown, "unknown", 504},
+                        Case{ClaimState::OtherBody, "not_run", 422},
+                        Case{ClaimState::Expired, "", 410}}) {
+    Rig R;
+    R.signOff("k1");
+    R.claimReply(R.one<SendClaim>().Content, C.State);
+    BOOST_TEST(R.one<SendReply>().Reply.Status == C.Status);
+    if (*C.Outcome != 0)
+      BOOST_TEST(outcome(R.one<SendReply>()) == C.Outcome);
+    BOOST_TEST(R.S.Turns.empty());
+  }
+}
+
+BOOST_AUTO_TEST_CASE(NotRunNeedsTheClaimToBeItsOwn) {
+  // Its own claim is durable and nothing was sent.
+  Rig Own;
+  Own.signOff("k1");
+  Own.claimReply(Own.one<SendClaim>().Content, ClaimState::Waiting);
+  Own.passAll(seconds(61));
+  BOOST_TEST(outcome(Own.one<SendReply>()) == "not_run");
+  // Another request with this key may run.
+  Rig Joined;
+  Joined.signOff("k1");
+  Joined.claimReply(Joined.one<SendClaim>().Content, ClaimState::Waiting, true);
+  Joined.passAll(seconds(61));
+  BOOST_TEST(outcome(Joined.one<SendReply>()) == "unknown");
+  // Nobody said whether one did.
+  Rig Silent;
+  Silent.signOff("k1");
+  Silent.passAll(seconds(61));
+  BOOST_TEST(outcome(Silent.one<SendReply>()) == "unknown");
+}
+
+BOOST_AUTO_TEST_CASE(CallsOfAnAccountAreClaimedInOrderOfArrival) {
+  Rig R;
+  R.signOff("k1");
+  ClaimRequest First = R.one<SendClaim>().Content;
+  R.signOff("k2");
+  BOOST_TEST(R.none<SendClaim>()); // Until the first is durable.
+  R.signOff("k3", "token-b");
+  BOOST_TEST(R.all<SendClaim>().size() == 1U); // Another account.
+  R.claimReply(First, ClaimState::Waiting);
+  BOOST_TEST(R.one<SendClaim>().Content.Key.Key == "k2");
+}
+
+BOOST_AUTO_TEST_CASE(ACallGoesOnWhenItsCallerLeaves) {
+  Rig R;
+  SignOff S(R, "k1");
+  R.sent(S.Call.Upstream);
+  R.left(S.Exchange);
+  BOOST_TEST(R.none<AbortUpstream>());
+  R.answer(S.Call.Upstream, 200, echo(S.Claim), "late");
+  BOOST_TEST(R.none<SendReply>());
+  BOOST_TEST(R.one<SendClaimResult>().Content.Body.Data == "late");
+  onClaimResultAck(R.S, {S.Claim.Request});
+  BOOST_TEST(idle(R.S));
+}
+
+BOOST_AUTO_TEST_CASE(UnknownIsAnsweredInTimeAndALateAnswerStillRecorded) {
+  Rig R;
+  SignOff S(R, "k1");
+  R.sent(S.Call.Upstream);
+  R.passAll(milliseconds(59960));
+  BOOST_TEST(outcome(R.one<SendReply>()) == "unknown");
+  BOOST_TEST(R.none<SendClaimResult>());
+  R.passAll(seconds(2));
+  R.answer(S.Call.Upstream, 200, echo(S.Claim), "late");
+  BOOST_TEST((R.one<SendClaimResult>().Content.End == ClaimEnd::Answered));
+  BOOST_TEST(R.none<SendReply>());
+  // Without one the claim ends as unknown.
+  Rig Never;
+  SignOff T(Never, "k1");
+  Never.sent(T.Call.Upstream);
+  Never.passAll(seconds(75));
+  BOOST_TEST(
+      (Never.all<SendClaimResult>().front().Content.End == ClaimEnd::Unknown));
+}
+
+BOOST_AUTO_TEST_CASE(AForgottenRequestsTurnIsNotLeftOpenNorCalledNotRun) {
+  Rig R;
+  ClaimRequest Gone;
+  Gone.Request = {R.S.IdHigh, 999};
+  R.claimReply(Gone, ClaimState::Granted);
+  BOOST_TEST((R.one<SendClaimResult>().Content.End == ClaimEnd::Unknown));
+  BOOST_TEST(R.none<OpenUpstream>());
+}
+
+BOOST_AUTO_TEST_CASE(LookUpsAreTriedElsewhereAndNeverOnADoubtfulConnection) {
+  Rig R;
+  ExchangeId Exchange = R.lookUp();
+  OpenUpstream First = R.one<OpenUpstream>();
+  BOOST_TEST(!First.Request.MayReuse); // Not known to repeat ids.
+  R.fail(First.Upstream, true);
+  R.passAll(milliseconds(50));
+  OpenUpstream Second = R.one<OpenUpstream>();
+  BOOST_TEST(Second.Request.Address != First.Request.Address);
+  std::string Id =
+      std::string(headerValue(Second.Request.Headers, "X-Request-Id"));
+  R.answer(Second.Upstream, 200, {{"X-Request-Id", Id}}, "found");
+  BOOST_TEST(R.one<SendReply>().Reply.Body == "found");
+  R.drained(Exchange);
+  // From now on its connections may be used again.
+  R.S.Health.Servers.at(BackendId("l1")).EchoesIds = true;
+  R.S.Health.Servers.at(BackendId("l2")).EchoesIds = true;
+  R.lookUp();
+  BOOST_TEST(R.one<OpenUpstream>().Request.MayReuse);
+  // There an answer without an id is nobody's.
+  R.head(R.one<OpenUpstream>().Upstream, 200, {});
+  BOOST_TEST(R.none<SendReply>());
+}
+
+BOOST_AUTO_TEST_CASE(ASilentServerIsLeftForAnother) {
+  Rig R;
+  R.lookUp();
+  R.sent(R.one<OpenUpstream>().Upstream);
+  R.passAll(milliseconds(2100));
+  BOOST_TEST(R.all<AbortUpstream>().size() == 1U);
+  BOOST_TEST(R.all<OpenUpstream>().size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(FailingServersAreEjectedButNeverMoreThanHalf) {
+  HealthState Health;
+  Random Rng(3);
+  TimePoint Now(hours(1));
+  std::vector<PlainServer> Servers;
+  for (int I = 0; I < 4; ++I)
+    Servers.push_back({BackendId("s" + std::to_string(I)), 1, "", {}});
+  for (int Round = 0; Round < 20; ++Round) {
+    for (const PlainServer &Server : Servers) {
+      onCallStarted(Health, Server, Now);
+      onCallEnded(Health, Server.Backend, false, Servers, Now);
+    }
+  }
+  std::size_t Ejected = 0;
+  for (const auto &[Id, Server] : Health.Servers)
+    Ejected += Server.EjectedUntil > Now ? 1 : 0;
+  BOOST_TEST(Ejected == 2U);
+  // After its time one call tells whether it is well again.
+  Now += seconds(3);
+  ServerChoice Probe = chooseServer(Health, Servers, {}, Rng, Now);
+  BOOST_TEST((Probe.Reason == ChoiceReason::Trickle));
+  onCallStarted(Health, *Probe.Server, Now);
+  BOOST_TEST(
+      (chooseServer(Health, Servers, {}, Rng, Now).Server != Probe.Server));
+  onCallEnded(Health, Probe.Server->Backend, true, Servers, Now);
+  BOOST_TEST(!Health.Servers.at(Probe.Server->Backend).Trickling);
+}
+
+BOOST_AUTO_TEST_CASE(LeavingServersGetNothingNew) {
+  Rig R;
+  R.Dir.Servers[ServiceId("ledger")].clear();
+  R.lookUp();
+  BOOST_TEST(code(R.one<SendReply>()) == "203");
+  R.signOff("k1");
+  R.claimReply(R.one<SendClaim>().Content, ClaimState::Granted);
+  BOOST_TEST(code(R.one<SendReply>()) == "203");
+  BOOST_TEST((R.one<SendClaimResult>().Content.End == ClaimEnd::NotRun));
+}
