--- /dev/null
+++ b/packages/replica/Append.cpp
@@ -0,0 +1,285 @@
+#include "replica/Internal.h"
+
+#include <algorithm>
+
+namespace pimento::replica {
+
+//===----------------------------------------------------------------------===//
+// The leader
+//===----------------------------------------------------------------------===//
+
+namespace {
+
+/// Heartbeats without an answer after which what is on its way counts as lost.
+constexpr int LostAfterHeartbeats = 3;
+
+AppendRequest appendRequest(const ReplicaState &S, std::uint64_t Prev,
+                            TimePoint Now) {
+  AppendRequest M;
+  M.Header = header(S);
+  M.PrevIndex = Prev;
+  M.PrevTerm = termAt(S, Prev).value_or(0);
+  M.Commit = S.Commit;
+  M.SentAt = Now.time_since_epoch();
+  M.VotersIndex = S.History.back().Index;
+  for (const Member &Who : members(S).Members) {
+    std::uint64_t Synced = 0;
+    for (const MemberProgress &P : S.Progress) {
+      if (P.Host == Who.Host && P.Life == Who.Life)
+        Synced = P.Match;
+    }
+    M.Synced.push_back(Who.Host == S.Config.Self ? S.Synced : Synced);
+  }
+  return M;
+}
+
+/// Adds the entries after the request's first one's place, within the limits.
+void fillEntries(const ReplicaState &S, AppendRequest &M) {
+  std::size_t Bytes = 0;
+  for (std::uint64_t I = M.PrevIndex + 1; I <= lastIndex(S); ++I) {
+    const LogEntry &Entry = entryAt(S, I);
+    Bytes += Entry.Payload.Data.size();
+    if (!M.Entries.empty() && (Bytes > S.Config.BatchBytes ||
+                               M.Entries.size() >= S.Config.BatchEntries))
+      return;
+    M.Entries.push_back(Entry);
+  }
+}
+
+/// Forgets what is on its way where its answer is overdue.
+void expireWindow(const ReplicaState &S, MemberProgress &P, TimePoint Now) {
+  Duration Limit = S.Config.HeartbeatInterval * LostAfterHeartbeats;
+  TimePoint Since = P.LastSent;
+  if (!P.Snapshotting)
+    Since = std::max(Since, P.LastReply);
+  if (P.Window == 0 || Now < Since + Limit)
+    return;
+  P.Window = 0;
+  P.Next = P.Match + 1;
+  P.Probing = true;
+}
+
+void replicateSnapshot(ReplicaState &S, MemberProgress &P, bool Heartbeat,
+                       TimePoint Now, ReplicaEffects &E) {
+  bool WithData = !P.Snapshotting || P.Window == 0;
+  if (WithData || Heartbeat)
+    sendChunk(S, P, WithData, Now, E);
+}
+
+void sendEntries(ReplicaState &S, MemberProgress &P, TimePoint Now,
+                 ReplicaEffects &E) {
+  AppendRequest M = appendRequest(S, P.Next - 1, Now);
+  fillEntries(S, M);
+  if (!M.Entries.empty()) {
+    ++P.Window;
+    P.LastSent = Now;
+    if (!P.Probing)
+      P.Next = M.Entries.back().Index + 1;
+  }
+  send(E, P.Host, std::move(M));
+}
+
+bool windowOpen(const ReplicaState &S, const MemberProgress &P) {
+  return P.Window < (P.Probing ? 1 : S.Config.WindowMessages);
+}
+
+} // namespace
+
+MemberProgress *findProgress(ReplicaState &S, const HostId &Host,
+                             Incarnation Life) {
+  for (MemberProgress &P : S.Progress) {
+    if (P.Host == Host && P.Life == Life)
+      return &P;
+  }
+  return nullptr;
+}
+
+void confirm(MemberProgress &P, Duration SentAt, TimePoint Now) {
+  TimePoint Sent(SentAt);
+  P.LastReply = Now;
+  if (Sent <= Now)
+    P.ConfirmedAt = std::max(P.ConfirmedAt, Sent);
+}
+
+void replicate(ReplicaState &S, MemberProgress &P, bool Heartbeat,
+               TimePoint Now, ReplicaEffects &E) {
+  if (Heartbeat)
+    expireWindow(S, P, Now);
+  if (P.Snapshotting || !termAt(S, P.Next - 1)) {
+    replicateSnapshot(S, P, Heartbeat, Now, E);
+    return;
+  }
+  bool Sent = false;
+  while (P.Next <= lastIndex(S) && windowOpen(S, P)) {
+    sendEntries(S, P, Now, E);
+    Sent = true;
+  }
+  if (Heartbeat && !Sent)
+    send(E, P.Host, appendRequest(S, P.Next - 1, Now));
+}
+
+void replicateAll(ReplicaState &S, bool Heartbeat, TimePoint Now,
+                  ReplicaEffects &E) {
+  for (MemberProgress &P : S.Progress)
+    replicate(S, P, Heartbeat, Now, E);
+}
+
+void advanceCommit(ReplicaState &S, TimePoint Now, ReplicaEffects &E) {
+  const VoterSet &Voters = members(S);
+  std::vector<std::uint64_t> Synced;
+  if (isSelfVoter(S))
+    Synced.push_back(S.Synced);
+  for (const MemberProgress &P : S.Progress) {
+    if (isVoter(Voters, P.Host, P.Life))
+      Synced.push_back(P.Match);
+  }
+  std::size_t Needed = majority(Voters);
+  if (Needed == 0 || Synced.size() < Needed)
+    return;
+  std::sort(Synced.rbegin(), Synced.rend());
+  std::uint64_t Index = Synced[Needed - 1];
+  // Entries of earlier terms count only below one of this term.
+  if (Index <= S.Commit || termAt(S, Index) != S.Hard.Term)
+    return;
+  S.Commit = Index;
+  apply(S, E);
+  bool Left = S.Commit >= S.History.back().Index && !isSelfVoter(S);
+  if (Left)
+    becomeFollower(S, S.Hard.Term, Now, "removed from the voters", E);
+}
+
+void onAppendReply(ReplicaState &S, const HostId &From, const AppendReply &M,
+                   TimePoint Now, ReplicaEffects &E) {
+  if (M.Header.Term > S.Hard.Term) {
+    becomeFollower(S, M.Header.Term, Now, "a member has a newer term", E);
+    return;
+  }
+  MemberProgress *P = findProgress(S, From, M.Header.Life);
+  if (S.Role != ReplicaRole::Leader || M.Header.Term != S.Hard.Term ||
+      P == nullptr)
+    return;
+  confirm(*P, M.SentAt, Now);
+  if (M.Accepted) {
+    if (M.Match > lastIndex(S))
+      return;
+    P->Probing = false;
+    P->Window -= P->Window > 0 ? 1 : 0;
+    P->Match = std::max(P->Match, M.Match);
+    P->Next = std::max(P->Next, P->Match + 1);
+    markDisk(S, From, M.Header.Life, S.Hard.Term, M.Match);
+    advanceCommit(S, Now, E);
+  } else if (M.PrevIndex > P->Match && !P->Snapshotting) {
+    std::uint64_t Guess = std::min(M.Hint, M.PrevIndex - 1);
+    P->Next = std::max(P->Match, Guess) + 1;
+    P->Probing = true;
+    P->Window = 0;
+  }
+  if (S.Role != ReplicaRole::Leader)
+    return;
+  continueTransfer(S, Now, E);
+  if (MemberProgress *Still = findProgress(S, From, M.Header.Life))
+    replicate(S, *Still, /*Heartbeat=*/false, Now, E);
+}
+
+//===----------------------------------------------------------------------===//
+// The followers
+//===----------------------------------------------------------------------===//
+
+namespace {
+
+AppendReply appendReply(const ReplicaState &S, const AppendRequest &M) {
+  AppendReply Reply;
+  Reply.Header = header(S);
+  Reply.SentAt = M.SentAt;
+  Reply.PrevIndex = M.PrevIndex;
+  return Reply;
+}
+
+/// Whether the entries follow each other and can be read.
+bool isSound(const AppendRequest &M) {
+  std::uint64_t Index = M.PrevIndex;
+  std::uint64_t Term = M.PrevTerm;
+  for (const LogEntry &Entry : M.Entries) {
+    if (Entry.Index != ++Index || Entry.Term < Term ||
+        Entry.Term > M.Header.Term)
+      return false;
+    Term = Entry.Term;
+    if (Entry.Kind == EntryKind::Voters && !decodeVoters(Entry.Payload.Data))
+      return false;
+  }
+  return true;
+}
+
+/// Where the logs may still be equal, given that they differ at Prev.
+std::uint64_t conflictHint(const ReplicaState &S, std::uint64_t Prev) {
+  std::uint64_t Index = std::min(Prev, lastIndex(S) + 1);
+  auto Differing = termAt(S, Index);
+  while (Index > S.Commit + 1 && Differing && termAt(S, Index - 1) == Differing)
+    --Index;
+  return Index - 1;
+}
+
+/// Takes the entries over; false where one contradicts what is committed.
+bool takeEntries(ReplicaState &S, const AppendRequest &M) {
+  for (const LogEntry &Entry : M.Entries) {
+    if (Entry.Index <= S.Base.Index || termAt(S, Entry.Index) == Entry.Term)
+      continue;
+    if (Entry.Index <= S.Commit)
+      return false;
+    if (Entry.Index <= lastIndex(S))
+      truncateFrom(S, Entry.Index);
+    append(S, Entry);
+  }
+  return true;
+}
+
+/// Remembers what the leader knows of the other members' disks.
+void takeMarks(ReplicaState &S, const AppendRequest &M) {
+  const VotersAt &InForce = S.History.back();
+  if (InForce.Index != M.VotersIndex ||
+      InForce.Voters.Members.size() != M.Synced.size())
+    return;
+  for (std::size_t I = 0; I < M.Synced.size(); ++I) {
+    const Member &Who = InForce.Voters.Members[I];
+    if (Who.Host != S.Config.Self && M.Synced[I] != 0)
+      markDisk(S, Who.Host, Who.Life, M.Header.Term, M.Synced[I]);
+  }
+}
+
+} // namespace
+
+void onAppendRequest(ReplicaState &S, const HostId &From,
+                     const AppendRequest &M, TimePoint Now, ReplicaEffects &E) {
+  if (!S.Admitted || !isSound(M))
+    return;
+  AppendReply Reply = appendReply(S, M);
+  if (M.Header.Term < S.Hard.Term) {
+    sendAfter(S, ticketForHard(S), From, Reply, E);
+    return;
+  }
+  becomeFollower(S, M.Header.Term, Now, "another leads in a newer term", E);
+  heardLeader(S, From, Now, E);
+  Reply.Header = header(S);
+  bool Known =
+      M.PrevIndex < S.Base.Index || termAt(S, M.PrevIndex) == M.PrevTerm;
+  if (!Known) {
+    Reply.Hint = conflictHint(S, M.PrevIndex);
+    sendAfter(S, ticketForHard(S), From, Reply, E);
+    return;
+  }
+  if (!takeEntries(S, M)) {
+    halt(S, Code::StorageCorrupt, "a leader contradicts a committed entry", E);
+    return;
+  }
+  takeMarks(S, M);
+  std::uint64_t Verified =
+      std::max(S.Base.Index, M.PrevIndex + M.Entries.size());
+  S.Commit = std::max(S.Commit, std::min(M.Commit, Verified));
+  apply(S, E);
+  Reply.Accepted = true;
+  bool Waits = !M.Entries.empty();
+  Reply.Match = Waits ? Verified : std::min(Verified, S.Synced);
+  sendAfter(S, Waits ? ticketForAll(S) : ticketForHard(S), From, Reply, E);
+}
+
+} // namespace pimento::replica
--- /dev/null
+++ b/packages/replica/Election.cpp
@@ -0,0 +1,332 @@
+#include "replica/Internal.h"
+
+#include <algorithm>
+
+namespace pimento::replica {
+
+namespace {
+
+/// Whether this replica promised a leader not to vote for now.
+bool hasPromised(const ReplicaState &S, TimePoint Now) {
+  return S.Role == ReplicaRole::Leader ||
+         Now < S.LastContact + S.Config.ElectionTimeout;
+}
+
+bool isUpToDate(const ReplicaState &S, const VoteRequest &M) {
+  if (M.LastTerm != lastTerm(S))
+    return M.LastTerm > lastTerm(S);
+  return M.LastIndex >= lastIndex(S);
+}
+
+bool mayVoteFor(const ReplicaState &S, const HostId &Host, Incarnation Life) {
+  if (S.Hard.VotedFor.empty())
+    return true;
+  return S.Hard.VotedFor == Host && S.Hard.VotedLife == Life;
+}
+
+void adoptTerm(ReplicaState &S, std::uint64_t Term) {
+  S.Hard.Term = Term;
+  S.Hard.VotedFor = HostId();
+  S.Hard.VotedLife = 0;
+  S.LeaderHost = HostId();
+  S.HardDirty = true;
+}
+
+void voteFor(ReplicaState &S, const HostId &Host, Incarnation Life) {
+  S.Hard.VotedFor = Host;
+  S.Hard.VotedLife = Life;
+  S.HardDirty = true;
+}
+
+VoteRequest voteRequest(const ReplicaState &S, VoteKind Kind) {
+  VoteRequest M;
+  M.Header = header(S);
+  M.Kind = Kind;
+  M.VoteTerm = S.Hard.Term + (Kind == VoteKind::Pre ? 1 : 0);
+  M.LastIndex = lastIndex(S);
+  M.LastTerm = lastTerm(S);
+  return M;
+}
+
+void sendToVoters(ReplicaState &S, std::uint64_t Ticket, const VoteRequest &M,
+                  ReplicaEffects &E) {
+  for (const Member &Who : members(S).Members) {
+    if (Who.Learner || Who.Host == S.Config.Self)
+      continue;
+    sendAfter(S, Ticket, Who.Host, M, E);
+  }
+}
+
+void addVote(ReplicaState &S, const HostId &Host, Incarnation Life) {
+  Member Voter{Host, Life, false};
+  if (std::find(S.Granted.begin(), S.Granted.end(), Voter) == S.Granted.end())
+    S.Granted.push_back(Voter);
+}
+
+void becomeLeader(ReplicaState &S, TimePoint Now, ReplicaEffects &E) {
+  bool Forms = S.Role == ReplicaRole::Forming;
+  S.Role = ReplicaRole::Leader;
+  S.LeaderHost = S.Config.Self;
+  S.LeadingSince = Now;
+  S.NextHeartbeat = Now;
+  S.Ceded = false;
+  S.TransferTo = HostId();
+  S.TermStart = lastIndex(S) + 1;
+  S.PendingBytes = 0;
+  S.Progress.clear();
+  LogEntry First;
+  First.Index = S.TermStart;
+  First.Term = S.Hard.Term;
+  if (Forms) {
+    VoterSet Voters;
+    Voters.LogId = S.Rng() | 1U;
+    Voters.Members = S.Granted;
+    std::sort(Voters.Members.begin(), Voters.Members.end(),
+              [](const Member &A, const Member &B) { return A.Host < B.Host; });
+    First.Kind = EntryKind::Voters;
+    First.Payload.Data = encodeVoters(Voters);
+  }
+  append(S, std::move(First));
+  updateProgress(S, Now);
+  decide(S, E, "lead", Forms ? "formed the log" : "won the election")
+      .add("votes", static_cast<std::int64_t>(S.Granted.size()))
+      .add("index", static_cast<std::int64_t>(S.TermStart));
+}
+
+std::size_t countedVotes(const ReplicaState &S) {
+  std::size_t Count = 0;
+  for (const Member &Who : S.Granted)
+    Count += isVoter(members(S), Who.Host, Who.Life) ? 1 : 0;
+  return Count;
+}
+
+bool isFormed(const ReplicaState &S) {
+  for (const HostId &Host : S.Config.FormationVoters) {
+    auto Is = [&](const Member &Who) { return Who.Host == Host; };
+    if (std::count_if(S.Granted.begin(), S.Granted.end(), Is) != 1)
+      return false;
+  }
+  return true;
+}
+
+} // namespace
+
+void resetElectionTimer(ReplicaState &S, TimePoint Now) {
+  Duration Low = S.Config.ElectionTimeout;
+  S.ElectionDeadline = Now + between(S.Rng, Low, 2 * Low);
+}
+
+void becomeFollower(ReplicaState &S, std::uint64_t Term, TimePoint Now,
+                    const char *Reason, ReplicaEffects &E) {
+  bool Led = S.Role == ReplicaRole::Leader;
+  if (Led) {
+    decide(S, E, "step_down", Reason)
+        .add("new_term", static_cast<std::int64_t>(Term));
+    reportLost(S, E);
+    S.Progress.clear();
+    S.TransferTo = HostId();
+    S.LeaderHost = HostId();
+    resetElectionTimer(S, Now);
+  }
+  if (Term > S.Hard.Term)
+    adoptTerm(S, Term);
+  S.Role = ReplicaRole::Follower;
+  S.Granted.clear();
+}
+
+void heardLeader(ReplicaState &S, const HostId &From, TimePoint Now,
+                 ReplicaEffects &E) {
+  if (S.LeaderHost != From)
+    decide(S, E, "follow", "heard a leader of this term")
+        .add("leader", From.Value);
+  S.LeaderHost = From;
+  S.LastContact = Now;
+  resetElectionTimer(S, Now);
+}
+
+void startPreVote(ReplicaState &S, TimePoint Now, ReplicaEffects &E) {
+  S.Role = ReplicaRole::PreCandidate;
+  S.LeaderHost = HostId();
+  S.Granted.clear();
+  addVote(S, S.Config.Self, S.Config.Life);
+  // Others may have heard the leader a little later: ask again soon.
+  Duration Retry = S.Config.HeartbeatInterval;
+  S.ElectionDeadline = Now + between(S.Rng, Retry, 2 * Retry);
+  sendToVoters(S, 0, voteRequest(S, VoteKind::Pre), E);
+  countVotes(S, Now, E);
+}
+
+void startElection(ReplicaState &S, bool Transfer, TimePoint Now,
+                   ReplicaEffects &E) {
+  adoptTerm(S, S.Hard.Term + 1);
+  voteFor(S, S.Config.Self, S.Config.Life);
+  S.Role = ReplicaRole::Candidate;
+  S.Granted.clear();
+  S.VoteTicket = ticketForAll(S);
+  Duration Limit = S.Config.ElectionTimeout;
+  S.ElectionDeadline = Now + between(S.Rng, Limit / 2, Limit);
+  VoteRequest M = voteRequest(S, VoteKind::Election);
+  M.Transfer = Transfer;
+  sendToVoters(S, S.VoteTicket, M, E);
+  decide(S, E, "stand", Transfer ? "the leader hands over" : "no leader")
+      .add("last_index", static_cast<std::int64_t>(lastIndex(S)));
+}
+
+void startFormation(ReplicaState &S, std::uint64_t Term, TimePoint Now,
+                    ReplicaEffects &E) {
+  adoptTerm(S, Term);
+  voteFor(S, S.Config.Self, S.Config.Life);
+  S.Role = ReplicaRole::Forming;
+  S.Granted.clear();
+  S.VoteTicket = ticketForAll(S);
+  Duration Limit = S.Config.ElectionTimeout;
+  S.ElectionDeadline = Now + between(S.Rng, Limit / 2, Limit);
+  VoteRequest M = voteRequest(S, VoteKind::Formation);
+  for (const HostId &Host : S.Config.FormationVoters) {
+    if (Host != S.Config.Self)
+      sendAfter(S, S.VoteTicket, Host, M, E);
+  }
+  decide(S, E, "form", "every configured voter is empty");
+}
+
+void countVotes(ReplicaState &S, TimePoint Now, ReplicaEffects &E) {
+  if (S.Role == ReplicaRole::PreCandidate) {
+    if (countedVotes(S) >= majority(members(S)))
+      startElection(S, /*Transfer=*/false, Now, E);
+  } else if (S.Role == ReplicaRole::Candidate) {
+    if (countedVotes(S) >= majority(members(S)))
+      becomeLeader(S, Now, E);
+  } else if (S.Role == ReplicaRole::Forming) {
+    if (isFormed(S))
+      becomeLeader(S, Now, E);
+  }
+}
+
+namespace {
+
+VoteReply voteReply(const ReplicaState &S, const VoteRequest &M, bool Granted) {
+  VoteReply Reply;
+  Reply.Header = header(S);
+  Reply.Kind = M.Kind;
+  Reply.VoteTerm = M.VoteTerm;
+  Reply.Granted = Granted;
+  return Reply;
+}
+
+void onPreVote(ReplicaState &S, const HostId &From, const VoteRequest &M,
+               TimePoint Now, ReplicaEffects &E) {
+  bool NewTerm =
+      M.VoteTerm > S.Hard.Term ||
+      (M.VoteTerm == S.Hard.Term && mayVoteFor(S, From, M.Header.Life));
+  bool Granted = !hasPromised(S, Now) && NewTerm && isUpToDate(S, M);
+  sendAfter(S, ticketForHard(S), From, voteReply(S, M, Granted), E);
+}
+
+void onBindingVote(ReplicaState &S, const HostId &From, const VoteRequest &M,
+                   TimePoint Now, ReplicaEffects &E) {
+  if (M.VoteTerm > S.Hard.Term)
+    becomeFollower(S, M.VoteTerm, Now, "a candidate has a newer term", E);
+  bool Forms = M.Kind == VoteKind::Formation;
+  bool Granted = M.VoteTerm == S.Hard.Term &&
+                 mayVoteFor(S, From, M.Header.Life) &&
+                 (Forms ? isEmpty(S) : isUpToDate(S, M));
+  if (!Granted) {
+    sendAfter(S, ticketForHard(S), From, voteReply(S, M, false), E);
+    return;
+  }
+  if (S.Hard.VotedFor.empty())
+    voteFor(S, From, M.Header.Life);
+  resetElectionTimer(S, Now);
+  sendAfter(S, ticketForAll(S), From, voteReply(S, M, true), E);
+  decide(S, E, "vote",
+         Forms ? "to form the log"
+               : "the candidate's log is "
+                 "as new as this one")
+      .add("candidate", From.Value);
+}
+
+} // namespace
+
+void onVoteRequest(ReplicaState &S, const HostId &From, const VoteRequest &M,
+                   TimePoint Now, ReplicaEffects &E) {
+  if (!S.Admitted)
+    return;
+  if (M.Kind == VoteKind::Pre) {
+    onPreVote(S, From, M, Now, E);
+    return;
+  }
+  if (M.Kind == VoteKind::Formation && !isEmpty(S))
+    return;
+  // The promise to the leader holds against every candidate but the one that
+  // the leader itself, having given up its lease, asked to stand.
+  if (!M.Transfer && M.Kind == VoteKind::Election && hasPromised(S, Now))
+    return;
+  onBindingVote(S, From, M, Now, E);
+}
+
+void onVoteReply(ReplicaState &S, const HostId &From, const VoteReply &M,
+                 TimePoint Now, ReplicaEffects &E) {
+  if (M.Header.Term > S.Hard.Term && !M.Granted) {
+    becomeFollower(S, M.Header.Term, Now, "a voter has a newer term", E);
+    return;
+  }
+  if (!M.Granted)
+    return;
+  std::uint64_t Asked = S.Hard.Term + (M.Kind == VoteKind::Pre ? 1 : 0);
+  if (M.VoteTerm != Asked)
+    return;
+  bool Expected =
+      (S.Role == ReplicaRole::PreCandidate && M.Kind == VoteKind::Pre) ||
+      (S.Role == ReplicaRole::Candidate && M.Kind == VoteKind::Election) ||
+      (S.Role == ReplicaRole::Forming && M.Kind == VoteKind::Formation);
+  if (!Expected)
+    return;
+  if (M.Kind != VoteKind::Pre)
+    markDisk(S, From, M.Header.Life, M.VoteTerm, 0);
+  addVote(S, From, M.Header.Life);
+  countVotes(S, Now, E);
+}
+
+void onTimeoutNow(ReplicaState &S, const HostId &From, const TimeoutNow &M,
+                  TimePoint Now, ReplicaEffects &E) {
+  if (!S.Admitted || M.Header.Term != S.Hard.Term || !isSelfVoter(S))
+    return;
+  if (S.Role != ReplicaRole::Follower || S.LeaderHost != From)
+    return;
+  startElection(S, /*Transfer=*/true, Now, E);
+}
+
+void continueTransfer(ReplicaState &S, TimePoint Now, ReplicaEffects &E) {
+  if (S.TransferTo.empty() || S.Ceded)
+    return;
+  for (const MemberProgress &P : S.Progress) {
+    if (P.Host != S.TransferTo || P.Match != lastIndex(S))
+      continue;
+    S.Ceded = true;
+    S.TransferDeadline = Now + S.Config.ElectionTimeout;
+    send(E, P.Host, TimeoutNow{header(S)});
+    decide(S, E, "hand_over", "the voter has every entry")
+        .add("to", P.Host.Value);
+  }
+}
+
+TimePoint confirmedByMajority(const ReplicaState &S) {
+  std::vector<TimePoint> Times;
+  for (const Member &Who : members(S).Members) {
+    if (Who.Learner)
+      continue;
+    if (Who.Host == S.Config.Self && Who.Life == S.Config.Life)
+      Times.push_back(TimePoint::max());
+  }
+  for (const MemberProgress &P : S.Progress) {
+    if (isVoter(members(S), P.Host, P.Life))
+      Times.push_back(P.ConfirmedAt);
+  }
+  std::size_t Needed = majority(members(S));
+  if (Needed == 0 || Times.size() < Needed)
+    return TimePoint();
+  std::sort(Times.rbegin(), Times.rend());
+  return Times[Needed - 1];
+}
+
+} // namespace pimento::replica
--- /dev/null
+++ b/packages/replica/Members.cpp
@@ -0,0 +1,235 @@
+#include "replica/Internal.h"
+#include "wire/Fields.h"
+
+#include <algorithm>
+
+namespace pimento::replica {
+
+namespace {
+
+constexpr JsonLimits VoterLimits = {/*Bytes=*/64U << 10U, /*Depth=*/6,
+                                    /*Values=*/4096};
+
+/// Retired disks that a log remembers.
+constexpr std::size_t RetiredDisks = 64;
+
+/// Probe intervals after which a host's word about its disk is too old.
+constexpr int SeenIntervals = 5;
+
+/// Heartbeats within which a learner must have answered to be promoted.
+constexpr int PromotionHeartbeats = 2;
+
+bool mayChange(const ReplicaState &S) {
+  return S.Commit >= S.TermStart && S.History.back().Index <= S.Commit &&
+         S.TransferTo.empty();
+}
+
+void changeMembers(ReplicaState &S, VoterSet New, TimePoint Now) {
+  std::sort(New.Members.begin(), New.Members.end(),
+            [](const Member &A, const Member &B) { return A.Host < B.Host; });
+  if (New.Retired.size() > RetiredDisks)
+    New.Retired.erase(New.Retired.begin(), New.Retired.end() - RetiredDisks);
+  LogEntry Entry;
+  Entry.Index = lastIndex(S) + 1;
+  Entry.Term = S.Hard.Term;
+  Entry.Kind = EntryKind::Voters;
+  Entry.Payload.Data = encodeVoters(New);
+  append(S, std::move(Entry));
+  updateProgress(S, Now);
+}
+
+/// Takes the host out and never lets its disk in again.
+void retire(VoterSet &V, const HostId &Host) {
+  auto Is = [&](const Member &Who) { return Who.Host == Host; };
+  auto Found = std::find_if(V.Members.begin(), V.Members.end(), Is);
+  V.Retired.push_back({Found->Host, Found->Life});
+  V.Members.erase(Found);
+}
+
+bool isFresh(const ReplicaState &S, const SeenDisk &Disk, TimePoint Now) {
+  return Now < Disk.At + S.Config.ProbeInterval * SeenIntervals;
+}
+
+/// A member that comes back with an empty disk, while its old one is silent.
+const SeenDisk *findWiped(ReplicaState &S, TimePoint Now) {
+  for (const SeenDisk &Disk : S.Seen) {
+    if (!Disk.Empty || !isFresh(S, Disk, Now))
+      continue;
+    const Member *Old = findMember(members(S), Disk.Host);
+    if (Old == nullptr || Old->Life == Disk.Life ||
+        isRetired(members(S), Disk.Host, Disk.Life))
+      continue;
+    const MemberProgress *P = findProgress(S, Old->Host, Old->Life);
+    if (P != nullptr && Now >= P->LastReply + S.Config.ElectionTimeout)
+      return &Disk;
+  }
+  return nullptr;
+}
+
+/// A learner that has synced everything that is committed.
+const MemberProgress *findPromotable(ReplicaState &S, TimePoint Now) {
+  Duration Limit = S.Config.HeartbeatInterval * PromotionHeartbeats;
+  for (const MemberProgress &P : S.Progress) {
+    if (isVoter(members(S), P.Host, P.Life))
+      continue;
+    if (P.Match >= S.Commit && Now < P.ConfirmedAt + Limit)
+      return &P;
+  }
+  return nullptr;
+}
+
+} // namespace
+
+std::string encodeVoters(const VoterSet &V) { return wire::toBytes(V); }
+
+std::optional<VoterSet> decodeVoters(std::string_view Bytes) {
+  Failure Why;
+  return valueOr<std::optional<VoterSet>>(
+      [&]() -> Result<std::optional<VoterSet>> {
+        auto V = wire::fromBytes<VoterSet>(Bytes, VoterLimits);
+        if (!V)
+          return V.error();
+        return std::optional<VoterSet>(std::move(*V));
+      },
+      std::nullopt, Why);
+}
+
+const Member *findMember(const VoterSet &V, const HostId &Host) {
+  for (const Member &Who : V.Members) {
+    if (Who.Host == Host)
+      return &Who;
+  }
+  return nullptr;
+}
+
+bool isVoter(const VoterSet &V, const HostId &Host, Incarnation Life) {
+  const Member *Who = findMember(V, Host);
+  return Who != nullptr && Who->Life == Life && !Who->Learner;
+}
+
+bool isSelfVoter(const ReplicaState &S) {
+  return isVoter(members(S), S.Config.Self, S.Config.Life);
+}
+
+bool isRetired(const VoterSet &V, const HostId &Host, Incarnation Life) {
+  for (const RetiredDisk &Disk : V.Retired) {
+    if (Disk.Host == Host && Disk.Life == Life)
+      return true;
+  }
+  return false;
+}
+
+std::size_t majority(const VoterSet &V) {
+  std::size_t Voters = 0;
+  for (const Member &Who : V.Members)
+    Voters += Who.Learner ? 0 : 1;
+  return Voters == 0 ? 0 : Voters / 2 + 1;
+}
+
+void updateProgress(ReplicaState &S, TimePoint Now) {
+  std::vector<MemberProgress> New;
+  for (const Member &Who : members(S).Members) {
+    if (Who.Host == S.Config.Self && Who.Life == S.Config.Life)
+      continue;
+    if (MemberProgress *Old = findProgress(S, Who.Host, Who.Life)) {
+      New.push_back(std::move(*Old));
+      continue;
+    }
+    MemberProgress P;
+    P.Host = Who.Host;
+    P.Life = Who.Life;
+    P.Next = std::max(S.TermStart, S.Base.Index + 1);
+    P.LastReply = Now;
+    New.push_back(std::move(P));
+  }
+  S.Progress = std::move(New);
+}
+
+void maintainMembers(ReplicaState &S, TimePoint Now, ReplicaEffects &E) {
+  if (!mayChange(S))
+    return;
+  VoterSet New = members(S);
+  if (const SeenDisk *Disk = findWiped(S, Now)) {
+    retire(New, Disk->Host);
+    New.Members.push_back({Disk->Host, Disk->Life, /*Learner=*/true});
+    decide(S, E, "replace_disk", "a member came back with an empty disk")
+        .add("member", Disk->Host.Value);
+    changeMembers(S, std::move(New), Now);
+    return;
+  }
+  const MemberProgress *P = findPromotable(S, Now);
+  if (P == nullptr)
+    return;
+  for (Member &Who : New.Members) {
+    if (Who.Host == P->Host && Who.Life == P->Life)
+      Who.Learner = false;
+  }
+  decide(S, E, "promote", "the learner has synced all that is committed")
+      .add("member", P->Host.Value)
+      .add("synced", static_cast<std::int64_t>(P->Match))
+      .add("commit", static_cast<std::int64_t>(S.Commit));
+  changeMembers(S, std::move(New), Now);
+}
+
+} // namespace pimento::replica
+
+namespace pimento {
+
+const char *toString(MemberChange C) {
+  switch (C) {
+  case MemberChange::Started:
+    return "started";
+  case MemberChange::Done:
+    return "done";
+  case MemberChange::NotLeader:
+    return "not_leader";
+  case MemberChange::Busy:
+    return "busy";
+  case MemberChange::Unseen:
+    return "unseen";
+  case MemberChange::Refused:
+    return "refused";
+  }
+  return "unknown";
+}
+
+MemberChange addMember(ReplicaState &S, const HostId &Host, TimePoint Now,
+                       ReplicaEffects &E) {
+  if (S.Role != ReplicaRole::Leader || S.Halted != Code::Ok)
+    return MemberChange::NotLeader;
+  if (replica::findMember(members(S), Host) != nullptr)
+    return MemberChange::Done;
+  const SeenDisk *Disk = replica::findSeen(S, Host);
+  if (Disk == nullptr || !replica::isFresh(S, *Disk, Now))
+    return MemberChange::Unseen;
+  if (!Disk->Empty || replica::isRetired(members(S), Host, Disk->Life))
+    return MemberChange::Refused;
+  if (!replica::mayChange(S))
+    return MemberChange::Busy;
+  VoterSet New = members(S);
+  New.Members.push_back({Host, Disk->Life, /*Learner=*/true});
+  replica::decide(S, E, "add_member", "asked for").add("member", Host.Value);
+  replica::changeMembers(S, std::move(New), Now);
+  flush(S, Now, E);
+  return MemberChange::Started;
+}
+
+MemberChange removeMember(ReplicaState &S, const HostId &Host, TimePoint Now,
+                          ReplicaEffects &E) {
+  if (S.Role != ReplicaRole::Leader || S.Halted != Code::Ok)
+    return MemberChange::NotLeader;
+  if (replica::findMember(members(S), Host) == nullptr)
+    return MemberChange::Done;
+  VoterSet New = members(S);
+  replica::retire(New, Host);
+  if (replica::majority(New) == 0)
+    return MemberChange::Refused;
+  if (!replica::mayChange(S))
+    return MemberChange::Busy;
+  replica::decide(S, E, "remove_member", "asked for").add("member", Host.Value);
+  replica::changeMembers(S, std::move(New), Now);
+  flush(S, Now, E);
+  return MemberChange::Started;
+}
+
+} // namespace pimento
--- /dev/null
+++ b/packages/replica/Replica.cpp
@@ -0,0 +1,265 @@
+#include "replica/Internal.h"
+
+#include <algorithm>
+
+namespace pimento::replica {
+
+ReplicaHeader header(const ReplicaState &S) {
+  ReplicaHeader H;
+  H.Group = S.Config.Group;
+  H.Life = S.Config.Life;
+  H.Start = S.Config.Start;
+  H.LogId = members(S).LogId;
+  H.Term = S.Hard.Term;
+  return H;
+}
+
+void send(ReplicaEffects &E, const HostId &To, Message M) {
+  E.Messages.push_back({To, std::move(M)});
+}
+
+void reportLost(ReplicaState &S, ReplicaEffects &E) {
+  std::uint64_t First = std::max(S.Commit + 1, S.TermStart);
+  if (First <= lastIndex(S))
+    E.Lost.push_back({First, lastIndex(S), S.Hard.Term});
+}
+
+void halt(ReplicaState &S, Code Reason, std::string Detail, ReplicaEffects &E) {
+  if (S.Halted != Code::Ok)
+    return;
+  decide(S, E, "halt", Detail).add("code", std::string(toString(Reason)));
+  if (S.Role == ReplicaRole::Leader)
+    reportLost(S, E);
+  S.Halted = Reason;
+  S.HaltReason = std::move(Detail);
+  S.Role = ReplicaRole::Follower;
+  S.LeaderHost = HostId();
+  S.Progress.clear();
+  S.Held.clear();
+}
+
+namespace {
+
+void tickLeader(ReplicaState &S, TimePoint Now, ReplicaEffects &E) {
+  TimePoint Confirmed = std::max(confirmedByMajority(S), S.LeadingSince);
+  if (Confirmed != TimePoint::max() &&
+      Now >= Confirmed + S.Config.ElectionTimeout) {
+    becomeFollower(S, S.Hard.Term, Now, "no majority answers", E);
+    return;
+  }
+  if (!S.TransferTo.empty() && Now >= S.TransferDeadline) {
+    if (S.Ceded) {
+      becomeFollower(S, S.Hard.Term, Now, "the hand-over took too long", E);
+      return;
+    }
+    S.TransferTo = HostId();
+  }
+  maintainMembers(S, Now, E);
+  if (Now < S.NextHeartbeat)
+    return;
+  S.NextHeartbeat = Now + S.Config.HeartbeatInterval;
+  replicateAll(S, /*Heartbeat=*/true, Now, E);
+}
+
+void tickElection(ReplicaState &S, TimePoint Now, ReplicaEffects &E) {
+  if (Now < S.ElectionDeadline)
+    return;
+  if (S.Role == ReplicaRole::Forming)
+    S.Role = ReplicaRole::Follower;
+  if (!S.Admitted || !isSelfVoter(S)) {
+    resetElectionTimer(S, Now);
+    return;
+  }
+  startPreVote(S, Now, E);
+}
+
+struct Receiver {
+  ReplicaState &S;
+  const HostId &From;
+  TimePoint Now;
+  ReplicaEffects &E;
+
+  void operator()(const ReplicaProbe &M) { onProbe(S, From, M, Now, E); }
+  void operator()(const ReplicaProbeReply &M) {
+    onProbeReply(S, From, M, Now, E);
+  }
+  void operator()(const VoteRequest &M) { onVoteRequest(S, From, M, Now, E); }
+  void operator()(const VoteReply &M) { onVoteReply(S, From, M, Now, E); }
+  void operator()(const AppendRequest &M) {
+    onAppendRequest(S, From, M, Now, E);
+  }
+  void operator()(const AppendReply &M) { onAppendReply(S, From, M, Now, E); }
+  void operator()(const SnapshotChunk &M) {
+    onSnapshotChunk(S, From, M, Now, E);
+  }
+  void operator()(const SnapshotReply &M) {
+    onSnapshotReply(S, From, M, Now, E);
+  }
+  void operator()(const TimeoutNow &M) { onTimeoutNow(S, From, M, Now, E); }
+  template <class Other> void operator()(const Other & /*M*/) {}
+};
+
+struct HeaderOf {
+  template <class M> const ReplicaHeader *operator()(const M &Content) const {
+    if constexpr (M::WireType > 100 && M::WireType < 200)
+      return &Content.Header;
+    else
+      return nullptr;
+  }
+};
+
+bool isAboutDisk(const Message &M) {
+  return std::holds_alternative<ReplicaProbe>(M) ||
+         std::holds_alternative<ReplicaProbeReply>(M);
+}
+
+} // namespace
+
+} // namespace pimento::replica
+
+namespace pimento {
+
+ReplicaState startReplica(const ReplicaConfig &Config, Recovered Found,
+                          TimePoint Now) {
+  ReplicaState S;
+  S.Config = Config;
+  std::sort(S.Config.FormationVoters.begin(), S.Config.FormationVoters.end());
+  S.Rng.seed(Config.Seed);
+  S.Hard = std::move(Found.Hard);
+  S.Base = std::move(Found.Base);
+  if (!S.Base.Data)
+    S.Base.Data = std::make_shared<const std::string>();
+  S.History.push_back({S.Base.Index, S.Base.Voters});
+  for (LogEntry &Entry : Found.Entries)
+    replica::append(S, std::move(Entry));
+  S.DirtyFrom = 0;
+  S.Synced = replica::lastIndex(S);
+  S.Commit = S.Base.Index;
+  S.Applied = S.Base.Index;
+  // Entries may be synced while the term that they came in was not yet.
+  if (replica::lastTerm(S) > S.Hard.Term) {
+    S.Hard.Term = replica::lastTerm(S);
+    S.Hard.VotedFor = HostId();
+    S.Hard.VotedLife = 0;
+    S.HardDirty = true;
+  }
+  // What this replica promised a leader before it stopped still holds.
+  S.LastContact = Now;
+  S.NextProbe = Now;
+  replica::resetElectionTimer(S, Now);
+  bool Alone = replica::majority(members(S)) == 1 && replica::isSelfVoter(S);
+  S.Admitted = replica::isEmpty(S) || Alone;
+  return S;
+}
+
+TimePoint nextTick(const ReplicaState &S) {
+  if (S.Halted != Code::Ok)
+    return TimePoint::max();
+  if (S.Role == ReplicaRole::Leader) {
+    TimePoint Next = S.NextHeartbeat;
+    return S.TransferTo.empty() ? Next : std::min(Next, S.TransferDeadline);
+  }
+  // Whether probes are wanted can change with time alone, so ask at each.
+  return std::min(S.ElectionDeadline, std::max(S.NextProbe, S.LastContact));
+}
+
+void tick(ReplicaState &S, TimePoint Now, ReplicaEffects &E) {
+  if (S.Halted != Code::Ok)
+    return;
+  if (Now >= S.NextProbe) {
+    if (replica::wantsProbe(S, Now))
+      replica::sendProbes(S, Now, E);
+    S.NextProbe = Now + S.Config.ProbeInterval;
+  }
+  replica::continueStart(S, Now, E);
+  if (S.Role == ReplicaRole::Leader)
+    replica::tickLeader(S, Now, E);
+  else
+    replica::tickElection(S, Now, E);
+  flush(S, Now, E);
+}
+
+const ReplicaHeader *replicaHeader(const Message &M) {
+  return std::visit(replica::HeaderOf(), M);
+}
+
+void receive(ReplicaState &S, const HostId &From, const Message &M,
+             TimePoint Now, ReplicaEffects &E) {
+  const ReplicaHeader *H = replicaHeader(M);
+  if (S.Halted != Code::Ok || H == nullptr || H->Group != S.Config.Group ||
+      H->Life == 0 || From == S.Config.Self)
+    return;
+  if (!replica::isAboutDisk(M) && !replica::checkSender(S, From, *H, E))
+    return;
+  std::visit(replica::Receiver{S, From, Now, E}, M);
+  flush(S, Now, E);
+}
+
+void diskWritten(ReplicaState &S, std::uint64_t Ticket, TimePoint Now,
+                 ReplicaEffects &E) {
+  if (S.Halted != Code::Ok || Ticket == 0 || Ticket != S.InFlight.Ticket)
+    return;
+  S.Synced = std::max({S.Synced, S.InFlight.LastIndex, S.Base.Index});
+  S.InFlight = WriteInFlight();
+  replica::releaseHeld(S, Ticket, E);
+  bool Stands =
+      S.Role == ReplicaRole::Candidate || S.Role == ReplicaRole::Forming;
+  if (Stands && Ticket >= S.VoteTicket) {
+    S.Granted.push_back({S.Config.Self, S.Config.Life, false});
+    replica::countVotes(S, Now, E);
+  }
+  if (S.Role == ReplicaRole::Leader)
+    replica::advanceCommit(S, Now, E);
+  if (S.Role == ReplicaRole::Leader)
+    replica::continueTransfer(S, Now, E);
+  flush(S, Now, E);
+}
+
+void diskFailed(ReplicaState &S, Code Reason, std::string Detail,
+                ReplicaEffects &E) {
+  replica::halt(S, Reason, std::move(Detail), E);
+}
+
+void snapshotTaken(ReplicaState &S, std::uint64_t Index, std::string Data,
+                   TimePoint Now, ReplicaEffects &E) {
+  if (S.Halted != Code::Ok)
+    return;
+  S.SnapshotWanted = false;
+  if (Index <= S.Base.Index || Index > S.Applied)
+    return;
+  Snapshot New;
+  New.Index = Index;
+  New.Term = replica::termAt(S, Index).value_or(0);
+  New.Voters = replica::membersAt(S, Index);
+  New.Data = std::make_shared<const std::string>(std::move(Data));
+  replica::rebase(S, std::move(New), S.Config.SnapshotEntries / 4);
+  flush(S, Now, E);
+}
+
+std::optional<Proposal> propose(ReplicaState &S, Blob Command) {
+  if (S.Role != ReplicaRole::Leader || S.Halted != Code::Ok ||
+      !S.TransferTo.empty() || Command.Data.size() > S.Config.CommandBytes)
+    return std::nullopt;
+  std::uint64_t Index = replica::lastIndex(S) + 1;
+  if (Index - S.Commit > S.Config.PendingEntries ||
+      S.PendingBytes + Command.Data.size() > S.Config.PendingBytes)
+    return std::nullopt;
+  S.PendingBytes += Command.Data.size();
+  LogEntry Entry;
+  Entry.Index = Index;
+  Entry.Term = S.Hard.Term;
+  Entry.Kind = EntryKind::Command;
+  Entry.Payload = std::move(Command);
+  replica::append(S, std::move(Entry));
+  return Proposal{Index, S.Hard.Term};
+}
+
+void flush(ReplicaState &S, TimePoint Now, ReplicaEffects &E) {
+  if (S.Halted != Code::Ok)
+    return;
+  if (S.Role == ReplicaRole::Leader)
+    replica::replicateAll(S, /*Heartbeat=*/false, Now, E);
+  replica::startWrite(S, E);
+}
+
+} // namespace pimento
--- a/packages/replica/Replica.h
+++ b/packages/replica/Replica.h
@@ -133,10 +133,11 @@
   std::size_t Window = 0;  // Messages with entries not yet answered.
   bool Probing = true;     // Next is a guess; one message at a time.
   bool Snapshotting = false;
-  std::uint64_t ChunkOffset = 0;   // Of the piece sent next.
-  std::uint64_t ChunkSnapshot = 0; // Index of the snapshot being sent.
-  TimePoint LastReply{};           // At the leader.
-  TimePoint LastSent{};            // At the leader.
+  Snapshot Sending;              // Snapshotting: kept until it is through.
+  std::uint64_t Checksum = 0;    // Of Sending.
+  std::uint64_t ChunkOffset = 0; // Of the piece sent next.
+  TimePoint LastReply{};         // At the leader.
+  TimePoint LastSent{};          // At the leader.
   TimePoint ConfirmedAt{}; // Newest request that it answered was sent then.
 };
 
@@ -150,6 +151,7 @@
 struct WriteInFlight {
   std::uint64_t Ticket = 0;    // Zero: none.
   std::uint64_t LastIndex = 0; // The log is synced up to here after it.
+  bool Hard = false;           // The hard state is among it.
 };
 
 /// What a host told of its disk lately.
@@ -180,14 +182,14 @@
   // Term and vote.
   ReplicaRole Role = ReplicaRole::Follower;
   HardState Hard;
-  HostId LeaderHost;             // Of this term; empty: not known.
-  std::vector<HostId> Granted;   // Votes gathered in this election.
-  std::vector<Member> GrantedBy; // The same with their disks, when forming.
-  bool TransferVote = false;     // This election was asked for by the leader.
+  HostId LeaderHost;            // Of this term; empty: not known.
+  std::vector<Member> Granted;  // Votes gathered, by the voters' disks.
+  std::uint64_t VoteTicket = 0; // Its own vote counts once this is synced.
 
   // The log.
   Snapshot Base;
-  std::deque<LogEntry> Log;      // After Base.
+  std::deque<LogEntry> Log;      // Without gaps up to the last entry. May
+                                 // begin before Base's last entry.
   std::vector<VotersAt> History; // Oldest first; the last one is in force.
   std::uint64_t Commit = 0;
   std::uint64_t Applied = 0; // Handed out.
@@ -199,6 +201,7 @@
   WriteInFlight InFlight;
   bool HardDirty = false;
   bool SnapshotDirty = false;
+  bool ResetDirty = false; // The disk still holds entries of another log.
   std::uint64_t DirtyFrom =
       0; // First entry not handed to the disk; zero: none.
   std::vector<HeldMessage> Held;
--- /dev/null
+++ b/packages/replica/Start.cpp
@@ -0,0 +1,271 @@
+#include "replica/Internal.h"
+
+#include <algorithm>
+
+namespace pimento::replica {
+
+namespace {
+
+/// Probe intervals after which another host's word is too old to form on.
+constexpr int FormationIntervals = 5;
+
+/// The hosts that may know of this disk: members and configured voters.
+std::vector<HostId> others(const ReplicaState &S) {
+  std::vector<HostId> Hosts = S.Config.FormationVoters;
+  for (const Member &Who : members(S).Members)
+    Hosts.push_back(Who.Host);
+  std::sort(Hosts.begin(), Hosts.end());
+  Hosts.erase(std::unique(Hosts.begin(), Hosts.end()), Hosts.end());
+  Hosts.erase(std::remove(Hosts.begin(), Hosts.end(), S.Config.Self),
+              Hosts.end());
+  return Hosts;
+}
+
+bool isKnownHost(const ReplicaState &S, const HostId &Host) {
+  const auto &Forming = S.Config.FormationVoters;
+  return findMember(members(S), Host) != nullptr ||
+         std::find(Forming.begin(), Forming.end(), Host) != Forming.end();
+}
+
+DiskMark *findMark(ReplicaState &S, const HostId &Host, Incarnation Life) {
+  for (DiskMark &Mark : S.Hard.Marks) {
+    if (Mark.Host == Host && Mark.Life == Life)
+      return &Mark;
+  }
+  return nullptr;
+}
+
+/// Marks of disks that can no longer take part are dropped.
+void pruneMarks(ReplicaState &S) {
+  const VoterSet &Sure = membersAt(S, S.Commit);
+  auto IsGone = [&](const DiskMark &Mark) {
+    return isRetired(Sure, Mark.Host, Mark.Life);
+  };
+  auto &Marks = S.Hard.Marks;
+  Marks.erase(std::remove_if(Marks.begin(), Marks.end(), IsGone), Marks.end());
+}
+
+/// The mark of a disk, made where there is none; null for hosts that have
+/// nothing to do with this log.
+DiskMark *ensureMark(ReplicaState &S, const HostId &Host, Incarnation Life) {
+  if (DiskMark *Mark = findMark(S, Host, Life))
+    return Mark;
+  if (!isKnownHost(S, Host))
+    return nullptr;
+  pruneMarks(S);
+  DiskMark New;
+  New.Host = Host;
+  New.Life = Life;
+  S.Hard.Marks.push_back(New);
+  return &S.Hard.Marks.back();
+}
+
+/// What the starts of a disk say of it.
+DiskVerdict judgeStart(const DiskMark &Mark, DiskStart Start) {
+  if (startCount(Start) < startCount(Mark.Start))
+    return DiskVerdict::RolledBack;
+  if (startCount(Start) == startCount(Mark.Start) && Start != Mark.Start)
+    return DiskVerdict::Copied;
+  return DiskVerdict::Good;
+}
+
+DiskVerdict judgeProbe(ReplicaState &S, const HostId &From,
+                       const ReplicaProbe &M) {
+  const ReplicaHeader &H = M.Header;
+  if (isRetired(membersAt(S, S.Commit), From, H.Life))
+    return DiskVerdict::Retired;
+  if (H.LogId != 0 && members(S).LogId != 0 && H.LogId != members(S).LogId)
+    return DiskVerdict::OtherLog;
+  DiskMark *Mark = ensureMark(S, From, H.Life);
+  if (Mark == nullptr)
+    return DiskVerdict::Good;
+  DiskVerdict Verdict = judgeStart(*Mark, H.Start);
+  if (Verdict != DiskVerdict::Good || H.Start == Mark->Start)
+    return Verdict;
+  bool HeldMore = H.Term < Mark->Term ||
+                  (H.Term == Mark->Term && M.LastIndex < Mark->Synced);
+  if (HeldMore)
+    return DiskVerdict::RolledBack;
+  Mark->Start = H.Start;
+  S.HardDirty = true;
+  return DiskVerdict::Good;
+}
+
+SeenDisk &ensureSeen(ReplicaState &S, const HostId &Host) {
+  for (SeenDisk &Disk : S.Seen) {
+    if (Disk.Host == Host)
+      return Disk;
+  }
+  S.Seen.emplace_back();
+  S.Seen.back().Host = Host;
+  return S.Seen.back();
+}
+
+void noteSeen(ReplicaState &S, const HostId &From, const ReplicaHeader &H,
+              bool Empty, TimePoint Now) {
+  SeenDisk &Disk = ensureSeen(S, From);
+  if (Disk.Life != H.Life)
+    Disk.Good = false;
+  Disk.Life = H.Life;
+  Disk.Start = H.Start;
+  Disk.Term = H.Term;
+  Disk.Empty = Empty;
+  Disk.At = Now;
+}
+
+ReplicaProbeReply probeReply(ReplicaState &S, const HostId &From,
+                             const ReplicaHeader &H, DiskVerdict Verdict) {
+  ReplicaProbeReply Reply;
+  Reply.Header = header(S);
+  Reply.Empty = isEmpty(S);
+  Reply.Verdict = Verdict;
+  Reply.AskedLife = H.Life;
+  Reply.AskedStart = H.Start;
+  if (const DiskMark *Mark = findMark(S, From, H.Life))
+    Reply.KnownStart = Mark->Start;
+  return Reply;
+}
+
+const char *describe(DiskVerdict Verdict) {
+  switch (Verdict) {
+  case DiskVerdict::Good:
+    return "good";
+  case DiskVerdict::Retired:
+    return "another disk has taken this disk's place";
+  case DiskVerdict::RolledBack:
+    return "this disk once held more than it holds now";
+  case DiskVerdict::Copied:
+    return "a copy of this disk was started elsewhere";
+  case DiskVerdict::OtherLog:
+    return "this disk holds the log of another site";
+  }
+  return "unknown verdict";
+}
+
+bool isFoundGood(const ReplicaState &S) {
+  std::size_t Votes = isSelfVoter(S) ? 1 : 0;
+  for (const SeenDisk &Disk : S.Seen) {
+    const Member *Who = findMember(members(S), Disk.Host);
+    if (Disk.Good && Who != nullptr && !Who->Learner)
+      ++Votes;
+  }
+  return Votes >= majority(members(S));
+}
+
+bool mayForm(const ReplicaState &S, TimePoint Now) {
+  const auto &Hosts = S.Config.FormationVoters;
+  if (!isEmpty(S) || S.Role != ReplicaRole::Follower || Hosts.empty() ||
+      Hosts.front() != S.Config.Self)
+    return false;
+  for (const HostId &Host : Hosts) {
+    if (Host == S.Config.Self)
+      continue;
+    const SeenDisk *Disk = findSeen(S, Host);
+    if (Disk == nullptr || !Disk->Good || !Disk->Empty ||
+        Now > Disk->At + S.Config.ProbeInterval * FormationIntervals)
+      return false;
+  }
+  return true;
+}
+
+} // namespace
+
+const SeenDisk *findSeen(const ReplicaState &S, const HostId &Host) {
+  for (const SeenDisk &Disk : S.Seen) {
+    if (Disk.Host == Host)
+      return &Disk;
+  }
+  return nullptr;
+}
+
+void markDisk(ReplicaState &S, const HostId &Host, Incarnation Life,
+              std::uint64_t Term, std::uint64_t Synced) {
+  DiskMark *Mark = ensureMark(S, Host, Life);
+  if (Mark == nullptr || Term < Mark->Term)
+    return;
+  if (Term > Mark->Term)
+    Mark->Synced = 0;
+  Mark->Term = Term;
+  Mark->Synced = std::max(Mark->Synced, Synced);
+}
+
+bool checkSender(ReplicaState &S, const HostId &From, const ReplicaHeader &H,
+                 ReplicaEffects &E) {
+  DiskVerdict Verdict = DiskVerdict::Good;
+  DiskMark *Mark = ensureMark(S, From, H.Life);
+  if (isRetired(membersAt(S, S.Commit), From, H.Life))
+    Verdict = DiskVerdict::Retired;
+  else if (Mark != nullptr)
+    Verdict = judgeStart(*Mark, H.Start);
+  if (Verdict != DiskVerdict::Good) {
+    send(E, From, probeReply(S, From, H, Verdict));
+    return false;
+  }
+  if (H.LogId != 0 && members(S).LogId != 0 && H.LogId != members(S).LogId)
+    return false;
+  if (Mark != nullptr && H.Start != Mark->Start) {
+    Mark->Start = H.Start;
+    S.HardDirty = true;
+  }
+  return true;
+}
+
+bool wantsProbe(const ReplicaState &S, TimePoint Now) {
+  if (!S.Admitted || isEmpty(S))
+    return true;
+  const Member *Self = findMember(members(S), S.Config.Self);
+  bool IsMember = Self != nullptr && Self->Life == S.Config.Life;
+  return !IsMember && Now > S.LastContact + S.Config.ElectionTimeout;
+}
+
+void sendProbes(ReplicaState &S, TimePoint Now, ReplicaEffects &E) {
+  S.NextProbe = Now + S.Config.ProbeInterval;
+  ReplicaProbe M;
+  M.Header = header(S);
+  M.Empty = isEmpty(S);
+  M.LastIndex = S.Synced;
+  for (const HostId &Host : others(S))
+    send(E, Host, M);
+}
+
+void continueStart(ReplicaState &S, TimePoint Now, ReplicaEffects &E) {
+  if (!S.Admitted && isFoundGood(S)) {
+    S.Admitted = true;
+    resetElectionTimer(S, Now);
+    decide(S, E, "admit", "a majority found nothing against the disk");
+  }
+  if (!mayForm(S, Now))
+    return;
+  std::uint64_t Term = S.Hard.Term;
+  for (const SeenDisk &Disk : S.Seen)
+    Term = std::max(Term, Disk.Term);
+  startFormation(S, Term + 1, Now, E);
+}
+
+void onProbe(ReplicaState &S, const HostId &From, const ReplicaProbe &M,
+             TimePoint Now, ReplicaEffects &E) {
+  DiskVerdict Verdict = judgeProbe(S, From, M);
+  if (Verdict == DiskVerdict::Good)
+    noteSeen(S, From, M.Header, M.Empty, Now);
+  else
+    decide(S, E, "refuse_disk", describe(Verdict)).add("host", From.Value);
+  sendAfter(S, ticketForHard(S), From, probeReply(S, From, M.Header, Verdict),
+            E);
+}
+
+void onProbeReply(ReplicaState &S, const HostId &From,
+                  const ReplicaProbeReply &M, TimePoint Now,
+                  ReplicaEffects &E) {
+  if (M.AskedLife != S.Config.Life || M.AskedStart != S.Config.Start)
+    return;
+  if (M.Verdict != DiskVerdict::Good) {
+    halt(S, Code::IdentityMismatch,
+         From.Value + " says that " + describe(M.Verdict), E);
+    return;
+  }
+  noteSeen(S, From, M.Header, M.Empty, Now);
+  ensureSeen(S, From).Good = true;
+  continueStart(S, Now, E);
+}
+
+} // namespace pimento::replica
--- /dev/null
+++ b/packages/storage/Files.h
@@ -0,0 +1,46 @@
+//===- Files.h - Identity and snapshot files --------------------*- C++ -*-===//
+//
+// Internal. Both kinds are written whole under another name, synced and then
+// renamed, so that a file under its own name is always whole.
+//
+//===----------------------------------------------------------------------===//
+#pragma once
+
+#include "base/Result.h"
+#include "storage/Store.h"
+
+#include <optional>
+#include <string>
+
+namespace pimento::storage {
+
+constexpr const char *IdentityName = "identity";
+constexpr const char *TemporarySuffix = ".tmp";
+
+/// The failure of a disk operation that gave \p Error.
+boost::leaf::error_id diskFailure(const char *Operation,
+                                  const std::string &Name, int Error);
+
+/// Writes \p Data under \p Name; lasts once the folder is synced.
+Result<void> replaceFile(const Disk &Files, const std::string &Name,
+                         std::string_view Data);
+
+Result<Identity> readIdentity(const Disk &Files);
+Result<void> writeIdentity(const Disk &Files, const Identity &I);
+
+/// The place of a file, as its name tells it.
+struct SnapshotName {
+  GroupId Group = 0;
+  std::uint64_t Index = 0;
+  std::uint64_t Term = 0;
+};
+
+std::string toString(const SnapshotName &N);
+std::optional<SnapshotName> parseSnapshotName(const std::string &Name);
+std::string segmentName(std::uint64_t Sequence);
+std::optional<std::uint64_t> parseSegmentName(const std::string &Name);
+
+Result<void> writeSnapshot(const Disk &Files, GroupId Group, const Snapshot &S);
+Result<Snapshot> readSnapshot(const Disk &Files, const SnapshotName &Name);
+
+} // namespace pimento::storage
--- a/packages/storage/Records.h
+++ b/packages/storage/Records.h
@@ -27,6 +27,11 @@
   DiskStart Start = 0;      // Newest start.
   std::uint64_t Term = 0;   // Newest term that it acted in.
   std::uint64_t Synced = 0; // Last entry that it acknowledged in that term.
+
+  template <class Self, class Visitor>
+  static void fields(Self &M, Visitor &&Visit) {
+    Visit(M.Host, M.Life, M.Start, M.Term, M.Synced);
+  }
 };
 
 /// What a replica must never forget, apart from the log.
@@ -35,6 +40,11 @@
   HostId VotedFor; // In that term; empty: nobody.
   Incarnation VotedLife = 0;
   std::vector<DiskMark> Marks; // Of the other members.
+
+  template <class Self, class Visitor>
+  static void fields(Self &M, Visitor &&Visit) {
+    Visit(M.Term, M.VotedFor, M.VotedLife, M.Marks);
+  }
 };
 
 /// A state machine's whole state.
@@ -51,9 +61,8 @@
   GroupId Group = 0;
   std::uint64_t Ticket = 0; // From 1 in one start of one group.
   std::optional<HardState> Hard;
-  std::optional<Snapshot> NewSnapshot; // Drops the entries that it covers, and
-                                       // all of them where its last entry is
-                                       // not the log's.
+  std::optional<Snapshot> NewSnapshot; // Drops the entries that it covers.
+  bool ResetLog = false; // With a snapshot: drops all other entries too.
   std::vector<LogEntry> Entries; // Without gaps; they replace everything from
                                  // the first one's index on.
 };
