Add the bodies of membership: liveness, registry, announcements

Why: the node needs something to link against while the proofs are written. Hosts probe each other in a shuffled order, ask others before suspecting and let the suspect refute; backend servers have records that gossip carries and two watchers each by rendezvous hashing.

Ruled out: the host that hears a server as its only watcher. It needs no forwarding, but a server that announces itself to a different host each time makes a record change out of every announcement. Ruled out: one watcher. When host and server die together nobody would know the time of the last announcement, and the new watcher would start from zero.

--- a/packages/membership/Backends.h
+++ b/packages/membership/Backends.h
@@ -29,6 +29,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <map>
+#include <set>
 #include <vector>
 
 namespace pimento {
@@ -46,18 +47,24 @@
   TimePoint Queried; // When the other watchers were asked, if At is older.
 };
 
+/// The two hosts that rank highest for one server, with their ranks.
+struct Watchers {
+  std::array<HostId, 2> Hosts; // Empty: none.
+  std::array<std::uint64_t, 2> Ranks{};
+};
+
 struct BackendsState {
   std::map<BackendId, BackendRecord> Records; // Gone ones included.
   std::map<BackendId, Heard> Heards;          // Of servers met or watched.
-  std::map<BackendId, TimePoint> Tombstones;  // When each may be forgotten.
-  std::array<std::uint64_t, RegistryBuckets> Hashes{}; // Of the records.
-  std::uint64_t HostHash = 0; // Of what is known of hosts.
-  TimePoint NextSweep;        // For silence and tombstones.
-  TimePoint NextSync;         // Registry pull allowed from here on.
+  std::map<BackendId, TimePoint> GoneSince;   // Of the gone ones.
+  std::map<BackendId, Watchers> Watch;        // Of those that are not gone.
+  std::set<BackendId> Mine; // Those whose first watcher is this host.
+  std::array<std::uint64_t, RegistryBuckets> Hashes{}; // Gone ones left out.
+  TimePoint NextSweep; // For silence and gone servers.
+  TimePoint NextSync;  // Registry pull allowed from here on.
   TimePoint DiffersSince = TimePoint::max(); // From another host's digest.
   TimePoint LastMajority; // When a majority of hosts was last seen.
   bool Ready = false;     // Learnt the registry since the start.
-  HostId SyncFrom;        // Whom the last pull went to.
 };
 
 struct BackendChange {
--- /dev/null
+++ b/packages/membership/Membership.cpp
@@ -0,0 +1,491 @@
+#include "membership/Membership.h"
+
+#include "membership/Hashing.h"
+#include "membership/MembershipParts.h"
+
+#include <algorithm>
+
+namespace pimento {
+
+namespace {
+
+constexpr std::size_t MaxProbes = 256;   // Unanswered at one time.
+constexpr std::uint32_t StartProbes = 3; // Hosts probed while nobody runs.
+
+void send(MembershipOutputs &Out, const HostId &To, Message M) {
+  Out.Messages.push_back({To, std::move(M)});
+}
+
+std::uint64_t hashOf(const HostUpdate &U) {
+  if (U.Life == 0)
+    return 0; // Never heard of.
+  std::uint64_t Status = static_cast<std::uint64_t>(U.Status);
+  return mix(hashText(U.Host.Value) ^ mix(U.Life) ^
+             mix(U.Version * 8 + Status));
+}
+
+bool runs(HostStatus Status) { return Status != HostStatus::Dead; }
+
+/// Whether \p U says more than what is known.
+bool isNewer(const HostUpdate &U, const HostView &Known) {
+  if (U.Life != Known.Life)
+    return U.Life > Known.Life;
+  if (U.Version != Known.Version)
+    return U.Version > Known.Version;
+  auto Rank = [](HostStatus Status) {
+    switch (Status) {
+    case HostStatus::Alive:
+    case HostStatus::Leaving:
+      return 0;
+    case HostStatus::Suspect:
+      return 1;
+    case HostStatus::Dead:
+      return 2;
+    }
+    return 0;
+  };
+  return Rank(U.Status) > Rank(Known.Status);
+}
+
+const char *toString(HostStatus Status) {
+  switch (Status) {
+  case HostStatus::Alive:
+    return "alive";
+  case HostStatus::Suspect:
+    return "suspect";
+  case HostStatus::Dead:
+    return "dead";
+  case HostStatus::Leaving:
+    return "leaving";
+  }
+  return "";
+}
+
+void noteChange(const HostId &Host, HostChangeKind Kind, const HostView &View,
+                std::string Reason, MembershipOutputs &Out) {
+  Out.Hosts.push_back({Host, Kind, View});
+  DecisionRecord Decision;
+  Decision.Kind = "host";
+  Decision.Reason = std::move(Reason);
+  Decision.add("host", Host.Value)
+      .add("status", std::string(toString(View.Status)))
+      .add("life", static_cast<std::int64_t>(View.Life))
+      .add("version", static_cast<std::int64_t>(View.Version))
+      .add("direct", View.Direct)
+      .add("slow", View.Slow);
+  Out.Decisions.push_back(std::move(Decision));
+}
+
+void setRunning(MembershipState &S, const HostId &Host, bool Runs) {
+  auto At = std::lower_bound(S.Running.begin(), S.Running.end(), Host);
+  bool Listed = At != S.Running.end() && *At == Host;
+  if (Runs == Listed)
+    return;
+  if (Runs) {
+    S.Running.insert(At, Host);
+    hostJoins(S, Host);
+  } else {
+    S.Running.erase(At);
+    hostLeaves(S, Host);
+  }
+}
+
+/// This host is thought to be dead, suspected or an earlier life.
+void refute(MembershipState &S, const HostUpdate &U, TimePoint Now,
+            MembershipOutputs &Out) {
+  if (U.Life > S.Config.Life) {
+    DecisionRecord Decision;
+    Decision.Kind = "identity";
+    Decision.Reason = "another process runs under this host's name";
+    Decision.add("life", static_cast<std::int64_t>(U.Life));
+    Out.Decisions.push_back(std::move(Decision));
+    return;
+  }
+  bool Accused =
+      U.Life == S.Config.Life && U.Version >= S.Version && U.Status != S.Own;
+  if (!Accused)
+    return;
+  S.HostHash ^= hashOf(ownUpdate(S));
+  S.Version = U.Version + 1;
+  S.HostHash ^= hashOf(ownUpdate(S));
+  addHostNews(S, S.Config.Self, Now);
+}
+
+void setDirect(const HostId &Host, HostView &View, bool Direct,
+               MembershipOutputs &Out) {
+  if (View.Direct == Direct)
+    return;
+  View.Direct = Direct;
+  noteChange(Host, HostChangeKind::Direct, View,
+             Direct ? "answers directly again" : "only others reach it", Out);
+}
+
+void noteRoundTrip(const MembershipState &S, const HostId &Host, HostView &View,
+                   Duration RoundTrip, MembershipOutputs &Out) {
+  constexpr int Smoothing = 8;
+  if (View.RoundTrip == Duration::zero())
+    View.RoundTrip = RoundTrip;
+  View.RoundTrip += (RoundTrip - View.RoundTrip) / Smoothing;
+  bool Slow = RoundTrip > S.Config.Timing.ProbeTimeout;
+  if (View.Slow == Slow)
+    return;
+  View.Slow = Slow;
+  noteChange(Host, HostChangeKind::Slow, View,
+             Slow ? "answered late" : "answered in time", Out);
+}
+
+void startProbe(MembershipState &S, const HostId &Target, TimePoint Now,
+                MembershipOutputs &Out) {
+  if (S.Probes.size() >= MaxProbes)
+    S.Probes.erase(S.Probes.begin());
+  std::uint64_t Sequence = S.NextSequence++;
+  S.Probes[Sequence] = {Target, Now, false};
+  NewsPage News = takeNews(S, Target, Now);
+  send(Out, Target,
+       Ping{Sequence, std::move(News.Hosts), std::move(News.Backends),
+            digestOf(S)});
+}
+
+void shuffleOrder(MembershipState &S) {
+  S.ProbeOrder = S.Running;
+  for (std::size_t I = S.ProbeOrder.size(); I > 1; --I)
+    std::swap(S.ProbeOrder[I - 1], S.ProbeOrder[below(S.Rng, I)]);
+  S.NextInOrder = 0;
+}
+
+/// The next host in turn that runs; empty where none does.
+HostId nextTarget(MembershipState &S) {
+  for (std::size_t Tries = 0; Tries <= S.Running.size() + 1; ++Tries) {
+    if (S.NextInOrder >= S.ProbeOrder.size())
+      shuffleOrder(S);
+    if (S.ProbeOrder.empty())
+      return HostId();
+    const HostId &Host = S.ProbeOrder[S.NextInOrder++];
+    if (runs(S.Hosts.at(Host).Status))
+      return Host;
+  }
+  return HostId();
+}
+
+/// A host that is held for dead: it may be back, or never have been dead.
+HostId randomDead(MembershipState &S) {
+  std::vector<HostId> Dead;
+  for (const auto &[Host, View] : S.Hosts) {
+    if (!runs(View.Status))
+      Dead.push_back(Host);
+  }
+  return Dead.empty() ? HostId() : Dead[below(S.Rng, Dead.size())];
+}
+
+void probeNext(MembershipState &S, TimePoint Now, MembershipOutputs &Out) {
+  if (Now < S.NextProbe || S.Own == HostStatus::Dead)
+    return;
+  Duration Interval = S.Config.Timing.ProbeInterval;
+  S.NextProbe = Now + between(S.Rng, Interval * 9 / 10, Interval * 11 / 10);
+  ++S.ProbeCount;
+  HostId Target = nextTarget(S);
+  if (!Target.empty())
+    startProbe(S, Target, Now, Out);
+  bool Alone = Target.empty();
+  std::uint32_t Extra = Alone ? StartProbes : 0;
+  if (!Alone && S.ProbeCount % S.Config.DeadProbeEvery == 0)
+    Extra = 1;
+  for (; Extra > 0; --Extra) {
+    HostId Dead = randomDead(S);
+    if (!Dead.empty())
+      startProbe(S, Dead, Now, Out);
+  }
+}
+
+void suspect(MembershipState &S, const HostId &Target, TimePoint Now,
+             MembershipOutputs &Out) {
+  const HostView &View = S.Hosts.at(Target);
+  if (View.Status == HostStatus::Suspect || !runs(View.Status))
+    return;
+  HostUpdate U = updateOf(Target, View);
+  U.Status = HostStatus::Suspect;
+  applyHostUpdate(S, U, true, Now, Out);
+  startProbe(S, Target, Now, Out); // Tells it, so that it may refute.
+}
+
+void askOthers(MembershipState &S, std::uint64_t Sequence, Probe &P,
+               MembershipOutputs &Out) {
+  P.Indirect = true;
+  for (const HostId &Helper : randomHosts(S, S.Config.IndirectProbes, P.Target))
+    send(Out, Helper, PingRequest{Sequence, P.Target});
+}
+
+void checkProbes(MembershipState &S, TimePoint Now, MembershipOutputs &Out) {
+  Duration Timeout = S.Config.Timing.ProbeTimeout;
+  constexpr int IndirectShare = 3; // Timeouts until a probe is given up.
+  std::vector<HostId> Silent;
+  for (auto At = S.Probes.begin(); At != S.Probes.end();) {
+    Probe &P = At->second;
+    bool Dead = !runs(S.Hosts.at(P.Target).Status);
+    if (!Dead && !P.Indirect && Now >= P.Sent + Timeout)
+      askOthers(S, At->first, P, Out);
+    if (Now < P.Sent + Timeout * IndirectShare) {
+      ++At;
+      continue;
+    }
+    if (!Dead)
+      Silent.push_back(P.Target);
+    At = S.Probes.erase(At);
+  }
+  for (const HostId &Target : Silent)
+    suspect(S, Target, Now, Out);
+}
+
+void checkRelayed(MembershipState &S, TimePoint Now) {
+  Duration Limit = S.Config.Timing.ProbeTimeout * 3;
+  for (auto At = S.Relayed.begin(); At != S.Relayed.end();)
+    At = Now >= At->second.Sent + Limit ? S.Relayed.erase(At) : std::next(At);
+}
+
+void checkSuspects(MembershipState &S, TimePoint Now, MembershipOutputs &Out) {
+  std::vector<HostId> Due;
+  for (const auto &[Host, Deadline] : S.Suspects) {
+    if (Now >= Deadline)
+      Due.push_back(Host);
+  }
+  for (const HostId &Host : Due) {
+    HostUpdate U = updateOf(Host, S.Hosts.at(Host));
+    U.Status = HostStatus::Dead;
+    applyHostUpdate(S, U, true, Now, Out);
+  }
+}
+
+/// A process that stood still must not blame the others for it.
+void checkOwnPace(MembershipState &S, TimePoint Now, MembershipOutputs &Out) {
+  Duration Gap = Now - S.LastTick;
+  S.LastTick = Now;
+  if (Gap <= S.Config.Timing.ProbeInterval)
+    return;
+  S.Probes.clear();
+  for (auto &Entry : S.Suspects)
+    Entry.second += Gap;
+  forgiveSilence(S, Gap);
+  DecisionRecord Decision;
+  Decision.Kind = "host";
+  Decision.Reason = "this process stood still; probes are void";
+  Decision.add("gap_ms", toMilliseconds(Gap));
+  Out.Decisions.push_back(std::move(Decision));
+}
+
+void checkMajority(MembershipState &S, TimePoint Now, MembershipOutputs &Out) {
+  if (!seesMajority(S))
+    return;
+  if (Now - S.Backends.LastMajority > S.Config.TombstoneTime / 2)
+    forgetBackends(S, Out);
+  S.Backends.LastMajority = Now;
+}
+
+/// Takes in the news of one message. False where the sender is an earlier
+/// life of its host, whose word no longer counts.
+bool takeIn(MembershipState &S, const HostId &From,
+            const std::vector<HostUpdate> &Hosts,
+            const std::vector<BackendRecord> &Backends, TimePoint Now,
+            MembershipOutputs &Out) {
+  auto Sender = S.Hosts.find(From);
+  if (Sender == S.Hosts.end() || Hosts.empty() || Hosts.front().Host != From ||
+      Hosts.front().Life < Sender->second.Life)
+    return false;
+  for (const HostUpdate &U : Hosts)
+    applyHostUpdate(S, U, true, Now, Out);
+  for (const BackendRecord &R : Backends)
+    applyRecord(S, R, true, Now, Out);
+  return true;
+}
+
+void onPing(MembershipState &S, const HostId &From, const Ping &M,
+            TimePoint Now, MembershipOutputs &Out) {
+  if (!takeIn(S, From, M.Hosts, M.Backends, Now, Out) ||
+      S.Own == HostStatus::Dead)
+    return;
+  noteDigest(S, M.Digest, Now);
+  NewsPage News = takeNews(S, From, Now);
+  send(Out, From,
+       Ack{M.Sequence, std::move(News.Hosts), std::move(News.Backends),
+           digestOf(S)});
+}
+
+void answerAsker(MembershipState &S, const HostId &From, const Ack &M,
+                 MembershipOutputs &Out) {
+  auto Found = S.Relayed.find(M.Sequence);
+  if (Found == S.Relayed.end() || Found->second.Target != From)
+    return;
+  send(Out, Found->second.Asker,
+       IndirectAck{Found->second.AskerSequence, M.Hosts.front()});
+  S.Relayed.erase(Found);
+}
+
+void onAck(MembershipState &S, const HostId &From, const Ack &M, TimePoint Now,
+           MembershipOutputs &Out) {
+  if (!takeIn(S, From, M.Hosts, M.Backends, Now, Out))
+    return;
+  noteDigest(S, M.Digest, Now);
+  answerAsker(S, From, M, Out);
+  auto Found = S.Probes.find(M.Sequence);
+  if (Found == S.Probes.end() || Found->second.Target != From)
+    return;
+  HostView &View = S.Hosts.at(From);
+  noteRoundTrip(S, From, View, Now - Found->second.Sent, Out);
+  setDirect(From, View, true, Out);
+  S.Probes.erase(Found);
+}
+
+void onPingRequest(MembershipState &S, const HostId &From, const PingRequest &M,
+                   TimePoint Now, MembershipOutputs &Out) {
+  if (S.Hosts.count(M.Target) == 0 || S.Relayed.size() >= MaxProbes)
+    return;
+  std::uint64_t Sequence = S.NextSequence++;
+  S.Relayed[Sequence] = {From, M.Sequence, M.Target, Now};
+  send(Out, M.Target, Ping{Sequence, {ownUpdate(S)}, {}, digestOf(S)});
+}
+
+void onIndirectAck(MembershipState &S, const IndirectAck &M, TimePoint Now,
+                   MembershipOutputs &Out) {
+  auto Found = S.Probes.find(M.Sequence);
+  if (Found == S.Probes.end() || Found->second.Target != M.Target.Host)
+    return;
+  HostId Target = Found->second.Target;
+  S.Probes.erase(Found);
+  applyHostUpdate(S, M.Target, true, Now, Out);
+  setDirect(Target, S.Hosts.at(Target), false, Out);
+}
+
+} // namespace
+
+bool applyHostUpdate(MembershipState &S, const HostUpdate &U, bool Tell,
+                     TimePoint Now, MembershipOutputs &Out) {
+  if (U.Host == S.Config.Self) {
+    refute(S, U, Now, Out);
+    return false;
+  }
+  auto Found = S.Hosts.find(U.Host);
+  if (Found == S.Hosts.end() || !isNewer(U, Found->second))
+    return false;
+  HostView &View = Found->second;
+  bool NewLife = U.Life != View.Life;
+  bool NewStatus = U.Status != View.Status;
+  S.HostHash ^= hashOf(updateOf(U.Host, View)) ^ hashOf(U);
+  View.Life = U.Life;
+  View.Version = U.Version;
+  View.Status = U.Status;
+  if (NewStatus)
+    View.Since = Now;
+  S.Suspects.erase(U.Host);
+  if (U.Status == HostStatus::Suspect)
+    S.Suspects[U.Host] = Now + S.Config.Timing.SuspicionTimeout;
+  setRunning(S, U.Host, runs(U.Status));
+  if (Tell)
+    addHostNews(S, U.Host, Now);
+  if (NewLife)
+    noteChange(U.Host, HostChangeKind::Life, View, "a new process", Out);
+  if (NewStatus)
+    noteChange(U.Host, HostChangeKind::Status, View, "news of its status", Out);
+  return true;
+}
+
+MembershipState makeMembership(const MembershipConfig &Config,
+                               std::uint64_t Seed, TimePoint Now) {
+  MembershipState S;
+  S.Config = Config;
+  std::sort(S.Config.Hosts.begin(), S.Config.Hosts.end());
+  S.Rng.seed(Seed);
+  S.Started = Now;
+  S.LastTick = Now;
+  S.NextProbe = Now;
+  S.Backends.LastMajority = Now;
+  S.Backends.NextSweep = Now;
+  S.Backends.NextSync = Now;
+  S.Backends.Ready = Config.Hosts.size() <= 1;
+  for (const HostId &Host : Config.Hosts) {
+    if (Host != Config.Self)
+      S.Hosts[Host].Since = Now;
+  }
+  S.HostHash = hashOf(ownUpdate(S));
+  addHostNews(S, Config.Self, Now);
+  return S;
+}
+
+void onTick(MembershipState &S, TimePoint Now, MembershipOutputs &Out) {
+  checkOwnPace(S, Now, Out);
+  checkMajority(S, Now, Out);
+  checkSuspects(S, Now, Out);
+  checkProbes(S, Now, Out);
+  checkRelayed(S, Now);
+  probeNext(S, Now, Out);
+  sweepBackends(S, Now, Out);
+  syncWhenDue(S, Now, Out);
+  if (Now >= S.NextGossip)
+    pushGossip(S, Now, Out);
+}
+
+TimePoint nextDeadline(const MembershipState &S) {
+  TimePoint Next = std::min(S.NextProbe, S.NextGossip);
+  Next = std::min(Next, S.Backends.NextSweep);
+  for (const auto &Entry : S.Suspects)
+    Next = std::min(Next, Entry.second);
+  return Next;
+}
+
+bool onMessage(MembershipState &S, const HostId &From, const Message &M,
+               TimePoint Now, MembershipOutputs &Out) {
+  if (const auto *P = std::get_if<Ping>(&M))
+    onPing(S, From, *P, Now, Out);
+  else if (const auto *A = std::get_if<Ack>(&M))
+    onAck(S, From, *A, Now, Out);
+  else if (const auto *G = std::get_if<Gossip>(&M))
+    takeIn(S, From, G->Hosts, G->Backends, Now, Out);
+  else if (const auto *Request = std::get_if<PingRequest>(&M))
+    onPingRequest(S, From, *Request, Now, Out);
+  else if (const auto *Indirect = std::get_if<IndirectAck>(&M))
+    onIndirectAck(S, *Indirect, Now, Out);
+  else if (const auto *H = std::get_if<BackendHeard>(&M))
+    onHeard(S, From, *H, Now);
+  else if (const auto *Q = std::get_if<HeardQuery>(&M))
+    onHeardQuery(S, From, *Q, Now, Out);
+  else if (const auto *Pull = std::get_if<RegistryPull>(&M))
+    onRegistryPull(S, From, *Pull, Now, Out);
+  else if (const auto *Page = std::get_if<RegistryPage>(&M))
+    onRegistryPage(S, From, *Page, Now, Out);
+  else
+    return false;
+  return true;
+}
+
+void leave(MembershipState &S, bool Final, TimePoint Now,
+           MembershipOutputs &Out) {
+  S.HostHash ^= hashOf(ownUpdate(S));
+  S.Own = Final ? HostStatus::Dead : HostStatus::Leaving;
+  ++S.Version;
+  S.HostHash ^= hashOf(ownUpdate(S));
+  addHostNews(S, S.Config.Self, Now);
+  pushGossip(S, Now, Out);
+}
+
+bool isAlive(const MembershipState &S, const HostId &Host) {
+  if (Host == S.Config.Self)
+    return true;
+  auto Found = S.Hosts.find(Host);
+  return Found != S.Hosts.end() && runs(Found->second.Status);
+}
+
+std::vector<HostId> aliveHosts(const MembershipState &S) {
+  std::vector<HostId> Alive = S.Running;
+  Alive.insert(std::lower_bound(Alive.begin(), Alive.end(), S.Config.Self),
+               S.Config.Self);
+  return Alive;
+}
+
+const HostView *hostView(const MembershipState &S, const HostId &Host) {
+  auto Found = S.Hosts.find(Host);
+  return Found == S.Hosts.end() ? nullptr : &Found->second;
+}
+
+bool seesMajority(const MembershipState &S) {
+  return S.Running.size() + 1 >= S.Config.Hosts.size() / 2 + 1;
+}
+
+} // namespace pimento
--- a/packages/membership/Membership.h
+++ b/packages/membership/Membership.h
@@ -46,8 +46,9 @@
   Incarnation Life = 0;      // Of this process; a restart takes a higher one.
   std::vector<HostId> Hosts; // All configured hosts, this one included.
   MembershipSettings Timing;
-  std::uint32_t IndirectProbes = 3;        // Hosts asked to ping for us.
-  std::uint32_t Fanout = 3;                // Hosts that gossip goes to.
+  std::uint32_t IndirectProbes = 3; // Hosts asked to ping for us.
+  std::uint32_t Fanout = 3;         // Hosts that gossip goes to.
+  std::uint32_t DeadProbeEvery = 4; // Every so many probes a dead host too.
   Duration GossipDelay = milliseconds(20); // Gathers news.
   std::size_t NewsBytes = 1200;            // News on one ping, about.
   std::size_t GossipBytes = 8U << 10U;     // News in one gossip, about.
@@ -95,6 +96,8 @@
   std::uint64_t Version = 1; // Of this host's own record.
   HostStatus Own = HostStatus::Alive;
   std::map<HostId, HostView> Hosts; // All others.
+  std::vector<HostId> Running;      // Others that are not dead, sorted.
+  std::uint64_t HostHash = 0;       // Of what is known of all hosts.
   std::vector<HostId> ProbeOrder;
   std::size_t NextInOrder = 0;
   std::map<std::uint64_t, Probe> Probes;         // By sequence.
@@ -102,6 +105,7 @@
   std::map<HostId, TimePoint> Suspects;          // When each is to be dead.
   std::uint64_t NextSequence = 1;
   TimePoint NextProbe;
+  std::uint32_t ProbeCount = 0;
   TimePoint LastTick;
   std::map<HostId, News> HostNews;
   std::map<BackendId, News> BackendNews;
--- a/packages/wire/MembershipMessages.h
+++ b/packages/wire/MembershipMessages.h
@@ -44,12 +44,13 @@
   bool ChecksFence = true;    // Whether it refuses orders with an old number.
   std::uint64_t Sequence = 0; // Of the announcement behind the last change.
   bool Left = false;          // Said in this life that it leaves: final.
+  Duration GoneFor = Duration::zero(); // When sent; zero unless it is gone.
 
   template <class Self, class Visitor>
   static void fields(Self &M, Visitor &&Visit) {
     Visit(M.Id, M.Life, M.Version, M.Status, M.Kind, M.Address, M.DataCentre,
           M.Service, M.Models, M.MemoryTokens, M.ChecksFence, M.Sequence,
-          M.Left);
+          M.Left, M.GoneFor);
   }
 };
 
