--- a/packages/wire/CallMessages.h
+++ b/packages/wire/CallMessages.h
@@ -5,6 +5,7 @@
 #include "base/Ids.h"
 #include "base/Time.h"
 #include "wire/Blob.h"
+#include "wire/MessageList.h"
 
 #include <cstdint>
 #include <string>
@@ -109,4 +110,7 @@
   }
 };
 
+using CallMessages =
+    MessageList<ClaimRequest, ClaimReply, ClaimResult, ClaimResultAck>;
+
 } // namespace pimento
--- a/packages/wire/DocumentMessages.h
+++ b/packages/wire/DocumentMessages.h
@@ -5,6 +5,7 @@
 #include "base/Ids.h"
 #include "base/Time.h"
 #include "wire/Blob.h"
+#include "wire/MessageList.h"
 
 #include <cstdint>
 #include <string>
@@ -183,4 +184,8 @@
   }
 };
 
+using DocumentMessages =
+    MessageList<PutDocument, PutDocumentReply, SpreadNotice, SpreadPull,
+                SpreadReply, StampAck, InForceQuery, InForceReply>;
+
 } // namespace pimento
--- a/packages/wire/MembershipMessages.h
+++ b/packages/wire/MembershipMessages.h
@@ -3,6 +3,7 @@
 
 #include "base/Ids.h"
 #include "base/Time.h"
+#include "wire/MessageList.h"
 
 #include <cstdint>
 #include <string>
@@ -191,4 +192,8 @@
   }
 };
 
+using MembershipMessages =
+    MessageList<Ping, Ack, LoadReport, PingRequest, IndirectAck, Gossip,
+                BackendHeard, HeardQuery, RegistryPull, RegistryPage>;
+
 } // namespace pimento
--- a/packages/wire/Messages.h
+++ b/packages/wire/Messages.h
@@ -13,7 +13,10 @@
 #include "base/Result.h"
 #include "wire/CallMessages.h"
 #include "wire/DocumentMessages.h"
+#include "wire/LinkMessages.h"
 #include "wire/MembershipMessages.h"
+#include "wire/MessageList.h"
+#include "wire/ReplicaMessages.h"
 #include "wire/ScheduleMessages.h"
 
 #include <string>
@@ -22,16 +25,10 @@
 
 namespace pimento {
 
+/// Every message. Each part lists its own in its header.
 using Message =
-    std::variant<Ping, Ack, LoadReport, Ask, Grant, Refusal, Release, Withdraw,
-                 RenewGrants, ClaimRequest, ClaimReply, ClaimResult,
-                 ClaimResultAck, PutDocument, PutDocumentReply,
-                 // Membership.
-                 PingRequest, IndirectAck, Gossip, BackendHeard, HeardQuery,
-                 RegistryPull, RegistryPage,
-                 // Documents.
-                 SpreadNotice, SpreadPull, SpreadReply, StampAck, InForceQuery,
-                 InForceReply>;
+    JoinedMessages<LinkMessages, ReplicaMessages, MembershipMessages,
+                   ScheduleMessages, CallMessages, DocumentMessages>::Variant;
 
 /// A message and the host it goes to.
 struct Outbound {
