--- a/packages/storage/Files.h
+++ b/packages/storage/Files.h
@@ -7,7 +7,7 @@
 #pragma once
 
 #include "base/Result.h"
-#include "storage/Store.h"
+#include "storage/LogStore.h"
 
 #include <optional>
 #include <string>
--- a/packages/storage/Store.cpp
+++ b/packages/storage/LogStore.cpp
@@ -1,8 +1,8 @@
-#include "storage/Store.h"
+#include "storage/LogStore.h"
 
 #include "storage/Files.h"
+#include "storage/LogStoreInternal.h"
 #include "storage/Segment.h"
-#include "storage/StoreInternal.h"
 #include "wire/Fields.h"
 
 #include <algorithm>
@@ -64,7 +64,7 @@
 
 /// Begins a segment. It repeats every group's hard state and snapshot, so that
 /// older segments are needed for their entries only.
-void addSegmentStart(BatchBuffer &B, const Store &S) {
+void addSegmentStart(BatchBuffer &B, const LogStore &S) {
   std::string Payload;
   putU64(Payload, S.Self.Life);
   add(B, 0, RecordKind::Start, Payload);
@@ -76,19 +76,19 @@
   }
 }
 
-Result<void> syncFolder(Store &S) {
+Result<void> syncFolder(LogStore &S) {
   if (int Error = S.Files.SyncFolder())
     return diskFailure("sync", "the folder", Error);
   return {};
 }
 
-Result<void> removeFile(Store &S, const std::string &Name) {
+Result<void> removeFile(LogStore &S, const std::string &Name) {
   if (int Error = S.Files.Remove(Name))
     return diskFailure("remove", Name, Error);
   return syncFolder(S);
 }
 
-Result<void> writeSnapshots(Store &S, const std::vector<DiskWrite> &Batch) {
+Result<void> writeSnapshots(LogStore &S, const std::vector<DiskWrite> &Batch) {
   bool Any = false;
   for (const DiskWrite &W : Batch) {
     if (!W.NewSnapshot)
@@ -104,7 +104,7 @@
   return {};
 }
 
-Result<void> appendAndSync(Store &S, const std::string &Bytes,
+Result<void> appendAndSync(LogStore &S, const std::string &Bytes,
                            bool NewSegment) {
   SegmentInfo &Segment = S.Segments.back();
   std::string Name = segmentName(Segment.Sequence);
@@ -120,7 +120,7 @@
   return {};
 }
 
-Result<void> writeLog(Store &S, const std::vector<DiskWrite> &Batch) {
+Result<void> writeLog(LogStore &S, const std::vector<DiskWrite> &Batch) {
   bool NewSegment =
       S.Segments.empty() || S.Segments.back().Size >= S.Config.SegmentBytes;
   BatchBuffer B;
@@ -147,7 +147,7 @@
 }
 
 /// What the oldest segment is still needed for; nothing: for no group.
-std::optional<GroupId> neededBy(const Store &S, const SegmentInfo &Segment) {
+std::optional<GroupId> neededBy(const LogStore &S, const SegmentInfo &Segment) {
   for (const auto &Last : Segment.LastIndex) {
     auto Group = S.Groups.find(Last.first);
     if (Group == S.Groups.end() || Group->second.SnapshotIndex < Last.second)
@@ -158,7 +158,7 @@
 
 /// Removes what snapshots have made useless. One at a time and synced, so that
 /// no crash leaves a gap.
-Result<void> removeSegments(Store &S) {
+Result<void> removeSegments(LogStore &S) {
   while (S.Segments.size() > 1 && !neededBy(S, S.Segments.front())) {
     auto Done = removeFile(S, segmentName(S.Segments.front().Sequence));
     if (!Done)
@@ -168,7 +168,7 @@
   return {};
 }
 
-Result<void> takeOver(Store &S, const std::vector<DiskWrite> &Batch) {
+Result<void> takeOver(LogStore &S, const std::vector<DiskWrite> &Batch) {
   bool Snapshots = false;
   for (const DiskWrite &W : Batch) {
     GroupInfo &Group = S.Groups[W.Group];
@@ -195,7 +195,7 @@
 
 } // namespace
 
-Result<void> writeAll(Store &S, const std::vector<DiskWrite> &Batch) {
+Result<void> writeAll(LogStore &S, const std::vector<DiskWrite> &Batch) {
   auto Snapshots = writeSnapshots(S, Batch);
   if (!Snapshots)
     return Snapshots.error();
@@ -207,7 +207,7 @@
 
 } // namespace storage
 
-Result<void> writeBatch(Store &S, const std::vector<DiskWrite> &Batch) {
+Result<void> writeBatch(LogStore &S, const std::vector<DiskWrite> &Batch) {
   if (!S.Failed.empty())
     return fail(Code::StorageFailed, S.Failed);
   if (storage::countRecords(Batch) == 0)
@@ -227,7 +227,7 @@
   return fail(Why.Number, Why.Detail);
 }
 
-std::optional<GroupId> pinningGroup(const Store &S) {
+std::optional<GroupId> pinningGroup(const LogStore &S) {
   if (S.Segments.size() <= S.Config.PinnedSegments)
     return std::nullopt;
   return storage::neededBy(S, S.Segments.front());
--- a/packages/storage/Store.h
+++ b/packages/storage/LogStore.h
@@ -1,14 +1,15 @@
-//===- Store.h - Logs and snapshots in one data folder ----------*- C++ -*-===//
+//===- LogStore.h - Logs and snapshots in one data folder ----------*- C++
+//-*-===//
 //
 //   Disk D;
 //   openPosixDisk(Path, D);
 //   std::map<GroupId, Recovered> Found;
-//   Result<Store> S = openStore(D, Config, Found);
+//   Result<LogStore> S = openStore(D, Config, Found);
 //   Result<void> Done = writeBatch(*S, Writes);   // one sync for all groups
 //
 // Index
 //   Identity       which disk this is, and which start of it
-//   Store          the open folder
+//   LogStore       the open folder
 //   openStore()    reads everything, repairs a torn tail, counts the start
 //   writeBatch()   returns once everything is synced
 //   pinningGroup() whose snapshot would free the most space
@@ -66,7 +67,7 @@
   std::string SnapshotFile; // Empty: none.
 };
 
-struct Store {
+struct LogStore {
   Disk Files;
   StoreConfig Config;
   Identity Self;
@@ -84,15 +85,15 @@
 ///   StorageCorrupt     something that was synced does not read back; nothing
 ///                      was changed
 ///   IdentityMismatch   the folder is another host's, or lost its identity
-Result<Store> openStore(const Disk &Files, const StoreConfig &Config,
-                        std::map<GroupId, Recovered> &Found);
+Result<LogStore> openStore(const Disk &Files, const StoreConfig &Config,
+                           std::map<GroupId, Recovered> &Found);
 
 /// Writes and syncs. After a failure nothing of the batch may be relied on, and
 /// every later call fails as well: only a new start tells what the disk holds.
-Result<void> writeBatch(Store &S, const std::vector<DiskWrite> &Batch);
+Result<void> writeBatch(LogStore &S, const std::vector<DiskWrite> &Batch);
 
 /// The group whose entries keep the oldest segment, where there are more
 /// segments than configured. A snapshot of it lets them go.
-std::optional<GroupId> pinningGroup(const Store &S);
+std::optional<GroupId> pinningGroup(const LogStore &S);
 
 } // namespace pimento
--- a/packages/storage/Recovery.cpp
+++ b/packages/storage/Recovery.cpp
@@ -1,7 +1,7 @@
 #include "storage/Files.h"
+#include "storage/LogStore.h"
+#include "storage/LogStoreInternal.h"
 #include "storage/Segment.h"
-#include "storage/Store.h"
-#include "storage/StoreInternal.h"
 #include "wire/Fields.h"
 
 #include <algorithm>
@@ -26,7 +26,7 @@
 
 /// A start in progress.
 struct Recovery {
-  Store S;
+  LogStore S;
   std::set<std::string> Names;
   std::map<GroupId, SnapshotName> Newest;
   std::map<GroupId, GroupLog> Logs;
@@ -78,7 +78,7 @@
 }
 
 Result<void> readSelf(Recovery &R) {
-  Store &S = R.S;
+  LogStore &S = R.S;
   if (R.Names.count(IdentityName) == 0) {
     if (!S.Segments.empty() || !R.Newest.empty())
       return fail(Code::IdentityMismatch,
@@ -155,7 +155,7 @@
 }
 
 Result<void> readSegments(Recovery &R) {
-  Store &S = R.S;
+  LogStore &S = R.S;
   SegmentScan Scan;
   std::uint64_t Next = S.Segments.empty() ? 0 : S.Segments.front().Sequence;
   for (SegmentInfo &Segment : S.Segments) {
@@ -308,8 +308,8 @@
 
 } // namespace storage
 
-Result<Store> openStore(const Disk &Files, const StoreConfig &Config,
-                        std::map<GroupId, Recovered> &Found) {
+Result<LogStore> openStore(const Disk &Files, const StoreConfig &Config,
+                           std::map<GroupId, Recovered> &Found) {
   storage::Recovery R;
   R.S.Files = Files;
   R.S.Config = Config;
--- a/packages/storage/tests/StorageTest.cpp
+++ b/packages/storage/tests/StorageTest.cpp
@@ -1,7 +1,7 @@
 #define BOOST_TEST_MODULE storage
 #include <boost/test/unit_test.hpp>
 
-#include "storage/Store.h"
+#include "storage/LogStore.h"
 #include "testing/FakeDisk.h"
 
 #include <filesystem>
@@ -16,7 +16,7 @@
 using FoundGroups = std::map<GroupId, Recovered>;
 
 struct Opened {
-  Store S;
+  LogStore S;
   FoundGroups Groups;
   Failure Why;
   bool Good = false;
@@ -33,13 +33,13 @@
 Opened open(const Disk &D, const StoreConfig &C) {
   Opened O;
   O.Why.Number = Code::Ok;
-  O.S =
-      valueOr<Store>([&] { return openStore(D, C, O.Groups); }, Store(), O.Why);
+  O.S = valueOr<LogStore>([&] { return openStore(D, C, O.Groups); }, LogStore(),
+                          O.Why);
   O.Good = O.Why.Number == Code::Ok;
   return O;
 }
 
-bool write(Store &S, const std::vector<DiskWrite> &Batch, Failure &Why) {
+bool write(LogStore &S, const std::vector<DiskWrite> &Batch, Failure &Why) {
   return valueOr<bool>(
       [&]() -> Result<bool> {
         auto Done = writeBatch(S, Batch);
@@ -154,7 +154,7 @@
 };
 
 /// Writes until something fails or \p Batches are done.
-void runWorkload(Store &S, Random &R, Workload &Work, int Batches) {
+void runWorkload(LogStore &S, Random &R, Workload &Work, int Batches) {
   for (int I = 0; I < Batches; ++I) {
     std::vector<DiskWrite> Batch;
     Work.Last.clear();
