node: compose the parts of a host in one reducer (not linked yet)

Cause: the packages stand alone; a host is their composition. Ruled out: scheduling leases renewed through the log for each cell (bytes grow with cells); the table of cells spreads like a document instead and a holder's lease is its host's freshness. Before: an empty reducer.

--- /dev/null
+++ b/packages/node/CallsPart.cpp
@@ -0,0 +1,159 @@
+// Callers' requests: events in, effects out, asks and claims on their way.
+
+#include "node/Turn.h"
+
+#include "base/Problem.h"
+#include "schedule/CellMap.h"
+
+#include <algorithm>
+
+namespace pimento::node {
+
+namespace {
+
+constexpr const char *AnnouncePath = "/v1/backends/announce";
+
+void healthReply(Turn &T, ExchangeId Exchange, bool Good) {
+  HttpReply Reply = jsonReply(Good ? 200 : 503,
+                              Good ? "{\"ready\":true}\n"
+                                   : "{\"ready\":false}\n");
+  T.Out.push_back(SendReply{Exchange, std::move(Reply)});
+}
+
+/// The cell of the base model that the ask's first prefix hashes to.
+CellId cellFor(const NodeState &S, const Ask &A) {
+  auto Base = S.BaseModels.find(A.Model);
+  const ModelName &Model = Base == S.BaseModels.end() ? A.Model : Base->second;
+  std::size_t Cells = std::max<std::size_t>(1, cellsOf(S.Cells, Model).size());
+  std::uint64_t Hash = A.Prefixes.empty() ? A.Attempt.Request.Lo
+                                          : A.Prefixes.front();
+  return cellId(Model, static_cast<std::uint32_t>(Hash % Cells));
+}
+
+/// Carries one effect of the calls out, or passes it to the shell.
+struct Carry {
+  Turn &T;
+
+  void operator()(SendAsk &E) const {
+    E.Content.Cell = cellFor(T.S, E.Content);
+    EntryEffects Out;
+    startAsk(T.S.Entry, E.Content, T.Now, Out);
+    takeEntry(T, std::move(Out));
+  }
+  void operator()(SendWithdraw &E) const {
+    EntryEffects Out;
+    withdrawAsk(T.S.Entry, E.Content.Attempt, T.Now, Out);
+    takeEntry(T, std::move(Out));
+  }
+  void operator()(SendRelease &E) const {
+    EntryEffects Out;
+    endAttempt(T.S.Entry, E.Content, T.Now, Out);
+    takeEntry(T, std::move(Out));
+  }
+  void operator()(SendClaim &E) const {
+    GroupId Group = claimGroup(T.S, E.Content.Key);
+    sendToLeader(T, Group, std::move(E.Content));
+  }
+  void operator()(SendClaimResult &E) const {
+    GroupId Group = claimGroup(T.S, E.Content.Key);
+    sendToLeader(T, Group, std::move(E.Content));
+  }
+  template <class ForShell> void operator()(ForShell &E) const {
+    T.Out.push_back(std::move(E));
+  }
+};
+
+struct OnEvent {
+  Turn &T;
+  CallsEffects &Out;
+
+  void operator()(const ExchangeLeft &E) const {
+    onCallerLeft(T.S.Calls, E.Exchange, T.S.Known, T.Now, Out);
+  }
+  void operator()(const ExchangeDrained &E) const {
+    onCallerDrained(T.S.Calls, E.Exchange, E.PendingBytes, T.S.Known, T.Now,
+                    Out);
+  }
+  void operator()(const UpstreamSent &E) const {
+    onUpstreamSent(T.S.Calls, E.Call, T.S.Known, T.Now, Out);
+  }
+  void operator()(const UpstreamHead &E) const {
+    onUpstreamHead(T.S.Calls, E.Call, E.Status, E.Headers, T.S.Known, T.Now,
+                   Out);
+  }
+  void operator()(const UpstreamData &E) const {
+    onUpstreamData(T.S.Calls, E.Call, E.Bytes, T.S.Known, T.Now, Out);
+  }
+  void operator()(const UpstreamEnd &E) const {
+    if (E.Delimited) {
+      onUpstreamEnd(T.S.Calls, E.Call, T.S.Known, T.Now, Out);
+      return;
+    }
+    UpstreamFailure Why;
+    Why.Detail = "the answer ended without length or last chunk";
+    onUpstreamFailed(T.S.Calls, E.Call, Why, T.S.Known, T.Now, Out);
+  }
+  void operator()(const UpstreamFailed &E) const {
+    onUpstreamFailed(T.S.Calls, E.Call, E.Why, T.S.Known, T.Now, Out);
+  }
+  template <class Other> void operator()(const Other &) const {}
+};
+
+void refreshFlags(Turn &T) {
+  T.S.Known.Fresh = mayServe(T);
+  T.S.Known.RefuseNew = T.S.Drain >= DrainPhase::Refusing;
+}
+
+} // namespace
+
+void takeCalls(Turn &T, CallsEffects Out) {
+  logAll(T, std::move(Out.Decisions));
+  recordAll(T, std::move(Out.Samples));
+  for (CallsEffect &E : Out.List)
+    std::visit(Carry{T}, E);
+}
+
+void callerRequest(Turn &T, const CallerRequest &E) {
+  const std::string &Path = E.Request.Path;
+  if (Path == AnnouncePath) {
+    announce(T, E.Exchange, E.Request);
+    return;
+  }
+  if (Path == "/healthz" || Path == "/readyz") {
+    healthReply(T, E.Exchange, Path == "/healthz" || isReady(T.S, T.Now));
+    return;
+  }
+  refreshFlags(T);
+  CallsEffects Out;
+  onCallerRequest(T.S.Calls, E.Exchange, E.Request, T.S.Known, T.Now, Out);
+  takeCalls(T, std::move(Out));
+}
+
+void callsEvent(Turn &T, const Event &E) {
+  CallsEffects Out;
+  std::visit(OnEvent{T, Out}, E);
+  takeCalls(T, std::move(Out));
+}
+
+bool callsMessage(Turn &T, const HostId &, const Message &M) {
+  CallsEffects Out;
+  if (const auto *Reply = std::get_if<ClaimReply>(&M))
+    onClaimReply(T.S.Calls, *Reply, T.S.Known, T.Now, Out);
+  else if (const auto *Done = std::get_if<ClaimResultAck>(&M))
+    onClaimResultAck(T.S.Calls, *Done);
+  else
+    return false;
+  takeCalls(T, std::move(Out));
+  return true;
+}
+
+void tickCalls(Turn &T) {
+  if (T.Now < nextWakeup(T.S.Calls))
+    return;
+  refreshFlags(T);
+  CallsEffects Out;
+  tick(T.S.Calls, T.S.Known, T.Now, Out);
+  takeCalls(T, std::move(Out));
+}
+
+} // namespace pimento::node
--- /dev/null
+++ b/packages/node/DocumentPart.cpp
@@ -0,0 +1,145 @@
+// Documents in force here, and what follows from them: the directory that
+// requests are checked against and the table of cells.
+
+#include "node/Turn.h"
+
+namespace pimento::node {
+
+namespace {
+
+CellTable readTable(Turn &T, const std::string &Text) {
+  Failure Why;
+  CellTable Table = valueOr<CellTable>([&] { return decodeCellTable(Text); },
+                                       T.S.Cells, Why);
+  if (!Why.Detail.empty())
+    T.Out.push_back(LogDecision{{"cells_unreadable", {}, Why.Detail, {}}});
+  return Table;
+}
+
+ServiceRule ruleOf(const ServiceDocument &D) {
+  ServiceRule Rule;
+  for (const AccountEntry &Account : D.Accounts)
+    Rule.Weights[Account.Account] = Account.Weight;
+  for (const CallRule &Call : D.Calls) {
+    PlainCallRule Plain;
+    Plain.Path = Call.Path;
+    Plain.Methods = Call.Methods;
+    Plain.Repeatable = Call.Repeatable;
+    Rule.Calls.push_back(std::move(Plain));
+  }
+  Rule.TimeLimit = D.DefaultTimeLimit;
+  Rule.MaxTimeLimit = D.MaxTimeLimit;
+  Rule.Retention = D.ClaimRetention;
+  Rule.RetryShare = D.RetryBudget;
+  return Rule;
+}
+
+void addModel(NodeState &S, const ServiceDocument &D, const ModelEntry &Model,
+              const ModelName &Name) {
+  ModelRule Rule;
+  Rule.Service = D.Service;
+  Rule.ContextTokens = Model.ContextTokens;
+  S.Known.Models[Name].push_back(Rule);
+  S.BaseModels[Name] = Model.Name;
+}
+
+void addDocument(NodeState &S, const ServiceDocument &D) {
+  S.Known.Services[D.Service] = ruleOf(D);
+  for (const AccountEntry &Account : D.Accounts) {
+    for (const std::string &Digest : Account.TokenSha256)
+      S.Known.Accounts[Digest] = Account.Account;
+  }
+  for (const ModelEntry &Model : D.Models) {
+    addModel(S, D, Model, Model.Name);
+    for (const ModelName &Name : Model.Adapters)
+      addModel(S, D, Model, Name);
+    for (const ModelName &Name : Model.Versions)
+      addModel(S, D, Model, Name);
+  }
+}
+
+void rebuildDirectory(NodeState &S) {
+  S.Known.Accounts.clear();
+  S.Known.Models.clear();
+  S.Known.Services.clear();
+  S.BaseModels.clear();
+  for (const auto &[Service, Document] : S.Documents)
+    addDocument(S, Document);
+}
+
+/// The text was checked before it was accepted; an older host that cannot read
+/// it keeps what it has and says so.
+bool takeDocument(Turn &T, const HeldDocument &Held) {
+  DocumentCheck Check = checkDocument(Held.Text);
+  DecisionRecord D;
+  D.Kind = Check.good() ? "document_in_force" : "document_unreadable";
+  D.add("service", Held.Service.Value)
+      .add("number", static_cast<std::int64_t>(Held.Number));
+  if (Check.good())
+    T.S.Documents[Held.Service] = std::move(Check.Document);
+  else
+    D.Reason = formatError(Check.Errors.front());
+  T.Out.push_back(LogDecision{std::move(D)});
+  return Check.good();
+}
+
+void takeInForce(Turn &T, const std::vector<ServiceId> &Services) {
+  bool Documents = false;
+  bool Cells = false;
+  for (const ServiceId &Service : Services) {
+    const HeldDocument *Held = documentInForce(T.S.Spread, Service);
+    if (!Held)
+      continue;
+    if (Service.Value == CellTableService) {
+      T.S.Cells = readTable(T, Held->Text);
+      Cells = true;
+    } else {
+      Documents = takeDocument(T, *Held) || Documents;
+    }
+  }
+  if (Documents)
+    rebuildDirectory(T.S);
+  if (Cells || Documents)
+    adoptCells(T);
+}
+
+} // namespace
+
+void takeSpread(Turn &T, SpreadOutputs Out) {
+  sendAll(T, std::move(Out.Messages));
+  logAll(T, std::move(Out.Decisions));
+  takeInForce(T, Out.InForce);
+  for (const InForceAnswer &Answer : Out.Answers)
+    inForceAnswered(T, Answer);
+  if (Out.Accepted != 0)
+    answerAcceptedEdits(T);
+}
+
+void tickDocuments(Turn &T) {
+  if (T.Now < nextDeadline(T.S.Spread))
+    return;
+  SpreadOutputs Out;
+  onTick(T.S.Spread, T.Now, Out);
+  takeSpread(T, std::move(Out));
+}
+
+bool documentMessage(Turn &T, const HostId &From, const Message &M) {
+  SpreadOutputs Out;
+  if (!onMessage(T.S.Spread, From, M, T.Now, Out))
+    return false;
+  takeSpread(T, std::move(Out));
+  return true;
+}
+
+void refreshServers(NodeState &S) {
+  S.Known.Servers.clear();
+  for (const BackendRecord *Record : allBackends(S.Members)) {
+    if (Record->Kind != BackendKind::Plain ||
+        Record->Status != BackendStatus::Serving)
+      continue;
+    S.Known.Servers[Record->Service].push_back(
+        {Record->Id, Record->Life, Record->Address, Record->DataCentre});
+  }
+}
+
+} // namespace pimento::node
--- /dev/null
+++ b/packages/node/DrainPart.cpp
@@ -0,0 +1,86 @@
+// A graceful stop: unready, then refusing, then gone once nothing is left.
+
+#include "node/Turn.h"
+
+namespace pimento::node {
+
+namespace {
+
+/// After the last request, for messages and replies on their way.
+constexpr Duration LastWords = milliseconds(200);
+
+void enter(Turn &T, DrainPhase Phase, Duration Time, const char *Reason) {
+  T.S.Drain = Phase;
+  T.S.DrainUntil = T.Now + Time;
+  DecisionRecord D;
+  D.Kind = "drain";
+  D.Reason = Reason;
+  D.add("requests", static_cast<std::int64_t>(T.S.Calls.Requests.size()));
+  T.Out.push_back(LogDecision{std::move(D)});
+}
+
+void tellLeaving(Turn &T, bool Final) {
+  MembershipOutputs Out;
+  leave(T.S.Members, Final, T.Now, Out);
+  sendAll(T, std::move(Out.Messages));
+  logAll(T, std::move(Out.Decisions));
+}
+
+/// The cells go first: a host that leaves schedules nothing any more.
+void beginUnready(Turn &T) {
+  enter(T, DrainPhase::Unready, T.S.Config.Drain.UnreadyTime, "asked to stop");
+  dropCells(T);
+  tellLeaving(T, false);
+}
+
+void beginRefusing(Turn &T) {
+  enter(T, DrainPhase::Refusing, T.S.Config.Drain.Limit, "unready time over");
+  CallsEffects Out;
+  beginDrain(T.S.Calls, T.Now, Out);
+  takeCalls(T, std::move(Out));
+  handOverLeadership(T);
+}
+
+void beginStopped(Turn &T) {
+  enter(T, DrainPhase::Stopped, LastWords, "nothing is left to finish");
+  tellLeaving(T, true);
+}
+
+} // namespace
+
+void stopRequested(Turn &T) {
+  if (T.S.Drain == DrainPhase::Serving) {
+    beginUnready(T);
+    return;
+  }
+  if (T.S.ForcedStop || T.S.Drain == DrainPhase::Stopped)
+    return;
+  T.S.ForcedStop = true;
+  CallsEffects Out;
+  cutAll(T.S.Calls, T.S.Known, T.Now, Out);
+  takeCalls(T, std::move(Out));
+  enter(T, DrainPhase::Stopped, LastWords, "asked to stop at once");
+  tellLeaving(T, true);
+}
+
+void tickDrain(Turn &T) {
+  bool Over = T.Now >= T.S.DrainUntil;
+  switch (T.S.Drain) {
+  case DrainPhase::Serving:
+    return;
+  case DrainPhase::Unready:
+    if (Over)
+      beginRefusing(T);
+    return;
+  case DrainPhase::Refusing:
+    if (idle(T.S.Calls) && T.S.Operators.empty())
+      beginStopped(T);
+    return;
+  case DrainPhase::Stopped:
+    if (Over)
+      T.Out.push_back(Exit{T.S.ForcedStop ? 1 : 0});
+    return;
+  }
+}
+
+} // namespace pimento::node
--- a/packages/node/Events.h
+++ b/packages/node/Events.h
@@ -10,6 +10,8 @@
 #include "base/Http.h"
 #include "base/Ids.h"
 #include "base/Time.h"
+#include "calls/Effects.h"
+#include "storage/Records.h"
 #include "wire/Messages.h"
 
 #include <string>
@@ -18,11 +20,14 @@
 
 namespace pimento {
 
+/// Longest time between two ticks.
+constexpr Duration NodeTickInterval = milliseconds(10);
+
 //===----------------------------------------------------------------------===//
 // Events
 //===----------------------------------------------------------------------===//
 
-/// Time passed. Comes at least every TickInterval.
+/// Time passed. Comes at least every NodeTickInterval.
 struct Tick {};
 
 /// A proved peer sent a message.
@@ -49,7 +54,7 @@
   ExchangeId Exchange{};
 };
 
-/// Part of a stream went out towards the caller.
+/// Part of a reply went out towards the caller.
 struct ExchangeDrained {
   ExchangeId Exchange{};
   std::size_t PendingBytes = 0; // Still waiting in the host.
@@ -77,16 +82,28 @@
   UpstreamFailure Why;
 };
 
+/// The write with this ticket is synced.
+struct DiskWritten {
+  GroupId Group = 0;
+  std::uint64_t Ticket = 0;
+};
+/// A write failed; no later one will be carried out.
+struct DiskFailed {
+  Code Reason = Code::StorageFailed;
+  std::string Detail;
+};
+
 /// The system asks the process to stop: once to drain, twice to stop at once.
 struct StopRequested {};
 
 using Event =
     std::variant<Tick, PeerMessage, CallerRequest, OperatorRequest,
                  ExchangeLeft, ExchangeDrained, UpstreamSent, UpstreamHead,
-                 UpstreamData, UpstreamEnd, UpstreamFailed, StopRequested>;
+                 UpstreamData, UpstreamEnd, UpstreamFailed, DiskWritten,
+                 DiskFailed, StopRequested>;
 
 //===----------------------------------------------------------------------===//
-// Effects
+// Effects, besides those of calls/Effects.h
 //===----------------------------------------------------------------------===//
 
 struct SendPeer {
@@ -94,43 +111,10 @@
   Message Content;
 };
 
-struct SendReply {
-  ExchangeId Exchange{};
-  HttpReply Reply;
-};
-struct StartStream {
-  ExchangeId Exchange{};
-  int Status = 200;
-  std::vector<HttpHeader> Headers;
-};
-struct SendChunk {
-  ExchangeId Exchange{};
-  std::string Bytes;
-};
-struct EndStream {
-  ExchangeId Exchange{};
-};
-/// Breaks the connection, so that the caller sees a cut answer.
-struct AbortExchange {
-  ExchangeId Exchange{};
-};
-
-struct OpenUpstream {
-  UpstreamId Call{};
-  UpstreamRequest Request;
-  /// The shell checks the clock again when it carries the effect out: past
-  /// this time nothing is sent and UpstreamFailed says so.
-  TimePoint SendBy = TimePoint::max();
-};
-struct AbortUpstream {
-  UpstreamId Call{};
-};
-/// Stops or goes on reading an answer, for the sake of a slow caller.
-struct PauseUpstream {
-  UpstreamId Call{};
-};
-struct ResumeUpstream {
-  UpstreamId Call{};
+/// Synced together with all other writes of the turn, then told as
+/// DiskWritten.
+struct WriteDisk {
+  DiskWrite Write;
 };
 
 struct LogDecision {
@@ -146,13 +130,10 @@
 };
 
 using Effect =
-    std::variant<SendPeer, SendReply, StartStream, SendChunk, EndStream,
-                 AbortExchange, OpenUpstream, AbortUpstream, PauseUpstream,
-                 ResumeUpstream, LogDecision, RecordSample, Exit>;
+    std::variant<SendPeer, SendReply, StartStream, StreamBytes, EndStream,
+                 CloseExchange, OpenUpstream, AbortUpstream, PauseUpstream,
+                 WriteDisk, LogDecision, RecordSample, Exit>;
 
 using Effects = std::vector<Effect>;
 
-/// Longest time between two ticks.
-constexpr Duration TickInterval = milliseconds(10);
-
 } // namespace pimento
--- a/packages/node/Node.h
+++ b/packages/node/Node.h
@@ -1,19 +1,163 @@
 //===- Node.h - The one reducer of a host -----------------------*- C++ -*-===//
+//
+//   NodeState S = makeNode(Start, Now);
+//   for (Effect &E : reduce(S, Event, Now)) ...
+//
+// Pure: no clock, no socket, no disk, no random device. The parts below keep
+// to their own state and meet only here:
+//
+//   MembershipPart   hosts and backend servers
+//   ControlPart      replicated logs: documents, cells, claims
+//   DocumentPart     spread of documents, and what follows from those in force
+//   SchedulePart     cells held here, and this host's asks to any cell
+//   EnginePart       cancels and memory sweeps at engines
+//   CallsPart        callers' requests
+//   OperatorPart     operators' requests
+//
+//===----------------------------------------------------------------------===//
 #pragma once
 
 #include "base/Settings.h"
+#include "calls/Calls.h"
+#include "calls/ClaimLeader.h"
+#include "document/Document.h"
+#include "document/Spread.h"
+#include "membership/Membership.h"
+#include "node/Cells.h"
 #include "node/Events.h"
+#include "replica/Replica.h"
+#include "schedule/Cell.h"
+#include "schedule/Entry.h"
+
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
 
 namespace pimento {
 
+/// The group that keeps documents and cells; claim partitions follow it.
+constexpr GroupId ControlGroup = 0;
+
+/// What the process found out before its first event.
+struct NodeStart {
+  Settings Config;
+  Incarnation Life = 0;   // Of this process.
+  std::uint64_t Seed = 1; // Of every random choice.
+  Duration WallClock = Duration::zero(); // Since 1970, at the start.
+
+  // Hosts with a data folder only.
+  Incarnation DiskLife = 0; // Zero: no disk.
+  DiskStart Start = 0;
+  std::map<GroupId, Recovered> Found;
+};
+
+/// An edit that this leader proposed and has not answered.
+struct PendingEdit {
+  HostId Asker;               // Host of the operator.
+  std::uint64_t Sequence = 0; // The asker's.
+  std::uint64_t Term = 0;     // In which it was proposed.
+  std::uint64_t Revision = 0; // Zero: not applied yet.
+  std::uint64_t Number = 0;   // Once applied.
+};
+
+/// One claim partition at a voter.
+struct ClaimPartition {
+  ClaimsState Applied;
+  ClaimLeader Leader;
+  std::map<std::uint64_t, std::uint64_t> Tickets; // Log index to ticket.
+};
+
+/// The replicated logs; without any where the host has no disk.
+struct ControlState {
+  std::map<GroupId, ReplicaState> Logs;
+  Store Documents;
+  std::map<GroupId, ClaimPartition> Claims;
+  std::map<std::uint64_t, PendingEdit> Edits; // By log index.
+  CellPlanner Planner;
+  std::uint64_t PlannedTerm = 0; // Term that Planner belongs to.
+  std::uint64_t PlannedIndex = 0; // Of the cell edit in flight; zero: none.
+  std::map<GroupId, std::size_t> NextVoter; // Tried next, by group.
+};
+
+/// An upstream call that the scheduler of a cell has under way.
+struct EngineCall {
+  CellId Cell{};
+  bool Sweep = false; // Else a cancel.
+  CancelOrder Order;  // Of a cancel.
+  BackendId Backend;
+  int Status = 0;
+  std::string Body;
+  TimePoint Until; // Broken off then.
+};
+
+enum class OperatorWaitKind : std::uint8_t { Edit, History, InForce };
+
+/// An operator's request that waits for other hosts.
+struct OperatorWait {
+  OperatorWaitKind Kind = OperatorWaitKind::Edit;
+  ExchangeId Exchange{};
+  ServiceId Service;
+  TimePoint NextSend; // To the leader, or to a voter.
+  TimePoint Until;    // Answered then, with what is known.
+
+  PutDocument Edit;           // Of Edit.
+  std::uint32_t Sends = 0;    // Of Edit.
+  std::uint32_t Refusals = 0; // Sends that heard that no leader takes it.
+
+  std::uint64_t Query = 0; // Of InForce.
+  std::optional<InForceAnswer> Answer;
+  std::optional<HistoryReply> History;
+};
+
+enum class DrainPhase : std::uint8_t {
+  Serving,
+  Unready,  // The balancer is to look elsewhere; requests are still taken.
+  Refusing, // No new requests; those in progress go on.
+  Stopped,
+};
+
 struct NodeState {
   Settings Config;
+  HostId Self;
   Incarnation Life = 0;
+  TimePoint Started;
+  Duration WallClock = Duration::zero(); // Since 1970, at Started.
+
+  MembershipState Members;
+  ControlState Control;
+  SpreadState Spread;
+
+  // What follows from the documents in force here.
+  std::map<ServiceId, ServiceDocument> Documents;
+  std::map<ModelName, ModelName> BaseModels; // Adapter or version to model.
+  CellTable Cells;
+  Directory Known;
+
+  // Scheduling.
+  std::map<CellId, CellState> Held; // Scheduled by this host.
+  EntryState Entry;
+  std::map<std::uint64_t, EngineCall> EngineCalls; // By UpstreamId.
+  std::uint64_t NextUpstream = 1;
+  TimePoint NextCellTick;
+
+  CallsState Calls;
+
+  std::map<std::uint64_t, OperatorWait> Operators; // By sequence.
+  std::uint64_t NextSequence = 1;
+
+  DrainPhase Drain = DrainPhase::Serving;
+  TimePoint DrainUntil; // Of the phase.
+  bool ForcedStop = false;
+  TimePoint NextPlan;
+  TimePoint LastTick;
 };
 
-NodeState makeNode(const Settings &S, Incarnation Life, std::uint64_t Seed,
-                   TimePoint Now);
+NodeState makeNode(const NodeStart &Start, TimePoint Now);
 
 Effects reduce(NodeState &S, const Event &E, TimePoint Now);
 
+/// Whether the balancer should send callers here.
+bool isReady(const NodeState &S, TimePoint Now);
+
 } // namespace pimento
--- /dev/null
+++ b/packages/node/StatusPart.cpp
@@ -0,0 +1,191 @@
+// The inner state as operators see it.
+
+#include "node/Turn.h"
+
+#include "base/Json.h"
+
+namespace pimento::node {
+
+namespace {
+
+const char *toString(HostStatus S) {
+  switch (S) {
+  case HostStatus::Alive:
+    return "alive";
+  case HostStatus::Suspect:
+    return "suspect";
+  case HostStatus::Dead:
+    return "dead";
+  case HostStatus::Leaving:
+    return "leaving";
+  }
+  return "dead";
+}
+
+const char *toString(BackendStatus S) {
+  switch (S) {
+  case BackendStatus::Serving:
+    return "serving";
+  case BackendStatus::Leaving:
+    return "leaving";
+  case BackendStatus::Gone:
+    return "gone";
+  }
+  return "gone";
+}
+
+const char *toString(DrainPhase P) {
+  switch (P) {
+  case DrainPhase::Serving:
+    return "serving";
+  case DrainPhase::Unready:
+    return "unready";
+  case DrainPhase::Refusing:
+    return "refusing";
+  case DrainPhase::Stopped:
+    return "stopped";
+  }
+  return "stopped";
+}
+
+Json logJson(const ReplicaState &Log, TimePoint Now) {
+  ReplicaStatus R = status(Log, Now);
+  Json Members = Json::array();
+  for (const MemberStatus &M : R.Members)
+    Members.push_back({{"host", M.Who.Host.Value},
+                       {"learner", M.Who.Learner},
+                       {"synced", M.Synced},
+                       {"silence_ms", toMilliseconds(M.Silence)},
+                       {"caught_up", M.CaughtUp}});
+  Json Result = {{"group", R.Group},
+                 {"role", pimento::toString(R.Role)},
+                 {"formed", R.Formed},
+                 {"admitted", R.Admitted},
+                 {"lease", R.Lease},
+                 {"leader", R.Leader.Value},
+                 {"term", R.Term},
+                 {"last_index", R.LastIndex},
+                 {"commit", R.Commit},
+                 {"applied", R.Applied},
+                 {"synced", R.Synced},
+                 {"snapshot_index", R.SnapshotIndex},
+                 {"members", Members}};
+  if (R.Halted != Code::Ok) {
+    Result["halted"] = pimento::toString(R.Halted);
+    Result["halt_reason"] = R.HaltReason;
+  }
+  return Result;
+}
+
+Json cellsJson(const NodeState &S) {
+  Json Cells = Json::array();
+  for (const CellAssignment &Cell : S.Cells.Cells) {
+    Json Line = {{"model", Cell.Model.Value},
+                 {"index", Cell.Index},
+                 {"holder", Cell.Holder.Value},
+                 {"epoch", Cell.Epoch}};
+    auto Held = S.Held.find(Cell.id());
+    if (Held != S.Held.end()) {
+      CellFigures F = cellFigures(Held->second);
+      Line["waiting"] = F.Waiting;
+      Line["grants"] = F.Grants;
+      Line["engines"] = F.Engines;
+      Line["ejected"] = F.Ejected;
+      Line["memory_tokens"] = F.MemoryTokens;
+      Line["held_tokens"] = F.HeldTokens;
+      Line["cancelling_tokens"] = F.CancellingTokens;
+      Line["prefix_entries"] = F.PrefixEntries;
+      Line["accounts"] = F.Accounts;
+    }
+    Cells.push_back(std::move(Line));
+  }
+  return Cells;
+}
+
+Json documentsJson(const NodeState &S) {
+  Json Documents = Json::object();
+  for (const auto &[Service, Held] : S.Spread.Documents)
+    Documents[Service.Value] = Held.Number;
+  return Documents;
+}
+
+Json claimsJson(const NodeState &S) {
+  Json Claims = Json::array();
+  for (const auto &[Group, Partition] : S.Control.Claims)
+    Claims.push_back({{"group", Group},
+                      {"leading", Partition.Leader.Leading},
+                      {"records", Partition.Applied.Records.size()},
+                      {"waiting", Partition.Leader.Waiters.size()},
+                      {"answer_bytes", Partition.Applied.AnswerBytes}});
+  return Claims;
+}
+
+} // namespace
+
+std::string statusText(const NodeState &S, TimePoint Now) {
+  ServeVerdict Fresh = verdict(S.Spread, Now);
+  Json Age = nullptr;
+  if (Fresh.Age != Duration::max())
+    Age = toMilliseconds(Fresh.Age);
+  Json Logs = Json::array();
+  for (const auto &[Group, Log] : S.Control.Logs)
+    Logs.push_back(logJson(Log, Now));
+  Json Root = {{"host", S.Self.Value},
+               {"life", S.Life},
+               {"phase", toString(S.Drain)},
+               {"ready", isReady(S, Now)},
+               {"fresh",
+                {{"serving", Fresh.Serve},
+                 {"reason", pimento::toString(Fresh.Reason)},
+                 {"age_ms", Age},
+                 {"reports", Fresh.Reports}}},
+               {"requests", S.Calls.Requests.size()},
+               {"request_bytes", S.Calls.Bytes},
+               {"cleanups", S.Calls.Cleanups.size()},
+               {"documents", documentsJson(S)},
+               {"cells", cellsJson(S)},
+               {"claims", claimsJson(S)},
+               {"logs", Logs}};
+  return Root.dump() + "\n";
+}
+
+std::string hostsText(const NodeState &S, TimePoint Now) {
+  Json Hosts = Json::array();
+  for (const PeerSettings &Peer : S.Config.Peers) {
+    Json Line = {{"host", Peer.Name.Value},
+                 {"data_centre", Peer.DataCentre.Value},
+                 {"voter", Peer.Voter}};
+    if (Peer.Name == S.Self) {
+      Line["status"] = "self";
+    } else if (const HostView *View = hostView(S.Members, Peer.Name)) {
+      Line["status"] = toString(View->Status);
+      Line["since_ms"] = toMilliseconds(Now - View->Since);
+      Line["direct"] = View->Direct;
+      Line["slow"] = View->Slow;
+      Line["round_trip_us"] = toMicroseconds(View->RoundTrip);
+    }
+    Hosts.push_back(std::move(Line));
+  }
+  return Json({{"hosts", Hosts}}).dump() + "\n";
+}
+
+std::string backendsText(const NodeState &S) {
+  Json Backends = Json::array();
+  for (const BackendRecord *Record : allBackends(S.Members)) {
+    Json Models = Json::array();
+    for (const ModelName &Model : Record->Models)
+      Models.push_back(Model.Value);
+    Backends.push_back(
+        {{"id", Record->Id.Value},
+         {"kind", Record->Kind == BackendKind::Engine ? "engine" : "plain"},
+         {"status", toString(Record->Status)},
+         {"address", Record->Address},
+         {"data_centre", Record->DataCentre.Value},
+         {"service", Record->Service.Value},
+         {"models", Models},
+         {"memory_tokens", Record->MemoryTokens}});
+  }
+  return Json({{"backends", Backends}}).dump() + "\n";
+}
+
+} // namespace pimento::node
--- /dev/null
+++ b/packages/node/Turn.h
@@ -0,0 +1,111 @@
+//===- Turn.h - One call of the reducer -------------------------*- C++ -*-===//
+//
+// Internal. The parts of a node share one Turn: they read and change the
+// state, add effects, and send messages. A message to this host itself is
+// handled before the turn ends, without a socket.
+//
+//===----------------------------------------------------------------------===//
+#pragma once
+
+#include "node/Node.h"
+
+#include <deque>
+#include <utility>
+
+namespace pimento::node {
+
+struct Turn {
+  NodeState &S;
+  TimePoint Now;
+  Effects Out;
+  std::deque<Message> ToSelf;
+};
+
+void send(Turn &T, const HostId &To, Message M);
+void sendAll(Turn &T, std::vector<Outbound> Messages);
+void logAll(Turn &T, std::vector<DecisionRecord> Decisions);
+void recordAll(Turn &T, std::vector<MetricSample> Samples);
+void count(Turn &T, const char *Name, std::string Label = "");
+
+/// Wall-clock time since 1970, as far as this process knows it.
+Duration wallClock(const Turn &T);
+
+/// Whether this host may act under what it has in force.
+bool mayServe(const Turn &T);
+
+// MembershipPart.cpp
+void tickMembership(Turn &T);
+bool membershipMessage(Turn &T, const HostId &From, const Message &M);
+void announce(Turn &T, ExchangeId Exchange, const HttpRequest &Request);
+
+// ControlPart.cpp
+void startControl(NodeState &S, const NodeStart &Start, TimePoint Now);
+void tickControl(Turn &T);
+bool controlMessage(Turn &T, const HostId &From, const Message &M);
+void diskWritten(Turn &T, const DiskWritten &E);
+void diskFailed(Turn &T, const DiskFailed &E);
+/// Sends to the leader of \p Group, or to a voter that will hand it on.
+void sendToLeader(Turn &T, GroupId Group, Message M);
+/// Writes and sends what this turn proposed.
+void flushControl(Turn &T);
+void handOverLeadership(Turn &T);
+GroupId claimGroup(const NodeState &S, const ClaimKey &Key);
+
+// EditPart.cpp
+void onPutDocument(Turn &T, const HostId &From, const PutDocument &M);
+void applyControl(Turn &T, const LogEntry &Entry);
+void loseEdits(Turn &T, const LostRange &Lost);
+void answerAcceptedEdits(Turn &T);
+void planCellTable(Turn &T);
+
+// DocumentPart.cpp
+void tickDocuments(Turn &T);
+bool documentMessage(Turn &T, const HostId &From, const Message &M);
+void takeSpread(Turn &T, SpreadOutputs Out);
+/// Plain backend servers changed.
+void refreshServers(NodeState &S);
+
+// SchedulePart.cpp
+void tickSchedule(Turn &T);
+bool scheduleMessage(Turn &T, const HostId &From, const Message &M);
+void takeCell(Turn &T, CellId Id, CellEffects Out);
+void takeEntry(Turn &T, EntryEffects Out);
+/// The table of cells changed: start, stop and follow.
+void adoptCells(Turn &T);
+void engineChanged(Turn &T, const BackendRecord &Record);
+void engineLoad(Turn &T, const LoadReport &Report);
+void hostGone(Turn &T, const HostId &Host);
+void dropCells(Turn &T);
+
+// EnginePart.cpp
+void startCancel(Turn &T, CellId Cell, const CancelOrder &Order);
+void startSweep(Turn &T, CellId Cell, const BackendId &Engine);
+bool engineCallEvent(Turn &T, const Event &E);
+void tickEngineCalls(Turn &T);
+
+// CallsPart.cpp
+void callerRequest(Turn &T, const CallerRequest &E);
+void callsEvent(Turn &T, const Event &E);
+bool callsMessage(Turn &T, const HostId &From, const Message &M);
+void takeCalls(Turn &T, CallsEffects Out);
+void tickCalls(Turn &T);
+
+// OperatorPart.cpp
+void operatorRequest(Turn &T, const OperatorRequest &E);
+void operatorLeft(Turn &T, ExchangeId Exchange);
+bool operatorMessage(Turn &T, const Message &M);
+/// Another host asks for a service's history.
+bool historyRequested(Turn &T, const HostId &From, const HistoryRequest &M);
+void inForceAnswered(Turn &T, const InForceAnswer &Answer);
+void tickOperators(Turn &T);
+
+// StatusPart.cpp
+std::string statusText(const NodeState &S, TimePoint Now);
+std::string backendsText(const NodeState &S);
+std::string hostsText(const NodeState &S, TimePoint Now);
+
+// DrainPart.cpp
+void stopRequested(Turn &T);
+void tickDrain(Turn &T);
+
+} // namespace pimento::node
--- a/packages/wire/Messages.h
+++ b/packages/wire/Messages.h
@@ -13,9 +13,11 @@
 #include "base/Result.h"
 #include "wire/CallMessages.h"
 #include "wire/DocumentMessages.h"
+#include "wire/ForwardMessages.h"
 #include "wire/LinkMessages.h"
 #include "wire/MembershipMessages.h"
 #include "wire/MessageList.h"
+#include "wire/OperatorMessages.h"
 #include "wire/ReplicaMessages.h"
 #include "wire/ScheduleMessages.h"
 
@@ -27,8 +29,8 @@
 
 /// Every message. Each part lists its own in its header.
 using Message =
-    JoinedMessages<LinkMessages, ReplicaMessages, MembershipMessages,
-                   ScheduleMessages, CallMessages, DocumentMessages>::Variant;
+    JoinedMessages<LinkMessages, ForwardMessages, ReplicaMessages, MembershipMessages,
+                   ScheduleMessages, CallMessages, DocumentMessages, OperatorMessages>::Variant;
 
 /// A message and the host it goes to.
 struct Outbound {
