--- /dev/null
+++ b/packages/calls/Calls.cpp
@@ -0,0 +1,426 @@
+#include "calls/Calls.h"
+
+#include "base/Token.h"
+#include "calls/CallsInternal.h"
+#include "engine/Replies.h"
+
+#include <algorithm>
+
+namespace pimento {
+
+namespace {
+
+constexpr std::uint64_t BodyCopies = 2; // A prompt and its request upstream.
+
+/// What is known of a request before it is taken in.
+struct Admission {
+  Context &C;
+  ExchangeId Exchange;
+  HttpRequest &Incoming;
+  Request R;
+};
+
+Result<void> checkRoom(const Context &C, const HttpRequest &Incoming) {
+  const LimitSettings &Limits = C.S.Limits;
+  if (C.Dir.RefuseNew)
+    return fail(Code::Draining, "");
+  if (!C.Dir.Fresh)
+    return fail(Code::HostNotFresh, "");
+  if (Incoming.Body.size() > Limits.BodyBytes)
+    return fail(Code::BodyTooLarge,
+                "the limit is " + std::to_string(Limits.BodyBytes) + " bytes");
+  if (C.S.Requests.size() >= Limits.Requests)
+    return fail(Code::Overloaded, "too many requests in progress");
+  if (C.S.Bytes + BodyCopies * Incoming.Body.size() > Limits.TotalBufferBytes)
+    return fail(Code::Overloaded, "no room for the body");
+  return {};
+}
+
+Result<AccountId> authenticate(const Context &C, const HttpRequest &Incoming) {
+  std::string Header(headerValue(Incoming.Headers, "Authorization"));
+  std::string_view Token = bearerToken(Header.c_str());
+  auto Found = C.Dir.Accounts.find(sha256Hex(Token));
+  if (Token.empty() || Found == C.Dir.Accounts.end())
+    return fail(Code::Unauthorized, "");
+  return Found->second;
+}
+
+/// The caller's limit, capped by the document's and the host's.
+Result<void> setDeadline(Admission &A, Duration DocumentLimit) {
+  const LimitSettings &Limits = A.C.S.Limits;
+  BOOST_LEAF_AUTO(Stated, readTimeLimit(A.Incoming));
+  Duration Limit = Stated.value_or(DocumentLimit > Duration::zero()
+                                       ? DocumentLimit
+                                       : Limits.DefaultTimeLimit);
+  if (DocumentLimit > Duration::zero())
+    Limit = std::min(Limit, DocumentLimit);
+  Limit = std::min(Limit, Limits.MaxTimeLimit);
+  Duration Margin = std::min(A.C.S.Times.AnswerMargin, Limit / 10);
+  A.R.Deadline = A.C.Now + Limit - Margin;
+  return {};
+}
+
+Duration limitOf(Duration Own, Duration OfService) {
+  return Own > Duration::zero() ? Own : OfService;
+}
+
+/// The first service that offers the model to this account.
+Result<const ModelRule *> findModel(const Context &C, const AccountId &Account,
+                                    const ModelName &Model) {
+  auto Found = C.Dir.Models.find(Model);
+  if (Found == C.Dir.Models.end() || Found->second.empty())
+    return fail(Code::UnknownModel, "");
+  for (const ModelRule &Rule : Found->second) {
+    auto Service = C.Dir.Services.find(Rule.Service);
+    if (Service != C.Dir.Services.end() &&
+        Service->second.Weights.count(Account) != 0)
+      return &Rule;
+  }
+  return fail(Code::Forbidden, "");
+}
+
+Result<void> admitGeneration(Admission &A) {
+  GenerationPart &G = A.R.Generation.emplace();
+  BOOST_LEAF_ASSIGN(G.Wanted, readCompletion(A.Incoming));
+  A.Incoming.Body = std::string();
+  BOOST_LEAF_AUTO(Rule, findModel(A.C, A.R.Account, G.Wanted.Model));
+  A.R.Service = Rule->Service;
+  const ServiceRule &Service = A.C.Dir.Services.at(Rule->Service);
+  G.Weight = Service.Weights.at(A.R.Account);
+  if (Rule->MaxOutputTokens != 0)
+    G.Wanted.MaxTokens = std::min(G.Wanted.MaxTokens, Rule->MaxOutputTokens);
+  G.PromptTokens =
+      estimateTokens(A.C.S.Ratios[G.Wanted.Model], G.Wanted.Prompt.size());
+  if (Rule->ContextTokens != 0 &&
+      G.PromptTokens + G.Wanted.MaxTokens > Rule->ContextTokens)
+    return fail(Code::PromptTooLong, "about " + std::to_string(G.PromptTokens) +
+                                         " prompt tokens; the model takes " +
+                                         std::to_string(Rule->ContextTokens) +
+                                         " with the answer");
+  G.Prefixes = prefixHashes(G.Wanted.Prompt);
+  return setDeadline(A, limitOf(Rule->TimeLimit, Service.TimeLimit));
+}
+
+Result<void> admitCall(Admission &A) {
+  CallPart &Call = A.R.Call.emplace();
+  BOOST_LEAF_ASSIGN(Call.Wanted, readPlainCall(A.Incoming));
+  auto Found = A.C.Dir.Services.find(Call.Wanted.Service);
+  if (Found == A.C.Dir.Services.end())
+    return fail(Code::UnknownService, "");
+  const ServiceRule &Service = Found->second;
+  if (Service.Weights.count(A.R.Account) == 0)
+    return fail(Code::Forbidden, "");
+  A.R.Service = Call.Wanted.Service;
+  CallRule Rule = callRule(Service, Call.Wanted.Path,
+                           Call.Wanted.Method == HttpMethod::Get);
+  Call.Repeatable = Rule.Repeatable;
+  Call.Retention = Service.Retention;
+  if (!Call.Repeatable && Call.Wanted.Key.empty())
+    return fail(Code::IdempotencyKeyMissing, "");
+  return setDeadline(A, limitOf(Rule.TimeLimit, Service.TimeLimit));
+}
+
+Result<void> admit(Admission &A) {
+  BOOST_LEAF_CHECK(checkRoom(A.C, A.Incoming));
+  BOOST_LEAF_ASSIGN(A.R.Account, authenticate(A.C, A.Incoming));
+  if (isCompletionPath(A.Incoming.Path))
+    return admitGeneration(A);
+  if (isPlainCallPath(A.Incoming.Path))
+    return admitCall(A);
+  return fail(Code::NotFound, "");
+}
+
+void refuse(Admission &A, const Failure &Why) {
+  constexpr Duration DefaultRetryAfter = seconds(1);
+  Problem P{Why.Number, Why.Detail, {}};
+  if (info(Why.Number).HttpStatus == 503)
+    P.RetryAfter = DefaultRetryAfter;
+  decide(A.C, "refuse", A.R.Id, info(Why.Number).Meaning)
+      .add("code", static_cast<std::int64_t>(Why.Number))
+      .add("requests", static_cast<std::int64_t>(A.C.S.Requests.size()))
+      .add("held_bytes", static_cast<std::int64_t>(A.C.S.Bytes))
+      .add("body_bytes", static_cast<std::int64_t>(A.Incoming.Body.size()));
+  count(A.C, "pimento_requests_total",
+        std::string("outcome=\"") + toString(info(Why.Number).Result) + "\"");
+  A.C.Out.List.emplace_back(SendReply{A.Exchange, problemReply(A.R.Id, P)});
+}
+
+void takeIn(Admission &A) {
+  Context &C = A.C;
+  RequestId Id = A.R.Id;
+  A.R.Wake = TimePoint::max();
+  A.R.Indexed = A.R.Deadline;
+  C.S.Exchanges[static_cast<std::uint64_t>(A.Exchange)] = Id;
+  Request &R = C.S.Requests.emplace(Id, std::move(A.R)).first->second;
+  C.S.Timers.insert({R.Indexed, Id});
+  decide(C, "admit", Id, R.Call ? "plain call" : "generation")
+      .add("account", R.Account.Value)
+      .add("service", R.Service.Value)
+      .add("bytes", static_cast<std::int64_t>(ownBytes(R)))
+      .add("left_ms", toMilliseconds(timeLeft(R, C.Now)))
+      .add("requests", static_cast<std::int64_t>(C.S.Requests.size()));
+  countFirstTry(C, R);
+  if (R.Generation)
+    startGeneration(C, R);
+  else
+    startCall(C, R);
+  hold(C, R, ownBytes(R) + R.Pending);
+  reindex(C, R);
+}
+
+/// The request of an exchange; null where it is not in progress.
+const RequestId *findExchange(const CallsState &State, ExchangeId Exchange) {
+  auto Found = State.Exchanges.find(static_cast<std::uint64_t>(Exchange));
+  return Found == State.Exchanges.end() ? nullptr : &Found->second;
+}
+
+void dispatchExchange(Context &C, ExchangeId Exchange, const Event &E) {
+  if (const RequestId *Id = findExchange(C.S, Exchange))
+    dispatch(C, RequestId(*Id), E);
+}
+
+/// Passes an event of an upstream call to whom it belongs. Calls that were
+/// aborted are not known any more: what still comes of them is dropped.
+void dispatchUpstream(Context &C, UpstreamId Upstream, const Event &E) {
+  auto Found = C.S.Upstreams.find(static_cast<std::uint64_t>(Upstream));
+  if (Found == C.S.Upstreams.end()) {
+    count(C, "pimento_late_answers_total");
+    return;
+  }
+  UpstreamOwner Owner = Found->second;
+  bool Over = E.Kind == EventKind::End || E.Kind == EventKind::Failed;
+  if (Over)
+    C.S.Upstreams.erase(Found);
+  if (Owner.Use == UpstreamUse::Main) {
+    dispatch(C, Owner.Request, E);
+    return;
+  }
+  if (Owner.Use != UpstreamUse::Cancel)
+    return;
+  if (E.Kind == EventKind::Head && confirmsFreed(E.Status)) {
+    C.S.Upstreams.erase(static_cast<std::uint64_t>(Upstream));
+    C.Out.List.emplace_back(AbortUpstream{Upstream});
+    onCancelReply(C, Upstream, Owner.Attempt, /*Confirmed=*/true);
+  } else if (Over) {
+    onCancelReply(C, Upstream, Owner.Attempt, /*Confirmed=*/false);
+  }
+}
+
+bool isCurrent(const CallsState &State, const AttemptId &Attempt) {
+  auto Found = State.Requests.find(Attempt.Request);
+  return Found != State.Requests.end() && Found->second.Generation &&
+         Found->second.Generation->Try.Attempt == Attempt;
+}
+
+} // namespace
+
+CallsState makeCalls(const Settings &S, Incarnation Life, std::uint64_t Seed) {
+  constexpr std::size_t DigitsOfWord = 16;
+  CallsState State;
+  State.Host = S.Host.Name;
+  State.Life = Life;
+  std::string Digest =
+      sha256Hex(S.Host.Name.Value + "\n" + std::to_string(Life));
+  State.IdHigh = std::stoull(Digest.substr(0, DigitsOfWord), nullptr, 16);
+  State.Limits = S.Limits;
+  State.Retries = S.Retries;
+  State.Drain = S.Drain;
+  State.Rng.seed(Seed);
+  return State;
+}
+
+void onCallerRequest(CallsState &State, ExchangeId Exchange,
+                     HttpRequest Incoming, const Directory &Dir, TimePoint Now,
+                     CallsEffects &Out) {
+  Context C{State, Dir, Now, Out};
+  Admission A{C, Exchange, Incoming, Request()};
+  A.R.Id = {State.IdHigh, State.NextRequest++};
+  A.R.Exchange = Exchange;
+  A.R.Arrived = Now;
+  Failure Why;
+  bool Admitted = valueOr<bool>(
+      [&]() -> Result<bool> {
+        BOOST_LEAF_CHECK(admit(A));
+        return true;
+      },
+      false, Why);
+  if (Admitted)
+    takeIn(A);
+  else
+    refuse(A, Why);
+}
+
+void onCallerLeft(CallsState &State, ExchangeId Exchange, const Directory &Dir,
+                  TimePoint Now, CallsEffects &Out) {
+  Context C{State, Dir, Now, Out};
+  Event E;
+  E.Kind = EventKind::CallerLeft;
+  dispatchExchange(C, Exchange, E);
+}
+
+void onCallerDrained(CallsState &State, ExchangeId Exchange,
+                     std::uint64_t Pending, const Directory &Dir, TimePoint Now,
+                     CallsEffects &Out) {
+  Context C{State, Dir, Now, Out};
+  Event E;
+  E.Kind = EventKind::Drained;
+  E.Pending = Pending;
+  dispatchExchange(C, Exchange, E);
+}
+
+void onGrant(CallsState &State, const Grant &G, const Directory &Dir,
+             TimePoint Now, CallsEffects &Out) {
+  Context C{State, Dir, Now, Out};
+  Event E;
+  E.Kind = EventKind::Granted;
+  E.Granted = &G;
+  if (isCurrent(State, G.Attempt)) {
+    dispatch(C, G.Attempt.Request, E);
+    return;
+  }
+  // Its try is over; while its engines are freed the release will tell.
+  if (State.Cleanups.count(G.Attempt) == 0)
+    Out.List.emplace_back(SendWithdraw{{}, {}, {G.Attempt}});
+}
+
+void onRefusal(CallsState &State, const Refusal &R, const Directory &Dir,
+               TimePoint Now, CallsEffects &Out) {
+  Context C{State, Dir, Now, Out};
+  Event E;
+  E.Kind = EventKind::Refused;
+  E.Refused = &R;
+  if (isCurrent(State, R.Attempt))
+    dispatch(C, R.Attempt.Request, E);
+}
+
+void onClaimReply(CallsState &State, const ClaimReply &R, const Directory &Dir,
+                  TimePoint Now, CallsEffects &Out) {
+  Context C{State, Dir, Now, Out};
+  Event E;
+  E.Kind = EventKind::ClaimReplied;
+  E.Claimed = &R;
+  if (State.Requests.count(R.Request) != 0) {
+    dispatch(C, R.Request, E);
+    return;
+  }
+  // A turn for a request that ended here: it is not known any more whether it
+  // was sent, so the claim must not stay open, nor be called "not run".
+  bool Open = R.State == ClaimState::Granted &&
+              State.Results.count(R.Request) == 0 &&
+              R.Request.Hi == State.IdHigh;
+  if (!Open)
+    return;
+  ClaimResult Ended;
+  Ended.Request = R.Request;
+  Ended.Key = R.Key;
+  Ended.End = ClaimEnd::Unknown;
+  Out.List.emplace_back(SendClaimResult{std::move(Ended)});
+}
+
+void onUpstreamSent(CallsState &State, UpstreamId Upstream,
+                    const Directory &Dir, TimePoint Now, CallsEffects &Out) {
+  Context C{State, Dir, Now, Out};
+  Event E;
+  E.Kind = EventKind::Sent;
+  dispatchUpstream(C, Upstream, E);
+}
+
+void onUpstreamHead(CallsState &State, UpstreamId Upstream, int Status,
+                    std::vector<HttpHeader> Headers, const Directory &Dir,
+                    TimePoint Now, CallsEffects &Out) {
+  Context C{State, Dir, Now, Out};
+  Event E;
+  E.Kind = EventKind::Head;
+  E.Status = Status;
+  E.Headers = &Headers;
+  dispatchUpstream(C, Upstream, E);
+}
+
+void onUpstreamData(CallsState &State, UpstreamId Upstream,
+                    std::string_view Bytes, const Directory &Dir, TimePoint Now,
+                    CallsEffects &Out) {
+  Context C{State, Dir, Now, Out};
+  Event E;
+  E.Kind = EventKind::Data;
+  E.Bytes = Bytes;
+  dispatchUpstream(C, Upstream, E);
+}
+
+void onUpstreamEnd(CallsState &State, UpstreamId Upstream, const Directory &Dir,
+                   TimePoint Now, CallsEffects &Out) {
+  Context C{State, Dir, Now, Out};
+  Event E;
+  E.Kind = EventKind::End;
+  dispatchUpstream(C, Upstream, E);
+}
+
+void onUpstreamFailed(CallsState &State, UpstreamId Upstream,
+                      const UpstreamFailure &Why, const Directory &Dir,
+                      TimePoint Now, CallsEffects &Out) {
+  Context C{State, Dir, Now, Out};
+  Event E;
+  E.Kind = EventKind::Failed;
+  E.Failure = &Why;
+  dispatchUpstream(C, Upstream, E);
+}
+
+void tick(CallsState &State, const Directory &Dir, TimePoint Now,
+          CallsEffects &Out) {
+  Context C{State, Dir, Now, Out};
+  while (!State.Timers.empty() && State.Timers.begin()->first <= Now) {
+    RequestId Id = State.Timers.begin()->second;
+    const Request &R = State.Requests.at(Id);
+    Event E;
+    E.Kind = R.Deadline <= Now ? EventKind::Deadline : EventKind::Wake;
+    dispatch(C, Id, E);
+  }
+  tickCleanups(C);
+  tickResults(C);
+  if (State.DrainUntil != TimePoint() && State.DrainUntil <= Now)
+    cutAll(State, Dir, Now, Out);
+}
+
+TimePoint nextWakeup(const CallsState &State) {
+  TimePoint Next = TimePoint::max();
+  if (!State.Timers.empty())
+    Next = State.Timers.begin()->first;
+  for (const auto &[Attempt, Work] : State.Cleanups)
+    Next = std::min(Next, Work.Next);
+  for (const auto &[Id, Way] : State.Results)
+    Next = std::min(Next, Way.Next);
+  if (State.DrainUntil != TimePoint() && !State.Requests.empty())
+    Next = std::min(Next, State.DrainUntil);
+  return Next;
+}
+
+void beginDrain(CallsState &State, TimePoint Now, CallsEffects &Out) {
+  State.DrainUntil = Now + State.Drain.Limit;
+  DecisionRecord Record;
+  Record.Kind = "drain";
+  Record.Reason = "the host stops; requests in progress go on";
+  Record.add("requests", static_cast<std::int64_t>(State.Requests.size()))
+      .add("limit_ms", toMilliseconds(State.Drain.Limit));
+  Out.Decisions.push_back(std::move(Record));
+}
+
+void cutAll(CallsState &State, const Directory &Dir, TimePoint Now,
+            CallsEffects &Out) {
+  Context C{State, Dir, Now, Out};
+  std::vector<RequestId> All;
+  for (const auto &[Id, R] : State.Requests)
+    All.push_back(Id);
+  Event E;
+  E.Kind = EventKind::Cut;
+  for (const RequestId &Id : All)
+    dispatch(C, Id, E);
+  // What was told just now has this long to be written.
+  if (State.DrainUntil != TimePoint())
+    State.DrainUntil = Now + State.Times.CutGrace;
+}
+
+bool idle(const CallsState &State) {
+  return State.Requests.empty() && State.Cleanups.empty() &&
+         State.Results.empty();
+}
+
+} // namespace pimento
--- /dev/null
+++ b/packages/calls/ClaimLeader.cpp
@@ -0,0 +1,577 @@
+#include "calls/ClaimLeader.h"
+
+#include "calls/ClaimsInternal.h"
+
+#include <algorithm>
+
+namespace pimento {
+
+namespace {
+
+constexpr Duration SweepInterval = milliseconds(500);
+constexpr Duration WaiterTime = seconds(30); // Without a repeat.
+
+struct LeaderContext {
+  ClaimLeader &L;
+  const ClaimsState &Applied;
+  TimePoint Now;
+  ClaimEffects &Out;
+};
+
+const ClaimRecord *findRecord(const LeaderContext &C, const ClaimKey &Key) {
+  auto Found = C.Applied.Records.find(Key);
+  return Found == C.Applied.Records.end() ? nullptr : &Found->second;
+}
+
+bool isLive(const ClaimRecord &Record) {
+  return Record.Phase == ClaimPhase::Waiting ||
+         Record.Phase == ClaimPhase::Turn;
+}
+
+/// The lease as this host's clock may have to wait for it.
+Duration leaseHere(const ClaimLeader &L) {
+  auto Drift = static_cast<std::int64_t>(L.Settings.DriftPerMille);
+  return L.Settings.SendLease * (1000 + Drift) / 1000;
+}
+
+void decide(LeaderContext &C, const RequestId &Id, std::string Reason,
+            const HostId &Host) {
+  DecisionRecord Record;
+  Record.Kind = "claim";
+  Record.Request = Id;
+  Record.Reason = std::move(Reason);
+  Record.add("host", Host.Value)
+      .add("pending", static_cast<std::int64_t>(C.L.Pending.size()))
+      .add("in_flight", static_cast<std::int64_t>(C.L.InFlight.size()));
+  C.Out.Decisions.push_back(std::move(Record));
+}
+
+//===----------------------------------------------------------------------===//
+// Proposals
+//===----------------------------------------------------------------------===//
+
+Duration clockNow(const LeaderContext &C) {
+  return C.L.ClockBase + (C.Now - C.L.Since);
+}
+
+ClaimBatch takeBatch(LeaderContext &C) {
+  ClaimBatch Batch;
+  Batch.Clock = clockNow(C);
+  std::size_t Bytes = 0;
+  while (!C.L.Pending.empty() &&
+         Batch.Commands.size() < C.L.Settings.BatchCommands &&
+         Bytes < C.L.Settings.BatchBytes) {
+    Bytes += C.L.Pending.front().Body.Data.size();
+    Batch.Commands.push_back(std::move(C.L.Pending.front()));
+    C.L.Pending.pop_front();
+  }
+  return Batch;
+}
+
+void propose(LeaderContext &C) {
+  ClaimBatch Batch = takeBatch(C);
+  C.Out.Samples.push_back({SampleKind::Distribution,
+                           "pimento_claim_batch_commands",
+                           {},
+                           static_cast<double>(Batch.Commands.size())});
+  std::uint64_t Ticket = C.L.NextTicket++;
+  C.L.InFlight[Ticket] = C.Now;
+  C.L.LastProposal = C.Now;
+  C.Out.List.emplace_back(ProposeClaims{Ticket, encodeBatch(Batch)});
+}
+
+/// Proposes while the log has room; what comes meanwhile makes larger batches.
+void flush(LeaderContext &C) {
+  while (!C.L.Pending.empty() &&
+         C.L.InFlight.size() < C.L.Settings.EntriesInFlight)
+    propose(C);
+}
+
+void proposeTurn(LeaderContext &C, const ClaimKey &Key, ClaimWaiter &Waiter) {
+  if (Waiter.Proposed)
+    return;
+  Waiter.Proposed = true;
+  ClaimCommand Command;
+  Command.Kind = ClaimCommandKind::Turn;
+  Command.Request = Waiter.Last.Request;
+  Command.Key = Key;
+  C.L.Pending.push_back(std::move(Command));
+}
+
+void proposeClaim(LeaderContext &C, const ClaimKey &Key, ClaimWaiter &Waiter) {
+  // Without room the request stays unanswered and is repeated: only an entry
+  // of the log can say that the key was not used.
+  if (Waiter.Proposed || C.L.Pending.size() >= C.L.Settings.PendingCommands)
+    return;
+  Waiter.Proposed = true;
+  ClaimCommand Command;
+  Command.Kind = ClaimCommandKind::Claim;
+  Command.Request = Waiter.Last.Request;
+  Command.Key = Key;
+  Command.Host = Waiter.Host;
+  Command.Life = Waiter.Last.Life;
+  Command.BodySha256 = Waiter.Last.BodySha256;
+  Command.TimeLeft = Waiter.Last.TimeLeft;
+  Command.Retention = Waiter.Last.Retention;
+  C.L.Pending.push_back(std::move(Command));
+}
+
+void proposeLost(LeaderContext &C, const ClaimKey &Key,
+                 const ClaimRecord &Record, const char *Why) {
+  if (!C.L.Losing.insert(Record.Owner).second)
+    return;
+  ClaimCommand Command;
+  Command.Kind = ClaimCommandKind::Lost;
+  Command.Request = Record.Owner;
+  Command.Key = Key;
+  C.L.Pending.push_back(std::move(Command));
+  decide(C, Record.Owner, Why, Record.Host);
+}
+
+//===----------------------------------------------------------------------===//
+// Replies
+//===----------------------------------------------------------------------===//
+
+void reply(LeaderContext &C, const ClaimWaiter &Waiter, ClaimReply Content) {
+  Content.Request = Waiter.Last.Request;
+  Content.Key = Waiter.Last.Key;
+  C.Out.List.emplace_back(SendClaimReply{Waiter.Host, std::move(Content)});
+}
+
+void replyState(LeaderContext &C, const ClaimWaiter &Waiter, ClaimState State,
+                Code Reason = Code::Ok) {
+  ClaimReply Content;
+  Content.State = State;
+  Content.Reason = Reason;
+  reply(C, Waiter, std::move(Content));
+}
+
+void replyWaiting(LeaderContext &C, const ClaimWaiter &Waiter, bool Joined) {
+  ClaimReply Content;
+  Content.State = ClaimState::Waiting;
+  Content.Joined = Joined;
+  reply(C, Waiter, std::move(Content));
+}
+
+void replyGranted(LeaderContext &C, const ClaimWaiter &Waiter,
+                  std::uint64_t Sequence) {
+  ClaimReply Content;
+  Content.State = ClaimState::Granted;
+  Content.Sequence = Sequence;
+  Content.Lease = C.L.Settings.SendLease;
+  reply(C, Waiter, std::move(Content));
+}
+
+void replyEnded(LeaderContext &C, const ClaimWaiter &Waiter,
+                const ClaimRecord &Record) {
+  if (Record.Phase == ClaimPhase::Unknown) {
+    replyState(C, Waiter, ClaimState::Unknown);
+    return;
+  }
+  ClaimReply Content;
+  Content.State = ClaimState::Recorded;
+  Content.Status = Record.Status;
+  Content.ContentType = Record.ContentType;
+  Content.Body = Record.Body;
+  Content.Truncated = Record.Truncated;
+  reply(C, Waiter, std::move(Content));
+}
+
+void eraseWaiter(ClaimLeader &L, const ClaimKey &Key, const RequestId &Id) {
+  auto Found = L.Waiters.find(Key);
+  if (Found == L.Waiters.end())
+    return;
+  Found->second.erase(Id);
+  if (Found->second.empty())
+    L.Waiters.erase(Found);
+}
+
+ClaimWaiter *findWaiter(ClaimLeader &L, const ClaimKey &Key,
+                        const RequestId &Id) {
+  auto Found = L.Waiters.find(Key);
+  if (Found == L.Waiters.end())
+    return nullptr;
+  auto Waiter = Found->second.find(Id);
+  return Waiter == Found->second.end() ? nullptr : &Waiter->second;
+}
+
+//===----------------------------------------------------------------------===//
+// Requests
+//===----------------------------------------------------------------------===//
+
+/// The owner of a record asks again.
+void answerOwner(LeaderContext &C, const ClaimKey &Key,
+                 const ClaimRecord &Record, ClaimWaiter &Waiter) {
+  C.L.Heard[Record.Owner] = C.Now;
+  switch (Record.Phase) {
+  case ClaimPhase::Waiting:
+    replyWaiting(C, Waiter, /*Joined=*/false);
+    return;
+  case ClaimPhase::Turn:
+    break;
+  case ClaimPhase::Answered:
+  case ClaimPhase::Unknown:
+    replyEnded(C, Waiter, Record);
+    eraseWaiter(C.L, Key, Record.Owner);
+    return;
+  case ClaimPhase::Released: // Only a late repeat comes after its release.
+    eraseWaiter(C.L, Key, Record.Owner);
+    return;
+  }
+  if (Waiter.Last.Sent)
+    return;
+  auto Leave = C.L.Leaves.find(Record.Owner);
+  bool Fresh = Leave != C.L.Leaves.end() && Leave->second.Sequence != 0 &&
+               C.Now < Leave->second.Until;
+  if (Fresh)
+    replyGranted(C, Waiter, Leave->second.Sequence);
+  // The lease counts at the entry host from an earlier ask, so that it may
+  // have passed there; a new one must come from the log.
+  constexpr std::uint64_t RepeatsOfOneLeave = 2;
+  if (!Fresh ||
+      Waiter.Last.Sequence > Leave->second.Sequence + RepeatsOfOneLeave)
+    proposeTurn(C, Key, Waiter);
+}
+
+/// Another request with the key of a record.
+void answerOther(LeaderContext &C, const ClaimKey &Key,
+                 const ClaimRecord &Record, ClaimWaiter &Waiter) {
+  if (Record.Phase == ClaimPhase::Released) {
+    proposeClaim(C, Key, Waiter);
+    return;
+  }
+  RequestId Id = Waiter.Last.Request;
+  if (Record.BodySha256 != Waiter.Last.BodySha256) {
+    replyState(C, Waiter, ClaimState::OtherBody);
+    eraseWaiter(C.L, Key, Id);
+  } else if (isLive(Record)) {
+    replyWaiting(C, Waiter, /*Joined=*/true);
+  } else {
+    replyEnded(C, Waiter, Record);
+    eraseWaiter(C.L, Key, Id);
+  }
+}
+
+void answerWaiter(LeaderContext &C, const ClaimKey &Key, ClaimWaiter &Waiter) {
+  const ClaimRecord *Record = findRecord(C, Key);
+  if (Record != nullptr && Record->Owner == Waiter.Last.Request) {
+    answerOwner(C, Key, *Record, Waiter);
+  } else if (Record != nullptr) {
+    answerOther(C, Key, *Record, Waiter);
+  } else if (C.Applied.UsedKeys.count(keyDigest(Key)) != 0) {
+    replyState(C, Waiter, ClaimState::Expired);
+    eraseWaiter(C.L, Key, RequestId(Waiter.Last.Request));
+  } else {
+    proposeClaim(C, Key, Waiter);
+  }
+}
+
+/// False for a message of an earlier life of its host.
+bool noteLife(ClaimLeader &L, const HostId &Host, Incarnation Life) {
+  Incarnation &Known = L.Lives[Host];
+  if (Life < Known)
+    return false;
+  Known = Life;
+  L.Dead.erase(Host);
+  return true;
+}
+
+//===----------------------------------------------------------------------===//
+// Applied entries
+//===----------------------------------------------------------------------===//
+
+/// Leave to send: the lease counts from an ask that came before the proposal,
+/// so that no later leader can have given the turn on by then.
+void giveLeave(LeaderContext &C, const ClaimChange &Change,
+               TimePoint ProposedAt) {
+  ClaimLeave &Leave = C.L.Leaves[Change.Request];
+  Leave.Sequence = 0;
+  Leave.Until = C.Now + leaseHere(C.L);
+  ClaimWaiter *Waiter = findWaiter(C.L, Change.Key, Change.Request);
+  if (Waiter == nullptr)
+    return; // Its entry host asks again.
+  if (Change.Command != ClaimCommandKind::Finish &&
+      Change.Command != ClaimCommandKind::Lost)
+    Waiter->Proposed = false;
+  bool Citable = Waiter->HeardAt <= ProposedAt &&
+                 C.Now < Waiter->HeardAt + C.L.Settings.SendLease;
+  if (!Citable) {
+    proposeTurn(C, Change.Key, *Waiter);
+    return;
+  }
+  Leave.Sequence = Waiter->Last.Sequence;
+  decide(C, Change.Request, "its turn to run once", Waiter->Host);
+  replyGranted(C, *Waiter, Leave.Sequence);
+}
+
+void acknowledge(LeaderContext &C, const RequestId &Id) {
+  auto Owed = C.L.Acks.find(Id);
+  if (Owed == C.L.Acks.end())
+    return;
+  C.Out.List.emplace_back(SendClaimAck{Owed->second, {Id}});
+  C.L.Acks.erase(Owed);
+}
+
+/// Tells everyone who waits for this key.
+void endWaiters(LeaderContext &C, const ClaimKey &Key) {
+  const ClaimRecord *Record = findRecord(C, Key);
+  auto Found = C.L.Waiters.find(Key);
+  if (Record == nullptr || Found == C.L.Waiters.end())
+    return;
+  std::vector<RequestId> Over;
+  for (auto &[Id, Waiter] : Found->second) {
+    if (Record->Phase == ClaimPhase::Released) {
+      if (Id == Record->Owner)
+        Over.push_back(Id);
+      else
+        proposeClaim(C, Key, Waiter);
+      continue;
+    }
+    replyEnded(C, Waiter, *Record);
+    Over.push_back(Id);
+  }
+  for (const RequestId &Id : Over)
+    eraseWaiter(C.L, Key, Id);
+}
+
+void onEnded(LeaderContext &C, const ClaimChange &Change) {
+  C.L.Leaves.erase(Change.Request);
+  C.L.Heard.erase(Change.Request);
+  C.L.Losing.erase(Change.Request);
+  endWaiters(C, Change.Key);
+}
+
+void refuseWaiter(LeaderContext &C, const ClaimChange &Change, ClaimState State,
+                  Code Reason) {
+  ClaimWaiter *Waiter = findWaiter(C.L, Change.Key, Change.Request);
+  if (Waiter == nullptr)
+    return;
+  decide(C, Change.Request, toString(Change.What), Waiter->Host);
+  replyState(C, *Waiter, State, Reason);
+  eraseWaiter(C.L, Change.Key, Change.Request);
+}
+
+void onQueuedOrHeld(LeaderContext &C, const ClaimChange &Change) {
+  ClaimWaiter *Waiter = findWaiter(C.L, Change.Key, Change.Request);
+  if (Waiter == nullptr)
+    return;
+  Waiter->Proposed = false;
+  answerWaiter(C, Change.Key, *Waiter);
+}
+
+void onChange(LeaderContext &C, const ClaimChange &Change,
+              TimePoint ProposedAt) {
+  switch (Change.What) {
+  case ClaimChange::Kind::Ignored:
+    C.L.Losing.erase(Change.Request);
+    break;
+  case ClaimChange::Kind::Queued:
+  case ClaimChange::Kind::Held:
+    onQueuedOrHeld(C, Change);
+    break;
+  case ClaimChange::Kind::Turn:
+    giveLeave(C, Change, ProposedAt);
+    break;
+  case ClaimChange::Kind::Ended:
+    onEnded(C, Change);
+    break;
+  case ClaimChange::Kind::Reused:
+    refuseWaiter(C, Change, ClaimState::OtherBody, Code::Ok);
+    break;
+  case ClaimChange::Kind::Expired:
+    refuseWaiter(C, Change, ClaimState::Expired, Code::Ok);
+    break;
+  case ClaimChange::Kind::Full:
+    refuseWaiter(C, Change, ClaimState::Refused, Code::Overloaded);
+    break;
+  }
+  bool Outcome = Change.What == ClaimChange::Kind::Ended ||
+                 Change.What == ClaimChange::Kind::Ignored;
+  if (Change.Command == ClaimCommandKind::Finish && Outcome)
+    acknowledge(C, Change.Request);
+}
+
+//===----------------------------------------------------------------------===//
+// Sweeps
+//===----------------------------------------------------------------------===//
+
+bool isGone(const ClaimLeader &L, const ClaimRecord &Record) {
+  auto Life = L.Lives.find(Record.Host);
+  return L.Dead.count(Record.Host) != 0 ||
+         (Life != L.Lives.end() && Life->second > Record.Life);
+}
+
+bool isSilent(const LeaderContext &C, const ClaimRecord &Record) {
+  Duration Limit = C.L.Settings.SilenceLimit;
+  if (clockNow(C) < Record.Deadline + Limit)
+    return false;
+  auto Heard = C.L.Heard.find(Record.Owner);
+  TimePoint Last =
+      Heard == C.L.Heard.end() ? C.L.Since : std::max(Heard->second, C.L.Since);
+  return C.Now - Last >= Limit;
+}
+
+/// Whether the entry host can't begin to send any more.
+bool leaseOver(const LeaderContext &C, const ClaimRecord &Record) {
+  auto Leave = C.L.Leaves.find(Record.Owner);
+  TimePoint Until = C.L.Since + leaseHere(C.L);
+  if (Leave != C.L.Leaves.end())
+    Until = std::max(Until, Leave->second.Until);
+  return C.Now >= Until;
+}
+
+void sweepRecord(LeaderContext &C, const ClaimKey &Key) {
+  const ClaimRecord &Record = C.Applied.Records.at(Key);
+  bool Gone = isGone(C.L, Record);
+  if (!Gone && !isSilent(C, Record))
+    return;
+  if (Record.Phase == ClaimPhase::Turn && !leaseOver(C, Record))
+    return;
+  proposeLost(C, Key, Record,
+              Gone ? "its entry host is gone" : "its entry host is silent");
+}
+
+void dropOldWaiters(LeaderContext &C) {
+  for (auto It = C.L.Waiters.begin(); It != C.L.Waiters.end();) {
+    auto &OfKey = It->second;
+    for (auto W = OfKey.begin(); W != OfKey.end();) {
+      bool Old = W->second.HeardAt + WaiterTime < C.Now;
+      W = Old ? OfKey.erase(W) : std::next(W);
+    }
+    It = OfKey.empty() ? C.L.Waiters.erase(It) : std::next(It);
+  }
+}
+
+void sweep(LeaderContext &C) {
+  for (const auto &[Name, Keys] : C.Applied.Queues) {
+    for (const ClaimKey &Key : Keys)
+      sweepRecord(C, Key);
+  }
+  dropOldWaiters(C);
+  bool Idle = C.L.Pending.empty() && C.L.InFlight.empty();
+  bool Due = C.Now - C.L.LastProposal >= C.L.Settings.ClockInterval;
+  if (Idle && Due && !C.Applied.Expiries.empty())
+    C.L.Pending.emplace_back();
+}
+
+bool isSettled(const ClaimRecord &Record, const ClaimResult &Ended) {
+  if (Record.Owner != Ended.Request)
+    return false;
+  return Record.Phase == ClaimPhase::Answered ||
+         Record.Phase == ClaimPhase::Released ||
+         (Record.Phase == ClaimPhase::Unknown &&
+          Ended.End == ClaimEnd::Unknown);
+}
+
+} // namespace
+
+void becomeLeader(ClaimLeader &Leader, const ClaimsState &Applied,
+                  TimePoint Now) {
+  stopLeading(Leader);
+  Leader.Leading = true;
+  Leader.Since = Now;
+  Leader.ClockBase = Applied.Clock;
+  Leader.NextSweep = Now + SweepInterval;
+  Leader.LastProposal = Now;
+}
+
+void stopLeading(ClaimLeader &Leader) {
+  Leader.Leading = false;
+  Leader.Waiters.clear();
+  Leader.Leaves.clear();
+  Leader.Acks.clear();
+  Leader.Heard.clear();
+  Leader.Losing.clear();
+  Leader.Pending.clear();
+  Leader.InFlight.clear();
+}
+
+void onClaimRequest(ClaimLeader &Leader, const ClaimsState &Applied,
+                    const HostId &From, const ClaimRequest &Asked,
+                    TimePoint Now, ClaimEffects &Out) {
+  LeaderContext C{Leader, Applied, Now, Out};
+  if (!Leader.Leading || !noteLife(Leader, From, Asked.Life))
+    return;
+  ClaimWaiter &Waiter = Leader.Waiters[Asked.Key][Asked.Request];
+  if (Asked.Sequence < Waiter.Last.Sequence)
+    return; // Overtaken by a newer one.
+  Waiter.Host = From;
+  Waiter.Last = Asked;
+  Waiter.HeardAt = Now;
+  answerWaiter(C, Asked.Key, Waiter);
+  flush(C);
+}
+
+void onClaimResult(ClaimLeader &Leader, const ClaimsState &Applied,
+                   const HostId &From, const ClaimResult &Ended, TimePoint Now,
+                   ClaimEffects &Out) {
+  LeaderContext C{Leader, Applied, Now, Out};
+  if (!Leader.Leading)
+    return;
+  eraseWaiter(Leader, Ended.Key, Ended.Request);
+  const ClaimRecord *Record = findRecord(C, Ended.Key);
+  if (Record != nullptr && isSettled(*Record, Ended)) {
+    Out.List.emplace_back(SendClaimAck{From, {Ended.Request}});
+    return;
+  }
+  if (!Leader.Acks.emplace(Ended.Request, From).second)
+    return; // On its way already.
+  ClaimCommand Command;
+  Command.Kind = ClaimCommandKind::Finish;
+  Command.Request = Ended.Request;
+  Command.Key = Ended.Key;
+  Command.End = Ended.End;
+  Command.Status = Ended.Status;
+  Command.ContentType = Ended.ContentType;
+  Command.Body = Ended.Body;
+  Command.Truncated = Ended.Truncated;
+  Leader.Pending.push_back(std::move(Command));
+  flush(C);
+}
+
+void onClaimsApplied(ClaimLeader &Leader, const ClaimsState &Applied,
+                     std::uint64_t Ticket,
+                     const std::vector<ClaimChange> &Changes, TimePoint Now,
+                     ClaimEffects &Out) {
+  LeaderContext C{Leader, Applied, Now, Out};
+  auto Proposal = Leader.InFlight.find(Ticket);
+  if (!Leader.Leading || Proposal == Leader.InFlight.end())
+    return;
+  TimePoint ProposedAt = Proposal->second;
+  Leader.InFlight.erase(Proposal);
+  Out.Samples.push_back({SampleKind::Distribution,
+                         "pimento_claim_commit_seconds",
+                         {},
+                         toSeconds(Now - ProposedAt)});
+  for (const ClaimChange &Change : Changes)
+    onChange(C, Change, ProposedAt);
+  flush(C);
+}
+
+void onHostLife(ClaimLeader &Leader, const HostId &Host, Incarnation Life,
+                bool Dead) {
+  Incarnation &Known = Leader.Lives[Host];
+  if (Life < Known)
+    return;
+  Known = Life;
+  if (Dead)
+    Leader.Dead.insert(Host);
+  else
+    Leader.Dead.erase(Host);
+}
+
+void tickClaims(ClaimLeader &Leader, const ClaimsState &Applied, TimePoint Now,
+                ClaimEffects &Out) {
+  LeaderContext C{Leader, Applied, Now, Out};
+  if (!Leader.Leading || Now < Leader.NextSweep)
+    return;
+  Leader.NextSweep = Now + SweepInterval;
+  sweep(C);
+  flush(C);
+}
+
+TimePoint nextClaimWakeup(const ClaimLeader &Leader) {
+  return Leader.Leading ? Leader.NextSweep : TimePoint::max();
+}
+
+} // namespace pimento
--- /dev/null
+++ b/packages/calls/Claims.cpp
@@ -0,0 +1,337 @@
+#include "calls/Claims.h"
+
+#include "base/Token.h"
+#include "calls/ClaimsInternal.h"
+#include "wire/Fields.h"
+
+#include <algorithm>
+#include <charconv>
+
+namespace pimento {
+
+namespace {
+
+constexpr JsonLimits EntryLimits = {4U << 20U, /*Depth=*/8,
+                                    /*Values=*/1U << 17U};
+
+ClaimQueue queueOf(const ClaimKey &Key) { return {Key.Service, Key.Account}; }
+
+bool isEnded(const ClaimRecord &Record) {
+  return Record.Phase != ClaimPhase::Waiting &&
+         Record.Phase != ClaimPhase::Turn;
+}
+
+/// The applier of one entry; collects what each command came to.
+struct Applier {
+  ClaimsState &State;
+  std::vector<ClaimChange> Changes;
+  ClaimCommandKind Command = ClaimCommandKind::Clock;
+
+  void note(ClaimChange::Kind What, const RequestId &Request,
+            const ClaimKey &Key) {
+    Changes.push_back({What, Command, Request, Key});
+  }
+};
+
+void dropAnswer(ClaimsState &State, ClaimRecord &Record) {
+  State.AnswerBytes -= Record.Body.Data.size();
+  Record.Body.Data.clear();
+}
+
+/// Ended records past their time make room; a key that may have run is
+/// remembered for good by its digest. Without room for the digest the record
+/// stays as it is, without its answer.
+void expire(ClaimsState &State) {
+  while (!State.Expiries.empty() &&
+         State.Expiries.begin()->first <= State.Clock) {
+    const ClaimKey Key = State.Expiries.begin()->second;
+    State.Expiries.erase(State.Expiries.begin());
+    ClaimRecord &Record = State.Records.at(Key);
+    dropAnswer(State, Record);
+    if (Record.Phase != ClaimPhase::Released) {
+      if (State.UsedKeys.size() >= State.Limits.UsedKeys)
+        continue;
+      State.UsedKeys.insert(keyDigest(Key));
+    }
+    State.Records.erase(Key);
+  }
+}
+
+bool hasRoom(const ClaimsState &State, const ClaimKey &Key) {
+  if (State.Records.size() >= State.Limits.Records)
+    return false;
+  // Each record may become a used key, so that room is kept for it.
+  if (State.Records.size() + State.UsedKeys.size() >= State.Limits.UsedKeys)
+    return false;
+  auto Queue = State.Queues.find(queueOf(Key));
+  return Queue == State.Queues.end() ||
+         Queue->second.size() < State.Limits.QueueLength;
+}
+
+/// Gives the turn to the front of a queue, if it does not have it yet.
+void giveTurn(Applier &A, const ClaimQueue &Name) {
+  auto Queue = A.State.Queues.find(Name);
+  if (Queue == A.State.Queues.end())
+    return;
+  const ClaimKey &Front = Queue->second.front();
+  ClaimRecord &Record = A.State.Records.at(Front);
+  if (Record.Phase == ClaimPhase::Turn)
+    return;
+  Record.Phase = ClaimPhase::Turn;
+  A.note(ClaimChange::Kind::Turn, Record.Owner, Front);
+}
+
+void leaveQueue(ClaimsState &State, const ClaimKey &Key) {
+  auto Queue = State.Queues.find(queueOf(Key));
+  if (Queue == State.Queues.end())
+    return;
+  auto &Keys = Queue->second;
+  Keys.erase(std::remove(Keys.begin(), Keys.end(), Key), Keys.end());
+  if (Keys.empty())
+    State.Queues.erase(Queue);
+}
+
+void addRecord(ClaimsState &State, const ClaimCommand &C) {
+  ClaimRecord Record;
+  Record.Owner = C.Request;
+  Record.Host = C.Host;
+  Record.Life = C.Life;
+  Record.BodySha256 = C.BodySha256;
+  Record.Deadline = State.Clock + C.TimeLeft;
+  Record.Retention = C.Retention;
+  State.Records[C.Key] = std::move(Record);
+  State.Queues[queueOf(C.Key)].push_back(C.Key);
+}
+
+/// A claim of a key that has a record. True where the record gives way.
+bool claimOverRecord(Applier &A, const ClaimCommand &C) {
+  const ClaimRecord &Record = A.State.Records.at(C.Key);
+  bool Free = Record.Phase == ClaimPhase::Released;
+  if (Free && Record.Owner != C.Request)
+    return true;
+  if (Free) // A late repeat of a request that was given up.
+    A.note(ClaimChange::Kind::Ended, C.Request, C.Key);
+  else if (Record.BodySha256 != C.BodySha256)
+    A.note(ClaimChange::Kind::Reused, C.Request, C.Key);
+  else
+    A.note(ClaimChange::Kind::Held, C.Request, C.Key);
+  return false;
+}
+
+void applyClaim(Applier &A, const ClaimCommand &C) {
+  ClaimsState &State = A.State;
+  auto Found = State.Records.find(C.Key);
+  if (Found != State.Records.end()) {
+    if (!claimOverRecord(A, C))
+      return;
+    State.Expiries.erase({Found->second.Expires, C.Key});
+    State.Records.erase(Found);
+  }
+  if (State.UsedKeys.count(keyDigest(C.Key)) != 0) {
+    A.note(ClaimChange::Kind::Expired, C.Request, C.Key);
+    return;
+  }
+  if (!hasRoom(State, C.Key)) {
+    A.note(ClaimChange::Kind::Full, C.Request, C.Key);
+    return;
+  }
+  addRecord(State, C);
+  if (State.Queues.at(queueOf(C.Key)).front() == C.Key)
+    giveTurn(A, queueOf(C.Key));
+  else
+    A.note(ClaimChange::Kind::Queued, C.Request, C.Key);
+}
+
+void applyTurn(Applier &A, const ClaimCommand &C) {
+  auto Found = A.State.Records.find(C.Key);
+  bool Holds = Found != A.State.Records.end() &&
+               Found->second.Owner == C.Request &&
+               Found->second.Phase == ClaimPhase::Turn;
+  A.note(Holds ? ClaimChange::Kind::Turn : ClaimChange::Kind::Ignored,
+         C.Request, C.Key);
+}
+
+/// Ends a record, or ends it better than before.
+void endRecord(Applier &A, const ClaimKey &Key, ClaimRecord &Record,
+               ClaimPhase Phase) {
+  ClaimsState &State = A.State;
+  if (isEnded(Record))
+    State.Expiries.erase({Record.Expires, Key});
+  Record.Phase = Phase;
+  Record.Expires =
+      State.Clock + (Phase == ClaimPhase::Released ? State.Limits.ReleasedTime
+                                                   : Record.Retention);
+  State.Expiries.insert({Record.Expires, Key});
+  leaveQueue(State, Key);
+  A.note(ClaimChange::Kind::Ended, Record.Owner, Key);
+  giveTurn(A, queueOf(Key));
+}
+
+void keepAnswer(ClaimsState &State, ClaimRecord &Record,
+                const ClaimCommand &C) {
+  Record.Status = C.Status;
+  Record.ContentType = C.ContentType;
+  Record.Truncated = C.Truncated;
+  bool Fits =
+      State.AnswerBytes + C.Body.Data.size() <= State.Limits.AnswerBytes;
+  if (!Fits) {
+    Record.Truncated = true;
+    return;
+  }
+  Record.Body = C.Body;
+  State.AnswerBytes += Record.Body.Data.size();
+}
+
+/// A request that was given up before its claim came: remembered, so that the
+/// late claim does not take the key.
+void rememberRelease(Applier &A, const ClaimCommand &C) {
+  ClaimsState &State = A.State;
+  bool Used = State.UsedKeys.count(keyDigest(C.Key)) != 0;
+  if (C.End != ClaimEnd::NotRun || Used || !hasRoom(State, C.Key)) {
+    A.note(ClaimChange::Kind::Ignored, C.Request, C.Key);
+    return;
+  }
+  ClaimRecord &Record = State.Records[C.Key];
+  Record.Owner = C.Request;
+  endRecord(A, C.Key, Record, ClaimPhase::Released);
+}
+
+/// Only the owner's word counts. It may improve on "unknown": the owner alone
+/// knows what it sent and heard.
+void applyFinish(Applier &A, const ClaimCommand &C) {
+  auto Found = A.State.Records.find(C.Key);
+  if (Found == A.State.Records.end()) {
+    rememberRelease(A, C);
+    return;
+  }
+  ClaimRecord &Record = Found->second;
+  bool Settled =
+      Record.Phase == ClaimPhase::Answered ||
+      Record.Phase == ClaimPhase::Released ||
+      (Record.Phase == ClaimPhase::Unknown && C.End == ClaimEnd::Unknown);
+  if (Record.Owner != C.Request || Settled) {
+    A.note(ClaimChange::Kind::Ignored, C.Request, C.Key);
+    return;
+  }
+  if (C.End == ClaimEnd::Answered)
+    keepAnswer(A.State, Record, C);
+  ClaimPhase Phase = C.End == ClaimEnd::Answered ? ClaimPhase::Answered
+                     : C.End == ClaimEnd::NotRun ? ClaimPhase::Released
+                                                 : ClaimPhase::Unknown;
+  endRecord(A, C.Key, Record, Phase);
+}
+
+/// A claim that never had its turn was not sent, whatever became of its host.
+void applyLost(Applier &A, const ClaimCommand &C) {
+  auto Found = A.State.Records.find(C.Key);
+  bool Live = Found != A.State.Records.end() &&
+              Found->second.Owner == C.Request && !isEnded(Found->second);
+  if (!Live) {
+    A.note(ClaimChange::Kind::Ignored, C.Request, C.Key);
+    return;
+  }
+  bool HadTurn = Found->second.Phase == ClaimPhase::Turn;
+  endRecord(A, C.Key, Found->second,
+            HadTurn ? ClaimPhase::Unknown : ClaimPhase::Released);
+}
+
+void applyCommand(Applier &A, const ClaimCommand &C) {
+  A.Command = C.Kind;
+  switch (C.Kind) {
+  case ClaimCommandKind::Clock:
+    return;
+  case ClaimCommandKind::Claim:
+    applyClaim(A, C);
+    return;
+  case ClaimCommandKind::Turn:
+    applyTurn(A, C);
+    return;
+  case ClaimCommandKind::Finish:
+    applyFinish(A, C);
+    return;
+  case ClaimCommandKind::Lost:
+    applyLost(A, C);
+    return;
+  }
+}
+
+std::uint64_t firstDigits(std::string_view Hex) {
+  constexpr std::size_t DigitsOfWord = 16;
+  std::uint64_t Word = 0;
+  std::from_chars(Hex.data(), Hex.data() + DigitsOfWord, Word, 16);
+  return Word;
+}
+
+} // namespace
+
+KeyDigest keyDigest(const ClaimKey &Key) {
+  std::string Text;
+  for (const std::string *Part :
+       {&Key.Service.Value, &Key.Account.Value, &Key.Key})
+    Text += std::to_string(Part->size()) + ":" + *Part;
+  std::string Hex = sha256Hex(Text);
+  return {firstDigits(Hex), firstDigits(std::string_view(Hex).substr(16))};
+}
+
+std::uint32_t claimPartition(const ServiceId &Service, const AccountId &Account,
+                             std::uint32_t Partitions) {
+  KeyDigest Digest = keyDigest({Service, Account, {}});
+  return static_cast<std::uint32_t>(Digest[0] % std::max(Partitions, 1U));
+}
+
+const char *toString(ClaimPhase P) {
+  switch (P) {
+  case ClaimPhase::Waiting:
+    return "waiting";
+  case ClaimPhase::Turn:
+    return "turn";
+  case ClaimPhase::Answered:
+    return "answered";
+  case ClaimPhase::Unknown:
+    return "unknown";
+  case ClaimPhase::Released:
+    break;
+  }
+  return "released";
+}
+
+const char *toString(ClaimChange::Kind K) {
+  switch (K) {
+  case ClaimChange::Kind::Ignored:
+    return "ignored";
+  case ClaimChange::Kind::Queued:
+    return "queued";
+  case ClaimChange::Kind::Turn:
+    return "turn";
+  case ClaimChange::Kind::Ended:
+    return "ended";
+  case ClaimChange::Kind::Held:
+    return "held";
+  case ClaimChange::Kind::Reused:
+    return "reused";
+  case ClaimChange::Kind::Expired:
+    return "expired";
+  case ClaimChange::Kind::Full:
+    break;
+  }
+  return "full";
+}
+
+Blob encodeBatch(const ClaimBatch &Batch) { return {wire::toBytes(Batch)}; }
+
+std::vector<ClaimChange> applyClaims(ClaimsState &State, const Blob &Entry) {
+  Failure Why;
+  ClaimBatch Batch = valueOr<ClaimBatch>(
+      [&] { return wire::fromBytes<ClaimBatch>(Entry.Data, EntryLimits); },
+      ClaimBatch(), Why);
+  if (!Why.Detail.empty())
+    return {};
+  State.Clock = std::max(State.Clock, Batch.Clock);
+  expire(State);
+  Applier A{State, {}, ClaimCommandKind::Clock};
+  for (const ClaimCommand &Command : Batch.Commands)
+    applyCommand(A, Command);
+  return std::move(A.Changes);
+}
+
+} // namespace pimento
--- /dev/null
+++ b/packages/calls/ClaimsInternal.h
@@ -0,0 +1,11 @@
+//===- ClaimsInternal.h - For those who extend the claims -------*- C++ -*-===//
+#pragma once
+
+#include "calls/Claims.h"
+
+namespace pimento {
+
+/// The digest by which a used key is remembered.
+KeyDigest keyDigest(const ClaimKey &Key);
+
+} // namespace pimento
--- /dev/null
+++ b/packages/calls/Directory.h
@@ -0,0 +1,68 @@
+//===- Directory.h - What an entry host knows when it decides ---*- C++ -*-===//
+//
+// A read-only view that whoever runs the reducer fills from the documents in
+// force, from the registry of backend servers and from the host's own state.
+// Plain data, and all of it for one host.
+//
+//===----------------------------------------------------------------------===//
+#pragma once
+
+#include "base/Ids.h"
+#include "base/Time.h"
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace pimento {
+
+/// How a plain service's calls below one path are treated.
+struct CallRule {
+  std::string Path;        // Below .../calls/, no leading '/'; "a/*": below a.
+  bool Repeatable = false; // False: at most once, needs an Idempotency-Key.
+  Duration TimeLimit = Duration::zero(); // Zero: the service's.
+};
+
+/// One service, as its document in force says.
+struct ServiceRule {
+  std::map<AccountId, std::uint32_t> Weights; // Accounts that may use it.
+  std::vector<CallRule> Calls;                // First match counts.
+  Duration TimeLimit = Duration::zero();      // Zero: the host's default.
+  Duration Retention = hours(24);             // Of recorded answers.
+  double RetryShare = -1; // Retries for each first try; below 0: the host's.
+};
+
+/// A model, adapter or version that one service offers.
+struct ModelRule {
+  ServiceId Service;
+  std::uint64_t ContextTokens = 0;       // Prompt and answer; zero: unbounded.
+  std::uint64_t MaxOutputTokens = 0;     // Zero: as the caller asks.
+  Duration TimeLimit = Duration::zero(); // Zero: the service's.
+};
+
+/// A plain backend server that takes new work.
+struct PlainServer {
+  BackendId Backend;
+  Incarnation Life = 0;
+  std::string Address; // ip:port
+  DataCentreId DataCentre;
+};
+
+struct Directory {
+  std::map<std::string, AccountId> Accounts; // By SHA-256 of the token, hex.
+  std::map<ModelName, std::vector<ModelRule>> Models; // By offering service.
+  std::map<ServiceId, ServiceRule> Services;
+  std::map<ServiceId, std::vector<PlainServer>> Servers; // Not those leaving.
+  DataCentreId Here;                                     // This host's.
+  bool Fresh = true;      // False: documents may be out of date.
+  bool RefuseNew = false; // The host is stopping and past its unready time.
+};
+
+/// The rule for a call; where none matches, a method that only reads is
+/// repeatable and any other is not.
+CallRule callRule(const ServiceRule &Service, std::string_view Path,
+                  bool ReadsOnly);
+
+} // namespace pimento
--- /dev/null
+++ b/packages/calls/GenerationStream.cpp
@@ -0,0 +1,305 @@
+#include "calls/CallsInternal.h"
+
+#include "engine/Adapter.h"
+#include "engine/Replies.h"
+
+#include <algorithm>
+
+namespace pimento {
+
+namespace {
+
+CompletionHead headOf(const Request &R) {
+  return {R.Id, R.Generation->Wanted.Model, R.Generation->Wanted.Chat};
+}
+
+/// Classes of prompt length by which times are measured.
+const char *lengthClass(std::uint64_t PromptTokens) {
+  if (PromptTokens <= 2000)
+    return "prompt=\"to_2k\"";
+  if (PromptTokens <= 20000)
+    return "prompt=\"to_20k\"";
+  if (PromptTokens <= 200000)
+    return "prompt=\"to_200k\"";
+  return "prompt=\"over_200k\"";
+}
+
+void noteFirstToken(Context &C, Request &R) {
+  EngineTry &T = R.Generation->Try;
+  if (T.FirstTokenAt != TimePoint())
+    return;
+  T.FirstTokenAt = C.Now;
+  C.Out.Samples.push_back(
+      {SampleKind::Distribution, "pimento_time_to_first_token_seconds",
+       lengthClass(R.Generation->PromptTokens), toSeconds(C.Now - R.Arrived)});
+}
+
+/// Bytes that may wait for a slow caller; few while the host is short of room.
+std::uint64_t bufferLimit(const CallsState &S) {
+  constexpr std::uint64_t ShareWhenShort = 16;
+  if (S.Bytes > S.Limits.TotalBufferBytes)
+    return S.Limits.StreamBufferBytes / ShareWhenShort;
+  return S.Limits.StreamBufferBytes;
+}
+
+void updatePause(Context &C, Request &R) {
+  if (R.Upstream == UpstreamId())
+    return;
+  std::uint64_t Limit = bufferLimit(C.S);
+  bool Pause = R.Paused ? R.Pending > Limit / 2 : R.Pending > Limit;
+  if (Pause == R.Paused)
+    return;
+  R.Paused = Pause;
+  R.Generation->Try.LastByte = C.Now;
+  C.Out.List.emplace_back(PauseUpstream{R.Upstream, Pause});
+}
+
+/// What the events of one read add for the caller.
+void writeOut(Context &C, Request &R, std::string &Chunk) {
+  if (Chunk.empty())
+    return;
+  if (!R.Streaming) {
+    R.Streaming = true;
+    C.Out.List.emplace_back(StartStream{R.Exchange, streamHead(R.Id)});
+  }
+  R.Pending += Chunk.size();
+  C.Out.List.emplace_back(StreamBytes{R.Exchange, std::move(Chunk)});
+  Chunk.clear();
+}
+
+void endTooLarge(Context &C, Request &R) {
+  endTry(C, R, AttemptEnd::Cancelled, /*Cancel=*/true);
+  answerProblem(C, R, {Code::AnswerTooLarge, "", {}});
+}
+
+/// An event of another attempt: never passed on.
+void dropCrossed(Context &C, const Request &R, const AttemptId &Other) {
+  decide(C, "drop", R.Id, "the event belongs to another attempt")
+      .add("attempt", toString(Other));
+  count(C, "pimento_crossed_answers_total");
+}
+
+void takeToken(Context &C, Request &R, const TokenEvent &Token,
+               std::string &Chunk) {
+  GenerationPart &G = *R.Generation;
+  if (Token.Attempt != G.Try.Attempt) {
+    dropCrossed(C, R, Token.Attempt);
+    return;
+  }
+  if (Token.Offset < G.Try.Next) {
+    count(C, "pimento_duplicate_tokens_total");
+    return;
+  }
+  if (Token.Offset > G.Try.Next) {
+    writeOut(C, R, Chunk);
+    resumeLater(C, R, "tokens are missing in the stream");
+    return;
+  }
+  ++G.Try.Next;
+  G.Try.Resumes = 0;
+  noteFirstToken(C, R);
+  if (G.Wanted.Stream) {
+    Chunk += chunkText(headOf(R), Token.Text);
+    return;
+  }
+  G.Text += Token.Text;
+  if (G.Text.size() > C.S.Limits.AnswerBytes)
+    endTooLarge(C, R);
+}
+
+void giveAnswer(Context &C, Request &R, const CompletionEnd &End,
+                std::string &Chunk) {
+  CompletionHead Head = headOf(R);
+  if (!R.Generation->Wanted.Stream) {
+    answerReply(C, R, completionReply(Head, R.Generation->Text, End));
+    return;
+  }
+  writeOut(C, R, Chunk);
+  if (!R.Streaming) // An answer without any token.
+    C.Out.List.emplace_back(StartStream{R.Exchange, streamHead(R.Id)});
+  R.Streaming = true;
+  answerStreamEnd(C, R, chunkEnd(Head, End), /*Whole=*/true);
+}
+
+void finish(Context &C, Request &R, const EndEvent &End, std::string &Chunk) {
+  GenerationPart &G = *R.Generation;
+  learn(C.S.Ratios[G.Wanted.Model], G.Wanted.Prompt.size(), End.PromptTokens);
+  bool Group = G.Try.Leave.Engines.size() > 1;
+  endTry(C, R, AttemptEnd::Finished, /*Cancel=*/Group);
+  Release *Report = nullptr;
+  if (Group)
+    Report = &C.S.Cleanups.at(G.Try.Attempt).Report;
+  else
+    Report = &std::get<SendRelease>(C.Out.List.back()).Content;
+  Report->PromptTokens = End.PromptTokens;
+  Report->CachedTokens = End.CachedTokens;
+  Report->OutputTokens = End.OutputTokens;
+  giveAnswer(
+      C, R,
+      {End.LengthLimit, End.PromptTokens, End.CachedTokens, End.OutputTokens},
+      Chunk);
+}
+
+void takeEnd(Context &C, Request &R, const EndEvent &End, std::string &Chunk) {
+  const EngineTry &T = R.Generation->Try;
+  if (End.Attempt != T.Attempt) {
+    dropCrossed(C, R, End.Attempt);
+    return;
+  }
+  if (End.OutputTokens == T.Next) {
+    finish(C, R, End, Chunk);
+    return;
+  }
+  writeOut(C, R, Chunk);
+  resumeLater(C, R, "the end came before all tokens");
+}
+
+void takeEvent(Context &C, Request &R, const EngineEvent &Event,
+               std::string &Chunk) {
+  if (const auto *Token = std::get_if<TokenEvent>(&Event)) {
+    takeToken(C, R, *Token, Chunk);
+  } else if (const auto *End = std::get_if<EndEvent>(&Event)) {
+    takeEnd(C, R, *End, Chunk);
+  } else if (const auto *Error = std::get_if<ErrorEvent>(&Event)) {
+    if (Error->Attempt != R.Generation->Try.Attempt) {
+      dropCrossed(C, R, Error->Attempt);
+      return;
+    }
+    writeOut(C, R, Chunk);
+    failTry(C, R, {Code::BackendFailed, "engine: " + Error->Detail, false});
+  } else if (const auto *Garbled = std::get_if<GarbledEvent>(&Event)) {
+    writeOut(C, R, Chunk);
+    resumeLater(C, R, Garbled->Detail.c_str());
+  }
+}
+
+void endRefused(Context &C, Request &R) {
+  EngineTry &T = R.Generation->Try;
+  EngineRefusal Why = readRefusal({T.Status, T.Headers, T.Refusal});
+  // A duplicate says that this try is known: it may be running.
+  bool Proved = Why.ProvedNotRun && Why.Reason != RefusalReason::Duplicate;
+  failTry(
+      C, R,
+      {Code::RefusedByBackend, "the engine refused: " + Why.Detail, Proved});
+}
+
+} // namespace
+
+void resumeLater(Context &C, Request &R, const char *Reason) {
+  EngineTry &T = R.Generation->Try;
+  abortUpstream(C, R);
+  ++T.Resumes;
+  if (T.Resumes > C.S.Times.Resumes) {
+    failTry(C, R, {Code::BackendFailed, Reason, false});
+    return;
+  }
+  Duration Wait = C.S.Times.ResumeDelay * (1 << (T.Resumes - 1));
+  R.State = Phase::Resuming;
+  R.Wake = C.Now + Wait;
+  decide(C, "resume", R.Id, Reason)
+      .add("backend", T.Leave.Engines[0].Backend.Value)
+      .add("offset", static_cast<std::int64_t>(T.Next))
+      .add("resume", static_cast<std::int64_t>(T.Resumes))
+      .add("wait_ms", toMilliseconds(Wait));
+  count(C, "pimento_resumes_total");
+}
+
+void resumeNow(Context &C, Request &R, const Event & /*E*/) {
+  EngineTry &T = R.Generation->Try;
+  T.Stream = EngineStream();
+  T.Status = 0;
+  T.Refusal.clear();
+  T.Resumed = true;
+  T.LastByte = C.Now;
+  R.State = Phase::Generating;
+  keepReservations(C, R);
+  openUpstream(C, R,
+               resumeRequest(T.Leave.Engines[0].Address, T.Attempt, T.Next));
+  R.Wake =
+      C.Now + std::min(C.S.Times.StreamSilence, C.S.Times.ReservationLease / 3);
+}
+
+void noteSent(Context &C, Request &R, const Event & /*E*/) {
+  EngineTry &T = R.Generation->Try;
+  if (T.SentAt == TimePoint())
+    T.SentAt = C.Now;
+}
+
+void readHead(Context &C, Request &R, const Event &E) {
+  noteSent(C, R, E);
+  R.Generation->Try.Status = E.Status;
+  R.Generation->Try.Headers = *E.Headers;
+  R.Generation->Try.LastByte = C.Now;
+}
+
+void readData(Context &C, Request &R, const Event &E) {
+  EngineTry &T = R.Generation->Try;
+  T.LastByte = C.Now;
+  if (T.Status != 200) {
+    readReserveData(C, R, E);
+    return;
+  }
+  std::vector<EngineEvent> Events;
+  feed(T.Stream, E.Bytes, Events);
+  std::string Chunk;
+  for (const EngineEvent &Event : Events) {
+    takeEvent(C, R, Event, Chunk);
+    if (R.State != Phase::Generating)
+      return;
+  }
+  writeOut(C, R, Chunk);
+  updatePause(C, R);
+}
+
+void endStream(Context &C, Request &R, const Event & /*E*/) {
+  EngineTry &T = R.Generation->Try;
+  C.S.Upstreams.erase(static_cast<std::uint64_t>(R.Upstream));
+  R.Upstream = UpstreamId();
+  if (T.Status == 200 || T.Status == 0)
+    resumeLater(C, R, "the stream ended without its end marker");
+  else if (!T.Resumed)
+    endRefused(C, R);
+  else if (T.Status == 404)
+    failTry(C, R, {Code::BackendFailed, "the engine lost the attempt", false});
+  else
+    resumeLater(C, R, "the engine did not go on");
+}
+
+void failStream(Context &C, Request &R, const Event &E) {
+  EngineTry &T = R.Generation->Try;
+  C.S.Upstreams.erase(static_cast<std::uint64_t>(R.Upstream));
+  R.Upstream = UpstreamId();
+  bool NothingSent = !E.Failure->BytesSent && T.SentAt == TimePoint();
+  if (NothingSent) {
+    failTry(
+        C, R,
+        {Code::ConnectFailed, "no connection: " + E.Failure->Detail, false});
+    return;
+  }
+  if (T.SentAt == TimePoint())
+    T.SentAt = C.Now;
+  resumeLater(C, R, "the stream broke off");
+}
+
+void drainStream(Context &C, Request &R, const Event &E) {
+  R.Pending = E.Pending;
+  if (R.State == Phase::Generating)
+    updatePause(C, R);
+}
+
+void checkStream(Context &C, Request &R, const Event & /*E*/) {
+  EngineTry &T = R.Generation->Try;
+  keepReservations(C, R);
+  updatePause(C, R);
+  if (!R.Paused && C.Now - T.LastByte >= C.S.Times.StreamSilence) {
+    resumeLater(C, R, "the engine is silent");
+    return;
+  }
+  TimePoint Next = R.Paused ? C.Now + C.S.Times.StreamSilence
+                            : T.LastByte + C.S.Times.StreamSilence;
+  if (T.Leave.Engines.size() > 1)
+    Next = std::min(Next, T.ReserveAgain);
+  R.Wake = Next;
+}
+
+} // namespace pimento
--- /dev/null
+++ b/packages/calls/Health.cpp
@@ -0,0 +1,184 @@
+#include "calls/Health.h"
+
+#include <algorithm>
+
+namespace pimento {
+
+namespace {
+
+bool isEjected(const ServerHealth &Health, TimePoint Now) {
+  return Health.EjectedUntil > Now;
+}
+
+/// What is known of a server; nothing of an earlier life.
+ServerHealth healthOf(const HealthState &State, const PlainServer &Server) {
+  auto Found = State.Servers.find(Server.Backend);
+  if (Found == State.Servers.end() || Found->second.Life != Server.Life)
+    return {};
+  return Found->second;
+}
+
+struct Candidate {
+  const PlainServer *Server = nullptr;
+  ServerHealth Health;
+};
+
+std::vector<Candidate> candidates(const HealthState &State,
+                                  const std::vector<PlainServer> &Servers,
+                                  const std::vector<BackendId> &Avoid) {
+  std::vector<Candidate> Found;
+  for (const PlainServer &Server : Servers) {
+    if (std::find(Avoid.begin(), Avoid.end(), Server.Backend) != Avoid.end())
+      continue;
+    Found.push_back({&Server, healthOf(State, Server)});
+  }
+  if (!Found.empty() || Avoid.empty())
+    return Found;
+  return candidates(State, Servers, {});
+}
+
+std::size_t ejectedCount(const HealthState &State,
+                         const std::vector<PlainServer> &Servers,
+                         TimePoint Now) {
+  std::size_t Count = 0;
+  for (const PlainServer &Server : Servers) {
+    if (isEjected(healthOf(State, Server), Now))
+      ++Count;
+  }
+  return Count;
+}
+
+/// The less loaded of two drawn at random.
+const PlainServer *drawTwo(const std::vector<Candidate> &Healthy, Random &Rng) {
+  const Candidate &A = Healthy[below(Rng, Healthy.size())];
+  const Candidate &B = Healthy[below(Rng, Healthy.size())];
+  return A.Health.InFlight <= B.Health.InFlight ? A.Server : B.Server;
+}
+
+/// The one whose ejection ends first.
+const PlainServer *leastEjected(const std::vector<Candidate> &All) {
+  auto Sooner = [](const Candidate &A, const Candidate &B) {
+    return A.Health.EjectedUntil < B.Health.EjectedUntil;
+  };
+  return std::min_element(All.begin(), All.end(), Sooner)->Server;
+}
+
+void eject(const HealthSettings &Settings, ServerHealth &Health,
+           TimePoint Now) {
+  constexpr std::uint32_t MaxDoublings = 16;
+  Duration Time = Settings.BaseEjection;
+  for (std::uint32_t I = 0; I < std::min(Health.Ejections, MaxDoublings); ++I)
+    Time = std::min(Time * 2, Settings.MaxEjection);
+  Health.EjectedUntil = Now + Time;
+  Health.Trickling = true;
+  ++Health.Ejections;
+}
+
+/// Keeps the table small: servers without calls that were not used for long.
+void forgetOld(HealthState &State, TimePoint Now) {
+  constexpr std::size_t KeptServers = 4096;
+  constexpr Duration KeptTime = minutes(10);
+  if (State.Servers.size() <= KeptServers)
+    return;
+  for (auto It = State.Servers.begin(); It != State.Servers.end();) {
+    bool Old = It->second.InFlight == 0 && It->second.LastUsed + KeptTime < Now;
+    It = Old ? State.Servers.erase(It) : std::next(It);
+  }
+}
+
+} // namespace
+
+const char *toString(ChoiceReason Reason) {
+  switch (Reason) {
+  case ChoiceReason::LessLoaded:
+    return "less loaded of two";
+  case ChoiceReason::OnlyOne:
+    return "only healthy one";
+  case ChoiceReason::Trickle:
+    return "trickle after ejection";
+  case ChoiceReason::AllEjected:
+    return "none healthy, ejection ends first";
+  case ChoiceReason::None:
+    break;
+  }
+  return "no server";
+}
+
+ServerChoice chooseServer(const HealthState &State,
+                          const std::vector<PlainServer> &Servers,
+                          const std::vector<BackendId> &Avoid, Random &Rng,
+                          TimePoint Now) {
+  ServerChoice Choice;
+  std::vector<Candidate> All = candidates(State, Servers, Avoid);
+  Choice.Candidates = All.size();
+  if (All.empty())
+    return Choice;
+  std::vector<Candidate> Healthy;
+  const PlainServer *Due = nullptr;
+  for (const Candidate &C : All) {
+    if (isEjected(C.Health, Now))
+      continue;
+    if (!C.Health.Trickling)
+      Healthy.push_back(C);
+    else if (C.Health.InFlight == 0)
+      Due = C.Server;
+  }
+  Choice.Healthy = Healthy.size();
+  if (Due != nullptr) {
+    Choice.Server = Due;
+    Choice.Reason = ChoiceReason::Trickle;
+  } else if (Healthy.empty()) {
+    Choice.Server = leastEjected(All);
+    Choice.Reason = ChoiceReason::AllEjected;
+  } else {
+    Choice.Server = drawTwo(Healthy, Rng);
+    Choice.Reason =
+        Healthy.size() == 1 ? ChoiceReason::OnlyOne : ChoiceReason::LessLoaded;
+  }
+  return Choice;
+}
+
+void onCallStarted(HealthState &State, const PlainServer &Server,
+                   TimePoint Now) {
+  forgetOld(State, Now);
+  ServerHealth &Health = State.Servers[Server.Backend];
+  if (Health.Life != Server.Life) {
+    std::uint32_t InFlight = Health.InFlight;
+    Health = ServerHealth();
+    Health.Life = Server.Life;
+    Health.InFlight = InFlight;
+  }
+  ++Health.InFlight;
+  Health.LastUsed = Now;
+}
+
+void onCallEnded(HealthState &State, const BackendId &Server, bool Good,
+                 const std::vector<PlainServer> &Servers, TimePoint Now) {
+  auto Found = State.Servers.find(Server);
+  if (Found == State.Servers.end())
+    return;
+  ServerHealth &Health = Found->second;
+  const HealthSettings &Settings = State.Settings;
+  Health.InFlight -= Health.InFlight > 0 ? 1 : 0;
+  Health.FailureRate +=
+      Settings.LearningRate * ((Good ? 0.0 : 1.0) - Health.FailureRate);
+  if (Good && Health.Trickling && !isEjected(Health, Now)) {
+    Health.Trickling = false;
+    Health.Ejections = 0;
+    Health.FailureRate = 0;
+    return;
+  }
+  bool Failing = Health.Trickling || Health.FailureRate >= Settings.EjectAt;
+  if (Good || !Failing || isEjected(Health, Now))
+    return;
+  if (2 * (ejectedCount(State, Servers, Now) + 1) <= Servers.size())
+    eject(Settings, Health, Now);
+}
+
+void onCallDropped(HealthState &State, const BackendId &Server) {
+  auto Found = State.Servers.find(Server);
+  if (Found != State.Servers.end() && Found->second.InFlight > 0)
+    --Found->second.InFlight;
+}
+
+} // namespace pimento
--- /dev/null
+++ b/packages/calls/PlainCalls.cpp
@@ -0,0 +1,309 @@
+#include "calls/CallsInternal.h"
+
+#include <algorithm>
+
+namespace pimento {
+
+namespace {
+
+constexpr std::size_t KeptClaimSends = 8;
+
+ClaimKey keyOf(const Request &R) {
+  return {R.Service, R.Account, R.Call->Wanted.Key};
+}
+
+const std::vector<PlainServer> &serversOf(const Context &C, const Request &R) {
+  static const std::vector<PlainServer> None;
+  auto Found = C.Dir.Servers.find(R.Service);
+  return Found == C.Dir.Servers.end() ? None : Found->second;
+}
+
+/// When the ask that a reply cites was sent; nothing where it is too old.
+std::optional<TimePoint> askedAt(const CallPart &Call, std::uint64_t Sequence) {
+  for (const ClaimSend &Send : Call.Asked) {
+    if (Send.Sequence == Sequence)
+      return Send.At;
+  }
+  return std::nullopt;
+}
+
+UpstreamRequest requestOf(const Context &C, const Request &R,
+                          const PlainServer &Server) {
+  const CallPart &Call = *R.Call;
+  UpstreamRequest Upstream;
+  Upstream.Address = Server.Address;
+  Upstream.Method = Call.Wanted.Method;
+  Upstream.Target = Call.Wanted.Target;
+  Upstream.Headers = {{"X-Request-Id", toString(R.Id)},
+                      {"X-Client-Account", R.Account.Value},
+                      {"X-Request-Timeout-Ms",
+                       std::to_string(toMilliseconds(timeLeft(R, C.Now)))}};
+  if (!Call.Wanted.ContentType.empty())
+    Upstream.Headers.push_back({"Content-Type", Call.Wanted.ContentType});
+  if (!Call.Wanted.Key.empty())
+    Upstream.Headers.push_back({"Idempotency-Key", Call.Wanted.Key});
+  Upstream.Body = Call.Wanted.Body;
+  Upstream.MayReuse = Call.Reusable;
+  return Upstream;
+}
+
+/// Whether this request, and no other one with its key, holds the claim.
+bool ownsClaim(const CallPart &Call) { return Call.Queued && !Call.Joined; }
+
+void answerRecorded(Context &C, Request &R, const ClaimReply &Reply) {
+  leaveTurn(C, R);
+  if (Reply.Truncated) {
+    answerProblem(C, R,
+                  {Code::OutcomeUnknown,
+                   "it ran with status " + std::to_string(Reply.Status) +
+                       "; its answer was too large to be kept",
+                   {}});
+    return;
+  }
+  HttpReply Answer;
+  Answer.Status = Reply.Status;
+  Answer.Headers = {{"Content-Type", Reply.ContentType},
+                    {"X-Request-Id", toString(R.Id)},
+                    {"X-Recorded-Answer", "1"}};
+  Answer.Body = Reply.Body.Data;
+  answerReply(C, R, std::move(Answer));
+}
+
+void answerRefused(Context &C, Request &R, Code Number) {
+  leaveTurn(C, R);
+  answerProblem(C, R, {Number, "", {}});
+}
+
+void useLeave(Context &C, Request &R, const ClaimReply &Reply) {
+  CallPart &Call = *R.Call;
+  Call.Queued = true;
+  Call.Joined = false;
+  std::optional<TimePoint> Asked = askedAt(Call, Reply.Sequence);
+  if (!Asked || C.Now >= *Asked + Reply.Lease) {
+    decide(C, "claim", R.Id, "the leave to send came too late")
+        .add("sequence", static_cast<std::int64_t>(Reply.Sequence));
+    count(C, "pimento_stale_claims_total");
+  } else {
+    Call.SendBy = *Asked + Reply.Lease;
+  }
+  sendDueClaims(C, {R.Service, R.Account});
+  if (Call.SendBy)
+    sendCall(C, R);
+}
+
+} // namespace
+
+CallRule callRule(const ServiceRule &Service, std::string_view Path,
+                  bool ReadsOnly) {
+  for (const CallRule &Rule : Service.Calls) {
+    std::string_view Pattern = Rule.Path;
+    bool Below =
+        Pattern.size() >= 2 && Pattern.substr(Pattern.size() - 2) == "/*";
+    if (Below) {
+      Pattern.remove_suffix(1);
+      if (Path.substr(0, Pattern.size()) == Pattern)
+        return Rule;
+    } else if (Path == Pattern) {
+      return Rule;
+    }
+  }
+  CallRule Unlisted;
+  Unlisted.Path = std::string(Path);
+  Unlisted.Repeatable = ReadsOnly;
+  return Unlisted;
+}
+
+void startCall(Context &C, Request &R) {
+  if (R.Call->Repeatable) {
+    sendCall(C, R);
+    return;
+  }
+  R.State = Phase::Claiming;
+  R.Wake = TimePoint::max();
+  TurnQueue Queue{R.Service, R.Account};
+  C.S.Turns[Queue].push_back(R.Id);
+  sendDueClaims(C, Queue);
+}
+
+void sendClaim(Context &C, Request &R) {
+  CallPart &Call = *R.Call;
+  ClaimRequest Content;
+  Content.Request = R.Id;
+  Content.Key = keyOf(R);
+  Content.BodySha256 = Call.Wanted.BodySha256;
+  Content.Life = C.S.Life;
+  Content.TimeLeft = timeLeft(R, C.Now);
+  Content.Retention = Call.Retention;
+  Content.Sequence = ++Call.Sequence;
+  Content.Sent = Call.Sent;
+  Call.Asked.push_back({Call.Sequence, C.Now});
+  if (Call.Asked.size() > KeptClaimSends)
+    Call.Asked.pop_front();
+  C.Out.List.emplace_back(SendClaim{std::move(Content)});
+}
+
+// One claim of an account is under way at a time, so that they become durable
+// in the order in which the calls arrived here.
+void sendDueClaims(Context &C, const TurnQueue &Queue) {
+  auto Found = C.S.Turns.find(Queue);
+  if (Found == C.S.Turns.end())
+    return;
+  for (const RequestId &Id : Found->second) {
+    Request &R = C.S.Requests.at(Id);
+    if (R.Call->Queued)
+      continue;
+    if (R.Call->Sequence == 0) {
+      sendClaim(C, R);
+      R.Wake = C.Now + C.S.Times.ClaimRepeat;
+      reindex(C, R);
+    }
+    return;
+  }
+}
+
+void leaveTurn(Context &C, const Request &R) {
+  TurnQueue Name{R.Service, R.Account};
+  auto Found = C.S.Turns.find(Name);
+  if (Found == C.S.Turns.end())
+    return;
+  auto &Queue = Found->second;
+  Queue.erase(std::remove(Queue.begin(), Queue.end(), R.Id), Queue.end());
+  if (Queue.empty())
+    C.S.Turns.erase(Found);
+  else
+    sendDueClaims(C, Name);
+}
+
+void endClaim(Context &C, Request &R, ClaimEnd End) {
+  const CallPart &Call = *R.Call;
+  leaveTurn(C, R);
+  if (Call.Sequence == 0)
+    return; // Nothing was asked for.
+  ResultOnItsWay Way;
+  Way.Result.Request = R.Id;
+  Way.Result.Key = keyOf(R);
+  Way.Result.End = End;
+  if (End == ClaimEnd::Answered) {
+    Way.Result.Status = Call.Status;
+    Way.Result.ContentType = headerValue(Call.Headers, "Content-Type");
+    Way.Result.Truncated = Call.Answer.size() > C.S.Limits.RecordedAnswerBytes;
+    if (!Way.Result.Truncated)
+      Way.Result.Body.Data = Call.Answer;
+  }
+  Way.Next = C.Now + C.S.Times.ClaimRepeat;
+  Way.Until = C.Now + C.S.Times.ResultTime;
+  C.Out.List.emplace_back(SendClaimResult{Way.Result});
+  C.S.Results[R.Id] = std::move(Way);
+}
+
+void sendCall(Context &C, Request &R) {
+  CallPart &Call = *R.Call;
+  const std::vector<PlainServer> &Servers = serversOf(C, R);
+  ServerChoice Choice =
+      chooseServer(C.S.Health, Servers, R.Avoid, C.S.Rng, C.Now);
+  decide(C, "route", R.Id, toString(Choice.Reason))
+      .add("backend",
+           Choice.Server ? Choice.Server->Backend.Value : std::string())
+      .add("healthy", static_cast<std::int64_t>(Choice.Healthy))
+      .add("candidates", static_cast<std::int64_t>(Choice.Candidates));
+  if (Choice.Server == nullptr) {
+    if (!Call.Repeatable)
+      endClaim(C, R, ClaimEnd::NotRun);
+    answerProblem(C, R,
+                  {honest(R, Code::NoBackend, Code::BackendFailed), "", {}});
+    return;
+  }
+  const PlainServer &Server = *Choice.Server;
+  onCallStarted(C.S.Health, Server, C.Now);
+  ++R.Tries;
+  Call.Server = Server.Backend;
+  Call.Sent = false;
+  Call.Status = 0;
+  Call.Answer.clear();
+  // A connection that may be half closed never carries what may run once, nor
+  // do answers without ids share one.
+  Call.Reusable =
+      Call.Repeatable && C.S.Health.Servers.at(Server.Backend).EchoesIds;
+  R.State = Phase::Calling;
+  R.Wake = C.Now +
+           (Call.Repeatable ? C.S.Times.CallSilence : C.S.Times.ClaimRenewal);
+  openUpstream(C, R, requestOf(C, R, Server),
+               Call.Repeatable ? std::nullopt : Call.SendBy);
+}
+
+void useClaimReply(Context &C, Request &R, const Event &E) {
+  const ClaimReply &Reply = *E.Claimed;
+  decide(C, "claim", R.Id, "the partition replied")
+      .add("state", static_cast<std::int64_t>(Reply.State))
+      .add("joined", Reply.Joined)
+      .add("waited_ms", toMilliseconds(C.Now - R.Arrived));
+  switch (Reply.State) {
+  case ClaimState::Waiting:
+    R.Call->Queued = true;
+    R.Call->Joined = Reply.Joined;
+    sendDueClaims(C, {R.Service, R.Account});
+    return;
+  case ClaimState::Granted:
+    useLeave(C, R, Reply);
+    return;
+  case ClaimState::Recorded:
+    answerRecorded(C, R, Reply);
+    return;
+  case ClaimState::Unknown:
+    answerRefused(C, R, Code::OutcomeUnknown);
+    return;
+  case ClaimState::OtherBody:
+    answerRefused(C, R, Code::IdempotencyKeyReused);
+    return;
+  case ClaimState::Expired:
+    answerRefused(C, R, Code::IdempotencyKeyExpired);
+    return;
+  case ClaimState::Refused:
+    break;
+  }
+  bool Honest = info(Reply.Reason).Result == Outcome::NotRun;
+  answerRefused(C, R, Honest ? Reply.Reason : Code::Overloaded);
+}
+
+void repeatClaim(Context &C, Request &R, const Event & /*E*/) {
+  R.Wake = C.Now + C.S.Times.ClaimRepeat;
+  if (R.Call->Sequence != 0)
+    sendClaim(C, R);
+}
+
+void leaveClaim(Context &C, Request &R, const Event & /*E*/) {
+  endClaim(C, R, ClaimEnd::NotRun);
+  decide(C, "cancel", R.Id, "the caller left while waiting for its turn");
+  count(C, "pimento_callers_left_total");
+  R.State = Phase::Ended;
+}
+
+// Without a word of the partition nobody here knows whether another request
+// with the same key ran, so "not run" would be a guess.
+void expireClaim(Context &C, Request &R, const Event &E) {
+  bool Own = ownsClaim(*R.Call);
+  bool Asked = R.Call->Sequence != 0;
+  endClaim(C, R, ClaimEnd::NotRun);
+  Code NotRun = E.Kind == EventKind::Cut ? Code::Draining : Code::ClaimTimeout;
+  if (Own) {
+    answerProblem(C, R, {NotRun, "", {}});
+    return;
+  }
+  answerProblem(C, R,
+                {Code::OutcomeUnknown,
+                 Asked ? "this request was not sent; an earlier one with the "
+                         "same key may have run"
+                       : "this request was not sent: earlier calls of the "
+                         "account hold it up; one with the same key may have "
+                         "run",
+                 {}});
+}
+
+void settle(Context &C, Request &R) {
+  C.S.Exchanges.erase(static_cast<std::uint64_t>(R.Exchange));
+  R.Exchange = ExchangeId();
+  R.State = Phase::Settling;
+  R.Deadline = C.Now + timeLeft(R, C.Now) + C.S.Times.SettleTime;
+}
+
+} // namespace pimento
--- /dev/null
+++ b/packages/calls/PlainUpstream.cpp
@@ -0,0 +1,280 @@
+#include "calls/CallsInternal.h"
+
+#include "engine/Replies.h"
+
+#include <algorithm>
+#include <charconv>
+
+namespace pimento {
+
+namespace {
+
+const std::vector<PlainServer> &serversOf(const Context &C, const Request &R) {
+  static const std::vector<PlainServer> None;
+  auto Found = C.Dir.Servers.find(R.Service);
+  return Found == C.Dir.Servers.end() ? None : Found->second;
+}
+
+void endAtServer(Context &C, Request &R, bool Good) {
+  onCallEnded(C.S.Health, R.Call->Server, Good, serversOf(C, R), C.Now);
+  if (!Good)
+    R.Avoid.push_back(R.Call->Server);
+}
+
+void forgetUpstream(Context &C, Request &R) {
+  C.S.Upstreams.erase(static_cast<std::uint64_t>(R.Upstream));
+  R.Upstream = UpstreamId();
+}
+
+/// The call may have run, and no whole answer of its own came.
+void endUnknown(Context &C, Request &R, const char *Why) {
+  abortUpstream(C, R);
+  endClaim(C, R, ClaimEnd::Unknown);
+  decide(C, "unknown", R.Id, Why).add("backend", R.Call->Server.Value);
+  if (R.State == Phase::Settling) {
+    R.State = Phase::Ended;
+    return;
+  }
+  answerProblem(C, R, {Code::OutcomeUnknown, Why, {}});
+}
+
+/// A look-up's try ended without an answer that can be passed on.
+void failLookup(Context &C, Request &R, Problem Why) {
+  abortUpstream(C, R);
+  R.LastFailure = std::move(Why);
+  if (takeTry(C, R))
+    backOff(C, R);
+  else
+    answerProblem(C, R, R.LastFailure);
+}
+
+void failWithoutAnswer(Context &C, Request &R, const char *Why) {
+  endAtServer(C, R, /*Good=*/false);
+  if (!R.Call->Repeatable) {
+    endUnknown(C, R, Why);
+    return;
+  }
+  R.MayHaveRun = true;
+  failLookup(C, R, {Code::BackendFailed, Why, {}});
+}
+
+bool lengthFits(const CallPart &Call) {
+  std::string_view Text = headerValue(Call.Headers, "Content-Length");
+  if (Text.empty())
+    return true;
+  std::size_t Length = 0;
+  std::from_chars(Text.data(), Text.data() + Text.size(), Length);
+  return Length == Call.Answer.size();
+}
+
+HttpReply replyOf(const Request &R) {
+  HttpReply Reply;
+  Reply.Status = R.Call->Status;
+  std::string_view Type = headerValue(R.Call->Headers, "Content-Type");
+  if (!Type.empty())
+    Reply.Headers.push_back({"Content-Type", std::string(Type)});
+  Reply.Headers.push_back({"X-Request-Id", toString(R.Id)});
+  Reply.Body = R.Call->Answer;
+  return Reply;
+}
+
+/// No byte was sent. Within the lease another server may be tried; past it a
+/// new leave is needed.
+void failUnsentOnce(Context &C, Request &R) {
+  CallPart &Call = *R.Call;
+  if (R.State == Phase::Settling) {
+    endClaim(C, R, ClaimEnd::NotRun);
+    R.State = Phase::Ended;
+    return;
+  }
+  if (C.Now >= *Call.SendBy) {
+    Call.SendBy.reset();
+    R.State = Phase::Claiming;
+    R.Wake = C.Now + C.S.Times.ClaimRepeat;
+    sendClaim(C, R);
+    return;
+  }
+  bool OtherLeft = R.Avoid.size() < serversOf(C, R).size();
+  if (OtherLeft && R.Tries < C.S.Retries.Attempts) {
+    sendCall(C, R);
+    return;
+  }
+  endClaim(C, R, ClaimEnd::NotRun);
+  answerProblem(C, R, {Code::ConnectFailed, "", {}});
+}
+
+void refusedByServer(Context &C, Request &R) {
+  endAtServer(C, R, /*Good=*/false);
+  if (R.Call->Repeatable) {
+    failLookup(C, R,
+               {honest(R, Code::RefusedByBackend, Code::BackendFailed),
+                "the server refused the call",
+                {}});
+    return;
+  }
+  endClaim(C, R, ClaimEnd::NotRun);
+  if (R.State == Phase::Settling)
+    R.State = Phase::Ended;
+  else
+    answerProblem(C, R, {Code::RefusedByBackend, "", {}});
+}
+
+void endWithAnswer(Context &C, Request &R) {
+  bool Good = R.Call->Status < 500;
+  endAtServer(C, R, Good);
+  if (R.Call->Repeatable && !Good) {
+    R.MayHaveRun = true;
+    R.LastFailure = {
+        Code::BackendFailed, "status " + std::to_string(R.Call->Status), {}};
+    if (takeTry(C, R)) {
+      backOff(C, R);
+      return;
+    }
+  }
+  if (!R.Call->Repeatable)
+    endClaim(C, R, ClaimEnd::Answered);
+  if (R.State == Phase::Settling)
+    R.State = Phase::Ended;
+  else
+    answerReply(C, R, replyOf(R));
+}
+
+} // namespace
+
+void noteCallSent(Context & /*C*/, Request &R, const Event & /*E*/) {
+  R.Call->Sent = true;
+}
+
+void readCallHead(Context &C, Request &R, const Event &E) {
+  CallPart &Call = *R.Call;
+  Call.Sent = true;
+  Call.Status = E.Status;
+  Call.Headers = *E.Headers;
+  std::string_view Echo = headerValue(Call.Headers, "X-Request-Id");
+  auto Server = C.S.Health.Servers.find(Call.Server);
+  if (Server != C.S.Health.Servers.end())
+    Server->second.EchoesIds = !Echo.empty();
+  if (Echo == toString(R.Id) || (Echo.empty() && !Call.Reusable))
+    return;
+  count(C, "pimento_crossed_answers_total");
+  failWithoutAnswer(C, R, "the answer belongs to another request");
+}
+
+void readCallData(Context &C, Request &R, const Event &E) {
+  CallPart &Call = *R.Call;
+  Call.Answer += E.Bytes;
+  if (Call.Answer.size() <= C.S.Limits.AnswerBytes)
+    return;
+  endAtServer(C, R, /*Good=*/true);
+  if (!Call.Repeatable) {
+    endUnknown(C, R, "the answer is larger than the limit");
+    return;
+  }
+  abortUpstream(C, R);
+  answerProblem(C, R, {Code::AnswerTooLarge, "", {}});
+}
+
+void endCall(Context &C, Request &R, const Event & /*E*/) {
+  forgetUpstream(C, R);
+  const CallPart &Call = *R.Call;
+  if (Call.Status == 0 || !lengthFits(Call))
+    failWithoutAnswer(C, R, "the answer was cut");
+  else if (provesNotRun(Call.Status, Call.Headers))
+    refusedByServer(C, R);
+  else
+    endWithAnswer(C, R);
+}
+
+void failCall(Context &C, Request &R, const Event &E) {
+  forgetUpstream(C, R);
+  bool MayBeSent = E.Failure->BytesSent || R.Call->Sent;
+  if (MayBeSent) {
+    R.Call->Sent = true;
+    failWithoutAnswer(C, R, "the connection broke before a whole answer");
+    return;
+  }
+  endAtServer(C, R, /*Good=*/false);
+  if (!R.Call->Repeatable)
+    failUnsentOnce(C, R);
+  else
+    failLookup(C, R,
+               {honest(R, Code::ConnectFailed, Code::BackendFailed),
+                "no connection: " + E.Failure->Detail,
+                {}});
+}
+
+void checkCall(Context &C, Request &R, const Event & /*E*/) {
+  CallPart &Call = *R.Call;
+  if (!Call.Repeatable) {
+    R.Wake = C.Now + C.S.Times.ClaimRenewal;
+    sendClaim(C, R);
+    return;
+  }
+  R.Wake = C.Now + C.S.Times.CallSilence;
+  bool OtherLeft = R.Avoid.size() + 1 < serversOf(C, R).size();
+  if (Call.Status != 0 || !OtherLeft || !takeTry(C, R))
+    return;
+  endAtServer(C, R, /*Good=*/false);
+  abortUpstream(C, R);
+  R.MayHaveRun = R.MayHaveRun || Call.Sent;
+  R.LastFailure = {honest(R, Code::ConnectFailed, Code::BackendFailed),
+                   "the server is silent",
+                   {}};
+  backOff(C, R);
+}
+
+void renewSettling(Context &C, Request &R, const Event & /*E*/) {
+  R.Wake = C.Now + C.S.Times.ClaimRenewal;
+  sendClaim(C, R);
+}
+
+void leaveCall(Context &C, Request &R, const Event & /*E*/) {
+  count(C, "pimento_callers_left_total");
+  if (!R.Call->Repeatable) {
+    decide(C, "settle", R.Id, "the caller left; the call goes on");
+    settle(C, R);
+    return;
+  }
+  onCallDropped(C.S.Health, R.Call->Server);
+  abortUpstream(C, R);
+  decide(C, "cancel", R.Id, "the caller left");
+  R.State = Phase::Ended;
+}
+
+void expireCall(Context &C, Request &R, const Event &E) {
+  bool Cut = E.Kind == EventKind::Cut;
+  CallPart &Call = *R.Call;
+  if (Call.Repeatable) {
+    R.MayHaveRun = R.MayHaveRun || Call.Sent;
+    endAtServer(C, R, /*Good=*/Cut);
+    abortUpstream(C, R);
+    Code NotRun = Cut ? Code::Draining : Code::DeadlineUnreachable;
+    Code Failed = Cut ? Code::DrainCut : Code::DeadlineExceeded;
+    answerProblem(C, R, {honest(R, NotRun, Failed), "", {}});
+    return;
+  }
+  if (!Call.Sent) {
+    endAtServer(C, R, /*Good=*/Cut);
+    abortUpstream(C, R);
+    endClaim(C, R, ClaimEnd::NotRun);
+    answerProblem(C, R, {Cut ? Code::Draining : Code::ConnectFailed, "", {}});
+    return;
+  }
+  if (Cut) {
+    endAtServer(C, R, /*Good=*/true);
+    endUnknown(C, R, "the host stops");
+    return;
+  }
+  Problem Why{Code::OutcomeUnknown, "the time limit passed", {}};
+  count(C, "pimento_requests_total", "outcome=\"unknown\"");
+  decide(C, "settle", R.Id, "the time limit passed; the call goes on");
+  C.Out.List.emplace_back(SendReply{R.Exchange, problemReply(R.Id, Why)});
+  settle(C, R);
+}
+
+void expireSettling(Context &C, Request &R, const Event & /*E*/) {
+  endAtServer(C, R, /*Good=*/false);
+  endUnknown(C, R, "no answer came");
+}
+
+} // namespace pimento
--- /dev/null
+++ b/packages/calls/RetryBudget.cpp
@@ -0,0 +1,31 @@
+#include "calls/RetryBudget.h"
+
+#include <algorithm>
+
+namespace pimento {
+
+void onFirstTry(RetryBudget &Budget, double Share) {
+  ++Budget.FirstTries;
+  Budget.Tokens = std::min(Budget.Tokens + Share, MaxRetryTokens);
+}
+
+bool takeRetry(RetryBudget &Budget) {
+  if (Budget.Tokens < 1) {
+    ++Budget.Refused;
+    return false;
+  }
+  Budget.Tokens -= 1;
+  ++Budget.Retries;
+  return true;
+}
+
+Duration backoff(const RetrySettings &Settings, std::uint32_t Try,
+                 Random &Rng) {
+  constexpr std::uint32_t MaxDoublings = 16;
+  Duration Whole = Settings.BackoffBase;
+  for (std::uint32_t I = 2; I < std::min(Try, MaxDoublings); ++I)
+    Whole = std::min(Whole * 2, Settings.BackoffLimit);
+  return between(Rng, Whole / 2, Whole);
+}
+
+} // namespace pimento
--- /dev/null
+++ b/packages/calls/RetryBudget.h
@@ -0,0 +1,32 @@
+//===- RetryBudget.h - How many second tries a service may make -*- C++ -*-===//
+#pragma once
+
+#include "base/Random.h"
+#include "base/Settings.h"
+#include "base/Time.h"
+
+#include <cstdint>
+
+namespace pimento {
+
+/// A bucket of retries: each first try puts a share of one in, each retry
+/// takes one out.
+struct RetryBudget {
+  double Tokens = 3;            // Retries in hand; a few to begin with.
+  std::uint64_t FirstTries = 0; // Counted for the record.
+  std::uint64_t Retries = 0;
+  std::uint64_t Refused = 0; // Retries that the budget did not allow.
+};
+
+/// Most retries in hand.
+constexpr double MaxRetryTokens = 100;
+
+void onFirstTry(RetryBudget &Budget, double Share);
+/// Takes one retry out; false where there is none.
+bool takeRetry(RetryBudget &Budget);
+
+/// How long to wait before try number \p Try (from 2): doubled each time, and
+/// drawn between half of that and the whole.
+Duration backoff(const RetrySettings &Settings, std::uint32_t Try, Random &Rng);
+
+} // namespace pimento
--- /dev/null
+++ b/packages/calls/Transitions.cpp
@@ -0,0 +1,105 @@
+#include "calls/CallsInternal.h"
+
+#include <algorithm>
+#include <array>
+
+namespace pimento {
+
+namespace {
+
+constexpr std::array<const char *, PhaseCount + 1> PhaseNames = {
+    "Asking",   "Reserving", "Generating", "Resuming",   "BackingOff",
+    "Claiming", "Calling",   "Settling",   "Delivering", "Ended"};
+
+constexpr std::array<const char *, EventCount> EventNames = {
+    "CallerLeft", "Drained",  "Granted", "Refused", "ClaimReplied",
+    "Sent",       "Head",     "Data",    "End",     "Failed",
+    "Wake",       "Deadline", "Cut"};
+
+constexpr std::array<Transition, PhaseCount *EventCount> Table = {{
+#define PIMENTO_ROW(From, On, Run, Next, Effects)                              \
+  {Phase::From, EventKind::On, Run, #Run, Next, Effects},
+#include "calls/Transitions.def"
+#undef PIMENTO_ROW
+}};
+
+constexpr std::size_t place(Phase From, EventKind On) {
+  return static_cast<std::size_t>(From) * EventCount +
+         static_cast<std::size_t>(On);
+}
+
+/// Rows stand in the order of phases and, within one, of events.
+constexpr bool isComplete() {
+  for (std::size_t I = 0; I < Table.size(); ++I) {
+    if (place(Table[I].From, Table[I].On) != I || Table[I].Run == nullptr)
+      return false;
+  }
+  return true;
+}
+static_assert(isComplete(), "a pair of phase and event has no row");
+
+void remove(Context &C, Request &R) {
+  hold(C, R, 0);
+  abortUpstream(C, R);
+  C.S.Timers.erase({R.Indexed, R.Id});
+  C.S.Exchanges.erase(static_cast<std::uint64_t>(R.Exchange));
+  C.S.Requests.erase(R.Id);
+}
+
+} // namespace
+
+const char *toString(Phase P) {
+  return PhaseNames[static_cast<std::size_t>(P)];
+}
+
+const char *toString(EventKind E) {
+  return EventNames[static_cast<std::size_t>(E)];
+}
+
+const Transition &transition(Phase From, EventKind On) {
+  return Table[place(From, On)];
+}
+
+bool allows(const Transition &Row, Phase Next) {
+  std::string_view Rest = Row.Next;
+  while (!Rest.empty()) {
+    std::size_t End = Rest.find(' ');
+    std::string_view Word = Rest.substr(0, End);
+    if (Word == toString(Next) || (Word == "-" && Next == Row.From))
+      return true;
+    Rest = End == std::string_view::npos ? "" : Rest.substr(End + 1);
+  }
+  return false;
+}
+
+void reindex(Context &C, Request &R) {
+  TimePoint Next = std::min(R.Wake, R.Deadline);
+  if (Next == R.Indexed)
+    return;
+  C.S.Timers.erase({R.Indexed, R.Id});
+  R.Indexed = Next;
+  C.S.Timers.insert({Next, R.Id});
+}
+
+void dispatch(Context &C, const RequestId &Id, const Event &E) {
+  auto Found = C.S.Requests.find(Id);
+  if (Found == C.S.Requests.end())
+    return;
+  Request &R = Found->second;
+  const Transition &Row = transition(R.State, E.Kind);
+  Row.Run(C, R, E);
+  if (!allows(Row, R.State)) {
+    decide(C, "unexpected_transition", Id, Row.Name)
+        .add("from", std::string(toString(Row.From)))
+        .add("to", std::string(toString(R.State)));
+    count(C, "pimento_unexpected_transitions_total");
+  }
+  if (R.State == Phase::Ended) {
+    remove(C, R);
+    return;
+  }
+  hold(C, R, ownBytes(R) + R.Pending);
+  reindex(C, R);
+}
+
+} // namespace pimento
--- /dev/null
+++ b/packages/engine/tests/StreamTest.cpp
@@ -0,0 +1,95 @@
+#include <boost/test/unit_test.hpp>
+
+#include "engine/Stream.h"
+
+#include "base/Random.h"
+
+using namespace pimento;
+
+namespace {
+
+const AttemptId Try{{1, 2}, 3};
+
+const std::string Whole =
+    ": prefill 10/40\r\n"
+    ": keep-alive\n"
+    "data: {\"attempt\": \"" +
+    toString(Try) +
+    "\", \"offset\": 0, \"text\": \"a\\nb\"}\n\n"
+    "event: other\n"
+    "data: {\"attempt\": \"" +
+    toString(Try) +
+    "\", \"end\": true, \"finish\": \"length\", \"prompt_tokens\": 4, "
+    "\"cached_tokens\": 2, \"output_tokens\": 1}\n\n";
+
+/// What the events say, one line each.
+std::string show(const std::vector<EngineEvent> &Events) {
+  std::string Text;
+  for (const EngineEvent &Event : Events) {
+    if (const auto *T = std::get_if<TokenEvent>(&Event))
+      Text += toString(T->Attempt) + " " + std::to_string(T->Offset) + " " +
+              T->Text + ";";
+    else if (const auto *P = std::get_if<PrefillEvent>(&Event))
+      Text += "prefill " + std::to_string(P->Done) + ";";
+    else if (const auto *E = std::get_if<EndEvent>(&Event))
+      Text += "end " + std::to_string(E->OutputTokens) +
+              (E->LengthLimit ? " length;" : ";");
+    else if (const auto *Error = std::get_if<ErrorEvent>(&Event))
+      Text += "error " + Error->Detail + ";";
+    else
+      Text += "garbled;";
+  }
+  return Text;
+}
+
+std::string readWhole(const std::string &Bytes) {
+  EngineStream Stream;
+  std::vector<EngineEvent> Events;
+  feed(Stream, Bytes, Events);
+  return show(Events);
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(EventsAreTheSameHoweverBytesAreCut) {
+  std::string Expected =
+      "prefill 10;" + toString(Try) + " 0 a\nb;end 1 length;";
+  BOOST_TEST(readWhole(Whole) == Expected);
+  Random Rng(1);
+  for (int Round = 0; Round < 200; ++Round) {
+    EngineStream Stream;
+    std::vector<EngineEvent> Events;
+    std::string_view Rest = Whole;
+    while (!Rest.empty()) {
+      std::size_t Length = 1 + below(Rng, 20);
+      feed(Stream, Rest.substr(0, Length), Events);
+      Rest.remove_prefix(std::min(Length, Rest.size()));
+    }
+    BOOST_TEST(show(Events) == Expected);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(WhatIsNotOfTheProtocolGarblesTheStream) {
+  std::string Id = "\"attempt\": \"" + toString(Try) + "\"";
+  BOOST_TEST(readWhole("data: nonsense\n") == "garbled;");
+  BOOST_TEST(readWhole("data: {\"attempt\": \"x\", \"offset\": 0, "
+                       "\"text\": \"\"}\n") == "garbled;");
+  BOOST_TEST(readWhole("data: {" + Id +
+                       ", \"offset\": -1, \"text\": \"\"}\n") == "garbled;");
+  BOOST_TEST(readWhole("data: {" + Id + ", \"end\": true}\n") == "garbled;");
+  BOOST_TEST(readWhole("data: {" + Id + ", \"end\": false}\n") == "garbled;");
+  BOOST_TEST(readWhole("data: {" + Id + ", \"error\": \"no\"}\n") ==
+             "error no;");
+  BOOST_TEST(readWhole(std::string(70000, 'x')) == "garbled;");
+  // Nothing is read after it.
+  BOOST_TEST(readWhole("data: nonsense\n" + Whole) == "garbled;");
+}
+
+BOOST_AUTO_TEST_CASE(ALineThatNeverEndsCostsBoundedMemory) {
+  EngineStream Stream;
+  std::vector<EngineEvent> Events;
+  for (int I = 0; I < 1000; ++I)
+    feed(Stream, std::string(1000, 'x'), Events);
+  BOOST_TEST(Stream.Reader.Partial.capacity() < 200000U);
+  BOOST_TEST(show(Events) == "garbled;");
+}
--- a/packages/wire/CallMessages.h
+++ b/packages/wire/CallMessages.h
@@ -1,4 +1,16 @@
 //===- CallMessages.h - Claims of calls that run at most once ---*- C++ -*-===//
+//
+//   entry host            leader of the claim partition
+//       ClaimRequest ->                        (repeated until a result)
+//                    <-   ClaimReply
+//       ClaimResult  ->                        (repeated until acknowledged)
+//                    <-   ClaimResultAck
+//
+// A lease on sending counts, at the entry host, from the moment at which it
+// sent the request whose Sequence the reply cites; at the leader from the
+// moment at which the leave to send was committed, which is later.
+//
+//===----------------------------------------------------------------------===//
 #pragma once
 
 #include "base/Codes.h"
@@ -41,10 +53,13 @@
   Incarnation Life = 0;                  // Of the asking entry host.
   Duration TimeLeft = Duration::zero();  // Until the caller's deadline.
   Duration Retention = Duration::zero(); // How long the claim is kept.
+  std::uint64_t Sequence = 0; // Raised by one with each repeat; from 1.
+  bool Sent = false;          // A byte of the call has left the entry host.
 
   template <class Self, class Visitor>
   static void fields(Self &M, Visitor &&Visit) {
-    Visit(M.Request, M.Key, M.BodySha256, M.Life, M.TimeLeft, M.Retention);
+    Visit(M.Request, M.Key, M.BodySha256, M.Life, M.TimeLeft, M.Retention,
+          M.Sequence, M.Sent);
   }
 };
 
@@ -55,6 +70,7 @@
   OtherBody, // The key was used with another body.
   Expired,   // The key is older than its retention.
   Refused,   // Not claimed and nothing was sent: see Reason.
+  Waiting,   // Durable or joined to a running call; an answer follows.
 };
 
 struct ClaimReply {
@@ -66,11 +82,15 @@
   std::string ContentType;
   Blob Body;
   bool Truncated = false; // The answer was too large to be recorded whole.
+  ClaimKey Key;
+  std::uint64_t Sequence = 0; // Of the request that the lease counts from.
+  Duration Lease = Duration::zero(); // Granted: the first byte leaves within.
+  bool Joined = false; // Waiting: for another request with the same key.
 
   template <class Self, class Visitor>
   static void fields(Self &M, Visitor &&Visit) {
     Visit(M.Request, M.State, M.Reason, M.Status, M.ContentType, M.Body,
-          M.Truncated);
+          M.Truncated, M.Key, M.Sequence, M.Lease, M.Joined);
   }
 };
 
