--- a/packages/base/Problem.cpp
+++ b/packages/base/Problem.cpp
@@ -18,7 +18,7 @@
 
 } // namespace
 
-HttpReply problemReply(const Problem &P) {
+std::string problemBody(const Problem &P) {
   const CodeInfo &Info = info(P.Number);
   Json Body = {
       {"type", "about:blank"},     {"title", Info.Meaning},
@@ -26,17 +26,21 @@
       {"name", Info.Name},         {"outcome", toString(Info.Result)}};
   if (!P.Detail.empty())
     Body["detail"] = P.Detail;
+  if (!P.Request.empty())
+    Body["request"] = toString(P.Request);
+  return Body.dump(-1, ' ', false, Json::error_handler_t::replace);
+}
+
+HttpReply problemReply(const Problem &P) {
   HttpReply Reply;
-  Reply.Status = Info.HttpStatus;
+  Reply.Status = info(P.Number).HttpStatus;
   Reply.Headers.push_back({"Content-Type", ProblemContentType});
-  if (!P.Request.empty()) {
-    Body["request_id"] = toString(P.Request);
+  if (!P.Request.empty())
     Reply.Headers.push_back({"X-Request-Id", toString(P.Request)});
-  }
   if (P.RetryAfter > Duration::zero())
     Reply.Headers.push_back(
         {"Retry-After", std::to_string(retrySeconds(P.RetryAfter))});
-  Reply.Body = Body.dump(-1, ' ', false, Json::error_handler_t::replace) + "\n";
+  Reply.Body = problemBody(P) + "\n";
   return Reply;
 }
 
--- a/packages/node/CallsPart.cpp
+++ b/packages/node/CallsPart.cpp
@@ -14,9 +14,8 @@
 constexpr const char *AnnouncePath = "/v1/backends/announce";
 
 void healthReply(Turn &T, ExchangeId Exchange, bool Good) {
-  HttpReply Reply = jsonReply(Good ? 200 : 503,
-                              Good ? "{\"ready\":true}\n"
-                                   : "{\"ready\":false}\n");
+  HttpReply Reply = jsonReply(Good ? 200 : 503, Good ? "{\"ready\":true}\n"
+                                                     : "{\"ready\":false}\n");
   T.Out.push_back(SendReply{Exchange, std::move(Reply)});
 }
 
@@ -25,8 +24,8 @@
   auto Base = S.BaseModels.find(A.Model);
   const ModelName &Model = Base == S.BaseModels.end() ? A.Model : Base->second;
   std::size_t Cells = std::max<std::size_t>(1, cellsOf(S.Cells, Model).size());
-  std::uint64_t Hash = A.Prefixes.empty() ? A.Attempt.Request.Lo
-                                          : A.Prefixes.front();
+  std::uint64_t Hash =
+      A.Prefixes.empty() ? A.Attempt.Request.Lo : A.Prefixes.front();
   return cellId(Model, static_cast<std::uint32_t>(Hash % Cells));
 }
 
--- a/packages/node/Cells.cpp
+++ b/packages/node/Cells.cpp
@@ -173,8 +173,7 @@
     return false;
   if (!From["model"].is_string() || !From["holder"].is_string() ||
       !From["index"].is_number_unsigned() ||
-      !From["life"].is_number_unsigned() ||
-      !From["epoch"].is_number_unsigned())
+      !From["life"].is_number_unsigned() || !From["epoch"].is_number_unsigned())
     return false;
   Cell.Model = ModelName(From["model"].get<std::string>());
   Cell.Index = From["index"].get<std::uint32_t>();
--- a/packages/node/Cells.h
+++ b/packages/node/Cells.h
@@ -95,7 +95,7 @@
   const CellTable &Table;
   const std::map<ModelName, std::size_t> &Engines; // By model with a document.
   const std::vector<CandidateHost> &Hosts;         // Sorted by name.
-  bool TableAccepted = false; // A majority of hosts knows Table.
+  bool TableAccepted = false;        // A majority of hosts knows Table.
   Duration Bound = Duration::zero(); // See above; drift included.
 };
 
--- a/packages/node/ControlPart.cpp
+++ b/packages/node/ControlPart.cpp
@@ -73,9 +73,8 @@
 void installSnapshot(Turn &T, GroupId Group, const Snapshot &Base) {
   Failure Why;
   if (Group == ControlGroup) {
-    T.S.Control.Documents =
-        valueOr<Store>([&] { return decodeStore(*Base.Data); },
-                       T.S.Control.Documents, Why);
+    T.S.Control.Documents = valueOr<Store>(
+        [&] { return decodeStore(*Base.Data); }, T.S.Control.Documents, Why);
   } else {
     ClaimsState &Applied = T.S.Control.Claims[Group].Applied;
     Applied = valueOr<ClaimsState>(
@@ -149,8 +148,7 @@
 
 void tickPartitions(Turn &T) {
   for (auto &[Group, Partition] : T.S.Control.Claims) {
-    if (!Partition.Leader.Leading ||
-        T.Now < nextClaimWakeup(Partition.Leader))
+    if (!Partition.Leader.Leading || T.Now < nextClaimWakeup(Partition.Leader))
       continue;
     ClaimEffects Out;
     tickClaims(Partition.Leader, Partition.Applied, T.Now, Out);
@@ -252,8 +250,7 @@
 void startControl(NodeState &S, const NodeStart &Start, TimePoint Now) {
   if (Start.DiskLife == 0)
     return;
-  auto Groups =
-      static_cast<GroupId>(1 + Start.Config.Control.ClaimPartitions);
+  auto Groups = static_cast<GroupId>(1 + Start.Config.Control.ClaimPartitions);
   for (GroupId Group = 0; Group < Groups; ++Group) {
     auto Found = Start.Found.find(Group);
     Recovered Known = Found == Start.Found.end() ? Recovered() : Found->second;
--- a/packages/node/DocumentPart.cpp
+++ b/packages/node/DocumentPart.cpp
@@ -9,13 +9,22 @@
 
 CellTable readTable(Turn &T, const std::string &Text) {
   Failure Why;
-  CellTable Table = valueOr<CellTable>([&] { return decodeCellTable(Text); },
-                                       T.S.Cells, Why);
+  CellTable Table =
+      valueOr<CellTable>([&] { return decodeCellTable(Text); }, T.S.Cells, Why);
   if (!Why.Detail.empty())
     T.Out.push_back(LogDecision{{"cells_unreadable", {}, Why.Detail, {}}});
   return Table;
 }
 
+HttpMethod methodOf(const std::string &Name) {
+  for (HttpMethod M : {HttpMethod::Get, HttpMethod::Post, HttpMethod::Put,
+                       HttpMethod::Delete, HttpMethod::Patch}) {
+    if (Name == toString(M))
+      return M;
+  }
+  return HttpMethod::Other;
+}
+
 ServiceRule ruleOf(const ServiceDocument &D) {
   ServiceRule Rule;
   for (const AccountEntry &Account : D.Accounts)
@@ -23,7 +32,8 @@
   for (const CallRule &Call : D.Calls) {
     PlainCallRule Plain;
     Plain.Path = Call.Path;
-    Plain.Methods = Call.Methods;
+    for (const std::string &Method : Call.Methods)
+      Plain.Methods.push_back(methodOf(Method));
     Plain.Repeatable = Call.Repeatable;
     Rule.Calls.push_back(std::move(Plain));
   }
@@ -47,7 +57,7 @@
   S.Known.Services[D.Service] = ruleOf(D);
   for (const AccountEntry &Account : D.Accounts) {
     for (const std::string &Digest : Account.TokenSha256)
-      S.Known.Accounts[Digest] = Account.Account;
+      S.Known.Tokens[Digest][D.Service] = Account.Account;
   }
   for (const ModelEntry &Model : D.Models) {
     addModel(S, D, Model, Model.Name);
@@ -59,7 +69,7 @@
 }
 
 void rebuildDirectory(NodeState &S) {
-  S.Known.Accounts.clear();
+  S.Known.Tokens.clear();
   S.Known.Models.clear();
   S.Known.Services.clear();
   S.BaseModels.clear();
--- a/packages/node/EditPart.cpp
+++ b/packages/node/EditPart.cpp
@@ -26,7 +26,7 @@
   send(T, To, R);
 }
 
-std::optional<Proposal> proposeEdit(Turn &T, ReplicaState &Log,
+std::optional<Proposal> proposeEdit(ReplicaState &Log,
                                     const PutDocumentCommand &Command) {
   return propose(Log, Blob{encodeCommand(Command)});
 }
@@ -87,7 +87,7 @@
   Command.EditId =
       std::to_string(term(Log)) + "-" + std::to_string(Plan.Next.Number);
   Command.At = wallClock(T);
-  auto At = proposeEdit(T, Log, Command);
+  auto At = proposeEdit(Log, Command);
   if (!At)
     return;
   T.S.Control.PlannedIndex = At->Index;
@@ -112,7 +112,7 @@
   Command.EditId = M.EditId;
   Command.Text = M.Text.Data;
   Command.At = wallClock(T);
-  auto At = proposeEdit(T, *Log, Command);
+  auto At = proposeEdit(*Log, Command);
   if (!At) {
     reply(T, From, M.Sequence, Code::NoLeader, 0);
     return;
@@ -144,8 +144,7 @@
     return; // Answered once a majority of hosts knows of it.
   }
   // Another leader's entry took this index: nothing is known of the edit.
-  Code Result =
-      Edit.Term == Entry.Term ? Outcome.Result : Code::EditUnknown;
+  Code Result = Edit.Term == Entry.Term ? Outcome.Result : Code::EditUnknown;
   reply(T, Edit.Asker, Edit.Sequence, Result, Outcome.Number);
   T.S.Control.Edits.erase(Found);
 }
--- a/packages/node/EnginePart.cpp
+++ b/packages/node/EnginePart.cpp
@@ -47,8 +47,8 @@
   Reply.Status = Call.Status;
   Reply.Body = Call.Body;
   Failure Why;
-  EngineMemory Memory = valueOr<EngineMemory>(
-      [&] { return readMemory(Reply); }, EngineMemory(), Why);
+  EngineMemory Memory = valueOr<EngineMemory>([&] { return readMemory(Reply); },
+                                              EngineMemory(), Why);
   if (Memory.Life == 0)
     return; // Not readable; the next sweep asks again.
   std::vector<HeldMemory> Held;
--- a/packages/node/Node.h
+++ b/packages/node/Node.h
@@ -42,8 +42,8 @@
 /// What the process found out before its first event.
 struct NodeStart {
   Settings Config;
-  Incarnation Life = 0;   // Of this process.
-  std::uint64_t Seed = 1; // Of every random choice.
+  Incarnation Life = 0;                  // Of this process.
+  std::uint64_t Seed = 1;                // Of every random choice.
   Duration WallClock = Duration::zero(); // Since 1970, at the start.
 
   // Hosts with a data folder only.
@@ -75,7 +75,7 @@
   std::map<GroupId, ClaimPartition> Claims;
   std::map<std::uint64_t, PendingEdit> Edits; // By log index.
   CellPlanner Planner;
-  std::uint64_t PlannedTerm = 0; // Term that Planner belongs to.
+  std::uint64_t PlannedTerm = 0;  // Term that Planner belongs to.
   std::uint64_t PlannedIndex = 0; // Of the cell edit in flight; zero: none.
   std::map<GroupId, std::size_t> NextVoter; // Tried next, by group.
 };
--- a/packages/node/OperatorPart.cpp
+++ b/packages/node/OperatorPart.cpp
@@ -53,8 +53,7 @@
     Body["errors"].push_back({{"path", Error.Path},
                               {"expected", Error.Expected},
                               {"found", Error.Found}});
-  Reply.Body =
-      Body.dump(-1, ' ', false, Json::error_handler_t::replace) + "\n";
+  Reply.Body = Body.dump(-1, ' ', false, Json::error_handler_t::replace) + "\n";
   answer(T, Exchange, std::move(Reply));
 }
 
@@ -67,8 +66,8 @@
 void putDocument(Turn &T, const OperatorRequest &E, const ServiceId &Service) {
   DocumentCheck Check = checkDocument(E.Request.Body);
   if (Check.good() && Check.Document.Service != Service)
-    Check.Errors.push_back({"service", "the service of the path",
-                            Check.Document.Service.Value});
+    Check.Errors.push_back(
+        {"service", "the service of the path", Check.Document.Service.Value});
   if (!Check.good()) {
     answerInvalid(T, E.Exchange, Check.Errors);
     return;
@@ -269,8 +268,7 @@
   else if (Resource == "in-force" && Get)
     startQuestion(T, E.Exchange, Service, OperatorWaitKind::InForce);
   else
-    answerProblem(T, E.Exchange,
-                  Get ? Code::NotFound : Code::MethodNotAllowed);
+    answerProblem(T, E.Exchange, Get ? Code::NotFound : Code::MethodNotAllowed);
 }
 
 void plainRequest(Turn &T, const OperatorRequest &E) {
--- a/packages/node/SchedulePart.cpp
+++ b/packages/node/SchedulePart.cpp
@@ -81,8 +81,7 @@
 }
 
 /// A message of an entry host to the cell that it names.
-template <class M, class F>
-bool toCell(Turn &T, const M &Content, F Function) {
+template <class M, class F> bool toCell(Turn &T, const M &Content, F Function) {
   auto Found = T.S.Held.find(Content.Cell);
   if (Found == T.S.Held.end())
     return true; // Not held any more; the entry host learns the new holder.
--- a/packages/node/StatusPart.cpp
+++ b/packages/node/StatusPart.cpp
@@ -57,18 +57,12 @@
                        {"synced", M.Synced},
                        {"silence_ms", toMilliseconds(M.Silence)},
                        {"caught_up", M.CaughtUp}});
-  Json Result = {{"group", R.Group},
-                 {"role", pimento::toString(R.Role)},
-                 {"formed", R.Formed},
-                 {"admitted", R.Admitted},
-                 {"lease", R.Lease},
-                 {"leader", R.Leader.Value},
-                 {"term", R.Term},
-                 {"last_index", R.LastIndex},
-                 {"commit", R.Commit},
-                 {"applied", R.Applied},
-                 {"synced", R.Synced},
-                 {"snapshot_index", R.SnapshotIndex},
+  Json Result = {{"group", R.Group},   {"role", pimento::toString(R.Role)},
+                 {"formed", R.Formed}, {"admitted", R.Admitted},
+                 {"lease", R.Lease},   {"leader", R.Leader.Value},
+                 {"term", R.Term},     {"last_index", R.LastIndex},
+                 {"commit", R.Commit}, {"applied", R.Applied},
+                 {"synced", R.Synced}, {"snapshot_index", R.SnapshotIndex},
                  {"members", Members}};
   if (R.Halted != Code::Ok) {
     Result["halted"] = pimento::toString(R.Halted);
--- a/packages/wire/Messages.h
+++ b/packages/wire/Messages.h
@@ -29,8 +29,9 @@
 
 /// Every message. Each part lists its own in its header.
 using Message =
-    JoinedMessages<LinkMessages, ForwardMessages, ReplicaMessages, MembershipMessages,
-                   ScheduleMessages, CallMessages, DocumentMessages, OperatorMessages>::Variant;
+    JoinedMessages<LinkMessages, ForwardMessages, ReplicaMessages,
+                   MembershipMessages, ScheduleMessages, CallMessages,
+                   DocumentMessages, OperatorMessages>::Variant;
 
 /// A message and the host it goes to.
 struct Outbound {
