--- a/packages/document/Freshness.h
+++ b/packages/document/Freshness.h
@@ -129,7 +129,8 @@
 
 /// The replicated log leads in \p Term until \p LeaseUntil, its lease; Term
 /// zero: no longer. A leader must have applied every entry committed before
-/// its term.
+/// its term, and a process that restarts never leads in a term of its earlier
+/// life: a stamp's term and sequence must name it alone.
 void setLeader(FreshnessState &F, std::uint64_t Term, TimePoint LeaseUntil);
 
 /// Whether this host may issue stamps at \p Now.
--- a/packages/document/Spread.cpp
+++ b/packages/document/Spread.cpp
@@ -16,17 +16,29 @@
   Out.Messages.push_back({To, std::move(M)});
 }
 
+/// Whether \p Host left a pull without a reply a short while ago: the link to
+/// it, or from it, may be silent.
+bool isAvoided(const SpreadState &S, const HostId &Host, TimePoint Now) {
+  auto Found = S.Unanswered.find(Host);
+  return Found != S.Unanswered.end() &&
+         Now < Found->second + S.Config.AvoidTime;
+}
+
 /// A host that is alive, or any where none is known to be; empty where this
 /// host is alone.
-HostId randomPeer(SpreadState &S) {
-  if (!S.Alive.empty())
-    return S.Alive[below(S.Rng, S.Alive.size())];
-  std::vector<HostId> Others;
-  for (const HostId &Host : S.Config.Hosts) {
-    if (Host != S.Config.Self)
-      Others.push_back(Host);
+HostId randomPeer(SpreadState &S, TimePoint Now) {
+  std::vector<HostId> Others = S.Alive.empty() ? S.Config.Hosts : S.Alive;
+  Others.erase(std::remove(Others.begin(), Others.end(), S.Config.Self),
+               Others.end());
+  if (Others.empty())
+    return HostId();
+  constexpr int Draws = 8; // For one that is not avoided.
+  for (int Draw = 1; Draw < Draws; ++Draw) {
+    const HostId &Peer = Others[below(S.Rng, Others.size())];
+    if (!isAvoided(S, Peer, Now))
+      return Peer;
   }
-  return Others.empty() ? HostId() : Others[below(S.Rng, Others.size())];
+  return Others[below(S.Rng, Others.size())];
 }
 
 /// Up to \p Count different hosts other than \p Except.
@@ -75,7 +87,11 @@
 
 /// Pulls from whoever is known to have more.
 void followHint(SpreadState &S, TimePoint Now, SpreadOutputs &Out) {
-  if (S.Pull.Request != 0 || S.Hint.From.empty())
+  if (S.Hint.From.empty())
+    return;
+  bool Hopeless =
+      isAvoided(S, S.Pull.From, Now) && !isAvoided(S, S.Hint.From, Now);
+  if (S.Pull.Request != 0 && !Hopeless)
     return;
   SpreadHint Hint = S.Hint;
   S.Hint = SpreadHint();
@@ -185,8 +201,10 @@
 void onNotice(SpreadState &S, const HostId &From, const SpreadNotice &N,
               TimePoint Now, SpreadOutputs &Out) {
   bool Better = S.Hint.From.empty() || S.Hint.Newest < N.Newest ||
-                S.Hint.Complete < N.Complete;
-  if (Better)
+                S.Hint.Complete < N.Complete || isAvoided(S, S.Hint.From, Now);
+  bool Worse = !S.Hint.From.empty() && isAvoided(S, From, Now) &&
+               !isAvoided(S, S.Hint.From, Now);
+  if (Better && !Worse)
     S.Hint = {From, N.Newest, N.Complete};
   followHint(S, Now, Out);
 }
@@ -228,6 +246,7 @@
     return;
   TimePoint Asked = S.Pull.Asked;
   S.Pull.Request = 0;
+  S.Unanswered.erase(From);
   std::uint64_t CompleteBefore = S.Freshness.Complete;
   takeItems(S, From, R, Now, Out);
   bool Newer = adoptStamp(S.Freshness, R.Newest, R.Age, Asked);
@@ -246,9 +265,10 @@
   if (S.Pull.Request == 0 || Now < S.Pull.Asked + S.Config.PullTimeout)
     return;
   S.Pull.Request = 0;
+  S.Unanswered[S.Pull.From] = Now;
   followHint(S, Now, Out);
   if (S.Pull.Request == 0)
-    startPull(S, randomPeer(S), 0, false, Now, Out);
+    startPull(S, randomPeer(S, Now), 0, false, Now, Out);
 }
 
 TimePoint quietPullDue(const SpreadState &S) {
@@ -264,7 +284,7 @@
     return;
   S.NextQuietPull =
       Now + between(S.Rng, S.Config.QuietPull * 3 / 4, S.Config.QuietPull);
-  startPull(S, randomPeer(S), 0, false, Now, Out);
+  startPull(S, randomPeer(S, Now), 0, false, Now, Out);
 }
 
 void noteVerdict(SpreadState &S, TimePoint Now, SpreadOutputs &Out) {
--- a/packages/document/Spread.h
+++ b/packages/document/Spread.h
@@ -45,6 +45,7 @@
   Duration StampInterval = milliseconds(500); // Between two stamps at rest.
   Duration PullTimeout = milliseconds(200);   // For one reply.
   Duration QuietPull = milliseconds(250); // Between pulls while without news.
+  Duration AvoidTime = seconds(5);        // After a pull without a reply.
   Duration AckDelay = milliseconds(20);   // Gathers acknowledgements.
   std::uint32_t Fanout = 3;               // Notices that a host sends on.
   std::uint32_t LeaderFanout = 8;         // Notices of the host that stamps.
@@ -120,6 +121,7 @@
   std::map<ServiceId, HeldDocument> Documents;
   std::vector<HostId> Alive; // Other hosts that pulls and notices go to.
   PendingPull Pull;
+  std::map<HostId, TimePoint> Unanswered; // When a pull got no reply.
   SpreadHint Hint;
   std::uint64_t NextRequest = 1;
   TimePoint LastNews; // When a new stamp came.
--- /dev/null
+++ b/packages/document/tests/SpreadTest.cpp
@@ -0,0 +1,267 @@
+#include <boost/test/unit_test.hpp>
+
+#include "document/tests/SpreadSite.h"
+
+#include <cstdlib>
+
+using namespace pimento;
+using pimento::testing::SpreadSite;
+
+namespace {
+
+/// Seeds of one test; PIMENTO_SEEDS asks for more.
+std::uint64_t seedCount(std::uint64_t Default) {
+  const char *Asked = std::getenv("PIMENTO_SEEDS");
+  return Asked ? std::strtoull(Asked, nullptr, 10) : Default;
+}
+
+/// Runs until the site has a leader that takes edits and every host serves.
+bool settle(SpreadSite &Site) {
+  return Site.P.runUntilDone(seconds(10), [&] {
+    return !Site.Leader.empty() &&
+           acceptsEdits(Site.P.node(Site.Leader).S,
+                        Site.P.clock(Site.Leader)) &&
+           std::all_of(Site.Names.begin(), Site.Names.end(),
+                       [&](const HostId &Name) { return Site.serves(Name); });
+  });
+}
+
+/// Waits until an edit is answered as accepted.
+bool waitAccepted(SpreadSite &Site, std::uint64_t Revision, Duration Limit) {
+  return Site.P.runUntilDone(Limit, [&] {
+    return !Site.Accepted.empty() && Site.Accepted.back().Revision >= Revision;
+  });
+}
+
+/// One random fault, now.
+void hurt(SpreadSite &Site) {
+  Random &R = Site.P.Rng;
+  const HostId &A = Site.Names[below(R, Site.Names.size())];
+  const HostId &B = Site.Names[below(R, Site.Names.size())];
+  switch (below(R, 10)) {
+  case 0:
+    if (Site.P.up(A))
+      Site.P.crash(A);
+    break;
+  case 1:
+  case 2:
+    if (!Site.P.up(A))
+      Site.start(A);
+    break;
+  case 3:
+    if (Site.P.up(A))
+      Site.P.freeze(A);
+    break;
+  case 4:
+  case 5:
+    if (Site.P.frozen(A))
+      Site.P.thaw(A);
+    break;
+  case 6:
+    Site.P.isolate(A);
+    break;
+  case 7:
+    if (A != B)
+      Site.P.cut(A, B); // One way.
+    break;
+  case 8: // Two sides that do not hear each other.
+    for (const HostId &Left : Site.Names) {
+      for (const HostId &Right : Site.Names) {
+        if ((Left < A) != (Right < A))
+          Site.P.cut(Left, Right);
+      }
+    }
+    break;
+  default:
+    Site.P.healAll();
+    break;
+  }
+}
+
+void setNetwork(SpreadSite &Site) {
+  Random &R = Site.P.Rng;
+  Site.P.Faults.Loss = uniform(R) * 0.2;
+  Site.P.Faults.Duplicate = uniform(R) * 0.1;
+  Site.P.Faults.Slow = uniform(R) * 0.1;
+  Site.P.Faults.SlowDelay = milliseconds(below(R, 1500));
+}
+
+std::string seedText(std::uint64_t Seed) {
+  return "seed " + std::to_string(Seed);
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(SpreadSuite)
+
+BOOST_AUTO_TEST_CASE(AnEditIsInForceEverywhereWithinASecond) {
+  for (std::uint64_t Seed = 1; Seed <= 50; ++Seed) {
+    SpreadSite Site(9, 3, Seed);
+    BOOST_REQUIRE_MESSAGE(settle(Site), seedText(Seed));
+    Site.P.Faults.Loss = 0.05;
+    for (int Edit = 0; Edit < 5; ++Edit) {
+      Site.P.runFor(milliseconds(700));
+      BOOST_REQUIRE_MESSAGE(Site.edit("service"), seedText(Seed));
+      std::uint64_t Revision = Site.LastRevision;
+      bool Everywhere = Site.P.runUntilDone(
+          seconds(1), [&] { return Site.everywhere(Revision); });
+      BOOST_TEST(Everywhere, seedText(Seed));
+      BOOST_TEST(waitAccepted(Site, Revision, seconds(1)), seedText(Seed));
+    }
+    BOOST_TEST(Site.Breach == "", seedText(Seed));
+  }
+}
+
+BOOST_AUTO_TEST_CASE(RandomFaultsNeverBreakAnInvariant) {
+  std::uint64_t Edits = 0;
+  std::uint64_t Accepted = 0;
+  std::uint64_t Falls = 0;
+  for (std::uint64_t Seed = 1; Seed <= seedCount(300); ++Seed) {
+    SpreadSite Site(5 + Seed % 5, Seed % 2 == 0 ? 3 : 5, Seed);
+    setNetwork(Site);
+    for (int Step = 0; Step < 80; ++Step) {
+      Site.P.runFor(between(Site.P.Rng, milliseconds(10), milliseconds(350)));
+      if (below(Site.P.Rng, 2) == 0)
+        Edits += Site.edit("s" + std::to_string(below(Site.P.Rng, 3)));
+      if (below(Site.P.Rng, 4) == 0)
+        hurt(Site);
+    }
+    Site.healEverything();
+    BOOST_TEST(settle(Site), seedText(Seed));
+    Site.P.runUntilDone(seconds(5),
+                        [&] { return Site.everywhere(Site.Log.size()); });
+    BOOST_TEST(Site.everywhere(Site.Log.size()), seedText(Seed));
+    BOOST_REQUIRE_MESSAGE(Site.Breach.empty(),
+                          seedText(Seed) + ": " + Site.Breach);
+    Accepted += Site.Accepted.size();
+    Falls += Site.UnacceptedFalls;
+  }
+  BOOST_TEST_MESSAGE("edits " << Edits << ", acceptances " << Accepted
+                              << ", falls below a number never accepted "
+                              << Falls);
+  BOOST_TEST(Accepted > seedCount(300));
+}
+
+BOOST_AUTO_TEST_CASE(AHostCutOffAloneStopsWithinTheBound) {
+  for (std::uint64_t Seed = 1; Seed <= 20; ++Seed) {
+    SpreadSite Site(9, 3, Seed);
+    BOOST_REQUIRE(settle(Site));
+    HostId Cut = Site.Names[Seed % 9];
+    Site.P.isolate(Cut);
+    // A leader goes on stamping for itself until its lease ends.
+    Site.P.runFor(Site.Base.Freshness.Bound + SpreadSite::LeaseTime);
+    for (const HostId &Name : Site.Names)
+      BOOST_TEST(Site.serves(Name) == (Name != Cut), seedText(Seed));
+    Site.P.runFor(seconds(60));
+    BOOST_TEST(!Site.serves(Cut), seedText(Seed));
+    Site.P.healAll();
+    BOOST_TEST(settle(Site), seedText(Seed));
+    BOOST_TEST(Site.Breach == "", seedText(Seed));
+  }
+}
+
+BOOST_AUTO_TEST_CASE(APartialCutStopsNobody) {
+  for (std::uint64_t Seed = 1; Seed <= 20; ++Seed) {
+    SpreadSite Site(9, 3, Seed);
+    BOOST_REQUIRE(settle(Site));
+    // One host hears none of the voters, another is heard by none of them.
+    HostId Deaf = Site.Names[7];
+    HostId Mute = Site.Names[8];
+    for (const HostId &Voter : Site.Voters) {
+      Site.P.cut(Voter, Deaf);
+      Site.P.cut(Mute, Voter);
+    }
+    Site.P.AfterStep = [&] {
+      for (const HostId &Name : Site.Names)
+        BOOST_REQUIRE_MESSAGE(Site.serves(Name), seedText(Seed));
+    };
+    Site.P.runFor(seconds(8));
+    BOOST_REQUIRE_MESSAGE(Site.edit("service"), seedText(Seed));
+    Site.P.runFor(seconds(2));
+    BOOST_TEST(Site.everywhere(Site.LastRevision), seedText(Seed));
+    BOOST_TEST(Site.Breach == "", seedText(Seed));
+  }
+}
+
+BOOST_AUTO_TEST_CASE(ALostControlMajorityStopsNoService) {
+  for (std::uint64_t Seed = 1; Seed <= 20; ++Seed) {
+    SpreadSite Site(9, 3, Seed);
+    BOOST_REQUIRE(settle(Site));
+    BOOST_REQUIRE(Site.edit("service"));
+    BOOST_REQUIRE(waitAccepted(Site, Site.LastRevision, seconds(2)));
+    Site.P.crash(Site.Voters[0]);
+    Site.P.crash(Site.Voters[1]);
+    Site.P.AfterStep = [&] {
+      for (std::size_t I = 2; I < Site.Names.size(); ++I)
+        BOOST_REQUIRE_MESSAGE(Site.serves(Site.Names[I]), seedText(Seed));
+    };
+    Site.P.runFor(seconds(30));
+    BOOST_TEST(!Site.edit("service"), seedText(Seed));
+    BOOST_TEST(Site.Breach == "", seedText(Seed));
+  }
+}
+
+BOOST_AUTO_TEST_CASE(ARestartedHostIsCurrentBeforeItServes) {
+  for (std::uint64_t Seed = 1; Seed <= 20; ++Seed) {
+    SpreadSite Site(9, 3, Seed);
+    BOOST_REQUIRE(settle(Site));
+    HostId Late = Site.Names[5];
+    BOOST_REQUIRE(Site.edit("service"));
+    Site.P.crash(Late);
+    for (int Edit = 0; Edit < 300; ++Edit) {
+      Site.P.runFor(milliseconds(20));
+      BOOST_REQUIRE(Site.edit("s" + std::to_string(Edit % 7)));
+    }
+    BOOST_REQUIRE(waitAccepted(Site, Site.LastRevision, seconds(2)));
+    Site.start(Late);
+    BOOST_TEST(!Site.serves(Late));
+    bool Back =
+        Site.P.runUntilDone(seconds(3), [&] { return Site.serves(Late); });
+    BOOST_TEST(Back, seedText(Seed));
+    BOOST_TEST(Site.revisionAt(Late) >= 301U, seedText(Seed));
+    BOOST_TEST(Site.Breach == "", seedText(Seed));
+  }
+}
+
+BOOST_AUTO_TEST_CASE(LargeDocumentsArriveInParts) {
+  SpreadSite Site(5, 3, 7);
+  BOOST_REQUIRE(settle(Site));
+  HostId Late = Site.Names[4];
+  Site.P.crash(Late);
+  for (int Service = 0; Service < 12; ++Service) {
+    std::string Padding;
+    for (int I = 0; I < 6000; ++I)
+      Padding += std::to_string(Site.P.Rng());
+    Site.P.runFor(milliseconds(300));
+    BOOST_REQUIRE(Site.edit("large" + std::to_string(Service), Padding));
+  }
+  Site.start(Late);
+  BOOST_TEST(
+      Site.P.runUntilDone(seconds(5), [&] { return Site.serves(Late); }));
+  BOOST_TEST(Site.P.node(Late).S.Documents.size() == 12U);
+  BOOST_TEST(Site.Breach == "");
+}
+
+BOOST_AUTO_TEST_CASE(InForceAnswersNameEveryHostThatRuns) {
+  SpreadSite Site(40, 3, 3);
+  BOOST_REQUIRE(settle(Site));
+  BOOST_REQUIRE(Site.edit("service"));
+  Site.P.runFor(seconds(2));
+  Site.P.crash(Site.Names[11]); // Gathers for others.
+  Site.P.perform(Site.Names[0], Duration::zero(),
+                 [&](pimento::testing::SpreadNode &N, TimePoint Now) {
+                   SpreadOutputs Out;
+                   askInForce(N.S, seconds(2), Now, Out);
+                   for (Outbound &O : Out.Messages)
+                     Site.P.send(Site.Names[0], O.To, O.Content);
+                 });
+  Site.P.runFor(milliseconds(2100));
+  BOOST_REQUIRE(Site.Answers.size() == 1U);
+  BOOST_TEST(Site.Answers[0].Hosts.size() == 39U);
+  for (const HostInForce &Host : Site.Answers[0].Hosts) {
+    BOOST_TEST(Host.Revision == 1U);
+    BOOST_TEST(Host.Serving);
+  }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
