--- a/packages/calls/CallerApi.cpp
+++ b/packages/calls/CallerApi.cpp
@@ -6,7 +6,7 @@
 #include <algorithm>
 #include <charconv>
 
-namespace pimento {
+namespace pimento::calls {
 
 namespace {
 
@@ -238,4 +238,4 @@
   return std::optional<Duration>(milliseconds(std::min(Count, MostMs)));
 }
 
-} // namespace pimento
+} // namespace pimento::calls
--- a/packages/calls/CallerApi.h
+++ b/packages/calls/CallerApi.h
@@ -7,7 +7,8 @@
 //   readPlainCall()       /v1/services/{service}/calls/{path}
 //   completionReply()     a whole answer as JSON
 //   chunkText() ...       a streamed answer as server-sent events
-//   problemReply()        application/problem+json for every refusal
+//   chunkProblem()        the end of a stream that failed
+//   base/Problem.h        problem replies
 //
 //===----------------------------------------------------------------------===//
 #pragma once
@@ -24,7 +25,7 @@
 #include <string>
 #include <string_view>
 
-namespace pimento {
+namespace pimento::calls {
 
 /// Where callers leave max_tokens out.
 constexpr std::uint64_t DefaultMaxTokens = 256;
@@ -95,9 +96,7 @@
 /// The last two events: why it ended, and [DONE].
 std::string chunkEnd(const CompletionHead &Head, const CompletionEnd &End);
 
-/// The problem reply of one request.
-HttpReply problemReply(const RequestId &Request, Problem Why);
 /// The event that ends a stream which can't go on; no [DONE] follows.
-std::string chunkProblem(const RequestId &Request, Problem Why);
+std::string chunkProblem(const Problem &Why);
 
-} // namespace pimento
+} // namespace pimento::calls
--- a/packages/calls/CallerReply.cpp
+++ b/packages/calls/CallerReply.cpp
@@ -2,7 +2,7 @@
 
 #include "base/Json.h"
 
-namespace pimento {
+namespace pimento::calls {
 
 namespace {
 
@@ -82,14 +82,12 @@
          event("[DONE]");
 }
 
-HttpReply problemReply(const RequestId &Request, Problem Why) {
-  Why.Request = Request;
-  return problemReply(Why);
+std::string chunkProblem(const Problem &Why) {
+  // The same object as in a problem reply.
+  HttpReply Reply = problemReply(Why);
+  while (!Reply.Body.empty() && Reply.Body.back() == '\n')
+    Reply.Body.pop_back();
+  return event("{\"error\":" + Reply.Body + "}");
 }
 
-std::string chunkProblem(const RequestId &Request, Problem Why) {
-  Why.Request = Request;
-  return event("{\"error\":" + problemBody(Why) + "}");
-}
-
-} // namespace pimento
+} // namespace pimento::calls
--- a/packages/calls/ClaimLeader.cpp
+++ b/packages/calls/ClaimLeader.cpp
@@ -4,7 +4,7 @@
 
 #include <algorithm>
 
-namespace pimento {
+namespace pimento::calls {
 
 namespace {
 
@@ -548,6 +548,16 @@
   flush(C);
 }
 
+void onClaimsRefused(ClaimLeader &Leader, std::uint64_t Ticket) {
+  Leader.InFlight.erase(Ticket);
+  for (auto &[Key, OfKey] : Leader.Waiters) {
+    for (auto &[Id, Waiter] : OfKey)
+      Waiter.Proposed = false;
+  }
+  Leader.Acks.clear();
+  Leader.Losing.clear();
+}
+
 void onHostLife(ClaimLeader &Leader, const HostId &Host, Incarnation Life,
                 bool Dead) {
   Incarnation &Known = Leader.Lives[Host];
@@ -574,4 +584,4 @@
   return Leader.Leading ? Leader.NextSweep : TimePoint::max();
 }
 
-} // namespace pimento
+} // namespace pimento::calls
--- a/packages/calls/ClaimSnapshot.cpp
+++ b/packages/calls/ClaimSnapshot.cpp
@@ -3,7 +3,7 @@
 
 #include <algorithm>
 
-namespace pimento {
+namespace pimento::calls {
 
 namespace {
 
@@ -122,4 +122,4 @@
   return State;
 }
 
-} // namespace pimento
+} // namespace pimento::calls
--- a/packages/calls/Claims.h
+++ b/packages/calls/Claims.h
@@ -35,7 +35,7 @@
 #include <utility>
 #include <vector>
 
-namespace pimento {
+namespace pimento::calls {
 
 /// One of \p Partitions: the same for all calls of one client account to one
 /// service, whatever their keys.
@@ -174,4 +174,4 @@
 Result<ClaimsState> decodeClaims(const Blob &Snapshot,
                                  const ClaimLimits &Limits);
 
-} // namespace pimento
+} // namespace pimento::calls
--- a/packages/calls/Cleanups.cpp
+++ b/packages/calls/Cleanups.cpp
@@ -4,7 +4,7 @@
 
 #include <algorithm>
 
-namespace pimento {
+namespace pimento::calls {
 
 namespace {
 
@@ -37,7 +37,7 @@
   auto Found = C.S.Cleanups.find(Attempt);
   Cleanup &Work = Found->second;
   abortInFlight(C, Work);
-  C.Out.List.emplace_back(SendRelease{Work.Service, Work.Model, Work.Report});
+  C.Out.List.emplace_back(SendRelease{Work.Report});
   C.S.Cleanups.erase(Found);
 }
 
@@ -134,4 +134,4 @@
     endCleanup(C, Attempt);
 }
 
-} // namespace pimento
+} // namespace pimento::calls
--- a/packages/calls/Directory.h
+++ b/packages/calls/Directory.h
@@ -7,7 +7,6 @@
 //===----------------------------------------------------------------------===//
 #pragma once
 
-#include "base/Http.h"
 #include "base/Ids.h"
 #include "base/Time.h"
 
@@ -17,22 +16,22 @@
 #include <string_view>
 #include <vector>
 
-namespace pimento {
+namespace pimento::calls {
 
 /// How a plain service's calls below one path are treated.
-struct PlainCallRule {
-  std::string Path; // Prefix below .../calls/, without a leading '/'.
-  std::vector<HttpMethod> Methods;
+struct CallRule {
+  std::string Path;                 // Prefix below .../calls/; no leading '/'.
+  std::vector<std::string> Methods; // Such as "POST".
   bool Repeatable = false; // False: at most once, needs an Idempotency-Key.
 };
 
 /// One service, as its document in force says.
 struct ServiceRule {
-  std::map<AccountId, std::uint32_t> Weights; // Accounts that may use it.
-  std::vector<PlainCallRule> Calls;
-  Duration TimeLimit = Duration::zero();    // Zero: the host's default.
-  Duration MaxTimeLimit = Duration::zero(); // Zero: the host's.
-  Duration Retention = hours(24);           // Of recorded answers.
+  std::map<AccountId, std::uint32_t> Weights;   // Accounts that may use it.
+  std::vector<CallRule> Calls;                  // Longest prefix counts.
+  Duration DefaultTimeLimit = Duration::zero(); // Zero: the host's.
+  Duration MaxTimeLimit = Duration::zero();     // Zero: the host's.
+  Duration Retention = hours(24);               // Of recorded answers.
   double RetryShare = -1; // Retries for each first try; below 0: the host's.
 };
 
@@ -63,9 +62,9 @@
   bool RefuseNew = false; // The host is stopping and past its unready time.
 };
 
-/// The rule with the longest prefix of \p Path that takes \p Method; null where
-/// the service offers no such call.
-const PlainCallRule *findCall(const ServiceRule &Service, HttpMethod Method,
-                              std::string_view Path);
+/// The rule with the longest prefix of \p Path, in whole segments, that lists
+/// \p Method; null where the service offers no such call.
+const CallRule *callRule(const ServiceRule &Service, std::string_view Method,
+                         std::string_view Path);
 
-} // namespace pimento
+} // namespace pimento::calls
--- a/packages/calls/Effects.h
+++ b/packages/calls/Effects.h
@@ -16,7 +16,7 @@
 #include <variant>
 #include <vector>
 
-namespace pimento {
+namespace pimento::calls {
 
 /// The one reply of an exchange that is not streamed.
 struct SendReply {
@@ -67,20 +67,25 @@
   bool Paused = true;
 };
 
-/// To the host that schedules the model's cell.
+/// To the host that schedules the model's cell; who carries it out repeats it
+/// until it is answered or withdrawn.
 struct SendAsk {
   Ask Content;
 };
+/// Gives up an ask or a grant.
 struct SendWithdraw {
-  ServiceId Service; // Empty: to the host that the grant came from.
-  ModelName Model;
-  Withdraw Content;
+  AttemptId Attempt;
 };
+/// The attempt ended at its engines.
 struct SendRelease {
-  ServiceId Service;
-  ModelName Model;
   Release Content;
 };
+/// How far an attempt has come; totals.
+struct NoteProgress {
+  AttemptId Attempt;
+  std::uint64_t PrefillTokens = 0;
+  std::uint64_t OutputTokens = 0;
+};
 
 /// To the leader of the claim's partition.
 struct SendClaim {
@@ -93,7 +98,8 @@
 using CallsEffect =
     std::variant<SendReply, StartStream, StreamBytes, EndStream, CloseExchange,
                  OpenUpstream, AbortUpstream, PauseUpstream, SendAsk,
-                 SendWithdraw, SendRelease, SendClaim, SendClaimResult>;
+                 SendWithdraw, SendRelease, NoteProgress, SendClaim,
+                 SendClaimResult>;
 
 struct CallsEffects {
   std::vector<CallsEffect> List; // In order.
@@ -101,4 +107,4 @@
   std::vector<MetricSample> Samples;
 };
 
-} // namespace pimento
+} // namespace pimento::calls
--- a/packages/calls/Generation.cpp
+++ b/packages/calls/Generation.cpp
@@ -5,7 +5,7 @@
 
 #include <algorithm>
 
-namespace pimento {
+namespace pimento::calls {
 
 namespace {
 
@@ -25,11 +25,8 @@
   return Content;
 }
 
-void withdraw(Context &C, const Request &R, const AttemptId &Attempt) {
-  ModelName Model;
-  if (R.Generation)
-    Model = R.Generation->Wanted.Model;
-  C.Out.List.emplace_back(SendWithdraw{R.Service, Model, {Attempt}});
+void withdraw(Context &C, const AttemptId &Attempt) {
+  C.Out.List.emplace_back(SendWithdraw{Attempt});
 }
 
 bool isGroup(const Grant &G) { return G.Engines.size() > 1; }
@@ -72,7 +69,7 @@
   G.Text.clear();
   G.Try.Attempt = {R.Id, ++R.Tries};
   R.State = Phase::Asking;
-  R.Wake = C.Now + C.S.Times.AskRepeat;
+  R.Wake = TimePoint::max();
   C.Out.List.emplace_back(SendAsk{askOf(R, C.Now)});
 }
 
@@ -81,18 +78,15 @@
   abortUpstream(C, R);
   R.MayHaveRun = R.MayHaveRun || T.SentAt != TimePoint();
   if (T.Leave.Engines.empty()) {
-    withdraw(C, R, T.Attempt);
+    withdraw(C, T.Attempt);
     return;
   }
   Release Report = reportOf(C, R, End);
-  const ModelName &Model = R.Generation->Wanted.Model;
   if (!Cancel) {
-    C.Out.List.emplace_back(SendRelease{R.Service, Model, Report});
+    C.Out.List.emplace_back(SendRelease{Report});
     return;
   }
   Cleanup Work;
-  Work.Service = R.Service;
-  Work.Model = Model;
   Work.Report = Report;
   Work.Engines = T.Leave.Engines;
   startCleanup(C, std::move(Work));
@@ -124,7 +118,7 @@
   Order.Model = G.Wanted.Model;
   Order.Prompt = G.Wanted.Prompt;
   Order.MaxTokens = G.Wanted.MaxTokens;
-  Order.Weight = G.Weight;
+  Order.Weight = T.Leave.Priority;
   Order.Epoch = T.Leave.Epoch;
   for (std::size_t I = 1; I < T.Leave.Engines.size(); ++I)
     Order.Members.push_back(T.Leave.Engines[I].Address);
@@ -159,12 +153,12 @@
   sendGenerate(C, R);
 }
 
-void returnGrant(Context &C, Request &R, const Event &E) {
-  withdraw(C, R, E.Granted->Attempt);
+void returnGrant(Context &C, Request & /*R*/, const Event &E) {
+  withdraw(C, E.Granted->Attempt);
 }
 
 void useRefusal(Context &C, Request &R, const Event &E) {
-  Problem Why{E.Refused->Reason, "", E.Refused->RetryAfter};
+  Problem Why{E.Refused->Reason, "", R.Id, E.Refused->RetryAfter};
   if (info(Why.Number).Result != Outcome::NotRun)
     Why.Number = Code::NoBackend;
   // An earlier try may have run: then "not run" would be a lie.
@@ -175,7 +169,7 @@
 }
 
 void leaveAsking(Context &C, Request &R, const Event & /*E*/) {
-  withdraw(C, R, R.Generation->Try.Attempt);
+  withdraw(C, R.Generation->Try.Attempt);
   decide(C, "cancel", R.Id, "the caller left while waiting for a grant");
   R.State = Phase::Ended;
 }
@@ -188,13 +182,8 @@
   R.State = Phase::Ended;
 }
 
-void repeatAsk(Context &C, Request &R, const Event & /*E*/) {
-  R.Wake = C.Now + C.S.Times.AskRepeat;
-  C.Out.List.emplace_back(SendAsk{askOf(R, C.Now)});
-}
-
 void expireAsking(Context &C, Request &R, const Event &E) {
-  withdraw(C, R, R.Generation->Try.Attempt);
+  withdraw(C, R.Generation->Try.Attempt);
   Problem Why{honest(R, Code::DeadlineUnreachable, Code::DeadlineExceeded),
               "no engine was granted within the time limit",
               {}};
@@ -274,20 +263,4 @@
     sendCall(C, R);
 }
 
-std::vector<LiveAttempt> liveAttempts(const CallsState &State, TimePoint Now) {
-  std::vector<LiveAttempt> Live;
-  for (const auto &[Id, R] : State.Requests) {
-    bool Asks = R.State == Phase::Asking || R.State == Phase::Reserving ||
-                R.State == Phase::Generating || R.State == Phase::Resuming;
-    if (!Asks || !R.Generation)
-      continue;
-    LiveAttempt Entry;
-    Entry.Content = askOf(R, Now);
-    if (R.State != Phase::Asking)
-      Entry.Leave = R.Generation->Try.Leave;
-    Live.push_back(std::move(Entry));
-  }
-  return Live;
-}
-
-} // namespace pimento
+} // namespace pimento::calls
--- a/packages/calls/Health.cpp
+++ b/packages/calls/Health.cpp
@@ -2,7 +2,7 @@
 
 #include <algorithm>
 
-namespace pimento {
+namespace pimento::calls {
 
 namespace {
 
@@ -11,8 +11,7 @@
 }
 
 /// What is known of a server; nothing of an earlier life.
-ServerHealth healthOf(const ServerHealthState &State,
-                      const PlainServer &Server) {
+ServerHealth healthOf(const HealthState &State, const PlainServer &Server) {
   auto Found = State.Servers.find(Server.Backend);
   if (Found == State.Servers.end() || Found->second.Life != Server.Life)
     return {};
@@ -24,7 +23,7 @@
   ServerHealth Health;
 };
 
-std::vector<Candidate> candidates(const ServerHealthState &State,
+std::vector<Candidate> candidates(const HealthState &State,
                                   const std::vector<PlainServer> &Servers,
                                   const std::vector<BackendId> &Avoid) {
   std::vector<Candidate> Found;
@@ -38,7 +37,7 @@
   return candidates(State, Servers, {});
 }
 
-std::size_t ejectedCount(const ServerHealthState &State,
+std::size_t ejectedCount(const HealthState &State,
                          const std::vector<PlainServer> &Servers,
                          TimePoint Now) {
   std::size_t Count = 0;
@@ -76,7 +75,7 @@
 }
 
 /// Keeps the table small: servers without calls that were not used for long.
-void forgetOld(ServerHealthState &State, TimePoint Now) {
+void forgetOld(HealthState &State, TimePoint Now) {
   constexpr std::size_t KeptServers = 4096;
   constexpr Duration KeptTime = minutes(10);
   if (State.Servers.size() <= KeptServers)
@@ -105,7 +104,7 @@
   return "no server";
 }
 
-ServerChoice chooseServer(const ServerHealthState &State,
+ServerChoice chooseServer(const HealthState &State,
                           const std::vector<PlainServer> &Servers,
                           const std::vector<BackendId> &Avoid, Random &Rng,
                           TimePoint Now) {
@@ -139,7 +138,7 @@
   return Choice;
 }
 
-void onCallStarted(ServerHealthState &State, const PlainServer &Server,
+void onCallStarted(HealthState &State, const PlainServer &Server,
                    TimePoint Now) {
   forgetOld(State, Now);
   ServerHealth &Health = State.Servers[Server.Backend];
@@ -153,7 +152,7 @@
   Health.LastUsed = Now;
 }
 
-void onCallEnded(ServerHealthState &State, const BackendId &Server, bool Good,
+void onCallEnded(HealthState &State, const BackendId &Server, bool Good,
                  const std::vector<PlainServer> &Servers, TimePoint Now) {
   auto Found = State.Servers.find(Server);
   if (Found == State.Servers.end())
@@ -176,10 +175,10 @@
     eject(Settings, Health, Now);
 }
 
-void onCallDropped(ServerHealthState &State, const BackendId &Server) {
+void onCallDropped(HealthState &State, const BackendId &Server) {
   auto Found = State.Servers.find(Server);
   if (Found != State.Servers.end() && Found->second.InFlight > 0)
     --Found->second.InFlight;
 }
 
-} // namespace pimento
+} // namespace pimento::calls
--- a/packages/calls/Outcomes.cpp
+++ b/packages/calls/Outcomes.cpp
@@ -2,7 +2,7 @@
 
 #include <algorithm>
 
-namespace pimento {
+namespace pimento::calls {
 
 namespace {
 
@@ -130,11 +130,12 @@
   if (Why.RetryAfter <= Duration::zero() && info(Why.Number).HttpStatus == 503)
     Why.RetryAfter = DefaultRetryAfter;
   recordOutcome(C, R, Why.Number, info(Why.Number).HttpStatus);
+  Why.Request = R.Id;
   if (R.Streaming) {
-    answerStreamEnd(C, R, chunkProblem(R.Id, Why), /*Whole=*/false);
+    answerStreamEnd(C, R, chunkProblem(Why), /*Whole=*/false);
     return;
   }
-  HttpReply Reply = problemReply(R.Id, Why);
+  HttpReply Reply = problemReply(Why);
   std::uint64_t Bytes = Reply.Body.size();
   C.Out.List.emplace_back(SendReply{R.Exchange, std::move(Reply)});
   deliver(C, R, Bytes);
@@ -158,7 +159,7 @@
   R.Wake = C.Now + Wait;
   decide(C, "retry", R.Id, R.LastFailure.Detail)
       .add("code", static_cast<std::int64_t>(R.LastFailure.Number))
-      .add("try", static_cast<std::int64_t>(R.Tries + 1))
+      .add("try", static_cast<std::int64_t>(R.Tries) + 1)
       .add("wait_ms", toMilliseconds(Wait))
       .add("left_ms", toMilliseconds(timeLeft(R, C.Now)))
       .add("budget", C.S.Budgets[R.Service].Tokens)
@@ -205,4 +206,4 @@
         std::string("event=\"") + toString(E.Kind) + "\"");
 }
 
-} // namespace pimento
+} // namespace pimento::calls
--- a/packages/calls/PlainUpstream.cpp
+++ b/packages/calls/PlainUpstream.cpp
@@ -5,7 +5,7 @@
 #include <algorithm>
 #include <charconv>
 
-namespace pimento {
+namespace pimento::calls {
 
 namespace {
 
@@ -265,10 +265,10 @@
     endUnknown(C, R, "the host stops");
     return;
   }
-  Problem Why{Code::OutcomeUnknown, "the time limit passed", {}};
+  Problem Why{Code::OutcomeUnknown, "the time limit passed", R.Id, {}};
   count(C, "pimento_requests_total", "outcome=\"unknown\"");
   decide(C, "settle", R.Id, "the time limit passed; the call goes on");
-  C.Out.List.emplace_back(SendReply{R.Exchange, problemReply(R.Id, Why)});
+  C.Out.List.emplace_back(SendReply{R.Exchange, problemReply(Why)});
   settle(C, R);
 }
 
@@ -277,4 +277,4 @@
   endUnknown(C, R, "no answer came");
 }
 
-} // namespace pimento
+} // namespace pimento::calls
--- a/packages/calls/RetryBudget.h
+++ b/packages/calls/RetryBudget.h
@@ -7,7 +7,7 @@
 
 #include <cstdint>
 
-namespace pimento {
+namespace pimento::calls {
 
 /// A bucket of retries: each first try puts a share of one in, each retry
 /// takes one out.
@@ -29,4 +29,4 @@
 /// drawn between half of that and the whole.
 Duration backoff(const RetrySettings &Settings, std::uint32_t Try, Random &Rng);
 
-} // namespace pimento
+} // namespace pimento::calls
--- a/packages/node/ControlPart.cpp
+++ b/packages/node/ControlPart.cpp
@@ -27,10 +27,10 @@
   return R;
 }
 
-void takeClaims(Turn &T, GroupId Group, ClaimEffects Out);
+void takeClaims(Turn &T, GroupId Group, calls::ClaimEffects Out);
 
 /// Proposes an entry of a claim partition and remembers its ticket.
-void proposeClaims(Turn &T, GroupId Group, ProposeClaims E) {
+void proposeClaims(Turn &T, GroupId Group, calls::ProposeClaims E) {
   ClaimPartition &Partition = T.S.Control.Claims[Group];
   auto At = propose(T.S.Control.Logs.at(Group), std::move(E.Entry));
   if (At)
@@ -39,22 +39,22 @@
     stopLeading(Partition.Leader); // Asked again at whoever leads now.
 }
 
-void takeClaims(Turn &T, GroupId Group, ClaimEffects Out) {
+void takeClaims(Turn &T, GroupId Group, calls::ClaimEffects Out) {
   logAll(T, std::move(Out.Decisions));
   recordAll(T, std::move(Out.Samples));
-  for (ClaimEffect &E : Out.List) {
-    if (auto *P = std::get_if<ProposeClaims>(&E))
+  for (calls::ClaimEffect &E : Out.List) {
+    if (auto *P = std::get_if<calls::ProposeClaims>(&E))
       proposeClaims(T, Group, std::move(*P));
-    else if (auto *R = std::get_if<SendClaimReply>(&E))
+    else if (auto *R = std::get_if<calls::SendClaimReply>(&E))
       send(T, R->To, std::move(R->Content));
-    else if (auto *A = std::get_if<SendClaimAck>(&E))
+    else if (auto *A = std::get_if<calls::SendClaimAck>(&E))
       send(T, A->To, A->Content);
   }
 }
 
 void applyClaimEntry(Turn &T, GroupId Group, const LogEntry &Entry) {
   ClaimPartition &Partition = T.S.Control.Claims[Group];
-  std::vector<ClaimChange> Changes =
+  std::vector<calls::ClaimChange> Changes =
       applyClaims(Partition.Applied, Entry.Payload);
   auto Found = Partition.Tickets.find(Entry.Index);
   std::uint64_t Ticket = 0;
@@ -64,7 +64,7 @@
   }
   if (!Partition.Leader.Leading)
     return;
-  ClaimEffects Out;
+  calls::ClaimEffects Out;
   onClaimsApplied(Partition.Leader, Partition.Applied, Ticket, Changes, T.Now,
                   Out);
   takeClaims(T, Group, std::move(Out));
@@ -76,8 +76,8 @@
     T.S.Control.Documents = valueOr<Store>(
         [&] { return decodeStore(*Base.Data); }, T.S.Control.Documents, Why);
   } else {
-    ClaimsState &Applied = T.S.Control.Claims[Group].Applied;
-    Applied = valueOr<ClaimsState>(
+    calls::ClaimsState &Applied = T.S.Control.Claims[Group].Applied;
+    Applied = valueOr<calls::ClaimsState>(
         [&] { return decodeClaims(Blob{*Base.Data}, Applied.Limits); }, Applied,
         Why);
   }
@@ -150,7 +150,7 @@
   for (auto &[Group, Partition] : T.S.Control.Claims) {
     if (!Partition.Leader.Leading || T.Now < nextClaimWakeup(Partition.Leader))
       continue;
-    ClaimEffects Out;
+    calls::ClaimEffects Out;
     tickClaims(Partition.Leader, Partition.Applied, T.Now, Out);
     takeClaims(T, Group, std::move(Out));
   }
@@ -182,13 +182,13 @@
     return true;
   }
   bool operator()(const ClaimRequest &M) const {
-    claim(M.Key, [&](ClaimPartition &P, ClaimEffects &Out) {
+    claim(M.Key, [&](ClaimPartition &P, calls::ClaimEffects &Out) {
       onClaimRequest(P.Leader, P.Applied, From, M, T.Now, Out);
     });
     return true;
   }
   bool operator()(const ClaimResult &M) const {
-    claim(M.Key, [&](ClaimPartition &P, ClaimEffects &Out) {
+    claim(M.Key, [&](ClaimPartition &P, calls::ClaimEffects &Out) {
       onClaimResult(P.Leader, P.Applied, From, M, T.Now, Out);
     });
     return true;
@@ -202,7 +202,7 @@
     ClaimPartition &Partition = T.S.Control.Claims[Group];
     if (!Partition.Leader.Leading)
       return; // Its lease is not there yet; the entry host asks again.
-    ClaimEffects Out;
+    calls::ClaimEffects Out;
     Function(Partition, Out);
     takeClaims(T, Group, std::move(Out));
   }
@@ -244,7 +244,7 @@
 GroupId claimGroup(const NodeState &S, const ClaimKey &Key) {
   auto Partitions =
       static_cast<std::uint32_t>(S.Config.Control.ClaimPartitions);
-  return 1 + claimPartition(Key.Service, Key.Account, Partitions);
+  return 1 + calls::claimPartition(Key.Service, Key.Account, Partitions);
 }
 
 void startControl(NodeState &S, const NodeStart &Start, TimePoint Now) {
--- a/packages/node/DocumentPart.cpp
+++ b/packages/node/DocumentPart.cpp
@@ -16,28 +16,18 @@
   return Table;
 }
 
-HttpMethod methodOf(const std::string &Name) {
-  for (HttpMethod M : {HttpMethod::Get, HttpMethod::Post, HttpMethod::Put,
-                       HttpMethod::Delete, HttpMethod::Patch}) {
-    if (Name == toString(M))
-      return M;
-  }
-  return HttpMethod::Other;
-}
-
-ServiceRule ruleOf(const ServiceDocument &D) {
-  ServiceRule Rule;
+calls::ServiceRule ruleOf(const ServiceDocument &D) {
+  calls::ServiceRule Rule;
   for (const AccountEntry &Account : D.Accounts)
     Rule.Weights[Account.Account] = Account.Weight;
   for (const CallRule &Call : D.Calls) {
-    PlainCallRule Plain;
+    calls::CallRule Plain;
     Plain.Path = Call.Path;
-    for (const std::string &Method : Call.Methods)
-      Plain.Methods.push_back(methodOf(Method));
+    Plain.Methods = Call.Methods;
     Plain.Repeatable = Call.Repeatable;
     Rule.Calls.push_back(std::move(Plain));
   }
-  Rule.TimeLimit = D.DefaultTimeLimit;
+  Rule.DefaultTimeLimit = D.DefaultTimeLimit;
   Rule.MaxTimeLimit = D.MaxTimeLimit;
   Rule.Retention = D.ClaimRetention;
   Rule.RetryShare = D.RetryBudget;
@@ -46,7 +36,7 @@
 
 void addModel(NodeState &S, const ServiceDocument &D, const ModelEntry &Model,
               const ModelName &Name) {
-  ModelRule Rule;
+  calls::ModelRule Rule;
   Rule.Service = D.Service;
   Rule.ContextTokens = Model.ContextTokens;
   S.Known.Models[Name].push_back(Rule);
--- a/packages/node/EnginePart.cpp
+++ b/packages/node/EnginePart.cpp
@@ -15,7 +15,7 @@
   std::uint64_t Id = T.S.NextUpstream++;
   Call.Until = T.Now + EngineCallTime;
   T.S.EngineCalls.emplace(Id, std::move(Call));
-  T.Out.push_back(OpenUpstream{UpstreamId{Id}, std::move(Request), {}});
+  T.Out.push_back(calls::OpenUpstream{UpstreamId{Id}, std::move(Request), {}});
 }
 
 HeldKind kindOf(HoldKind K) {
@@ -150,7 +150,7 @@
       ++It;
       continue;
     }
-    T.Out.push_back(AbortUpstream{UpstreamId{It->first}});
+    T.Out.push_back(calls::AbortUpstream{UpstreamId{It->first}});
     It = T.S.EngineCalls.erase(It);
   }
 }
--- a/packages/node/MembershipPart.cpp
+++ b/packages/node/MembershipPart.cpp
@@ -21,7 +21,7 @@
 
 void takeBackendChange(Turn &T, const BackendRecord &Record) {
   if (Record.Status == BackendStatus::Gone) {
-    CallsEffects Out;
+    calls::CallsEffects Out;
     onBackendGone(T.S.Calls, Record.Id, Out);
     takeCalls(T, std::move(Out));
   }
@@ -89,7 +89,7 @@
 }
 
 void announce(Turn &T, ExchangeId Exchange, const HttpRequest &Request) {
-  T.Out.push_back(SendReply{Exchange, announceReply(T, Request)});
+  T.Out.push_back(calls::SendReply{Exchange, announceReply(T, Request)});
 }
 
 } // namespace pimento::node
--- a/packages/node/Turn.h
+++ b/packages/node/Turn.h
@@ -87,7 +87,7 @@
 void callerRequest(Turn &T, const CallerRequest &E);
 void callsEvent(Turn &T, const Event &E);
 bool callsMessage(Turn &T, const HostId &From, const Message &M);
-void takeCalls(Turn &T, CallsEffects Out);
+void takeCalls(Turn &T, calls::CallsEffects Out);
 void tickCalls(Turn &T);
 
 // OperatorPart.cpp
--- a/packages/shell/Process.cpp
+++ b/packages/shell/Process.cpp
@@ -39,14 +39,14 @@
 
   // Effects, by type.
   void operator()(const SendPeer &E) { Links.send(E.To, E.Content); }
-  void operator()(const SendReply &E);
-  void operator()(const StartStream &E);
-  void operator()(const StreamBytes &E);
-  void operator()(const EndStream &E);
-  void operator()(const CloseExchange &E);
-  void operator()(const OpenUpstream &E);
-  void operator()(const AbortUpstream &E) { Client.abort(E.Upstream); }
-  void operator()(const PauseUpstream &E);
+  void operator()(const calls::SendReply &E);
+  void operator()(const calls::StartStream &E);
+  void operator()(const calls::StreamBytes &E);
+  void operator()(const calls::EndStream &E);
+  void operator()(const calls::CloseExchange &E);
+  void operator()(const calls::OpenUpstream &E);
+  void operator()(const calls::AbortUpstream &E) { Client.abort(E.Upstream); }
+  void operator()(const calls::PauseUpstream &E);
   void operator()(const WriteDisk &E);
   void operator()(const LogDecision &E) { Log.write(LogLevel::Info, E.Record); }
   void operator()(const RecordSample &E) { Numbers.record(E.Sample); }
@@ -302,30 +302,30 @@
   static_cast<Process *>(Self)->dispatch(StopRequested());
 }
 
-void Process::operator()(const SendReply &E) {
+void Process::operator()(const calls::SendReply &E) {
   serverOf(E.Exchange).reply(E.Exchange, E.Reply);
 }
 
-void Process::operator()(const StartStream &E) {
+void Process::operator()(const calls::StartStream &E) {
   serverOf(E.Exchange).startStream(E.Exchange, E.Head.Status, E.Head.Headers);
 }
 
-void Process::operator()(const StreamBytes &E) {
+void Process::operator()(const calls::StreamBytes &E) {
   serverOf(E.Exchange).sendChunk(E.Exchange, E.Bytes);
 }
 
-void Process::operator()(const EndStream &E) {
+void Process::operator()(const calls::EndStream &E) {
   if (E.Whole)
     serverOf(E.Exchange).endStream(E.Exchange);
   else
     serverOf(E.Exchange).abort(E.Exchange);
 }
 
-void Process::operator()(const CloseExchange &E) {
+void Process::operator()(const calls::CloseExchange &E) {
   serverOf(E.Exchange).abort(E.Exchange);
 }
 
-void Process::operator()(const PauseUpstream &E) {
+void Process::operator()(const calls::PauseUpstream &E) {
   if (E.Paused)
     Client.pause(E.Upstream);
   else
@@ -333,7 +333,7 @@
 }
 
 /// A process that was frozen wakes with effects whose leave has run out.
-void Process::operator()(const OpenUpstream &E) {
+void Process::operator()(const calls::OpenUpstream &E) {
   if (!E.SendBy || now() <= *E.SendBy) {
     Client.open(E.Upstream, E.Request);
     return;
