--- a/packages/base/Problem.h
+++ b/packages/base/Problem.h
@@ -16,8 +16,8 @@
 /// One refusal or failure, as callers and operators read it.
 struct Problem {
   Code Number = Code::BackendFailed;
-  std::string Detail; // For people; never holds a token or a prompt.
-  RequestId Request;  // Empty: not known.
+  std::string Detail;     // For people; never holds a token or a prompt.
+  RequestId Request = {}; // Empty: not known.
   Duration RetryAfter = Duration::zero(); // Zero: no such header.
 };
 
--- a/packages/calls/Calls.cpp
+++ b/packages/calls/Calls.cpp
@@ -36,13 +36,16 @@
   return {};
 }
 
-Result<AccountId> authenticate(const Context &C, const HttpRequest &Incoming) {
+/// What the caller's token opens. Documents are written by different teams, so
+/// a token counts only for the services whose documents list it.
+Result<const TokenAccounts *> authenticate(const Context &C,
+                                           const HttpRequest &Incoming) {
   std::string Header(headerValue(Incoming.Headers, "Authorization"));
   std::string_view Token = bearerToken(Header.c_str());
-  auto Found = C.Dir.Accounts.find(sha256Hex(Token));
-  if (Token.empty() || Found == C.Dir.Accounts.end())
+  auto Found = C.Dir.Tokens.find(sha256Hex(Token));
+  if (Token.empty() || Found == C.Dir.Tokens.end())
     return fail(Code::Unauthorized, "");
-  return Found->second;
+  return &Found->second;
 }
 
 /// The caller's limit, capped by the document's and the host's.
@@ -60,27 +63,27 @@
   return {};
 }
 
-/// The first service that offers the model to this account.
-Result<const ModelRule *> findModel(const Context &C, const AccountId &Account,
+/// The first service that offers the model and knows the token.
+Result<const ModelRule *> findModel(const Context &C,
+                                    const TokenAccounts &Accounts,
                                     const ModelName &Model) {
   auto Found = C.Dir.Models.find(Model);
   if (Found == C.Dir.Models.end() || Found->second.empty())
     return fail(Code::UnknownModel, "");
   for (const ModelRule &Rule : Found->second) {
-    auto Service = C.Dir.Services.find(Rule.Service);
-    if (Service != C.Dir.Services.end() &&
-        Service->second.Weights.count(Account) != 0)
+    if (Accounts.count(Rule.Service) != 0)
       return &Rule;
   }
   return fail(Code::Forbidden, "");
 }
 
-Result<void> admitGeneration(Admission &A) {
+Result<void> admitGeneration(Admission &A, const TokenAccounts &Accounts) {
   GenerationPart &G = A.R.Generation.emplace();
   BOOST_LEAF_ASSIGN(G.Wanted, readCompletion(A.Incoming));
   A.Incoming.Body = std::string();
-  BOOST_LEAF_AUTO(Rule, findModel(A.C, A.R.Account, G.Wanted.Model));
+  BOOST_LEAF_AUTO(Rule, findModel(A.C, Accounts, G.Wanted.Model));
   A.R.Service = Rule->Service;
+  A.R.Account = Accounts.at(Rule->Service);
   const ServiceRule &Service = A.C.Dir.Services.at(Rule->Service);
   G.Weight = Service.Weights.at(A.R.Account);
   G.PromptTokens =
@@ -95,15 +98,17 @@
   return setDeadline(A, Service);
 }
 
-Result<void> admitCall(Admission &A) {
+Result<void> admitCall(Admission &A, const TokenAccounts &Accounts) {
   CallPart &Call = A.R.Call.emplace();
   BOOST_LEAF_ASSIGN(Call.Wanted, readPlainCall(A.Incoming));
   auto Found = A.C.Dir.Services.find(Call.Wanted.Service);
   if (Found == A.C.Dir.Services.end())
     return fail(Code::UnknownService, "");
   const ServiceRule &Service = Found->second;
-  if (Service.Weights.count(A.R.Account) == 0)
+  auto Account = Accounts.find(Call.Wanted.Service);
+  if (Account == Accounts.end())
     return fail(Code::Forbidden, "");
+  A.R.Account = Account->second;
   A.R.Service = Call.Wanted.Service;
   const CallRule *Rule =
       callRule(Service, toString(Call.Wanted.Method), Call.Wanted.Path);
@@ -118,11 +123,11 @@
 
 Result<void> admit(Admission &A) {
   BOOST_LEAF_CHECK(checkRoom(A.C, A.Incoming));
-  BOOST_LEAF_ASSIGN(A.R.Account, authenticate(A.C, A.Incoming));
+  BOOST_LEAF_AUTO(Accounts, authenticate(A.C, A.Incoming));
   if (isCompletionPath(A.Incoming.Path))
-    return admitGeneration(A);
+    return admitGeneration(A, *Accounts);
   if (isPlainCallPath(A.Incoming.Path))
-    return admitCall(A);
+    return admitCall(A, *Accounts);
   return fail(Code::NotFound, "");
 }
 
--- a/packages/calls/Directory.h
+++ b/packages/calls/Directory.h
@@ -49,8 +49,11 @@
   DataCentreId DataCentre;
 };
 
+/// What one token opens: an account of each service whose document lists it.
+using TokenAccounts = std::map<ServiceId, AccountId>;
+
 struct Directory {
-  std::map<std::string, AccountId> Accounts; // By SHA-256 of the token, hex.
+  std::map<std::string, TokenAccounts> Tokens; // By SHA-256 of the token, hex.
   std::map<ModelName, std::vector<ModelRule>> Models; // By offering service.
   std::map<ServiceId, ServiceRule> Services;
   std::map<ServiceId, std::vector<PlainServer>> Servers; // Not those leaving.
--- a/packages/calls/tests/Rig.h
+++ b/packages/calls/tests/Rig.h
@@ -22,8 +22,9 @@
   Rig() {
     Config.Host.Name = HostId("h1");
     S = makeCalls(Config, 1, 7);
-    Dir.Accounts[sha256Hex("token-a")] = AccountId("a");
-    Dir.Accounts[sha256Hex("token-b")] = AccountId("b");
+    Dir.Tokens[sha256Hex("token-a")] = {{ServiceId("text"), AccountId("a")},
+                                        {ServiceId("ledger"), AccountId("a")}};
+    Dir.Tokens[sha256Hex("token-b")] = {{ServiceId("ledger"), AccountId("b")}};
     ServiceRule Text;
     Text.Weights[AccountId("a")] = 4;
     Dir.Services[ServiceId("text")] = Text;
--- a/packages/document/Freshness.h
+++ b/packages/document/Freshness.h
@@ -17,8 +17,7 @@
 // Age is never underestimated: a stamp or report that came with a reply counts
 // as old as it was at the sender plus the whole time since the reply was asked
 // for. A host that restarted knows nothing: until it holds a stamp that was
-// issued after its start it neither reports, nor acknowledges, nor serves by
-// age.
+// issued after its start it neither reports, nor acknowledges, nor serves.
 //
 // Index
 //   FreshnessState       plain state
@@ -49,6 +48,11 @@
   Duration Bound = seconds(3); // See above.
   Duration EditWindow = milliseconds(1500); // See acceptsEdits().
   std::uint64_t ClockDriftPerMille = 10;    // How far two clocks' rates differ.
+  /// Whether a host that restarted while there is no leader may learn from a
+  /// majority of the other hosts. It then never serves less than was accepted,
+  /// but may serve less than its earlier life did, if that was an edit which
+  /// was never answered as accepted.
+  bool JoinByMajority = false;
 };
 
 /// A stamp that this leader issued and the hosts known to hold it.
@@ -129,7 +133,8 @@
 
 /// The replicated log leads in \p Term until \p LeaseUntil, its lease; Term
 /// zero: no longer. A leader must have applied every entry committed before
-/// its term.
+/// its term, and a process that restarts never leads in a term of its earlier
+/// life: a stamp's term and sequence must name it alone.
 void setLeader(FreshnessState &F, std::uint64_t Term, TimePoint LeaseUntil);
 
 /// Whether this host may issue stamps at \p Now.
