--- a/packages/calls/tests/ClaimsTest.cpp
+++ b/packages/calls/tests/ClaimsTest.cpp
@@ -54,7 +54,7 @@
   return apply(State, {command(ClaimCommandKind::Claim, Request, Key)}, Clock);
 }
 
-bool is(const std::vector<Change> &Found, std::vector<Change> Expected) {
+bool is(const std::vector<Change> &Found, const std::vector<Change> &Expected) {
   return Found == Expected;
 }
 
--- a/packages/calls/tests/World.cpp
+++ b/packages/calls/tests/World.cpp
@@ -36,7 +36,9 @@
 
 World::World(std::uint64_t Seed) : P(Seed) {
   for (const char *Account : {"a", "b"})
-    Dir.Accounts[sha256Hex(bearer(Account))] = AccountId(Account);
+    Dir.Tokens[sha256Hex(bearer(Account))] = {
+        {ServiceId("text"), AccountId(Account)},
+        {ServiceId(LedgerService), AccountId(Account)}};
   ServiceRule Text;
   Text.Weights[AccountId("a")] = 1;
   Dir.Services[ServiceId("text")] = Text;
