replica: seeded runs under all faults, and directed tests

Hosts with real stores on fake disks now run against each other in virtual time: loss, delay, duplication, reordering, one-way cuts, isolation, freezes with queued effects, crashes between any two disk steps, power loss and kill, wiped, slow and failing disks, hand-overs, removals and additions; six invariants after every step, a whole and converged site at the end.

--- a/packages/replica/Append.cpp
+++ b/packages/replica/Append.cpp
@@ -13,24 +13,38 @@
 /// Heartbeats without an answer after which what is on its way counts as lost.
 constexpr int LostAfterHeartbeats = 3;
 
-AppendRequest appendRequest(const ReplicaState &S, std::uint64_t Prev,
+/// Heartbeats between two tellings of what all members have synced.
+constexpr int MarkHeartbeats = 10;
+
+AppendRequest appendRequest(const ReplicaState &S, const MemberProgress &P,
                             TimePoint Now) {
   AppendRequest M;
-  M.Header = header(S);
-  M.PrevIndex = Prev;
-  M.PrevTerm = termAt(S, Prev).value_or(0);
+  M.Header = header(S, P.Life);
+  M.PrevIndex = P.Next - 1;
+  M.PrevTerm = termAt(S, M.PrevIndex).value_or(0);
   M.Commit = S.Commit;
   M.SentAt = Now.time_since_epoch();
+  return M;
+}
+
+/// Tells the member now and then what the others have synced, so that it knows
+/// their disks should it lead next.
+void addMarks(const ReplicaState &S, MemberProgress &To, TimePoint Now,
+              AppendRequest &M) {
+  if (Now < To.MarksSent + S.Config.HeartbeatInterval * MarkHeartbeats)
+    return;
+  To.MarksSent = Now;
   M.VotersIndex = S.History.back().Index;
   for (const Member &Who : members(S).Members) {
-    std::uint64_t Synced = 0;
+    SyncedUpTo Mark;
+    if (Who.Host == S.Config.Self)
+      Mark = {S.Config.Start, S.Synced};
     for (const MemberProgress &P : S.Progress) {
       if (P.Host == Who.Host && P.Life == Who.Life)
-        Synced = P.Match;
+        Mark = {P.Start, P.Match};
     }
-    M.Synced.push_back(Who.Host == S.Config.Self ? S.Synced : Synced);
+    M.Synced.push_back(Mark);
   }
-  return M;
 }
 
 /// Adds the entries after the request's first one's place, within the limits.
@@ -68,7 +82,8 @@
 
 void sendEntries(ReplicaState &S, MemberProgress &P, TimePoint Now,
                  ReplicaEffects &E) {
-  AppendRequest M = appendRequest(S, P.Next - 1, Now);
+  AppendRequest M = appendRequest(S, P, Now);
+  addMarks(S, P, Now, M);
   fillEntries(S, M);
   if (!M.Entries.empty()) {
     ++P.Window;
@@ -94,8 +109,10 @@
   return nullptr;
 }
 
-void confirm(MemberProgress &P, Duration SentAt, TimePoint Now) {
+void confirm(MemberProgress &P, const ReplicaHeader &H, Duration SentAt,
+             TimePoint Now) {
   TimePoint Sent(SentAt);
+  P.Start = std::max(P.Start, H.Start);
   P.LastReply = Now;
   if (Sent <= Now)
     P.ConfirmedAt = std::max(P.ConfirmedAt, Sent);
@@ -114,8 +131,11 @@
     sendEntries(S, P, Now, E);
     Sent = true;
   }
-  if (Heartbeat && !Sent)
-    send(E, P.Host, appendRequest(S, P.Next - 1, Now));
+  if (!Heartbeat || Sent)
+    return;
+  AppendRequest M = appendRequest(S, P, Now);
+  addMarks(S, P, Now, M);
+  send(E, P.Host, std::move(M));
 }
 
 void replicateAll(ReplicaState &S, bool Heartbeat, TimePoint Now,
@@ -158,7 +178,7 @@
   if (S.Role != ReplicaRole::Leader || M.Header.Term != S.Hard.Term ||
       P == nullptr)
     return;
-  confirm(*P, M.SentAt, Now);
+  confirm(*P, M.Header, M.SentAt, Now);
   if (M.Accepted) {
     if (M.Match > lastIndex(S))
       return;
@@ -166,7 +186,7 @@
     P->Window -= P->Window > 0 ? 1 : 0;
     P->Match = std::max(P->Match, M.Match);
     P->Next = std::max(P->Next, P->Match + 1);
-    markDisk(S, From, M.Header.Life, S.Hard.Term, M.Match);
+    markDisk(S, From, M.Header.Life, M.Header.Start, S.Hard.Term, M.Match);
     advanceCommit(S, Now, E);
   } else if (M.PrevIndex > P->Match && !P->Snapshotting) {
     std::uint64_t Guess = std::min(M.Hint, M.PrevIndex - 1);
@@ -201,7 +221,7 @@
   std::uint64_t Term = M.PrevTerm;
   for (const LogEntry &Entry : M.Entries) {
     if (Entry.Index != ++Index || Entry.Term < Term ||
-        Entry.Term > M.Header.Term)
+        Entry.Term > M.Header.Term || Entry.Kind > EntryKind::Voters)
       return false;
     Term = Entry.Term;
     if (Entry.Kind == EntryKind::Voters && !decodeVoters(Entry.Payload.Data))
@@ -241,8 +261,9 @@
     return;
   for (std::size_t I = 0; I < M.Synced.size(); ++I) {
     const Member &Who = InForce.Voters.Members[I];
-    if (Who.Host != S.Config.Self && M.Synced[I] != 0)
-      markDisk(S, Who.Host, Who.Life, M.Header.Term, M.Synced[I]);
+    if (Who.Host != S.Config.Self && M.Synced[I].Index != 0)
+      markDisk(S, Who.Host, Who.Life, M.Synced[I].Start, M.Header.Term,
+               M.Synced[I].Index);
   }
 }
 
--- a/packages/replica/Chunks.cpp
+++ b/packages/replica/Chunks.cpp
@@ -27,10 +27,11 @@
 
 void sendChunk(ReplicaState &S, MemberProgress &P, bool WithData, TimePoint Now,
                ReplicaEffects &E) {
-  if (!P.Snapshotting)
+  bool Outdated = P.ChunkOffset == 0 && P.Sending.Index < S.Base.Index;
+  if (!P.Snapshotting || Outdated)
     startSending(S, P, E);
   SnapshotChunk M;
-  M.Header = header(S);
+  M.Header = header(S, P.Life);
   M.SentAt = Now.time_since_epoch();
   M.Index = P.Sending.Index;
   M.LastTerm = P.Sending.Term;
@@ -56,7 +57,7 @@
   if (S.Role != ReplicaRole::Leader || M.Header.Term != S.Hard.Term ||
       P == nullptr)
     return;
-  confirm(*P, M.SentAt, Now);
+  confirm(*P, M.Header, M.SentAt, Now);
   if (!P->Snapshotting || M.Index != P->Sending.Index ||
       M.Checksum != P->Checksum)
     return;
@@ -75,7 +76,7 @@
   P->Sending = Snapshot();
   P->Window = 0;
   P->Probing = true;
-  markDisk(S, From, M.Header.Life, S.Hard.Term, P->Match);
+  markDisk(S, From, M.Header.Life, M.Header.Start, S.Hard.Term, P->Match);
   replicate(S, *P, /*Heartbeat=*/false, Now, E);
 }
 
--- a/packages/replica/Election.cpp
+++ b/packages/replica/Election.cpp
@@ -48,21 +48,16 @@
   return M;
 }
 
-void sendToVoters(ReplicaState &S, std::uint64_t Ticket, const VoteRequest &M,
+void sendToVoters(ReplicaState &S, std::uint64_t Ticket, VoteRequest M,
                   ReplicaEffects &E) {
   for (const Member &Who : members(S).Members) {
     if (Who.Learner || Who.Host == S.Config.Self)
       continue;
+    M.Header.ToLife = Who.Life;
     sendAfter(S, Ticket, Who.Host, M, E);
   }
 }
 
-void addVote(ReplicaState &S, const HostId &Host, Incarnation Life) {
-  Member Voter{Host, Life, false};
-  if (std::find(S.Granted.begin(), S.Granted.end(), Voter) == S.Granted.end())
-    S.Granted.push_back(Voter);
-}
-
 void becomeLeader(ReplicaState &S, TimePoint Now, ReplicaEffects &E) {
   bool Forms = S.Role == ReplicaRole::Forming;
   S.Role = ReplicaRole::Leader;
@@ -111,6 +106,12 @@
 
 } // namespace
 
+void addVote(ReplicaState &S, const HostId &Host, Incarnation Life) {
+  Member Voter{Host, Life, false};
+  if (std::find(S.Granted.begin(), S.Granted.end(), Voter) == S.Granted.end())
+    S.Granted.push_back(Voter);
+}
+
 void resetElectionTimer(ReplicaState &S, TimePoint Now) {
   Duration Low = S.Config.ElectionTimeout;
   S.ElectionDeadline = Now + between(S.Rng, Low, 2 * Low);
@@ -282,7 +283,7 @@
   if (!Expected)
     return;
   if (M.Kind != VoteKind::Pre)
-    markDisk(S, From, M.Header.Life, M.VoteTerm, 0);
+    markDisk(S, From, M.Header.Life, M.Header.Start, M.VoteTerm, 0);
   addVote(S, From, M.Header.Life);
   countVotes(S, Now, E);
 }
@@ -304,7 +305,7 @@
       continue;
     S.Ceded = true;
     S.TransferDeadline = Now + S.Config.ElectionTimeout;
-    send(E, P.Host, TimeoutNow{header(S)});
+    send(E, P.Host, TimeoutNow{header(S, P.Life)});
     decide(S, E, "hand_over", "the voter has every entry")
         .add("to", P.Host.Value);
   }
--- a/packages/replica/Internal.h
+++ b/packages/replica/Internal.h
@@ -81,6 +81,8 @@
                    ReplicaEffects &E);
 void startFormation(ReplicaState &S, std::uint64_t Term, TimePoint Now,
                     ReplicaEffects &E);
+/// Notes a vote; the same voter's twice is one.
+void addVote(ReplicaState &S, const HostId &Host, Incarnation Life);
 /// Counts the votes, its own included once it is synced.
 void countVotes(ReplicaState &S, TimePoint Now, ReplicaEffects &E);
 void onVoteRequest(ReplicaState &S, const HostId &From, const VoteRequest &M,
@@ -111,7 +113,8 @@
 void onAppendReply(ReplicaState &S, const HostId &From, const AppendReply &M,
                    TimePoint Now, ReplicaEffects &E);
 /// Takes in that the member answered a request that was sent at \p SentAt.
-void confirm(MemberProgress &P, Duration SentAt, TimePoint Now);
+void confirm(MemberProgress &P, const ReplicaHeader &H, Duration SentAt,
+             TimePoint Now);
 
 // Chunks.cpp
 
@@ -140,7 +143,7 @@
                  ReplicaEffects &E);
 /// Remembers what a disk is known to have synced.
 void markDisk(ReplicaState &S, const HostId &Host, Incarnation Life,
-              std::uint64_t Term, std::uint64_t Synced);
+              DiskStart Start, std::uint64_t Term, std::uint64_t Synced);
 const SeenDisk *findSeen(const ReplicaState &S, const HostId &Host);
 
 // Status.cpp
@@ -151,7 +154,7 @@
 
 // Replica.cpp
 
-ReplicaHeader header(const ReplicaState &S);
+ReplicaHeader header(const ReplicaState &S, Incarnation ToLife = 0);
 void send(ReplicaEffects &E, const HostId &To, Message M);
 /// Reports what this leader took and cannot tell the outcome of.
 void reportLost(ReplicaState &S, ReplicaEffects &E);
--- a/packages/replica/Members.cpp
+++ b/packages/replica/Members.cpp
@@ -50,14 +50,21 @@
   return Now < Disk.At + S.Config.ProbeInterval * SeenIntervals;
 }
 
-/// A member that comes back with an empty disk, while its old one is silent.
+/// Whether the disk may become a learner: it is empty, or it was a learner of
+/// this very log for a leader that could not commit that.
+bool mayLearn(const ReplicaState &S, const SeenDisk &Disk) {
+  if (isRetired(members(S), Disk.Host, Disk.Life))
+    return false;
+  return Disk.Empty || Disk.LogId == members(S).LogId;
+}
+
+/// A member that comes back with another disk, while its old one is silent.
 const SeenDisk *findWiped(ReplicaState &S, TimePoint Now) {
   for (const SeenDisk &Disk : S.Seen) {
-    if (!Disk.Empty || !isFresh(S, Disk, Now))
+    if (!mayLearn(S, Disk) || !isFresh(S, Disk, Now))
       continue;
     const Member *Old = findMember(members(S), Disk.Host);
-    if (Old == nullptr || Old->Life == Disk.Life ||
-        isRetired(members(S), Disk.Host, Disk.Life))
+    if (Old == nullptr || Old->Life == Disk.Life)
       continue;
     const MemberProgress *P = findProgress(S, Old->Host, Old->Life);
     if (P != nullptr && Now >= P->LastReply + S.Config.ElectionTimeout)
@@ -152,7 +159,7 @@
   if (const SeenDisk *Disk = findWiped(S, Now)) {
     retire(New, Disk->Host);
     New.Members.push_back({Disk->Host, Disk->Life, /*Learner=*/true});
-    decide(S, E, "replace_disk", "a member came back with an empty disk")
+    decide(S, E, "replace_disk", "a member came back with another disk")
         .add("member", Disk->Host.Value);
     changeMembers(S, std::move(New), Now);
     return;
@@ -202,7 +209,7 @@
   const SeenDisk *Disk = replica::findSeen(S, Host);
   if (Disk == nullptr || !replica::isFresh(S, *Disk, Now))
     return MemberChange::Unseen;
-  if (!Disk->Empty || replica::isRetired(members(S), Host, Disk->Life))
+  if (!replica::mayLearn(S, *Disk))
     return MemberChange::Refused;
   if (!replica::mayChange(S))
     return MemberChange::Busy;
--- a/packages/replica/Replica.cpp
+++ b/packages/replica/Replica.cpp
@@ -4,13 +4,14 @@
 
 namespace pimento::replica {
 
-ReplicaHeader header(const ReplicaState &S) {
+ReplicaHeader header(const ReplicaState &S, Incarnation ToLife) {
   ReplicaHeader H;
   H.Group = S.Config.Group;
   H.Life = S.Config.Life;
   H.Start = S.Config.Start;
   H.LogId = members(S).LogId;
   H.Term = S.Hard.Term;
+  H.ToLife = ToLife;
   return H;
 }
 
@@ -108,6 +109,21 @@
   }
 };
 
+/// Terms past this are nobody's: what counts on from them would wrap around.
+constexpr std::uint64_t MaxTerm = 1ULL << 60U;
+
+/// Whether a replica could have sent this to this one.
+bool isMeant(const ReplicaState &S, const HostId &From, const Message &M) {
+  const ReplicaHeader *H = replicaHeader(M);
+  if (H == nullptr || H->Group != S.Config.Group || H->Life == 0 ||
+      From == S.Config.Self)
+    return false;
+  const auto *Vote = std::get_if<VoteRequest>(&M);
+  if (H->Term > MaxTerm || (Vote != nullptr && Vote->VoteTerm > MaxTerm))
+    return false;
+  return H->ToLife == 0 || H->ToLife == S.Config.Life;
+}
+
 bool isAboutDisk(const Message &M) {
   return std::holds_alternative<ReplicaProbe>(M) ||
          std::holds_alternative<ReplicaProbeReply>(M);
@@ -185,11 +201,10 @@
 
 void receive(ReplicaState &S, const HostId &From, const Message &M,
              TimePoint Now, ReplicaEffects &E) {
-  const ReplicaHeader *H = replicaHeader(M);
-  if (S.Halted != Code::Ok || H == nullptr || H->Group != S.Config.Group ||
-      H->Life == 0 || From == S.Config.Self)
+  if (S.Halted != Code::Ok || !replica::isMeant(S, From, M))
     return;
-  if (!replica::isAboutDisk(M) && !replica::checkSender(S, From, *H, E))
+  if (!replica::isAboutDisk(M) &&
+      !replica::checkSender(S, From, *replicaHeader(M), E))
     return;
   std::visit(replica::Receiver{S, From, Now, E}, M);
   flush(S, Now, E);
@@ -199,13 +214,13 @@
                  ReplicaEffects &E) {
   if (S.Halted != Code::Ok || Ticket == 0 || Ticket != S.InFlight.Ticket)
     return;
-  S.Synced = std::max({S.Synced, S.InFlight.LastIndex, S.Base.Index});
+  S.Synced = std::max(S.Synced, S.InFlight.LastIndex);
   S.InFlight = WriteInFlight();
   replica::releaseHeld(S, Ticket, E);
   bool Stands =
       S.Role == ReplicaRole::Candidate || S.Role == ReplicaRole::Forming;
   if (Stands && Ticket >= S.VoteTicket) {
-    S.Granted.push_back({S.Config.Self, S.Config.Life, false});
+    replica::addVote(S, S.Config.Self, S.Config.Life);
     replica::countVotes(S, Now, E);
   }
   if (S.Role == ReplicaRole::Leader)
--- a/packages/replica/Replica.h
+++ b/packages/replica/Replica.h
@@ -128,6 +128,7 @@
 struct MemberProgress {
   HostId Host;
   Incarnation Life = 0;
+  DiskStart Start = 0;     // Of its last answer.
   std::uint64_t Match = 0; // Synced and equal up to here.
   std::uint64_t Next = 1;  // Sent next.
   std::size_t Window = 0;  // Messages with entries not yet answered.
@@ -138,6 +139,7 @@
   std::uint64_t ChunkOffset = 0; // Of the piece sent next.
   TimePoint LastReply{};         // At the leader.
   TimePoint LastSent{};          // At the leader.
+  TimePoint MarksSent{};         // When it was last told what others synced.
   TimePoint ConfirmedAt{}; // Newest request that it answered was sent then.
 };
 
@@ -160,6 +162,7 @@
   Incarnation Life = 0;
   DiskStart Start = 0;
   bool Empty = false;
+  std::uint64_t LogId = 0; // Of what it holds.
   std::uint64_t Term = 0;
   TimePoint At{};
   bool Good = false; // It found nothing against this replica's disk.
@@ -297,6 +300,9 @@
 };
 
 const char *toString(MemberChange C);
+inline std::ostream &operator<<(std::ostream &OS, MemberChange C) {
+  return OS << toString(C);
+}
 
 /// Makes \p Host, by the disk that it told of, a learner. The leader makes it a
 /// voter once it has caught up and synced.
@@ -310,8 +316,9 @@
 
 /// Hands the leadership to the voter that is furthest, or to \p To. False where
 /// this replica does not lead or no voter could take over. From then on
-/// propose() refuses and no lease is held; a hand-over that takes longer than
-/// an election timeout ends in an ordinary election.
+/// propose() refuses. Once the voter has every entry it is asked to stand, and
+/// this replica holds no lease any more. If it takes longer than an election
+/// timeout, this replica leads on or, where it gave up its lease, steps down.
 bool transferLeadership(ReplicaState &S, const HostId &To, TimePoint Now,
                         ReplicaEffects &E);
 
--- a/packages/replica/Start.cpp
+++ b/packages/replica/Start.cpp
@@ -110,6 +110,7 @@
   Disk.Start = H.Start;
   Disk.Term = H.Term;
   Disk.Empty = Empty;
+  Disk.LogId = H.LogId;
   Disk.At = Now;
 }
 
@@ -138,18 +139,39 @@
     return "a copy of this disk was started elsewhere";
   case DiskVerdict::OtherLog:
     return "this disk holds the log of another site";
+  case DiskVerdict::Unasked:
+    return "this start has not asked yet";
   }
   return "unknown verdict";
 }
 
+void refuseDisk(ReplicaState &S, const HostId &From, const ReplicaProbe &M,
+                DiskVerdict Verdict, ReplicaEffects &E) {
+  DecisionRecord &Record = decide(S, E, "refuse_disk", describe(Verdict));
+  Record.add("host", From.Value);
+  Record.add("starts", static_cast<std::int64_t>(startCount(M.Header.Start)));
+  Record.add("its_term", static_cast<std::int64_t>(M.Header.Term));
+  Record.add("its_last", static_cast<std::int64_t>(M.LastIndex));
+  const DiskMark *Mark = findMark(S, From, M.Header.Life);
+  if (Mark == nullptr)
+    return;
+  Record.add("known_starts",
+             static_cast<std::int64_t>(startCount(Mark->Start)));
+  Record.add("known_term", static_cast<std::int64_t>(Mark->Term));
+  Record.add("known_synced", static_cast<std::int64_t>(Mark->Synced));
+}
+
+/// A voter needs a majority, itself included. Who is no voter as far as it
+/// knows may not know today's voters: one answer will do.
 bool isFoundGood(const ReplicaState &S) {
-  std::size_t Votes = isSelfVoter(S) ? 1 : 0;
+  std::size_t Voters = 1;
+  std::size_t Others = 0;
   for (const SeenDisk &Disk : S.Seen) {
     const Member *Who = findMember(members(S), Disk.Host);
-    if (Disk.Good && Who != nullptr && !Who->Learner)
-      ++Votes;
+    Others += Disk.Good ? 1 : 0;
+    Voters += Disk.Good && Who != nullptr && !Who->Learner ? 1 : 0;
   }
-  return Votes >= majority(members(S));
+  return isSelfVoter(S) ? Voters >= majority(members(S)) : Others > 0;
 }
 
 bool mayForm(const ReplicaState &S, TimePoint Now) {
@@ -179,9 +201,16 @@
 }
 
 void markDisk(ReplicaState &S, const HostId &Host, Incarnation Life,
-              std::uint64_t Term, std::uint64_t Synced) {
+              DiskStart Start, std::uint64_t Term, std::uint64_t Synced) {
   DiskMark *Mark = ensureMark(S, Host, Life);
-  if (Mark == nullptr || Term < Mark->Term)
+  if (Mark == nullptr)
+    return;
+  if (Mark->Start == 0) {
+    Mark->Start = Start;
+    S.HardDirty = true;
+  }
+  // A start that is still to be judged is not held against its own deeds.
+  if (Start != Mark->Start || Term < Mark->Term)
     return;
   if (Term > Mark->Term)
     Mark->Synced = 0;
@@ -197,35 +226,38 @@
     Verdict = DiskVerdict::Retired;
   else if (Mark != nullptr)
     Verdict = judgeStart(*Mark, H.Start);
+  if (Verdict == DiskVerdict::Good && Mark != nullptr && H.Start != Mark->Start)
+    Verdict = DiskVerdict::Unasked;
   if (Verdict != DiskVerdict::Good) {
     send(E, From, probeReply(S, From, H, Verdict));
     return false;
   }
-  if (H.LogId != 0 && members(S).LogId != 0 && H.LogId != members(S).LogId)
-    return false;
-  if (Mark != nullptr && H.Start != Mark->Start) {
-    Mark->Start = H.Start;
-    S.HardDirty = true;
-  }
-  return true;
+  return H.LogId == 0 || members(S).LogId == 0 || H.LogId == members(S).LogId;
 }
 
 bool wantsProbe(const ReplicaState &S, TimePoint Now) {
   if (!S.Admitted || isEmpty(S))
     return true;
-  const Member *Self = findMember(members(S), S.Config.Self);
-  bool IsMember = Self != nullptr && Self->Life == S.Config.Life;
-  return !IsMember && Now > S.LastContact + S.Config.ElectionTimeout;
+  // What made it a learner may have been lost with the leader that did so.
+  return !isSelfVoter(S) && Now > S.LastContact + S.Config.ElectionTimeout;
 }
 
-void sendProbes(ReplicaState &S, TimePoint Now, ReplicaEffects &E) {
-  S.NextProbe = Now + S.Config.ProbeInterval;
+namespace {
+
+ReplicaProbe probe(const ReplicaState &S) {
   ReplicaProbe M;
   M.Header = header(S);
   M.Empty = isEmpty(S);
   M.LastIndex = S.Synced;
+  return M;
+}
+
+} // namespace
+
+void sendProbes(ReplicaState &S, TimePoint Now, ReplicaEffects &E) {
+  S.NextProbe = Now + S.Config.ProbeInterval;
   for (const HostId &Host : others(S))
-    send(E, Host, M);
+    send(E, Host, probe(S));
 }
 
 void continueStart(ReplicaState &S, TimePoint Now, ReplicaEffects &E) {
@@ -248,7 +280,7 @@
   if (Verdict == DiskVerdict::Good)
     noteSeen(S, From, M.Header, M.Empty, Now);
   else
-    decide(S, E, "refuse_disk", describe(Verdict)).add("host", From.Value);
+    refuseDisk(S, From, M, Verdict, E);
   sendAfter(S, ticketForHard(S), From, probeReply(S, From, M.Header, Verdict),
             E);
 }
@@ -258,6 +290,10 @@
                   ReplicaEffects &E) {
   if (M.AskedLife != S.Config.Life || M.AskedStart != S.Config.Start)
     return;
+  if (M.Verdict == DiskVerdict::Unasked) {
+    send(E, From, probe(S));
+    return;
+  }
   if (M.Verdict != DiskVerdict::Good) {
     halt(S, Code::IdentityMismatch,
          From.Value + " says that " + describe(M.Verdict), E);
--- /dev/null
+++ b/packages/replica/tests/FaultsTest.cpp
@@ -0,0 +1,321 @@
+//===- FaultsTest.cpp - Seeded runs under all faults at once --------------===//
+//
+// PIMENTO_SEEDS=N runs N seeds, PIMENTO_FIRST_SEED=S begins with S,
+// PIMENTO_TRACE=1 prints each decision and fault.
+//
+//===----------------------------------------------------------------------===//
+#include <boost/test/unit_test.hpp>
+
+#include "Cluster.h"
+
+#include <cstdlib>
+#include <iostream>
+
+using namespace pimento;
+using pimento::testing::Cluster;
+
+namespace {
+
+constexpr std::uint64_t DefaultSeeds = 2000;
+constexpr Duration FaultTime = seconds(10);
+constexpr Duration RepairTime = seconds(20);
+
+/// What happened in all runs together, so that a run that tests nothing shows.
+struct Tally {
+  std::uint64_t Acknowledged = 0;
+  std::uint64_t Crashes = 0;
+  std::uint64_t Freezes = 0;
+  std::uint64_t Wipes = 0;
+  std::uint64_t Installs = 0;
+  std::uint64_t Transfers = 0;
+  std::uint64_t Removals = 0;
+  std::uint64_t DiskFailures = 0;
+};
+
+class FaultRun {
+public:
+  FaultRun(std::uint64_t Seed, Tally &Total)
+      : Site(Seed, Seed % 4 == 0 ? 5 : 3), Rng(Seed * 104729), Count(Total) {
+    Site.GroupCount = Seed % 5 == 0 ? 2 : 1;
+    Site.Base.SnapshotEntries = 16;
+    Site.Base.ChunkBytes = 64;
+    Site.PaddingBytes = 300;
+    Site.Net.TickInterval = milliseconds(15);
+    Site.Net.Faults.Loss = pick({0, 0.02, 0.2});
+    Site.Net.Faults.Duplicate = pick({0, 0.1});
+    Site.Net.Faults.Slow = pick({0, 0.1});
+    Site.Net.Faults.SlowDelay = milliseconds(800);
+    Site.Net.Faults.DelayHigh = milliseconds(1 + below(Rng, 20));
+    for (const HostId &Name : Site.Voters)
+      Site.Net.setClock(Name, 0.9955 + 0.009 * uniform(Rng),
+                        seconds(below(Rng, 1000)));
+  }
+
+  /// What went wrong; empty: nothing.
+  std::string run() {
+    if (std::getenv("PIMENTO_TRACE") != nullptr)
+      Site.Trace = &std::cerr;
+    Site.startAll();
+    TimePoint End = Site.Net.now() + FaultTime;
+    while (Site.Net.now() < End && Site.broken().empty()) {
+      Site.Net.runFor(between(Rng, milliseconds(20), milliseconds(400)));
+      proposeAnywhere();
+      disturb();
+    }
+    if (!Site.broken().empty())
+      return Site.broken();
+    return recover();
+  }
+
+private:
+  Cluster Site;
+  Random Rng;
+  Tally &Count;
+  std::vector<HostId> Removed; // Not yet members again.
+
+  double pick(std::initializer_list<double> Values) {
+    return Values.begin()[below(Rng, Values.size())];
+  }
+  HostId anyHost() { return Site.Voters[below(Rng, Site.Voters.size())]; }
+
+  /// Whoever believes to lead is asked, a deposed leader as well.
+  void proposeAnywhere() {
+    for (const HostId &Name : Site.Voters) {
+      for (GroupId Group = 0; Group < Site.GroupCount; ++Group) {
+        if (!Site.Net.running(Name) ||
+            role(Site.replica(Name, Group)) != ReplicaRole::Leader)
+          continue;
+        for (std::uint64_t I = below(Rng, 6); I > 0; --I)
+          Site.propose(Name, std::to_string(Rng()), Group);
+      }
+    }
+  }
+
+  void stop(const HostId &Name) {
+    if (!Site.up(Name))
+      return;
+    ++Count.Crashes;
+    Site.note("crash " + Name.Value);
+    Site.Net.crash(Name);
+  }
+
+  void restart(const HostId &Name) {
+    if (Site.up(Name))
+      return;
+    Site.note("start " + Name.Value);
+    auto &Disk = *Site.Disks.at(Name);
+    Disk.CrashAt = 0;
+    Disk.FailAt = 0;
+    if (below(Rng, 2) == 0)
+      Disk.loseUnsynced();
+    else
+      Disk.Dead = false;
+    if (!Site.start(Name))
+      BOOST_ERROR("host " << Name
+                          << " refused to start: " << Site.StartFailures[Name]);
+  }
+
+  /// Loses a disk for good, which is only survivable once all hosts are voters
+  /// by the disks they have now, and none is on its way out.
+  void wipe(const HostId &Name) {
+    if (!Removed.empty() || !Site.whole())
+      return;
+    ++Count.Wipes;
+    Site.note("wipe " + Name.Value);
+    Site.Net.crash(Name);
+    Site.Disks.at(Name)->wipe();
+    if (below(Rng, 2) == 0)
+      restart(Name);
+  }
+
+  /// Removes a voter. Its disk is retired by that: the host comes back with an
+  /// empty one and is added again.
+  void removeOne(const HostId &Name) {
+    HostId Leader = Site.leader();
+    if (Site.GroupCount != 1 || !Site.whole() || Name == Leader)
+      return;
+    auto Remove = [&](ReplicaState &S, TimePoint Now, ReplicaEffects &E) {
+      return removeMember(S, Name, Now, E);
+    };
+    if (Site.act(Leader, 0, Remove) != MemberChange::Started)
+      return;
+    ++Count.Removals;
+    Site.note("remove " + Name.Value);
+    Removed.push_back(Name);
+  }
+
+  void addRemoved() {
+    HostId Leader = Site.leader();
+    if (Leader.empty() || Removed.empty())
+      return;
+    HostId Name = Removed.back();
+    const ReplicaState &S = Site.replica(Leader);
+    if (replica::findMember(replica::membersAt(S, S.Commit), Name) == nullptr) {
+      Site.Net.crash(Name);
+      Site.Disks.at(Name)->wipe();
+      restart(Name);
+      Site.Net.runFor(seconds(1)); // To be heard of.
+    }
+    auto Add = [&](ReplicaState &At, TimePoint Now, ReplicaEffects &E) {
+      return addMember(At, Name, Now, E);
+    };
+    Leader = Site.leader();
+    if (!Leader.empty() && Site.act(Leader, 0, Add) == MemberChange::Done)
+      Removed.pop_back();
+  }
+
+  void transfer() {
+    HostId Leader = Site.leader();
+    if (Leader.empty())
+      return;
+    bool Began = Site.act(
+        Leader, 0, [&](ReplicaState &S, TimePoint Now, ReplicaEffects &E) {
+          return transferLeadership(S, HostId(), Now, E);
+        });
+    Count.Transfers += Began ? 1 : 0;
+  }
+
+  void disturb() {
+    HostId One = anyHost();
+    HostId Two = anyHost();
+    auto &Disk = *Site.Disks.at(One);
+    std::uint64_t Fault = below(Rng, 17);
+    Site.note("fault " + std::to_string(Fault) + " at " + One.Value + " " +
+              Two.Value);
+    switch (Fault) {
+    case 0:
+      stop(One);
+      break;
+    case 1:
+    case 2:
+      restart(One);
+      break;
+    case 3:
+      Disk.CrashAt = Disk.Steps + 1 + below(Rng, 12);
+      break;
+    case 4:
+      Count.Freezes += Site.Net.running(One) ? 1 : 0;
+      Site.Net.freeze(One);
+      break;
+    case 5:
+    case 6:
+      Site.Net.thaw(One);
+      break;
+    case 7:
+      if (One != Two)
+        Site.Net.cut(One, Two);
+      break;
+    case 8:
+      Site.Net.isolate(One);
+      break;
+    case 9:
+    case 10:
+      Site.Net.healAll();
+      break;
+    case 11:
+      Site.SlowDisks[One] = milliseconds(below(Rng, 400));
+      break;
+    case 12:
+      wipe(One);
+      break;
+    case 13:
+      transfer();
+      break;
+    case 14:
+      Disk.FailAt = below(Rng, 4) == 0 ? Disk.Steps + 1 : 0;
+      Count.DiskFailures += Disk.FailAt != 0 ? 1 : 0;
+      break;
+    case 15:
+      Removed.empty() ? removeOne(One) : addRemoved();
+      break;
+    default:
+      Site.Net.healAll();
+      for (const HostId &Name : Site.Voters)
+        restart(Name);
+    }
+  }
+
+  bool isRemoved(const HostId &Name) const {
+    return std::find(Removed.begin(), Removed.end(), Name) != Removed.end();
+  }
+
+  /// Only a failing disk or its removal may have stopped a replica.
+  bool halted(const HostId &Name) {
+    bool Any = false;
+    for (const auto &Group : Site.Net.node(Name).Groups) {
+      const ReplicaState &S = Group.second.Replica;
+      Any |= S.Halted != Code::Ok;
+      if (S.Halted != Code::Ok && S.Halted != Code::StorageFailed &&
+          !isRemoved(Name))
+        BOOST_ERROR("host " << Name << " halted: " << S.HaltReason);
+    }
+    return Any;
+  }
+
+  /// All faults end; the site has to be whole again and to accept commands.
+  std::string recover() {
+    Site.note("repair");
+    Site.Net.healAll();
+    Site.Net.Faults = pimento::testing::NetworkFaults();
+    Site.SlowDisks.clear();
+    for (const HostId &Name : Site.Voters) {
+      auto &Disk = *Site.Disks.at(Name);
+      if (Site.up(Name) && (Disk.Dead || Disk.FailAt != 0 || halted(Name)))
+        stop(Name);
+      Disk.CrashAt = 0;
+      Site.Net.thaw(Name);
+      restart(Name);
+    }
+    for (int I = 0; I < 20 && !Removed.empty(); ++I) {
+      Site.Net.runFor(seconds(1));
+      addRemoved();
+    }
+    bool Whole = Site.Net.runUntilDone(
+        RepairTime, [&] { return Site.whole() || !Site.broken().empty(); });
+    if (!Site.broken().empty())
+      return Site.broken();
+    if (!Whole) {
+      Site.noteAll();
+      return "not whole again";
+    }
+    Site.Net.runFor(seconds(2)); // A hand-over may still be under way.
+    std::uint64_t Before = Site.Acknowledged;
+    for (GroupId Group = 0; Group < Site.GroupCount; ++Group)
+      Site.propose(Site.waitForLeader(seconds(5), Group), "last", Group);
+    Site.Net.runFor(seconds(2));
+    Count.Acknowledged += Site.Acknowledged;
+    for (const HostId &Name : Site.Voters)
+      Count.Installs += Site.group(Name).Installs;
+    Site.noteAll();
+    if (Site.Acknowledged < Before + Site.GroupCount)
+      return "accepts nothing after the repair";
+    return Site.converged() ? Site.broken() : "hosts differ after the repair";
+  }
+};
+
+std::uint64_t fromEnvironment(const char *Name, std::uint64_t Default) {
+  const char *Text = std::getenv(Name);
+  return Text == nullptr ? Default : std::strtoull(Text, nullptr, 10);
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(InvariantsHoldUnderAllFaultsAtOnce) {
+  std::uint64_t Seeds = fromEnvironment("PIMENTO_SEEDS", DefaultSeeds);
+  std::uint64_t First = fromEnvironment("PIMENTO_FIRST_SEED", 1);
+  Tally Total;
+  int Failed = 0;
+  for (std::uint64_t Seed = First; Seed < First + Seeds && Failed < 10;
+       ++Seed) {
+    FaultRun Run(Seed, Total);
+    std::string Wrong = Run.run();
+    BOOST_TEST(Wrong == "", "seed " << Seed << ": " << Wrong);
+    Failed += Wrong.empty() ? 0 : 1;
+  }
+  BOOST_TEST_MESSAGE("acknowledged "
+                     << Total.Acknowledged << ", crashes " << Total.Crashes
+                     << ", freezes " << Total.Freezes << ", wipes "
+                     << Total.Wipes << ", installs " << Total.Installs
+                     << ", transfers " << Total.Transfers << ", disk failures "
+                     << Total.DiskFailures);
+}
--- /dev/null
+++ b/packages/replica/tests/MembersTest.cpp
@@ -0,0 +1,187 @@
+#include <boost/test/unit_test.hpp>
+
+#include "Cluster.h"
+
+using namespace pimento;
+using pimento::testing::Cluster;
+
+namespace {
+
+const HostId A("a"), B("b"), C("c");
+
+struct Site : Cluster {
+  explicit Site(std::uint64_t Seed) : Cluster(Seed) {}
+
+  void begin() {
+    startAll();
+    BOOST_REQUIRE(waitForLeader(seconds(5)) == A);
+    Net.runFor(milliseconds(300));
+  }
+
+  void proposeMany(const HostId &Leader, int Count) {
+    for (int I = 0; I < Count; ++I) {
+      propose(Leader, "command " + std::to_string(I));
+      Net.runFor(milliseconds(2));
+    }
+    Net.runFor(milliseconds(300));
+  }
+
+  void wipe(const HostId &Name) {
+    Net.crash(Name);
+    Disks.at(Name)->wipe();
+    start(Name);
+  }
+
+  MemberChange add(const HostId &Name) {
+    return act(leader(), 0,
+               [&](ReplicaState &S, TimePoint Now, ReplicaEffects &E) {
+                 return addMember(S, Name, Now, E);
+               });
+  }
+  MemberChange remove(const HostId &Name) {
+    return act(leader(), 0,
+               [&](ReplicaState &S, TimePoint Now, ReplicaEffects &E) {
+                 return removeMember(S, Name, Now, E);
+               });
+  }
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(AWipedVoterDoesNotVoteAsItsOldSelf) {
+  for (std::uint64_t Seed = 1; Seed <= 30; ++Seed) {
+    Site S(Seed);
+    S.begin();
+    S.Net.isolate(B);
+    S.proposeMany(A, 10); // Held by a and c.
+    std::uint64_t Commit = S.Checks[0].highestCommitted();
+    S.Net.crash(A);
+    S.wipe(C);
+    S.Net.healAll();
+    // b and c make two of three hosts, but the entries are on neither.
+    S.Net.runFor(seconds(5));
+    BOOST_TEST(S.leader().empty());
+    S.start(A);
+    BOOST_TEST(S.Net.runUntilDone(seconds(10), [&] { return S.whole(); }));
+    BOOST_TEST(S.Checks[0].highestCommitted() > Commit);
+    BOOST_TEST(S.broken() == "", "seed " << Seed << ": " << S.broken());
+  }
+}
+
+BOOST_AUTO_TEST_CASE(ARepairedHostCountsSoThatASecondLossLosesNothing) {
+  for (std::uint64_t Seed = 1; Seed <= 30; ++Seed) {
+    Site S(Seed);
+    S.Base.SnapshotEntries = 8;
+    S.Base.ChunkBytes = 10000;
+    S.PaddingBytes = 300000;
+    S.begin();
+    S.proposeMany(A, 20);
+    S.wipe(C);
+    BOOST_TEST(S.Net.runUntilDone(seconds(20), [&] { return S.whole(); }));
+    HostId Leader = S.leader();
+    HostId Lost = Seed % 2 == 0 ? Leader : (Leader == A ? B : A);
+    S.Net.crash(Lost);
+    S.Disks.at(Lost)->wipe();
+    if (Lost != Leader) {
+      // The repaired host is the other half of the majority: at once.
+      std::uint64_t Before = S.Acknowledged;
+      S.propose(Leader, "after the second loss");
+      BOOST_TEST(S.Net.runUntilDone(milliseconds(50),
+                                    [&] { return S.Acknowledged > Before; }),
+                 "seed " << Seed);
+    }
+    BOOST_TEST(!S.waitForLeader(seconds(3)).empty());
+    S.start(Lost);
+    BOOST_TEST(S.Net.runUntilDone(seconds(20), [&] { return S.whole(); }));
+    S.Net.runFor(seconds(1));
+    BOOST_TEST(S.converged());
+    BOOST_TEST(S.broken() == "", "seed " << Seed << ": " << S.broken());
+  }
+}
+
+BOOST_AUTO_TEST_CASE(ARolledBackDiskIsRefused) {
+  Site S(3);
+  S.begin();
+  S.proposeMany(A, 5);
+  auto Old = S.Disks.at(C)->image();
+  S.proposeMany(A, 600); // For a while: followers hear of marks now and then.
+  S.Net.runFor(seconds(2));
+  S.Net.crash(C);
+  S.Disks.at(C)->restore(Old);
+
+  // Also a follower, which c never acknowledged anything to, knows better.
+  S.Net.crash(A);
+  S.start(C);
+  S.Net.runFor(seconds(5));
+  BOOST_TEST(S.replica(C).Halted == Code::IdentityMismatch);
+  BOOST_TEST(S.leader().empty());
+  BOOST_TEST(S.broken() == "");
+
+  S.wipe(C);
+  S.start(A);
+  BOOST_TEST(S.Net.runUntilDone(seconds(10), [&] { return S.whole(); }));
+  BOOST_TEST(S.broken() == "");
+}
+
+BOOST_AUTO_TEST_CASE(ACopiedDiskIsRefused) {
+  Site S(4);
+  S.begin();
+  S.Net.crash(C);
+  auto Copy = S.Disks.at(C)->image();
+  S.start(C);
+  S.Net.runFor(seconds(2));
+  // The copy is started as well: as many starts, but another one.
+  S.Net.crash(C);
+  S.Disks.at(C)->restore(Copy);
+  S.start(C);
+  S.Net.runFor(seconds(2));
+  BOOST_TEST(S.replica(C).Halted == Code::IdentityMismatch);
+  BOOST_TEST(S.replica(C).HaltReason.find("copy") != std::string::npos);
+}
+
+BOOST_AUTO_TEST_CASE(RemovedDisksStayOutAndHostsComeBackEmpty) {
+  Site S(5);
+  S.begin();
+  S.proposeMany(A, 5);
+  BOOST_TEST(S.remove(C) == MemberChange::Started);
+  BOOST_TEST(S.remove(B) == MemberChange::Busy);
+  S.Net.runFor(seconds(1));
+  BOOST_TEST(S.remove(C) == MemberChange::Done);
+  S.Net.runFor(seconds(2));
+  BOOST_TEST(S.replica(C).Halted == Code::IdentityMismatch);
+  S.Net.crash(C);
+  S.start(C);
+  S.Net.runFor(seconds(2));
+  BOOST_TEST(S.replica(C).Halted == Code::IdentityMismatch);
+  BOOST_TEST(S.add(C) == MemberChange::Unseen);
+
+  S.wipe(C);
+  S.Net.runFor(seconds(2));
+  BOOST_TEST(members(S.replica(A)).Members.size() == 2U);
+  BOOST_TEST(S.add(C) == MemberChange::Started);
+  BOOST_TEST(S.Net.runUntilDone(seconds(5), [&] { return S.whole(); }));
+  S.Net.runFor(milliseconds(500));
+  BOOST_TEST(S.converged());
+  BOOST_TEST(S.broken() == "");
+}
+
+BOOST_AUTO_TEST_CASE(ALeaderThatIsRemovedStepsDown) {
+  Site S(6);
+  S.begin();
+  BOOST_TEST(S.remove(A) == MemberChange::Started);
+  BOOST_TEST(S.Net.runUntilDone(
+      seconds(3), [&] { return !S.leader().empty() && S.leader() != A; }));
+  HostId Next = S.leader();
+  S.proposeMany(Next, 3);
+  BOOST_TEST(S.Acknowledged == 3U);
+  BOOST_TEST(S.broken() == "");
+}
+
+BOOST_AUTO_TEST_CASE(AFolderOfAnotherHostDoesNotStart) {
+  Site S(7);
+  S.begin();
+  S.Net.crash(C);
+  S.Disks.at(C)->restore(S.Disks.at(B)->image());
+  BOOST_TEST(!S.start(C));
+  BOOST_TEST(S.StartFailures[C] == Code::IdentityMismatch);
+}
--- a/packages/testing/Pump.h
+++ b/packages/testing/Pump.h
@@ -173,9 +173,9 @@
   }
 
   /// Runs \p Do after \p Delay whatever any node does.
-  void at(Duration Delay, std::function<void()> Do) {
+  void at(Duration Delay, const std::function<void()> &Do) {
     Event E;
-    E.Global = std::move(Do);
+    E.Global = Do;
     push(Virtual + Delay, std::move(E));
   }
 
--- a/packages/wire/ReplicaMessages.h
+++ b/packages/wire/ReplicaMessages.h
@@ -97,15 +97,17 @@
   DiskStart Start = 0;     // Of the sender.
   std::uint64_t LogId = 0; // Of the sender's log; zero: it has none yet.
   std::uint64_t Term = 0;  // The sender's.
+  Incarnation ToLife = 0;  // Of the disk that it is for; zero: whichever.
 
   template <class Self, class Visitor>
   static void fields(Self &M, Visitor &&Visit) {
-    Visit(M.Group, M.Life, M.Start, M.LogId, M.Term);
+    Visit(M.Group, M.Life, M.Start, M.LogId, M.Term, M.ToLife);
   }
 };
 
-/// Sent after a start until it is answered: asks whether the disk is still the
-/// one that the others know, and tells whether it is empty.
+/// Sent after a start to every host: asks whether the disk is still the one
+/// that the others know, and tells whether it is empty. Nobody takes any other
+/// message of a start that has not asked him.
 struct ReplicaProbe {
   static constexpr std::uint16_t WireType = 101;
   ReplicaHeader Header;
@@ -124,6 +126,7 @@
   RolledBack, // It once held more than it holds now.
   Copied,     // Another process started the same disk.
   OtherLog,   // It holds entries of another site's log.
+  Unasked,    // This start has not asked here yet: it has to.
 };
 
 struct ReplicaProbeReply {
@@ -176,17 +179,28 @@
   }
 };
 
+/// What a leader knows that a member has acknowledged.
+struct SyncedUpTo {
+  DiskStart Start = 0;     // Of the member when it did.
+  std::uint64_t Index = 0; // Zero: nothing in this term.
+
+  template <class Self, class Visitor>
+  static void fields(Self &M, Visitor &&Visit) {
+    Visit(M.Start, M.Index);
+  }
+};
+
 /// Entries, or none as a heartbeat.
 struct AppendRequest {
   static constexpr std::uint16_t WireType = 105;
   ReplicaHeader Header;
   std::uint64_t PrevIndex = 0; // The entry before the first one.
   std::uint64_t PrevTerm = 0;
-  std::uint64_t Commit = 0;          // The leader's.
-  Duration SentAt = {};              // On the leader's clock; echoed.
-  std::vector<LogEntry> Entries;     // Without gaps.
-  std::uint64_t VotersIndex = 0;     // Of the entry that Synced follows.
-  std::vector<std::uint64_t> Synced; // By member: acknowledged up to here.
+  std::uint64_t Commit = 0;       // The leader's.
+  Duration SentAt = {};           // On the leader's clock; echoed.
+  std::vector<LogEntry> Entries;  // Without gaps.
+  std::uint64_t VotersIndex = 0;  // Of the set that Synced follows.
+  std::vector<SyncedUpTo> Synced; // By member; empty: nothing new.
 
   template <class Self, class Visitor>
   static void fields(Self &M, Visitor &&Visit) {
