--- a/fakes/Announcer.cpp
+++ b/fakes/Announcer.cpp
@@ -1,14 +1,12 @@
 #include "fakes/Announcer.h"
 
-#include "fakes/Http.h"
-
 #include <utility>
 
 namespace pimento::fakes {
 
 Announcer::Announcer(event_base *Base, AnnounceOptions Options,
                      std::function<Json()> Body)
-    : Base(Base), Options(std::move(Options)), Body(std::move(Body)),
+    : Options(std::move(Options)), Body(std::move(Body)), Caller(Base),
       Next(Base, [this] { announce(); }) {}
 
 void Announcer::announce() {
@@ -31,17 +29,16 @@
   Call.Headers = {{"Authorization", "Bearer " + Options.Token},
                   {"Content-Type", "application/json"}};
   Call.Timeout = AnnounceInterval;
-  callHttp(Base, Call,
-           [this, Life = std::weak_ptr<bool>(Alive), TriesLeft, Text,
-            Asked = Host](const HttpReply &Reply) {
-             constexpr int NoContent = 204;
-             if (Life.expired() || Reply.Status == NoContent)
-               return;
-             if (Host == Asked)
-               Host = (Host + 1) % Options.Hosts.size();
-             if (TriesLeft > 1)
-               send(TriesLeft - 1, Text);
-           });
+  Caller.call(Call,
+              [this, TriesLeft, Text, Asked = Host](const HttpReply &Reply) {
+                constexpr int NoContent = 204;
+                if (Reply.Status == NoContent)
+                  return;
+                if (Host == Asked)
+                  Host = (Host + 1) % Options.Hosts.size();
+                if (TriesLeft > 1)
+                  send(TriesLeft - 1, Text);
+              });
 }
 
 std::uint64_t newIncarnation() {
--- a/fakes/Announcer.h
+++ b/fakes/Announcer.h
@@ -1,8 +1,7 @@
 //===- Announcer.h - A backend server's announcements -----------*- C++ -*-===//
 #pragma once
 
-#include "base/Json.h"
-#include "fakes/Libevent.h"
+#include "fakes/Http.h"
 
 #include <functional>
 #include <string>
@@ -31,12 +30,11 @@
 private:
   void send(std::size_t TriesLeft, const std::string &Body);
 
-  event_base *Base;
   AnnounceOptions Options;
   std::function<Json()> Body;
   std::size_t Host = 0;       // Index of the host that took the last one.
   std::uint64_t Sequence = 0; // Of the last announcement.
-  std::shared_ptr<bool> Alive = std::make_shared<bool>(true);
+  HttpCaller Caller;
   Timer Next;
 };
 
--- a/fakes/EngineGenerate.cpp
+++ b/fakes/EngineGenerate.cpp
@@ -158,12 +158,8 @@
     Call.Address = Member;
     Call.Path = "/v1/attempts/" + Id;
     Call.Timeout = MemberTimeout;
-    callHttp(
-        S.Base, Call,
-        [&S, Id, Life = std::weak_ptr<bool>(S.Alive)](const HttpReply &Reply) {
-          if (!Life.expired())
-            onMember(S, Id, Reply);
-        });
+    S.Caller->call(
+        Call, [&S, Id](const HttpReply &Reply) { onMember(S, Id, Reply); });
   }
 }
 
--- a/fakes/EngineModel.cpp
+++ b/fakes/EngineModel.cpp
@@ -134,7 +134,7 @@
 }
 
 void endPrefills(Engine &E) {
-  constexpr double Rounding = 0.5; // Tokens.
+  constexpr double Rounding = 1e-6; // Tokens.
   for (Attempt *A : E.Batch) {
     if (A->State != AttemptState::Prefill || A->PrefillLeft > Rounding)
       continue;
--- a/fakes/EngineRoutes.cpp
+++ b/fakes/EngineRoutes.cpp
@@ -185,12 +185,9 @@
   HttpCall Call;
   Call.Address = From;
   Call.Path = "/v1/exports/" + Handle;
-  callHttp(S.Base, Call,
-           [&S, Req, Id,
-            Life = std::weak_ptr<bool>(S.Alive)](const HttpReply &Reply) {
-             if (!Life.expired())
-               finishImport(S, Req, Id, Reply);
-           });
+  S.Caller->call(Call, [&S, Req, Id](const HttpReply &Reply) {
+    finishImport(S, Req, Id, Reply);
+  });
 }
 
 // --- State and orders -------------------------------------------------------
--- a/fakes/EngineServer.cpp
+++ b/fakes/EngineServer.cpp
@@ -76,7 +76,7 @@
   if (!S.Draining || !S.Lingered || !S.Streams.empty() || !isIdle(S.Model))
     return;
   S.Lingered = false; // Once is enough.
-  laterIn(S, FlushTime, [&S] { event_base_loopbreak(S.Base); });
+  S.Later->after(FlushTime, [&S] { event_base_loopbreak(S.Base); });
 }
 
 void armTimers(EngineServer &S) {
@@ -96,6 +96,8 @@
   S.Options = Options;
   S.Switches = Options.Switches;
   S.Life = newIncarnation();
+  S.Later = std::make_unique<Delays>(Base);
+  S.Caller = std::make_unique<HttpCaller>(Base);
   S.Model.Config = Options.Config;
   S.Model.Models.insert(Options.Models.begin(), Options.Models.end());
   S.Orders.Config = Options.Orders;
@@ -110,13 +112,6 @@
 
 void EngineDeleter::operator()(EngineServer *Server) const { delete Server; }
 
-void laterIn(EngineServer &S, Duration In, std::function<void()> F) {
-  later(S.Base, In, [Life = std::weak_ptr<bool>(S.Alive), F = std::move(F)] {
-    if (!Life.expired())
-      F();
-  });
-}
-
 void turn(EngineServer &S) {
   advance(S.Model, now());
   if (advanceOrders(S.Model, S.Orders, now()))
@@ -179,7 +174,7 @@
     return;
   S.Draining = true;
   applySwitches(S);
-  laterIn(S, ShortestDrain, [&S] {
+  S.Later->after(ShortestDrain, [&S] {
     S.Lingered = true;
     stopWhenIdle(S);
   });
--- a/fakes/EngineState.h
+++ b/fakes/EngineState.h
@@ -54,16 +54,15 @@
   std::map<std::uint64_t, Stream> Streams;
   std::uint64_t LastStream = 0;
   std::map<std::string, GroupWatch> Groups; // By attempt.
-  std::shared_ptr<bool> Alive = std::make_shared<bool>(true);
-  Listener Door;
+  std::unique_ptr<Delays> Later;
+  Listener Door; // After all that its connections' callbacks use.
+  std::unique_ptr<HttpCaller> Caller;
   std::unique_ptr<Timer> ModelTimer; // When the model has something to do.
   std::unique_ptr<Timer> TickTimer;  // Progress, load samples, loads.
   std::unique_ptr<Timer> GroupTimer; // Checks of group members.
   std::unique_ptr<Announcer> News;
 };
 
-/// Calls \p F after \p In unless the server is gone by then.
-void laterIn(EngineServer &S, Duration In, std::function<void()> F);
 /// Brings the model up to now, feeds the streams, sets the next timer.
 void turn(EngineServer &S);
 /// Puts the switches into force.
--- a/fakes/EngineStreams.cpp
+++ b/fakes/EngineStreams.cpp
@@ -129,7 +129,7 @@
   if (reached(S.Switches.DieAfterTokens, S.TokensSent))
     _exit(1);
   // libevent still uses the connection in this call.
-  laterIn(S, Duration::zero(), [&S, Number = T.Number] {
+  S.Later->after(Duration::zero(), [&S, Number = T.Number] {
     auto It = S.Streams.find(Number);
     if (It == S.Streams.end())
       return;
@@ -177,7 +177,7 @@
   // A request whose connection broke is ours to free.
   if (!evhttp_request_get_connection(Req))
     evhttp_request_free(Req);
-  laterIn(S, Duration::zero(), [&S] { turn(S); });
+  S.Later->after(Duration::zero(), [&S] { turn(S); });
 }
 
 } // namespace
@@ -191,8 +191,7 @@
   T.Req = Req;
   T.Attempt = Attempt;
   attach(S.Model, Attempt);
-  evhttp_connection_set_closecb(evhttp_request_get_connection(Req),
-                                onStreamClosed, &T);
+  watchForClose(Req, onStreamClosed, &T);
   return T;
 }
 
--- a/fakes/Http.cpp
+++ b/fakes/Http.cpp
@@ -1,6 +1,9 @@
 #include "fakes/Http.h"
 
+#include "fakes/SwitchReader.h"
+
 #include <arpa/inet.h>
+#include <event2/bufferevent.h>
 #include <event2/keyvalq_struct.h>
 #include <netinet/in.h>
 #include <sys/socket.h>
@@ -8,6 +11,7 @@
 #include <charconv>
 #include <cstdio>
 #include <fstream>
+#include <iterator>
 #include <utility>
 
 namespace pimento::fakes {
@@ -28,55 +32,6 @@
   return ntohs(Address.sin_port);
 }
 
-/// One call in progress. Owns its connection.
-struct PendingCall {
-  event_base *Base = nullptr;
-  evhttp_connection *Connection = nullptr;
-  std::function<void(const HttpReply &)> OnReply;
-};
-
-void finish(PendingCall *Call, const HttpReply &Reply) {
-  auto OnReply = std::move(Call->OnReply);
-  // libevent still uses the connection in this call, so it is freed later.
-  later(Call->Base, Duration::zero(), [Call] {
-    if (Call->Connection)
-      evhttp_connection_free(Call->Connection);
-    delete Call;
-  });
-  OnReply(Reply);
-}
-
-void onCallDone(evhttp_request *Req, void *Arg) {
-  HttpReply Reply;
-  if (Req && evhttp_request_get_response_code(Req) != 0) {
-    Reply.Status = evhttp_request_get_response_code(Req);
-    Reply.Body = bodyOf(Req);
-  }
-  finish(static_cast<PendingCall *>(Arg), Reply);
-}
-
-bool start(PendingCall *Call, const HttpCall &What) {
-  Endpoint E;
-  if (!parseEndpoint(What.Address, E))
-    return false;
-  Call->Connection =
-      evhttp_connection_base_new(Call->Base, nullptr, E.Ip.c_str(), E.Port);
-  if (!Call->Connection)
-    return false;
-  timeval Timeout = toTimeval(What.Timeout);
-  evhttp_connection_set_timeout_tv(Call->Connection, &Timeout);
-  evhttp_request *Req = evhttp_request_new(onCallDone, Call);
-  evkeyvalq *Headers = evhttp_request_get_output_headers(Req);
-  evhttp_add_header(Headers, "Host", What.Address.c_str());
-  evhttp_add_header(Headers, "Connection", "close");
-  for (const Header &H : What.Headers)
-    evhttp_add_header(Headers, H.Name, H.Value.c_str());
-  evbuffer_add(evhttp_request_get_output_buffer(Req), What.Body.data(),
-               What.Body.size());
-  return evhttp_make_request(Call->Connection, Req, What.Method,
-                             What.Path.c_str()) == 0;
-}
-
 } // namespace
 
 bool parseEndpoint(std::string_view Text, Endpoint &E) {
@@ -161,6 +116,20 @@
   evhttp_send_reply(Req, Status, nullptr, Buffer.get());
 }
 
+void watchForClose(evhttp_request *Req,
+                   void (*OnClose)(evhttp_connection *, void *), void *Arg) {
+  evhttp_connection *Connection = evhttp_request_get_connection(Req);
+  evhttp_connection_set_closecb(Connection, OnClose, Arg);
+  bufferevent *Stream = evhttp_connection_get_bufferevent(Connection);
+  bufferevent_data_cb OnRead = nullptr;
+  bufferevent_data_cb OnWrite = nullptr;
+  bufferevent_event_cb OnEvent = nullptr;
+  void *Owner = nullptr;
+  bufferevent_getcb(Stream, &OnRead, &OnWrite, &OnEvent, &Owner);
+  bufferevent_setcb(Stream, nullptr, OnWrite, OnEvent, Owner);
+  bufferevent_enable(Stream, EV_READ);
+}
+
 void cutConnection(evhttp_request *Req) {
   evhttp_connection *Connection = evhttp_request_get_connection(Req);
   if (!Connection) {
@@ -171,22 +140,69 @@
   evhttp_connection_free(Connection);
 }
 
-void callHttp(event_base *Base, const HttpCall &Call,
-              std::function<void(const HttpReply &)> OnReply) {
-  auto Owned = std::make_unique<PendingCall>();
-  Owned->Base = Base;
-  Owned->OnReply = std::move(OnReply);
-  PendingCall *Pending = Owned.release();
-  if (!start(Pending, Call))
-    later(Base, Duration::zero(), [Pending] { finish(Pending, HttpReply()); });
+HttpCaller::~HttpCaller() {
+  for (Pending &Call : Calls) {
+    if (Call.Connection)
+      evhttp_connection_free(Call.Connection);
+  }
+}
+
+void HttpCaller::finish(Pending &Call, const HttpReply &Reply) {
+  auto OnReply = std::move(Call.OnReply);
+  // libevent still uses the connection in this call, so it is freed later.
+  Later.after(Duration::zero(), [this, Self = Call.Self] {
+    if (Self->Connection)
+      evhttp_connection_free(Self->Connection);
+    Calls.erase(Self);
+  });
+  OnReply(Reply);
+}
+
+void HttpCaller::onDone(evhttp_request *Req, void *Arg) {
+  auto &Call = *static_cast<Pending *>(Arg);
+  HttpReply Reply;
+  if (Req && evhttp_request_get_response_code(Req) != 0) {
+    Reply.Status = evhttp_request_get_response_code(Req);
+    Reply.Body = bodyOf(Req);
+  }
+  Call.Owner->finish(Call, Reply);
+}
+
+bool HttpCaller::start(Pending &Call, const HttpCall &What) {
+  Endpoint E;
+  if (!parseEndpoint(What.Address, E))
+    return false;
+  Call.Connection = evhttp_connection_base_new(Call.Owner->Base, nullptr,
+                                               E.Ip.c_str(), E.Port);
+  if (!Call.Connection)
+    return false;
+  timeval Timeout = toTimeval(What.Timeout);
+  evhttp_connection_set_timeout_tv(Call.Connection, &Timeout);
+  evhttp_request *Req = evhttp_request_new(onDone, &Call);
+  evkeyvalq *Headers = evhttp_request_get_output_headers(Req);
+  evhttp_add_header(Headers, "Host", What.Address.c_str());
+  evhttp_add_header(Headers, "Connection", "close");
+  for (const Header &H : What.Headers)
+    evhttp_add_header(Headers, H.Name, H.Value.c_str());
+  evbuffer_add(evhttp_request_get_output_buffer(Req), What.Body.data(),
+               What.Body.size());
+  return evhttp_make_request(Call.Connection, Req, What.Method,
+                             What.Path.c_str()) == 0;
+}
+
+void HttpCaller::call(const HttpCall &What,
+                      std::function<void(const HttpReply &)> OnReply) {
+  Pending &Call = Calls.emplace_back();
+  Call.Owner = this;
+  Call.OnReply = std::move(OnReply);
+  Call.Self = std::prev(Calls.end());
+  if (!start(Call, What))
+    Later.after(Duration::zero(), [this, &Call] { finish(Call, HttpReply()); });
 }
 
 bool readCount(const Json &Object, const char *Key, std::uint64_t &Value) {
   auto It = Object.find(Key);
-  if (It == Object.end() || !It->is_number_unsigned())
-    return false;
-  Value = It->get<std::uint64_t>();
-  return true;
+  return It != Object.end() && readCount(*It, Value);
 }
 
 bool readText(const Json &Object, const char *Key, std::string &Value) {
--- a/fakes/Http.h
+++ b/fakes/Http.h
@@ -2,7 +2,8 @@
 //
 //   Listener L = listenHttp(Base, "127.0.0.1:0", Handler, Arg);
 //   replyJson(Req, 200, Body);
-//   callHttp(Base, {"127.0.0.1:8080", EVHTTP_REQ_GET, "/x"}, OnReply);
+//   HttpCaller Caller(Base);
+//   Caller.call({"127.0.0.1:8080", EVHTTP_REQ_GET, "/x"}, OnReply);
 //
 //===----------------------------------------------------------------------===//
 #pragma once
@@ -57,6 +58,11 @@
 void replyJson(evhttp_request *Req, int Status, const Json &Body,
                const std::vector<Header> &Headers = {});
 
+/// Calls \p OnClose when the caller's connection breaks before its reply is
+/// whole. evhttp by itself notices that only once a reply has begun.
+void watchForClose(evhttp_request *Req,
+                   void (*OnClose)(evhttp_connection *, void *), void *Arg);
+
 /// Closes the connection of \p Req at once and frees the request.
 void cutConnection(evhttp_request *Req);
 
@@ -75,10 +81,33 @@
   std::string Body;
 };
 
-/// One call on its own connection. \p OnReply is called exactly once, never
-/// before callHttp() returns.
-void callHttp(event_base *Base, const HttpCall &Call,
-              std::function<void(const HttpReply &)> OnReply);
+/// Makes calls, each on its own connection. Those that are in progress when
+/// it goes are dropped without a word.
+struct HttpCaller {
+  explicit HttpCaller(event_base *Base) : Base(Base), Later(Base) {}
+  ~HttpCaller();
+  HttpCaller(const HttpCaller &) = delete;
+  HttpCaller &operator=(const HttpCaller &) = delete;
+
+  /// \p OnReply is called exactly once, never before this returns.
+  void call(const HttpCall &Call,
+            std::function<void(const HttpReply &)> OnReply);
+
+private:
+  struct Pending {
+    HttpCaller *Owner = nullptr;
+    evhttp_connection *Connection = nullptr;
+    std::function<void(const HttpReply &)> OnReply;
+    std::list<Pending>::iterator Self;
+  };
+  static void onDone(evhttp_request *Req, void *Arg);
+  static bool start(Pending &Call, const HttpCall &What);
+  void finish(Pending &Call, const HttpReply &Reply);
+
+  event_base *Base;
+  std::list<Pending> Calls;
+  Delays Later;
+};
 
 /// The value at \p Key if it is an unsigned number that fits.
 bool readCount(const Json &Object, const char *Key, std::uint64_t &Value);
--- a/fakes/LedgerServer.cpp
+++ b/fakes/LedgerServer.cpp
@@ -33,6 +33,8 @@
 
 /// Shortest time from SIGTERM to the exit, so that callers hear of it.
 constexpr Duration ShortestDrain = seconds(1);
+/// How long a half-open connection is kept.
+constexpr Duration HalfOpenLimit = minutes(1);
 /// Time for the last answers to leave the process.
 constexpr Duration FlushTime = milliseconds(200);
 
@@ -67,21 +69,13 @@
   std::list<evhttp_request *> Unanswered; // Of the switch silent.
   std::map<evhttp_connection *, ConnectionInfo> Connections;
   std::uint64_t LastConnection = 0;
-  std::shared_ptr<bool> Alive = std::make_shared<bool>(true);
+  std::unique_ptr<Delays> Later;
   Listener Door; // After all that its connections' callbacks use.
   std::unique_ptr<Announcer> News; // Last: its destructor is the first to run.
 };
 
 namespace {
 
-/// Calls \p F after \p In unless the server is gone by then.
-void laterIn(LedgerServer &S, Duration In, std::function<void()> F) {
-  later(S.Base, In, [Life = std::weak_ptr<bool>(S.Alive), F = std::move(F)] {
-    if (!Life.expired())
-      F();
-  });
-}
-
 bool leaving(const LedgerServer &S) { return S.Draining || S.Switches.Leaving; }
 
 Json announcement(const LedgerServer &S) {
@@ -99,7 +93,7 @@
 void stopWhenIdle(LedgerServer &S) {
   if (!S.Draining || !S.Lingered || S.InProgress > 0)
     return;
-  laterIn(S, FlushTime, [&S] { event_base_loopbreak(S.Base); });
+  S.Later->after(FlushTime, [&S] { event_base_loopbreak(S.Base); });
 }
 
 void finishCall(LedgerServer &S) {
@@ -123,23 +117,33 @@
   }
 }
 
+/// Whether the connection is still there and idle since \p Was.
+bool stillIdle(const LedgerServer &S, evhttp_connection *Connection,
+               const ConnectionInfo &Was) {
+  auto Now = S.Connections.find(Connection);
+  return Now != S.Connections.end() && Now->second.Number == Was.Number &&
+         Now->second.Calls == Was.Calls;
+}
+
 void turnHalfOpen(LedgerServer &S, evhttp_connection *Connection) {
   bufferevent *Stream = evhttp_connection_get_bufferevent(Connection);
   if (S.Switches.Idle == HalfOpen::Fin)
     shutdown(bufferevent_getfd(Stream), SHUT_WR);
   bufferevent_disable(Stream, EV_READ);
+  // Unread, it would never be seen to close.
+  S.Later->after(HalfOpenLimit,
+                 [&S, Connection, Was = S.Connections.at(Connection)] {
+                   if (stillIdle(S, Connection, Was))
+                     evhttp_connection_free(Connection);
+                 });
 }
 
 void watchIdle(LedgerServer &S, evhttp_connection *Connection) {
   auto It = S.Connections.find(Connection);
   if (S.Switches.Idle == HalfOpen::Off || It == S.Connections.end())
     return;
-  laterIn(S, S.Switches.HalfOpenAfter, [&S, Connection, Was = It->second] {
-    auto Now = S.Connections.find(Connection);
-    bool Idle = Now != S.Connections.end() &&
-                Now->second.Number == Was.Number &&
-                Now->second.Calls == Was.Calls;
-    if (Idle)
+  S.Later->after(S.Switches.HalfOpenAfter, [&S, Connection, Was = It->second] {
+    if (stillIdle(S, Connection, Was))
       turnHalfOpen(S, Connection);
   });
 }
@@ -152,7 +156,7 @@
 
 void noteConnection(LedgerServer &S, evhttp_request *Req) {
   evhttp_connection *Connection = evhttp_request_get_connection(Req);
-  evhttp_connection_set_closecb(Connection, onClose, &S);
+  watchForClose(Req, onClose, &S);
   ConnectionInfo &Info = S.Connections[Connection];
   if (Info.Number == 0)
     Info.Number = ++S.LastConnection;
@@ -272,7 +276,7 @@
                  {"body_sha256", Entry.BodySha256},
                  {"number", ++S.Runs},
                  {"ledger", S.Options.Id}};
-  laterIn(S, S.Switches.Slow, [&S, Req, Answer = std::move(Answer)] {
+  S.Later->after(S.Switches.Slow, [&S, Req, Answer = std::move(Answer)] {
     if (S.Switches.Silent)
       stayUnanswered(S, Req);
     else
@@ -325,7 +329,7 @@
   if (S.Switches.SlowStart == Duration::zero())
     serve(S, Req);
   else
-    laterIn(S, S.Switches.SlowStart, [&S, Req] { serve(S, Req); });
+    S.Later->after(S.Switches.SlowStart, [&S, Req] { serve(S, Req); });
 }
 
 } // namespace
@@ -339,6 +343,7 @@
   S->Options = Options;
   S->Switches = Options.Switches;
   S->Life = newIncarnation();
+  S->Later = std::make_unique<Delays>(Base);
   if (!S->Book.open(Options.JournalPath)) {
     Error = "can't open the journal " + Options.JournalPath;
     return nullptr;
@@ -365,7 +370,7 @@
     return;
   S.Draining = true;
   S.News->announce();
-  laterIn(S, ShortestDrain, [&S] {
+  S.Later->after(ShortestDrain, [&S] {
     S.Lingered = true;
     stopWhenIdle(S);
   });
--- a/fakes/Libevent.cpp
+++ b/fakes/Libevent.cpp
@@ -1,6 +1,7 @@
 #include "fakes/Libevent.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace pimento::fakes {
@@ -11,12 +12,6 @@
   (*static_cast<std::function<void()> *>(Arg))();
 }
 
-void onLater(evutil_socket_t /*Socket*/, short /*What*/, void *Arg) {
-  std::unique_ptr<std::function<void()>> F(
-      static_cast<std::function<void()> *>(Arg));
-  (*F)();
-}
-
 } // namespace
 
 TimePoint now() {
@@ -46,11 +41,22 @@
 
 void Timer::disarm() { event_del(Event.get()); }
 
-void later(event_base *Base, Duration In, std::function<void()> F) {
-  auto Owned = std::make_unique<std::function<void()>>(std::move(F));
+void Delays::after(Duration In, std::function<void()> F) {
+  Entry &E = Entries.emplace_back();
+  E.Owner = this;
+  E.F = std::move(F);
+  E.Self = std::prev(Entries.end());
+  E.Event.reset(event_new(Base, -1, 0, onDue, &E));
   timeval Tv = toTimeval(In);
-  if (event_base_once(Base, -1, EV_TIMEOUT, onLater, Owned.get(), &Tv) == 0)
-    (void)Owned.release();
+  event_add(E.Event.get(), &Tv);
+}
+
+void Delays::onDue(evutil_socket_t /*Socket*/, short /*What*/, void *Arg) {
+  auto &E = *static_cast<Entry *>(Arg);
+  // The function may end its owner, so nothing is touched after it.
+  std::function<void()> F = std::move(E.F);
+  E.Owner->Entries.erase(E.Self);
+  F();
 }
 
 } // namespace pimento::fakes
--- a/fakes/Libevent.h
+++ b/fakes/Libevent.h
@@ -8,6 +8,7 @@
 #include <event2/http.h>
 
 #include <functional>
+#include <list>
 #include <memory>
 
 namespace pimento::fakes {
@@ -45,7 +46,26 @@
   EventPtr Event;
 };
 
-/// Calls \p F once from the loop, after \p In.
-void later(event_base *Base, Duration In, std::function<void()> F);
+/// Calls functions later. What is still due when it goes is dropped.
+struct Delays {
+  explicit Delays(event_base *Base) : Base(Base) {}
+  Delays(const Delays &) = delete;
+  Delays &operator=(const Delays &) = delete;
+
+  /// Calls \p F once from the loop, after \p In.
+  void after(Duration In, std::function<void()> F);
+
+private:
+  struct Entry {
+    Delays *Owner = nullptr;
+    std::function<void()> F;
+    EventPtr Event;
+    std::list<Entry>::iterator Self;
+  };
+  static void onDue(evutil_socket_t Socket, short What, void *Arg);
+
+  event_base *Base;
+  std::list<Entry> Entries;
+};
 
 } // namespace pimento::fakes
--- a/fakes/Process.cpp
+++ b/fakes/Process.cpp
@@ -2,13 +2,26 @@
 
 #include <csignal>
 #include <sstream>
+#include <utility>
 
 namespace pimento::fakes {
 
 namespace {
 
+/// What the signal handlers need.
+struct Stopper {
+  event_base *Base = nullptr;
+  std::function<void()> OnStop;
+  bool Asked = false;
+};
+
 void onSignal(evutil_socket_t /*Signal*/, short /*What*/, void *Arg) {
-  (*static_cast<std::function<void()> *>(Arg))();
+  auto &S = *static_cast<Stopper *>(Arg);
+  if (S.Asked)
+    event_base_loopbreak(S.Base);
+  else
+    S.OnStop();
+  S.Asked = true;
 }
 
 } // namespace
@@ -26,8 +39,9 @@
 
 void runUntilStopped(event_base *Base, std::function<void()> OnStop) {
   std::signal(SIGPIPE, SIG_IGN);
-  EventPtr Term(evsignal_new(Base, SIGTERM, onSignal, &OnStop));
-  EventPtr Interrupt(evsignal_new(Base, SIGINT, onSignal, &OnStop));
+  Stopper S{Base, std::move(OnStop)};
+  EventPtr Term(evsignal_new(Base, SIGTERM, onSignal, &S));
+  EventPtr Interrupt(evsignal_new(Base, SIGINT, onSignal, &S));
   event_add(Term.get(), nullptr);
   event_add(Interrupt.get(), nullptr);
   event_base_dispatch(Base);
--- a/fakes/Process.h
+++ b/fakes/Process.h
@@ -12,8 +12,8 @@
 /// The parts of a comma list; empty parts are left out.
 std::vector<std::string> splitList(const std::string &Text);
 
-/// Runs the loop until something breaks it; SIGTERM and SIGINT call
-/// \p OnStop.
+/// Runs the loop until something breaks it; the first SIGTERM or SIGINT calls
+/// \p OnStop, the second one ends it at once.
 void runUntilStopped(event_base *Base, std::function<void()> OnStop);
 
 } // namespace pimento::fakes
--- a/fakes/SwitchReader.cpp
+++ b/fakes/SwitchReader.cpp
@@ -4,6 +4,14 @@
 
 namespace pimento::fakes {
 
+bool readCount(const Json &Number, std::uint64_t &Value) {
+  bool Whole = Number.is_number_integer() &&
+               (Number.is_number_unsigned() || Number.get<std::int64_t>() >= 0);
+  if (Whole)
+    Value = Number.get<std::uint64_t>();
+  return Whole;
+}
+
 SwitchReader::SwitchReader(const Json &Object) : Object(Object) {
   if (!Object.is_object())
     Problem = "expected an object";
@@ -36,9 +44,7 @@
   const Json *Found = find(Name);
   if (!Found)
     return;
-  if (Found->is_number_unsigned())
-    Value = Found->get<std::uint64_t>();
-  else
+  if (!readCount(*Found, Value))
     wrong(Name, "a whole number from 0");
 }
 
--- a/fakes/SwitchReader.h
+++ b/fakes/SwitchReader.h
@@ -10,6 +10,9 @@
 
 namespace pimento::fakes {
 
+/// False, and \p Value untouched, unless \p Number is a whole one from 0.
+bool readCount(const Json &Number, std::uint64_t &Value);
+
 /// Reads the members of one object by name, and remembers what was wrong.
 ///
 ///   SwitchReader R(Object);
