--- /dev/null
+++ b/bench/SimulationInternal.h
@@ -0,0 +1,133 @@
+//===- SimulationInternal.h - Shared by the files of a run ------*- C++ -*-===//
+//
+// Internal.
+//
+//   Simulation.cpp   events, engines, requests
+//   System.cpp       entry hosts and the scheduler
+//   Baselines.cpp    the policies that the scheduler is compared with
+//   Faults.cpp       what breaks
+//
+//===----------------------------------------------------------------------===//
+#pragma once
+
+#include "Simulation.h"
+#include "schedule/Entry.h"
+
+#include <functional>
+#include <map>
+#include <optional>
+#include <queue>
+#include <set>
+#include <unordered_map>
+
+namespace pimento::bench {
+
+struct Event {
+  TimePoint At;
+  std::uint64_t Order = 0;
+  std::function<void()> Run;
+};
+struct Later {
+  bool operator()(const Event &A, const Event &B) const {
+    return A.At != B.At ? A.At > B.At : A.Order > B.Order;
+  }
+};
+
+/// One request while it is under way.
+struct Request {
+  std::size_t Host = 0;
+  AttemptId Attempt; // The newest one.
+  bool Open = false;
+  bool Running = false; // Sent to engines.
+  bool Queued = false;  // Outlived its first answer: waits in a queue.
+  std::vector<std::size_t> Engines; // The first one leads.
+  std::size_t SharesLeft = 0;
+  TimePoint Sent;
+  TimePoint FirstToken; // Of the newest attempt; zero: none.
+  TimePoint OverAt;     // When the caller was answered.
+};
+
+struct Host {
+  EntryState State;
+  bool Alive = true;
+  std::uint64_t Next = 1;      // RequestId::Lo
+  std::set<std::size_t> Active; // Requests at engines.
+};
+
+struct Simulation {
+  const RunConfig &C;
+  const Site &S;
+  const std::vector<Arrival> &Arrivals;
+  RunResult Result = {};
+  Random R = Random(C.Seed);
+  TimePoint Now = RunStart;
+  std::uint64_t Order = 0;
+  std::priority_queue<Event, std::vector<Event>, Later> Events = {};
+  std::vector<EngineModel> Engines = {};
+  std::vector<bool> ReportsLost = {};
+  std::vector<Request> Requests = {};
+  std::unordered_map<AttemptId, std::size_t> ByAttempt = {};
+  std::vector<Host> Hosts = {};
+  std::size_t Open = 0;  // Requests without a final answer.
+  std::size_t ToCome = 0; // Arrivals that are still to happen.
+
+  // The scheduler.
+  std::optional<CellState> Cell = {};
+  HostId Holder = {};
+  std::uint64_t Epoch = 1;
+  bool Frozen = false;
+  double Loss = 0; // Share of messages that are dropped.
+  std::vector<std::function<void()>> Thawing = {}; // Input while frozen.
+
+  // Baselines.
+  std::vector<std::size_t> NextEngine = {};      // By host.
+  std::vector<LoadReport> LastReports = {};      // By engine.
+  std::deque<std::size_t> Fifo = {};             // Requests.
+};
+
+void at(Simulation &M, TimePoint When, std::function<void()> Run);
+inline void after(Simulation &M, Duration Delay, std::function<void()> Run) {
+  at(M, M.Now + Delay, std::move(Run));
+}
+
+// Simulation.cpp
+BackendRecord recordOf(const Simulation &M, std::size_t Engine);
+/// Sends the newest attempt of a request to engines.
+void sendToEngines(Simulation &M, std::size_t Index,
+                   const std::vector<std::size_t> &Engines,
+                   std::uint32_t Priority);
+/// Starts the engine's next step if it is idle.
+void kick(Simulation &M, std::size_t Engine);
+/// The caller hears its final answer.
+void finishRequest(Simulation &M, std::size_t Index, RequestEnd End,
+                   Code Reason);
+/// The newest attempt broke; tries again where time is left.
+void attemptFailed(Simulation &M, std::size_t Index);
+void beginAttempt(Simulation &M, std::size_t Index);
+/// Engines that the request needs for its memory.
+std::size_t groupSize(const Simulation &M, const Arrival &A);
+void dropAtEngines(Simulation &M, std::size_t Index);
+
+// System.cpp
+void startSystem(Simulation &M);
+void askScheduler(Simulation &M, std::size_t Index);
+void tellFinished(Simulation &M, std::size_t Index, const Job &J);
+void tellFailed(Simulation &M, std::size_t Index);
+void tellWithdrawn(Simulation &M, std::size_t Index);
+void reportToScheduler(Simulation &M, const LoadReport &R);
+void announceEngine(Simulation &M, std::size_t Engine, BackendStatus Status);
+void startHolder(Simulation &M, Duration Wait);
+/// Entry hosts learn that the cell has no holder.
+void loseHolder(Simulation &M, std::uint64_t Epoch);
+void tellHostGone(Simulation &M, const HostId &Name);
+void startHost(Simulation &M, std::size_t Index, Incarnation Life);
+
+// Baselines.cpp
+void placeByBaseline(Simulation &M, std::size_t Index);
+/// Something became free.
+void advanceFifo(Simulation &M);
+
+// Faults.cpp
+void scheduleFaults(Simulation &M);
+
+} // namespace pimento::bench
--- /dev/null
+++ b/bench/Workload.h
@@ -0,0 +1,85 @@
+//===- Workload.h - Arrivals of the two sites -------------------*- C++ -*-===//
+//
+//   Site S = pamoja();            // or taller()
+//   std::vector<Arrival> A = makeArrivals(S, Spec, {0.8, Bursts}, Length, Seed);
+//
+// Load is the share of the fleet's engine seconds that the arrivals need, with
+// every prefix that an earlier prompt had counted as cached. This is the
+// strictest reading: no placement reuses them all.
+//
+//===----------------------------------------------------------------------===//
+#pragma once
+
+#include "EngineModel.h"
+#include "base/Random.h"
+#include "schedule/Queue.h"
+
+#include <string>
+#include <vector>
+
+namespace pimento::bench {
+
+/// One kind of request of a site.
+struct RequestKind {
+  const char *Name = "";
+  LengthClass Class = LengthClass::Short;
+  double Share = 0;      // Of all requests.
+  double LeastTokens = 0; // Prompt lengths lie between these,
+  double MostTokens = 0;
+  bool HeavyHead = false; // with a density of 1/x^2, not of 1/x.
+  double OutputTokens = 0; // Mean; half to one and a half of it is generated.
+  Duration Limit;          // The caller's time limit.
+  double Reuse = 0; // Share that continues an earlier prompt of the account.
+};
+
+struct SiteAccount {
+  AccountId Name;
+  double Share = 0;         // Of the site's requests.
+  std::uint32_t Weight = 1; // Paid priority.
+};
+
+struct Site {
+  std::string Name;
+  std::size_t Engines = 0;
+  std::vector<RequestKind> Kinds;
+  std::vector<SiteAccount> Accounts;
+  std::size_t BurstPrompts = 0; // Of the longest kind, at once, by one account.
+};
+
+Site pamoja(); // 20 replicas; inspections bring bursts of long audits.
+Site taller(); // 15 replicas; chat drafts against portfolio reviews.
+
+struct Arrival {
+  TimePoint At;
+  std::uint32_t Account = 0; // Index in the site.
+  LengthClass Class = LengthClass::Short;
+  std::uint64_t PromptTokens = 0;
+  std::uint32_t OutputTokens = 0; // That will be generated.
+  std::uint32_t MaxOutput = 0;    // That the caller allows.
+  Duration Limit = Duration::zero();
+  double Work = 0; // Engine seconds, reused prefixes aside.
+  std::vector<std::uint64_t> Prefixes;
+};
+
+struct Load {
+  double Share = 0.8;  // Of the fleet's capacity.
+  bool Bursts = false; // Rate and long prompts come in bursts.
+};
+
+/// Mean engine seconds of one request.
+double meanWork(const Site &S, const EngineSpec &Spec);
+
+/// Arrivals in [start, start + Length), by time.
+std::vector<Arrival> makeArrivals(const Site &S, const EngineSpec &Spec,
+                                  const Load &L, Duration Length,
+                                  std::uint64_t Seed);
+
+/// Adds requests of one kind by one account, \p Rate a second.
+void addFlood(std::vector<Arrival> &Arrivals, const Site &S,
+              const EngineSpec &Spec, std::size_t Kind, std::uint32_t Account,
+              double Rate, TimePoint From, TimePoint To, std::uint64_t Seed);
+
+/// When every run starts.
+constexpr TimePoint RunStart = TimePoint(hours(1));
+
+} // namespace pimento::bench
--- a/packages/schedule/CellAsk.cpp
+++ b/packages/schedule/CellAsk.cpp
@@ -113,8 +113,8 @@
   const std::size_t C = classIndex(Class);
   const double Output = std::min(static_cast<double>(MaxOutput),
                                  cautious(S.Rates.OutputTokens[C]));
-  const double First = Uncached / std::max(1.0, S.Rates.Prefill.Mean) *
-                       std::max(1.0, cautious(S.Rates.FirstTokenError[C]));
+  const double First = Uncached / std::max(1.0, S.Rates.Prefill.Mean) +
+                       std::max(0.0, cautious(S.Rates.FirstTokenDelay[C]));
   return First + Output * cautious(S.Rates.DecodeSeconds[C]);
 }
 
--- a/packages/schedule/CellGrant.cpp
+++ b/packages/schedule/CellGrant.cpp
@@ -12,6 +12,8 @@
 
 constexpr double RateShare = 0.1; // Weight of the newest observation.
 constexpr double OutputShare = 0.02;
+/// Fewer tokens say more of the engine's steps than of its rate.
+constexpr double LeastLearnedTokens = 4096;
 constexpr double ErrorShare = 0.05;
 
 /// A grant younger than this may still be on its way to the entry host.
@@ -21,10 +23,9 @@
 
 void learnFirstToken(CellState &S, const LiveGrant &G, Duration First) {
   const double Seconds = std::max(1e-6, toSeconds(First));
-  const double Predicted = std::max(1e-3, toSeconds(G.PredictedFirst));
-  learn(S.Rates.FirstTokenError[classIndex(G.Class)], Seconds / Predicted,
-        ErrorShare);
-  if (G.Engines.size() != 1 || G.UnitRate <= 0)
+  learn(S.Rates.FirstTokenDelay[classIndex(G.Class)],
+        Seconds - toSeconds(G.PredictedFirst), ErrorShare);
+  if (G.Engines.size() != 1 || G.UnitRate < LeastLearnedTokens)
     return;
   auto Found = S.Engines.find(G.Engines.front().Backend);
   if (Found == S.Engines.end())
--- a/packages/schedule/CellHealth.cpp
+++ b/packages/schedule/CellHealth.cpp
@@ -80,10 +80,10 @@
 bool overdue(const CellState &S, const LiveGrant &G, TimePoint Now) {
   if (G.FirstTokenSeen)
     return Now - G.ProgressAt > SilentAfter;
-  const double Error =
-      std::max(1.0, cautious(S.Rates.FirstTokenError[classIndex(G.Class)]));
+  const double Delay =
+      std::max(0.0, cautious(S.Rates.FirstTokenDelay[classIndex(G.Class)]));
   const Duration Patience =
-      fromSeconds(OverdueFactor * Error * toSeconds(G.PredictedFirst)) +
+      fromSeconds(OverdueFactor * (Delay + toSeconds(G.PredictedFirst))) +
       OverdueSlack;
   return Now - G.ProgressAt > Patience;
 }
--- a/packages/schedule/CellTick.cpp
+++ b/packages/schedule/CellTick.cpp
@@ -9,6 +9,7 @@
 
 constexpr std::size_t HistoryLength = 24; // Samples of Engine::History.
 constexpr double DemandSeconds = 30;      // Memory of demand and drain rates.
+constexpr double RelaxSeconds = 20;       // Of forecasts without outcomes.
 constexpr double BulkLoad = 0.95;         // Aimed at on the lane of long ones.
 constexpr double ShortLoad = 0.85;        // Most that short ones may be left.
 constexpr double BacklogSeconds = 30;     // In which a backlog is worked off.
@@ -89,12 +90,33 @@
     ClassDemand &D = S.Demand[C];
     D.Rate += Part * (D.Arrived / Elapsed - D.Rate);
     D.Arrived = 0;
-    if (!S.Queue.Classes[C].Ready.empty())
-      learn(S.DrainRate[C], S.Served[C] / Elapsed, Part);
+    Estimate &Drain = S.DrainRate[C];
+    const double Lane = laneRate(S, static_cast<LengthClass>(C));
+    if (Drain.Samples == 0) {
+      Drain.Mean = Lane;
+      Drain.Samples = 1 / Part;
+    }
+    if (S.Queue.Classes[C].Ready.empty())
+      relax(Drain, Lane, Part);
+    else
+      learn(Drain, S.Served[C] / Elapsed, Part);
     S.Served[C] = 0;
   }
 }
 
+/// Forecasts that no outcome has confirmed of late drift back.
+void relaxForecasts(CellState &S, TimePoint Now) {
+  const double Part =
+      std::min(1.0, toSeconds(Now - S.LastTick) / RelaxSeconds);
+  double Fastest = S.Rates.StepSeconds.Mean;
+  for (const auto &[Id, E] : S.Engines)
+    Fastest = std::min(Fastest, stepSeconds(S.Rates, E.Rates));
+  for (std::size_t C = 0; C < LengthClasses; ++C) {
+    relax(S.Rates.DecodeSeconds[C], Fastest, Part);
+    relax(S.Rates.FirstTokenDelay[C], 0, Part);
+  }
+}
+
 /// Engines that the demand of a class keeps busy.
 double engineLoad(const CellState &S, LengthClass Class) {
   const std::size_t C = classIndex(Class);
@@ -162,6 +184,7 @@
   expireLeases(S, Now, Out);
   expireAsks(S, Now, Out);
   learnDemand(S, Now);
+  relaxForecasts(S, Now);
   judgeEngines(S, Now, Out);
   setLanes(S);
   sampleRunning(S, Now);
--- a/packages/schedule/Rates.cpp
+++ b/packages/schedule/Rates.cpp
@@ -25,14 +25,17 @@
   E.Samples += 1;
 }
 
+void relax(Estimate &E, double Towards, double Share) {
+  E.Mean += Share * (Towards - E.Mean);
+  E.Deviation -= Share * E.Deviation;
+}
+
 CellRates initialRates() {
   CellRates R;
   R.Prefill.Mean = PriorPrefill;
   R.StepSeconds.Mean = PriorStepSeconds;
   for (Estimate &E : R.OutputTokens)
     E.Mean = PriorOutputTokens;
-  for (Estimate &E : R.FirstTokenError)
-    E.Mean = 1;
   for (Estimate &E : R.DecodeSeconds)
     E.Mean = PriorStepSeconds;
   return R;
