schedule: long prompts go before medium ones, reservations, groups that fit what is free

Cause: long prompts waited for memory that medium ones kept taking: one group reservation at a time, tried only when its account's turn came. Changed: up to four asks keep engines free and are tried first; a long prompt may be split over more engines than its memory needs; 5% of each engine's memory is kept for short prompts; lanes use the lane's pace, not the engine's own late one; aged prompts stay below short ones in the engines.

--- a/bench/EngineModel.cpp
+++ b/bench/EngineModel.cpp
@@ -87,10 +87,9 @@
   for (const Job &J : E.Running)
     if (!J.Decoding && !J.Held)
       Prompts.push_back(&J);
-  std::stable_sort(Prompts.begin(), Prompts.end(),
-                   [](const Job *A, const Job *B) {
-                     return A->Priority > B->Priority;
-                   });
+  std::stable_sort(
+      Prompts.begin(), Prompts.end(),
+      [](const Job *A, const Job *B) { return A->Priority > B->Priority; });
   double Left = E.Spec.ChunkTokens;
   for (const Job *J : Prompts) {
     if (Left <= 0)
--- a/bench/EngineModel.h
+++ b/bench/EngineModel.h
@@ -37,8 +37,8 @@
   Duration StepPerSequence = microseconds(120); // For each decoding attempt.
   std::uint32_t ChunkTokens = 1024;             // Prefilled in one step.
   std::uint64_t MemoryTokens = 480000; // Less than half of the longest prompt.
-  std::uint32_t MaxBatch = 64;   // Attempts at a time.
-  double GroupEfficiency = 0.9;  // Of each engine of a group, in prefill.
+  std::uint32_t MaxBatch = 64;         // Attempts at a time.
+  double GroupEfficiency = 0.9;        // Of each engine of a group, in prefill.
 };
 
 /// Engine seconds that a request costs at least: prefill at the full rate, and
@@ -84,8 +84,8 @@
   BackendId Id;
   Incarnation Life = 1;
   bool Alive = true;
-  bool Silent = false;   // Accepts work and never says a word of it.
-  double Slowness = 1;   // Factor on every step's time.
+  bool Silent = false; // Accepts work and never says a word of it.
+  double Slowness = 1; // Factor on every step's time.
   std::vector<Job> Running;
   std::deque<Job> Waiting; // For memory or a place in the batch.
   std::uint64_t UsedTokens = 0;
--- a/bench/Figures.h
+++ b/bench/Figures.h
@@ -26,7 +26,7 @@
   std::size_t Refused = 0;  // At once.
   std::size_t Dropped = 0;  // Admitted, then refused while it waited.
   std::size_t Missed = 0;   // Its limit passed, or no try was left.
-  double First50 = 0;       // To the first token; a missed one counts its limit.
+  double First50 = 0; // To the first token; a missed one counts its limit.
   double First95 = 0;
   double First99 = 0;
   double Total95 = 0;
--- a/bench/Simulation.h
+++ b/bench/Simulation.h
@@ -88,14 +88,14 @@
 
 struct RunResult {
   std::vector<RequestResult> Requests; // As the arrivals.
-  std::vector<double> SpareSeconds; // By second: engine time with room left.
-  double PrefillSaved = 0;  // Tokens found in caches.
+  std::vector<double> SpareSeconds;    // By second: engine time with room left.
+  double PrefillSaved = 0;             // Tokens found in caches.
   double PrefillTokens = 0; // Tokens of prompts that were prefilled or found.
   std::uint64_t Cancels = 0;
-  std::uint64_t DoubleRuns = 0;    // An attempt at engines of two grants.
-  std::uint64_t EngineWaits = 0;   // Jobs that found no memory free.
-  std::uint64_t HeldAtEnd = 0;     // Tokens at the engines.
-  std::uint64_t LedgerAtEnd = 0;   // Tokens in the scheduler's ledger.
+  std::uint64_t DoubleRuns = 0;  // An attempt at engines of two grants.
+  std::uint64_t EngineWaits = 0; // Jobs that found no memory free.
+  std::uint64_t HeldAtEnd = 0;   // Tokens at the engines.
+  std::uint64_t LedgerAtEnd = 0; // Tokens in the scheduler's ledger.
   Duration LongestHold = Duration::zero(); // Of memory whose request was over.
   std::uint64_t MaxWaiting = 0;
   std::uint64_t Events = 0;
--- a/bench/SimulationInternal.h
+++ b/bench/SimulationInternal.h
@@ -50,7 +50,7 @@
 struct Host {
   EntryState State;
   bool Alive = true;
-  std::uint64_t Next = 1;      // RequestId::Lo
+  std::uint64_t Next = 1;       // RequestId::Lo
   std::set<std::size_t> Active; // Requests at engines.
 };
 
@@ -68,7 +68,7 @@
   std::vector<Request> Requests = {};
   std::unordered_map<AttemptId, std::size_t> ByAttempt = {};
   std::vector<Host> Hosts = {};
-  std::size_t Open = 0;  // Requests without a final answer.
+  std::size_t Open = 0;   // Requests without a final answer.
   std::size_t ToCome = 0; // Arrivals that are still to happen.
 
   // The scheduler.
@@ -80,9 +80,9 @@
   std::vector<std::function<void()>> Thawing = {}; // Input while frozen.
 
   // Baselines.
-  std::vector<std::size_t> NextEngine = {};      // By host.
-  std::vector<LoadReport> LastReports = {};      // By engine.
-  std::deque<std::size_t> Fifo = {};             // Requests.
+  std::vector<std::size_t> NextEngine = {}; // By host.
+  std::vector<LoadReport> LastReports = {}; // By engine.
+  std::deque<std::size_t> Fifo = {};        // Requests.
 };
 
 void at(Simulation &M, TimePoint When, std::function<void()> Run);
--- a/bench/Workload.h
+++ b/bench/Workload.h
@@ -1,7 +1,8 @@
 //===- Workload.h - Arrivals of the two sites -------------------*- C++ -*-===//
 //
 //   Site S = pamoja();            // or taller()
-//   std::vector<Arrival> A = makeArrivals(S, Spec, {0.8, Bursts}, Length, Seed);
+//   std::vector<Arrival> A = makeArrivals(S, Spec, {0.8, Bursts}, Length,
+//   Seed);
 //
 // Load is the share of the fleet's engine seconds that the arrivals need, with
 // every prefix that an earlier prompt had counted as cached. This is the
@@ -23,10 +24,10 @@
 struct RequestKind {
   const char *Name = "";
   LengthClass Class = LengthClass::Short;
-  double Share = 0;      // Of all requests.
+  double Share = 0;       // Of all requests.
   double LeastTokens = 0; // Prompt lengths lie between these,
   double MostTokens = 0;
-  bool HeavyHead = false; // with a density of 1/x^2, not of 1/x.
+  bool HeavyHead = false;  // with a density of 1/x^2, not of 1/x.
   double OutputTokens = 0; // Mean; half to one and a half of it is generated.
   Duration Limit;          // The caller's time limit.
   double Reuse = 0; // Share that continues an earlier prompt of the account.
--- a/packages/schedule/Cell.cpp
+++ b/packages/schedule/Cell.cpp
@@ -120,7 +120,7 @@
   forgetMemory(Found->second);
   loseGrants(S, Id, Now, Out);
   if (!Found->second.Reserved.Request.empty())
-    dropGroupReservation(S, Found->second.Reserved);
+    dropReservation(S, Found->second.Reserved);
   freePrefixSlot(S.Prefixes, Found->second.Slot);
   S.Engines.erase(Found);
   dispatch(S, Now, Out);
--- a/packages/schedule/Cell.h
+++ b/packages/schedule/Cell.h
@@ -120,6 +120,7 @@
   TimePoint ProgressAt;                       // Of the newest progress.
   Duration PredictedFirst = Duration::zero(); // Grant to first token.
   double UnitRate = 0; // Prefill work in front of the first token, tokens.
+  bool PromptsAhead = false; // Of others; then it teaches no rate.
   std::vector<std::uint64_t> Prefixes;
   std::vector<HeldEngine> Engines; // The first one leads.
 };
@@ -158,8 +159,8 @@
   std::array<ClassDemand, LengthClasses> Demand;
   std::array<double, LengthClasses> Served{}; // Cost granted since last tick.
   std::array<Estimate, LengthClasses> DrainRate; // Cost a second in backlog.
-  std::size_t BulkEngines = 0; // Size of the lane of long prompts.
-  AttemptId GroupWaiting;      // Holds reservations; one at a time.
+  std::size_t BulkEngines = 0;         // Size of the lane of long prompts.
+  std::vector<AttemptId> Reservations; // Asks that hold engines; oldest first.
   TimePoint LastTick;
   std::vector<std::uint64_t> CachedScratch; // By prefix slot.
 };
--- a/packages/schedule/CellGrant.cpp
+++ b/packages/schedule/CellGrant.cpp
@@ -11,6 +11,8 @@
 constexpr unsigned MaxPassedOver = 3;
 
 constexpr double RateShare = 0.1; // Weight of the newest observation.
+constexpr double FasterShare = 0.15;
+constexpr double SlowerShare = 0.03;
 constexpr double OutputShare = 0.02;
 /// Fewer tokens say more of the engine's steps than of its rate.
 constexpr double LeastLearnedTokens = 4096;
@@ -21,17 +23,28 @@
 
 double asDouble(std::uint64_t N) { return static_cast<double>(N); }
 
-void learnFirstToken(CellState &S, const LiveGrant &G, Duration First) {
+/// What the engine can do, not what it does on average: slower observations
+/// were held up by prompts that came later and count less.
+void learnPrefill(Estimate &E, double Rate) {
+  learn(E, Rate, Rate > E.Mean ? FasterShare : SlowerShare);
+}
+
+void learnFirstToken(CellState &S, const LiveGrant &G, const Release &R) {
+  const Duration First = R.FirstToken;
   const double Seconds = std::max(1e-6, toSeconds(First));
   learn(S.Rates.FirstTokenDelay[classIndex(G.Class)],
         Seconds - toSeconds(G.PredictedFirst), ErrorShare);
-  if (G.Engines.size() != 1 || G.UnitRate < LeastLearnedTokens)
+  if (G.Engines.size() != 1 || G.UnitRate < LeastLearnedTokens ||
+      G.PromptsAhead)
     return;
   auto Found = S.Engines.find(G.Engines.front().Backend);
   if (Found == S.Engines.end())
     return;
-  learn(Found->second.Rates.Prefill, G.UnitRate / Seconds, RateShare);
-  learn(S.Rates.Prefill, G.UnitRate / Seconds, RateShare / 4);
+  const double Rate =
+      asDouble(R.PromptTokens - std::min(R.PromptTokens, R.CachedTokens)) /
+      Seconds;
+  learnPrefill(Found->second.Rates.Prefill, Rate);
+  learnPrefill(S.Rates.Prefill, Rate);
 }
 
 void learnDecode(CellState &S, const LiveGrant &G, double Seconds,
@@ -42,8 +55,10 @@
   learn(S.Rates.DecodeSeconds[classIndex(G.Class)], Step, ErrorShare);
   learn(S.Rates.StepSeconds, Step, ErrorShare);
   auto Found = S.Engines.find(G.Engines.front().Backend);
-  if (Found != S.Engines.end())
-    learn(Found->second.Rates.StepSeconds, Step, RateShare);
+  if (Found == S.Engines.end())
+    return;
+  learn(Found->second.Rates.StepSeconds, Step, RateShare);
+  learn(S.Rates.LaneStep[Found->second.Bulk ? 1 : 0], Step, ErrorShare);
 }
 
 LiveGrant makeGrant(const CellState &S, const WaitingAsk &W, const Placement &P,
@@ -65,6 +80,7 @@
   G.Deadline = W.Deadline;
   G.PredictedFirst = P.First;
   G.UnitRate = P.Ahead + P.Share;
+  G.PromptsAhead = P.Ahead > P.Share / 4;
   G.Prefixes = W.Request.Prefixes;
   G.Engines = P.Engines;
   return G;
@@ -92,7 +108,7 @@
               TimePoint Now, CellEffects &Out) {
   WaitingAsk W;
   takeAsk(S.Queue, Id, &W);
-  dropGroupReservation(S, Id);
+  dropReservation(S, Id);
   LiveGrant G = makeGrant(S, W, P, Now);
   for (const HeldEngine &H : G.Engines)
     holdMemory(S.Engines.at(H.Backend), Id, H.Tokens, HoldState::Live, Now);
@@ -131,7 +147,7 @@
           OutputShare);
   if (R.FirstToken <= Duration::zero())
     return;
-  learnFirstToken(S, G, R.FirstToken);
+  learnFirstToken(S, G, R);
   learnDecode(S, G, toSeconds(R.Total - R.FirstToken),
               asDouble(R.OutputTokens));
 }
@@ -208,24 +224,45 @@
   }
 }
 
+namespace {
+
+/// Asks that engines were kept free for go first: it was their turn.
+void grantReserved(CellState &S, TimePoint Now, CellEffects &Out) {
+  const std::vector<AttemptId> Reserved = S.Reservations;
+  for (const AttemptId &Id : Reserved) {
+    auto Found = S.Queue.Asks.find(Id);
+    if (Found == S.Queue.Asks.end())
+      continue;
+    std::optional<Placement> P = place(S, Found->second, Now);
+    if (P)
+      grantNow(S, Id, *P, Now, Out);
+  }
+}
+
+void dispatchClass(CellState &S, LengthClass Class, TimePoint Now,
+                   CellEffects &Out) {
+  unsigned Skip = 0;
+  while (Skip <= MaxPassedOver) {
+    const WaitingAsk *Next = nextAsk(S.Queue, Class, Now, Skip);
+    if (!Next)
+      return;
+    std::optional<Placement> P = place(S, *Next, Now);
+    if (!P) {
+      ++Skip;
+      continue;
+    }
+    grantNow(S, AttemptId(Next->Request.Attempt), *P, Now, Out);
+  }
+}
+
+} // namespace
+
 void dispatch(CellState &S, TimePoint Now, CellEffects &Out) {
   if (S.Recovering)
     return;
-  for (std::size_t C = 0; C < LengthClasses; ++C) {
-    unsigned Skip = 0;
-    while (Skip <= MaxPassedOver) {
-      const WaitingAsk *Next =
-          nextAsk(S.Queue, static_cast<LengthClass>(C), Now, Skip);
-      if (!Next)
-        break;
-      std::optional<Placement> P = place(S, *Next, Now);
-      if (!P) {
-        ++Skip;
-        continue;
-      }
-      grantNow(S, AttemptId(Next->Request.Attempt), *P, Now, Out);
-    }
-  }
+  grantReserved(S, Now, Out);
+  for (LengthClass Class : ServiceOrder)
+    dispatchClass(S, Class, Now, Out);
 }
 
 void endGrant(CellState &S, const AttemptId &Id, bool Confirmed, TimePoint Now,
@@ -253,7 +290,7 @@
 void onRelease(CellState &S, const HostId &From, const Release &R,
                TimePoint Now, CellEffects &Out) {
   takeAsk(S.Queue, R.Attempt, nullptr);
-  dropGroupReservation(S, R.Attempt);
+  dropReservation(S, R.Attempt);
   auto Found = S.Grants.find(R.Attempt);
   if (Found == S.Grants.end()) {
     rememberEnded(S, R.Attempt, {});
@@ -280,7 +317,7 @@
 void onWithdraw(CellState &S, const HostId &From, const Withdraw &W,
                 TimePoint Now, CellEffects &Out) {
   takeAsk(S.Queue, W.Attempt, nullptr);
-  dropGroupReservation(S, W.Attempt);
+  dropReservation(S, W.Attempt);
   rememberEnded(S, W.Attempt, {});
   auto Found = S.Grants.find(W.Attempt);
   if (Found == S.Grants.end() || Found->second.Host != From)
@@ -365,7 +402,7 @@
   std::sort(Old.begin(), Old.end());
   for (const AttemptId &Id : Old) {
     takeAsk(S.Queue, Id, nullptr);
-    dropGroupReservation(S, Id);
+    dropReservation(S, Id);
     endGrant(S, Id, /*Confirmed=*/false, Now, Out);
   }
 }
--- a/packages/schedule/CellHealth.cpp
+++ b/packages/schedule/CellHealth.cpp
@@ -48,7 +48,7 @@
     ++E.Health.Ejections;
     D.add("until_ms", toMilliseconds(E.Health.Until - Now));
     if (!E.Reserved.Request.empty())
-      dropGroupReservation(S, AttemptId(E.Reserved));
+      dropReservation(S, AttemptId(E.Reserved));
     Out.Samples.push_back(counter("pimento_ejections_total"));
   }
   Out.Decisions.push_back(std::move(D));
--- a/packages/schedule/CellInternal.h
+++ b/packages/schedule/CellInternal.h
@@ -43,8 +43,8 @@
 std::size_t enginesNeeded(const CellState &S, const Ask &A);
 /// Whether any engine that has not gone offers the model.
 bool offersModel(const CellState &S, const ModelName &Model);
-/// Drops the reservation of a group that waits no more.
-void dropGroupReservation(CellState &S, const AttemptId &Id);
+/// Drops the reservation of an ask that waits no more.
+void dropReservation(CellState &S, const AttemptId &Id);
 /// Tokens of the prompt that some engine of the cell is thought to cache.
 std::uint64_t bestCachedTokens(CellState &S, const Ask &A);
 
--- a/packages/schedule/CellPlace.cpp
+++ b/packages/schedule/CellPlace.cpp
@@ -14,15 +14,39 @@
 constexpr double FarSeconds = 0.001;     // Another data centre.
 constexpr double AvoidSeconds = 30;      // Failed this request before.
 constexpr double JitterSeconds = 0.0005; // Against herding.
-constexpr double CrowdShare = 0.5; // A full batch slows decode by so much.
+constexpr double CrowdShare = 0.4; // A full batch slows decode by so much.
+/// Where an engine's own pace is this much slower, its lane's does not count.
+constexpr double SlowPace = 2;
+/// Kept free of medium and long prompts at each engine.
+constexpr double ShortMemoryShare = 0.05;
+/// Long asks that engines are kept free for at a time. Each holds all of its
+/// engines or none, so that they never wait for each other.
+constexpr std::size_t MaxReservations = 4;
+/// Most engines of one group.
+constexpr std::size_t MaxGroup = 8;
+/// How much sooner a further engine must bring the first token.
+constexpr double GroupCost = 0.08;
+/// Share of an engine's memory that is kept free for a waiting prompt.
+constexpr double ReservedShare = 0.35;
 /// Share of an engine's memory that a group's member may take.
-constexpr double GroupShare = 0.9;
+constexpr double GroupShare = 0.85;
+/// Share of an engine's memory that one attempt alone may take.
+constexpr double SingleShare = 0.92;
+
+/// Half of the time in which an ask could be granted has passed.
+bool aged(const WaitingAsk &A, TimePoint Now) {
+  return Now - A.Arrived > (A.LatestStart - A.Arrived) / 2;
+}
 
 /// Engines honour it: the higher one is prefilled first.
 std::uint32_t priorityOf(const WaitingAsk &A, TimePoint Now) {
-  const std::uint32_t Base = 3 - static_cast<std::uint32_t>(A.Class);
-  const bool Aged = Now - A.Arrived > (A.LatestStart - A.Arrived) / 2;
-  return Aged ? 3 : Base;
+  constexpr std::uint32_t ShortPriority = 4;
+  constexpr std::uint32_t AgedPriority = 3;
+  if (A.Class == LengthClass::Short)
+    return ShortPriority;
+  if (aged(A, Now))
+    return AgedPriority;
+  return AgedPriority - static_cast<std::uint32_t>(serviceRank(A.Class));
 }
 
 bool offers(const Engine &E, const ModelName &Model) {
@@ -31,8 +55,13 @@
 }
 
 /// Memory that is free for this attempt, reservations of others aside.
-std::uint64_t freeFor(const Engine &E, const AttemptId &Id) {
-  const std::uint64_t Free = freeTokens(E);
+std::uint64_t freeFor(const Engine &E, const AttemptId &Id, LengthClass Class) {
+  std::uint64_t Free = freeTokens(E);
+  if (Class != LengthClass::Short) {
+    const auto Kept = static_cast<std::uint64_t>(
+        ShortMemoryShare * static_cast<double>(E.Record.MemoryTokens));
+    Free = Free > Kept ? Free - Kept : 0;
+  }
   if (E.Reserved.Request.empty() || E.Reserved == Id)
     return Free;
   return Free > E.FreeAsked ? Free - E.FreeAsked : 0;
@@ -57,6 +86,14 @@
   return S.CachedScratch[E.Slot];
 }
 
+/// Seconds between two tokens at the engine. A lane's mean says more than the
+/// engine's own, which follows every change of its batch late.
+double expectedStep(const CellState &S, const Engine &E) {
+  const double Lane = S.Rates.LaneStep[E.Bulk ? 1 : 0].Mean;
+  const double Own = stepSeconds(S.Rates, E.Rates);
+  return Own > SlowPace * Lane ? Own : Lane;
+}
+
 Candidate score(CellState &S, Engine &E, const WaitingAsk &A,
                 const DataCentreId &Near, double Share, TimePoint Now) {
   drainPrefills(E, S.Rates, Now);
@@ -66,7 +103,7 @@
   const double Cached = static_cast<double>(cachedAt(S, E));
   C.Uncached =
       std::max(1.0, static_cast<double>(R.PromptTokens) - Cached) * Share;
-  C.Ahead = prefillAhead(E, A.Class);
+  C.Ahead = prefillAhead(E, aged(A, Now) ? LengthClass::Short : A.Class);
   const double Rate = prefillRate(S.Rates, E.Rates);
   C.First = (C.Ahead + C.Uncached) / Rate;
   const double Crowd = static_cast<double>(E.Running + E.ForeignRunning) /
@@ -74,8 +111,8 @@
   const double Output =
       std::min(static_cast<double>(R.OutputTokens),
                S.Rates.OutputTokens[classIndex(A.Class)].Mean);
-  C.Seconds = C.First +
-              Output * stepSeconds(S.Rates, E.Rates) * (1 + CrowdShare * Crowd);
+  const double Step = expectedStep(S, E) * (1 + CrowdShare * Crowd);
+  C.Seconds = C.First + Output * Step;
   if (!Near.empty() && E.Record.DataCentre != Near)
     C.Seconds += FarSeconds;
   if (std::find(R.Avoid.begin(), R.Avoid.end(), E.Record.Id) != R.Avoid.end())
@@ -107,46 +144,37 @@
   return "least forecast";
 }
 
-std::optional<Placement> placeOne(CellState &S, const WaitingAsk &A,
-                                  const DataCentreId &Near, TimePoint Now) {
-  const std::uint64_t Need = A.Request.PromptTokens + A.Request.OutputTokens;
-  Candidate Best;
-  for (auto &[Id, E] : S.Engines) {
-    if (!takesWork(S, E, A.Request) || freeFor(E, A.Request.Attempt) < Need)
-      continue;
-    Candidate C = score(S, E, A, Near, 1, Now);
-    if (!inLane(S, C, A.Class))
-      continue;
-    if (!Best.E || C.Seconds < Best.Seconds)
-      Best = C;
-  }
-  if (!Best.E)
-    return std::nullopt;
-  Placement P;
-  P.Engines.push_back(heldAt(Best, Need));
-  P.Uncached = Best.Uncached;
-  P.Ahead = Best.Ahead;
-  P.Share = Best.Uncached;
-  P.First = fromSeconds(Best.First);
-  P.Priority = priorityOf(A, Now);
-  P.Reason = reasonFor(S, Best);
-  return P;
-}
-
 std::uint64_t groupTokens(const Ask &A, std::size_t Engines) {
   return (A.PromptTokens + Engines - 1) / Engines + A.OutputTokens;
 }
 
+/// Engines to keep free for a long prompt: small shares are free sooner.
+std::size_t reservedSize(const CellState &S, const Ask &A, std::size_t Least) {
+  std::uint64_t Memory = 0;
+  for (const auto &[Id, E] : S.Engines)
+    Memory = std::max(Memory, E.Record.MemoryTokens);
+  std::size_t Count = Least;
+  while (Count < std::min(MaxGroup, S.Engines.size()) &&
+         static_cast<double>(groupTokens(A, Count)) >
+             ReservedShare * static_cast<double>(Memory))
+    ++Count;
+  return Count;
+}
+
 /// Reserves the engines that will be free soonest: those with most free.
-void reserveGroup(CellState &S, const WaitingAsk &A, std::size_t Count,
-                  std::uint64_t Tokens) {
+void reserveEngines(CellState &S, const WaitingAsk &A, std::size_t Count,
+                    std::uint64_t Tokens) {
   const AttemptId &Id = A.Request.Attempt;
-  if (!S.GroupWaiting.Request.empty())
+  if (S.Reservations.size() >= MaxReservations)
     return;
+  for (const AttemptId &Reserved : S.Reservations)
+    if (Reserved == Id)
+      return;
   std::vector<Engine *> Fit;
   for (auto &[Name, E] : S.Engines)
     if (E.Record.Status == BackendStatus::Serving &&
         offers(E, A.Request.Model) && E.Health.State != HealthState::Ejected &&
+        E.Reserved.Request.empty() && (Count > 1 || E.Bulk) &&
         E.Record.MemoryTokens >= Tokens)
       Fit.push_back(&E);
   if (Fit.size() < Count)
@@ -160,41 +188,112 @@
     Fit[I]->Reserved = Id;
     Fit[I]->FreeAsked = Tokens;
   }
-  S.GroupWaiting = Id;
+  S.Reservations.push_back(Id);
 }
 
-std::optional<Placement> placeGroup(CellState &S, const WaitingAsk &A,
-                                    std::size_t Count, const DataCentreId &Near,
-                                    TimePoint Now) {
+std::optional<Placement> placeOne(CellState &S, const WaitingAsk &A,
+                                  const DataCentreId &Near, TimePoint Now) {
+  const std::uint64_t Need = A.Request.PromptTokens + A.Request.OutputTokens;
+  Candidate Best;
+  for (auto &[Id, E] : S.Engines) {
+    if (!takesWork(S, E, A.Request) ||
+        freeFor(E, A.Request.Attempt, A.Class) < Need)
+      continue;
+    Candidate C = score(S, E, A, Near, 1, Now);
+    if (!inLane(S, C, A.Class))
+      continue;
+    if (!Best.E || C.Seconds < Best.Seconds)
+      Best = C;
+  }
+  if (!Best.E)
+    return std::nullopt;
+  Placement P;
+  P.Engines.push_back(heldAt(Best, Need));
+  P.Uncached = Best.Uncached;
+  P.Ahead = Best.Ahead;
+  P.Share = Best.Uncached;
+  P.First = fromSeconds(Best.First);
+  P.Priority = priorityOf(A, Now);
+  P.Reason = reasonFor(S, Best);
+  return P;
+}
+
+/// The best \p Count engines that could take a share each now; empty where
+/// there are fewer.
+std::vector<Candidate> groupOf(CellState &S, const WaitingAsk &A,
+                               std::size_t Count, const DataCentreId &Near,
+                               TimePoint Now) {
   const AttemptId &Id = A.Request.Attempt;
   const std::uint64_t Tokens = groupTokens(A.Request, Count);
   const double Share = 1.0 / static_cast<double>(Count);
   std::vector<Candidate> Fit;
   for (auto &[Name, E] : S.Engines) {
-    if (!takesWork(S, E, A.Request) || freeFor(E, Id) < Tokens)
+    if (!takesWork(S, E, A.Request) || freeFor(E, Id, A.Class) < Tokens)
       continue;
     Candidate C = score(S, E, A, Near, Share, Now);
     if (E.Reserved == Id || inLane(S, C, LengthClass::Long))
       Fit.push_back(C);
   }
-  if (Fit.size() < Count) {
-    reserveGroup(S, A, Count, Tokens);
-    return std::nullopt;
-  }
+  if (Fit.size() < Count)
+    return {};
   std::stable_sort(Fit.begin(), Fit.end(),
                    [](const Candidate &L, const Candidate &R) {
                      return L.Seconds < R.Seconds;
                    });
+  Fit.resize(Count);
+  return Fit;
+}
+
+Placement groupPlacement(const WaitingAsk &A,
+                         const std::vector<Candidate> &Members, TimePoint Now) {
   Placement P;
-  for (std::size_t I = 0; I < Count; ++I) {
-    P.Engines.push_back(heldAt(Fit[I], Tokens));
-    P.Uncached += Fit[I].Uncached;
-    P.Ahead = std::max(P.Ahead, Fit[I].Ahead);
-    P.Share = std::max(P.Share, Fit[I].Uncached);
-    P.First = std::max(P.First, fromSeconds(Fit[I].First));
+  for (const Candidate &C : Members) {
+    P.Engines.push_back(heldAt(
+        C, Members.size() == 1 ? A.Request.PromptTokens + A.Request.OutputTokens
+                               : groupTokens(A.Request, Members.size())));
+    P.Uncached += C.Uncached;
+    P.Ahead = std::max(P.Ahead, C.Ahead);
+    P.Share = std::max(P.Share, C.Uncached);
+    P.First = std::max(P.First, fromSeconds(C.First));
   }
   P.Priority = priorityOf(A, Now);
-  P.Reason = "group: beyond one engine's memory";
+  return P;
+}
+
+/// Long prompts: as few engines as have room now while others wait, else as
+/// many as bring the first token forward.
+std::optional<Placement> placeLong(CellState &S, const WaitingAsk &A,
+                                   std::size_t Least, const DataCentreId &Near,
+                                   TimePoint Now) {
+  const bool Backlog =
+      S.Queue.Classes[classIndex(LengthClass::Long)].Ready.size() > 1 ||
+      !S.Queue.Classes[classIndex(LengthClass::Medium)].Ready.empty();
+  std::vector<Candidate> Best;
+  double BestSeconds = 0;
+  for (std::size_t Count = Least; Count <= MaxGroup; ++Count) {
+    std::vector<Candidate> Members = groupOf(S, A, Count, Near, Now);
+    if (Members.empty())
+      continue;
+    double Seconds = 0;
+    for (const Candidate &C : Members)
+      Seconds = std::max(Seconds, C.First);
+    Seconds *= 1 + GroupCost * static_cast<double>(Count - 1);
+    if (Best.empty() || Seconds < BestSeconds) {
+      Best = std::move(Members);
+      BestSeconds = Seconds;
+    }
+    if (Backlog)
+      break;
+  }
+  if (Best.empty()) {
+    const std::size_t Count = reservedSize(S, A.Request, Least);
+    reserveEngines(S, A, Count, groupTokens(A.Request, Count));
+    return std::nullopt;
+  }
+  Placement P = groupPlacement(A, Best, Now);
+  P.Reason = Best.size() == 1 ? reasonFor(S, Best.front())
+             : Least > 1      ? "group: beyond one engine's memory"
+                              : "group: sooner, or where memory is left";
   return P;
 }
 
@@ -213,7 +312,8 @@
     if (E.Record.Status == BackendStatus::Serving && offers(E, A.Model))
       Room.push_back(E.Record.MemoryTokens);
   std::sort(Room.rbegin(), Room.rend());
-  if (!Room.empty() && A.PromptTokens + A.OutputTokens <= Room.front())
+  if (!Room.empty() && static_cast<double>(A.PromptTokens + A.OutputTokens) <=
+                           SingleShare * static_cast<double>(Room.front()))
     return 1;
   for (std::size_t Count = 2; Count <= Room.size(); ++Count)
     if (static_cast<double>(groupTokens(A, Count)) <=
@@ -222,9 +322,11 @@
   return 0;
 }
 
-void dropGroupReservation(CellState &S, const AttemptId &Id) {
-  if (S.GroupWaiting == Id)
-    S.GroupWaiting = {};
+void dropReservation(CellState &S, const AttemptId &Id) {
+  auto Found = std::find(S.Reservations.begin(), S.Reservations.end(), Id);
+  if (Found == S.Reservations.end())
+    return;
+  S.Reservations.erase(Found);
   for (auto &[Name, E] : S.Engines) {
     if (E.Reserved != Id)
       continue;
@@ -247,9 +349,9 @@
   const std::size_t Count = enginesNeeded(S, A.Request);
   if (Count == 0)
     return std::nullopt;
-  if (Count == 1)
-    return placeOne(S, A, Near, Now);
-  return placeGroup(S, A, Count, Near, Now);
+  if (A.Class == LengthClass::Long || Count > 1)
+    return placeLong(S, A, Count, Near, Now);
+  return placeOne(S, A, Near, Now);
 }
 
 } // namespace pimento
--- a/packages/schedule/CellTick.cpp
+++ b/packages/schedule/CellTick.cpp
@@ -10,9 +10,10 @@
 constexpr std::size_t HistoryLength = 24; // Samples of Engine::History.
 constexpr double DemandSeconds = 30;      // Memory of demand and drain rates.
 constexpr double RelaxSeconds = 20;       // Of forecasts without outcomes.
-constexpr double BulkLoad = 0.95;         // Aimed at on the lane of long ones.
-constexpr double ShortLoad = 0.85;        // Most that short ones may be left.
-constexpr double BacklogSeconds = 30;     // In which a backlog is worked off.
+constexpr double BulkStepFactor = 1.3;    // Decode beside long prefills.
+constexpr double BulkLoad = 0.92;         // Aimed at on the lane of long ones.
+constexpr double ShortLoad = 1.2;         // Most that short ones may be left.
+constexpr double BacklogSeconds = 60;     // In which a backlog is worked off.
 constexpr Duration DeadlineGrace = seconds(5); // Past it a grant is cancelled.
 /// For an engine's first memory report after a recovery.
 constexpr Duration SweepPatience = seconds(1);
@@ -66,7 +67,7 @@
   while (!S.Queue.Expiry.empty() && S.Queue.Expiry.begin()->first < Now) {
     WaitingAsk W;
     takeAsk(S.Queue, AttemptId(S.Queue.Expiry.begin()->second), &W);
-    dropGroupReservation(S, W.Request.Attempt);
+    dropReservation(S, W.Request.Attempt);
     refuse(S, W.Host, W.Request.Attempt, Code::DeadlineUnreachable, seconds(1),
            "its limit became unreachable while it waited", Out);
   }
@@ -77,7 +78,7 @@
   std::sort(Silent.begin(), Silent.end());
   for (const AttemptId &Id : Silent) {
     takeAsk(S.Queue, Id, nullptr);
-    dropGroupReservation(S, Id);
+    dropReservation(S, Id);
   }
 }
 
@@ -106,11 +107,12 @@
 
 /// Forecasts that no outcome has confirmed of late drift back.
 void relaxForecasts(CellState &S, TimePoint Now) {
-  const double Part =
-      std::min(1.0, toSeconds(Now - S.LastTick) / RelaxSeconds);
+  const double Part = std::min(1.0, toSeconds(Now - S.LastTick) / RelaxSeconds);
   double Fastest = S.Rates.StepSeconds.Mean;
   for (const auto &[Id, E] : S.Engines)
     Fastest = std::min(Fastest, stepSeconds(S.Rates, E.Rates));
+  relax(S.Rates.LaneStep[0], Fastest, Part);
+  relax(S.Rates.LaneStep[1], Fastest * BulkStepFactor, Part);
   for (std::size_t C = 0; C < LengthClasses; ++C) {
     relax(S.Rates.DecodeSeconds[C], Fastest, Part);
     relax(S.Rates.FirstTokenDelay[C], 0, Part);
--- a/packages/schedule/Engine.cpp
+++ b/packages/schedule/Engine.cpp
@@ -40,7 +40,8 @@
 void drainPrefills(Engine &E, const CellRates &Cell, TimePoint Now) {
   double Done = prefillRate(Cell, E.Rates) * toSeconds(Now - E.Drained);
   E.Drained = Now;
-  for (PrefillWork &Work : E.Prefills) {
+  for (LengthClass C : ServiceOrder) {
+    PrefillWork &Work = E.Prefills[static_cast<std::size_t>(C)];
     const double Part = std::min(Done, Work.Tokens);
     Work.Tokens -= Part;
     Done -= Part;
@@ -49,8 +50,11 @@
 
 double prefillAhead(const Engine &E, LengthClass Class) {
   double Ahead = 0;
-  for (std::size_t C = 0; C <= static_cast<std::size_t>(Class); ++C)
-    Ahead += E.Prefills[C].Tokens;
+  for (LengthClass C : ServiceOrder) {
+    Ahead += E.Prefills[static_cast<std::size_t>(C)].Tokens;
+    if (C == Class)
+      break;
+  }
   return Ahead;
 }
 
--- a/packages/schedule/Engine.h
+++ b/packages/schedule/Engine.h
@@ -90,8 +90,8 @@
   EngineRates Rates;
   EngineHealth Health;
   bool Bulk = false;  // Belongs to the lane of medium and long prompts.
-  AttemptId Reserved; // A group that waits for this engine's memory.
-  std::uint64_t FreeAsked = 0; // Tokens that the group needs here.
+  AttemptId Reserved; // A long ask that waits for this engine's memory.
+  std::uint64_t FreeAsked = 0; // Tokens that it needs here.
 };
 
 /// Tokens that neither the ledger nor the engine's report counts as used.
--- a/packages/schedule/Queue.h
+++ b/packages/schedule/Queue.h
@@ -33,6 +33,14 @@
 /// Prompts by length; each class has a queue and a share of the engines.
 enum class LengthClass : std::uint8_t { Short, Medium, Long };
 constexpr std::size_t LengthClasses = 3;
+
+/// Short prompts first, then long ones: a long prompt holds much memory while
+/// it waits at an engine, and medium ones have slack. Aging turns this round.
+constexpr std::array<LengthClass, LengthClasses> ServiceOrder = {
+    LengthClass::Short, LengthClass::Long, LengthClass::Medium};
+constexpr std::size_t serviceRank(LengthClass C) {
+  return C == LengthClass::Short ? 0 : C == LengthClass::Long ? 1 : 2;
+}
 const char *toString(LengthClass C);
 
 /// One ask that waits for engines.
--- a/packages/schedule/Rates.cpp
+++ b/packages/schedule/Rates.cpp
@@ -14,6 +14,7 @@
 constexpr double PriorPrefill = 8000;     // Tokens a second.
 constexpr double PriorStepSeconds = 0.03; // A token.
 constexpr double PriorOutputTokens = 256;
+constexpr double PriorBulkFactor = 1.3; // Decode beside long prefills.
 
 } // namespace
 
@@ -34,6 +35,8 @@
   CellRates R;
   R.Prefill.Mean = PriorPrefill;
   R.StepSeconds.Mean = PriorStepSeconds;
+  R.LaneStep[0].Mean = PriorStepSeconds;
+  R.LaneStep[1].Mean = PriorStepSeconds * PriorBulkFactor;
   for (Estimate &E : R.OutputTokens)
     E.Mean = PriorOutputTokens;
   for (Estimate &E : R.DecodeSeconds)
