--- a/packages/schedule/Rates.cpp
+++ b/packages/schedule/Rates.cpp
@@ -14,6 +14,7 @@
 constexpr double PriorPrefill = 8000;     // Tokens a second.
 constexpr double PriorStepSeconds = 0.03; // A token.
 constexpr double PriorOutputTokens = 256;
+constexpr double PriorBulkFactor = 1.3; // Decode beside long prefills.
 
 } // namespace
 
@@ -25,14 +26,19 @@
   E.Samples += 1;
 }
 
+void relax(Estimate &E, double Towards, double Share) {
+  E.Mean += Share * (Towards - E.Mean);
+  E.Deviation -= Share * E.Deviation;
+}
+
 CellRates initialRates() {
   CellRates R;
   R.Prefill.Mean = PriorPrefill;
   R.StepSeconds.Mean = PriorStepSeconds;
+  R.LaneStep[0].Mean = PriorStepSeconds;
+  R.LaneStep[1].Mean = PriorStepSeconds * PriorBulkFactor;
   for (Estimate &E : R.OutputTokens)
     E.Mean = PriorOutputTokens;
-  for (Estimate &E : R.FirstTokenError)
-    E.Mean = 1;
   for (Estimate &E : R.DecodeSeconds)
     E.Mean = PriorStepSeconds;
   return R;
