--- a/packages/base/Settings.h
+++ b/packages/base/Settings.h
@@ -55,7 +55,7 @@
 /// [control]: the replicated log.
 struct ControlSettings {
   Duration HeartbeatInterval = milliseconds(100); // Leader to voters.
-  Duration ElectionTimeout = milliseconds(600);   // Lower bound; jittered x2.
+  Duration ElectionTimeout = milliseconds(450);   // Lower bound; jittered x2.
   std::uint64_t ClockDriftPerMille =
       10;                               // How far two clocks' rates may differ.
   std::uint64_t SnapshotEntries = 4096; // Log entries between two snapshots.
--- a/packages/calls/Calls.cpp
+++ b/packages/calls/Calls.cpp
@@ -118,6 +118,8 @@
   Call.Retention = Service.Retention;
   if (!Call.Repeatable && Call.Wanted.Key.empty())
     return fail(Code::IdempotencyKeyMissing, "");
+  if (!Call.Repeatable && A.C.Dir.ControlLost)
+    return fail(Code::ControlUnavailable, "");
   return setDeadline(A, Service);
 }
 
--- a/packages/calls/Directory.h
+++ b/packages/calls/Directory.h
@@ -58,8 +58,9 @@
   std::map<ServiceId, ServiceRule> Services;
   std::map<ServiceId, std::vector<PlainServer>> Servers; // Not those leaving.
   DataCentreId Here;                                     // This host's.
-  bool Fresh = true;      // False: documents may be out of date.
-  bool RefuseNew = false; // The host is stopping and past its unready time.
+  bool Fresh = true;        // False: documents may be out of date.
+  bool ControlLost = false; // No claim can be made durable for now.
+  bool RefuseNew = false;   // The host is stopping and past its unready time.
 };
 
 /// The rule with the longest prefix of \p Path, in whole segments, that lists
--- a/packages/node/CallsPart.cpp
+++ b/packages/node/CallsPart.cpp
@@ -104,7 +104,9 @@
 };
 
 void refreshFlags(Turn &T) {
-  T.S.Known.Fresh = mayServe(T);
+  ServeVerdict Verdict = verdict(T.S.Spread, T.Now);
+  T.S.Known.Fresh = Verdict.Serve;
+  T.S.Known.ControlLost = Verdict.Reason == ServeReason::ByMajority;
   T.S.Known.RefuseNew = T.S.Drain >= DrainPhase::Refusing;
 }
 
--- a/packages/node/EditPart.cpp
+++ b/packages/node/EditPart.cpp
@@ -141,7 +141,8 @@
   if (Edit.Term == Entry.Term && Outcome.Result == Code::Ok) {
     Edit.Revision = Outcome.Revision;
     Edit.Number = Outcome.Number;
-    return; // Answered once a majority of hosts knows of it.
+    answerAcceptedEdits(T); // A resend may be known to all hosts already.
+    return;
   }
   // Another leader's entry took this index: nothing is known of the edit.
   Code Result = Edit.Term == Entry.Term ? Outcome.Result : Code::EditUnknown;
--- a/packages/node/MembershipPart.cpp
+++ b/packages/node/MembershipPart.cpp
@@ -36,8 +36,10 @@
   logAll(T, std::move(Out.Decisions));
   for (const HostChange &Change : Out.Hosts)
     takeHostChange(T, Change);
-  if (!Out.Hosts.empty())
+  if (!Out.Hosts.empty()) {
     onHosts(T.S.Spread, aliveHosts(T.S.Members));
+    followHolders(T);
+  }
   for (const BackendChange &Change : Out.Backends)
     takeBackendChange(T, Change.Record);
   for (const LoadReport &Report : Out.Loads)
--- a/packages/node/SchedulePart.cpp
+++ b/packages/node/SchedulePart.cpp
@@ -8,7 +8,7 @@
 
 constexpr Duration CellTickInterval = milliseconds(20);
 /// A new holder waits so long for entry hosts to register what they hold.
-constexpr Duration RecoveryWait = milliseconds(300);
+constexpr Duration RecoveryWait = milliseconds(150);
 
 /// The cell that schedules an engine: of the first model with a document that
 /// it offers, so that one ledger alone counts its memory.
@@ -201,6 +201,17 @@
     takeAnswer(T, Answer);
 }
 
+/// An entry host without a living holder places its asks itself after a while.
+void followHolders(Turn &T) {
+  for (const CellAssignment &Cell : T.S.Cells.Cells) {
+    bool Lives = isAlive(T.S.Members, Cell.Holder);
+    EntryEffects Out;
+    setHolder(T.S.Entry, Cell.id(), Lives ? Cell.Holder : HostId(), Cell.Epoch,
+              T.Now, Out);
+    takeEntry(T, std::move(Out));
+  }
+}
+
 void adoptCells(Turn &T) {
   std::vector<CellId> Lost;
   for (const auto &[Id, Cell] : T.S.Held) {
@@ -213,10 +224,8 @@
   for (const CellAssignment &Cell : T.S.Cells.Cells) {
     if (holds(T.S, Cell) && !T.S.Held.count(Cell.id()))
       startHolding(T, Cell);
-    EntryEffects Out;
-    setHolder(T.S.Entry, Cell.id(), Cell.Holder, Cell.Epoch, T.Now, Out);
-    takeEntry(T, std::move(Out));
   }
+  followHolders(T);
   for (const BackendRecord *Record : allBackends(T.S.Members))
     engineChanged(T, *Record);
 }
--- a/packages/node/Turn.h
+++ b/packages/node/Turn.h
@@ -72,6 +72,8 @@
 void takeEntry(Turn &T, EntryEffects Out);
 /// The table of cells changed: start, stop and follow.
 void adoptCells(Turn &T);
+/// Hosts came or went: which cells have a living holder.
+void followHolders(Turn &T);
 void engineChanged(Turn &T, const BackendRecord &Record);
 void engineLoad(Turn &T, const LoadReport &Report);
 void hostGone(Turn &T, const HostId &Host);
--- /dev/null
+++ b/packages/node/tests/VirtualSite.cpp
@@ -0,0 +1,692 @@
+#include "node/tests/VirtualSite.h"
+
+#include "base/Json.h"
+#include "base/Token.h"
+#include "fakes/AnswerText.h"
+#include "node/tests/VirtualBackends.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace pimento::test {
+
+namespace {
+
+constexpr Duration BackendTick = milliseconds(5);
+constexpr Duration AnnounceInterval = milliseconds(500);
+constexpr Duration Wire = microseconds(300);
+constexpr std::size_t CallerWindow = 256U << 10U;
+const std::string OperatorToken = "operator";
+const std::string BackendToken = "backend";
+
+HttpRequest authorized(HttpMethod Method, std::string Path, std::string Body,
+                       const std::string &Token) {
+  HttpRequest R;
+  R.Method = Method;
+  R.Path = std::move(Path);
+  R.Body = std::move(Body);
+  R.Headers.push_back({"Authorization", "Bearer " + Token});
+  return R;
+}
+
+/// A group as a start would find it after the writes so far.
+void applyWrite(Recovered &Group, const DiskWrite &W) {
+  if (W.Hard)
+    Group.Hard = *W.Hard;
+  if (W.NewSnapshot) {
+    Group.Base = *W.NewSnapshot;
+    std::vector<LogEntry> Kept;
+    for (LogEntry &Entry : Group.Entries) {
+      if (!W.ResetLog && Entry.Index > Group.Base.Index)
+        Kept.push_back(std::move(Entry));
+    }
+    Group.Entries = std::move(Kept);
+  }
+  if (W.Entries.empty())
+    return;
+  while (!Group.Entries.empty() &&
+         Group.Entries.back().Index >= W.Entries.front().Index)
+    Group.Entries.pop_back();
+  Group.Entries.insert(Group.Entries.end(), W.Entries.begin(), W.Entries.end());
+}
+
+} // namespace
+
+VirtualSite::VirtualSite(SiteOptions TheOptions, std::uint64_t TheSeed)
+    : P(TheSeed), Options(std::move(TheOptions)), Seed(TheSeed) {
+  P.Faults.InOrder = true;
+  P.TickInterval = NodeTickInterval;
+  P.OnMessage = [this](HostSlot &Slot, const HostId &From, const Message &M,
+                       TimePoint Now) {
+    dispatch(Slot, Slot.Node->Self, PeerMessage{From, 0, M}, Now);
+  };
+  P.OnTick = [this](HostSlot &Slot, TimePoint Now) {
+    dispatch(Slot, Slot.Node->Self, Tick(), Now);
+  };
+  P.AfterStep = [this] { checkAlways(); };
+  for (std::size_t I = 0; I < Options.Engines; ++I) {
+    auto Engine = std::make_unique<EngineBackend>(*this, Options.EngineTokens);
+    Engine->Id = "engine-" + std::to_string(I + 1);
+    Engine->Address = "10.0.1." + std::to_string(I + 1) + ":80";
+    Engine->DataCentre = Options.Hosts[I % Options.Hosts.size()];
+    Backends[Engine->Id] = std::move(Engine);
+  }
+  for (std::size_t I = 0; I < Options.Ledgers; ++I) {
+    auto Ledger = std::make_unique<PlainBackend>(*this, "ledger");
+    Ledger->Id = "ledger-" + std::to_string(I + 1);
+    Ledger->Address = "10.0.2." + std::to_string(I + 1) + ":80";
+    Ledger->DataCentre = Options.Hosts[I % Options.Hosts.size()];
+    Backends[Ledger->Id] = std::move(Ledger);
+  }
+}
+
+VirtualSite::~VirtualSite() = default;
+
+//===----------------------------------------------------------------------===//
+// Hosts
+//===----------------------------------------------------------------------===//
+
+Settings VirtualSite::settingsOf(const std::string &Name) const {
+  Settings S;
+  S.Host.Name = HostId(Name);
+  S.Host.DataCentre = DataCentreId(Name);
+  S.Security.OperatorTokenSha256 = sha256Hex(OperatorToken);
+  S.Security.BackendTokenSha256 = sha256Hex(BackendToken);
+  for (std::size_t I = 0; I < Options.Hosts.size(); ++I) {
+    PeerSettings Peer;
+    Peer.Name = HostId(Options.Hosts[I]);
+    Peer.DataCentre = DataCentreId(Options.Hosts[I]);
+    Peer.Voter = I < Options.Voters;
+    if (Peer.Name == S.Host.Name && Peer.Voter)
+      S.Host.DataFolder = "data";
+    S.Peers.push_back(Peer);
+  }
+  if (Options.Adjust)
+    Options.Adjust(S);
+  return S;
+}
+
+void VirtualSite::startHost(const std::string &Name) {
+  HostId Id(Name);
+  NodeStart Start;
+  Start.Config = settingsOf(Name);
+  Start.Life = ++NextLife;
+  Start.Seed = Seed * 1000 + Start.Life;
+  if (!Start.Config.Host.DataFolder.empty()) {
+    DiskImage &Disk = Disks[Id];
+    if (Disk.Life == 0)
+      Disk.Life = 1000 + Start.Life;
+    Disk.Start = (((Disk.Start >> 32U) + 1) << 32U) | Start.Life;
+    Start.DiskLife = Disk.Life;
+    Start.Start = Disk.Start;
+    Start.Found = Disk.Groups;
+  }
+  HostSlot Slot;
+  Slot.Life = Start.Life;
+  bool First = true;
+  for (const HostId &Known : P.names())
+    First = First && Known != Id;
+  TimePoint Now = First ? P.now() : P.clock(Id);
+  Slot.Node = std::make_unique<NodeState>(makeNode(Start, Now));
+  P.add(Id, std::move(Slot));
+}
+
+void VirtualSite::kill(const std::string &Name) {
+  HostId Id(Name);
+  P.crash(Id);
+  for (auto &[Key, A] : Open) {
+    if (Key.first == Id)
+      A->HostDied = true;
+  }
+  for (auto &[BackendName, Backend] : Backends) {
+    auto *Engine = dynamic_cast<EngineBackend *>(Backend.get());
+    if (!Engine)
+      continue;
+    std::vector<UpstreamKey> Lost;
+    for (const auto &[Key, Reader] : Engine->Readers) {
+      if (Key.Host == Id)
+        Lost.push_back(Key);
+    }
+    for (const UpstreamKey &Key : Lost)
+      Engine->dropped(Key, P.now());
+  }
+}
+
+void VirtualSite::wipe(const std::string &Name) { Disks.erase(HostId(Name)); }
+
+void VirtualSite::stop(const std::string &Name) {
+  P.perform(HostId(Name), Duration::zero(),
+            [this, Name](HostSlot &S, TimePoint Now) {
+              dispatch(S, HostId(Name), StopRequested(), Now);
+            });
+}
+
+NodeState &VirtualSite::node(const std::string &Name) {
+  return *P.node(HostId(Name)).Node;
+}
+
+bool VirtualSite::serves(const std::string &Name) {
+  HostId Id(Name);
+  return P.running(Id) && isReady(node(Name), P.clock(Id));
+}
+
+std::string VirtualSite::leader() {
+  for (const std::string &Name : Options.Hosts) {
+    if (!P.running(HostId(Name)))
+      continue;
+    auto &Logs = node(Name).Control.Logs;
+    auto Log = Logs.find(ControlGroup);
+    if (Log != Logs.end() && holdsLease(Log->second, P.clock(HostId(Name))))
+      return Name;
+  }
+  return "";
+}
+
+std::string VirtualSite::holder(const std::string &Seen) {
+  for (const CellAssignment &Cell : node(Seen).Cells.Cells)
+    return Cell.Holder.Value;
+  return "";
+}
+
+bool VirtualSite::start() {
+  for (const std::string &Name : Options.Hosts)
+    startHost(Name);
+  P.at(BackendTick, [this] { tickBackends(); });
+  P.at(Duration::zero(), [this] { announceAll(); });
+  auto AllServe = [this] {
+    for (const std::string &Name : Options.Hosts) {
+      if (!serves(Name))
+        return false;
+    }
+    return true;
+  };
+  if (!P.runUntilDone(seconds(10), AllServe))
+    return false;
+  const std::string &Any = Options.Hosts.front();
+  Answer &Model = put(Any, "text", modelDocument(1));
+  Answer &Ledger = put(Any, "ledger", ledgerDocument(1));
+  auto InService = [&] {
+    if (Model.Status != 200 || Ledger.Status != 200)
+      return false;
+    for (const std::string &Name : Options.Hosts) {
+      if (numberAt(Name, "ledger") != 1 || numberAt(Name, "text") != 1 ||
+          holder(Name).empty())
+        return false;
+    }
+    return true;
+  };
+  bool Good = P.runUntilDone(seconds(10), InService);
+  P.runFor(seconds(1)); // Every backend server has announced itself.
+  return Good;
+}
+
+//===----------------------------------------------------------------------===//
+// Events and effects
+//===----------------------------------------------------------------------===//
+
+void VirtualSite::dispatch(HostSlot &Slot, const HostId &Name, Event E,
+                           TimePoint Now) {
+  if (Slot.Exited)
+    return;
+  if (Record)
+    recordEvent(Name, E);
+  Effects Out = reduce(*Slot.Node, E, Now);
+  for (Effect &Effect : Out) {
+    if (Record)
+      recordEffect(Name, Effect);
+    carry(Slot, Name, Effect, Now);
+  }
+}
+
+void VirtualSite::carry(HostSlot &Slot, const HostId &Name, Effect &E,
+                        TimePoint Now) {
+  if (auto *Peer = std::get_if<SendPeer>(&E)) {
+    P.send(Name, Peer->To, Peer->Content);
+  } else if (auto *Reply = std::get_if<calls::SendReply>(&E)) {
+    finish(Name, Reply->Exchange, [&](Answer &A) {
+      A.Status = Reply->Reply.Status;
+      A.Body = Reply->Reply.Body;
+    });
+  } else if (auto *Start = std::get_if<calls::StartStream>(&E)) {
+    auto Found = Open.find({Name, static_cast<std::uint64_t>(Start->Exchange)});
+    if (Found != Open.end()) {
+      Found->second->Streamed = true;
+      Found->second->Status = Start->Head.Status;
+    }
+  } else if (auto *Bytes = std::get_if<calls::StreamBytes>(&E)) {
+    auto Found = Open.find({Name, static_cast<std::uint64_t>(Bytes->Exchange)});
+    if (Found != Open.end())
+      Found->second->Body += Bytes->Bytes;
+    ExchangeId Exchange = Bytes->Exchange;
+    P.perform(Name, Wire, [this, Name, Exchange](HostSlot &S, TimePoint Then) {
+      dispatch(S, Name, ExchangeDrained{Exchange, 0}, Then);
+    });
+  } else if (auto *End = std::get_if<calls::EndStream>(&E)) {
+    finish(Name, End->Exchange, [&](Answer &A) { A.Whole = End->Whole; });
+  } else if (auto *Close = std::get_if<calls::CloseExchange>(&E)) {
+    finish(Name, Close->Exchange, [](Answer &) {});
+  } else if (auto *Upstream = std::get_if<calls::OpenUpstream>(&E)) {
+    openUpstream(Name, *Upstream, Now);
+  } else if (auto *Abort = std::get_if<calls::AbortUpstream>(&E)) {
+    UpstreamKey Key{Name, Slot.Life, Abort->Upstream};
+    P.at(Wire, [this, Key] {
+      for (auto &[Id, Backend] : Backends)
+        Backend->dropped(Key, P.now());
+    });
+  } else if (auto *Write = std::get_if<WriteDisk>(&E)) {
+    writeDisk(Slot, Name, Write->Write);
+  } else if (auto *Leave = std::get_if<Exit>(&E)) {
+    Slot.Exited = true;
+    Slot.ExitStatus = Leave->Status;
+    P.at(Duration::zero(), [this, Name] { kill(Name.Value); });
+  }
+}
+
+/// The final answer of an exchange.
+void VirtualSite::finish(const HostId &Host, ExchangeId Exchange,
+                         const std::function<void(Answer &)> &Change) {
+  auto Found = Open.find({Host, static_cast<std::uint64_t>(Exchange)});
+  if (Found == Open.end())
+    return;
+  Answer &A = *Found->second;
+  ++A.Finals;
+  A.Answered = P.now();
+  Change(A);
+  P.perform(Host, Wire, [this, Host, Exchange](HostSlot &S, TimePoint Then) {
+    dispatch(S, Host, ExchangeDrained{Exchange, 0}, Then);
+  });
+}
+
+void VirtualSite::writeDisk(HostSlot &Slot, const HostId &Name,
+                            const DiskWrite &Write) {
+  std::uint64_t Life = Slot.Life;
+  P.perform(Name, Options.SyncTime,
+            [this, Name, Write, Life](HostSlot &S, TimePoint Now) {
+              if (S.Life != Life)
+                return;
+              applyWrite(Disks[Name].Groups[Write.Group], Write);
+              dispatch(S, Name, DiskWritten{Write.Group, Write.Ticket}, Now);
+            });
+}
+
+void VirtualSite::toHost(const UpstreamKey &Key, Duration Delay, Event E) {
+  P.perform(Key.Host, Delay,
+            [this, Key, E = std::move(E)](HostSlot &Slot, TimePoint Now) {
+              if (Slot.Life == Key.Life)
+                dispatch(Slot, Key.Host, E, Now);
+            });
+}
+
+VirtualBackend *VirtualSite::backendAt(const std::string &Address) {
+  for (auto &[Id, Backend] : Backends) {
+    if (Backend->Address == Address)
+      return Backend.get();
+  }
+  return nullptr;
+}
+
+void VirtualSite::openUpstream(const HostId &Name, const calls::OpenUpstream &E,
+                               TimePoint Now) {
+  UpstreamKey Key{Name, P.node(Name).Life, E.Upstream};
+  VirtualBackend *Backend = backendAt(E.Request.Address);
+  UpstreamFailure NotSent;
+  NotSent.BytesSent = false;
+  bool Late = E.SendBy && Now > *E.SendBy;
+  if (Late || !Backend || Backend->Faults.Down) {
+    toHost(Key, Wire, UpstreamFailed{E.Upstream, NotSent});
+    return;
+  }
+  toHost(Key, Wire, UpstreamSent{E.Upstream});
+  std::uint64_t Life = Backend->Life;
+  P.at(Wire, [this, Key, Backend, Life, Request = E.Request] {
+    if (Backend->Faults.Down || Backend->Life != Life)
+      toHost(Key, Wire, UpstreamFailed{Key.Call, {}});
+    else
+      Backend->take(Key, Request, P.now());
+  });
+}
+
+void VirtualSite::tickBackends() {
+  for (auto &[Id, Backend] : Backends) {
+    if (!Backend->Faults.Down)
+      Backend->tick(P.now());
+  }
+  P.at(BackendTick, [this] { tickBackends(); });
+}
+
+void VirtualSite::announceAll() {
+  for (auto &[Id, Backend] : Backends) {
+    if (Backend->Faults.Down || Backend->Faults.Mute)
+      continue;
+    for (std::size_t Try = 0; Try < Options.Hosts.size(); ++Try) {
+      HostId Host(Options.Hosts[AnnounceTurn++ % Options.Hosts.size()]);
+      if (!P.running(Host))
+        continue;
+      CallerRequest E;
+      E.Exchange = ExchangeId{NextExchange++};
+      E.Request = authorized(HttpMethod::Post, "/v1/backends/announce",
+                             Backend->announcement(), BackendToken);
+      P.perform(Host, Wire, [this, Host, E](HostSlot &S, TimePoint Now) {
+        dispatch(S, Host, E, Now);
+      });
+      break;
+    }
+  }
+  P.at(AnnounceInterval, [this] { announceAll(); });
+}
+
+//===----------------------------------------------------------------------===//
+// Callers and operators
+//===----------------------------------------------------------------------===//
+
+Answer &VirtualSite::newAnswer(const std::string &Host, Duration Limit) {
+  Answer &A = Answers.emplace_back();
+  A.Exchange = ExchangeId{NextExchange++};
+  A.Host = HostId(Host);
+  A.Sent = P.now();
+  A.Limit = P.now() + Limit;
+  Open[{A.Host, static_cast<std::uint64_t>(A.Exchange)}] = &A;
+  return A;
+}
+
+Answer &VirtualSite::send(const std::string &Host, HttpRequest Request,
+                          Duration Limit) {
+  Answer &A = newAnswer(Host, Limit);
+  Request.Headers.push_back(
+      {"X-Request-Timeout-Ms", std::to_string(toMilliseconds(Limit))});
+  CallerRequest E{A.Exchange, std::move(Request)};
+  P.perform(A.Host, Duration::zero(),
+            [this, Id = A.Host, E](HostSlot &S, TimePoint Now) {
+              dispatch(S, Id, E, Now);
+            });
+  return A;
+}
+
+Answer &VirtualSite::complete(const std::string &Host,
+                              const std::string &Prompt, std::uint64_t Tokens,
+                              bool Stream, Duration Limit,
+                              const std::string &Account) {
+  Json Body = {{"model", "m"},
+               {"prompt", Prompt},
+               {"max_tokens", Tokens},
+               {"stream", Stream}};
+  return send(Host,
+              authorized(HttpMethod::Post, "/v1/completions", Body.dump(),
+                         "token-" + Account),
+              Limit);
+}
+
+Answer &VirtualSite::signOff(const std::string &Host, const std::string &Key,
+                             const std::string &Body, Duration Limit,
+                             const std::string &Account) {
+  HttpRequest R =
+      authorized(HttpMethod::Post, "/v1/services/ledger/calls/signoffs", Body,
+                 "token-" + Account);
+  R.Headers.push_back({"Idempotency-Key", Key});
+  return send(Host, std::move(R), Limit);
+}
+
+void VirtualSite::leave(Answer &A) {
+  A.Left = true;
+  P.perform(A.Host, Duration::zero(), [this, &A](HostSlot &S, TimePoint Now) {
+    dispatch(S, A.Host, ExchangeLeft{A.Exchange}, Now);
+  });
+}
+
+Answer &VirtualSite::put(const std::string &Host, const std::string &Service,
+                         const std::string &Text, const std::string &EditId) {
+  Answer &A = newAnswer(Host, seconds(10));
+  OperatorRequest E;
+  E.Exchange = A.Exchange;
+  E.Request =
+      authorized(HttpMethod::Put, "/v1/services/" + Service + "/document", Text,
+                 OperatorToken);
+  if (!EditId.empty())
+    E.Request.Headers.push_back({"Idempotency-Key", EditId});
+  P.perform(A.Host, Duration::zero(),
+            [this, Id = A.Host, E](HostSlot &S, TimePoint Now) {
+              dispatch(S, Id, E, Now);
+            });
+  return A;
+}
+
+std::uint64_t VirtualSite::numberAt(const std::string &Host,
+                                    const std::string &Service) {
+  const HeldDocument *Held =
+      documentInForce(node(Host).Spread, ServiceId(Service));
+  return Held ? Held->Number : 0;
+}
+
+std::string VirtualSite::expectedText(const std::string &Prompt,
+                                      std::uint64_t Tokens) {
+  return fakes::answerText(Prompt, 0, Tokens);
+}
+
+std::string VirtualSite::modelDocument(std::uint64_t Number, int WeightOfA) {
+  return Json({{"number", Number},
+               {"service", "text"},
+               {"kind", "model"},
+               {"time_limit_ms", {{"default", 60000}, {"max", 600000}}},
+               {"accounts",
+                {{{"account", "a"},
+                  {"token_sha256", {sha256Hex("token-a")}},
+                  {"weight", WeightOfA}},
+                 {{"account", "b"},
+                  {"token_sha256", {sha256Hex("token-b")}},
+                  {"weight", 1}}}},
+               {"models",
+                {{{"name", "m"},
+                  {"context_tokens", 10000000},
+                  {"replicas", 3}}}}})
+      .dump();
+}
+
+std::string VirtualSite::ledgerDocument(std::uint64_t Number) {
+  return Json({{"number", Number},
+               {"service", "ledger"},
+               {"kind", "plain"},
+               {"time_limit_ms", {{"default", 10000}, {"max", 60000}}},
+               {"accounts",
+                {{{"account", "a"},
+                  {"token_sha256", {sha256Hex("token-a")}},
+                  {"weight", 1}},
+                 {{"account", "b"},
+                  {"token_sha256", {sha256Hex("token-b")}},
+                  {"weight", 1}}}},
+               {"calls",
+                {{{"path", "signoffs"},
+                  {"methods", {"POST"}},
+                  {"repeatable", false}},
+                 {{"path", "lookups"},
+                  {"methods", {"GET"}},
+                  {"repeatable", true}}}},
+               {"claim_retention_hours", 24}})
+      .dump();
+}
+
+//===----------------------------------------------------------------------===//
+// Backend servers
+//===----------------------------------------------------------------------===//
+
+BackendFaults &VirtualSite::faults(const std::string &Backend) {
+  return Backends.at(Backend)->Faults;
+}
+
+void VirtualSite::restartBackend(const std::string &Backend) {
+  Backends.at(Backend)->Faults = BackendFaults();
+  Backends.at(Backend)->restart(P.now());
+}
+
+std::uint64_t VirtualSite::tokensHeld() {
+  std::uint64_t Sum = 0;
+  for (auto &[Id, Backend] : Backends) {
+    auto *Engine = dynamic_cast<EngineBackend *>(Backend.get());
+    if (!Engine || Engine->Faults.Down)
+      continue;
+    fakes::advance(*Engine->Model, P.now());
+    Sum += Engine->Model->UsedTokens;
+  }
+  return Sum;
+}
+
+std::size_t VirtualSite::attemptsAt(const std::string &Engine) {
+  auto &Backend = dynamic_cast<EngineBackend &>(*Backends.at(Engine));
+  return Backend.Model->Attempts.size();
+}
+
+void VirtualSite::dropReaders(const std::string &Engine) {
+  auto &Backend = dynamic_cast<EngineBackend &>(*Backends.at(Engine));
+  for (const auto &[Key, Reader] : Backend.Readers)
+    toHost(Key, Wire, UpstreamFailed{Key.Call, {}});
+  Backend.Readers.clear();
+}
+
+//===----------------------------------------------------------------------===//
+// Checks and records
+//===----------------------------------------------------------------------===//
+
+/// What must hold after each step: one leader a term, no document's number
+/// ever falls, at most one holder of a cell may act, one final answer, and no
+/// key runs twice.
+void VirtualSite::checkAlways() {
+  std::set<CellId> Acting;
+  for (const std::string &Name : Options.Hosts) {
+    HostId Id(Name);
+    if (!P.up(Id) || P.node(Id).Exited)
+      continue;
+    NodeState &N = node(Name);
+    auto Log = N.Control.Logs.find(ControlGroup);
+    if (Log != N.Control.Logs.end() &&
+        role(Log->second) == ReplicaRole::Leader) {
+      auto Known = TermLeaders.emplace(term(Log->second), Id).first;
+      BOOST_REQUIRE_MESSAGE(Known->second == Id, "two leaders in one term");
+    }
+    for (const auto &[Service, Held] : N.Spread.Documents) {
+      std::uint64_t &Newest = Numbers[{Id, Service.Value}];
+      BOOST_REQUIRE_MESSAGE(Held.Number >= Newest || P.node(Id).Life == 0,
+                            "a document's number fell at " << Name);
+      Newest = Held.Number;
+    }
+    if (P.frozen(Id) || !verdict(N.Spread, P.clock(Id)).Serve)
+      continue;
+    for (const auto &[Cell, State] : N.Held)
+      BOOST_REQUIRE_MESSAGE(Acting.insert(Cell).second,
+                            "two hosts may act for one cell");
+  }
+}
+
+namespace {
+
+std::string describe(const CallerRequest &E) {
+  return std::string(toString(E.Request.Method)) + " " + E.Request.Path;
+}
+
+/// Names of messages that tell something about a request or an edit.
+struct Describe {
+  std::string operator()(const Ask &M) const {
+    return "Ask " + toString(M.Attempt) + " prompt " +
+           std::to_string(M.PromptTokens);
+  }
+  std::string operator()(const Grant &M) const {
+    std::string Text = "Grant " + toString(M.Attempt) + " epoch " +
+                       std::to_string(M.Epoch) + " engines";
+    for (const GrantedEngine &Engine : M.Engines)
+      Text += " " + Engine.Backend.Value + "/" + std::to_string(Engine.Tokens);
+    return Text;
+  }
+  std::string operator()(const Refusal &M) const {
+    return "Refusal " + toString(M.Attempt) + " " + pimento::toString(M.Reason);
+  }
+  std::string operator()(const Release &M) const {
+    return "Release " + toString(M.Attempt);
+  }
+  std::string operator()(const Withdraw &M) const {
+    return "Withdraw " + toString(M.Attempt);
+  }
+  std::string operator()(const ClaimRequest &M) const {
+    return "ClaimRequest " + toString(M.Request) + " key " + M.Key.Key;
+  }
+  std::string operator()(const ClaimReply &M) const {
+    return "ClaimReply " + toString(M.Request) + " state " +
+           std::to_string(static_cast<int>(M.State));
+  }
+  std::string operator()(const ClaimResult &M) const {
+    return "ClaimResult " + toString(M.Request) + " end " +
+           std::to_string(static_cast<int>(M.End));
+  }
+  std::string operator()(const ClaimResultAck &M) const {
+    return "ClaimResultAck " + toString(M.Request);
+  }
+  std::string operator()(const PutDocument &M) const {
+    return "PutDocument " + M.Service.Value + " " + std::to_string(M.Number) +
+           " id " + M.EditId;
+  }
+  std::string operator()(const PutDocumentReply &M) const {
+    return std::string("PutDocumentReply ") + pimento::toString(M.Result) +
+           " " + std::to_string(M.Number);
+  }
+  template <class Other> std::string operator()(const Other &) const {
+    return "";
+  }
+};
+
+std::string describe(const Message &M) { return std::visit(Describe(), M); }
+
+} // namespace
+
+void VirtualSite::recordEvent(const HostId &Name, const Event &E) {
+  std::string Text;
+  if (const auto *M = std::get_if<PeerMessage>(&E)) {
+    Text = describe(M->Content);
+    if (!Text.empty())
+      Text = "from " + M->From.Value + ": " + Text;
+  } else if (const auto *Request = std::get_if<CallerRequest>(&E)) {
+    if (Request->Request.Path.find("announce") == std::string::npos)
+      Text = "caller: " + describe(*Request);
+  } else if (const auto *Edit = std::get_if<OperatorRequest>(&E)) {
+    Text = std::string("operator: ") + toString(Edit->Request.Method) + " " +
+           Edit->Request.Path;
+  } else if (const auto *Head = std::get_if<UpstreamHead>(&E)) {
+    Text = "backend: status " + std::to_string(Head->Status);
+  } else if (const auto *Failed = std::get_if<UpstreamFailed>(&E)) {
+    Text = std::string("backend: failed, bytes sent ") +
+           (Failed->Why.BytesSent ? "yes" : "no");
+  } else if (std::holds_alternative<StopRequested>(E)) {
+    Text = "stop requested";
+  }
+  if (!Text.empty())
+    Record(std::to_string(toMilliseconds(P.now().time_since_epoch())) + " " +
+           Name.Value + " <- " + Text);
+}
+
+void VirtualSite::recordEffect(const HostId &Name, const Effect &E) {
+  std::string Text;
+  if (const auto *Peer = std::get_if<SendPeer>(&E)) {
+    Text = describe(Peer->Content);
+    if (!Text.empty())
+      Text = "to " + Peer->To.Value + ": " + Text;
+  } else if (const auto *Reply = std::get_if<calls::SendReply>(&E)) {
+    if (Reply->Reply.Status != 204)
+      Text = "reply " + std::to_string(Reply->Reply.Status) + " " +
+             Reply->Reply.Body.substr(0, 100);
+  } else if (std::holds_alternative<calls::StartStream>(E)) {
+    Text = "stream starts";
+  } else if (const auto *End = std::get_if<calls::EndStream>(&E)) {
+    Text = End->Whole ? "stream ends whole" : "stream breaks off";
+  } else if (const auto *Upstream = std::get_if<calls::OpenUpstream>(&E)) {
+    if (Upstream->Request.Target != "/v1/memory")
+      Text = std::string("open ") + toString(Upstream->Request.Method) + " " +
+             Upstream->Request.Address + Upstream->Request.Target;
+  } else if (const auto *Decision = std::get_if<LogDecision>(&E)) {
+    Text = std::string("decides ") + Decision->Record.Kind + ": " +
+           Decision->Record.Reason;
+  } else if (const auto *Leave = std::get_if<Exit>(&E)) {
+    Text = "exit " + std::to_string(Leave->Status);
+  }
+  while (!Text.empty() && Text.back() == '\n')
+    Text.pop_back();
+  if (!Text.empty())
+    Record(std::to_string(toMilliseconds(P.now().time_since_epoch())) + " " +
+           Name.Value + " -> " + Text);
+}
+
+} // namespace pimento::test
