schedule: lanes that dissolve, loads by measured capacity

Cause: a fixed rule kept four or five engines for short prompts at every load; at 95% medium prompts were refused (594 of 2358) while short ones had room. Changed: the lane of long prompts follows demand; where both kinds leave no room to keep them apart every engine takes both. Score by the lane's pace and the engine's distance from the lane's mean batch.

--- a/bench/Workload.cpp
+++ b/bench/Workload.cpp
@@ -168,6 +168,7 @@
               seconds(600), 0}};
   S.Accounts = tenAccounts();
   S.BurstPrompts = 8;
+  S.Capacity = 0.875;
   return S;
 }
 
@@ -183,6 +184,7 @@
               seconds(900), 0}};
   S.Accounts = tenAccounts();
   S.BurstPrompts = 5;
+  S.Capacity = 0.83;
   return S;
 }
 
@@ -201,7 +203,7 @@
                                   const Load &L, Duration Length,
                                   std::uint64_t Seed) {
   Generator G = makeGenerator(S, Spec, Seed);
-  const double Capacity = static_cast<double>(S.Engines) * L.Share;
+  const double Capacity = static_cast<double>(S.Engines) * S.Capacity * L.Share;
   double Rate = Capacity / meanWork(S, Spec);
   std::vector<Arrival> Arrivals;
   if (L.Bursts) {
--- a/bench/Workload.h
+++ b/bench/Workload.h
@@ -4,9 +4,8 @@
 //   std::vector<Arrival> A = makeArrivals(S, Spec, {0.8, Bursts}, Length,
 //   Seed);
 //
-// Load is the share of the fleet's engine seconds that the arrivals need, with
-// every prefix that an earlier prompt had counted as cached. This is the
-// strictest reading: no placement reuses them all.
+// Load is the share of the fleet's measured capacity that the arrivals need,
+// with every prefix that an earlier prompt had counted as cached.
 //
 //===----------------------------------------------------------------------===//
 #pragma once
@@ -44,6 +43,10 @@
   std::size_t Engines = 0;
   std::vector<RequestKind> Kinds;
   std::vector<SiteAccount> Accounts;
+  /// Engine seconds that each engine finishes in a second at most, whatever the
+  /// policy: the best of all policies under a backlog without limits, measured
+  /// by `policyBench --capacity`. Below 1: decode phases and memory bind, too.
+  double Capacity = 1;
   std::size_t BurstPrompts = 0; // Of the longest kind, at once, by one account.
 };
 
@@ -63,7 +66,7 @@
 };
 
 struct Load {
-  double Share = 0.8;  // Of the fleet's capacity.
+  double Share = 0.8;  // Of the fleet's capacity, see Site::Capacity.
   bool Bursts = false; // Rate and long prompts come in bursts.
 };
 
--- a/packages/schedule/Cell.h
+++ b/packages/schedule/Cell.h
@@ -160,6 +160,8 @@
   std::array<double, LengthClasses> Served{}; // Cost granted since last tick.
   std::array<Estimate, LengthClasses> DrainRate; // Cost a second in backlog.
   std::size_t BulkEngines = 0;         // Size of the lane of long prompts.
+  TimePoint NextLaneCut;               // When it may shrink next.
+  std::array<double, 2> LaneRunning{}; // Mean attempts of an engine by lane.
   std::vector<AttemptId> Reservations; // Asks that hold engines; oldest first.
   TimePoint LastTick;
   std::vector<std::uint64_t> CachedScratch; // By prefix slot.
--- a/packages/schedule/CellPlace.cpp
+++ b/packages/schedule/CellPlace.cpp
@@ -86,10 +86,17 @@
   return S.CachedScratch[E.Slot];
 }
 
+/// The lane counts only while longer prompts are asked for.
+std::size_t laneOf(const CellState &S, const Engine &E) {
+  const double Demand = S.Demand[classIndex(LengthClass::Medium)].Rate +
+                        S.Demand[classIndex(LengthClass::Long)].Rate;
+  return E.Bulk && Demand > 1 ? 1 : 0;
+}
+
 /// Seconds between two tokens at the engine. A lane's mean says more than the
 /// engine's own, which follows every change of its batch late.
 double expectedStep(const CellState &S, const Engine &E) {
-  const double Lane = S.Rates.LaneStep[E.Bulk ? 1 : 0].Mean;
+  const double Lane = S.Rates.LaneStep[laneOf(S, E)].Mean;
   const double Own = stepSeconds(S.Rates, E.Rates);
   return Own > SlowPace * Lane ? Own : Lane;
 }
@@ -106,7 +113,8 @@
   C.Ahead = prefillAhead(E, aged(A, Now) ? LengthClass::Short : A.Class);
   const double Rate = prefillRate(S.Rates, E.Rates);
   C.First = (C.Ahead + C.Uncached) / Rate;
-  const double Crowd = static_cast<double>(E.Running + E.ForeignRunning) /
+  const double Crowd = (static_cast<double>(E.Running + E.ForeignRunning) -
+                        S.LaneRunning[laneOf(S, E)]) /
                        static_cast<double>(S.Config.MaxRunning);
   const double Output =
       std::min(static_cast<double>(R.OutputTokens),
--- a/packages/schedule/CellTick.cpp
+++ b/packages/schedule/CellTick.cpp
@@ -11,9 +11,11 @@
 constexpr double DemandSeconds = 30;      // Memory of demand and drain rates.
 constexpr double RelaxSeconds = 20;       // Of forecasts without outcomes.
 constexpr double BulkStepFactor = 1.3;    // Decode beside long prefills.
-constexpr double BulkLoad = 0.92;         // Aimed at on the lane of long ones.
+constexpr double BulkLoad = 1;            // Aimed at on the lane of long ones.
 constexpr double ShortLoad = 1.2;         // Most that short ones may be left.
 constexpr double BacklogSeconds = 60;     // In which a backlog is worked off.
+/// Between two cuts of the lane of long prompts.
+constexpr Duration LaneCutInterval = seconds(2);
 constexpr Duration DeadlineGrace = seconds(5); // Past it a grant is cancelled.
 /// For an engine's first memory report after a recovery.
 constexpr Duration SweepPatience = seconds(1);
@@ -127,37 +129,54 @@
   return Cost / std::max(1.0, S.Rates.Prefill.Mean);
 }
 
+/// Engines for medium and long prompts. Where both kinds together leave no room
+/// to keep them apart, every engine takes both: the engines' priorities alone
+/// protect short prompts then.
 std::size_t laneSize(const CellState &S, std::size_t Engines) {
-  if (Engines <= 1)
-    return Engines;
   const double Bulk =
       (engineLoad(S, LengthClass::Medium) + engineLoad(S, LengthClass::Long)) /
       BulkLoad;
   const double Short = engineLoad(S, LengthClass::Short) / ShortLoad;
-  const double Count = static_cast<double>(Engines);
-  const double Least = std::max(1.0, std::floor(Count / 4));
-  const double Most = std::max(Least, Count - std::max(1.0, std::ceil(Short)));
-  return static_cast<std::size_t>(std::clamp(std::ceil(Bulk), Least, Most));
+  const auto Count = static_cast<double>(Engines);
+  if (Engines <= 2 || Bulk + Short > Count)
+    return Engines;
+  return static_cast<std::size_t>(std::max(1.0, std::ceil(Bulk)));
 }
 
-/// Gives engines to the lane of medium and long prompts, those with the
-/// fewest attempts first; takes those back that have prefilled what they had.
-void setLanes(CellState &S) {
+/// Gives engines to the lane of medium and long prompts, those with the fewest
+/// attempts first. It grows at once and shrinks by one engine at a time.
+void setLanes(CellState &S, TimePoint Now) {
   std::vector<Engine *> Usable;
-  for (auto &[Id, E] : S.Engines)
+  for (auto &[Id, E] : S.Engines) {
     if (E.Record.Status == BackendStatus::Serving &&
         E.Health.State != HealthState::Ejected)
       Usable.push_back(&E);
     else
       E.Bulk = false;
-  S.BulkEngines = laneSize(S, Usable.size());
+  }
+  const std::size_t Wanted = laneSize(S, Usable.size());
+  if (Wanted >= S.BulkEngines) {
+    S.BulkEngines = Wanted;
+    S.NextLaneCut = Now + LaneCutInterval;
+  } else if (Now >= S.NextLaneCut) {
+    --S.BulkEngines;
+    S.NextLaneCut = Now + LaneCutInterval;
+  }
+  S.BulkEngines = std::min(S.BulkEngines, Usable.size());
   std::stable_sort(Usable.begin(), Usable.end(), [](Engine *L, Engine *R) {
     if (L->Bulk != R->Bulk)
       return L->Bulk;
     return L->Running < R->Running;
   });
-  for (std::size_t I = 0; I < Usable.size(); ++I)
+  std::array<double, 2> Running = {};
+  for (std::size_t I = 0; I < Usable.size(); ++I) {
     Usable[I]->Bulk = I < S.BulkEngines;
+    Running[Usable[I]->Bulk ? 1 : 0] += Usable[I]->Running;
+  }
+  const auto BulkCount = static_cast<double>(S.BulkEngines);
+  const auto Others = static_cast<double>(Usable.size()) - BulkCount;
+  S.LaneRunning = {Running[0] / std::max(1.0, Others),
+                   Running[1] / std::max(1.0, BulkCount)};
 }
 
 void sampleRunning(CellState &S, TimePoint Now) {
@@ -188,7 +207,7 @@
   learnDemand(S, Now);
   relaxForecasts(S, Now);
   judgeEngines(S, Now, Out);
-  setLanes(S);
+  setLanes(S, Now);
   sampleRunning(S, Now);
   sweepAndCancel(S, Now, Out);
   forgetIdleAccounts(S.Queue);
