--- a/packages/schedule/Cell.h
+++ b/packages/schedule/Cell.h
@@ -141,6 +141,7 @@
 struct ClassDemand {
   double Arrived = 0; // Predicted cost since the last tick.
   double Rate = 0;    // Cost a second.
+  double Seconds = 0; // Observed so far.
 };
 
 struct CellState {
--- a/packages/schedule/CellTick.cpp
+++ b/packages/schedule/CellTick.cpp
@@ -8,12 +8,12 @@
 namespace {
 
 constexpr std::size_t HistoryLength = 24; // Samples of Engine::History.
-constexpr double DemandSeconds = 30;      // Memory of demand and drain rates.
+constexpr double DemandSeconds = 120;     // Memory of demand and drain rates.
 constexpr double RelaxSeconds = 20;       // Of forecasts without outcomes.
 constexpr double BulkStepFactor = 1.3;    // Decode beside long prefills.
-constexpr double BulkLoad = 1;            // Aimed at on the lane of long ones.
-constexpr double ShortLoad = 1.2;         // Most that short ones may be left.
-constexpr double BacklogSeconds = 60;     // In which a backlog is worked off.
+constexpr double BulkLoad = 1.1;          // Aimed at on the lane of long ones.
+constexpr double ShortLoad = 0.9;         // Most that short ones may be left.
+constexpr double BacklogSeconds = 120;    // In which a backlog is worked off.
 /// Between two cuts of the lane of long prompts.
 constexpr Duration LaneCutInterval = seconds(2);
 constexpr Duration DeadlineGrace = seconds(5); // Past it a grant is cancelled.
@@ -91,7 +91,9 @@
   const double Part = std::min(1.0, Elapsed / DemandSeconds);
   for (std::size_t C = 0; C < LengthClasses; ++C) {
     ClassDemand &D = S.Demand[C];
-    D.Rate += Part * (D.Arrived / Elapsed - D.Rate);
+    D.Seconds += Elapsed;
+    const double Newest = std::max(Part, Elapsed / D.Seconds);
+    D.Rate += Newest * (D.Arrived / Elapsed - D.Rate);
     D.Arrived = 0;
     Estimate &Drain = S.DrainRate[C];
     const double Lane = laneRate(S, static_cast<LengthClass>(C));
@@ -138,9 +140,11 @@
       BulkLoad;
   const double Short = engineLoad(S, LengthClass::Short) / ShortLoad;
   const auto Count = static_cast<double>(Engines);
-  if (Engines <= 2 || Bulk + Short > Count)
+  const double Most = Count - std::max(1.0, std::ceil(Short));
+  if (Engines <= 2 || Bulk > Most * 1.1)
     return Engines;
-  return static_cast<std::size_t>(std::max(1.0, std::ceil(Bulk)));
+  return static_cast<std::size_t>(
+      std::clamp(std::ceil(Bulk), 1.0, std::max(1.0, Most)));
 }
 
 /// Gives engines to the lane of medium and long prompts, those with the fewest
