fakes: let the heaviest prove that it goes first

Cause: a trial without weights in the queue passed every test, as two places came free at once and took both that waited.

The test now frees one place and looks at who took it.

Ruled out: nothing else; the mechanism itself was right.

Conclusion: as strict as before, and the weight is covered.

--- a/fakes/tests/EngineModelTest.cpp
+++ b/fakes/tests/EngineModelTest.cpp
@@ -97,16 +97,17 @@
 
 BOOST_AUTO_TEST_CASE(TheBatchIsBoundedAndTheHeaviestGoesNext) {
   ask("a", 100, 1);
-  ask("b", 100, 1);
+  ask("b", 1000, 1);
   ask("c", 100, 1);
   GenerateOrder Heavy = order("heavy", 100, 1);
   Heavy.Weight = 5;
   ask(Heavy);
   BOOST_TEST(E.Batch.size() == 2U);
   BOOST_TEST((state("c") == AttemptState::Waiting));
-  pass(milliseconds(205));
+  pass(milliseconds(205)); // Only "a" has made room.
   BOOST_TEST((state("heavy") == AttemptState::Prefill));
-  pass(seconds(1));
+  BOOST_TEST((state("c") == AttemptState::Waiting));
+  pass(seconds(2));
   BOOST_TEST((state("c") == AttemptState::Done));
 }
 
