--- a/packages/base/Problem.h
+++ b/packages/base/Problem.h
@@ -16,14 +16,11 @@
 /// One refusal or failure, as callers and operators read it.
 struct Problem {
   Code Number = Code::BackendFailed;
-  std::string Detail; // For people; never holds a token or a prompt.
+  std::string Detail;     // For people; never holds a token or a prompt.
+  RequestId Request = {}; // Empty: not known.
   Duration RetryAfter = Duration::zero(); // Zero: no such header.
-  RequestId Request = {};                 // Empty: not known.
 };
 
-/// The JSON body alone.
-std::string problemBody(const Problem &P);
-
 /// The whole reply: status, headers and JSON body.
 HttpReply problemReply(const Problem &P);
 
--- a/packages/calls/Calls.cpp
+++ b/packages/calls/Calls.cpp
@@ -6,7 +6,7 @@
 
 #include <algorithm>
 
-namespace pimento {
+namespace pimento::calls {
 
 namespace {
 
@@ -52,8 +52,8 @@
 Result<void> setDeadline(Admission &A, const ServiceRule &Service) {
   const LimitSettings &Limits = A.C.S.Limits;
   BOOST_LEAF_AUTO(Stated, readTimeLimit(A.Incoming));
-  Duration Limit = Stated.value_or(Service.TimeLimit > Duration::zero()
-                                       ? Service.TimeLimit
+  Duration Limit = Stated.value_or(Service.DefaultTimeLimit > Duration::zero()
+                                       ? Service.DefaultTimeLimit
                                        : Limits.DefaultTimeLimit);
   if (Service.MaxTimeLimit > Duration::zero())
     Limit = std::min(Limit, Service.MaxTimeLimit);
@@ -110,9 +110,9 @@
     return fail(Code::Forbidden, "");
   A.R.Account = Account->second;
   A.R.Service = Call.Wanted.Service;
-  const PlainCallRule *Rule =
-      findCall(Service, Call.Wanted.Method, Call.Wanted.Path);
-  if (!Rule)
+  const CallRule *Rule =
+      callRule(Service, toString(Call.Wanted.Method), Call.Wanted.Path);
+  if (Rule == nullptr)
     return fail(Code::NotFound, "the service offers no such call");
   Call.Repeatable = Rule->Repeatable;
   Call.Retention = Service.Retention;
@@ -133,7 +133,7 @@
 
 void refuse(Admission &A, const Failure &Why) {
   constexpr Duration DefaultRetryAfter = seconds(1);
-  Problem P{Why.Number, Why.Detail, {}};
+  Problem P{Why.Number, Why.Detail, A.R.Id, {}};
   if (info(Why.Number).HttpStatus == 503)
     P.RetryAfter = DefaultRetryAfter;
   decide(A.C, "refuse", A.R.Id, info(Why.Number).Meaning)
@@ -143,7 +143,7 @@
       .add("body_bytes", static_cast<std::int64_t>(A.Incoming.Body.size()));
   count(A.C, "pimento_requests_total",
         std::string("outcome=\"") + toString(info(Why.Number).Result) + "\"");
-  A.C.Out.List.emplace_back(SendReply{A.Exchange, problemReply(A.R.Id, P)});
+  A.C.Out.List.emplace_back(SendReply{A.Exchange, problemReply(P)});
 }
 
 void takeIn(Admission &A) {
@@ -281,7 +281,7 @@
   }
   // Its try is over; while its engines are freed the release will tell.
   if (State.Cleanups.count(G.Attempt) == 0)
-    Out.List.emplace_back(SendWithdraw{{}, {}, {G.Attempt}});
+    Out.List.emplace_back(SendWithdraw{G.Attempt});
 }
 
 void onRefusal(CallsState &State, const Refusal &R, const Directory &Dir,
@@ -327,8 +327,8 @@
 }
 
 void onUpstreamHead(CallsState &State, UpstreamId Upstream, int Status,
-                    std::vector<HttpHeader> Headers, const Directory &Dir,
-                    TimePoint Now, CallsEffects &Out) {
+                    const std::vector<HttpHeader> &Headers,
+                    const Directory &Dir, TimePoint Now, CallsEffects &Out) {
   Context C{State, Dir, Now, Out};
   Event E;
   E.Kind = EventKind::Head;
@@ -424,4 +424,4 @@
          State.Results.empty();
 }
 
-} // namespace pimento
+} // namespace pimento::calls
--- a/packages/calls/ClaimLeader.cpp
+++ b/packages/calls/ClaimLeader.cpp
@@ -4,7 +4,7 @@
 
 #include <algorithm>
 
-namespace pimento {
+namespace pimento::calls {
 
 namespace {
 
@@ -202,7 +202,8 @@
 /// The owner of a record asks again.
 void answerOwner(LeaderContext &C, const ClaimKey &Key,
                  const ClaimRecord &Record, ClaimWaiter &Waiter) {
-  C.L.Heard[Record.Owner] = C.Now;
+  if (isLive(Record))
+    C.L.Heard[Record.Owner] = C.Now;
   switch (Record.Phase) {
   case ClaimPhase::Waiting:
     replyWaiting(C, Waiter, /*Joined=*/false);
@@ -284,6 +285,11 @@
 /// so that no later leader can have given the turn on by then.
 void giveLeave(LeaderContext &C, const ClaimChange &Change,
                TimePoint ProposedAt) {
+  const ClaimRecord *Record = findRecord(C, Change.Key);
+  bool HasTurn = Record != nullptr && Record->Owner == Change.Request &&
+                 Record->Phase == ClaimPhase::Turn;
+  if (!HasTurn)
+    return; // It ended within the same entry: that change comes later.
   ClaimLeave &Leave = C.L.Leaves[Change.Request];
   Leave.Sequence = 0;
   Leave.Until = C.Now + leaseHere(C.L);
@@ -318,6 +324,8 @@
   auto Found = C.L.Waiters.find(Key);
   if (Record == nullptr || Found == C.L.Waiters.end())
     return;
+  if (isLive(*Record))
+    return; // Claimed anew within the same entry: that change comes later.
   std::vector<RequestId> Over;
   for (auto &[Id, Waiter] : Found->second) {
     if (Record->Phase == ClaimPhase::Released) {
@@ -548,6 +556,16 @@
   flush(C);
 }
 
+void onClaimsRefused(ClaimLeader &Leader, std::uint64_t Ticket) {
+  Leader.InFlight.erase(Ticket);
+  for (auto &[Key, OfKey] : Leader.Waiters) {
+    for (auto &[Id, Waiter] : OfKey)
+      Waiter.Proposed = false;
+  }
+  Leader.Acks.clear();
+  Leader.Losing.clear();
+}
+
 void onHostLife(ClaimLeader &Leader, const HostId &Host, Incarnation Life,
                 bool Dead) {
   Incarnation &Known = Leader.Lives[Host];
@@ -574,4 +592,4 @@
   return Leader.Leading ? Leader.NextSweep : TimePoint::max();
 }
 
-} // namespace pimento
+} // namespace pimento::calls
--- a/packages/calls/ClaimsInternal.h
+++ b/packages/calls/ClaimsInternal.h
@@ -3,9 +3,9 @@
 
 #include "calls/Claims.h"
 
-namespace pimento {
+namespace pimento::calls {
 
 /// The digest by which a used key is remembered.
 KeyDigest keyDigest(const ClaimKey &Key);
 
-} // namespace pimento
+} // namespace pimento::calls
--- a/packages/calls/GenerationStream.cpp
+++ b/packages/calls/GenerationStream.cpp
@@ -5,7 +5,7 @@
 
 #include <algorithm>
 
-namespace pimento {
+namespace pimento::calls {
 
 namespace {
 
@@ -167,6 +167,8 @@
     }
     writeOut(C, R, Chunk);
     failTry(C, R, {Code::BackendFailed, "engine: " + Error->Detail, false});
+  } else if (const auto *Prefill = std::get_if<PrefillEvent>(&Event)) {
+    R.Generation->Try.Prefilled = Prefill->Done;
   } else if (const auto *Garbled = std::get_if<GarbledEvent>(&Event)) {
     writeOut(C, R, Chunk);
     resumeLater(C, R, Garbled->Detail.c_str());
@@ -249,6 +251,8 @@
   }
   writeOut(C, R, Chunk);
   updatePause(C, R);
+  if (!Events.empty())
+    C.Out.List.emplace_back(NoteProgress{T.Attempt, T.Prefilled, T.Next});
 }
 
 void endStream(Context &C, Request &R, const Event & /*E*/) {
@@ -302,4 +306,4 @@
   R.Wake = Next;
 }
 
-} // namespace pimento
+} // namespace pimento::calls
--- a/packages/calls/Health.h
+++ b/packages/calls/Health.h
@@ -15,7 +15,7 @@
 #include <map>
 #include <vector>
 
-namespace pimento {
+namespace pimento::calls {
 
 struct ServerHealth {
   Incarnation Life = 0;        // Of the server that the figures are about.
@@ -35,7 +35,7 @@
   Duration MaxEjection = seconds(60);
 };
 
-struct ServerHealthState {
+struct HealthState {
   HealthSettings Settings;
   std::map<BackendId, ServerHealth> Servers;
 };
@@ -60,18 +60,18 @@
 
 /// Chooses among \p Servers without those in \p Avoid, unless there is no
 /// other.
-ServerChoice chooseServer(const ServerHealthState &State,
+ServerChoice chooseServer(const HealthState &State,
                           const std::vector<PlainServer> &Servers,
                           const std::vector<BackendId> &Avoid, Random &Rng,
                           TimePoint Now);
 
-void onCallStarted(ServerHealthState &State, const PlainServer &Server,
+void onCallStarted(HealthState &State, const PlainServer &Server,
                    TimePoint Now);
 /// Each started call ends once, with whether the server did well. A failure
 /// ejects only while fewer than half of \p Servers are ejected.
-void onCallEnded(ServerHealthState &State, const BackendId &Server, bool Good,
+void onCallEnded(HealthState &State, const BackendId &Server, bool Good,
                  const std::vector<PlainServer> &Servers, TimePoint Now);
 /// A started call ended and says nothing of the server.
-void onCallDropped(ServerHealthState &State, const BackendId &Server);
+void onCallDropped(HealthState &State, const BackendId &Server);
 
-} // namespace pimento
+} // namespace pimento::calls
--- a/packages/calls/PlainCalls.cpp
+++ b/packages/calls/PlainCalls.cpp
@@ -2,7 +2,7 @@
 
 #include <algorithm>
 
-namespace pimento {
+namespace pimento::calls {
 
 namespace {
 
@@ -18,6 +18,14 @@
   return Found == C.Dir.Servers.end() ? None : Found->second;
 }
 
+/// Whether \p Path is \p Prefix or below it, in whole segments.
+bool isBelow(std::string_view Path, std::string_view Prefix) {
+  if (Path.substr(0, Prefix.size()) != Prefix)
+    return false;
+  return Prefix.empty() || Prefix.back() == '/' ||
+         Path.size() == Prefix.size() || Path[Prefix.size()] == '/';
+}
+
 /// When the ask that a reply cites was sent; nothing where it is too old.
 std::optional<TimePoint> askedAt(const CallPart &Call, std::uint64_t Sequence) {
   for (const ClaimSend &Send : Call.Asked) {
@@ -93,16 +101,16 @@
 
 } // namespace
 
-const PlainCallRule *findCall(const ServiceRule &Service, HttpMethod Method,
-                              std::string_view Path) {
-  const PlainCallRule *Best = nullptr;
-  for (const PlainCallRule &Rule : Service.Calls) {
-    bool Below = Path.substr(0, Rule.Path.size()) == Rule.Path &&
-                 (Path.size() == Rule.Path.size() || Rule.Path.empty() ||
-                  Path[Rule.Path.size()] == '/');
-    bool Takes = std::find(Rule.Methods.begin(), Rule.Methods.end(), Method) !=
-                 Rule.Methods.end();
-    if (Below && Takes && (!Best || Rule.Path.size() > Best->Path.size()))
+const CallRule *callRule(const ServiceRule &Service, std::string_view Method,
+                         std::string_view Path) {
+  const CallRule *Best = nullptr;
+  for (const CallRule &Rule : Service.Calls) {
+    const std::vector<std::string> &Methods = Rule.Methods;
+    bool Listed =
+        std::find(Methods.begin(), Methods.end(), Method) != Methods.end();
+    if (!Listed || !isBelow(Path, Rule.Path))
+      continue;
+    if (Best == nullptr || Rule.Path.size() > Best->Path.size())
       Best = &Rule;
   }
   return Best;
@@ -301,4 +309,4 @@
   R.Deadline = C.Now + timeLeft(R, C.Now) + C.S.Times.SettleTime;
 }
 
-} // namespace pimento
+} // namespace pimento::calls
--- a/packages/calls/Transitions.cpp
+++ b/packages/calls/Transitions.cpp
@@ -3,7 +3,7 @@
 #include <algorithm>
 #include <array>
 
-namespace pimento {
+namespace pimento::calls {
 
 namespace {
 
@@ -102,4 +102,4 @@
   reindex(C, R);
 }
 
-} // namespace pimento
+} // namespace pimento::calls
--- a/packages/membership/Sync.cpp
+++ b/packages/membership/Sync.cpp
@@ -111,4 +111,6 @@
   S.Backends.Ready = true;
 }
 
+bool registryReady(const MembershipState &S) { return S.Backends.Ready; }
+
 } // namespace pimento
--- a/packages/node/CallsPart.cpp
+++ b/packages/node/CallsPart.cpp
@@ -16,7 +16,7 @@
 void healthReply(Turn &T, ExchangeId Exchange, bool Good) {
   HttpReply Reply = jsonReply(Good ? 200 : 503, Good ? "{\"ready\":true}\n"
                                                      : "{\"ready\":false}\n");
-  T.Out.push_back(SendReply{Exchange, std::move(Reply)});
+  T.Out.push_back(calls::SendReply{Exchange, std::move(Reply)});
 }
 
 /// The cell of the base model that the ask's first prefix hashes to.
@@ -33,27 +33,32 @@
 struct Carry {
   Turn &T;
 
-  void operator()(SendAsk &E) const {
+  void operator()(calls::SendAsk &E) const {
     E.Content.Cell = cellFor(T.S, E.Content);
     EntryEffects Out;
     startAsk(T.S.Entry, E.Content, T.Now, Out);
     takeEntry(T, std::move(Out));
   }
-  void operator()(SendWithdraw &E) const {
+  void operator()(calls::SendWithdraw &E) const {
     EntryEffects Out;
-    withdrawAsk(T.S.Entry, E.Content.Attempt, T.Now, Out);
+    withdrawAsk(T.S.Entry, E.Attempt, T.Now, Out);
     takeEntry(T, std::move(Out));
   }
-  void operator()(SendRelease &E) const {
+  void operator()(calls::SendRelease &E) const {
     EntryEffects Out;
     endAttempt(T.S.Entry, E.Content, T.Now, Out);
     takeEntry(T, std::move(Out));
   }
-  void operator()(SendClaim &E) const {
+  void operator()(calls::NoteProgress &E) const {
+    noteProgress(T.S.Entry, E.Attempt,
+                 static_cast<std::uint32_t>(E.PrefillTokens),
+                 static_cast<std::uint32_t>(E.OutputTokens));
+  }
+  void operator()(calls::SendClaim &E) const {
     GroupId Group = claimGroup(T.S, E.Content.Key);
     sendToLeader(T, Group, std::move(E.Content));
   }
-  void operator()(SendClaimResult &E) const {
+  void operator()(calls::SendClaimResult &E) const {
     GroupId Group = claimGroup(T.S, E.Content.Key);
     sendToLeader(T, Group, std::move(E.Content));
   }
@@ -64,7 +69,7 @@
 
 struct OnEvent {
   Turn &T;
-  CallsEffects &Out;
+  calls::CallsEffects &Out;
 
   void operator()(const ExchangeLeft &E) const {
     onCallerLeft(T.S.Calls, E.Exchange, T.S.Known, T.Now, Out);
@@ -105,10 +110,10 @@
 
 } // namespace
 
-void takeCalls(Turn &T, CallsEffects Out) {
+void takeCalls(Turn &T, calls::CallsEffects Out) {
   logAll(T, std::move(Out.Decisions));
   recordAll(T, std::move(Out.Samples));
-  for (CallsEffect &E : Out.List)
+  for (calls::CallsEffect &E : Out.List)
     std::visit(Carry{T}, E);
 }
 
@@ -123,19 +128,19 @@
     return;
   }
   refreshFlags(T);
-  CallsEffects Out;
+  calls::CallsEffects Out;
   onCallerRequest(T.S.Calls, E.Exchange, E.Request, T.S.Known, T.Now, Out);
   takeCalls(T, std::move(Out));
 }
 
 void callsEvent(Turn &T, const Event &E) {
-  CallsEffects Out;
+  calls::CallsEffects Out;
   std::visit(OnEvent{T, Out}, E);
   takeCalls(T, std::move(Out));
 }
 
 bool callsMessage(Turn &T, const HostId &, const Message &M) {
-  CallsEffects Out;
+  calls::CallsEffects Out;
   if (const auto *Reply = std::get_if<ClaimReply>(&M))
     onClaimReply(T.S.Calls, *Reply, T.S.Known, T.Now, Out);
   else if (const auto *Done = std::get_if<ClaimResultAck>(&M))
@@ -150,7 +155,7 @@
   if (T.Now < nextWakeup(T.S.Calls))
     return;
   refreshFlags(T);
-  CallsEffects Out;
+  calls::CallsEffects Out;
   tick(T.S.Calls, T.S.Known, T.Now, Out);
   takeCalls(T, std::move(Out));
 }
--- a/packages/node/DrainPart.cpp
+++ b/packages/node/DrainPart.cpp
@@ -35,7 +35,7 @@
 
 void beginRefusing(Turn &T) {
   enter(T, DrainPhase::Refusing, T.S.Config.Drain.Limit, "unready time over");
-  CallsEffects Out;
+  calls::CallsEffects Out;
   beginDrain(T.S.Calls, T.Now, Out);
   takeCalls(T, std::move(Out));
   handOverLeadership(T);
@@ -56,7 +56,7 @@
   if (T.S.ForcedStop || T.S.Drain == DrainPhase::Stopped)
     return;
   T.S.ForcedStop = true;
-  CallsEffects Out;
+  calls::CallsEffects Out;
   cutAll(T.S.Calls, T.S.Known, T.Now, Out);
   takeCalls(T, std::move(Out));
   enter(T, DrainPhase::Stopped, LastWords, "asked to stop at once");
--- a/packages/node/Events.h
+++ b/packages/node/Events.h
@@ -129,10 +129,11 @@
   int Status = 0;
 };
 
-using Effect =
-    std::variant<SendPeer, SendReply, StartStream, StreamBytes, EndStream,
-                 CloseExchange, OpenUpstream, AbortUpstream, PauseUpstream,
-                 WriteDisk, LogDecision, RecordSample, Exit>;
+using Effect = std::variant<SendPeer, calls::SendReply, calls::StartStream,
+                            calls::StreamBytes, calls::EndStream,
+                            calls::CloseExchange, calls::OpenUpstream,
+                            calls::AbortUpstream, calls::PauseUpstream,
+                            WriteDisk, LogDecision, RecordSample, Exit>;
 
 using Effects = std::vector<Effect>;
 
--- a/packages/node/Node.cpp
+++ b/packages/node/Node.cpp
@@ -111,7 +111,7 @@
   S.WallClock = Start.WallClock;
   S.Members = makeMembership(membershipConfig(Start), Start.Seed, Now);
   S.Spread = makeSpread(spreadConfig(Start), Start.Seed + 1, Now);
-  S.Calls = makeCalls(Start.Config, Start.Life, Start.Seed + 3);
+  S.Calls = calls::makeCalls(Start.Config, Start.Life, Start.Seed + 3);
   S.Entry = startEntry(entryConfig(Start, S.Calls.IdHigh));
   S.Known.Here = Start.Config.Host.DataCentre;
   startControl(S, Start, Now);
--- a/packages/node/Node.h
+++ b/packages/node/Node.h
@@ -63,8 +63,8 @@
 
 /// One claim partition at a voter.
 struct ClaimPartition {
-  ClaimsState Applied;
-  ClaimLeader Leader;
+  calls::ClaimsState Applied;
+  calls::ClaimLeader Leader;
   std::map<std::uint64_t, std::uint64_t> Tickets; // Log index to ticket.
 };
 
@@ -132,7 +132,7 @@
   std::map<ServiceId, ServiceDocument> Documents;
   std::map<ModelName, ModelName> BaseModels; // Adapter or version to model.
   CellTable Cells;
-  Directory Known;
+  calls::Directory Known;
 
   // Scheduling.
   std::map<CellId, CellState> Held; // Scheduled by this host.
@@ -141,7 +141,7 @@
   std::uint64_t NextUpstream = 1;
   TimePoint NextCellTick;
 
-  CallsState Calls;
+  calls::CallsState Calls;
 
   std::map<std::uint64_t, OperatorWait> Operators; // By sequence.
   std::uint64_t NextSequence = 1;
--- a/packages/node/OperatorPart.cpp
+++ b/packages/node/OperatorPart.cpp
@@ -19,7 +19,7 @@
 constexpr std::string_view ServicesPrefix = "/v1/services/";
 
 void answer(Turn &T, ExchangeId Exchange, HttpReply Reply) {
-  T.Out.push_back(SendReply{Exchange, std::move(Reply)});
+  T.Out.push_back(calls::SendReply{Exchange, std::move(Reply)});
 }
 
 void answerProblem(Turn &T, ExchangeId Exchange, Code Number,
--- a/packages/node/SchedulePart.cpp
+++ b/packages/node/SchedulePart.cpp
@@ -160,7 +160,7 @@
 };
 
 void takeAnswer(Turn &T, const EntryAnswer &Answer) {
-  CallsEffects Out;
+  calls::CallsEffects Out;
   if (Answer.Result == Code::Ok) {
     onGrant(T.S.Calls, Answer.Given, T.S.Known, T.Now, Out);
   } else {
