--- a/bench/PathCost/PathCost.cpp
+++ b/bench/PathCost/PathCost.cpp
@@ -1,5 +1,6 @@
 #include "bench/PathCost/PathCost.h"
 
+#include "base/Random.h"
 #include "fakes/AnswerText.h"
 
 #include <event2/bufferevent.h>
@@ -60,18 +61,33 @@
   return R;
 }
 
-/// Keeps a fixed number of requests in progress by one way.
+/// Keeps a fixed number of requests in progress by one way. Waits a random
+/// time before each, as those that start together share the prefill rate.
 struct ClosedLoop {
+  ClosedLoop(event_base *Base, StreamClient &Client,
+             const PathCostOptions &Options, Path Via, LatencyFigures &Figures)
+      : Client(Client), Options(Options), Via(Via), Figures(Figures),
+        Source(Options.Seed + static_cast<std::uint64_t>(Via)), Later(Base) {}
+
   StreamClient &Client;
   const PathCostOptions &Options;
   Path Via;
   LatencyFigures &Figures;
+  Random Source;
+  std::uint64_t Planned = 0;
   std::uint64_t Started = 0;
   std::uint64_t Ended = 0;
+  fakes::Delays Later;
 
-  void startNext() {
-    if (Started == Options.Requests)
+  void planNext() {
+    if (Planned == Options.Requests)
       return;
+    ++Planned;
+    Later.after(between(Source, Duration::zero(), Options.Pause),
+                [this] { startNext(); });
+  }
+
+  void startNext() {
     StreamRequest R = requestTo(Options, Via);
     // Numbers of the two ways differ, as prompts must.
     std::uint64_t Number = ++Started * 2 + (Via == Path::Host ? 1 : 0);
@@ -81,7 +97,7 @@
     Client.start(R, [this, Prompt](const StreamResult &Result) {
       ++Ended;
       record(Prompt, Result);
-      startNext();
+      planNext();
     });
   }
 
@@ -173,20 +189,20 @@
 LatencyReport measureLatency(event_base *Base, const PathCostOptions &Options) {
   LatencyReport Report;
   StreamClient Client(Base);
-  ClosedLoop Direct{Client, Options, Path::Direct, Report.Direct};
-  ClosedLoop Host{Client, Options, Path::Host, Report.Host};
+  ClosedLoop Direct(Base, Client, Options, Path::Direct, Report.Direct);
+  ClosedLoop Host(Base, Client, Options, Path::Host, Report.Host);
   bool WithHost = !Options.Host.empty();
   for (std::uint64_t I = 0; I < Options.Concurrency; ++I) {
-    Direct.startNext();
+    Direct.planNext();
     if (WithHost)
-      Host.startNext();
+      Host.planNext();
   }
   passUntil(Base, Options.Limit, [&] {
     bool HostEnded = !WithHost || Host.Ended == Options.Requests;
     return Direct.Ended == Options.Requests && HostEnded;
   });
-  Report.Direct.Failed += Direct.Started - Direct.Ended;
-  Report.Host.Failed += Host.Started - Host.Ended;
+  Report.Direct.Failed += Options.Requests - Direct.Ended;
+  Report.Host.Failed += WithHost ? Options.Requests - Host.Ended : 0;
   return Report;
 }
 
--- a/bench/PathCost/PathCost.h
+++ b/bench/PathCost/PathCost.h
@@ -26,10 +26,12 @@
   std::uint64_t Requests = 200; // For latency, by each way.
   std::uint64_t Concurrency = 4; // Of these, in progress by each way.
   std::uint64_t PromptTokens = 1000;
-  std::uint64_t AnswerTokens = 50;
-  std::uint64_t Streams = 500;  // To hold at once; also connections.
-  Duration Hold = seconds(5);   // How long they are held.
-  Duration Limit = seconds(60); // Of each measurement.
+  std::uint64_t AnswerTokens = 25;
+  Duration Pause = milliseconds(100); // Longest wait before a request.
+  std::uint64_t Seed = 1;             // Of the waits.
+  std::uint64_t Streams = 500;        // To hold at once; also connections.
+  Duration Hold = seconds(5);         // How long they are held.
+  Duration Limit = seconds(60);       // Of each measurement.
 };
 
 /// What one way gave.
--- a/fakes/tests/EngineGroupTest.cpp
+++ b/fakes/tests/EngineGroupTest.cpp
@@ -161,6 +161,7 @@
   BOOST_TEST(Deaf.Taken.size() == 1U);
   BOOST_TEST(Host.Tokens[0] == "Bearer secret");
   Json First = Host.Taken[0];
+  BOOST_TEST(First["sequence"] == 1); // The first two hosts cost no turn.
   BOOST_TEST(First["address"] == address(*Server));
   BOOST_TEST(First["kind"] == "engine");
   BOOST_TEST(First["leaving"] == false);
