--- a/bench/PathCost/PathCost.cpp
+++ b/bench/PathCost/PathCost.cpp
@@ -5,10 +5,12 @@
 
 #include <event2/bufferevent.h>
 #include <netinet/in.h>
+#include <unistd.h>
 
 #include <algorithm>
 #include <fstream>
 #include <memory>
+#include <sstream>
 
 namespace pimento::bench {
 
@@ -186,6 +188,24 @@
   return 0;
 }
 
+Duration processorTime(int Pid) {
+  std::ifstream In("/proc/" + std::to_string(Pid) + "/stat");
+  std::string Text;
+  std::getline(In, Text);
+  // The name in brackets may hold spaces; the fields are counted from it.
+  std::istringstream Fields(
+      Text.substr(std::min(Text.rfind(')') + 1, Text.size())));
+  std::string Skipped;
+  constexpr int FieldsBefore = 11;
+  for (int I = 0; I < FieldsBefore; ++I)
+    Fields >> Skipped;
+  double User = 0;
+  double System = 0;
+  Fields >> User >> System;
+  return fromSeconds((User + System) /
+                     static_cast<double>(sysconf(_SC_CLK_TCK)));
+}
+
 LatencyReport measureLatency(event_base *Base, const PathCostOptions &Options) {
   LatencyReport Report;
   StreamClient Client(Base);
@@ -228,7 +248,9 @@
   openStreams(Base, Client, Options, Via, Options.Streams, Report.Ended);
   pass(Base, AliveAge);
   Client.takeGaps(); // Those of the opening don't count.
+  Duration Before = processorTime(Options.HostPid);
   pass(Base, Options.Hold);
+  Report.HostCpu = processorTime(Options.HostPid) - Before;
   Report.Held = Client.alive(AliveAge);
   Report.Gaps = Client.takeGaps();
   return Report;
