--- a/packages/calls/Calls.h
+++ b/packages/calls/Calls.h
@@ -231,7 +231,9 @@
   std::map<ModelName, TokenRatio> Ratios;
   HealthState Health;
   std::uint64_t Bytes = 0; // Held by all requests, bodies and buffers.
-  TimePoint DrainUntil;    // Zero: not stopping.
+  TimePoint NextFollowUp = TimePoint::max(); // Cleanups and Results; no later
+                                             // than the first that is due.
+  TimePoint DrainUntil;                      // Zero: not stopping.
 };
 
 /// An empty state. \p Seed drives jitter and choices.
--- a/packages/calls/CallsInternal.h
+++ b/packages/calls/CallsInternal.h
@@ -146,8 +146,8 @@
 void startCleanup(Context &C, Cleanup Work);
 void onCancelReply(Context &C, UpstreamId Upstream, const AttemptId &Attempt,
                    bool Confirmed);
-void tickCleanups(Context &C);
-void tickResults(Context &C);
+/// Repeats what is due of cleanups and outcomes.
+void followUp(Context &C);
 
 #define PIMENTO_HANDLER(Name) void Name(Context &C, Request &R, const Event &E);
 PIMENTO_HANDLER(ignore)
--- a/packages/calls/Directory.h
+++ b/packages/calls/Directory.h
@@ -60,6 +60,9 @@
   DataCentreId Here;                                     // This host's.
   bool Fresh = true;      // False: documents may be out of date.
   bool RefuseNew = false; // The host is stopping and past its unready time.
+  bool ClaimsReachable = true; // False: for a while no leader of the claims
+                               // was known; calls that run at most once are
+                               // answered at once instead of waiting.
 };
 
 /// The rule with the longest prefix of \p Path, in whole segments, that lists
--- a/packages/calls/PlainCalls.cpp
+++ b/packages/calls/PlainCalls.cpp
@@ -195,6 +195,7 @@
   }
   Way.Next = C.Now + C.S.Times.ClaimRepeat;
   Way.Until = C.Now + C.S.Times.ResultTime;
+  C.S.NextFollowUp = std::min(C.S.NextFollowUp, Way.Next);
   C.Out.List.emplace_back(SendClaimResult{Way.Result});
   C.S.Results[R.Id] = std::move(Way);
 }
--- a/packages/schedule/CellHealth.cpp
+++ b/packages/schedule/CellHealth.cpp
@@ -48,7 +48,7 @@
     ++E.Health.Ejections;
     D.add("until_ms", toMilliseconds(E.Health.Until - Now));
     if (!E.Reserved.Request.empty())
-      dropGroupReservation(S, AttemptId(E.Reserved));
+      dropReservation(S, AttemptId(E.Reserved));
     Out.Samples.push_back(counter("pimento_ejections_total"));
   }
   Out.Decisions.push_back(std::move(D));
@@ -80,10 +80,10 @@
 bool overdue(const CellState &S, const LiveGrant &G, TimePoint Now) {
   if (G.FirstTokenSeen)
     return Now - G.ProgressAt > SilentAfter;
-  const double Error =
-      std::max(1.0, cautious(S.Rates.FirstTokenError[classIndex(G.Class)]));
+  const double Delay =
+      std::max(0.0, cautious(S.Rates.FirstTokenDelay[classIndex(G.Class)]));
   const Duration Patience =
-      fromSeconds(OverdueFactor * Error * toSeconds(G.PredictedFirst)) +
+      fromSeconds(OverdueFactor * (Delay + toSeconds(G.PredictedFirst))) +
       OverdueSlack;
   return Now - G.ProgressAt > Patience;
 }
