calls: prompts leave only within the grant's lease; mangled input

Cause: a host that was frozen sent its prompt under a grant that had died. Ruled out: checking when the grant comes (the freeze may come after that). Before: no SendBy on generate.

--- a/packages/calls/Generation.cpp
+++ b/packages/calls/Generation.cpp
@@ -129,7 +129,12 @@
   R.State = Phase::Generating;
   R.Wake =
       C.Now + std::min(C.S.Times.StreamSilence, C.S.Times.ReservationLease / 3);
-  openUpstream(C, R, generateRequest(T.Leave.Engines[0].Address, Order));
+  // A host that was frozen wakes with a grant that may be another's by now.
+  std::optional<TimePoint> SendBy;
+  if (T.Leave.Lease > Duration::zero())
+    SendBy = T.GrantedAt + T.Leave.Lease;
+  openUpstream(C, R, generateRequest(T.Leave.Engines[0].Address, Order),
+               SendBy);
 }
 
 void useGrant(Context &C, Request &R, const Event &E) {
--- a/packages/calls/tests/CallerApiTest.cpp
+++ b/packages/calls/tests/CallerApiTest.cpp
@@ -4,6 +4,7 @@
 #include "calls/CallerApi.h"
 
 #include "base/Json.h"
+#include "base/Random.h"
 
 using namespace pimento;
 using namespace pimento::calls;
@@ -143,6 +144,29 @@
   BOOST_TEST(readPlainCall(Other).value().BodySha256 != Digest);
 }
 
+BOOST_AUTO_TEST_CASE(MangledRequestsAreReadOrRefused) {
+  std::string Good =
+      "{\"model\":\"m\",\"messages\":[{\"role\":\"user\","
+      "\"content\":[{\"type\":\"text\",\"text\":\"hi \\u00e9\"}]}],"
+      "\"max_tokens\":5,\"stream\":true}";
+  Random Rng(9);
+  std::size_t Refused = 0;
+  for (int Round = 0; Round < 5000; ++Round) {
+    std::string Bad = Good;
+    for (std::uint64_t I = 0; I <= below(Rng, 3); ++I)
+      Bad[below(Rng, Bad.size())] = static_cast<char>(below(Rng, 256));
+    Code Found = completionCode(Bad, "/v1/chat/completions");
+    BOOST_REQUIRE((Found == Code::Ok || Found == Code::BadRequest));
+    Refused += Found == Code::Ok ? 0 : 1;
+    HttpRequest Call = post("/v1/services/s/calls/" + Bad, Bad);
+    Call.Query = Bad;
+    Call.Headers = {{"Idempotency-Key", Bad}, {"X-Request-Timeout-Ms", Bad}};
+    codeOf([&] { return readPlainCall(Call); });
+    codeOf([&] { return readTimeLimit(Call); });
+  }
+  BOOST_TEST(Refused > 1000U);
+}
+
 BOOST_AUTO_TEST_CASE(TimeLimitsAreRead) {
   HttpRequest Request;
   BOOST_TEST(!readTimeLimit(Request).value().has_value());
--- a/packages/calls/tests/GenerationTest.cpp
+++ b/packages/calls/tests/GenerationTest.cpp
@@ -343,6 +343,21 @@
   BOOST_TEST(R.all<OpenUpstream>().size() == 3U); // Cancels, all of them.
 }
 
+BOOST_AUTO_TEST_CASE(AStaleGrantIsNotSentUnder) {
+  Rig R;
+  R.complete(false);
+  R.grant(R.one<SendAsk>().Content.Attempt);
+  OpenUpstream Generate = R.one<OpenUpstream>();
+  BOOST_REQUIRE(Generate.SendBy.has_value());
+  BOOST_TEST((*Generate.SendBy == R.Now + seconds(2)));
+  // The shell finds it passed: nothing was sent, so that another try is due.
+  R.Now += seconds(3);
+  R.fail(Generate.Upstream, false);
+  BOOST_TEST((R.one<SendRelease>().Content.End == AttemptEnd::Unused));
+  R.passAll(milliseconds(50));
+  BOOST_TEST(R.all<SendAsk>().size() == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(ALateGrantIsGivenBack) {
   Rig R;
   ExchangeId Exchange = R.complete(false);
--- a/packages/engine/tests/StreamTest.cpp
+++ b/packages/engine/tests/StreamTest.cpp
@@ -85,6 +85,22 @@
   BOOST_TEST(readWhole("data: nonsense\n" + Whole) == "garbled;");
 }
 
+BOOST_AUTO_TEST_CASE(MangledStreamsNeverGainTokens) {
+  Random Rng(4);
+  for (int Round = 0; Round < 5000; ++Round) {
+    std::string Bad = Whole;
+    Bad[below(Rng, Bad.size())] = static_cast<char>(below(Rng, 256));
+    EngineStream Stream;
+    std::vector<EngineEvent> Events;
+    feed(Stream, Bad, Events);
+    BOOST_REQUIRE(Events.size() <= 4U);
+    std::size_t Garbled = 0;
+    for (const EngineEvent &Event : Events)
+      Garbled += std::holds_alternative<GarbledEvent>(Event) ? 1 : 0;
+    BOOST_REQUIRE(Garbled == (Stream.Garbled ? 1U : 0U));
+  }
+}
+
 BOOST_AUTO_TEST_CASE(ALineThatNeverEndsCostsBoundedMemory) {
   EngineStream Stream;
   std::vector<EngineEvent> Events;
