--- a/bench/Cost.cpp
+++ b/bench/Cost.cpp
@@ -15,7 +15,8 @@
 constexpr double DecisionMicroseconds = 20;
 constexpr std::size_t Accounts = 5500;
 constexpr std::size_t CellEngines = 32;
-// The fleet of the letter.
+constexpr double LetterCellEngines = 8; // Of a cell, at the size below.
+// The fleet that the letter describes.
 constexpr double FleetRequests = 39000; // A second.
 constexpr double FleetNodes = 800;
 constexpr double FleetReplicas = 5900;
@@ -184,8 +185,13 @@
     std::snprintf(Beside, sizeof Beside,
                   "mean of nodes %.0f; a request: entry %.0f, scheduler %.0f",
                   AsEntry + AsHolder * HolderShare, B.Entry, B.Scheduler);
-    // A node that holds a cell and serves callers.
-    R.Bounds.push_back({Name, AsEntry + AsHolder, NodeBytes, false, Beside});
+    // A node that holds a cell and serves callers. The target sets the size
+    // of the cells; the figures of larger ones are there to compare.
+    const double Bytes = AsEntry + AsHolder;
+    if (Engines == LetterCellEngines)
+      R.Bounds.push_back({Name, Bytes, NodeBytes, false, Beside});
+    else
+      std::printf("%s: %.0f, %s\n", Name, Bytes, Beside);
   }
 }
 
--- a/bench/Simulation.cpp
+++ b/bench/Simulation.cpp
@@ -323,7 +323,8 @@
   checkHolds(M);
   for (std::size_t I = 0; I < Arrivals.size(); ++I)
     at(M, Arrivals[I].At, [&M, I] { arrive(M, I); });
-  TimePoint Rest = TimePoint::max();
+  TimePoint Rest =
+      C.StopAt == Duration::zero() ? TimePoint::max() : RunStart + C.StopAt;
   while (!M.Events.empty() && M.Events.top().At <= Rest) {
     Event Next = std::move(const_cast<Event &>(M.Events.top()));
     M.Events.pop();
--- a/bench/Simulation.h
+++ b/bench/Simulation.h
@@ -64,6 +64,7 @@
   Duration ReportLag = milliseconds(300);
   double ReportLoss = 0.01; // Share of reports that never arrive.
   std::vector<Fault> Faults;
+  Duration StopAt = Duration::zero(); // Zero: when all is answered.
 };
 
 enum class RequestEnd : std::uint8_t {
--- a/packages/schedule/Cell.h
+++ b/packages/schedule/Cell.h
@@ -60,6 +60,8 @@
   std::uint64_t ShortTokens = 8192;    // Longest short prompt.
   std::uint64_t MediumTokens = 100000; // Longest medium prompt.
   std::uint32_t MaxRunning = 64;       // Requests at one engine.
+  std::uint32_t ShortRunning = 32;     // At an engine for short prompts, beyond
+                                       // which they go to the others.
   double OutputCost = 8; // Of a generated token, in prompt tokens.
 };
 
@@ -160,8 +162,10 @@
   std::array<ClassDemand, LengthClasses> Demand;
   std::array<double, LengthClasses> Served{}; // Cost granted since last tick.
   std::array<Estimate, LengthClasses> DrainRate; // Cost a second in backlog.
-  std::size_t BulkEngines = 0;         // Size of the lane of long prompts.
-  TimePoint NextLaneCut;               // When it may shrink next.
+  std::size_t BulkEngines = 0; // Size of the lane of long prompts.
+  TimePoint NextLaneCut;       // When it may shrink next.
+  TimePoint NextSilenceCheck;
+  TimePoint NextJudgement;
   std::array<double, 2> LaneRunning{}; // Mean attempts of an engine by lane.
   std::vector<AttemptId> Reservations; // Asks that hold engines; oldest first.
   TimePoint LastTick;
--- a/packages/schedule/CellPlace.cpp
+++ b/packages/schedule/CellPlace.cpp
@@ -18,7 +18,7 @@
 /// Where an engine's own pace is this much slower, its lane's does not count.
 constexpr double SlowPace = 2;
 /// Kept free of medium and long prompts at each engine.
-constexpr double ShortMemoryShare = 0.05;
+constexpr double ShortMemoryShare = 0.08;
 /// Long asks that engines are kept free for at a time. Each holds all of its
 /// engines or none, so that they never wait for each other.
 constexpr std::size_t MaxReservations = 4;
@@ -140,6 +140,9 @@
   const Engine &E = *C.E;
   if (Class != LengthClass::Short && !E.Bulk)
     return false;
+  if (Class == LengthClass::Short && !E.Bulk &&
+      E.Running >= S.Config.ShortRunning)
+    return false;
   const double Window =
       WindowSeconds[classIndex(Class)] * prefillRate(S.Rates, E.Rates);
   const double Front = Class == LengthClass::Long
--- a/packages/schedule/CellTick.cpp
+++ b/packages/schedule/CellTick.cpp
@@ -14,6 +14,7 @@
 constexpr double BulkLoad = 1.2;          // Aimed at on the lane of long ones.
 constexpr double ShortLoad = 0.9;         // Most that short ones may be left.
 constexpr double BacklogSeconds = 120;    // In which a backlog is worked off.
+constexpr Duration JudgeInterval = milliseconds(500);
 /// Between two cuts of the lane of long prompts.
 constexpr Duration LaneCutInterval = seconds(2);
 constexpr Duration DeadlineGrace = seconds(5); // Past it a grant is cancelled.
@@ -64,7 +65,7 @@
   }
 }
 
-/// Asks that can no longer meet their deadline, or whose host is silent.
+/// Asks that can no longer meet their deadline.
 void expireAsks(CellState &S, TimePoint Now, CellEffects &Out) {
   while (!S.Queue.Expiry.empty() && S.Queue.Expiry.begin()->first < Now) {
     WaitingAsk W;
@@ -73,6 +74,13 @@
     refuse(S, W.Host, W.Request.Attempt, Code::DeadlineUnreachable, seconds(1),
            "its limit became unreachable while it waited", Out);
   }
+}
+
+/// Asks whose host has not named them for several leases.
+void dropSilentAsks(CellState &S, TimePoint Now) {
+  if (Now < S.NextSilenceCheck)
+    return;
+  S.NextSilenceCheck = Now + S.Config.GrantLease;
   std::vector<AttemptId> Silent;
   for (const auto &[Id, W] : S.Queue.Asks)
     if (Now - W.Confirmed > AskLeases * S.Config.GrantLease)
@@ -208,9 +216,13 @@
   stopWaitingForSweeps(S, Now);
   expireLeases(S, Now, Out);
   expireAsks(S, Now, Out);
+  dropSilentAsks(S, Now);
   learnDemand(S, Now);
   relaxForecasts(S, Now);
-  judgeEngines(S, Now, Out);
+  if (Now >= S.NextJudgement) {
+    S.NextJudgement = Now + JudgeInterval;
+    judgeEngines(S, Now, Out);
+  }
   setLanes(S, Now);
   sampleRunning(S, Now);
   sweepAndCancel(S, Now, Out);
--- /dev/null
+++ b/packages/schedule/tests/MemoryTest.cpp
@@ -0,0 +1,189 @@
+#include <boost/test/unit_test.hpp>
+
+#include "Samples.h"
+
+#include <set>
+
+using namespace pimento;
+using namespace pimento::test;
+
+namespace {
+
+HeldMemory held(std::uint64_t Lo, std::uint64_t Tokens,
+                Duration Age = seconds(5)) {
+  HeldMemory H;
+  H.Attempt = attempt(Lo);
+  H.Tokens = Tokens;
+  H.Age = Age;
+  return H;
+}
+
+const BackendId E0("e0");
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(CancelsRepeatAndCountUntilConfirmed) {
+  CellState S = makeCell(1);
+  CellEffects Out;
+  onAsk(S, Entry1, makeAsk(1), Start, Out);
+  onRelease(S, Entry1, finished(1, AttemptEnd::Failed), Start, Out);
+  BOOST_REQUIRE(Out.Cancels.size() == 1U);
+  BOOST_TEST(cellFigures(S).HeldTokens == 1100U);
+  CellEffects Later = tickUntil(S, Start, Start + seconds(3));
+  BOOST_TEST(Later.Cancels.size() >= 5U);
+  BOOST_TEST(cellFigures(S).CancellingTokens == 1100U);
+  onCancelled(S, Out.Cancels[0], Start + seconds(3), Out);
+  BOOST_TEST(cellFigures(S).HeldTokens == 0U);
+  BOOST_TEST(
+      tickUntil(S, Start + seconds(3), Start + seconds(5)).Cancels.empty());
+}
+
+BOOST_AUTO_TEST_CASE(ANewLifeOfTheEngineFreesEverything) {
+  CellState S = makeCell(1);
+  CellEffects Out;
+  onAsk(S, Entry1, makeAsk(1), Start, Out);
+  setBackend(S, engineRecord("e0", 100000, /*Life=*/2), Start, Out);
+  BOOST_TEST(cellFigures(S).HeldTokens == 0U);
+  BOOST_TEST(cellFigures(S).Grants == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(AnUnrenewedGrantDiesWithItsLease) {
+  CellState S = makeCell(1);
+  CellEffects Out;
+  onAsk(S, Entry1, makeAsk(1), Start, Out);
+  RenewGrants Held;
+  Held.Hi = Hi1;
+  Held.Grants = {{{1, 1}, 0, 0}};
+  CellEffects Renewed = tickUntil(S, Start, Start + seconds(6), &Held);
+  BOOST_TEST(Renewed.Cancels.empty());
+  CellEffects Silent =
+      tickUntil(S, Start + seconds(6), Start + milliseconds(8500));
+  BOOST_TEST(Silent.Cancels.size() >= 1U);
+  BOOST_TEST(cellFigures(S).Grants == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(MemoryThatNobodyClaimsCountsUntilItIsFreed) {
+  CellState S = makeCell(1);
+  CellEffects Out;
+  HeldMemory Export;
+  Export.Kind = HeldKind::Export;
+  Export.ExportHandle = "x1";
+  Export.Tokens = 3000;
+  Export.Age = seconds(5);
+  const std::vector<HeldMemory> Report = {
+      held(77, 20000), held(78, 500, milliseconds(10)), Export};
+  onMemoryReport(S, E0, 1, Report, Start, Out);
+  // The young one may be a grant whose ask is still on its way.
+  BOOST_TEST(cellFigures(S).HeldTokens == 23000U);
+  BOOST_REQUIRE(Out.Cancels.size() == 2U);
+  BOOST_TEST(Out.Cancels[1].ExportHandle == "x1");
+  onCancelled(S, Out.Cancels[0], Start, Out);
+  onCancelled(S, Out.Cancels[1], Start, Out);
+  BOOST_TEST(cellFigures(S).HeldTokens == 0U);
+  // What a grant stands behind is claimed.
+  onAsk(S, Entry1, makeAsk(1), Start, Out);
+  CellEffects Sweep;
+  onMemoryReport(S, E0, 1, {held(1, 1100)}, Start + seconds(5), Sweep);
+  BOOST_TEST(Sweep.Cancels.empty());
+}
+
+BOOST_AUTO_TEST_CASE(ASweepConfirmsWhatACancelsAnswerDidNot) {
+  CellState S = makeCell(1);
+  CellEffects Out;
+  onAsk(S, Entry1, makeAsk(1), Start, Out);
+  onRelease(S, Entry1, finished(1, AttemptEnd::Failed), Start, Out);
+  tickUntil(S, Start, Start + seconds(2));
+  BOOST_TEST(cellFigures(S).HeldTokens == 1100U);
+  onMemoryReport(S, E0, 1, {}, Start + seconds(2), Out);
+  BOOST_TEST(cellFigures(S).HeldTokens == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(AGroupIsAllOrNothing) {
+  CellState S = makeCell(3, 100000);
+  CellEffects Out;
+  tick(S, Start, Out);
+  onAsk(S, Entry1, makeAsk(1, 60000), Start, Out); // One engine is half full.
+  Out = {};
+  onAsk(S, Entry1, makeAsk(2, 220000), Start, Out); // Needs all three.
+  BOOST_TEST(sent<Grant>(Out).empty());
+  BOOST_TEST(cellFigures(S).HeldTokens == 60100U);
+  Release R = finished(1);
+  CellEffects Freed;
+  onRelease(S, Entry1, R, Start + seconds(1), Freed);
+  BOOST_REQUIRE(sent<Grant>(Freed).size() == 1U);
+  BOOST_TEST(sent<Grant>(Freed)[0].Engines.size() == 3U);
+  BOOST_TEST(cellFigures(S).HeldTokens >= 220000U);
+
+  // The leader is done by itself, the members are cancelled.
+  CellEffects Done;
+  onRelease(S, Entry1, finished(2), Start + seconds(2), Done);
+  BOOST_TEST(Done.Cancels.size() == 2U);
+  for (const CancelOrder &Order : Done.Cancels)
+    onCancelled(S, Order, Start + seconds(2), Done);
+  BOOST_TEST(cellFigures(S).HeldTokens == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(TheLossOfAMemberFreesTheOthers) {
+  CellState S = makeCell(3, 100000);
+  CellEffects Out;
+  tick(S, Start, Out);
+  onAsk(S, Entry1, makeAsk(2, 220000), Start, Out);
+  tick(S, Start + TickInterval, Out);
+  BOOST_REQUIRE(sent<Grant>(Out).size() == 1U);
+  const BackendId Member = sent<Grant>(Out)[0].Engines[1].Backend;
+  CellEffects Lost;
+  BackendRecord Gone = engineRecord(Member.Value);
+  Gone.Status = BackendStatus::Gone;
+  setBackend(S, Gone, Start + seconds(1), Lost);
+  BOOST_TEST(Lost.Cancels.size() == 2U);
+  for (const CancelOrder &Order : Lost.Cancels)
+    onCancelled(S, Order, Start + seconds(1), Lost);
+  BOOST_TEST(cellFigures(S).HeldTokens == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(GroupsNeitherWaitForEachOtherNorStarve) {
+  // Two prompts that need all engines between a stream of medium ones.
+  CellState S = makeCell(4, 100000);
+  CellEffects Out;
+  std::uint64_t Lo = 100;
+  TimePoint Now = Start;
+  std::set<std::uint64_t> Live;
+  std::set<std::uint64_t> Granted;
+  auto Take = [&] {
+    for (const Grant &G : sent<Grant>(Out)) {
+      Live.insert(G.Attempt.Request.Lo);
+      Granted.insert(G.Attempt.Request.Lo);
+    }
+    Out.Messages.clear();
+  };
+  for (int Step = 0; Step < 300; ++Step, Now += TickInterval) {
+    if (Step == 20) {
+      onAsk(S, Entry1, makeAsk(1, 300000, "one"), Now, Out);
+      onAsk(S, Entry1, makeAsk(2, 300000, "two"), Now, Out);
+    }
+    onAsk(S, Entry1, makeAsk(++Lo, 30000), Now, Out);
+    Take();
+    RenewGrants Held;
+    Held.Hi = Hi1;
+    for (std::uint64_t Each : Live)
+      Held.Grants.push_back({{Each, 1}, 30000, 1});
+    for (const auto &[Id, W] : S.Queue.Asks)
+      Held.Waiting.push_back({Id.Request.Lo, 1});
+    onRenew(S, Entry1, Held, Now, Out);
+    // Each runs for two seconds; cancels are confirmed at once.
+    if (Step % 20 == 19) {
+      const std::set<std::uint64_t> Ending = Live;
+      Live.clear();
+      for (std::uint64_t Each : Ending)
+        onRelease(S, Entry1, finished(Each), Now, Out);
+    }
+    tick(S, Now, Out);
+    const std::vector<CancelOrder> Cancels = std::move(Out.Cancels);
+    Out.Cancels.clear();
+    for (const CancelOrder &Order : Cancels)
+      onCancelled(S, Order, Now, Out);
+    Take();
+  }
+  BOOST_TEST(Granted.count(1) == 1U);
+  BOOST_TEST(Granted.count(2) == 1U);
+}
--- /dev/null
+++ b/packages/schedule/tests/Samples.h
@@ -0,0 +1,87 @@
+//===- Samples.h - What the tests of this package start from ----*- C++ -*-===//
+#pragma once
+
+#include "schedule/Cell.h"
+
+#include <string>
+#include <vector>
+
+namespace pimento::test {
+
+const TimePoint Start = TimePoint(hours(1));
+const ModelName Model("atlas");
+const HostId Entry1("entry-1");
+const HostId Entry2("entry-2");
+constexpr std::uint64_t Hi1 = 7; // Of Entry1's requests.
+
+inline BackendRecord engineRecord(const std::string &Name,
+                                  std::uint64_t Memory = 100000,
+                                  Incarnation Life = 1) {
+  BackendRecord R;
+  R.Id = BackendId(Name);
+  R.Life = Life;
+  R.Address = "127.0.0.1:1";
+  R.Models = {Model};
+  R.MemoryTokens = Memory;
+  return R;
+}
+
+inline AttemptId attempt(std::uint64_t Lo, std::uint64_t Hi = Hi1) {
+  return {{Hi, Lo}, 1};
+}
+
+inline Ask makeAsk(std::uint64_t Lo, std::uint64_t Prompt = 1000,
+                   const std::string &Account = "aero") {
+  Ask A;
+  A.Attempt = attempt(Lo);
+  A.Account = AccountId(Account);
+  A.Model = Model;
+  A.PromptTokens = Prompt;
+  A.OutputTokens = 100;
+  A.TimeLeft = minutes(10);
+  return A;
+}
+
+inline Release finished(std::uint64_t Lo,
+                        AttemptEnd End = AttemptEnd::Finished) {
+  Release R;
+  R.Attempt = attempt(Lo);
+  R.End = End;
+  R.PromptTokens = 1000;
+  R.OutputTokens = 50;
+  R.FirstToken = milliseconds(100);
+  R.Total = milliseconds(1600);
+  return R;
+}
+
+template <class T, class Effects> std::vector<T> sent(const Effects &Out) {
+  std::vector<T> Found;
+  for (const Outbound &M : Out.Messages)
+    if (const T *Content = std::get_if<T>(&M.Content))
+      Found.push_back(*Content);
+  return Found;
+}
+
+/// A cell of \p Count engines at Start.
+inline CellState makeCell(std::size_t Count, std::uint64_t Memory = 100000,
+                          CellConfig Config = {}) {
+  CellState S = startCell(Config, Start);
+  CellEffects Out;
+  for (std::size_t I = 0; I < Count; ++I)
+    setBackend(S, engineRecord("e" + std::to_string(I), Memory), Start, Out);
+  return S;
+}
+
+/// Ticks until \p To, renewing what \p Held names, and returns all effects.
+inline CellEffects tickUntil(CellState &S, TimePoint From, TimePoint To,
+                             const RenewGrants *Held = nullptr) {
+  CellEffects Out;
+  for (TimePoint Now = From; Now <= To; Now += TickInterval) {
+    if (Held)
+      onRenew(S, Entry1, *Held, Now, Out);
+    tick(S, Now, Out);
+  }
+  return Out;
+}
+
+} // namespace pimento::test
