--- a/packages/wire/ScheduleMessages.h
+++ b/packages/wire/ScheduleMessages.h
@@ -18,6 +18,7 @@
 #include "base/Codes.h"
 #include "base/Ids.h"
 #include "base/Time.h"
+#include "wire/MessageList.h"
 
 #include <cstdint>
 #include <string>
@@ -238,4 +239,8 @@
   }
 };
 
+using ScheduleMessages =
+    MessageList<Ask, Grant, Refusal, Release, Withdraw, RenewGrants, Progress,
+                Register, RegisterRequest>;
+
 } // namespace pimento
