--- a/packages/base/Settings.h
+++ b/packages/base/Settings.h
@@ -55,7 +55,7 @@
 /// [control]: the replicated log.
 struct ControlSettings {
   Duration HeartbeatInterval = milliseconds(100); // Leader to voters.
-  Duration ElectionTimeout = milliseconds(600);   // Lower bound; jittered x2.
+  Duration ElectionTimeout = milliseconds(450);   // Lower bound; jittered x2.
   std::uint64_t ClockDriftPerMille =
       10;                               // How far two clocks' rates may differ.
   std::uint64_t SnapshotEntries = 4096; // Log entries between two snapshots.
@@ -68,7 +68,7 @@
   Duration ProbeTimeout = milliseconds(150);      // Before indirect probes.
   Duration SuspicionTimeout = milliseconds(1000); // From suspect to dead.
   Duration AnnounceTimeout = milliseconds(2500);  // Silence of a server.
-  Duration FreshnessBound = milliseconds(3000);   // Age of a document stamp.
+  Duration FreshnessBound = milliseconds(900);    // Age of a document stamp.
 };
 
 /// [limits]: what one host takes on.
--- a/packages/wire/Messages.h
+++ b/packages/wire/Messages.h
@@ -13,7 +13,11 @@
 #include "base/Result.h"
 #include "wire/CallMessages.h"
 #include "wire/DocumentMessages.h"
+#include "wire/ForwardMessages.h"
+#include "wire/LinkMessages.h"
 #include "wire/MembershipMessages.h"
+#include "wire/MessageList.h"
+#include "wire/OperatorMessages.h"
 #include "wire/ReplicaMessages.h"
 #include "wire/ScheduleMessages.h"
 
@@ -23,13 +27,11 @@
 
 namespace pimento {
 
+/// Every message. Each part lists its own in its header.
 using Message =
-    std::variant<Ping, Ack, LoadReport, Ask, Grant, Refusal, Release, Withdraw,
-                 RenewGrants, ClaimRequest, ClaimReply, ClaimResult,
-                 ClaimResultAck, PutDocument, PutDocumentReply, DocumentDigest,
-                 DocumentPull, DocumentText, ReplicaProbe, ReplicaProbeReply,
-                 VoteRequest, VoteReply, AppendRequest, AppendReply,
-                 SnapshotChunk, SnapshotReply, TimeoutNow>;
+    JoinedMessages<LinkMessages, ForwardMessages, ReplicaMessages,
+                   MembershipMessages, ScheduleMessages, CallMessages,
+                   DocumentMessages, OperatorMessages>::Variant;
 
 /// A message and the host it goes to.
 struct Outbound {
--- a/packages/wire/ReplicaMessages.h
+++ b/packages/wire/ReplicaMessages.h
@@ -14,6 +14,7 @@
 #include "base/Ids.h"
 #include "base/Time.h"
 #include "wire/Blob.h"
+#include "wire/MessageList.h"
 
 #include <cstdint>
 #include <tuple>
@@ -271,4 +272,9 @@
   }
 };
 
+using ReplicaMessages =
+    MessageList<ReplicaProbe, ReplicaProbeReply, VoteRequest, VoteReply,
+                AppendRequest, AppendReply, SnapshotChunk, SnapshotReply,
+                TimeoutNow>;
+
 } // namespace pimento
