--- a/packages/document/tests/DocumentTest.cpp
+++ b/packages/document/tests/DocumentTest.cpp
@@ -177,11 +177,12 @@
 BOOST_AUTO_TEST_CASE(TheLargestSiteFits) {
   std::string Accounts;
   for (int I = 0; I < 5500; ++I) {
-    std::string Number = std::to_string(100000 + I);
-    Accounts += "{\"account\": \"account-" + Number +
-                "\", \"token_sha256\": [\"" + std::string(58, 'b') + Number +
-                "\", \"" + std::string(58, 'c') + Number +
-                "\"], \"weight\": 5, \"max_waiting\": 100}, ";
+    std::ostringstream Entry;
+    int Number = 100000 + I;
+    Entry << R"({"account": "account-)" << Number << R"(", "token_sha256": [")"
+          << std::string(58, 'b') << Number << R"(", ")" << std::string(58, 'c')
+          << Number << R"("], "weight": 5, "max_waiting": 100}, )";
+    Accounts += Entry.str();
   }
   std::string Text =
       replaced(modelText(), "[{\"account\"", "[" + Accounts + "{\"account\"");
--- a/packages/document/tests/SpreadSite.h
+++ b/packages/document/tests/SpreadSite.h
@@ -199,8 +199,8 @@
 
   void carryOut(SpreadNode &N, TimePoint Now, SpreadOutputs &Out) {
     const HostId &Self = N.S.Config.Self;
-    for (Outbound &O : Out.Messages)
-      P.send(Self, O.To, std::move(O.Content));
+    for (const Outbound &O : Out.Messages)
+      P.send(Self, O.To, O.Content);
     for (InForceAnswer &Answer : Out.Answers)
       Answers.push_back(std::move(Answer));
     if (Out.Accepted != 0)
--- a/packages/document/tests/SpreadTest.cpp
+++ b/packages/document/tests/SpreadTest.cpp
@@ -309,6 +309,41 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(ADeltaThatDoesNotFitIsReplacedByTheWholeText) {
+  SpreadConfig Config;
+  Config.Self = HostId("a");
+  Config.Hosts = {HostId("a"), HostId("b")};
+  TimePoint Now(hours(1));
+  SpreadState S = makeSpread(Config, 1, Now);
+  SpreadOutputs Out;
+  onMessage(S, HostId("b"), SpreadNotice{{1, 1, 5}, 5}, Now, Out);
+  SpreadReply Reply;
+  Reply.Request = std::get<SpreadPull>(Out.Messages.back().Content).Request;
+  Reply.Complete = 5;
+  Reply.Items.push_back({ServiceId("s"), 5, 5, 77, 4, {}, {{0, 10, {"x"}}}});
+  onMessage(S, HostId("b"), Reply, Now, Out);
+  const auto &Pull = std::get<SpreadPull>(Out.Messages.back().Content);
+  BOOST_TEST(Pull.Whole);
+  BOOST_TEST(S.Freshness.Complete == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(AThawedLeaderIssuesNoStampPastItsLease) {
+  SpreadConfig Config;
+  Config.Self = HostId("a");
+  Config.Hosts = {HostId("a"), HostId("b"), HostId("c")};
+  TimePoint Now(hours(1));
+  SpreadState S = makeSpread(Config, 1, Now);
+  SpreadOutputs Out;
+  onLeadership(S, 3, Now + milliseconds(600), Now, Out);
+  BOOST_TEST(S.Freshness.Issued == 1U);
+  TimePoint Thaw = Now + seconds(5);
+  onMessage(S, HostId("b"), StampAck{S.Freshness.Newest, 2}, Thaw, Out);
+  onTick(S, Thaw, Out);
+  BOOST_TEST(S.Freshness.Issued == 1U);
+  BOOST_TEST(!acceptsEdits(S, Thaw));
+  BOOST_TEST(!verdict(S, Thaw).Serve);
+}
+
 BOOST_AUTO_TEST_CASE(LargeDocumentsArriveInParts) {
   SpreadSite Site(5, 3, 7);
   BOOST_REQUIRE(settle(Site));
--- a/packages/membership/Backends.cpp
+++ b/packages/membership/Backends.cpp
@@ -19,18 +19,22 @@
 
 /// Which of two records of one server says more.
 auto rankOf(const BackendRecord &R) {
-  return std::tuple(R.Life, R.Version, R.Left, R.Status, R.Sequence);
+  return std::tuple(R.Life, R.Left, R.Version, R.Status, R.Sequence);
 }
 
 std::uint64_t hashOf(const BackendRecord &R) {
-  if (R.Status == BackendStatus::Gone)
-    return 0;
   std::uint64_t Flags = static_cast<std::uint64_t>(R.Status) * 2 +
                         static_cast<std::uint64_t>(R.Left);
   return mix(hashText(R.Id.Value) ^ mix(R.Life) ^ mix(R.Version * 8 + Flags) ^
              mix(R.Sequence));
 }
 
+/// The hash of the bucket that \p R counts in.
+std::uint64_t &hashFor(BackendsState &B, const BackendRecord &R) {
+  auto &Hashes = R.Status == BackendStatus::Gone ? B.GoneHashes : B.Hashes;
+  return Hashes[bucketOf(R.Id)];
+}
+
 const char *toString(BackendStatus Status) {
   switch (Status) {
   case BackendStatus::Serving:
@@ -64,11 +68,11 @@
   Duration GoneFor = R.GoneFor;
   R.GoneFor = Duration::zero();
   BackendRecord &Known = B.Records[R.Id];
-  std::uint64_t &Hash = B.Hashes[bucketOf(R.Id)];
+  bool WasHere = !Known.Id.empty() && Known.Status != BackendStatus::Gone;
   if (!Known.Id.empty())
-    Hash ^= hashOf(Known);
-  Hash ^= hashOf(R);
+    hashFor(B, Known) ^= hashOf(Known);
   Known = std::move(R);
+  hashFor(B, Known) ^= hashOf(Known);
   if (Known.Status == BackendStatus::Gone) {
     B.GoneSince[Known.Id] = Now - GoneFor;
     B.Heards.erase(Known.Id);
@@ -77,7 +81,8 @@
     B.GoneSince.erase(Known.Id);
     watch(S, Known.Id);
   }
-  noteChange(Known, Reason, Out);
+  if (WasHere || Known.Status != BackendStatus::Gone)
+    noteChange(Known, Reason, Out);
 }
 
 BackendRecord recordOf(const Announcement &A) {
@@ -112,8 +117,6 @@
     const BackendRecord &R = Known->second;
     if (A.Life < R.Life || (A.Life == R.Life && A.Sequence <= R.Sequence))
       return true;
-    if (A.Life == R.Life && R.Left && R.Status == BackendStatus::Gone)
-      return true; // It left; only a new life brings it back.
   }
   auto Last = S.Backends.Heards.find(A.Id);
   return Last != S.Backends.Heards.end() &&
@@ -138,31 +141,40 @@
     Reason = Old.Status == BackendStatus::Gone ? "heard again" : "changed";
   }
   storeRecord(S, std::move(New), Now, Reason, Out);
-  addBackendNews(S, A.Id, Now);
+  addBackendNews(S, A.Id, true, Now);
   return true;
 }
 
+/// The two hosts that share what is known of \p Id with this one.
+std::vector<HostId> partnersFor(const MembershipState &S, const BackendId &Id) {
+  std::vector<HostId> Partners;
+  constexpr std::size_t Most = 2;
+  for (const HostId &Watcher : watchersOf(S, Id)) {
+    if (!Watcher.empty() && Watcher != S.Config.Self && Partners.size() < Most)
+      Partners.push_back(Watcher);
+  }
+  return Partners;
+}
+
 void tellWatchers(MembershipState &S, const Announcement &A, Heard &H,
                   TimePoint Now, MembershipOutputs &Out) {
   H.Told = Now;
-  for (const HostId &Watcher : watchersOf(S, A.Id)) {
-    if (Watcher.empty() || Watcher == S.Config.Self)
-      continue;
-    BackendHeard M = {A.Id, A.Life, A.Sequence, Duration::zero()};
+  BackendHeard M = {A.Id, A.Life, A.Sequence, Duration::zero()};
+  for (const HostId &Watcher : partnersFor(S, A.Id))
     Out.Messages.push_back({Watcher, M});
-  }
 }
 
-/// Asks the second watcher and whoever heard the server last.
+/// Asks the other watchers and whoever heard the server last.
 void queryOthers(MembershipState &S, const BackendId &Id, Heard &H,
                  TimePoint Now, MembershipOutputs &Out) {
   H.Queried = Now;
   HeardQuery Q = {Id, H.Life};
-  HostId Second = watchersOf(S, Id)[1];
-  if (!Second.empty())
-    Out.Messages.push_back({Second, Q});
-  if (!H.By.empty() && H.By != Second)
-    Out.Messages.push_back({H.By, Q});
+  std::vector<HostId> Asked = partnersFor(S, Id);
+  if (!H.By.empty() &&
+      std::find(Asked.begin(), Asked.end(), H.By) == Asked.end())
+    Asked.push_back(H.By);
+  for (const HostId &Host : Asked)
+    Out.Messages.push_back({Host, Q});
 }
 
 void declareGone(MembershipState &S, const BackendId &Id, const Heard &H,
@@ -175,7 +187,7 @@
   R.Address.clear();
   R.Models.clear();
   storeRecord(S, std::move(R), Now, "silent", Out);
-  addBackendNews(S, Id, Now);
+  addBackendNews(S, Id, true, Now);
 }
 
 void checkSilence(MembershipState &S, const BackendId &Id, TimePoint Now,
@@ -190,9 +202,10 @@
     H.At = Now;
   }
   Duration Timeout = S.Config.Timing.AnnounceTimeout;
-  if (Now - H.At < Timeout - QueryLead)
+  Duration QueryAfter = Timeout - QueryLead;
+  if (Now - H.At < QueryAfter)
     return;
-  if (H.Queried <= H.At) {
+  if (H.Queried - H.At < QueryAfter) { // Not since it was last heard.
     queryOthers(S, Id, H, Now, Out);
     return;
   }
@@ -207,6 +220,8 @@
       ++At;
       continue;
     }
+    const BackendRecord &R = B.Records.at(At->first);
+    hashFor(B, R) ^= hashOf(R);
     B.Records.erase(At->first);
     S.BackendNews.erase(At->first);
     At = B.GoneSince.erase(At);
@@ -238,7 +253,7 @@
   return Copy;
 }
 
-bool applyRecord(MembershipState &S, const BackendRecord &R, bool Tell,
+bool applyRecord(MembershipState &S, const BackendRecord &R, Telling Tell,
                  TimePoint Now, MembershipOutputs &Out) {
   if (R.Id.empty() || R.GoneFor >= S.Config.TombstoneTime)
     return false;
@@ -249,8 +264,8 @@
   if (New && S.Backends.Records.size() >= MaxBackends)
     return false;
   storeRecord(S, R, Now, "news", Out);
-  if (Tell)
-    addBackendNews(S, R.Id, Now);
+  if (Tell != Telling::No)
+    addBackendNews(S, R.Id, Tell == Telling::Origin, Now);
   return true;
 }
 
@@ -326,6 +341,7 @@
   B.Watch.clear();
   B.Mine.clear();
   B.Hashes.fill(0);
+  B.GoneHashes.fill(0);
   B.Ready = false;
   S.BackendNews.clear();
 }
--- a/packages/membership/Backends.h
+++ b/packages/membership/Backends.h
@@ -2,16 +2,16 @@
 //
 // There is no list of backend servers: they announce themselves to any host.
 // The host that hears an announcement makes or changes the server's record,
-// which gossip carries to all hosts, and tells the server's two watchers, the
-// hosts that rank highest for its id among those alive. The first watcher
+// which gossip carries to all hosts, and tells the server's watchers: two of
+// the hosts that rank highest for its id among those alive. The first watcher
 // declares a server gone that nobody has heard within AnnounceTimeout, after
-// asking the second one and the host that heard it last.
+// asking the other watchers and the host that heard it last.
 //
-// Of two records the higher life wins, then the higher version. A server that
-// said it leaves stays out for the rest of that life. A server that fell
-// silent comes back by an announcement newer than the last one known. Records
-// of gone servers are kept for TombstoneTime, and a host that saw no majority
-// for half of it forgets its registry and learns it anew.
+// Of two records the higher life wins, then the one that left, then the higher
+// version. A server that said it leaves stays out for the rest of that life. A
+// server that fell silent comes back by an announcement newer than the last one
+// known. Records of gone servers are kept for TombstoneTime, and a host that
+// saw no majority for half of it forgets its registry and learns it anew.
 //
 // Index
 //   BackendsState       plain state, part of MembershipState
@@ -34,7 +34,7 @@
 
 namespace pimento {
 
-constexpr std::size_t RegistryBuckets = 64;
+constexpr std::size_t RegistryBuckets = 128;
 constexpr std::size_t MaxBackends = 50000; // Further ones are refused.
 
 /// The last announcement of a server that this host knows of.
@@ -47,10 +47,15 @@
   TimePoint Queried; // When the other watchers were asked, if At is older.
 };
 
-/// The two hosts that rank highest for one server, with their ranks.
+/// Hosts that are kept in mind for each server. The first watches; a host
+/// that hears the server, or asks about it, turns to two others among them.
+constexpr std::size_t WatcherCount = 3;
+using WatcherList = std::array<HostId, WatcherCount>; // Empty: none.
+
+/// The hosts that rank highest for one server, with their ranks.
 struct Watchers {
-  std::array<HostId, 2> Hosts; // Empty: none.
-  std::array<std::uint64_t, 2> Ranks{};
+  WatcherList Hosts;
+  std::array<std::uint64_t, WatcherCount> Ranks{};
 };
 
 struct BackendsState {
@@ -59,10 +64,12 @@
   std::map<BackendId, TimePoint> GoneSince;   // Of the gone ones.
   std::map<BackendId, Watchers> Watch;        // Of those that are not gone.
   std::set<BackendId> Mine; // Those whose first watcher is this host.
-  std::array<std::uint64_t, RegistryBuckets> Hashes{}; // Gone ones left out.
+  std::array<std::uint64_t, RegistryBuckets> Hashes{};     // Of those here.
+  std::array<std::uint64_t, RegistryBuckets> GoneHashes{}; // Of gone ones.
   TimePoint NextSweep; // For silence and gone servers.
   TimePoint NextSync;  // Registry pull allowed from here on.
-  TimePoint DiffersSince = TimePoint::max(); // From another host's digest.
+  HostId DiffersFrom;  // Whose digest was another one; empty: nobody's.
+  TimePoint DiffersSince;
   TimePoint LastMajority; // When a majority of hosts was last seen.
   bool Ready = false;     // Learnt the registry since the start.
 };
@@ -87,9 +94,9 @@
 /// All that are not gone, leaving ones included, by id.
 std::vector<const BackendRecord *> allBackends(const MembershipState &S);
 
-/// The two hosts that watch \p Id, as this host sees it; the second is empty
-/// where only one host is alive.
-std::array<HostId, 2> watchersOf(const MembershipState &S, const BackendId &Id);
+/// The hosts that watch \p Id, as this host sees it; the last ones are empty
+/// where too few hosts are alive.
+WatcherList watchersOf(const MembershipState &S, const BackendId &Id);
 
 /// Whether the registry was learnt since the start: a host that has just
 /// started knows few backend servers.
--- a/packages/membership/Membership.cpp
+++ b/packages/membership/Membership.cpp
@@ -105,10 +105,12 @@
       U.Life == S.Config.Life && U.Version >= S.Version && U.Status != S.Own;
   if (!Accused)
     return;
+  if (U.Status == HostStatus::Dead)
+    S.Backends.NextSync = Now; // Was cut off or stood still: much is missed.
   S.HostHash ^= hashOf(ownUpdate(S));
   S.Version = U.Version + 1;
   S.HostHash ^= hashOf(ownUpdate(S));
-  addHostNews(S, S.Config.Self, Now);
+  addHostNews(S, S.Config.Self, true, Now);
 }
 
 void setDirect(const HostId &Host, HostView &View, bool Direct,
@@ -204,7 +206,7 @@
     return;
   HostUpdate U = updateOf(Target, View);
   U.Status = HostStatus::Suspect;
-  applyHostUpdate(S, U, true, Now, Out);
+  applyHostUpdate(S, U, Telling::Origin, Now, Out);
   startProbe(S, Target, Now, Out); // Tells it, so that it may refute.
 }
 
@@ -251,7 +253,7 @@
   for (const HostId &Host : Due) {
     HostUpdate U = updateOf(Host, S.Hosts.at(Host));
     U.Status = HostStatus::Dead;
-    applyHostUpdate(S, U, true, Now, Out);
+    applyHostUpdate(S, U, Telling::Origin, Now, Out);
   }
 }
 
@@ -291,9 +293,9 @@
       Hosts.front().Life < Sender->second.Life)
     return false;
   for (const HostUpdate &U : Hosts)
-    applyHostUpdate(S, U, true, Now, Out);
+    applyHostUpdate(S, U, Telling::Relay, Now, Out);
   for (const BackendRecord &R : Backends)
-    applyRecord(S, R, true, Now, Out);
+    applyRecord(S, R, Telling::Relay, Now, Out);
   return true;
 }
 
@@ -302,7 +304,7 @@
   if (!takeIn(S, From, M.Hosts, M.Backends, Now, Out) ||
       S.Own == HostStatus::Dead)
     return;
-  noteDigest(S, M.Digest, Now);
+  noteDigest(S, From, M.Digest, Now);
   NewsPage News = takeNews(S, From, Now);
   send(Out, From,
        Ack{M.Sequence, std::move(News.Hosts), std::move(News.Backends),
@@ -323,7 +325,7 @@
            MembershipOutputs &Out) {
   if (!takeIn(S, From, M.Hosts, M.Backends, Now, Out))
     return;
-  noteDigest(S, M.Digest, Now);
+  noteDigest(S, From, M.Digest, Now);
   answerAsker(S, From, M, Out);
   auto Found = S.Probes.find(M.Sequence);
   if (Found == S.Probes.end() || Found->second.Target != From)
@@ -350,13 +352,13 @@
     return;
   HostId Target = Found->second.Target;
   S.Probes.erase(Found);
-  applyHostUpdate(S, M.Target, true, Now, Out);
+  applyHostUpdate(S, M.Target, Telling::Relay, Now, Out);
   setDirect(Target, S.Hosts.at(Target), false, Out);
 }
 
 } // namespace
 
-bool applyHostUpdate(MembershipState &S, const HostUpdate &U, bool Tell,
+bool applyHostUpdate(MembershipState &S, const HostUpdate &U, Telling Tell,
                      TimePoint Now, MembershipOutputs &Out) {
   if (U.Host == S.Config.Self) {
     refute(S, U, Now, Out);
@@ -378,8 +380,8 @@
   if (U.Status == HostStatus::Suspect)
     S.Suspects[U.Host] = Now + S.Config.Timing.SuspicionTimeout;
   setRunning(S, U.Host, runs(U.Status));
-  if (Tell)
-    addHostNews(S, U.Host, Now);
+  if (Tell != Telling::No)
+    addHostNews(S, U.Host, Tell == Telling::Origin, Now);
   if (NewLife)
     noteChange(U.Host, HostChangeKind::Life, View, "a new process", Out);
   if (NewStatus)
@@ -405,7 +407,7 @@
       S.Hosts[Host].Since = Now;
   }
   S.HostHash = hashOf(ownUpdate(S));
-  addHostNews(S, Config.Self, Now);
+  addHostNews(S, Config.Self, true, Now);
   return S;
 }
 
@@ -461,7 +463,7 @@
   S.Own = Final ? HostStatus::Dead : HostStatus::Leaving;
   ++S.Version;
   S.HostHash ^= hashOf(ownUpdate(S));
-  addHostNews(S, S.Config.Self, Now);
+  addHostNews(S, S.Config.Self, true, Now);
   pushGossip(S, Now, Out);
 }
 
--- a/packages/membership/Membership.h
+++ b/packages/membership/Membership.h
@@ -48,12 +48,13 @@
   MembershipSettings Timing;
   std::uint32_t IndirectProbes = 3; // Hosts asked to ping for us.
   std::uint32_t Fanout = 3;         // Hosts that gossip goes to.
+  std::uint32_t OwnFanout = 8;      // Where the news is its own.
   std::uint32_t DeadProbeEvery = 4; // Every so many probes a dead host too.
   Duration GossipDelay = milliseconds(20); // Gathers news.
   std::size_t NewsBytes = 1200;            // News on one ping, about.
   std::size_t GossipBytes = 8U << 10U;     // News in one gossip, about.
   std::size_t PageBytes = 48U << 10U;      // Of one registry page, about.
-  Duration SyncInterval = seconds(5);      // Between registry pulls at rest.
+  Duration SyncInterval = seconds(3);      // Between registry pulls at rest.
   Duration TombstoneTime = minutes(10);    // Gone servers are remembered.
 };
 
@@ -87,6 +88,7 @@
 struct News {
   std::uint32_t Sends = 0; // On pings and acknowledgements, so far.
   bool Pushed = false;     // Went out by gossip.
+  bool Own = false;        // This host was the first to know.
 };
 
 struct MembershipState {
--- a/packages/membership/MembershipParts.h
+++ b/packages/membership/MembershipParts.h
@@ -17,8 +17,11 @@
 HostUpdate updateOf(const HostId &Host, const HostView &View);
 
 /// Has the news told on, first by gossip and then on pings.
-void addHostNews(MembershipState &S, const HostId &Host, TimePoint Now);
-void addBackendNews(MembershipState &S, const BackendId &Id, TimePoint Now);
+/// \p Own: this host was the first to know.
+void addHostNews(MembershipState &S, const HostId &Host, bool Own,
+                 TimePoint Now);
+void addBackendNews(MembershipState &S, const BackendId &Id, bool Own,
+                    TimePoint Now);
 
 /// A bounded amount of news for one ping; this host's own record first.
 struct NewsPage {
@@ -42,14 +45,21 @@
 
 // Hosts (Membership.cpp).
 
-/// Takes in what another host says of a host. True where it was news.
-bool applyHostUpdate(MembershipState &S, const HostUpdate &U, bool Tell,
+/// Whether what is taken in is told on.
+enum class Telling : std::uint8_t {
+  No,     // Others know it already.
+  Relay,  // Another host told it.
+  Origin, // This host found it out.
+};
+
+/// Takes in what is said of a host. True where it was news.
+bool applyHostUpdate(MembershipState &S, const HostUpdate &U, Telling Tell,
                      TimePoint Now, MembershipOutputs &Out);
 
 // Backend servers (Backends.cpp).
 
 /// Takes in a record. True where it was news.
-bool applyRecord(MembershipState &S, const BackendRecord &R, bool Tell,
+bool applyRecord(MembershipState &S, const BackendRecord &R, Telling Tell,
                  TimePoint Now, MembershipOutputs &Out);
 /// A record as it travels.
 BackendRecord recordToSend(const MembershipState &S, const BackendRecord &R,
@@ -76,7 +86,8 @@
 
 // Comparing registries (Sync.cpp).
 
-void noteDigest(MembershipState &S, std::uint64_t Digest, TimePoint Now);
+void noteDigest(MembershipState &S, const HostId &From, std::uint64_t Digest,
+                TimePoint Now);
 void syncWhenDue(MembershipState &S, TimePoint Now, MembershipOutputs &Out);
 void onRegistryPull(MembershipState &S, const HostId &From,
                     const RegistryPull &P, TimePoint Now,
--- a/packages/membership/News.cpp
+++ b/packages/membership/News.cpp
@@ -69,13 +69,15 @@
   return Bytes;
 }
 
-void addHostNews(MembershipState &S, const HostId &Host, TimePoint Now) {
-  S.HostNews[Host] = News();
+void addHostNews(MembershipState &S, const HostId &Host, bool Own,
+                 TimePoint Now) {
+  S.HostNews[Host] = {0, false, Own};
   S.NextGossip = std::min(S.NextGossip, Now + S.Config.GossipDelay);
 }
 
-void addBackendNews(MembershipState &S, const BackendId &Id, TimePoint Now) {
-  S.BackendNews[Id] = News();
+void addBackendNews(MembershipState &S, const BackendId &Id, bool Own,
+                    TimePoint Now) {
+  S.BackendNews[Id] = {0, false, Own};
   S.NextGossip = std::min(S.NextGossip, Now + S.Config.GossipDelay);
 }
 
@@ -114,10 +116,12 @@
   Gossip G;
   G.Hosts.push_back(ownUpdate(S));
   std::size_t Left = S.Config.GossipBytes;
+  bool Own = false;
   for (auto &[Host, Item] : S.HostNews) {
     if (Item.Pushed || Left < HostUpdateBytes)
       continue;
     Item.Pushed = true;
+    Own |= Item.Own;
     Left -= HostUpdateBytes;
     if (Host != S.Config.Self)
       G.Hosts.push_back(hostNews(S, Host));
@@ -127,10 +131,12 @@
     if (Item.Pushed || Left < recordBytes(R))
       continue;
     Item.Pushed = true;
+    Own |= Item.Own;
     Left -= recordBytes(R);
     G.Backends.push_back(recordToSend(S, R, Now));
   }
-  for (const HostId &To : randomHosts(S, S.Config.Fanout, HostId()))
+  std::uint32_t Count = Own ? S.Config.OwnFanout : S.Config.Fanout;
+  for (const HostId &To : randomHosts(S, Count, HostId()))
     Out.Messages.push_back({To, G});
   // A burst is spread over time instead of filling the network at once.
   constexpr std::size_t Nearly = 1024;
--- a/packages/membership/Sync.cpp
+++ b/packages/membership/Sync.cpp
@@ -7,18 +7,25 @@
 
 namespace {
 
-constexpr Duration SettleTime = seconds(1); // News gets this long to spread.
+constexpr Duration SettleTime =
+    milliseconds(500); // News gets this long to spread.
 constexpr Duration StartRetry = milliseconds(500);
 
-std::vector<std::uint64_t> hashesOf(const MembershipState &S) {
-  std::vector<std::uint64_t> Hashes = {S.HostHash};
-  Hashes.insert(Hashes.end(), S.Backends.Hashes.begin(),
-                S.Backends.Hashes.end());
-  return Hashes;
+/// Gone servers count only for a host that joins: it has to learn whom it must
+/// not revive, whereas two others may forget them at different times.
+std::uint64_t bucketHash(const BackendsState &B, std::size_t Bucket,
+                         bool Joining) {
+  return Joining ? mix(B.Hashes[Bucket]) ^ B.GoneHashes[Bucket]
+                 : B.Hashes[Bucket];
 }
 
 void pullFrom(MembershipState &S, const HostId &From, MembershipOutputs &Out) {
-  Out.Messages.push_back({From, RegistryPull{hashesOf(S)}});
+  RegistryPull Pull;
+  Pull.Joining = !S.Backends.Ready;
+  Pull.Hashes.push_back(S.HostHash);
+  for (std::size_t Bucket = 0; Bucket < RegistryBuckets; ++Bucket)
+    Pull.Hashes.push_back(bucketHash(S.Backends, Bucket, Pull.Joining));
+  Out.Messages.push_back({From, std::move(Pull)});
 }
 
 void addHosts(const MembershipState &S, RegistryPage &Page) {
@@ -39,7 +46,7 @@
   std::size_t First = below(S.Rng, RegistryBuckets);
   for (std::size_t I = 0; I < RegistryBuckets; ++I) {
     std::size_t Bucket = (First + I) % RegistryBuckets;
-    if (P.Hashes[Bucket + 1] == S.Backends.Hashes[Bucket])
+    if (P.Hashes[Bucket + 1] == bucketHash(S.Backends, Bucket, P.Joining))
       continue;
     std::size_t Size = 0;
     for (const BackendRecord *R : Buckets[Bucket])
@@ -63,25 +70,31 @@
   return Digest;
 }
 
-void noteDigest(MembershipState &S, std::uint64_t Digest, TimePoint Now) {
-  if (Digest == digestOf(S))
-    S.Backends.DiffersSince = TimePoint::max();
-  else
-    S.Backends.DiffersSince = std::min(S.Backends.DiffersSince, Now);
+void noteDigest(MembershipState &S, const HostId &From, std::uint64_t Digest,
+                TimePoint Now) {
+  BackendsState &B = S.Backends;
+  bool Same = Digest == digestOf(S);
+  if (Same && B.DiffersFrom == From)
+    B.DiffersFrom = HostId();
+  if (Same || !B.DiffersFrom.empty())
+    return; // Whoever differed first is asked first.
+  B.DiffersFrom = From;
+  B.DiffersSince = Now;
 }
 
 void syncWhenDue(MembershipState &S, TimePoint Now, MembershipOutputs &Out) {
   BackendsState &B = S.Backends;
-  bool Differs =
-      B.DiffersSince != TimePoint::max() && Now - B.DiffersSince >= SettleTime;
+  bool Differs = !B.DiffersFrom.empty() && Now - B.DiffersSince >= SettleTime;
   if (Now < B.NextSync || (B.Ready && !Differs))
     return;
-  std::vector<HostId> Peer = randomHosts(S, 1, HostId());
-  if (Peer.empty())
+  std::vector<HostId> Peers = {B.DiffersFrom};
+  if (!B.Ready)
+    Peers = randomHosts(S, 1, HostId());
+  if (Peers.empty())
     return;
   B.NextSync = Now + (B.Ready ? S.Config.SyncInterval : StartRetry);
-  B.DiffersSince = TimePoint::max();
-  pullFrom(S, Peer.front(), Out);
+  B.DiffersFrom = HostId();
+  pullFrom(S, Peers.front(), Out);
 }
 
 void onRegistryPull(MembershipState &S, const HostId &From,
@@ -101,9 +114,9 @@
                     MembershipOutputs &Out) {
   bool Learnt = false;
   for (const HostUpdate &U : P.Hosts)
-    Learnt |= applyHostUpdate(S, U, false, Now, Out);
+    Learnt |= applyHostUpdate(S, U, Telling::No, Now, Out);
   for (const BackendRecord &R : P.Backends)
-    Learnt |= applyRecord(S, R, false, Now, Out);
+    Learnt |= applyRecord(S, R, Telling::No, Now, Out);
   if (P.More && Learnt) {
     pullFrom(S, From, Out);
     return;
@@ -111,4 +124,6 @@
   S.Backends.Ready = true;
 }
 
+bool registryReady(const MembershipState &S) { return S.Backends.Ready; }
+
 } // namespace pimento
--- a/packages/membership/Watchers.cpp
+++ b/packages/membership/Watchers.cpp
@@ -3,28 +3,31 @@
 
 #include <xxhash.h>
 
+#include <algorithm>
+
 namespace pimento {
 
 namespace {
 
-/// Rendezvous hashing: of all hosts the two with the highest rank watch.
+/// Rendezvous hashing: of all hosts those with the highest rank watch.
 std::uint64_t rankOf(const HostId &Host, const BackendId &Id) {
   return mix(hashText(Host.Value) ^ mix(hashText(Id.Value)));
 }
 
 /// Puts \p Host where it belongs in \p W. True where this changed something.
 bool offer(Watchers &W, const HostId &Host, std::uint64_t Rank) {
-  if (W.Hosts[0].empty() || Rank > W.Ranks[0]) {
-    W.Hosts[1] = W.Hosts[0];
-    W.Ranks[1] = W.Ranks[0];
-    W.Hosts[0] = Host;
-    W.Ranks[0] = Rank;
-    return true;
-  }
-  if (!W.Hosts[1].empty() && Rank < W.Ranks[1])
+  std::size_t Place = 0;
+  while (Place < WatcherCount && !W.Hosts[Place].empty() &&
+         Rank <= W.Ranks[Place])
+    ++Place;
+  if (Place == WatcherCount)
     return false;
-  W.Hosts[1] = Host;
-  W.Ranks[1] = Rank;
+  for (std::size_t I = WatcherCount - 1; I > Place; --I) {
+    W.Hosts[I] = W.Hosts[I - 1];
+    W.Ranks[I] = W.Ranks[I - 1];
+  }
+  W.Hosts[Place] = Host;
+  W.Ranks[Place] = Rank;
   return true;
 }
 
@@ -71,13 +74,12 @@
 
 void hostLeaves(MembershipState &S, const HostId &Host) {
   for (auto &[Id, W] : S.Backends.Watch) {
-    if (W.Hosts[0] == Host || W.Hosts[1] == Host)
+    if (std::find(W.Hosts.begin(), W.Hosts.end(), Host) != W.Hosts.end())
       store(S, Id, rankAll(S, Id));
   }
 }
 
-std::array<HostId, 2> watchersOf(const MembershipState &S,
-                                 const BackendId &Id) {
+WatcherList watchersOf(const MembershipState &S, const BackendId &Id) {
   auto Found = S.Backends.Watch.find(Id);
   if (Found != S.Backends.Watch.end())
     return Found->second.Hosts;
--- a/packages/wire/MembershipMessages.h
+++ b/packages/wire/MembershipMessages.h
@@ -172,10 +172,11 @@
 struct RegistryPull {
   static constexpr std::uint16_t WireType = 209;
   std::vector<std::uint64_t> Hashes;
+  bool Joining = false; // The hashes cover gone servers as well.
 
   template <class Self, class Visitor>
   static void fields(Self &M, Visitor &&Visit) {
-    Visit(M.Hashes);
+    Visit(M.Hashes, M.Joining);
   }
 };
 
