--- a/packages/membership/Sync.cpp
+++ b/packages/membership/Sync.cpp
@@ -112,11 +112,13 @@
 void onRegistryPage(MembershipState &S, const HostId &From,
                     const RegistryPage &P, TimePoint Now,
                     MembershipOutputs &Out) {
+  // What a host lacks that is not just starting, its neighbours may lack too.
+  Telling Tell = S.Backends.Ready ? Telling::Relay : Telling::No;
   bool Learnt = false;
   for (const HostUpdate &U : P.Hosts)
-    Learnt |= applyHostUpdate(S, U, Telling::No, Now, Out);
+    Learnt |= applyHostUpdate(S, U, Tell, Now, Out);
   for (const BackendRecord &R : P.Backends)
-    Learnt |= applyRecord(S, R, Telling::No, Now, Out);
+    Learnt |= applyRecord(S, R, Tell, Now, Out);
   if (P.More && Learnt) {
     pullFrom(S, From, Out);
     return;
