--- a/packages/document/Spread.cpp
+++ b/packages/document/Spread.cpp
@@ -371,7 +371,7 @@
       if (V.Text.empty() && !Last)
         continue; // Dropped from the history.
       if (V.Revision > S.Freshness.Complete)
-        holdDocument(S, Service, V.Number, V.Revision, V.Text, Out);
+        holdDocument(S, Service, V.Number, V.Revision, V.Text, {}, Out);
     }
   }
   setComplete(S.Freshness, From.Revision);
--- a/packages/document/SpreadItems.cpp
+++ b/packages/document/SpreadItems.cpp
@@ -11,7 +11,8 @@
 
 /// Keeps the difference to the version before, so that it can be passed on.
 void keepEdit(const SpreadConfig &Config, HeldDocument &D, std::uint64_t Number,
-              std::uint64_t Revision, std::string_view Text) {
+              std::uint64_t Revision, std::string_view Text,
+              std::vector<DeltaPiece> Delta) {
   if (D.Number == 0 || Number != D.Number + 1) {
     D.Edits.clear(); // A gap: differences before it lead nowhere.
     D.EditBytes = 0;
@@ -22,7 +23,7 @@
   Edit.Revision = Revision;
   Edit.BaseRevision = D.Revision;
   Edit.Digest = textDigest(Text);
-  Edit.Delta = makeDelta(D.Text, Text);
+  Edit.Delta = Delta.empty() ? makeDelta(D.Text, Text) : std::move(Delta);
   Edit.Bytes = deltaBytes(Edit.Delta);
   D.EditBytes += Edit.Bytes;
   D.Edits.push_back(std::move(Edit));
@@ -77,12 +78,13 @@
 
 bool holdDocument(SpreadState &S, const ServiceId &Service,
                   std::uint64_t Number, std::uint64_t Revision,
-                  std::string Text, SpreadOutputs &Out) {
+                  std::string Text, std::vector<DeltaPiece> Delta,
+                  SpreadOutputs &Out) {
   HeldDocument &D = S.Documents[Service];
   if (Number <= D.Number)
     return false;
   D.Service = Service;
-  keepEdit(S.Config, D, Number, Revision, Text);
+  keepEdit(S.Config, D, Number, Revision, Text, std::move(Delta));
   D.Number = Number;
   D.Revision = Revision;
   D.Digest = textDigest(Text);
@@ -114,7 +116,7 @@
   if (Text.size() > MaxDocumentBytes || textDigest(Text) != Item.Digest)
     return false;
   holdDocument(S, Item.Service, Item.Number, Item.Revision, std::move(Text),
-               Out);
+               Item.Delta, Out);
   return true;
 }
 
--- a/packages/document/SpreadParts.h
+++ b/packages/document/SpreadParts.h
@@ -12,10 +12,12 @@
 // Documents (SpreadItems.cpp).
 
 /// Puts a newer version of a document in force. False, and nothing changed,
-/// where \p Number is not newer than the one in force.
+/// where \p Number is not newer than the one in force. \p Delta leads from the
+/// number before to \p Text; empty where it has to be worked out.
 bool holdDocument(SpreadState &S, const ServiceId &Service,
                   std::uint64_t Number, std::uint64_t Revision,
-                  std::string Text, SpreadOutputs &Out);
+                  std::string Text, std::vector<DeltaPiece> Delta,
+                  SpreadOutputs &Out);
 
 /// Takes in one item of a reply. False where its delta does not fit what this
 /// host holds or its text does not match its digest.
--- a/packages/membership/tests/AnnouncementTest.cpp
+++ b/packages/membership/tests/AnnouncementTest.cpp
@@ -43,7 +43,7 @@
 
 BOOST_AUTO_TEST_CASE(AnEngineIsRead) {
   Parsed P = parse(EngineText);
-  BOOST_REQUIRE(P.Why.Detail == "");
+  BOOST_REQUIRE_MESSAGE(P.Why.Detail.empty(), P.Why.Detail);
   const Announcement &A = P.Content;
   BOOST_TEST(A.Id == BackendId("engine-1"));
   BOOST_TEST(A.Life == 7U);
@@ -57,7 +57,7 @@
 
 BOOST_AUTO_TEST_CASE(APlainServerIsRead) {
   Parsed P = parse(PlainText);
-  BOOST_REQUIRE(P.Why.Detail == "");
+  BOOST_REQUIRE_MESSAGE(P.Why.Detail.empty(), P.Why.Detail);
   BOOST_TEST(P.Content.Service == ServiceId("ledger"));
   BOOST_TEST(P.Content.Leaving);
   BOOST_TEST((P.Content.Kind == BackendKind::Plain));
@@ -99,7 +99,7 @@
     std::string Text = I % 2 == 0 ? EngineText : PlainText;
     for (std::uint64_t Hits = 1 + below(R, 4); Hits > 0; --Hits)
       Text[below(R, Text.size())] = static_cast<char>(below(R, 256));
-    Bad += parse(Text).Why.Detail != "";
+    Bad += !parse(Text).Why.Detail.empty();
   }
   BOOST_TEST(Bad > 10000U);
 }
--- a/packages/membership/tests/MembershipTest.cpp
+++ b/packages/membership/tests/MembershipTest.cpp
@@ -216,6 +216,21 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(AHostThatStoodStillSuspectsNobody) {
+  MembershipSite Site(9, 6, 3);
+  BOOST_REQUIRE(settle(Site));
+  HostId Frozen = Site.Names[3];
+  MembershipState Alone = Site.P.node(Frozen);
+  MembershipOutputs Out;
+  onTick(Alone, Site.P.clock(Frozen) + milliseconds(240), Out);
+  BOOST_REQUIRE(!Alone.Probes.empty()); // Frozen while it waits.
+  TimePoint Thaw = Site.P.clock(Frozen) + seconds(30);
+  for (int Tick = 0; Tick < 40; ++Tick)
+    onTick(Alone, Thaw + milliseconds(10) * Tick, Out);
+  BOOST_TEST(Out.Hosts.empty());
+  BOOST_TEST(Out.Backends.empty());
+}
+
 BOOST_AUTO_TEST_CASE(ARestartedHostIsANewLife) {
   for (std::uint64_t Seed = 1; Seed <= 20; ++Seed) {
     MembershipSite Site(9, 4, Seed);
@@ -408,6 +423,34 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(AServerThatLeftStaysOutForItsLife) {
+  MembershipConfig Config;
+  Config.Self = HostId("a");
+  Config.Hosts = {HostId("a")};
+  TimePoint Now(hours(1));
+  MembershipState S = makeMembership(Config, 1, Now);
+  MembershipOutputs Out;
+  Announcement A;
+  A.Id = BackendId("e1");
+  A.Life = 1;
+  A.Models = {ModelName("atlas")};
+  auto Announce = [&](bool Leaving) {
+    ++A.Sequence;
+    A.Leaving = Leaving;
+    return onAnnounce(S, A, Now, Out);
+  };
+  BOOST_TEST(Announce(false));
+  BOOST_TEST(enginesOf(S, ModelName("atlas")).size() == 1U);
+  BOOST_TEST(Announce(true));
+  BOOST_TEST(enginesOf(S, ModelName("atlas")).empty());
+  BOOST_TEST(Announce(false));
+  BOOST_TEST(enginesOf(S, ModelName("atlas")).empty());
+  ++A.Life;
+  A.Sequence = 0;
+  BOOST_TEST(Announce(false));
+  BOOST_TEST(enginesOf(S, ModelName("atlas")).size() == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(GoneServersAreForgottenInTheEnd) {
   MembershipConfig Config;
   Config.TombstoneTime = seconds(20);
