--- a/packages/replica/Replica.h
+++ b/packages/replica/Replica.h
@@ -128,15 +128,18 @@
 struct MemberProgress {
   HostId Host;
   Incarnation Life = 0;
+  DiskStart Start = 0;     // Of its last answer.
   std::uint64_t Match = 0; // Synced and equal up to here.
   std::uint64_t Next = 1;  // Sent next.
   std::size_t Window = 0;  // Messages with entries not yet answered.
   bool Probing = true;     // Next is a guess; one message at a time.
   bool Snapshotting = false;
-  std::uint64_t ChunkOffset = 0;   // Of the piece sent next.
-  std::uint64_t ChunkSnapshot = 0; // Index of the snapshot being sent.
-  TimePoint LastReply{};           // At the leader.
-  TimePoint LastSent{};            // At the leader.
+  Snapshot Sending;              // Snapshotting: kept until it is through.
+  std::uint64_t Checksum = 0;    // Of Sending.
+  std::uint64_t ChunkOffset = 0; // Of the piece sent next.
+  TimePoint LastReply{};         // At the leader.
+  TimePoint LastSent{};          // At the leader.
+  TimePoint MarksSent{};         // When it was last told what others synced.
   TimePoint ConfirmedAt{}; // Newest request that it answered was sent then.
 };
 
@@ -150,6 +153,7 @@
 struct WriteInFlight {
   std::uint64_t Ticket = 0;    // Zero: none.
   std::uint64_t LastIndex = 0; // The log is synced up to here after it.
+  bool Hard = false;           // The hard state is among it.
 };
 
 /// What a host told of its disk lately.
@@ -158,6 +162,7 @@
   Incarnation Life = 0;
   DiskStart Start = 0;
   bool Empty = false;
+  std::uint64_t LogId = 0; // Of what it holds.
   std::uint64_t Term = 0;
   TimePoint At{};
   bool Good = false; // It found nothing against this replica's disk.
@@ -180,14 +185,14 @@
   // Term and vote.
   ReplicaRole Role = ReplicaRole::Follower;
   HardState Hard;
-  HostId LeaderHost;             // Of this term; empty: not known.
-  std::vector<HostId> Granted;   // Votes gathered in this election.
-  std::vector<Member> GrantedBy; // The same with their disks, when forming.
-  bool TransferVote = false;     // This election was asked for by the leader.
+  HostId LeaderHost;            // Of this term; empty: not known.
+  std::vector<Member> Granted;  // Votes gathered, by the voters' disks.
+  std::uint64_t VoteTicket = 0; // Its own vote counts once this is synced.
 
   // The log.
   Snapshot Base;
-  std::deque<LogEntry> Log;      // After Base.
+  std::deque<LogEntry> Log;      // Without gaps up to the last entry. May
+                                 // begin before Base's last entry.
   std::vector<VotersAt> History; // Oldest first; the last one is in force.
   std::uint64_t Commit = 0;
   std::uint64_t Applied = 0; // Handed out.
@@ -199,6 +204,7 @@
   WriteInFlight InFlight;
   bool HardDirty = false;
   bool SnapshotDirty = false;
+  bool ResetDirty = false; // The disk still holds entries of another log.
   std::uint64_t DirtyFrom =
       0; // First entry not handed to the disk; zero: none.
   std::vector<HeldMessage> Held;
@@ -294,6 +300,9 @@
 };
 
 const char *toString(MemberChange C);
+inline std::ostream &operator<<(std::ostream &OS, MemberChange C) {
+  return OS << toString(C);
+}
 
 /// Makes \p Host, by the disk that it told of, a learner. The leader makes it a
 /// voter once it has caught up and synced.
@@ -307,8 +316,9 @@
 
 /// Hands the leadership to the voter that is furthest, or to \p To. False where
 /// this replica does not lead or no voter could take over. From then on
-/// propose() refuses and no lease is held; a hand-over that takes longer than
-/// an election timeout ends in an ordinary election.
+/// propose() refuses. Once the voter has every entry it is asked to stand, and
+/// this replica holds no lease any more. If it takes longer than an election
+/// timeout, this replica leads on or, where it gave up its lease, steps down.
 bool transferLeadership(ReplicaState &S, const HostId &To, TimePoint Now,
                         ReplicaEffects &E);
 
--- a/packages/schedule/Cell.h
+++ b/packages/schedule/Cell.h
@@ -109,9 +109,9 @@
   std::uint32_t Priority = 1;
   std::uint64_t PromptTokens = 0;
   std::uint64_t MaxOutput = 0;
-  std::uint64_t Generated = 0; // Output tokens reported so far.
-  double Charged = 0;          // Cost charged to the account so far.
-  double PrefillLeft = 0;      // Not yet prefilled, as reported.
+  std::uint64_t Generated = 0;     // Output tokens reported so far.
+  double Charged = 0;              // Cost charged to the account so far.
+  std::uint64_t PrefillTokens = 0; // Prefilled, as reported.
   bool FirstTokenSeen = false;
   bool Overdue = false; // Counted as overdue at its engine.
   TimePoint GrantedAt;
@@ -120,6 +120,7 @@
   TimePoint ProgressAt;                       // Of the newest progress.
   Duration PredictedFirst = Duration::zero(); // Grant to first token.
   double UnitRate = 0; // Prefill work in front of the first token, tokens.
+  bool PromptsAhead = false; // Of others; then it teaches no rate.
   std::vector<std::uint64_t> Prefixes;
   std::vector<HeldEngine> Engines; // The first one leads.
 };
@@ -140,6 +141,7 @@
 struct ClassDemand {
   double Arrived = 0; // Predicted cost since the last tick.
   double Rate = 0;    // Cost a second.
+  double Seconds = 0; // Observed so far.
 };
 
 struct CellState {
@@ -158,9 +160,12 @@
   std::array<ClassDemand, LengthClasses> Demand;
   std::array<double, LengthClasses> Served{}; // Cost granted since last tick.
   std::array<Estimate, LengthClasses> DrainRate; // Cost a second in backlog.
-  std::size_t BulkEngines = 0; // Size of the lane of long prompts.
-  AttemptId GroupWaiting;      // Holds reservations; one at a time.
+  std::size_t BulkEngines = 0;         // Size of the lane of long prompts.
+  TimePoint NextLaneCut;               // When it may shrink next.
+  std::array<double, 2> LaneRunning{}; // Mean attempts of an engine by lane.
+  std::vector<AttemptId> Reservations; // Asks that hold engines; oldest first.
   TimePoint LastTick;
+  std::uint64_t PlacementSalt = 0;          // Of the newest placement.
   std::vector<std::uint64_t> CachedScratch; // By prefix slot.
 };
 
--- a/packages/schedule/CellGrant.cpp
+++ b/packages/schedule/CellGrant.cpp
@@ -8,10 +8,14 @@
 
 constexpr std::size_t MaxEnded = 8192; // Ended asks remembered.
 /// Accounts of one class that are tried when the first cannot be placed.
-constexpr unsigned MaxPassedOver = 3;
+constexpr unsigned MaxPassedOver = 2;
 
 constexpr double RateShare = 0.1; // Weight of the newest observation.
+constexpr double FasterShare = 0.15;
+constexpr double SlowerShare = 0.03;
 constexpr double OutputShare = 0.02;
+/// Fewer tokens say more of the engine's steps than of its rate.
+constexpr double LeastLearnedTokens = 4096;
 constexpr double ErrorShare = 0.05;
 
 /// A grant younger than this may still be on its way to the entry host.
@@ -19,18 +23,28 @@
 
 double asDouble(std::uint64_t N) { return static_cast<double>(N); }
 
-void learnFirstToken(CellState &S, const LiveGrant &G, Duration First) {
+/// What the engine can do, not what it does on average: slower observations
+/// were held up by prompts that came later and count less.
+void learnPrefill(Estimate &E, double Rate) {
+  learn(E, Rate, Rate > E.Mean ? FasterShare : SlowerShare);
+}
+
+void learnFirstToken(CellState &S, const LiveGrant &G, const Release &R) {
+  const Duration First = R.FirstToken;
   const double Seconds = std::max(1e-6, toSeconds(First));
-  const double Predicted = std::max(1e-3, toSeconds(G.PredictedFirst));
-  learn(S.Rates.FirstTokenError[classIndex(G.Class)], Seconds / Predicted,
-        ErrorShare);
-  if (G.Engines.size() != 1 || G.UnitRate <= 0)
+  learn(S.Rates.FirstTokenDelay[classIndex(G.Class)],
+        Seconds - toSeconds(G.PredictedFirst), ErrorShare);
+  if (G.Engines.size() != 1 || G.UnitRate < LeastLearnedTokens ||
+      G.PromptsAhead)
     return;
   auto Found = S.Engines.find(G.Engines.front().Backend);
   if (Found == S.Engines.end())
     return;
-  learn(Found->second.Rates.Prefill, G.UnitRate / Seconds, RateShare);
-  learn(S.Rates.Prefill, G.UnitRate / Seconds, RateShare / 4);
+  const double Rate =
+      asDouble(R.PromptTokens - std::min(R.PromptTokens, R.CachedTokens)) /
+      Seconds;
+  learnPrefill(Found->second.Rates.Prefill, Rate);
+  learnPrefill(S.Rates.Prefill, Rate);
 }
 
 void learnDecode(CellState &S, const LiveGrant &G, double Seconds,
@@ -41,8 +55,10 @@
   learn(S.Rates.DecodeSeconds[classIndex(G.Class)], Step, ErrorShare);
   learn(S.Rates.StepSeconds, Step, ErrorShare);
   auto Found = S.Engines.find(G.Engines.front().Backend);
-  if (Found != S.Engines.end())
-    learn(Found->second.Rates.StepSeconds, Step, RateShare);
+  if (Found == S.Engines.end())
+    return;
+  learn(Found->second.Rates.StepSeconds, Step, RateShare);
+  learn(S.Rates.LaneStep[Found->second.Bulk ? 1 : 0], Step, ErrorShare);
 }
 
 LiveGrant makeGrant(const CellState &S, const WaitingAsk &W, const Placement &P,
@@ -57,13 +73,13 @@
   G.PromptTokens = W.Request.PromptTokens;
   G.MaxOutput = W.Request.OutputTokens;
   G.Charged = P.Uncached;
-  G.PrefillLeft = P.Uncached;
   G.GrantedAt = Now;
   G.ProgressAt = Now;
   G.LeaseUntil = Now + S.Config.GrantLease;
   G.Deadline = W.Deadline;
   G.PredictedFirst = P.First;
   G.UnitRate = P.Ahead + P.Share;
+  G.PromptsAhead = P.Ahead > P.Share / 4;
   G.Prefixes = W.Request.Prefixes;
   G.Engines = P.Engines;
   return G;
@@ -91,7 +107,7 @@
               TimePoint Now, CellEffects &Out) {
   WaitingAsk W;
   takeAsk(S.Queue, Id, &W);
-  dropGroupReservation(S, Id);
+  dropReservation(S, Id);
   LiveGrant G = makeGrant(S, W, P, Now);
   for (const HeldEngine &H : G.Engines)
     holdMemory(S.Engines.at(H.Backend), Id, H.Tokens, HoldState::Live, Now);
@@ -130,7 +146,7 @@
           OutputShare);
   if (R.FirstToken <= Duration::zero())
     return;
-  learnFirstToken(S, G, R.FirstToken);
+  learnFirstToken(S, G, R);
   learnDecode(S, G, toSeconds(R.Total - R.FirstToken),
               asDouble(R.OutputTokens));
 }
@@ -207,26 +223,51 @@
   }
 }
 
-void dispatch(CellState &S, TimePoint Now, CellEffects &Out) {
+namespace {
+
+/// Asks that engines were kept free for go first: it was their turn.
+void grantReserved(CellState &S, TimePoint Now, CellEffects &Out) {
+  const std::vector<AttemptId> Reserved = S.Reservations;
+  for (const AttemptId &Id : Reserved) {
+    auto Found = S.Queue.Asks.find(Id);
+    if (Found == S.Queue.Asks.end())
+      continue;
+    std::optional<Placement> P = place(S, Found->second, Now);
+    if (P)
+      grantNow(S, Id, *P, Now, Out);
+  }
+}
+
+} // namespace
+
+void dispatchClass(CellState &S, LengthClass Class, TimePoint Now,
+                   CellEffects &Out) {
   if (S.Recovering)
     return;
-  for (std::size_t C = 0; C < LengthClasses; ++C) {
-    unsigned Skip = 0;
-    while (Skip <= MaxPassedOver) {
-      const WaitingAsk *Next =
-          nextAsk(S.Queue, static_cast<LengthClass>(C), Now, Skip);
-      if (!Next)
-        break;
-      std::optional<Placement> P = place(S, *Next, Now);
-      if (!P) {
-        ++Skip;
-        continue;
-      }
-      grantNow(S, AttemptId(Next->Request.Attempt), *P, Now, Out);
+  // Short prompts differ little: where one finds no engine none will.
+  const unsigned MostSkips = Class == LengthClass::Short ? 0 : MaxPassedOver;
+  unsigned Skip = 0;
+  while (Skip <= MostSkips) {
+    const WaitingAsk *Next = nextAsk(S.Queue, Class, Now, Skip);
+    if (!Next)
+      return;
+    std::optional<Placement> P = place(S, *Next, Now);
+    if (!P) {
+      ++Skip;
+      continue;
     }
+    grantNow(S, AttemptId(Next->Request.Attempt), *P, Now, Out);
   }
 }
 
+void dispatch(CellState &S, TimePoint Now, CellEffects &Out) {
+  if (S.Recovering)
+    return;
+  grantReserved(S, Now, Out);
+  for (LengthClass Class : ServiceOrder)
+    dispatchClass(S, Class, Now, Out);
+}
+
 void endGrant(CellState &S, const AttemptId &Id, bool Confirmed, TimePoint Now,
               CellEffects &Out) {
   auto Found = S.Grants.find(Id);
@@ -252,7 +293,7 @@
 void onRelease(CellState &S, const HostId &From, const Release &R,
                TimePoint Now, CellEffects &Out) {
   takeAsk(S.Queue, R.Attempt, nullptr);
-  dropGroupReservation(S, R.Attempt);
+  dropReservation(S, R.Attempt);
   auto Found = S.Grants.find(R.Attempt);
   if (Found == S.Grants.end()) {
     rememberEnded(S, R.Attempt, {});
@@ -279,7 +320,7 @@
 void onWithdraw(CellState &S, const HostId &From, const Withdraw &W,
                 TimePoint Now, CellEffects &Out) {
   takeAsk(S.Queue, W.Attempt, nullptr);
-  dropGroupReservation(S, W.Attempt);
+  dropReservation(S, W.Attempt);
   rememberEnded(S, W.Attempt, {});
   auto Found = S.Grants.find(W.Attempt);
   if (Found == S.Grants.end() || Found->second.Host != From)
@@ -288,41 +329,41 @@
   dispatch(S, Now, Out);
 }
 
-void onProgress(CellState &S, const HostId &From, const Progress &P,
-                TimePoint Now, CellEffects &Out) {
-  bool Prefilled = false;
-  for (const AttemptProgress &A : P.Attempts) {
-    auto Found = S.Grants.find({{P.Hi, A.Attempt.Lo}, A.Attempt.Number});
-    if (Found == S.Grants.end() || Found->second.Host != From)
-      continue;
-    LiveGrant &G = Found->second;
-    const std::uint64_t Before = G.Generated;
-    if (A.OutputTokens > Before && G.FirstTokenSeen)
-      learnDecode(S, G, toSeconds(Now - G.ProgressAt),
-                  asDouble(A.OutputTokens - Before));
-    G.ProgressAt = Now;
-    G.Overdue = false;
-    chargeOutput(S, G, A.OutputTokens);
-    if (A.OutputTokens == 0 || G.FirstTokenSeen)
-      continue;
-    noteFirstToken(S, G, Now);
-    Prefilled = true;
-  }
-  if (Prefilled)
-    dispatch(S, Now, Out);
-}
-
 namespace {
 
-void renewHeld(CellState &S, const HostId &From, const AttemptId &Id,
-               TimePoint Now, RegisterRequest &Unknown) {
+/// Takes totals in. Returns whether a prompt turned out to be prefilled.
+bool applyProgress(CellState &S, LiveGrant &G, const AttemptProgress &A,
+                   TimePoint Now) {
+  const std::uint64_t Before = G.Generated;
+  const bool Moved =
+      A.OutputTokens > Before || A.PrefillTokens > G.PrefillTokens;
+  if (!Moved)
+    return false;
+  if (A.OutputTokens > Before && G.FirstTokenSeen)
+    learnDecode(S, G, toSeconds(Now - G.ProgressAt),
+                asDouble(A.OutputTokens - Before));
+  G.ProgressAt = Now;
+  G.Overdue = false;
+  G.PrefillTokens = std::max<std::uint64_t>(G.PrefillTokens, A.PrefillTokens);
+  chargeOutput(S, G, A.OutputTokens);
+  if (A.OutputTokens == 0 || G.FirstTokenSeen)
+    return false;
+  noteFirstToken(S, G, Now);
+  return true;
+}
+
+bool renewHeld(CellState &S, const HostId &From, std::uint64_t Hi,
+               const AttemptProgress &A, TimePoint Now,
+               RegisterRequest &Unknown) {
+  const AttemptId Id = {{Hi, A.Attempt.Lo}, A.Attempt.Number};
   auto Found = S.Grants.find(Id);
   if (Found != S.Grants.end() && Found->second.Host == From) {
     Found->second.LeaseUntil = Now + S.Config.GrantLease;
-    return;
+    return applyProgress(S, Found->second, A, Now);
   }
   if (S.Ended.count(Id) == 0)
     Unknown.Attempts.push_back({Id.Request.Lo, Id.Number});
+  return false;
 }
 
 void renewWaiting(CellState &S, const HostId &From, const AttemptId &Id,
@@ -364,7 +405,7 @@
   std::sort(Old.begin(), Old.end());
   for (const AttemptId &Id : Old) {
     takeAsk(S.Queue, Id, nullptr);
-    dropGroupReservation(S, Id);
+    dropReservation(S, Id);
     endGrant(S, Id, /*Confirmed=*/false, Now, Out);
   }
 }
@@ -432,12 +473,27 @@
   Unknown.Cell = S.Config.Cell;
   Unknown.Epoch = S.Config.Epoch;
   Unknown.Hi = R.Hi;
-  for (const LocalAttempt &A : R.Grants)
-    renewHeld(S, From, {{R.Hi, A.Lo}, A.Number}, Now, Unknown);
+  bool Prefilled = false;
+  for (const AttemptProgress &A : R.Grants)
+    Prefilled = renewHeld(S, From, R.Hi, A, Now, Unknown) || Prefilled;
   for (const LocalAttempt &A : R.Waiting)
     renewWaiting(S, From, {{R.Hi, A.Lo}, A.Number}, Now, Unknown, Out);
   if (!Unknown.Attempts.empty())
     Out.Messages.push_back({From, std::move(Unknown)});
+  if (Prefilled)
+    dispatch(S, Now, Out);
+}
+
+void onProgress(CellState &S, const HostId &From, const Progress &P,
+                TimePoint Now, CellEffects &Out) {
+  bool Prefilled = false;
+  for (const AttemptProgress &A : P.Attempts) {
+    auto Found = S.Grants.find({{P.Hi, A.Attempt.Lo}, A.Attempt.Number});
+    if (Found != S.Grants.end() && Found->second.Host == From)
+      Prefilled = applyProgress(S, Found->second, A, Now) || Prefilled;
+  }
+  if (Prefilled)
+    dispatch(S, Now, Out);
 }
 
 void onRegister(CellState &S, const HostId &From, const Register &R,
--- /dev/null
+++ b/packages/shell/DataFolder.cpp
@@ -0,0 +1,36 @@
+#include "shell/DataFolder.h"
+
+#include "base/Result.h"
+
+#include <cstring>
+#include <random>
+
+namespace pimento {
+
+std::string openDataFolder(const Settings &S, DataFolder &Folder) {
+  if (S.Host.DataFolder.empty())
+    return "";
+  Disk Files;
+  if (int Error = openPosixDisk(S.Host.DataFolder, Files))
+    return S.Host.DataFolder + ": " + std::strerror(Error);
+  StoreConfig Config;
+  Config.Host = S.Host.Name;
+  std::random_device Device;
+  Config.Nonce = (static_cast<std::uint64_t>(Device()) << 32U) | Device() | 1U;
+  Failure Why;
+  bool Opened = valueOr<bool>(
+      [&]() -> Result<bool> {
+        auto Store = openStore(Files, Config, Folder.Found);
+        if (!Store)
+          return Store.error();
+        Folder.Open = std::move(*Store);
+        return true;
+      },
+      false, Why);
+  if (Opened)
+    return "";
+  return S.Host.DataFolder + ": " + Why.Detail + " (" + toString(Why.Number) +
+         ")";
+}
+
+} // namespace pimento
--- a/packages/shell/Process.cpp
+++ b/packages/shell/Process.cpp
@@ -3,6 +3,7 @@
 #include "base/Problem.h"
 #include "base/Random.h"
 #include "node/Node.h"
+#include "shell/DataFolder.h"
 #include "shell/EventLoop.h"
 #include "shell/HttpClient.h"
 #include "shell/HttpServer.h"
@@ -29,7 +30,7 @@
 
 class Process {
 public:
-  explicit Process(const Settings &S);
+  Process(const Settings &S, DataFolder &Folder);
   Process(const Process &) = delete;
   Process &operator=(const Process &) = delete;
 
@@ -38,15 +39,15 @@
 
   // Effects, by type.
   void operator()(const SendPeer &E) { Links.send(E.To, E.Content); }
-  void operator()(const SendReply &E);
-  void operator()(const StartStream &E);
-  void operator()(const SendChunk &E);
-  void operator()(const EndStream &E);
-  void operator()(const AbortExchange &E);
-  void operator()(const OpenUpstream &E);
-  void operator()(const AbortUpstream &E) { Client.abort(E.Call); }
-  void operator()(const PauseUpstream &E) { Client.pause(E.Call); }
-  void operator()(const ResumeUpstream &E) { Client.resume(E.Call); }
+  void operator()(const calls::SendReply &E);
+  void operator()(const calls::StartStream &E);
+  void operator()(const calls::StreamBytes &E);
+  void operator()(const calls::EndStream &E);
+  void operator()(const calls::CloseExchange &E);
+  void operator()(const calls::OpenUpstream &E);
+  void operator()(const calls::AbortUpstream &E) { Client.abort(E.Upstream); }
+  void operator()(const calls::PauseUpstream &E);
+  void operator()(const WriteDisk &E);
   void operator()(const LogDecision &E) { Log.write(LogLevel::Info, E.Record); }
   void operator()(const RecordSample &E) { Numbers.record(E.Sample); }
   void operator()(const Exit &E);
@@ -64,6 +65,7 @@
   void dispatch(Event E);
   void handle(const Event &E);
   void tick();
+  void syncWrites();
   void recordGauges();
   bool answerHere(ExchangeId Id, const HttpRequest &Request);
   static void onSignal(evutil_socket_t, short, void *Self);
@@ -74,12 +76,15 @@
   Metrics Numbers;
   std::uint64_t NextExchange = 1;
   Incarnation Life;
+  DataFolder &Data;
+  std::vector<DiskWrite> Writes; // Synced together, once the loop comes round.
   NodeState Node;
   HttpServer Callers;
   HttpServer Operators;
   HttpClient Client;
   PeerLinks Links;
   Timer TickTimer;
+  Timer SyncTimer;
   EventPtr Terminate;
   EventPtr Interrupt;
   std::deque<Event> Waiting; // Events that came while another was handled.
@@ -100,15 +105,31 @@
       std::chrono::duration_cast<microseconds>(Wall).count());
 }
 
-Process::Process(const Settings &S)
+NodeStart nodeStart(const Settings &S, Incarnation Life, DataFolder &Folder) {
+  NodeStart Start;
+  Start.Config = S;
+  Start.Life = Life;
+  Start.Seed = systemSeed();
+  Start.WallClock = std::chrono::system_clock::now().time_since_epoch();
+  if (Folder.Open) {
+    Start.DiskLife = Folder.Open->Self.Life;
+    Start.Start = Folder.Open->Self.Start;
+    Start.Found = std::move(Folder.Found);
+  }
+  return Start;
+}
+
+Process::Process(const Settings &S, DataFolder &Folder)
     : Config(S), Base(makeEventBase()), Log(S.Log, S.Host.Name),
-      Life(makeLife()), Node(makeNode(S, Life, systemSeed(), now())),
+      Life(makeLife()), Data(Folder),
+      Node(makeNode(nodeStart(S, Life, Folder), now())),
       Callers(Base.get(), callerLimits(), serverHooks(false), NextExchange),
       Operators(Base.get(), operatorLimits(), serverHooks(true), NextExchange),
       Client(Base.get(), clientHooks()),
       Links(Base.get(), S.Host.Name, Life, S.Security.PeerToken, S.Peers,
             linkHooks()),
       TickTimer(Base.get(), [this] { tick(); }),
+      SyncTimer(Base.get(), [this] { syncWrites(); }),
       Terminate(evsignal_new(Base.get(), SIGTERM, &Process::onSignal, this)),
       Interrupt(evsignal_new(Base.get(), SIGINT, &Process::onSignal, this)) {
   event_add(Terminate.get(), nullptr);
@@ -256,7 +277,7 @@
 
 void Process::tick() {
   dispatch(Tick());
-  TickTimer.start(TickInterval);
+  TickTimer.start(NodeTickInterval);
 }
 
 void Process::recordGauges() {
@@ -281,37 +302,79 @@
   static_cast<Process *>(Self)->dispatch(StopRequested());
 }
 
-void Process::operator()(const SendReply &E) {
+void Process::operator()(const calls::SendReply &E) {
   serverOf(E.Exchange).reply(E.Exchange, E.Reply);
 }
 
-void Process::operator()(const StartStream &E) {
-  serverOf(E.Exchange).startStream(E.Exchange, E.Status, E.Headers);
+void Process::operator()(const calls::StartStream &E) {
+  serverOf(E.Exchange).startStream(E.Exchange, E.Head.Status, E.Head.Headers);
 }
 
-void Process::operator()(const SendChunk &E) {
+void Process::operator()(const calls::StreamBytes &E) {
   serverOf(E.Exchange).sendChunk(E.Exchange, E.Bytes);
 }
 
-void Process::operator()(const EndStream &E) {
-  serverOf(E.Exchange).endStream(E.Exchange);
+void Process::operator()(const calls::EndStream &E) {
+  if (E.Whole)
+    serverOf(E.Exchange).endStream(E.Exchange);
+  else
+    serverOf(E.Exchange).abort(E.Exchange);
 }
 
-void Process::operator()(const AbortExchange &E) {
+void Process::operator()(const calls::CloseExchange &E) {
   serverOf(E.Exchange).abort(E.Exchange);
 }
 
+void Process::operator()(const calls::PauseUpstream &E) {
+  if (E.Paused)
+    Client.pause(E.Upstream);
+  else
+    Client.resume(E.Upstream);
+}
+
 /// A process that was frozen wakes with effects whose leave has run out.
-void Process::operator()(const OpenUpstream &E) {
-  if (now() <= E.SendBy) {
-    Client.open(E.Call, E.Request);
+void Process::operator()(const calls::OpenUpstream &E) {
+  if (!E.SendBy || now() <= *E.SendBy) {
+    Client.open(E.Upstream, E.Request);
     return;
   }
   UpstreamFailure Why;
   Why.BytesSent = false;
   Why.TimedOut = true;
   Why.Detail = "the leave to send ran out";
-  dispatch(UpstreamFailed{E.Call, Why});
+  dispatch(UpstreamFailed{E.Upstream, Why});
+}
+
+void Process::operator()(const WriteDisk &E) {
+  Writes.push_back(E.Write);
+  if (!SyncTimer.pending())
+    SyncTimer.start(Duration::zero());
+}
+
+/// One sync for all that was written since the last one. It blocks the loop:
+/// the price of one thread, paid on hosts with a disk only.
+void Process::syncWrites() {
+  std::vector<DiskWrite> Batch = std::move(Writes);
+  Writes.clear();
+  auto Before = now();
+  Failure Why;
+  bool Synced = valueOr<bool>(
+      [&]() -> Result<bool> {
+        auto Done = writeBatch(*Data.Open, Batch);
+        if (!Done)
+          return Done.error();
+        return true;
+      },
+      false, Why);
+  Numbers.record({SampleKind::Distribution, "pimento_disk_sync_seconds", "",
+                  toSeconds(now() - Before)});
+  if (!Synced) {
+    Log.write(LogLevel::Error, "disk_failed", Why.Detail);
+    dispatch(DiskFailed{Why.Number, Why.Detail});
+    return;
+  }
+  for (const DiskWrite &Write : Batch)
+    dispatch(DiskWritten{Write.Group, Write.Ticket});
 }
 
 void Process::operator()(const Exit &E) {
@@ -325,7 +388,13 @@
 
 int runHost(const Settings &S) {
   std::signal(SIGPIPE, SIG_IGN);
-  Process Host(S);
+  DataFolder Folder;
+  std::string Problem = openDataFolder(S, Folder);
+  if (!Problem.empty()) {
+    Logger(S.Log, S.Host.Name).write(LogLevel::Error, "start_failed", Problem);
+    return 1;
+  }
+  Process Host(S, Folder);
   if (!Host.listen())
     return 1;
   return Host.run();
