--- a/packages/calls/Calls.h
+++ b/packages/calls/Calls.h
@@ -170,6 +170,8 @@
   TimePoint Indexed;            // Its key in CallsState::Timers.
   std::uint32_t Tries = 0;      // Attempts begun.
   std::vector<BackendId> Avoid; // Backend servers that failed it.
+  BackendId TryServer;          // Of the current or last try; empty: none.
+  TimePoint TryBegan;           // When that server was chosen.
   bool MayHaveRun = false;      // A try was sent; no proof that it didn't run.
   Problem LastFailure;          // Of the try before; the answer if none helps.
   bool Streaming = false;       // The caller has seen the head.
@@ -228,10 +230,13 @@
   std::map<RequestId, ResultOnItsWay> Results;
   std::map<TurnQueue, std::deque<RequestId>> Turns; // In order of arrival here.
   std::map<ServiceId, RetryBudget> Budgets;
+  FailureEpisodes Episodes; // Of backend servers.
   std::map<ModelName, TokenRatio> Ratios;
   HealthState Health;
   std::uint64_t Bytes = 0; // Held by all requests, bodies and buffers.
-  TimePoint DrainUntil;    // Zero: not stopping.
+  TimePoint NextFollowUp = TimePoint::max(); // Cleanups and Results; no later
+                                             // than the first that is due.
+  TimePoint DrainUntil;                      // Zero: not stopping.
 };
 
 /// An empty state. \p Seed drives jitter and choices.
--- a/packages/calls/tests/PlainTest.cpp
+++ b/packages/calls/tests/PlainTest.cpp
@@ -203,6 +203,18 @@
   BOOST_TEST(outcome(Silent.one<SendReply>()) == "unknown");
 }
 
+BOOST_AUTO_TEST_CASE(WithoutControlHostsSignOffsAreAnsweredAtOnce) {
+  Rig R;
+  R.Dir.ClaimsReachable = false;
+  R.signOff("k1");
+  BOOST_TEST(outcome(R.one<SendReply>()) == "not_run");
+  BOOST_TEST(R.none<SendClaim>()); // Nor does it leave anything behind.
+  BOOST_TEST(headerValue(R.one<SendReply>().Reply.Headers, "Retry-After") ==
+             "1");
+  R.lookUp();
+  BOOST_TEST(R.all<OpenUpstream>().size() == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(CallsOfAnAccountAreClaimedInOrderOfArrival) {
   Rig R;
   R.signOff("k1");
--- a/packages/node/CallsPart.cpp
+++ b/packages/node/CallsPart.cpp
@@ -106,7 +106,7 @@
 void refreshFlags(Turn &T) {
   ServeVerdict Verdict = verdict(T.S.Spread, T.Now);
   T.S.Known.Fresh = Verdict.Serve;
-  T.S.Known.ControlLost = Verdict.Reason == ServeReason::ByMajority;
+  T.S.Known.ClaimsReachable = Verdict.Reason != ServeReason::ByMajority;
   T.S.Known.RefuseNew = T.S.Drain >= DrainPhase::Refusing;
 }
 
