shell: a closed connection's socket outlives its bufferevent; schedule: no refusal on priors

And a cell that had learned nothing refused a million-token prompt on its built-in rate. Ruled out: disabling events in the close callback only (a connection that never sent a request has none). Two tests of schedule teach the rates first, and a new one holds the rule. Conclusion: forecasts count only what was learned. The new shell test does not fail without the change: the hang needs more connections than it opens.

--- a/packages/schedule/CellAsk.cpp
+++ b/packages/schedule/CellAsk.cpp
@@ -108,14 +108,21 @@
   return std::max(Rate, 1.0);
 }
 
+/// Counts only what was learned: a prior is no ground to refuse on, and a cell
+/// that refused on it would never learn better.
 double runSeconds(const CellState &S, LengthClass Class, double Uncached,
                   std::uint64_t MaxOutput) {
   const std::size_t C = classIndex(Class);
   const double Output = std::min(static_cast<double>(MaxOutput),
                                  cautious(S.Rates.OutputTokens[C]));
-  const double First = Uncached / std::max(1.0, S.Rates.Prefill.Mean) +
-                       std::max(0.0, cautious(S.Rates.FirstTokenDelay[C]));
-  return First + Output * cautious(S.Rates.DecodeSeconds[C]);
+  const double Prefill = isLearned(S.Rates.Prefill)
+                             ? Uncached / std::max(1.0, S.Rates.Prefill.Mean)
+                             : 0;
+  const double Step = isLearned(S.Rates.DecodeSeconds[C])
+                          ? cautious(S.Rates.DecodeSeconds[C])
+                          : 0;
+  return Prefill + std::max(0.0, cautious(S.Rates.FirstTokenDelay[C])) +
+         Output * Step;
 }
 
 double waitSeconds(const CellState &S, const AccountId &Account, double Weight,
--- a/packages/schedule/Rates.cpp
+++ b/packages/schedule/Rates.cpp
@@ -7,9 +7,6 @@
 
 namespace {
 
-/// Observations after which an engine's own rate replaces the cell's.
-constexpr double TrustedSamples = 3;
-
 /// What a cell starts from before its first request has ended.
 constexpr double PriorPrefill = 8000;     // Tokens a second.
 constexpr double PriorStepSeconds = 0.03; // A token.
--- a/packages/schedule/Rates.h
+++ b/packages/schedule/Rates.h
@@ -32,6 +32,10 @@
 /// The value that few observations pass.
 inline double cautious(const Estimate &E) { return E.Mean + 2 * E.Deviation; }
 
+/// Observations after which an estimate is trusted.
+constexpr double TrustedSamples = 3;
+inline bool isLearned(const Estimate &E) { return E.Samples >= TrustedSamples; }
+
 /// Speed of one engine.
 struct EngineRates {
   Estimate Prefill;     // Prompt tokens a second while it prefills.
--- a/packages/schedule/tests/CellTest.cpp
+++ b/packages/schedule/tests/CellTest.cpp
@@ -14,6 +14,14 @@
   return Count;
 }
 
+/// A cell whose rates are known: only then the forecast may refuse.
+void teachRates(CellState &S) {
+  constexpr double Many = 10;
+  S.Rates.Prefill.Samples = Many;
+  for (Estimate &E : S.Rates.DecodeSeconds)
+    E.Samples = Many;
+}
+
 BackendId leaderOf(const CellEffects &Out) {
   return sent<Grant>(Out).at(0).Engines.at(0).Backend;
 }
@@ -35,6 +43,7 @@
 
 BOOST_AUTO_TEST_CASE(ResendsHearTheSameAgain) {
   CellState S = makeCell(2);
+  teachRates(S);
   CellEffects Out;
   onAsk(S, Entry1, makeAsk(1), Start, Out);
   const BackendId First = leaderOf(Out);
@@ -56,6 +65,22 @@
              Code::DeadlineUnreachable);
 }
 
+BOOST_AUTO_TEST_CASE(AnUnlearnedRateRefusesNothing) {
+  CellState S = makeCell(1);
+  Ask Long = makeAsk(1);
+  Long.PromptTokens = 8000;
+  Long.TimeLeft = milliseconds(100); // A prior would call it out of reach.
+  CellEffects Out;
+  onAsk(S, Entry1, Long, Start, Out);
+  BOOST_TEST(sent<Refusal>(Out).empty());
+  teachRates(S);
+  Long.Attempt.Request.Lo = 2;
+  CellEffects Learnt;
+  onAsk(S, Entry1, Long, Start, Learnt);
+  BOOST_REQUIRE(sent<Refusal>(Learnt).size() == 1U);
+  BOOST_TEST(sent<Refusal>(Learnt)[0].Reason == Code::DeadlineUnreachable);
+}
+
 BOOST_AUTO_TEST_CASE(AWithdrawnAskIsNotGrantedWhenItsCopyComesLate) {
   CellState S = makeCell(1);
   CellEffects Out;
@@ -104,6 +129,7 @@
 
 BOOST_AUTO_TEST_CASE(ALimitThatBecomesUnreachableIsAnsweredWhileItWaits) {
   CellState S = makeCell(1, 3000);
+  teachRates(S);
   CellEffects Out;
   onAsk(S, Entry1, makeAsk(1, 2000), Start, Out);
   Ask A = makeAsk(2, 2000);
--- a/packages/shell/HttpServer.cpp
+++ b/packages/shell/HttpServer.cpp
@@ -160,7 +160,9 @@
 
 bufferevent *HttpServer::Impl::accept(event_base *Base, void *Self) {
   auto &Server = *static_cast<Impl *>(Self);
-  bufferevent *Stream = bufferevent_socket_new(Base, -1, 0);
+  // The socket stays open until the last reference goes: evhttp closing it
+  // under the bufferevent would spoil the next socket of the same number.
+  bufferevent *Stream = bufferevent_socket_new(Base, -1, BEV_OPT_CLOSE_ON_FREE);
   if (!Stream)
     return nullptr;
   bufferevent_incref(Stream);
--- a/packages/shell/tests/HttpTest.cpp
+++ b/packages/shell/tests/HttpTest.cpp
@@ -193,6 +193,26 @@
   expectProblem(rawExchange("GET / HT"), Code::RequestTimeout);
 }
 
+BOOST_FIXTURE_TEST_CASE(ConnectionsRightAfterClosedOnesAreServed, Fixture) {
+  for (std::size_t Round = 1; Round <= 20; ++Round) {
+    auto Socket = std::make_unique<RawSocket>(Address);
+    Socket->write("GET / HTTP/1.1\r\n\r\n");
+    BOOST_TEST_REQUIRE(until([&] { return Requests.size() == 2 * Round - 1; }));
+    // Closed while its reply is pending, and the next one comes at once: it
+    // gets the same descriptor on the server's side.
+    Socket.reset();
+    BOOST_TEST_REQUIRE(until([&] { return Left.size() == Round; }));
+    RawSocket Next(Address);
+    Next.write("GET / HTTP/1.1\r\n\r\n");
+    BOOST_TEST_REQUIRE(until([&] { return Requests.size() == 2 * Round; }));
+    Server.reply(Requests.back().first, jsonReply(200, "{}"));
+    BOOST_TEST_REQUIRE(until([&] {
+      Next.readAvailable();
+      return !Next.Received.empty();
+    }));
+  }
+}
+
 BOOST_FIXTURE_TEST_CASE(ConnectionsAreBounded, Fixture) {
   std::vector<std::unique_ptr<RawSocket>> Sockets;
   constexpr int More = 12; // Than the limit of 8.
