calls: the table's check compiles with the undefined-behaviour sanitizer

Cause: GCC 12 does not take a comparison of function addresses as a constant under -fsanitize=undefined, so that the build with PIMENTO_SANITIZE failed. Ruled out: leaving the check out; it moved to the test of the table. Before: that build failed in Transitions.cpp. After: it compiles.

--- a/packages/calls/Transitions.cpp
+++ b/packages/calls/Transitions.cpp
@@ -31,7 +31,7 @@
 /// Rows stand in the order of phases and, within one, of events.
 constexpr bool isComplete() {
   for (std::size_t I = 0; I < Table.size(); ++I) {
-    if (place(Table[I].From, Table[I].On) != I || Table[I].Run == nullptr)
+    if (place(Table[I].From, Table[I].On) != I)
       return false;
   }
   return true;
--- a/packages/calls/tests/TransitionsTest.cpp
+++ b/packages/calls/tests/TransitionsTest.cpp
@@ -44,6 +44,7 @@
     for (std::size_t E = 0; E < EventCount; ++E) {
       const Transition &Row =
           transition(static_cast<Phase>(P), static_cast<EventKind>(E));
+      BOOST_TEST((Row.Run != nullptr));
       BOOST_TEST((Row.From == static_cast<Phase>(P)));
       BOOST_TEST((Row.On == static_cast<EventKind>(E)));
       BOOST_TEST(rowText(Row) == Page[At++]);
