--- a/packages/calls/Generation.cpp
+++ b/packages/calls/Generation.cpp
@@ -141,6 +141,9 @@
   EngineTry &T = R.Generation->Try;
   T.Leave = *E.Granted;
   T.GrantedAt = C.Now;
+  R.TryServer =
+      T.Leave.Engines.empty() ? BackendId() : T.Leave.Engines[0].Backend;
+  R.TryBegan = C.Now;
   decide(C, "granted", R.Id, "the scheduler gave engines")
       .add("backend", firstServer(T.Leave))
       .add("engines", static_cast<std::int64_t>(T.Leave.Engines.size()))
--- a/packages/calls/PlainCalls.cpp
+++ b/packages/calls/PlainCalls.cpp
@@ -220,6 +220,8 @@
   const PlainServer &Server = *Choice.Server;
   onCallStarted(C.S.Health, Server, C.Now);
   ++R.Tries;
+  R.TryServer = Server.Backend;
+  R.TryBegan = C.Now;
   Call.Server = Server.Backend;
   Call.Sent = false;
   Call.Status = 0;
--- a/packages/calls/tests/GenerationTest.cpp
+++ b/packages/calls/tests/GenerationTest.cpp
@@ -198,12 +198,18 @@
   BOOST_TEST((R.one<SendRelease>().Content.End == AttemptEnd::Unused));
   R.passAll(milliseconds(50));
   BOOST_TEST(R.all<SendAsk>().size() == 1U);
-  // Without budget the answer comes at once, and is honest.
+  // Without budget, what was under way when the engine began to fail moves on;
+  // what is sent to it later is answered at once, and honestly.
   Rig Poor;
   Poor.S.Budgets[ServiceId("text")].Tokens = 0;
   Poor.complete(false);
   Poor.grant(Poor.one<SendAsk>().Content.Attempt);
   Poor.fail(Poor.one<OpenUpstream>().Upstream, false);
+  BOOST_TEST(Poor.none<SendReply>());
+  Poor.passAll(milliseconds(50));
+  Poor.complete(false);
+  Poor.grant(Poor.one<SendAsk>().Content.Attempt);
+  Poor.fail(Poor.one<OpenUpstream>().Upstream, false);
   BOOST_TEST(code(Poor.one<SendReply>()) == "207");
 }
 
