--- a/packages/calls/CallerApi.cpp
+++ b/packages/calls/CallerApi.cpp
@@ -42,16 +42,18 @@
 private:
   std::size_t Left;
 
-  void *do_allocate(std::size_t Bytes, std::size_t Alignment) override {
+  // Boost.JSON frees keys with another alignment than it asked for; plain new
+  // is aligned enough for all of its values.
+  void *do_allocate(std::size_t Bytes, std::size_t /*Alignment*/) override {
     if (Bytes > Left)
       throw std::bad_alloc();
     Left -= Bytes;
-    return ::operator new(Bytes, std::align_val_t(Alignment));
+    return ::operator new(Bytes);
   }
   void do_deallocate(void *Memory, std::size_t Bytes,
-                     std::size_t Alignment) override {
+                     std::size_t /*Alignment*/) override {
     Left += Bytes;
-    ::operator delete(Memory, std::align_val_t(Alignment));
+    ::operator delete(Memory);
   }
   bool do_is_equal(const memory_resource &Other) const noexcept override {
     return this == &Other;
