--- a/packages/replica/tests/Cluster.h
+++ b/packages/replica/tests/Cluster.h
@@ -14,7 +14,7 @@
 
 #include "Invariants.h"
 #include "replica/Replica.h"
-#include "storage/Store.h"
+#include "storage/LogStore.h"
 #include "testing/FakeDisk.h"
 #include "testing/Pump.h"
 
@@ -39,7 +39,7 @@
 
 struct TestHost {
   HostId Name;
-  Store Files;
+  LogStore Files;
   std::map<GroupId, GroupNode> Groups;
   std::vector<DiskWrite> Queue; // For the disk.
   bool DiskBusy = false;
@@ -93,9 +93,9 @@
     std::map<GroupId, Recovered> Found;
     Failure Why;
     Why.Number = Code::Ok;
-    H.Files = valueOr<Store>(
-        [&] { return openStore(Disks.at(Name)->disk(), SC, Found); }, Store(),
-        Why);
+    H.Files = valueOr<LogStore>(
+        [&] { return openStore(Disks.at(Name)->disk(), SC, Found); },
+        LogStore(), Why);
     StartFailures[Name] = Why.Number;
     if (Why.Number != Code::Ok)
       return false;
