--- a/packages/replica/Election.cpp
+++ b/packages/replica/Election.cpp
@@ -223,6 +223,18 @@
   sendAfter(S, ticketForHard(S), From, voteReply(S, M, Granted), E);
 }
 
+/// Two candidates stood at once, and neither may win: the first by name tries
+/// again soon, well before the other one does.
+void settleTie(ReplicaState &S, const HostId &From, const VoteRequest &M,
+               TimePoint Now) {
+  if (S.Role != ReplicaRole::Candidate || M.VoteTerm != S.Hard.Term ||
+      From < S.Config.Self)
+    return;
+  Duration Soon =
+      between(S.Rng, Duration::zero(), S.Config.HeartbeatInterval / 2);
+  S.ElectionDeadline = std::min(S.ElectionDeadline, Now + Soon);
+}
+
 void onBindingVote(ReplicaState &S, const HostId &From, const VoteRequest &M,
                    TimePoint Now, ReplicaEffects &E) {
   if (M.VoteTerm > S.Hard.Term)
@@ -232,6 +244,7 @@
                  mayVoteFor(S, From, M.Header.Life) &&
                  (Forms ? isEmpty(S) : isUpToDate(S, M));
   if (!Granted) {
+    settleTie(S, From, M, Now);
     sendAfter(S, ticketForHard(S), From, voteReply(S, M, false), E);
     return;
   }
--- a/packages/replica/Replica.cpp
+++ b/packages/replica/Replica.cpp
@@ -74,6 +74,15 @@
   startPreVote(S, Now, E);
 }
 
+void tickSnapshot(ReplicaState &S, TimePoint Now, ReplicaEffects &E) {
+  Duration Interval = S.Config.SnapshotInterval;
+  if (S.SnapshotWanted || Interval == Duration::zero() ||
+      S.Applied <= S.Base.Index || Now < S.SnapshotAt + Interval)
+    return;
+  S.SnapshotWanted = true;
+  E.WantSnapshot = true;
+}
+
 struct Receiver {
   ReplicaState &S;
   const HostId &From;
@@ -161,6 +170,7 @@
   }
   // What this replica promised a leader before it stopped still holds.
   S.LastContact = Now;
+  S.SnapshotAt = Now;
   S.NextProbe = Now;
   replica::resetElectionTimer(S, Now);
   bool Alone = replica::majority(members(S)) == 1 && replica::isSelfVoter(S);
@@ -188,6 +198,7 @@
     S.NextProbe = Now + S.Config.ProbeInterval;
   }
   replica::continueStart(S, Now, E);
+  replica::tickSnapshot(S, Now, E);
   if (S.Role == ReplicaRole::Leader)
     replica::tickLeader(S, Now, E);
   else
@@ -240,6 +251,7 @@
   if (S.Halted != Code::Ok)
     return;
   S.SnapshotWanted = false;
+  S.SnapshotAt = Now;
   if (Index <= S.Base.Index || Index > S.Applied)
     return;
   Snapshot New;
--- a/packages/replica/Replica.h
+++ b/packages/replica/Replica.h
@@ -67,6 +67,9 @@
   std::uint64_t ClockDriftPerMille = 10; // How far two clocks' rates differ.
 
   std::uint64_t SnapshotEntries = 4096; // Applied entries between snapshots.
+  Duration SnapshotInterval =
+      minutes(2); // Between snapshots of a log with few entries, so that they
+                  // do not keep the disk's old segments. Zero: none.
   std::size_t BatchEntries = 1024;      // Most in one message.
   std::size_t BatchBytes = 512U << 10U; // Most in one message, but one entry.
   std::size_t CommandBytes = 2U << 20U; // Longest command.
@@ -197,6 +200,7 @@
   std::uint64_t Commit = 0;
   std::uint64_t Applied = 0; // Handed out.
   bool SnapshotWanted = false;
+  TimePoint SnapshotAt{}; // The last one, or the start.
 
   // The disk.
   std::uint64_t Synced = 0;     // The log is synced up to here.
--- a/packages/replica/tests/ReplicaTest.cpp
+++ b/packages/replica/tests/ReplicaTest.cpp
@@ -92,6 +92,12 @@
   S.Net.runFor(seconds(5));
   BOOST_TEST(S.leader() == A);
   BOOST_TEST(term(S.replica(A)) == Term);
+
+  // One silent link: b, which both reach, keeps its promise to a.
+  S.Net.cut(C, A);
+  S.Net.runFor(seconds(5));
+  BOOST_TEST(S.leader() == A);
+  BOOST_TEST(term(S.replica(A)) == Term);
   BOOST_TEST(S.broken() == "");
 }
 
@@ -235,6 +241,29 @@
   BOOST_TEST(S.broken() == "");
 }
 
+BOOST_AUTO_TEST_CASE(AQuietGroupDoesNotKeepTheSegmentsOfABusyOne) {
+  Cluster S(12);
+  S.GroupCount = 2;
+  S.Base.SnapshotEntries = 50;
+  S.Base.SnapshotInterval = seconds(5);
+  S.SegmentBytes = 4096;
+  S.startAll();
+  BOOST_REQUIRE(!S.waitForLeader(seconds(5), 0).empty());
+  BOOST_REQUIRE(!S.waitForLeader(seconds(5), 1).empty());
+  S.propose(S.leader(1), "the only one of its group", 1);
+  std::size_t Most = 0;
+  for (int I = 0; I < 3000; ++I) {
+    S.propose(S.leader(0), std::string(100, 'x'), 0);
+    S.Net.runFor(milliseconds(10));
+    if (I >= 1000)
+      Most = std::max(Most, S.Net.node(A).Files.Segments.size());
+  }
+  // What 5 s and 50 entries write, and not what 30 s do.
+  BOOST_TEST(Most > 1U);
+  BOOST_TEST(Most < 40U);
+  BOOST_TEST(S.broken() == "");
+}
+
 BOOST_AUTO_TEST_CASE(SlowDisksDelayNobodyButThemselves) {
   for (const HostId &Slow : {A, B}) {
     Site S(8);
