schedule: failures between hosts, on the pump; recovery does not judge by guess

Changed: no refusal by forecast while it recovers and for two seconds after. Ruled out: a bound of two thirds of all requests in that test, which counted requests of crashed hosts; it is 90% of all answers over the seeds now. Conclusion: no request lost, none run twice, memory back within 10 s.

--- a/packages/schedule/CellAsk.cpp
+++ b/packages/schedule/CellAsk.cpp
@@ -11,6 +11,8 @@
 /// Where no forecast is better than a guess.
 constexpr Duration DefaultRetryAfter = seconds(1);
 constexpr Duration MaxRetryAfter = minutes(5);
+/// After a recovery, for asks that were still on their way.
+constexpr Duration RegistrationTime = seconds(2);
 
 Duration forecastRetry(double Seconds) {
   const Duration Wait = fromSeconds(std::max(0.0, Seconds));
@@ -93,6 +95,14 @@
   D.add("left_s", toSeconds(W.Request.TimeLeft));
 }
 
+/// A new holder has measured nothing yet, and what an earlier one admitted is
+/// not judged by a guess. Whatever proves unreachable is answered by tick().
+bool admittedBefore(const CellState &S, const Ask &A, TimePoint Now) {
+  const bool New = S.Config.RecoveryWait > Duration::zero() &&
+                   Now < S.RecoverUntil + RegistrationTime;
+  return S.Recovering || (New && A.Waited > Duration::zero());
+}
+
 } // namespace
 
 double laneRate(const CellState &S, LengthClass Class) {
@@ -165,7 +175,8 @@
   S.Demand[classIndex(W.Class)].Arrived += W.Cost;
   const double Run = toSeconds(W.Deadline - W.LatestStart);
   const bool First = S.Queue.Classes[classIndex(W.Class)].Ready.empty();
-  const double Expected = First ? 0 : Wait * WaitMargin;
+  const double Expected =
+      First || admittedBefore(S, A, Now) ? 0 : Wait * WaitMargin;
   if (Now + fromSeconds(Expected) > W.LatestStart) {
     refuse(S, From, A.Attempt, Code::DeadlineUnreachable,
            forecastRetry(Expected + Run - toSeconds(A.TimeLeft)),
--- /dev/null
+++ b/packages/schedule/tests/FailureTest.cpp
@@ -0,0 +1,238 @@
+#include <boost/test/unit_test.hpp>
+
+#include "World.h"
+
+using namespace pimento;
+using namespace pimento::test;
+
+namespace {
+
+const HostId Scheduler1("scheduler-1");
+const HostId Scheduler2("scheduler-2");
+const HostId EntryA("entry-1");
+const HostId EntryB("entry-2");
+/// The bound of the promise: no memory held longer after any fault.
+constexpr Duration MemoryReturns = seconds(10);
+/// The longest limit of the requests below.
+constexpr Duration LongestLimit = seconds(12);
+
+void load(World &W, int Requests, Duration Every = milliseconds(20)) {
+  for (int I = 0; I < Requests; ++I) {
+    request(W, HostId("entry-" + std::to_string(1 + I % 3)),
+            200 + 37U * static_cast<unsigned>(I % 50));
+    W.P.runFor(Every);
+  }
+}
+
+/// The callers of the host are gone with it.
+void crashEntryHost(World &W, const HostId &Name) {
+  const std::uint64_t Hi = W.P.node(Name).Entry->Config.Hi;
+  W.P.crash(Name);
+  for (auto It = W.Open.begin(); It != W.Open.end();)
+    It = It->Request.Hi == Hi ? W.Open.erase(It) : std::next(It);
+}
+
+/// Nothing is open, doubled or held any more.
+void checkRest(World &W) {
+  W.P.runFor(LongestLimit + MemoryReturns);
+  BOOST_TEST(W.Open.empty());
+  BOOST_TEST(W.RanTwice == 0U);
+  for (const auto &[Id, Count] : W.Answers)
+    BOOST_TEST(Count == 1, toString(Id));
+  BOOST_TEST(heldAtEngines(W) == 0U);
+  BOOST_TEST(heldInLedger(W) == 0U);
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(LostAndDoubledMessagesLoseNoRequest) {
+  World W(1);
+  startWorld(W);
+  W.P.Faults.Loss = 0.1;
+  W.P.Faults.Duplicate = 0.1;
+  W.P.Faults.Slow = 0.1;
+  W.P.Faults.SlowDelay = milliseconds(300);
+  load(W, 300);
+  W.P.Faults = {};
+  checkRest(W);
+  BOOST_TEST(W.Whole > 250U);
+}
+
+BOOST_AUTO_TEST_CASE(TheDeathOfTheSchedulerLosesNothingAndDoublesNothing) {
+  World W(2);
+  startWorld(W);
+  load(W, 100);
+  const std::size_t Before = W.Whole;
+  W.P.crash(Scheduler1);
+  load(W, 40); // No holder for 0.8 s; asks wait at their hosts.
+  handOver(W, Scheduler2, milliseconds(600));
+  const TimePoint Taken = W.P.now();
+  // A holder that recovers gives nothing away before its time.
+  W.P.runFor(milliseconds(500));
+  for (const auto &[Id, G] : W.P.node(Scheduler2).Cell->Grants)
+    BOOST_TEST(W.RanAt.count(Id) == 1U);
+  const bool Served =
+      W.P.runUntilDone(seconds(5), [&] { return W.Whole + W.Refused >= 140U; });
+  BOOST_TEST(Served);
+  BOOST_TEST((W.P.now() - Taken < seconds(4)));
+  BOOST_TEST(W.Whole > Before);
+  checkRest(W);
+  BOOST_TEST(W.Refused == 0U);
+  BOOST_TEST(W.Whole == 140U);
+}
+
+BOOST_AUTO_TEST_CASE(AFrozenSchedulerThawsIntoAnotherEpoch) {
+  World W(3);
+  startWorld(W);
+  load(W, 100);
+  W.P.freeze(Scheduler1);
+  load(W, 30);
+  handOver(W, Scheduler2, milliseconds(600));
+  load(W, 60);
+  W.P.thaw(Scheduler1);
+  load(W, 60);
+  checkRest(W);
+  BOOST_TEST(W.Whole == 250U);
+}
+
+BOOST_AUTO_TEST_CASE(AHolderUnderAnOldEpochIsNotListenedTo) {
+  EntryState E = startEntry({});
+  EntryEffects Out;
+  setHolder(E, CellId{}, Scheduler2, 5, Start, Out);
+  startAsk(E, makeAsk(1), Start, Out);
+  Grant Old;
+  Old.Attempt = attempt(1);
+  Old.Epoch = 4;
+  Old.Engines = {{BackendId("e1"), "", 1100}};
+  onGrant(E, Scheduler1, Old, Start, Out);
+  Refusal No;
+  No.Attempt = attempt(1);
+  No.Epoch = 4;
+  onRefusal(E, Scheduler1, No, Start, Out);
+  BOOST_TEST(Out.Answers.empty());
+  Old.Epoch = 5;
+  onGrant(E, Scheduler2, Old, Start, Out);
+  BOOST_TEST(Out.Answers.size() == 1U);
+  // A second grant elsewhere is answered with the first, a late one for an
+  // attempt that is over with its return.
+  Grant Other = Old;
+  Other.Engines = {{BackendId("e2"), "", 1100}};
+  Out = {};
+  onGrant(E, Scheduler2, Other, Start, Out);
+  BOOST_TEST(Out.Answers.empty());
+  BOOST_REQUIRE(sent<Register>(Out).size() == 1U);
+  BOOST_TEST(sent<Register>(Out)[0].Grants[0].Engines[0].Backend ==
+             BackendId("e1"));
+  endAttempt(E, finished(1), Start, Out);
+  Out = {};
+  onGrant(E, Scheduler2, Old, Start, Out);
+  BOOST_REQUIRE(sent<Release>(Out).size() == 1U);
+  BOOST_TEST((sent<Release>(Out)[0].End == AttemptEnd::Unused));
+}
+
+BOOST_AUTO_TEST_CASE(AnEntryHostThatDiesWithGrantsHoldsNothingLong) {
+  World W(4);
+  startWorld(W);
+  load(W, 100);
+  for (int I = 0; I < 10; ++I)
+    request(W, EntryA, 1000);
+  W.P.runFor(milliseconds(20));
+  crashEntryHost(W, EntryA);
+  W.P.runFor(MemoryReturns);
+  BOOST_TEST(heldAtEngines(W) == 0U);
+  BOOST_TEST(heldInLedger(W) == 0U);
+  startEntryHost(W, EntryA, /*Life=*/2);
+  load(W, 30);
+  checkRest(W);
+}
+
+BOOST_AUTO_TEST_CASE(ACutEntryHostKeepsItsMemoryOnlyForALease) {
+  World W(5);
+  startWorld(W);
+  load(W, 50);
+  W.P.cut(EntryB, Scheduler1);
+  W.P.cut(Scheduler1, EntryB);
+  request(W, EntryB, 1000);
+  W.P.runFor(LongestLimit + MemoryReturns);
+  BOOST_TEST(heldAtEngines(W) == 0U);
+  BOOST_TEST(heldInLedger(W) == 0U);
+  BOOST_TEST(W.Open.empty());
+  W.P.healAll();
+  load(W, 30);
+  checkRest(W);
+}
+
+BOOST_AUTO_TEST_CASE(AHostWithoutASchedulerPlacesByItself) {
+  EntryState E = startEntry({});
+  EntryEffects Out;
+  setHolder(E, CellId{}, Scheduler1, 1, Start, Out);
+  for (int I = 0; I < 3; ++I) {
+    setEngineView(E, CellId{}, engineRecord("e" + std::to_string(I), 10000));
+    LoadReport R;
+    R.Backend = BackendId("e" + std::to_string(I));
+    R.Life = 1;
+    R.Sequence = 1;
+    R.UsedTokens = I == 0 ? 9000 : 0; // No room at the first.
+    setEngineLoad(E, CellId{}, R, Start + seconds(1));
+  }
+  setHolder(E, CellId{}, HostId(), 1, Start + seconds(1), Out);
+  for (std::uint64_t Lo = 1; Lo <= 30; ++Lo)
+    startAsk(E, makeAsk(Lo), Start + seconds(1), Out);
+  tick(E, Start + seconds(2), Out);
+  BOOST_TEST(Out.Answers.empty());
+  tick(E, Start + milliseconds(4500), Out);
+  // Two engines take 0.8 of their memory, 1100 tokens each time.
+  BOOST_TEST(Out.Answers.size() == 14U);
+  for (const EntryAnswer &A : Out.Answers) {
+    BOOST_TEST(A.Local);
+    BOOST_TEST(A.Given.Engines[0].Backend != BackendId("e0"));
+  }
+  // The next holder hears of them.
+  Out = {};
+  setHolder(E, CellId{}, Scheduler2, 2, Start + seconds(6), Out);
+  BOOST_REQUIRE(sent<Register>(Out).size() == 1U);
+  BOOST_TEST(sent<Register>(Out)[0].Grants.size() == 14U);
+  BOOST_TEST(sent<Ask>(Out).size() == 16U);
+}
+
+BOOST_AUTO_TEST_CASE(RandomFaultsOfManySeeds) {
+  std::size_t Whole = 0;
+  std::size_t Answers = 0;
+  for (std::uint64_t Seed = 100; Seed < 130; ++Seed) {
+    World W(Seed);
+    startWorld(W);
+    W.P.Faults.Loss = 0.03;
+    W.P.Faults.Duplicate = 0.03;
+    W.P.Faults.Slow = 0.05;
+    W.P.Faults.SlowDelay = milliseconds(200);
+    bool Second = false;
+    Incarnation Life = 1;
+    for (int Step = 0; Step < 12; ++Step) {
+      load(W, 25);
+      const std::uint64_t Kind = below(W.P.Rng, 4);
+      if (Kind >= 2) {
+        crashEntryHost(W, EntryA);
+        startEntryHost(W, EntryA, ++Life);
+      }
+      if (Kind == 3)
+        continue;
+      if (Kind == 0)
+        W.P.freeze(W.Holder);
+      else
+        W.P.crash(W.Holder);
+      W.P.runFor(milliseconds(600));
+      Second = !Second;
+      handOver(W, Second ? Scheduler2 : Scheduler1, milliseconds(700));
+    }
+    W.P.Faults = {};
+    BOOST_TEST_CONTEXT("seed " << Seed) {
+      checkRest(W);
+      BOOST_TEST(W.Whole + W.Refused + W.Late == W.Answers.size());
+    }
+    Whole += W.Whole;
+    Answers += W.Answers.size();
+  }
+  // Where holders fall one after the other for most of a request's limit the
+  // rest is refused, and lost orders end with their limit.
+  BOOST_TEST(static_cast<double>(Whole) > 0.9 * static_cast<double>(Answers));
+}
