--- a/packages/wire/tests/WireTest.cpp
+++ b/packages/wire/tests/WireTest.cpp
@@ -5,7 +5,9 @@
 #include "wire/Fields.h"
 #include "wire/Messages.h"
 
+#include <fstream>
 #include <set>
+#include <sstream>
 
 using namespace pimento;
 
@@ -119,3 +121,15 @@
   }
   BOOST_TEST(decodeCode(Good) == Code::Ok);
 }
+
+BOOST_AUTO_TEST_CASE(TypeNumbersAreDocumented) {
+  std::ifstream File(std::string(PIMENTO_SOURCE_DIR) + "/docs/WIRE.md");
+  std::ostringstream Page;
+  Page << File.rdbuf();
+  std::vector<int> Types;
+  collectTypes(Types);
+  for (int Type : Types)
+    BOOST_TEST((Page.str().find("| " + std::to_string(Type) + " | ") !=
+                std::string::npos),
+               "docs/WIRE.md lacks type " << Type);
+}
