--- a/bench/PathCost/PathCost.cpp
+++ b/bench/PathCost/PathCost.cpp
@@ -1,13 +1,16 @@
 #include "bench/PathCost/PathCost.h"
 
+#include "base/Random.h"
 #include "fakes/AnswerText.h"
 
 #include <event2/bufferevent.h>
 #include <netinet/in.h>
+#include <unistd.h>
 
 #include <algorithm>
 #include <fstream>
 #include <memory>
+#include <sstream>
 
 namespace pimento::bench {
 
@@ -60,18 +63,33 @@
   return R;
 }
 
-/// Keeps a fixed number of requests in progress by one way.
+/// Keeps a fixed number of requests in progress by one way. Waits a random
+/// time before each, as those that start together share the prefill rate.
 struct ClosedLoop {
+  ClosedLoop(event_base *Base, StreamClient &Client,
+             const PathCostOptions &Options, Path Via, LatencyFigures &Figures)
+      : Client(Client), Options(Options), Via(Via), Figures(Figures),
+        Source(Options.Seed + static_cast<std::uint64_t>(Via)), Later(Base) {}
+
   StreamClient &Client;
   const PathCostOptions &Options;
   Path Via;
   LatencyFigures &Figures;
+  Random Source;
+  std::uint64_t Planned = 0;
   std::uint64_t Started = 0;
   std::uint64_t Ended = 0;
+  fakes::Delays Later;
 
-  void startNext() {
-    if (Started == Options.Requests)
+  void planNext() {
+    if (Planned == Options.Requests)
       return;
+    ++Planned;
+    Later.after(between(Source, Duration::zero(), Options.Pause),
+                [this] { startNext(); });
+  }
+
+  void startNext() {
     StreamRequest R = requestTo(Options, Via);
     // Numbers of the two ways differ, as prompts must.
     std::uint64_t Number = ++Started * 2 + (Via == Path::Host ? 1 : 0);
@@ -81,7 +99,7 @@
     Client.start(R, [this, Prompt](const StreamResult &Result) {
       ++Ended;
       record(Prompt, Result);
-      startNext();
+      planNext();
     });
   }
 
@@ -170,23 +188,41 @@
   return 0;
 }
 
+Duration processorTime(int Pid) {
+  std::ifstream In("/proc/" + std::to_string(Pid) + "/stat");
+  std::string Text;
+  std::getline(In, Text);
+  // The name in brackets may hold spaces; the fields are counted from it.
+  std::istringstream Fields(
+      Text.substr(std::min(Text.rfind(')') + 1, Text.size())));
+  std::string Skipped;
+  constexpr int FieldsBefore = 11;
+  for (int I = 0; I < FieldsBefore; ++I)
+    Fields >> Skipped;
+  double User = 0;
+  double System = 0;
+  Fields >> User >> System;
+  return fromSeconds((User + System) /
+                     static_cast<double>(sysconf(_SC_CLK_TCK)));
+}
+
 LatencyReport measureLatency(event_base *Base, const PathCostOptions &Options) {
   LatencyReport Report;
   StreamClient Client(Base);
-  ClosedLoop Direct{Client, Options, Path::Direct, Report.Direct};
-  ClosedLoop Host{Client, Options, Path::Host, Report.Host};
+  ClosedLoop Direct(Base, Client, Options, Path::Direct, Report.Direct);
+  ClosedLoop Host(Base, Client, Options, Path::Host, Report.Host);
   bool WithHost = !Options.Host.empty();
   for (std::uint64_t I = 0; I < Options.Concurrency; ++I) {
-    Direct.startNext();
+    Direct.planNext();
     if (WithHost)
-      Host.startNext();
+      Host.planNext();
   }
   passUntil(Base, Options.Limit, [&] {
     bool HostEnded = !WithHost || Host.Ended == Options.Requests;
     return Direct.Ended == Options.Requests && HostEnded;
   });
-  Report.Direct.Failed += Direct.Started - Direct.Ended;
-  Report.Host.Failed += Host.Started - Host.Ended;
+  Report.Direct.Failed += Options.Requests - Direct.Ended;
+  Report.Host.Failed += WithHost ? Options.Requests - Host.Ended : 0;
   return Report;
 }
 
@@ -212,7 +248,9 @@
   openStreams(Base, Client, Options, Via, Options.Streams, Report.Ended);
   pass(Base, AliveAge);
   Client.takeGaps(); // Those of the opening don't count.
+  Duration Before = processorTime(Options.HostPid);
   pass(Base, Options.Hold);
+  Report.HostCpu = processorTime(Options.HostPid) - Before;
   Report.Held = Client.alive(AliveAge);
   Report.Gaps = Client.takeGaps();
   return Report;
--- a/packages/calls/Generation.cpp
+++ b/packages/calls/Generation.cpp
@@ -129,13 +129,21 @@
   R.State = Phase::Generating;
   R.Wake =
       C.Now + std::min(C.S.Times.StreamSilence, C.S.Times.ReservationLease / 3);
-  openUpstream(C, R, generateRequest(T.Leave.Engines[0].Address, Order));
+  // A host that was frozen wakes with a grant that may be another's by now.
+  std::optional<TimePoint> SendBy;
+  if (T.Leave.Lease > Duration::zero())
+    SendBy = T.GrantedAt + T.Leave.Lease;
+  openUpstream(C, R, generateRequest(T.Leave.Engines[0].Address, Order),
+               SendBy);
 }
 
 void useGrant(Context &C, Request &R, const Event &E) {
   EngineTry &T = R.Generation->Try;
   T.Leave = *E.Granted;
   T.GrantedAt = C.Now;
+  R.TryServer =
+      T.Leave.Engines.empty() ? BackendId() : T.Leave.Engines[0].Backend;
+  R.TryBegan = C.Now;
   decide(C, "granted", R.Id, "the scheduler gave engines")
       .add("backend", firstServer(T.Leave))
       .add("engines", static_cast<std::int64_t>(T.Leave.Engines.size()))
--- a/packages/calls/RetryBudget.cpp
+++ b/packages/calls/RetryBudget.cpp
@@ -21,6 +21,21 @@
   return true;
 }
 
+bool wasUnderWay(FailureEpisodes &Episodes, const BackendId &Server,
+                 TimePoint TryBegan, TimePoint Now) {
+  auto Found = Episodes.find(Server);
+  if (Found == Episodes.end()) {
+    if (Episodes.size() < MaxEpisodes)
+      Episodes[Server] = {Now, Now};
+    return true;
+  }
+  FailureEpisode &Episode = Found->second;
+  if (Now - Episode.Last > EpisodeGap)
+    Episode.Began = Now;
+  Episode.Last = Now;
+  return TryBegan <= Episode.Began;
+}
+
 Duration backoff(const RetrySettings &Settings, std::uint32_t Try,
                  Random &Rng) {
   constexpr std::uint32_t MaxDoublings = 16;
