--- a/bench/System.cpp
+++ b/bench/System.cpp
@@ -17,8 +17,8 @@
 bool lost(Simulation &M) { return M.Loss > 0 && uniform(M.R) < M.Loss; }
 
 void deliverToHost(Simulation &M, const Outbound &Out);
-void carryOut(Simulation &M, CellEffects Out, std::uint64_t Epoch);
-void carryOut(Simulation &M, std::size_t HostIndex, EntryEffects Out);
+void carryOut(Simulation &M, const CellEffects &Out, std::uint64_t Epoch);
+void carryOut(Simulation &M, std::size_t HostIndex, const EntryEffects &Out);
 
 /// Runs \p Input on the scheduler unless it is dead, or once it thaws.
 template <class F> void schedulerInput(Simulation &M, F Input) {
@@ -29,7 +29,7 @@
     Input(*M.Cell, Out);
     M.Result.MaxWaiting =
         std::max<std::uint64_t>(M.Result.MaxWaiting, M.Cell->Queue.Asks.size());
-    carryOut(M, std::move(Out), M.Epoch);
+    carryOut(M, Out, M.Epoch);
   };
   if (M.Frozen)
     M.Thawing.push_back(Handle);
@@ -111,7 +111,7 @@
   });
 }
 
-void carryOut(Simulation &M, CellEffects Out, std::uint64_t Epoch) {
+void carryOut(Simulation &M, const CellEffects &Out, std::uint64_t Epoch) {
   if (Epoch != M.Epoch)
     return; // The holder's lease is over.
   for (const Outbound &Message : Out.Messages)
@@ -145,7 +145,7 @@
         continue;
       EntryEffects Out;
       std::visit(HostMessage{M, From, M.Hosts[I].State, Out}, Message.Content);
-      carryOut(M, I, std::move(Out));
+      carryOut(M, I, Out);
     }
   });
 }
@@ -170,7 +170,7 @@
   sendToEngines(M, Index, Engines, Answer.Given.Priority);
 }
 
-void carryOut(Simulation &M, std::size_t HostIndex, EntryEffects Out) {
+void carryOut(Simulation &M, std::size_t HostIndex, const EntryEffects &Out) {
   for (const Outbound &Message : Out.Messages)
     deliverToScheduler(M, hostName(HostIndex), Message);
   for (const EntryAnswer &Answer : Out.Answers)
@@ -201,7 +201,7 @@
   pollProgress(M, H);
   EntryEffects Out;
   tick(H.State, M.Now, Out);
-  carryOut(M, Index, std::move(Out));
+  carryOut(M, Index, Out);
 }
 
 void tickScheduler(Simulation &M, std::uint64_t Epoch) {
@@ -231,7 +231,7 @@
   EntryEffects Out;
   setHolder(H.State, M.C.Cell.Cell, M.Cell ? M.Holder : HostId(), M.Epoch,
             M.Now, Out);
-  carryOut(M, Index, std::move(Out));
+  carryOut(M, Index, Out);
 }
 
 void startHolder(Simulation &M, Duration Wait) {
@@ -239,6 +239,8 @@
   Config.Epoch = M.Epoch;
   Config.Seed = M.C.Seed;
   Config.RecoveryWait = Wait;
+  Config.LaneLoad = M.S.LaneLoad;
+  Config.ShortMemoryShare = M.S.ShortMemoryShare;
   M.Holder = HostId("scheduler-" + std::to_string(M.Epoch));
   M.Cell = startCell(Config, M.Now);
   CellEffects Out;
@@ -247,14 +249,14 @@
       setBackend(*M.Cell, recordOf(M, I), M.Now, Out);
   for (std::size_t I = 0; I < M.Hosts.size(); ++I)
     setHost(*M.Cell, hostName(I), DataCentreId("dc-" + std::to_string(I % 3)));
-  carryOut(M, std::move(Out), M.Epoch);
+  carryOut(M, Out, M.Epoch);
   tickScheduler(M, M.Epoch);
   for (std::size_t I = 0; I < M.Hosts.size(); ++I) {
     if (!M.Hosts[I].Alive)
       continue;
     EntryEffects Told;
     setHolder(M.Hosts[I].State, M.C.Cell.Cell, M.Holder, M.Epoch, M.Now, Told);
-    carryOut(M, I, std::move(Told));
+    carryOut(M, I, Told);
   }
 }
 
@@ -266,7 +268,7 @@
       continue;
     EntryEffects Out;
     setHolder(M.Hosts[I].State, M.C.Cell.Cell, HostId(), Epoch, M.Now, Out);
-    carryOut(M, I, std::move(Out));
+    carryOut(M, I, Out);
   }
 }
 
@@ -305,7 +307,7 @@
   Message.Cell = M.C.Cell.Cell;
   EntryEffects Out;
   startAsk(M.Hosts[Q.Host].State, Message, M.Now, Out);
-  carryOut(M, Q.Host, std::move(Out));
+  carryOut(M, Q.Host, Out);
 }
 
 void tellFinished(Simulation &M, std::size_t Index, const Job &J) {
@@ -320,7 +322,7 @@
   R.Total = M.Now - Q.Sent;
   EntryEffects Out;
   endAttempt(M.Hosts[Q.Host].State, R, M.Now, Out);
-  carryOut(M, Q.Host, std::move(Out));
+  carryOut(M, Q.Host, Out);
 }
 
 void tellFailed(Simulation &M, std::size_t Index) {
@@ -330,14 +332,14 @@
   R.End = AttemptEnd::Failed;
   EntryEffects Out;
   endAttempt(M.Hosts[Q.Host].State, R, M.Now, Out);
-  carryOut(M, Q.Host, std::move(Out));
+  carryOut(M, Q.Host, Out);
 }
 
 void tellWithdrawn(Simulation &M, std::size_t Index) {
   const Request &Q = M.Requests[Index];
   EntryEffects Out;
   withdrawAsk(M.Hosts[Q.Host].State, Q.Attempt, M.Now, Out);
-  carryOut(M, Q.Host, std::move(Out));
+  carryOut(M, Q.Host, Out);
 }
 
 void reportToScheduler(Simulation &M, const LoadReport &R) {
--- a/bench/Workload.cpp
+++ b/bench/Workload.cpp
@@ -24,6 +24,7 @@
   constexpr double Shares[] = {.24, .2, .16, .1, .08, .06, .05, .05, .03, .03};
   constexpr std::uint32_t Weights[] = {4, 4, 2, 2, 1, 1, 1, 1, 1, 1};
   std::vector<SiteAccount> Accounts;
+  Accounts.reserve(10);
   for (int I = 0; I < 10; ++I)
     Accounts.push_back(
         {AccountId("account-" + std::to_string(I)), Shares[I], Weights[I]});
@@ -185,6 +186,9 @@
   S.Accounts = tenAccounts();
   S.BurstPrompts = 5;
   S.Capacity = 0.83;
+  // A late review loses a franchise the pitch.
+  S.LaneLoad = 1;
+  S.ShortMemoryShare = 0.05;
   return S;
 }
 
--- a/packages/schedule/CellPlace.cpp
+++ b/packages/schedule/CellPlace.cpp
@@ -17,8 +17,6 @@
 constexpr double CrowdShare = 0.4; // A full batch slows decode by so much.
 /// Where an engine's own pace is this much slower, its lane's does not count.
 constexpr double SlowPace = 2;
-/// Kept free of medium and long prompts at each engine.
-constexpr double ShortMemoryShare = 0.08;
 /// Long asks that engines are kept free for at a time. Each holds all of its
 /// engines or none, so that they never wait for each other.
 constexpr std::size_t MaxReservations = 4;
@@ -55,11 +53,12 @@
 }
 
 /// Memory that is free for this attempt, reservations of others aside.
-std::uint64_t freeFor(const Engine &E, const AttemptId &Id, LengthClass Class) {
+std::uint64_t freeFor(const CellState &S, const Engine &E, const AttemptId &Id,
+                      LengthClass Class) {
   std::uint64_t Free = freeTokens(E);
   if (Class != LengthClass::Short) {
     const auto Kept = static_cast<std::uint64_t>(
-        ShortMemoryShare * static_cast<double>(E.Record.MemoryTokens));
+        S.Config.ShortMemoryShare * static_cast<double>(E.Record.MemoryTokens));
     Free = Free > Kept ? Free - Kept : 0;
   }
   if (E.Reserved.Request.empty() || E.Reserved == Id)
@@ -214,7 +213,7 @@
   Candidate Best;
   for (auto &[Id, E] : S.Engines) {
     if (!takesWork(S, E, A.Request) ||
-        freeFor(E, A.Request.Attempt, A.Class) < Need)
+        freeFor(S, E, A.Request.Attempt, A.Class) < Need)
       continue;
     Candidate C = score(S, E, A, Near, 1, Now);
     if (!inLane(S, C, A.Class))
@@ -245,7 +244,7 @@
   const double Share = 1.0 / static_cast<double>(Count);
   std::vector<Candidate> Fit;
   for (auto &[Name, E] : S.Engines) {
-    if (!takesWork(S, E, A.Request) || freeFor(E, Id, A.Class) < Tokens)
+    if (!takesWork(S, E, A.Request) || freeFor(S, E, Id, A.Class) < Tokens)
       continue;
     Candidate C = score(S, E, A, Near, Share, Now);
     if (E.Reserved == Id || inLane(S, C, LengthClass::Long))
--- a/packages/schedule/CellTick.cpp
+++ b/packages/schedule/CellTick.cpp
@@ -11,7 +11,6 @@
 constexpr double DemandSeconds = 120;     // Memory of demand and drain rates.
 constexpr double RelaxSeconds = 20;       // Of forecasts without outcomes.
 constexpr double BulkStepFactor = 1.3;    // Decode beside long prefills.
-constexpr double BulkLoad = 1.2;          // Aimed at on the lane of long ones.
 constexpr double ShortLoad = 0.9;         // Most that short ones may be left.
 constexpr double BacklogSeconds = 120;    // In which a backlog is worked off.
 constexpr Duration JudgeInterval = milliseconds(500);
@@ -145,7 +144,7 @@
 std::size_t laneSize(const CellState &S, std::size_t Engines) {
   const double Bulk =
       (engineLoad(S, LengthClass::Medium) + engineLoad(S, LengthClass::Long)) /
-      BulkLoad;
+      S.Config.LaneLoad;
   const double Short = engineLoad(S, LengthClass::Short) / ShortLoad;
   const auto Count = static_cast<double>(Engines);
   const double Most = Count - std::max(1.0, std::ceil(Short));
--- a/packages/schedule/tests/CellMapTest.cpp
+++ b/packages/schedule/tests/CellMapTest.cpp
@@ -81,5 +81,5 @@
   std::size_t Changed = 0;
   for (std::uint64_t Hash = 0; Hash < 200; ++Hash)
     Changed += chooseCells(M, Model, Hash, {}).front() != First[Hash] ? 1 : 0;
-  BOOST_TEST(Changed < 200U * 2 / (Before + 1));
+  BOOST_TEST(Changed < std::size_t(400) / (Before + 1));
 }
--- a/packages/schedule/tests/CellTest.cpp
+++ b/packages/schedule/tests/CellTest.cpp
@@ -74,9 +74,9 @@
   for (const auto &[Id, E] : S.Engines)
     BOOST_TEST(E.HeldTokens <= E.Record.MemoryTokens);
   BOOST_TEST(sent<Grant>(Out).size() > 10U);
-  BOOST_TEST(cellFigures(S).Waiting + sent<Grant>(Out).size() +
-                 sent<Refusal>(Out).size() ==
-             200U);
+  const std::size_t Answers =
+      sent<Grant>(Out).size() + sent<Refusal>(Out).size();
+  BOOST_TEST(cellFigures(S).Waiting + Answers == 200U);
 }
 
 BOOST_AUTO_TEST_CASE(AnUnreachableLimitIsRefusedAtOnceWithAForecast) {
@@ -115,7 +115,7 @@
   Held.Grants = {{{1, 1}, 0, 0}};
   Held.Waiting = {{2, 1}};
   CellEffects Later = tickUntil(S, Start, Start + seconds(20), &Held);
-  BOOST_REQUIRE(sent<Refusal>(Later).size() >= 1U);
+  BOOST_REQUIRE(!sent<Refusal>(Later).empty());
   BOOST_TEST(sent<Refusal>(Later)[0].Reason == Code::DeadlineUnreachable);
   BOOST_TEST(cellFigures(S).Waiting == 0U);
 }
--- a/packages/schedule/tests/Samples.h
+++ b/packages/schedule/tests/Samples.h
@@ -64,7 +64,7 @@
 
 /// A cell of \p Count engines at Start.
 inline CellState makeCell(std::size_t Count, std::uint64_t Memory = 100000,
-                          CellConfig Config = {}) {
+                          const CellConfig &Config = {}) {
   CellState S = startCell(Config, Start);
   CellEffects Out;
   for (std::size_t I = 0; I < Count; ++I)
--- a/packages/schedule/tests/World.cpp
+++ b/packages/schedule/tests/World.cpp
@@ -27,7 +27,7 @@
   ++W.Answers[Id];
 }
 
-void carryOut(World &W, Party &From, EntryEffects Out) {
+void carryOut(World &W, Party &From, const EntryEffects &Out) {
   for (const Outbound &M : Out.Messages)
     W.P.send(From.Name, M.To, M.Content);
   for (const EntryAnswer &A : Out.Answers) {
@@ -46,7 +46,7 @@
 }
 
 /// What a thawed or deposed holder wants is not done: its lease is over.
-void carryOut(World &W, Party &From, CellEffects Out) {
+void carryOut(World &W, Party &From, const CellEffects &Out) {
   if (W.Holder != From.Name || From.Cell->Config.Epoch != W.Epoch)
     return;
   for (const Outbound &M : Out.Messages)
@@ -128,7 +128,7 @@
   endAttempt(*N.Entry, R, Now, Out);
   W.Whole += D.Whole ? 1 : 0;
   answered(W, D.Id);
-  carryOut(W, N, std::move(Out));
+  carryOut(W, N, Out);
 }
 
 void onParcel(World &W, Party &N, const HostId &From, const Parcel &Content,
@@ -137,11 +137,11 @@
     if (N.Cell) {
       CellEffects Out;
       std::visit(ToScheduler{*N.Cell, From, Now, Out}, *M);
-      carryOut(W, N, std::move(Out));
+      carryOut(W, N, Out);
     } else if (N.Entry) {
       EntryEffects Out;
       std::visit(ToEntry{*N.Entry, From, Now, Out}, *M);
-      carryOut(W, N, std::move(Out));
+      carryOut(W, N, Out);
     }
     return;
   }
@@ -172,7 +172,7 @@
     onCancelled(*N.Cell, {BackendId(From.Value), F->Id, ""}, Now, Out);
   if (const auto *T = std::get_if<TellMemory>(&Content))
     onMemoryReport(*N.Cell, BackendId(From.Value), T->Life, T->Held, Now, Out);
-  carryOut(W, N, std::move(Out));
+  carryOut(W, N, Out);
 }
 
 void onTick(World &W, Party &N, TimePoint Now) {
@@ -181,12 +181,12 @@
   if (N.Entry) {
     EntryEffects Out;
     tick(*N.Entry, Now, Out);
-    carryOut(W, N, std::move(Out));
+    carryOut(W, N, Out);
   }
   if (N.Cell) {
     CellEffects Out;
     tick(*N.Cell, Now, Out);
-    carryOut(W, N, std::move(Out));
+    carryOut(W, N, Out);
   }
 }
 
@@ -203,7 +203,7 @@
   Party &Added = W.P.add(Name, std::move(N));
   EntryEffects Out;
   setHolder(*Added.Entry, CellId{}, W.Holder, W.Epoch, W.P.now(), Out);
-  carryOut(W, Added, std::move(Out));
+  carryOut(W, Added, Out);
 }
 
 void handOver(World &W, const HostId &Name, Duration RecoveryWait) {
@@ -223,13 +223,13 @@
     setBackend(*Added.Cell, engineRecord(E.Name.Value, W.Memory, E.Life),
                W.P.now(), Out);
   }
-  carryOut(W, Added, std::move(Out));
+  carryOut(W, Added, Out);
   for (const HostId &Entry : Entries)
     W.P.perform(Entry, milliseconds(50),
                 [&W, Name, Epoch = W.Epoch](Party &E, TimePoint Now) {
                   EntryEffects Told;
                   setHolder(*E.Entry, CellId{}, Name, Epoch, Now, Told);
-                  carryOut(W, E, std::move(Told));
+                  carryOut(W, E, Told);
                 });
 }
 
@@ -260,7 +260,7 @@
   withdrawAsk(*E.Entry, Id, Now, Out);
   ++W.Late;
   answered(W, Id);
-  carryOut(W, E, std::move(Out));
+  carryOut(W, E, Out);
 }
 
 } // namespace
@@ -281,7 +281,7 @@
                             });
                 EntryEffects Out;
                 startAsk(*E.Entry, A, Now, Out);
-                carryOut(W, E, std::move(Out));
+                carryOut(W, E, Out);
               });
 }
 
