schedule: split grants, hosts and learning into files of one job each

Changed: CellHosts.cpp takes renewals, registrations and hosts that go, CellLearn.cpp rates and charges. The bench names the factor of its flood (20), which its comment had wrong (10). Ruled out: any change of behaviour; the code moved as it stood.

--- a/bench/Scenarios.cpp
+++ b/bench/Scenarios.cpp
@@ -18,6 +18,7 @@
 constexpr double RefusalSeconds = .05;
 constexpr double ShareDeviation = .05;
 constexpr double FloodCost = .1;
+constexpr double FloodFactor = 20; // Of what the account sends else.
 constexpr double HoldSeconds = 10;
 
 std::string scenarioName(const Site &S, const Load &L) {
@@ -291,9 +292,9 @@
       makeArrivals(S, C.Engine, {.8, false}, Length, O.Seed);
   std::vector<Arrival> Flood = Quiet;
   const double Rate = static_cast<double>(Quiet.size()) / toSeconds(Length) *
-                      S.Accounts[Flooder].Share * 10;
+                      S.Accounts[Flooder].Share * FloodFactor;
   for (std::size_t Kind = 0; Kind < S.Kinds.size(); ++Kind)
-    addFlood(Flood, S, C.Engine, Kind, Flooder, Rate * S.Kinds[Kind].Share * 2,
+    addFlood(Flood, S, C.Engine, Kind, Flooder, Rate * S.Kinds[Kind].Share,
              RunStart + WarmUp, RunStart + Length - seconds(30), O.Seed + Kind);
   auto Others = [&](const std::vector<Arrival> &Arrivals) {
     const RunResult Result = run(C, S, Arrivals);
--- a/bench/Scenarios.h
+++ b/bench/Scenarios.h
@@ -24,7 +24,7 @@
 void runFaults(const Options &O, Report &R);
 /// All accounts with a backlog: shares against weights.
 void runShares(const Options &O, Report &R);
-/// One account sends ten times its share: what it costs the others.
+/// One account sends twenty times its share: what it costs the others.
 void runFlood(const Options &O, Report &R);
 /// Processor time and bytes of a decision.
 void runCost(const Options &O, Report &R);
--- a/packages/schedule/CellInternal.h
+++ b/packages/schedule/CellInternal.h
@@ -6,6 +6,8 @@
 //   CellAsk.cpp     admission and forecasts
 //   CellPlace.cpp   choice of engines
 //   CellGrant.cpp   grants from birth to end
+//   CellHosts.cpp   renewals, registrations, hosts that go
+//   CellLearn.cpp   rates and charges from outcomes
 //   CellMemory.cpp  cancels, sweeps, leases of memory
 //   CellHealth.cpp  ejection and warm-up
 //   CellTick.cpp    what time brings
@@ -77,6 +79,16 @@
 /// The prompt of a grant is prefilled.
 void noteFirstToken(CellState &S, LiveGrant &G, TimePoint Now);
 
+/// Learns the pace of decode from tokens that came in some seconds.
+void learnDecode(CellState &S, const LiveGrant &G, double Seconds,
+                 double Tokens);
+/// Charges for output that was not charged yet.
+void chargeOutput(CellState &S, LiveGrant &G, std::uint64_t Output);
+/// Replaces the estimate of the prompt by what the engine counted.
+void settle(CellState &S, LiveGrant &G, const Release &R);
+/// Learns from an attempt that ended whole.
+void learnFrom(CellState &S, LiveGrant &G, const Release &R);
+
 /// Sends the cancels that are due at one engine.
 void sendCancels(CellState &S, Engine &E, TimePoint Now, CellEffects &Out);
 /// Forgets memory of an engine that started anew or went.
