--- a/packages/calls/tests/GenerationTest.cpp
+++ b/packages/calls/tests/GenerationTest.cpp
@@ -198,12 +198,18 @@
   BOOST_TEST((R.one<SendRelease>().Content.End == AttemptEnd::Unused));
   R.passAll(milliseconds(50));
   BOOST_TEST(R.all<SendAsk>().size() == 1U);
-  // Without budget the answer comes at once, and is honest.
+  // Without budget, what was under way when the engine began to fail moves on;
+  // what is sent to it later is answered at once, and honestly.
   Rig Poor;
   Poor.S.Budgets[ServiceId("text")].Tokens = 0;
   Poor.complete(false);
   Poor.grant(Poor.one<SendAsk>().Content.Attempt);
   Poor.fail(Poor.one<OpenUpstream>().Upstream, false);
+  BOOST_TEST(Poor.none<SendReply>());
+  Poor.passAll(milliseconds(50));
+  Poor.complete(false);
+  Poor.grant(Poor.one<SendAsk>().Content.Attempt);
+  Poor.fail(Poor.one<OpenUpstream>().Upstream, false);
   BOOST_TEST(code(Poor.one<SendReply>()) == "207");
 }
 
@@ -343,6 +349,21 @@
   BOOST_TEST(R.all<OpenUpstream>().size() == 3U); // Cancels, all of them.
 }
 
+BOOST_AUTO_TEST_CASE(AStaleGrantIsNotSentUnder) {
+  Rig R;
+  R.complete(false);
+  R.grant(R.one<SendAsk>().Content.Attempt);
+  OpenUpstream Generate = R.one<OpenUpstream>();
+  BOOST_REQUIRE(Generate.SendBy.has_value());
+  BOOST_TEST((*Generate.SendBy == R.Now + seconds(2)));
+  // The shell finds it passed: nothing was sent, so that another try is due.
+  R.Now += seconds(3);
+  R.fail(Generate.Upstream, false);
+  BOOST_TEST((R.one<SendRelease>().Content.End == AttemptEnd::Unused));
+  R.passAll(milliseconds(50));
+  BOOST_TEST(R.all<SendAsk>().size() == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(ALateGrantIsGivenBack) {
   Rig R;
   ExchangeId Exchange = R.complete(false);
