orders: the replicated book, the planner and the issuer

Cause: loads and unloads need one issuer whose orders never take effect out of order, whoever dies in between. The book of orders is part of the control log's state: an order is in it before its first byte leaves, so a successor finds what was begun. Numbers are a counter of that state, so each order has its own.

--- /dev/null
+++ b/packages/orders/Step.cpp
@@ -0,0 +1,277 @@
+// Follows one open order: sends it, reads the engine's state back, puts its
+// end into the book.
+
+#include "orders/OrdersInternal.h"
+
+#include <algorithm>
+
+namespace pimento::orders {
+
+namespace {
+
+bool contains(const std::vector<ModelName> &Models, const std::string &Name) {
+  return std::find(Models.begin(), Models.end(), ModelName(Name)) !=
+         Models.end();
+}
+
+/// Whether the state shows the order's effect.
+bool isDone(const OpenOrder &Open, const EngineState &State) {
+  switch (Open.Kind) {
+  case OrderKind::Load:
+    return contains(State.Models, Open.Name);
+  case OrderKind::Unload:
+    return !contains(State.Models, Open.Name) &&
+           State.Loading.Value != Open.Name;
+  case OrderKind::Role:
+    return State.Role == Open.Name;
+  }
+  return false;
+}
+
+Duration limitOf(const OrderConfig &C, const OpenOrder &Open) {
+  return Open.Kind == OrderKind::Load ? C.LoadLimit : C.OrderLimit;
+}
+
+/// One step of one engine's open order.
+struct Step {
+  IssuerTurn &T;
+  const BackendId &Id;
+  const OpenOrder &Open;
+  EngineIssue &E;
+
+  void takeUp();
+  void run();
+  bool waits(const BackendRecord *Record) const;
+  void judge(const BackendRecord &Record);
+  void send(const BackendRecord &Record);
+  void read(const BackendRecord &Record);
+  void call(std::uint64_t Fence, UpstreamRequest Request);
+  void overdue(const BackendRecord &Record);
+  void replace(OrderKind Kind, const std::string &Name, const char *Why);
+  void giveUp(const BackendRecord &Record, const char *Why);
+  bool isPointless(const BackendRecord &Record) const;
+  void close(OrderEnd Result, Incarnation Life, bool Protected = false);
+};
+
+/// A predecessor's order: what it sent may still arrive.
+void Step::takeUp() {
+  if (E.Following == Open.Fence)
+    return;
+  Duration Age = std::max(Duration::zero(), T.In.Wall - Open.At);
+  E.Following = Open.Fence;
+  E.Limit = T.Now + std::max(Duration::zero(), limitOf(T.I.Config, Open) - Age);
+  E.MustRead = true;
+  E.Refused = false;
+  E.Answered = false;
+  E.MayBeSent = true;
+  E.State.reset();
+  DecisionRecord D;
+  D.Kind = "order_taken_up";
+  D.Reason = "the issuer of the order leads no more";
+  D.add("backend", Id.Value)
+      .add("fence", static_cast<std::int64_t>(Open.Fence))
+      .add("order", std::string(toString(Open.Kind)))
+      .add("name", Open.Name)
+      .add("age_ms", toMilliseconds(Age))
+      .add("quiet_ms", toMilliseconds(E.QuietUntil - T.Now));
+  T.Out.Decisions.push_back(std::move(D));
+}
+
+/// Whether nothing may be sent yet. An engine that ignores numbers hears
+/// nothing while an earlier send may still arrive.
+bool Step::waits(const BackendRecord *Record) const {
+  if (E.Ticket != 0 || E.Pending.Call != 0 || T.Now < E.NextStep)
+    return true;
+  bool Ignores = Record && ignoresFence(T.In, *Record);
+  return Ignores && T.Now < E.QuietUntil;
+}
+
+void Step::run() {
+  const BackendRecord *Record = findRecord(T.In, Id);
+  takeUp();
+  if (waits(Record))
+    return;
+  if (!Record) {
+    if (T.Now >= E.Limit)
+      close(OrderEnd::Gone, Open.Life);
+    return;
+  }
+  Duration Grace = 2 * T.I.Config.CallTime;
+  if (!E.State && T.Now >= std::max(E.Limit, E.QuietUntil) + Grace)
+    overdue(*Record); // Its state cannot be read.
+  else if (E.MustRead)
+    read(*Record);
+  else if (E.State)
+    judge(*Record);
+  else
+    send(*Record);
+}
+
+/// Decides on a state that was read after the last send. What checks numbers
+/// must have seen this one, so that no earlier order can follow it.
+void Step::judge(const BackendRecord &Record) {
+  const EngineState &State = *E.State;
+  bool Checks = !ignoresFence(T.In, Record);
+  bool Seen = !Checks || E.Answered || State.Fence >= Open.Fence;
+  bool Late = T.Now >= E.Limit;
+  bool UnderWay =
+      Open.Kind == OrderKind::Load && State.Loading.Value == Open.Name;
+  if (isDone(Open, State) && (Seen || Late)) {
+    close(Open.HoldsShare ? OrderEnd::Undone : OrderEnd::Done, State.Life,
+          Checks && Seen);
+  } else if (Open.HoldsShare && contains(State.Models, Open.Name)) {
+    giveUp(Record, "the load came through after all");
+  } else if (Late) {
+    overdue(Record);
+  } else if (isPointless(Record)) {
+    replace(OrderKind::Unload, Open.Name,
+            "the engine is to serve another model by now");
+  } else if (UnderWay) {
+    E.MustRead = true;
+    E.State.reset();
+    E.NextStep = T.Now + T.I.Config.PollInterval;
+  } else if (State.Life != Open.Life) {
+    close(OrderEnd::Restarted, State.Life);
+  } else if (E.Refused) {
+    close(OrderEnd::Fenced, State.Life, Checks);
+  } else {
+    send(Record);
+  }
+}
+
+void Step::overdue(const BackendRecord &Record) {
+  bool Load = Open.Kind == OrderKind::Load;
+  if (Load && offers(Record, ModelName(Open.Name)))
+    close(OrderEnd::Done, Record.Life); // Its announcements say so.
+  else if (Load)
+    replace(OrderKind::Unload, Open.Name,
+            "the load is not done within its limit");
+  else
+    close(OrderEnd::Failed, Open.Life);
+}
+
+/// A load that documents and plans have left behind.
+bool Step::isPointless(const BackendRecord &Record) const {
+  return Open.Kind == OrderKind::Load && T.In.MayPlan &&
+         !wantedHere(T.In, Record, ModelName(Open.Name));
+}
+
+/// Copies elsewhere may have died since the order was begun.
+void Step::send(const BackendRecord &Record) {
+  if (Open.Kind == OrderKind::Unload && !Open.HoldsShare &&
+      !mayUnload(T.I, T.In, Record, ModelName(Open.Name))) {
+    giveUp(Record, "no other copy is left");
+    return;
+  }
+  E.State.reset();
+  E.Refused = false;
+  E.MustRead = true;
+  E.MayBeSent = true;
+  DecisionRecord D;
+  D.Kind = "order_sent";
+  D.Reason = toString(Open.Kind);
+  D.add("backend", Id.Value)
+      .add("name", Open.Name)
+      .add("fence", static_cast<std::int64_t>(Open.Fence))
+      .add("life", static_cast<std::int64_t>(Open.Life))
+      .add("term", static_cast<std::int64_t>(T.I.Term))
+      .add("checks_fence", !ignoresFence(T.In, Record));
+  T.Out.Decisions.push_back(std::move(D));
+  EngineOrder Order{Open.Fence, Open.Kind, Open.Name};
+  call(Open.Fence, orderRequest(Record.Address, Order));
+}
+
+void Step::read(const BackendRecord &Record) {
+  call(0, stateRequest(Record.Address));
+}
+
+void Step::call(std::uint64_t Fence, UpstreamRequest Request) {
+  const OrderConfig &C = T.I.Config;
+  OrderCall Call;
+  Call.Call = T.I.NextCall++;
+  Call.Backend = Id;
+  Call.Fence = Fence;
+  Call.Request = std::move(Request);
+  Call.SendBy = std::min(T.In.LeaseEnd, T.Now + C.SendTime);
+  E.Pending = {Call.Call, Fence != 0, T.Now + C.CallTime};
+  T.I.Calls[Call.Call] = Id;
+  T.Out.Calls.push_back(std::move(Call));
+}
+
+/// The engine keeps the model. Where a send may still arrive, a higher number
+/// keeps it out: that of an order which changes nothing.
+void Step::giveUp(const BackendRecord &Record, const char *Why) {
+  bool Checks = !ignoresFence(T.In, Record);
+  if (E.MayBeSent && Checks && E.State && !E.State->Role.empty())
+    replace(OrderKind::Role, E.State->Role, Why);
+  else
+    close(OrderEnd::Failed, E.State ? E.State->Life : Open.Life);
+}
+
+/// Another order takes the place of the open one. A load's share of the weight
+/// store stays taken until that one has ended.
+void Step::replace(OrderKind Kind, const std::string &Name, const char *Why) {
+  OrderCommand C;
+  C.Kind = OrderCommandKind::Begin;
+  C.Backend = Id;
+  C.Life = Open.Life;
+  C.Order = Kind;
+  C.Name = Name;
+  C.Replaces = Open.Fence;
+  C.Floor = E.Floor;
+  DecisionRecord D;
+  D.Kind = "order_replaced";
+  D.Reason = Why;
+  D.add("backend", Id.Value)
+      .add("name", Open.Name)
+      .add("fence", static_cast<std::int64_t>(Open.Fence))
+      .add("order", std::string(toString(Open.Kind)))
+      .add("limit_ms", toMilliseconds(limitOf(T.I.Config, Open)));
+  T.Out.Decisions.push_back(std::move(D));
+  proposeCommand(T, std::move(C));
+}
+
+/// Not before every send has arrived or never will, unless the number keeps
+/// late ones out; what is read before that is not the last word.
+void Step::close(OrderEnd Result, Incarnation Life, bool Protected) {
+  if (T.Now < E.QuietUntil && !Protected) {
+    E.NextStep = E.QuietUntil;
+    E.MustRead = true;
+    E.State.reset();
+    return;
+  }
+  OrderCommand C;
+  C.Kind = OrderCommandKind::End;
+  C.Backend = Id;
+  C.Life = Life;
+  C.Fence = Open.Fence;
+  C.Result = Result;
+  bool Good = Result == OrderEnd::Done;
+  const OrderConfig &Config = T.I.Config;
+  E.Failures = Good ? 0 : std::min(E.Failures + 1, 16U);
+  if (!Good)
+    E.NotBefore = T.Now + std::min(Config.BackoffLimit,
+                                   Config.BackoffBase * (1U << E.Failures));
+  DecisionRecord D;
+  D.Kind = "order_ended";
+  D.Reason = toString(Result);
+  D.add("backend", Id.Value)
+      .add("order", std::string(toString(Open.Kind)))
+      .add("name", Open.Name)
+      .add("fence", static_cast<std::int64_t>(Open.Fence))
+      .add("age_ms", toMilliseconds(T.In.Wall - Open.At))
+      .add("failures", static_cast<std::int64_t>(E.Failures));
+  T.Out.Decisions.push_back(std::move(D));
+  T.Out.Samples.push_back({SampleKind::Counter, "pimento_orders_total",
+                           std::string("result=\"") + toString(Result) + "\"",
+                           1});
+  proposeCommand(T, std::move(C));
+}
+
+} // namespace
+
+void stepOrder(IssuerTurn &T, const BackendId &Id, const OpenOrder &Open) {
+  Step{T, Id, Open, T.I.Engines[Id]}.run();
+}
+
+} // namespace pimento::orders
--- /dev/null
+++ b/packages/orders/tests/OrderWorld.cpp
@@ -0,0 +1,413 @@
+#include "orders/tests/OrderWorld.h"
+
+#include <algorithm>
+
+namespace pimento::testing {
+
+namespace {
+
+constexpr Duration RegistryLag = milliseconds(1500);
+constexpr Duration GoneAfter = milliseconds(2500);
+
+void want(WantedModels &Wanted, const char *Name, std::uint32_t Replicas,
+          const char *Extra) {
+  WantedModel &M = Wanted[ModelName(Name)];
+  M.Name = ModelName(Name);
+  M.Replicas = Replicas;
+  M.Extras.clear();
+  if (*Extra)
+    M.Extras.insert(ModelName(Extra));
+}
+
+} // namespace
+
+void OrderWorld::start() {
+  want(Wanted, "atlas", 2, "atlas-crew");
+  want(Wanted, "boreas", 2, "");
+  want(Wanted, "ceres", 1, "");
+  for (std::size_t I = 0; I < Engines; ++I) {
+    std::string Name = "e" + std::to_string(I);
+    WorldEngine &E = EngineStates[Name];
+    E.Checks = I % 2 == 0;
+    E.Models = {I < 4 ? "atlas" : "boreas"};
+    // One of them says so itself, the others are named by a document.
+    if (!E.Checks && I > 1)
+      Ignores.insert(BackendId(Name));
+    announce(Name);
+  }
+  for (WorldHost &H : HostStates)
+    H.Issuer.Config = Config;
+  changeLeader();
+  for (std::size_t I = 0; I < Hosts; ++I)
+    at(Duration::zero(), [this, I] { tickHost(I); });
+  at(seconds(1), [this] { faultSecond(); });
+}
+
+void OrderWorld::runFor(Duration Time) {
+  TimePoint End = Now + Time;
+  while (!Queue.empty() && Queue.begin()->first.first <= End) {
+    auto First = Queue.begin();
+    Now = First->first.first;
+    auto Do = std::move(First->second);
+    Queue.erase(First);
+    Do();
+    finishLoads();
+    check();
+  }
+  Now = End;
+}
+
+OrderInput OrderWorld::input(WorldHost &H) {
+  Records.clear();
+  for (const auto &Entry : Registry)
+    Records.push_back(&Entry.second);
+  return {H.Book,   Wanted, Records,    Ignores,         Demand,
+          Revision, wall(), H.LeaseEnd, /*MayPlan=*/true};
+}
+
+//===----------------------------------------------------------------------===//
+// Hosts and the log
+//===----------------------------------------------------------------------===//
+
+void OrderWorld::tickHost(std::size_t Host) {
+  at(OrderTickInterval, [this, Host] { tickHost(Host); });
+  inHost(Host, [this, Host] {
+    WorldHost &H = HostStates[Host];
+    if (H.Term != 0 && H.Term == Term)
+      H.LeaseEnd = LeaseEnd = Now + Lease;
+    catchUp(Host);
+    OrderEffects Out;
+    if (H.Term != 0 && Now >= H.LeaseEnd) {
+      H.Term = 0;
+      stopIssuing(H.Issuer, Out);
+    }
+    if (H.Term != 0 && H.Issuer.Term != H.Term)
+      startIssuing(H.Issuer, H.Term, H.Book, Now);
+    if (H.Term != 0)
+      tickOrders(H.Issuer, input(H), Now, Out);
+    carryOut(Host, std::move(Out));
+  });
+}
+
+void OrderWorld::carryOut(std::size_t Host, OrderEffects Out) {
+  for (OrderProposal &P : Out.Proposals) {
+    if (HostStates[Host].Term != Term) {
+      onNotProposed(HostStates[Host].Issuer, P.Ticket);
+      continue;
+    }
+    Flights.push_back({std::move(P.Command), Term, P.Ticket, Host});
+    at(between(Rng, milliseconds(1), milliseconds(60)),
+       [this] { commitOne(); });
+  }
+  for (const OrderCall &Call : Out.Calls) {
+    at(between(Rng, Duration::zero(), milliseconds(30)), [this, Host, Call] {
+      inHost(Host, [this, Host, Call] { carryCall(Host, Call); });
+    });
+  }
+}
+
+void OrderWorld::commitOne() {
+  if (Flights.empty())
+    return; // Lost with its leader.
+  Flight F = std::move(Flights.front());
+  Flights.pop_front();
+  Log.push_back({F.Command, F.Term, F.Ticket, F.Host});
+  const OrderCommand &C = F.Command;
+  bool Demanded = C.Kind == OrderCommandKind::Target &&
+                  C.Reason != TargetReason::LastCopy &&
+                  C.Reason != TargetReason::Document;
+  if (Demanded && LastTarget.count(C.Backend.Value) &&
+      C.At < LastTarget[C.Backend.Value] + Config.Hold)
+    complain("two targets within the window: " + C.Backend.Value);
+  if (C.Kind == OrderCommandKind::Target)
+    LastTarget[C.Backend.Value] = C.At;
+  bool Had = findEngine(Truth, C.Backend) && findEngine(Truth, C.Backend)->Open;
+  apply(Truth, C);
+  Ended += Had && !findEngine(Truth, C.Backend)->Open ? 1 : 0;
+}
+
+void OrderWorld::catchUp(std::size_t Host) {
+  WorldHost &H = HostStates[Host];
+  for (; H.Applied < Log.size(); ++H.Applied) {
+    const Committed &C = Log[H.Applied];
+    OrderCommand Read = *decodeOrderCommand(encodeCommand(C.Command));
+    OrderOutcome Outcome = apply(H.Book, Read);
+    if (C.Host == Host && C.Term == H.Issuer.Term)
+      onCommitted(H.Issuer, C.Ticket, Outcome, Now);
+  }
+}
+
+/// The next leader begins once the old lease is over; some of what the old one
+/// had in flight is in the log by then.
+void OrderWorld::changeLeader() {
+  ++Changes;
+  std::size_t Survive = Flights.empty() ? 0 : below(Rng, Flights.size() + 1);
+  for (std::size_t I = 0; I < Survive; ++I)
+    commitOne();
+  Flights.clear();
+  ++Term; // From here on the old leader's lease is not renewed.
+  std::uint64_t NewTerm = Term;
+  std::size_t Next = (Leader + 1 + below(Rng, Hosts - 1)) % Hosts;
+  Duration Wait = std::max(Duration::zero(), LeaseEnd - Now);
+  at(Wait + between(Rng, milliseconds(1), milliseconds(500)),
+     [this, Next, NewTerm] {
+       if (NewTerm != Term)
+         return;
+       Leader = Next;
+       LeaseEnd = Now + Lease;
+       inHost(Next, [this, Next, NewTerm] {
+         HostStates[Next].Term = NewTerm;
+         HostStates[Next].LeaseEnd = LeaseEnd;
+       });
+     });
+}
+
+void OrderWorld::freezeLeader() {
+  std::size_t Host = Leader;
+  if (HostStates[Host].Frozen)
+    return;
+  HostStates[Host].Frozen = true;
+  changeLeader();
+  at(between(Rng, milliseconds(200), seconds(12)), [this, Host] {
+    HostStates[Host].Frozen = false;
+    auto Held = std::move(HostStates[Host].Held);
+    HostStates[Host].Held.clear();
+    for (auto &Do : Held)
+      Do();
+  });
+}
+
+//===----------------------------------------------------------------------===//
+// Calls
+//===----------------------------------------------------------------------===//
+
+void OrderWorld::failCall(std::size_t Host, std::uint64_t Call, bool Sent) {
+  inHost(Host, [this, Host, Call, Sent] {
+    OrderEffects Out;
+    UpstreamFailure Why;
+    Why.BytesSent = Sent;
+    onOrderCallFailed(HostStates[Host].Issuer, Call, Why, Now, Out);
+  });
+}
+
+void OrderWorld::carryCall(std::size_t Host, const OrderCall &Call) {
+  const std::string &Name = Call.Backend.Value;
+  if (Now > Call.SendBy || !EngineStates[Name].Up) {
+    failCall(Host, Call.Call, false);
+    return;
+  }
+  bool Late = !Quiet && chance(Faults.LateShare);
+  bool Lost = !Quiet && chance(Faults.LossShare);
+  // What ignores numbers hears of nothing later than Landing.
+  Duration Latest = EngineStates[Name].Checks ? seconds(20) : Config.Landing;
+  Duration Delay = between(Rng, milliseconds(1), milliseconds(80));
+  if (Late)
+    Delay = between(Rng, milliseconds(80), Latest - milliseconds(100));
+  if (Call.Fence != 0) {
+    ++Sent;
+    EngineStates[Name].Flying.insert(Call.Fence);
+  }
+  Incarnation Life = EngineStates[Name].Life;
+  at(Delay, [this, Host, Call, Lost, Life] {
+    WorldEngine &E = EngineStates[Call.Backend.Value];
+    if (Call.Fence != 0) {
+      auto Flying = E.Flying.find(Call.Fence);
+      if (Flying != E.Flying.end())
+        E.Flying.erase(Flying);
+    }
+    if (Lost || !E.Up || E.Life != Life)
+      return; // The issuer breaks the call off in the end.
+    HttpReply Reply = answer(Call.Backend.Value, Call);
+    if (!Quiet && chance(Faults.LossShare))
+      return;
+    Duration Back = between(Rng, milliseconds(1), milliseconds(80));
+    if (!Quiet && chance(Faults.LateShare))
+      Back = between(Rng, milliseconds(80), seconds(5));
+    at(Back, [this, Host, Call, Reply] {
+      inHost(Host, [this, Host, Call, Reply] {
+        OrderEffects Out;
+        onOrderReply(HostStates[Host].Issuer, Call.Call, Reply, Now, Out);
+      });
+    });
+  });
+}
+
+//===----------------------------------------------------------------------===//
+// Engines
+//===----------------------------------------------------------------------===//
+
+void OrderWorld::announce(const std::string &Name) {
+  const WorldEngine &E = EngineStates[Name];
+  BackendRecord R;
+  R.Id = BackendId(Name);
+  R.Life = E.Life;
+  R.Address = "127.0.0.1:1";
+  R.DataCentre = DataCentreId(Name < "e3" ? "north" : "south");
+  for (const std::string &Model : E.Models)
+    R.Models.emplace_back(Model);
+  R.ChecksFence = E.Checks || Name != "e1";
+  at(between(Rng, milliseconds(50), RegistryLag), [this, Name, R] {
+    const WorldEngine &Newest = EngineStates[Name];
+    BackendRecord Known = R;
+    if (Newest.Life == R.Life) { // A later announcement may have come first.
+      Known.Models.clear();
+      for (const std::string &Model : Newest.Models)
+        Known.Models.emplace_back(Model);
+    }
+    auto Found = Registry.find(Name);
+    if (Newest.Up && (Found == Registry.end() || Found->second.Life <= R.Life))
+      Registry[Name] = Known;
+  });
+}
+
+void OrderWorld::killEngine(const std::string &Name) {
+  WorldEngine &E = EngineStates[Name];
+  if (!E.Up)
+    return;
+  bool Stays = E.Checks;
+  E.Up = false;
+  E.Loading.clear();
+  EngineLosses.push_back(Now);
+  at(GoneAfter, [this, Name] {
+    if (!EngineStates[Name].Up)
+      Registry.erase(Name);
+  });
+  Duration Away = chance(0.5) ? between(Rng, milliseconds(300), seconds(2))
+                              : between(Rng, seconds(3), seconds(40));
+  at(Away, [this, Name, Stays] {
+    WorldEngine &Back = EngineStates[Name];
+    Back.Up = true;
+    ++Back.Life;
+    Back.Fence = 0;
+    Back.Checks = Stays;
+    Back.LastEffect = 0;
+    Back.Flying.clear();
+    Back.Models = {Name < "e4" ? "atlas" : "boreas"};
+    announce(Name);
+  });
+}
+
+HttpReply OrderWorld::answer(const std::string &Name, const OrderCall &Call) {
+  if (Call.Fence != 0)
+    return order(Name, *parseJson(Call.Request.Body, JsonLimits()));
+  const WorldEngine &E = EngineStates[Name];
+  Json State = {{"fence", E.Fence},
+                {"models", E.Models},
+                {"role", E.Role},
+                {"incarnation", E.Life},
+                {"loading", nullptr}};
+  if (!E.Loading.empty())
+    State["loading"] = E.Loading;
+  return {200, {}, State.dump()};
+}
+
+HttpReply OrderWorld::order(const std::string &Name, const Json &Body) {
+  WorldEngine &E = EngineStates[Name];
+  auto Fence = Body["fence"].get<std::uint64_t>();
+  if (E.Checks && Fence < E.Fence) {
+    ++Fenced;
+    return {409, {}, Json({{"fence", E.Fence}}).dump()};
+  }
+  if (E.Checks)
+    E.Fence = Fence;
+  effect(Name, Body);
+  bool Running = E.Loading == Body["name"].get<std::string>();
+  const char *State = Running ? "running" : "done";
+  return {Running ? 202 : 200, {}, Json({{"state", State}}).dump()};
+}
+
+void OrderWorld::effect(const std::string &Name, const Json &Body) {
+  WorldEngine &E = EngineStates[Name];
+  auto Fence = Body["fence"].get<std::uint64_t>();
+  if (Fence < E.LastEffect)
+    complain("an old order took effect at " + Name + ": " +
+             std::to_string(Fence) + " after " + std::to_string(E.LastEffect));
+  E.LastEffect = std::max(E.LastEffect, Fence);
+  auto Kind = Body["order"].get<std::string>();
+  auto Model = Body["name"].get<std::string>();
+  if (Kind == "role") {
+    E.Role = Model;
+  } else if (Kind == "load") {
+    if (E.Models.count(Model) || E.Loading == Model)
+      return;
+    if (!E.Loading.empty())
+      complain("two loads at " + Name);
+    E.Loading = Model;
+    E.Hangs = !Quiet && chance(Faults.Hangs);
+    E.LoadedAt = Now + between(Rng, seconds(1), seconds(12));
+  } else {
+    if (E.Loading == Model)
+      E.Loading.clear();
+    if (E.Models.erase(Model) == 0)
+      return;
+    bool Elsewhere = false;
+    for (const auto &Entry : EngineStates)
+      Elsewhere |= Entry.second.Up && Entry.second.Models.count(Model) > 0;
+    // An engine that died meanwhile may have had the copy that was counted on.
+    bool Loss = !EngineLosses.empty() &&
+                Now - EngineLosses.back() < Config.Landing + seconds(25);
+    // When the order was sent, no document may have wanted the model.
+    bool Edited = Now - LastEdit < Config.Landing + seconds(1);
+    const WantedModel *W = modelOf(Wanted, ModelName(Model));
+    if (!Elsewhere && !Loss && !Edited && W && W->Replicas > 0)
+      complain("the last copy of " + Model + " went at " + Name);
+    announce(Name);
+  }
+}
+
+void OrderWorld::finishLoads() {
+  for (auto &[Name, E] : EngineStates) {
+    if (!E.Up || E.Loading.empty() || E.Hangs || Now < E.LoadedAt)
+      continue;
+    E.Models.insert(E.Loading);
+    E.Loading.clear();
+    announce(Name);
+  }
+}
+
+//===----------------------------------------------------------------------===//
+// Faults and invariants
+//===----------------------------------------------------------------------===//
+
+void OrderWorld::edit() {
+  ++Revision;
+  LastEdit = Now;
+  auto Count = [&] { return static_cast<std::uint32_t>(below(Rng, 4)); };
+  want(Wanted, "atlas", 1 + Count(), chance(0.5) ? "atlas-crew" : "atlas-2");
+  want(Wanted, "boreas", Count(), chance(0.5) ? "boreas-x" : "");
+  want(Wanted, "ceres", Count(), "");
+}
+
+void OrderWorld::faultSecond() {
+  at(seconds(1), [this] { faultSecond(); });
+  if (Quiet)
+    return;
+  if (chance(Faults.LeaderChanges))
+    changeLeader();
+  if (chance(Faults.Freezes))
+    freezeLeader();
+  if (chance(Faults.EngineDeaths))
+    killEngine("e" + std::to_string(below(Rng, Engines)));
+  if (chance(Faults.Edits))
+    edit();
+  if (chance(Faults.Flaps)) {
+    for (const auto &Entry : Wanted)
+      Demand[Entry.first] = {chance(0.5) ? 100U : 0U, 2};
+  }
+}
+
+void OrderWorld::check() {
+  std::size_t Loads = 0;
+  for (const auto &[Name, E] : EngineStates) {
+    Loads += E.Up && !E.Loading.empty() ? 1 : 0;
+    std::set<std::uint64_t> Fences(E.Flying.begin(), E.Flying.end());
+    if (!E.Checks && Fences.size() > 1)
+      complain("two orders on their way to " + Name);
+  }
+  if (Loads > Config.Loads)
+    complain("loads under way: " + std::to_string(Loads));
+  if (openLoads(Truth) > Config.Loads)
+    complain("the book has too many loads");
+}
+
+} // namespace pimento::testing
--- /dev/null
+++ b/packages/orders/tests/SimulationTest.cpp
@@ -0,0 +1,99 @@
+// Issuers that are deposed, frozen and thawed against engines that check or
+// ignore numbers, restart, hang and answer late or never.
+
+#include "orders/tests/OrderWorld.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace pimento;
+using namespace pimento::testing;
+
+namespace {
+
+constexpr std::uint64_t Seeds = 2000;
+constexpr Duration FaultyTime = minutes(3);
+
+/// Every open order ends within it once a leader stays: its limit, that of its
+/// undoing, and three times the wait for what may still arrive.
+Duration bound(const OrderConfig &C) {
+  return C.LoadLimit + C.OrderLimit + 3 * C.Landing;
+}
+
+void checkClean(const OrderWorld &W, std::uint64_t Seed) {
+  BOOST_CHECK_MESSAGE(W.Violations.empty(),
+                      "seed " << Seed << ": " << W.Violations.size()
+                              << " violations, the first at "
+                              << W.Violations.front());
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(Simulation)
+
+BOOST_AUTO_TEST_CASE(InvariantsHoldUnderFaults) {
+  std::uint64_t Sent = 0;
+  std::uint64_t Fenced = 0;
+  std::uint64_t Changes = 0;
+  for (std::uint64_t Seed = 1; Seed <= Seeds; ++Seed) {
+    OrderWorld W(Seed);
+    W.start();
+    W.runFor(FaultyTime);
+    checkClean(W, Seed);
+    Sent += W.Sent;
+    Fenced += W.Fenced;
+    Changes += W.Changes;
+  }
+  BOOST_TEST_MESSAGE("orders sent " << Sent << ", fenced " << Fenced
+                                    << ", leaders " << Changes);
+  // The faults must have happened, or nothing was shown.
+  BOOST_CHECK_GT(Sent, Seeds * 10);
+  BOOST_CHECK_GT(Fenced, 0U);
+  BOOST_CHECK_GT(Changes, Seeds * 2);
+}
+
+BOOST_AUTO_TEST_CASE(NothingStaysHalfOrdered) {
+  for (std::uint64_t Seed = 1; Seed <= Seeds / 4; ++Seed) {
+    OrderWorld W(Seed);
+    W.start();
+    W.runFor(FaultyTime);
+    W.Quiet = true;
+    std::map<BackendId, std::uint64_t> Open;
+    for (const auto &[Id, E] : W.book().Engines) {
+      if (E.Open)
+        Open[Id] = E.Open->Fence;
+    }
+    W.runFor(bound(W.Config));
+    for (const auto &[Id, Fence] : Open) {
+      const EngineBook *E = findEngine(W.book(), Id);
+      bool Same = E->Open && E->Open->Fence == Fence;
+      BOOST_CHECK_MESSAGE(!Same, "seed " << Seed << ": order " << Fence
+                                         << " is still open at " << Id);
+    }
+    checkClean(W, Seed);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(TargetsAreReachedOnceFaultsEnd) {
+  for (std::uint64_t Seed = 1; Seed <= Seeds / 10; ++Seed) {
+    OrderWorld W(Seed);
+    W.start();
+    W.runFor(FaultyTime);
+    W.Quiet = true;
+    W.Demand.clear();
+    W.runFor(minutes(5));
+    for (const auto &[Name, Model] : W.Wanted) {
+      std::size_t Copies = 0;
+      for (const auto &Entry : W.EngineStates)
+        Copies += Entry.second.Models.count(Name.Value);
+      if (Model.Replicas > 0)
+        BOOST_CHECK_MESSAGE(Copies > 0, "seed " << Seed << " without " << Name);
+      if (Model.Replicas == 0)
+        BOOST_CHECK_MESSAGE(Copies == 0, "seed " << Seed << " has " << Name);
+    }
+    for (const auto &[Id, E] : W.book().Engines)
+      BOOST_CHECK_MESSAGE(!E.Open, "seed " << Seed << ": open at " << Id);
+    checkClean(W, Seed);
+  }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
