--- a/packages/base/Settings.cpp
+++ b/packages/base/Settings.cpp
@@ -170,6 +170,27 @@
        PIMENTO_FIELD(std::uint64_t, Schedule.PrefixIndexBytes), 64 * KiB,
        1 * GiB, false, "Memory for prefix hints"},
 
+      {"orders", "weight_store_rate", Form::Bytes,
+       PIMENTO_FIELD(std::uint64_t, Orders.WeightStoreRate), 1 * MiB,
+       GiB * 1024, false,
+       "Bytes a second that the weight store gives to all loads"},
+      {"orders", "engine_load_rate", Form::Bytes,
+       PIMENTO_FIELD(std::uint64_t, Orders.EngineLoadRate), 1 * MiB, GiB * 1024,
+       false, "Bytes a second that one load takes; at most weight_store_rate"},
+      {"orders", "loads", Form::Count,
+       PIMENTO_FIELD(std::uint64_t, Orders.Loads), 1, 10000, false,
+       "Loads under way at once, whatever the rates allow"},
+      {"orders", "landing", Form::Time, PIMENTO_FIELD(Duration, Orders.Landing),
+       500 * Milli, 10 * Minute, false,
+       "Time in which an order that was sent arrives at its engine or never "
+       "does"},
+      {"orders", "load_limit", Form::Time,
+       PIMENTO_FIELD(Duration, Orders.LoadLimit), 1 * Second, 24 * Hour, false,
+       "Time for one load, after which it is undone"},
+      {"orders", "hold_time", Form::Time,
+       PIMENTO_FIELD(Duration, Orders.HoldTime), 1 * Second, 24 * Hour, false,
+       "Least time between two moves of one engine to another model"},
+
       {"retries", "budget_share", Form::Share,
        PIMENTO_FIELD(double, Retries.BudgetShare), 0, 1, false,
        "Second tries as a share of first tries, for each service"},
@@ -554,6 +575,10 @@
     clash(In, "limits", "recorded_answer", "at most answer",
           showBytes(static_cast<double>(L.RecordedAnswerBytes)));
   const ScheduleSettings &Q = In.S.Schedule;
+  const OrderSettings &O = In.S.Orders;
+  if (O.EngineLoadRate > O.WeightStoreRate)
+    clash(In, "orders", "engine_load_rate", "at most weight_store_rate",
+          showBytes(static_cast<double>(O.EngineLoadRate)));
   if (Q.AccountQueueLength > Q.QueueLength)
     clash(In, "schedule", "account_queue_length", "at most queue_length",
           std::to_string(Q.AccountQueueLength));
@@ -667,6 +692,8 @@
     Bytes = Number << 10U;
   else if (Unit == "MiB")
     Bytes = Number << 20U;
+  else if (Unit == "GiB")
+    Bytes = std::min<std::uint64_t>(Number, 1U << 20U) << 30U;
   else
     return false;
   return true;
--- a/packages/base/Settings.h
+++ b/packages/base/Settings.h
@@ -94,6 +94,16 @@
   std::uint64_t PrefixIndexBytes = 16U << 20U; // Prefix hints of one host.
 };
 
+/// [orders]: loads, unloads and changes of role at engines.
+struct OrderSettings {
+  std::uint64_t WeightStoreRate = 4096ULL << 20U; // Bytes a second, all loads.
+  std::uint64_t EngineLoadRate = 1024ULL << 20U;  // Bytes a second, one load.
+  std::uint64_t Loads = 8;          // Most at once, whatever the rates allow.
+  Duration Landing = seconds(5);    // A sent order arrives in it or never does.
+  Duration LoadLimit = minutes(10); // For one load; then it is undone.
+  Duration HoldTime = minutes(2);   // Between two moves of one engine.
+};
+
 /// [retries]: second tries of repeatable requests.
 struct RetrySettings {
   double BudgetShare = 0.1;                  // Of first tries; by service.
@@ -121,6 +131,7 @@
   MembershipSettings Membership;
   LimitSettings Limits;
   ScheduleSettings Schedule;
+  OrderSettings Orders;
   RetrySettings Retries;
   DrainSettings Drain;
   LogSettings Log;
@@ -167,7 +178,7 @@
 
 /// A duration such as "250ms", "2s", "5m" or "1h"; the unit is required.
 bool parseDuration(std::string_view Text, Duration &D);
-/// A size such as "64KiB", "16MiB" or "100B"; the unit is required.
+/// A size such as "100B", "64KiB", "16MiB" or "4GiB"; the unit is required.
 bool parseBytes(std::string_view Text, std::uint64_t &Bytes);
 /// Whether \p Text is an IPv4 or bracketed IPv6 address with a port; port 0
 /// is refused.
--- a/packages/node/ControlPart.cpp
+++ b/packages/node/ControlPart.cpp
@@ -1,5 +1,6 @@
 // The replicated logs of a voter: elections, writes, applied entries.
 
+#include "node/ControlSnapshot.h"
 #include "node/Turn.h"
 
 #include <algorithm>
@@ -73,8 +74,11 @@
 void installSnapshot(Turn &T, GroupId Group, const Snapshot &Base) {
   Failure Why;
   if (Group == ControlGroup) {
-    T.S.Control.Documents = valueOr<Store>(
-        [&] { return decodeStore(*Base.Data); }, T.S.Control.Documents, Why);
+    ControlSnapshot Read = valueOr<ControlSnapshot>(
+        [&] { return decodeControlSnapshot(*Base.Data); },
+        ControlSnapshot{T.S.Control.Documents, T.S.Control.Orders}, Why);
+    T.S.Control.Documents = std::move(Read.Documents);
+    T.S.Control.Orders = std::move(Read.Orders);
   } else {
     calls::ClaimsState &Applied = T.S.Control.Claims[Group].Applied;
     Applied = valueOr<calls::ClaimsState>(
@@ -87,7 +91,7 @@
 
 std::string takeSnapshot(const NodeState &S, GroupId Group) {
   if (Group == ControlGroup)
-    return encodeStore(S.Control.Documents);
+    return encodeControlSnapshot(S.Control.Documents, S.Control.Orders);
   return encodeClaims(S.Control.Claims.at(Group).Applied).Data;
 }
 
@@ -181,6 +185,11 @@
       onPutDocument(T, From, M);
     return true;
   }
+  bool operator()(const DemandReport &M) const {
+    if (leadsOrForwards(T, ControlGroup, From, Whole, MayForward))
+      onDemandReport(T, M);
+    return true;
+  }
   bool operator()(const ClaimRequest &M) const {
     claim(M.Key, [&](ClaimPartition &P, calls::ClaimEffects &Out) {
       onClaimRequest(P.Leader, P.Applied, From, M, T.Now, Out);
--- /dev/null
+++ b/packages/node/ControlSnapshot.h
@@ -0,0 +1,29 @@
+//===- ControlSnapshot.h - The control group's state as bytes ---*- C++ -*-===//
+//
+// Documents and orders, in one snapshot of the control log. A snapshot that
+// was taken before there were orders holds documents alone and is read as
+// well.
+//
+//===----------------------------------------------------------------------===//
+#pragma once
+
+#include "base/Result.h"
+#include "document/Store.h"
+#include "orders/Book.h"
+
+#include <string>
+#include <string_view>
+
+namespace pimento {
+
+struct ControlSnapshot {
+  Store Documents;
+  OrderBook Orders;
+};
+
+std::string encodeControlSnapshot(const Store &Documents,
+                                  const OrderBook &Orders);
+/// Fails with WireMalformed, WireTooLarge or WireVersion.
+Result<ControlSnapshot> decodeControlSnapshot(std::string_view Bytes);
+
+} // namespace pimento
--- a/packages/node/EditPart.cpp
+++ b/packages/node/EditPart.cpp
@@ -125,6 +125,8 @@
 }
 
 void applyControl(Turn &T, const LogEntry &Entry) {
+  if (applyOrderEntry(T, Entry))
+    return;
   Failure Why;
   PutDocumentCommand Command = valueOr<PutDocumentCommand>(
       [&] { return decodeCommand(Entry.Payload.Data); }, PutDocumentCommand(),
--- a/packages/node/Node.cpp
+++ b/packages/node/Node.cpp
@@ -63,6 +63,7 @@
   tickDocuments(T);
   tickSchedule(T);
   tickEngineCalls(T);
+  tickOrderPart(T);
   tickCalls(T);
   tickOperators(T);
   tickDrain(T);
@@ -95,7 +96,7 @@
   void operator()(const StopRequested &) const { stopRequested(T); }
 
   void upstream() const {
-    if (!engineCallEvent(T, Whole))
+    if (!engineCallEvent(T, Whole) && !orderCallEvent(T, Whole))
       callsEvent(T, Whole);
   }
 };
--- a/packages/node/Node.h
+++ b/packages/node/Node.h
@@ -11,6 +11,7 @@
 //   DocumentPart     spread of documents, and what follows from those in force
 //   SchedulePart     cells held here, and this host's asks to any cell
 //   EnginePart       cancels and memory sweeps at engines
+//   OrdersPart       loads, unloads and changes of role at engines
 //   CallsPart        callers' requests
 //   OperatorPart     operators' requests
 //
@@ -25,6 +26,7 @@
 #include "membership/Membership.h"
 #include "node/Cells.h"
 #include "node/Events.h"
+#include "orders/Orders.h"
 #include "replica/Replica.h"
 #include "schedule/Cell.h"
 #include "schedule/Entry.h"
@@ -68,6 +70,18 @@
   std::map<std::uint64_t, std::uint64_t> Tickets; // Log index to ticket.
 };
 
+/// Where a command on orders stands in the control log.
+struct OrderTicket {
+  std::uint64_t Ticket = 0; // Of the issuer.
+  std::uint64_t Term = 0;   // In which it was proposed.
+};
+
+/// The newest report of one cell.
+struct KnownDemand {
+  DemandReport Content;
+  TimePoint At;
+};
+
 /// The replicated logs; without any where the host has no disk.
 struct ControlState {
   std::map<GroupId, ReplicaState> Logs;
@@ -78,6 +92,10 @@
   std::uint64_t PlannedTerm = 0;  // Term that Planner belongs to.
   std::uint64_t PlannedIndex = 0; // Of the cell edit in flight; zero: none.
   std::map<GroupId, std::size_t> NextVoter; // Tried next, by group.
+  OrderBook Orders;
+  OrderIssuer Issuer;                                // Issues while it leads.
+  std::map<std::uint64_t, OrderTicket> OrderTickets; // By log index.
+  std::map<CellId, KnownDemand> Demand;              // At the leader.
 };
 
 /// An upstream call that the scheduler of a cell has under way.
@@ -91,6 +109,12 @@
   TimePoint Until; // Broken off then.
 };
 
+/// An upstream call of the issuer of orders.
+struct OrderUpstream {
+  std::uint64_t Call = 0; // The issuer's number.
+  HttpReply Reply;
+};
+
 enum class OperatorWaitKind : std::uint8_t { Edit, History, InForce };
 
 /// An operator's request that waits for other hosts.
@@ -137,7 +161,10 @@
   // Scheduling.
   std::map<CellId, CellState> Held; // Scheduled by this host.
   EntryState Entry;
-  std::map<std::uint64_t, EngineCall> EngineCalls; // By UpstreamId.
+  std::map<std::uint64_t, EngineCall> EngineCalls;   // By UpstreamId.
+  std::map<std::uint64_t, OrderUpstream> OrderCalls; // By UpstreamId.
+  TimePoint NextOrderTick;
+  TimePoint NextDemand; // Reports of demand on the cells held here.
   std::uint64_t NextUpstream = 1;
   TimePoint NextCellTick;
 
--- a/packages/node/StatusPart.cpp
+++ b/packages/node/StatusPart.cpp
@@ -139,6 +139,7 @@
                {"documents", documentsJson(S)},
                {"cells", cellsJson(S)},
                {"claims", claimsJson(S)},
+               {"orders", Json::parse(ordersText(S))},
                {"logs", Logs}};
   return Root.dump() + "\n";
 }
--- a/packages/node/Turn.h
+++ b/packages/node/Turn.h
@@ -85,6 +85,15 @@
 bool engineCallEvent(Turn &T, const Event &E);
 void tickEngineCalls(Turn &T);
 
+// OrdersPart.cpp
+void tickOrderPart(Turn &T);
+bool orderCallEvent(Turn &T, const Event &E);
+void onDemandReport(Turn &T, const DemandReport &M);
+/// False where the entry is no command on orders.
+bool applyOrderEntry(Turn &T, const LogEntry &Entry);
+/// JSON of the book and the issuer.
+std::string ordersText(const NodeState &S);
+
 // CallsPart.cpp
 void callerRequest(Turn &T, const CallerRequest &E);
 void callsEvent(Turn &T, const Event &E);
--- a/packages/wire/Messages.h
+++ b/packages/wire/Messages.h
@@ -18,6 +18,7 @@
 #include "wire/MembershipMessages.h"
 #include "wire/MessageList.h"
 #include "wire/OperatorMessages.h"
+#include "wire/OrderMessages.h"
 #include "wire/ReplicaMessages.h"
 #include "wire/ScheduleMessages.h"
 
@@ -31,7 +32,7 @@
 using Message =
     JoinedMessages<LinkMessages, ForwardMessages, ReplicaMessages,
                    MembershipMessages, ScheduleMessages, CallMessages,
-                   DocumentMessages, OperatorMessages>::Variant;
+                   DocumentMessages, OperatorMessages, OrderMessages>::Variant;
 
 /// A message and the host it goes to.
 struct Outbound {
