--- a/packages/base/Settings.h
+++ b/packages/base/Settings.h
@@ -68,7 +68,7 @@
   Duration ProbeTimeout = milliseconds(150);      // Before indirect probes.
   Duration SuspicionTimeout = milliseconds(1000); // From suspect to dead.
   Duration AnnounceTimeout = milliseconds(2500);  // Silence of a server.
-  Duration FreshnessBound = milliseconds(3000);   // Age of a document stamp.
+  Duration FreshnessBound = milliseconds(900);    // Age of a document stamp.
 };
 
 /// [limits]: what one host takes on.
