orders: hosts issue orders; stricter simulation

Cause: the issuer was not composed, and the simulation had no silent engines, no engine gone for good and no host frozen between a decision and its send. Ruled out: a number for each term instead of each order, since a late order of the same term could pass; see docs/design/orders.md.

--- a/packages/node/tests/VirtualBackends.h
+++ b/packages/node/tests/VirtualBackends.h
@@ -7,6 +7,7 @@
 #pragma once
 
 #include "fakes/EngineModel.h"
+#include "fakes/EngineOrders.h"
 #include "node/tests/VirtualSite.h"
 
 namespace pimento::test {
@@ -44,6 +45,8 @@
   std::uint64_t MemoryTokens;
   std::unique_ptr<fakes::Engine> Model;
   std::map<UpstreamKey, Reader> Readers;
+  fakes::OrderBook Orders;
+  std::vector<std::uint64_t> Taken; // Numbers of orders carried out, in order.
 
   EngineBackend(VirtualSite &Site, std::uint64_t MemoryTokens);
   void take(const UpstreamKey &Key, const UpstreamRequest &R,
@@ -61,6 +64,8 @@
             std::uint64_t From);
   bool feed(const UpstreamKey &Key, Reader &R);
   void memory(const UpstreamKey &Key, TimePoint Now);
+  void state(const UpstreamKey &Key);
+  void order(const UpstreamKey &Key, const std::string &Body, TimePoint Now);
 };
 
 struct PlainBackend : VirtualBackend {
--- a/packages/node/tests/VirtualSite.cpp
+++ b/packages/node/tests/VirtualSite.cpp
@@ -516,6 +516,10 @@
   Backends.at(Backend)->restart(P.now());
 }
 
+EngineBackend &VirtualSite::engine(const std::string &Name) {
+  return dynamic_cast<EngineBackend &>(*Backends.at(Name));
+}
+
 std::uint64_t VirtualSite::tokensHeld() {
   std::uint64_t Sum = 0;
   for (auto &[Id, Backend] : Backends) {
--- a/packages/node/tests/VirtualSite.h
+++ b/packages/node/tests/VirtualSite.h
@@ -148,6 +148,7 @@
   BackendFaults &faults(const std::string &Backend);
   /// Starts it again with a new life, empty.
   void restartBackend(const std::string &Backend);
+  EngineBackend &engine(const std::string &Name);
   std::uint64_t tokensHeld();
   std::size_t attemptsAt(const std::string &Engine);
   /// Breaks every connection that reads an answer of the engine.
--- a/packages/orders/Book.cpp
+++ b/packages/orders/Book.cpp
@@ -100,14 +100,14 @@
   return O.Kind == OrderKind::Load || O.HoldsShare;
 }
 
-OrderOutcome refuse(const char *Why) { return {false, Why, 0}; }
+OrderOutcome refuse(const char *Why) { return {false, Why, 0, false}; }
 
 OrderOutcome setTarget(EngineBook &E, const OrderCommand &C) {
   E.Base = C.Base;
   E.Role = C.Role;
   E.TargetAt = std::max(E.TargetAt, C.At);
   E.Revision = std::max(E.Revision, C.Revision);
-  return {true, "", 0};
+  return {true, "", 0, false};
 }
 
 OrderOutcome begin(OrderBook &B, EngineBook &E, const OrderCommand &C) {
@@ -122,7 +122,7 @@
   B.LastFence = std::max(B.LastFence, C.Floor) + 1;
   bool OfLoad = HasShare && C.Order != OrderKind::Load;
   E.Open = OpenOrder{B.LastFence, C.Order, C.Name, C.Life, OfLoad, C.At};
-  return {true, "", B.LastFence};
+  return {true, "", B.LastFence, OfLoad};
 }
 
 void noteDone(EngineBook &E, const OpenOrder &O, Incarnation Life) {
@@ -144,7 +144,7 @@
     noteDone(E, *E.Open, C.Life);
   E.EndedAt = std::max(E.EndedAt, C.At);
   E.Open.reset();
-  return {true, "", 0};
+  return {true, "", 0, false};
 }
 
 OrderOutcome forget(OrderBook &B, const BackendId &Id) {
@@ -152,7 +152,7 @@
   if (Found == B.Engines.end() || Found->second.Open)
     return refuse("the engine has an open order or no entry");
   B.Engines.erase(Found);
-  return {true, "", 0};
+  return {true, "", 0, false};
 }
 
 EngineRecord recordOf(const BackendId &Id, const EngineBook &E) {
--- a/packages/orders/Book.h
+++ b/packages/orders/Book.h
@@ -126,6 +126,7 @@
   bool Accepted = false;
   const char *Refusal = ""; // Why not.
   std::uint64_t Fence = 0;  // Of Begin; else zero.
+  bool HoldsShare = false;  // Of Begin: it takes the place of a load.
 };
 
 /// Applies one command. Deterministic.
--- a/packages/orders/Orders.cpp
+++ b/packages/orders/Orders.cpp
@@ -232,11 +232,15 @@
   E.NextStep = Now;
   if (!Outcome.Accepted)
     E.NextStep = Now + I.Config.PollInterval;
-  if (!Outcome.Accepted || Outcome.Fence == 0)
+  if (!Outcome.Accepted)
     return;
+  bool Replaces = E.Following != 0;
   E.Following = Outcome.Fence;
+  if (Outcome.Fence == 0)
+    return;
+  Load = Load || Outcome.HoldsShare;
   E.Limit = Now + (Load ? I.Config.LoadLimit : I.Config.OrderLimit);
-  E.MustRead = Now < E.QuietUntil; // Of the order that it undoes.
+  E.MustRead = Replaces; // That order may have been done meanwhile.
   E.Refused = false;
   E.Answered = false;
   E.MayBeSent = false;
--- a/packages/orders/Orders.h
+++ b/packages/orders/Orders.h
@@ -67,8 +67,8 @@
   Duration CallTime = seconds(2); // For the answer to one call.
   Duration SendTime = milliseconds(500); // Leave to send; also the lease's end.
   Duration PollInterval = milliseconds(500); // Of an order that is under way.
-  Duration LoadLimit = minutes(10);          // For one load.
-  Duration OrderLimit = seconds(30);         // For any other order.
+  Duration LoadLimit = minutes(10);  // For one load, and for undoing it.
+  Duration OrderLimit = seconds(30); // For any other order.
   Duration PlanInterval = milliseconds(500); // Between two plans.
   Duration Settle = seconds(5); // The registry shows an order's effect by then.
   Duration Hold = minutes(2);   // See Planner.h.
@@ -127,11 +127,12 @@
   TimePoint NextStep;   // Nothing is sent before.
   TimePoint Limit;      // The open order is to be done by then.
   std::uint64_t Following = 0; // Fence of the open order; zero: none.
-  bool MustRead = false;       // Before anything else is sent.
-  bool Answered = false;       // It took the open order, whatever came of it.
-  bool MayBeSent = false;      // The open order may have been sent.
-  bool Refused = false;        // The last send heard of a higher number.
-  std::uint64_t Floor = 0;     // Highest number that it named.
+  TimePoint AwaySince = TimePoint::max(); // Not in the registry since then.
+  bool MustRead = false;                  // Before anything else is sent.
+  bool Answered = false;   // It took the open order, whatever came of it.
+  bool MayBeSent = false;  // The open order may have been sent.
+  bool Refused = false;    // The last send heard of a higher number.
+  std::uint64_t Floor = 0; // Highest number that it named.
   std::optional<EngineState> State; // As read last, after the last send.
   std::uint32_t Failures = 0;       // Orders not done, in a row.
   TimePoint NotBefore;              // No new order before.
--- a/packages/orders/Step.cpp
+++ b/packages/orders/Step.cpp
@@ -29,7 +29,8 @@
 }
 
 Duration limitOf(const OrderConfig &C, const OpenOrder &Open) {
-  return Open.Kind == OrderKind::Load ? C.LoadLimit : C.OrderLimit;
+  bool Load = Open.Kind == OrderKind::Load || Open.HoldsShare;
+  return Load ? C.LoadLimit : C.OrderLimit;
 }
 
 /// One step of one engine's open order.
@@ -40,6 +41,7 @@
   EngineIssue &E;
 
   void takeUp();
+  void noteAway(bool Here);
   void run();
   bool waits(const BackendRecord *Record) const;
   void judge(const BackendRecord &Record);
@@ -59,7 +61,11 @@
     return;
   Duration Age = std::max(Duration::zero(), T.In.Wall - Open.At);
   E.Following = Open.Fence;
-  E.Limit = T.Now + std::max(Duration::zero(), limitOf(T.I.Config, Open) - Age);
+  const OrderConfig &C = T.I.Config;
+  E.Limit = T.Now + std::max(Duration::zero(), limitOf(C, Open) - Age);
+  // A load past its limit is undone; anything else gets a chance to be sent.
+  if (Open.Kind != OrderKind::Load)
+    E.Limit = std::max(E.Limit, E.QuietUntil + C.OrderLimit);
   E.MustRead = true;
   E.Refused = false;
   E.Answered = false;
@@ -86,13 +92,26 @@
   return Ignores && T.Now < E.QuietUntil;
 }
 
+/// An engine that is back gets time to tell its state.
+void Step::noteAway(bool Here) {
+  if (!Here) {
+    E.AwaySince = std::min(E.AwaySince, T.Now);
+    return;
+  }
+  if (E.AwaySince != TimePoint::max())
+    E.Limit = std::max(E.Limit, T.Now + T.I.Config.OrderLimit);
+  E.AwaySince = TimePoint::max();
+}
+
 void Step::run() {
   const BackendRecord *Record = findRecord(T.In, Id);
   takeUp();
+  noteAway(Record != nullptr);
   if (waits(Record))
     return;
   if (!Record) {
-    if (T.Now >= E.Limit)
+    // It may go on with a load for as long as any engine may.
+    if (T.Now - E.AwaySince >= limitOf(T.I.Config, Open))
       close(OrderEnd::Gone, Open.Life);
     return;
   }
--- a/packages/orders/tests/OrderWorld.h
+++ b/packages/orders/tests/OrderWorld.h
@@ -30,11 +30,14 @@
   double Hangs = 0.05;         // Share of loads that never end.
   double Edits = 0.02;         // A second.
   double Flaps = 0.5;          // Changes of demand a second.
+  double SendFreezes = 0.02;   // Share of orders before which the host freezes.
+  double Silences = 0.01;      // A second: an engine announces nothing.
 };
 
 struct WorldEngine {
   bool Checks = true;
   bool Up = true;
+  bool Silent = false; // Announces nothing.
   Incarnation Life = 1;
   std::uint64_t Fence = 0;
   std::set<std::string> Models;
@@ -147,6 +150,7 @@
   void freezeLeader();
   void faultSecond();
   void killEngine(const std::string &Name);
+  void silenceEngine(const std::string &Name);
   void edit();
   void announce(const std::string &Name);
   HttpReply answer(const std::string &Name, const OrderCall &Call);
--- a/packages/orders/tests/OrdersTest.cpp
+++ b/packages/orders/tests/OrdersTest.cpp
@@ -17,6 +17,71 @@
   return C;
 }
 
+/// One issuer whose commands are committed at once. Calls stay unanswered.
+struct Bench {
+  OrderIssuer I;
+  OrderBook Book;
+  WantedModels Wanted;
+  std::map<std::string, BackendRecord> Records;
+  std::map<ModelName, ModelDemand> Demand;
+  std::uint64_t Revision = 1;
+  TimePoint Now{hours(1)};
+  OrderEffects Last; // Of the last tick.
+
+  void want(const char *Model, std::uint32_t Replicas, const char *Extra = "") {
+    WantedModel &M = Wanted[ModelName(Model)];
+    M.Name = ModelName(Model);
+    M.Replicas = Replicas;
+    if (*Extra)
+      M.Extras = {ModelName(Extra)};
+  }
+  BackendRecord &engine(const char *Id, const std::vector<const char *> &Models,
+                        const char *DataCentre = "north") {
+    BackendRecord &R = Records[Id];
+    R.Id = BackendId(Id);
+    R.Life = 1;
+    R.Address = "127.0.0.1:1";
+    R.DataCentre = DataCentreId(DataCentre);
+    R.Models.clear();
+    for (const char *Name : Models)
+      R.Models.emplace_back(Name);
+    return R;
+  }
+  void target(const char *Id, const char *Base) {
+    OrderCommand C;
+    C.Kind = OrderCommandKind::Target;
+    C.Backend = BackendId(Id);
+    C.Base = ModelName(Base);
+    C.Revision = Revision;
+    C.At = wall();
+    apply(Book, C);
+  }
+  Duration wall() const { return Now.time_since_epoch(); }
+  void lead() { startIssuing(I, I.Term + 1, Book, Now); }
+  void tick(Duration Step = milliseconds(100)) {
+    Now += Step;
+    std::vector<const BackendRecord *> Engines;
+    for (const auto &Entry : Records)
+      Engines.push_back(&Entry.second);
+    std::set<BackendId> Ignores;
+    OrderInput In{Book,     Wanted, Engines,          Ignores, Demand,
+                  Revision, wall(), Now + seconds(1), true};
+    Last = OrderEffects();
+    tickOrders(I, In, Now, Last);
+    for (const OrderProposal &P : Last.Proposals)
+      onCommitted(I, P.Ticket, apply(Book, P.Command), Now);
+  }
+  void runFor(Duration Time) {
+    for (TimePoint End = Now + Time; Now < End;)
+      tick();
+  }
+  std::size_t open() const { return orderFigures(Book).Open; }
+  std::string base(const char *Id) const {
+    const EngineBook *E = findEngine(Book, BackendId(Id));
+    return E ? E->Base.Value : "";
+  }
+};
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(Book)
@@ -75,3 +140,159 @@
 }
 
 BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(Issuer)
+
+BOOST_AUTO_TEST_CASE(TwoEnginesNeverGiveUpTheSameCopies) {
+  Bench B;
+  B.want("atlas", 1, "atlas-crew");
+  B.want("boreas", 2);
+  B.engine("e1", {"atlas", "atlas-crew"});
+  B.engine("e2", {"atlas", "atlas-crew"});
+  B.engine("e3", {"atlas"});
+  B.target("e1", "boreas");
+  B.target("e2", "boreas");
+  B.lead();
+  B.tick();
+  std::size_t Unloads = 0;
+  for (int I = 0; I < 20; ++I) {
+    for (const OrderProposal &P : B.Last.Proposals)
+      Unloads += P.Command.Order == OrderKind::Unload &&
+                 P.Command.Name == "atlas-crew";
+    B.tick();
+  }
+  // Neither in one plan nor while the first one is open.
+  BOOST_CHECK_EQUAL(Unloads, 1U);
+}
+
+BOOST_AUTO_TEST_CASE(OrderAtAGoneEngineEnds) {
+  Bench B;
+  B.want("atlas", 1);
+  OrderCommand C = begin("e1", "atlas");
+  C.Order = OrderKind::Unload;
+  C.At = B.wall() - hours(1); // Its limit is long over.
+  apply(B.Book, C);
+  B.lead();
+  B.runFor(B.I.Config.OrderLimit - milliseconds(200));
+  BOOST_CHECK_EQUAL(B.open(), 1U); // The engine may be back.
+  B.runFor(seconds(2));
+  BOOST_CHECK_EQUAL(B.open(), 0U);
+}
+
+BOOST_AUTO_TEST_CASE(RoleIsOrderedOnlyWhereATargetNamesOne) {
+  Bench B;
+  B.want("atlas", 1);
+  B.engine("e1", {"atlas"});
+  B.lead();
+  B.runFor(seconds(1));
+  BOOST_CHECK_EQUAL(B.open(), 0U);
+  OrderCommand C;
+  C.Kind = OrderCommandKind::Target;
+  C.Backend = BackendId("e1");
+  C.Base = ModelName("atlas");
+  C.Role = "prefill";
+  apply(B.Book, C);
+  B.runFor(seconds(1));
+  BOOST_REQUIRE_EQUAL(B.open(), 1U);
+  const EngineBook *E = findEngine(B.Book, BackendId("e1"));
+  BOOST_CHECK(E->Open->Kind == OrderKind::Role);
+  BOOST_CHECK_EQUAL(E->Open->Name, "prefill");
+}
+
+BOOST_AUTO_TEST_CASE(WhatNobodyNamedIsLeftAlone) {
+  Bench B;
+  B.want("atlas", 1);
+  B.want("boreas", 0);
+  B.engine("e1", {"atlas", "own-model"});
+  B.engine("e2", {"boreas"});
+  B.lead();
+  B.runFor(seconds(1));
+  BOOST_CHECK_EQUAL(B.open(), 1U); // Boreas is wanted nowhere.
+  BOOST_CHECK_EQUAL(findEngine(B.Book, BackendId("e2"))->Open->Name, "boreas");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(Plans)
+
+BOOST_AUTO_TEST_CASE(ShortageIsSharedOut) {
+  Bench B;
+  B.want("atlas", 6);
+  B.want("boreas", 2);
+  B.want("ceres", 1);
+  for (const char *Id : {"e1", "e2", "e3", "e4", "e5"})
+    B.engine(Id, {"atlas"});
+  B.lead();
+  B.tick();
+  std::map<std::string, int> Moved;
+  for (const char *Id : {"e1", "e2", "e3", "e4", "e5"})
+    ++Moved[B.base(Id)];
+  // Five engines for nine: one each, and of the other two by what is wanted
+  // beyond one (5 to 1 to 0) both go to atlas.
+  BOOST_CHECK_EQUAL(Moved[""], 3);
+  BOOST_CHECK_EQUAL(Moved["boreas"], 1);
+  BOOST_CHECK_EQUAL(Moved["ceres"], 1);
+}
+
+BOOST_AUTO_TEST_CASE(EnginesGoWhereTheModelIsScarce) {
+  Bench B;
+  B.want("atlas", 2);
+  B.engine("e1", {"atlas"}, "north");
+  B.engine("e2", {}, "north");
+  B.engine("e3", {}, "south");
+  B.lead();
+  B.tick();
+  BOOST_CHECK_EQUAL(B.base("e3"), "atlas");
+  BOOST_CHECK_EQUAL(B.base("e2"), "");
+}
+
+BOOST_AUTO_TEST_CASE(OneDataCentreIsNotEnoughForTwoEngines) {
+  Bench B;
+  B.want("atlas", 2);
+  B.engine("e1", {"atlas"}, "north");
+  B.engine("e2", {"atlas"}, "north");
+  B.engine("e3", {}, "south");
+  B.lead();
+  B.tick();
+  BOOST_CHECK_EQUAL(B.base("e3"), "atlas");
+}
+
+BOOST_AUTO_TEST_CASE(DemandMovesASpareEngineOnceItLasts) {
+  Bench B;
+  B.want("atlas", 1);
+  B.want("boreas", 1);
+  B.engine("e1", {"atlas"});
+  B.engine("e2", {"boreas"});
+  B.engine("e3", {"boreas"});
+  B.Demand[ModelName("atlas")] = {50, 1};
+  B.Demand[ModelName("boreas")] = {0, 2};
+  B.lead();
+  B.runFor(PressedTime - seconds(1));
+  BOOST_CHECK_EQUAL(B.base("e2") + B.base("e3"), "");
+  B.runFor(seconds(2));
+  BOOST_CHECK_EQUAL(B.base("e2") + B.base("e3"), "atlas");
+  // The other way round: the wanted number is kept, and the window too.
+  B.Demand[ModelName("atlas")] = {0, 2};
+  B.Demand[ModelName("boreas")] = {50, 1};
+  B.runFor(seconds(60));
+  BOOST_CHECK_EQUAL(B.base("e1") + B.base("e2") + B.base("e3"), "atlas");
+}
+
+BOOST_AUTO_TEST_CASE(AnEditMovesAnEngineInsideTheWindow) {
+  Bench B;
+  B.want("atlas", 1);
+  B.want("boreas", 1);
+  B.engine("e1", {"atlas"});
+  B.engine("e2", {"atlas"});
+  B.target("e2", "atlas");
+  B.lead();
+  B.runFor(seconds(5));
+  BOOST_CHECK_EQUAL(B.base("e1"), "boreas"); // Never moved, so it is free.
+  B.want("atlas", 0);
+  B.want("ceres", 1);
+  ++B.Revision;
+  B.runFor(seconds(5));
+  BOOST_CHECK_EQUAL(B.base("e2"), "ceres");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
