--- a/packages/membership/tests/MembershipTest.cpp
+++ b/packages/membership/tests/MembershipTest.cpp
@@ -156,8 +156,7 @@
     BOOST_TEST(Site.Deaths == 0U, seedText(Seed));
     Suspicions += Site.Suspicions;
   }
-  // Nine hosts that each hear of it: fewer than one suspicion an hour and host
-  // is not asked for, one in ten minutes and host is.
+  // At most one suspicion in ten minutes of each host, of which all nine hear.
   BOOST_TEST_MESSAGE("suspicions heard of in one host-hour: "
                      << Suspicions / (Seeds * 9 * 3 / 60.0));
   BOOST_TEST(Suspicions <= Seeds * 9 * 3 / 10 * 9);
