Run the seeds of documents with clocks of different rates

Cause: the freshness lease allows for clocks whose rates differ, and no test ran with such clocks. What was done: the seeds set each host's clock up to 0.5 % fast or slow. Ruled out: that the seeds alone prove the margin.

--- a/packages/document/tests/SpreadTest.cpp
+++ b/packages/document/tests/SpreadTest.cpp
@@ -96,6 +96,9 @@
   Site.P.Faults.Duplicate = uniform(R) * 0.1;
   Site.P.Faults.Slow = uniform(R) * 0.1;
   Site.P.Faults.SlowDelay = milliseconds(below(R, 1500));
+  // Rates differ by the allowed drift at most.
+  for (const HostId &Name : Site.Names)
+    Site.P.setClock(Name, 0.995 + uniform(R) * 0.01, Duration::zero());
 }
 
 std::string seedText(std::uint64_t Seed) {
@@ -356,6 +359,19 @@
   BOOST_TEST(!verdict(S, Thaw).Serve);
 }
 
+BOOST_AUTO_TEST_CASE(ASlowClockIsAllowedFor) {
+  FreshnessConfig Config;
+  Config.Hosts = 3;
+  Config.Bound = seconds(1);
+  Config.ClockDriftPerMille = 10;
+  TimePoint Now(hours(1));
+  FreshnessState F = makeFreshness(Config, Now);
+  adoptStamp(F, {1, 1, 0}, Duration::zero(), Now);
+  BOOST_TEST(mayServe(F, Now + milliseconds(985)).Serve);
+  // A clock that runs 1 % slow may show this when the second is over.
+  BOOST_TEST(!mayServe(F, Now + milliseconds(992)).Serve);
+}
+
 BOOST_AUTO_TEST_CASE(LargeDocumentsArriveInParts) {
   SpreadSite Site(5, 3, 7);
   BOOST_REQUIRE(settle(Site));
