A broken connection starts the search for a dead peer at once

Ruled out: shorter probe intervals (the busiest of nine hosts already spends 16.0 of 17 KB/s); giving a cell before its lease is over. Conclusion: PeerLost is a hint only; a host that loses power is still found by probes.

--- a/fuzz/DecoderFuzz.cpp
+++ b/fuzz/DecoderFuzz.cpp
@@ -74,7 +74,8 @@
 /// Feeds the decoder; good inputs must be taken.
 void fuzz(const std::vector<std::string> &Good, const Decoder &Decode) {
   for (const std::string &Bytes : Good)
-    BOOST_TEST(Decode(Bytes), "a good input is refused: " << Bytes.substr(0, 80));
+    BOOST_TEST(Decode(Bytes),
+               "a good input is refused: " << Bytes.substr(0, 80));
   Random R(20261203);
   int Refused = 0;
   for (int I = 0; I < rounds(); ++I)
@@ -159,9 +160,8 @@
 }
 
 BOOST_AUTO_TEST_CASE(Documents) {
-  fuzz({DocumentText}, [](const std::string &Bytes) {
-    return checkDocument(Bytes).good();
-  });
+  fuzz({DocumentText},
+       [](const std::string &Bytes) { return checkDocument(Bytes).good(); });
   PutDocumentCommand Command;
   Command.Service = ServiceId("s");
   Command.Number = 1;
@@ -263,9 +263,8 @@
     return true; // An entry that can't be read changes nothing.
   });
   fuzz({calls::encodeClaims(Applied).Data}, [](const std::string &Bytes) {
-    return taken([&] {
-      return calls::decodeClaims(Blob{Bytes}, calls::ClaimLimits());
-    });
+    return taken(
+        [&] { return calls::decodeClaims(Blob{Bytes}, calls::ClaimLimits()); });
   });
 }
 
@@ -275,8 +274,8 @@
   for (std::uint64_t Batch = 1; Batch <= 4; ++Batch) {
     storage::Record R;
     R.Batch = Batch;
-    R.Kind = Batch == 1 ? storage::RecordKind::Start
-                        : storage::RecordKind::Entry;
+    R.Kind =
+        Batch == 1 ? storage::RecordKind::Start : storage::RecordKind::Entry;
     R.EndsBatch = true;
     R.Payload = Payload;
     storage::addRecord(Segment, 0, 1, R);
--- a/packages/membership/Membership.cpp
+++ b/packages/membership/Membership.cpp
@@ -457,6 +457,13 @@
   return true;
 }
 
+void onLinkLost(MembershipState &S, const HostId &Host, TimePoint Now,
+                MembershipOutputs &Out) {
+  const HostView *View = hostView(S, Host);
+  if (View && View->Status == HostStatus::Alive)
+    startProbe(S, Host, Now, Out);
+}
+
 void leave(MembershipState &S, bool Final, TimePoint Now,
            MembershipOutputs &Out) {
   S.HostHash ^= hashOf(ownUpdate(S));
--- a/packages/membership/Membership.h
+++ b/packages/membership/Membership.h
@@ -147,6 +147,11 @@
 bool onAnnounce(MembershipState &S, const Announcement &A, TimePoint Now,
                 MembershipOutputs &Out);
 
+/// The connection to \p Host broke, as it does when a process ends: it is
+/// probed at once and not only when its turn comes.
+void onLinkLost(MembershipState &S, const HostId &Host, TimePoint Now,
+                MembershipOutputs &Out);
+
 /// This host drains: it is told to all as Leaving, or as Dead where \p Final,
 /// just before the process ends.
 void leave(MembershipState &S, bool Final, TimePoint Now,
--- a/packages/node/Events.h
+++ b/packages/node/Events.h
@@ -37,6 +37,11 @@
   Message Content;
 };
 
+/// The last connection to a peer broke.
+struct PeerLost {
+  HostId Host;
+};
+
 /// A caller or backend server sent a whole request to the caller port.
 struct CallerRequest {
   ExchangeId Exchange{};
@@ -97,7 +102,7 @@
 struct StopRequested {};
 
 using Event =
-    std::variant<Tick, PeerMessage, CallerRequest, OperatorRequest,
+    std::variant<Tick, PeerMessage, PeerLost, CallerRequest, OperatorRequest,
                  ExchangeLeft, ExchangeDrained, UpstreamSent, UpstreamHead,
                  UpstreamData, UpstreamEnd, UpstreamFailed, DiskWritten,
                  DiskFailed, StopRequested>;
--- a/packages/node/MembershipPart.cpp
+++ b/packages/node/MembershipPart.cpp
@@ -82,6 +82,14 @@
   takeMembership(T, std::move(Out));
 }
 
+void peerLost(Turn &T, const HostId &Host) {
+  MembershipOutputs Out;
+  onLinkLost(T.S.Members, Host, T.Now, Out);
+  takeMembership(T, std::move(Out));
+  for (auto &[Group, Log] : T.S.Control.Logs)
+    onLinkLost(Log, Host);
+}
+
 bool membershipMessage(Turn &T, const HostId &From, const Message &M) {
   MembershipOutputs Out;
   if (!onMessage(T.S.Members, From, M, T.Now, Out))
--- a/packages/node/Node.cpp
+++ b/packages/node/Node.cpp
@@ -79,6 +79,7 @@
   void operator()(const PeerMessage &E) const {
     handleMessage(T, E.From, E.Content);
   }
+  void operator()(const PeerLost &E) const { peerLost(T, E.Host); }
   void operator()(const CallerRequest &E) const { callerRequest(T, E); }
   void operator()(const OperatorRequest &E) const { operatorRequest(T, E); }
   void operator()(const ExchangeLeft &E) const {
--- a/packages/node/Turn.h
+++ b/packages/node/Turn.h
@@ -35,6 +35,7 @@
 
 // MembershipPart.cpp
 void tickMembership(Turn &T);
+void peerLost(Turn &T, const HostId &Host);
 bool membershipMessage(Turn &T, const HostId &From, const Message &M);
 void announce(Turn &T, ExchangeId Exchange, const HttpRequest &Request);
 
--- a/packages/node/tests/CellsTest.cpp
+++ b/packages/node/tests/CellsTest.cpp
@@ -162,9 +162,9 @@
   BOOST_TEST(Read.Number == R.Table.Number);
   BOOST_TEST_REQUIRE(Read.Cells.size() == R.Table.Cells.size());
   BOOST_TEST((Read.Cells[0].Holder == R.Table.Cells[0].Holder));
-  for (const char *Bad : {"", "[]", "{\"number\":1}",
-                          "{\"number\":1,\"cells\":[{}]}",
-                          "{\"number\":-1,\"cells\":[]}"}) {
+  for (const char *Bad :
+       {"", "[]", "{\"number\":1}", "{\"number\":1,\"cells\":[{}]}",
+        "{\"number\":-1,\"cells\":[]}"}) {
     Why = Failure();
     CellTable T = valueOr<CellTable>([&] { return decodeCellTable(Bad); },
                                      CellTable(), Why);
--- a/packages/node/tests/NodeTest.cpp
+++ b/packages/node/tests/NodeTest.cpp
@@ -124,7 +124,7 @@
 }
 
 BOOST_AUTO_TEST_CASE(AnyHostMayDieUnderLoad) {
-  for (std::uint64_t Seed = 10; Seed < 16; ++Seed) {
+  for (std::uint64_t Seed = 10; Seed < 22; ++Seed) {
     VirtualSite Site(SiteOptions(), Seed);
     BOOST_TEST_REQUIRE(Site.start());
     const char *Hosts[] = {"north-1", "centre-1", "south-1"};
@@ -153,7 +153,10 @@
       Longest = std::max(Longest, A->Answered - A->Sent);
     }
     // Stated: everything goes on after at most two seconds.
-    BOOST_TEST(toMilliseconds(Longest) <= 2500, "seed " << Seed);
+    BOOST_TEST(toMilliseconds(Longest) <= 2000,
+               "seed " << Seed << ": " << toMilliseconds(Longest));
+    BOOST_TEST_MESSAGE("seed " << Seed << ": longest answer after a death "
+                               << toMilliseconds(Longest) << " ms");
     checkEnd(Site);
   }
 }
--- a/packages/node/tests/VirtualSite.cpp
+++ b/packages/node/tests/VirtualSite.cpp
@@ -133,6 +133,12 @@
 void VirtualSite::kill(const std::string &Name) {
   HostId Id(Name);
   P.crash(Id);
+  for (const std::string &Other : Options.Hosts) {
+    if (Other != Name && P.up(HostId(Other)) && !P.isCut(Id, HostId(Other)))
+      P.perform(HostId(Other), Wire, [this, Id](HostSlot &S, TimePoint Now) {
+        dispatch(S, S.Node->Self, PeerLost{Id}, Now);
+      });
+  }
   for (auto &[Key, A] : Open) {
     if (Key.first == Id)
       A->HostDied = true;
--- a/packages/replica/Replica.cpp
+++ b/packages/replica/Replica.cpp
@@ -210,6 +210,16 @@
   return std::visit(replica::HeaderOf(), M);
 }
 
+void onLinkLost(ReplicaState &S, const HostId &Host) {
+  if (S.Role != ReplicaRole::Follower || Host != S.LeaderHost)
+    return;
+  constexpr int SpreadShare = 4; // Of the timeout, against split votes.
+  Duration Low = S.Config.ElectionTimeout;
+  TimePoint Earliest =
+      S.LastContact + Low + between(S.Rng, Duration::zero(), Low / SpreadShare);
+  S.ElectionDeadline = std::min(S.ElectionDeadline, Earliest);
+}
+
 void receive(ReplicaState &S, const HostId &From, const Message &M,
              TimePoint Now, ReplicaEffects &E) {
   if (S.Halted != Code::Ok || !replica::isMeant(S, From, M))
--- a/packages/replica/Replica.h
+++ b/packages/replica/Replica.h
@@ -252,6 +252,11 @@
 /// the group that it is meant for.
 const ReplicaHeader *replicaHeader(const Message &M);
 
+/// The connection to \p Host broke, as it does when a process ends. A follower
+/// of it stands as soon as the promise that it gave its leader is over, instead
+/// of waiting for a longer silence.
+void onLinkLost(ReplicaState &S, const HostId &Host);
+
 /// A message from the host \p From. Messages of other kinds or groups are
 /// ignored.
 void receive(ReplicaState &S, const HostId &From, const Message &M,
--- a/packages/shell/PeerLinks.cpp
+++ b/packages/shell/PeerLinks.cpp
@@ -116,9 +116,12 @@
 void PeerLinks::Impl::markDead(Link &L) {
   if (L.Dead)
     return;
+  bool WasReady = L.ready();
   L.Dead = true;
   L.Deadline->stop();
   Reaper->start(Duration::zero());
+  if (WasReady && !readyLink(L.Host))
+    Hooks.Lost(L.Host);
 }
 
 void PeerLinks::Impl::drop(Link &L, Code Number, std::string Detail) {
--- a/packages/shell/PeerLinks.h
+++ b/packages/shell/PeerLinks.h
@@ -22,6 +22,8 @@
 
 struct PeerLinksHooks {
   std::function<void(HostId From, Incarnation Life, Message)> Received;
+  /// The last link to a host broke.
+  std::function<void(HostId)> Lost;
   /// A link was refused or broken off; Detail is for logs.
   std::function<void(Code, std::string Detail)> Refused;
 };
--- a/packages/shell/Process.cpp
+++ b/packages/shell/Process.cpp
@@ -198,6 +198,7 @@
                           Message Content) {
     dispatch(PeerMessage{From, PeerLife, std::move(Content)});
   };
+  Hooks.Lost = [this](const HostId &Host) { dispatch(PeerLost{Host}); };
   Hooks.Refused = [this](Code Number, std::string Detail) {
     DecisionRecord Record;
     Record.Kind = "link_refused";
--- a/packages/shell/tests/LinksTest.cpp
+++ b/packages/shell/tests/LinksTest.cpp
@@ -16,6 +16,7 @@
   HostId Name;
   std::vector<std::pair<HostId, Message>> Received;
   std::vector<Code> Refused;
+  std::vector<HostId> Lost;
   std::unique_ptr<PeerLinks> Links;
 
   void start(event_base *Base, Incarnation Life, const std::string &Token,
@@ -24,6 +25,7 @@
     Hooks.Received = [this](const HostId &From, Incarnation, Message M) {
       Received.emplace_back(From, std::move(M));
     };
+    Hooks.Lost = [this](const HostId &Peer) { Lost.push_back(Peer); };
     Hooks.Refused = [this](Code C, const std::string &) {
       Refused.push_back(C);
     };
@@ -37,8 +39,8 @@
 
 struct Pair {
   EventBasePtr Base = makeEventBase();
-  Host A{HostId("a"), {}, {}, nullptr};
-  Host B{HostId("b"), {}, {}, nullptr};
+  Host A{HostId("a"), {}, {}, {}, nullptr};
+  Host B{HostId("b"), {}, {}, {}, nullptr};
   std::vector<PeerSettings> Peers = {
       {HostId("a"), DataCentreId("x"), freeAddress(), true},
       {HostId("b"), DataCentreId("x"), freeAddress(), true}};
@@ -83,6 +85,7 @@
   A.Links->send(B.Name, numbered(1));
   BOOST_TEST(until([&] { return B.Received.size() == 1; }));
   B.Links.reset();
+  BOOST_TEST(until([&] { return !A.Lost.empty(); }));
   B.start(Base.get(), 3, "secret", Peers);
   BOOST_TEST(until([&] {
     A.Links->send(B.Name, numbered(2));
