--- a/packages/node/Node.h
+++ b/packages/node/Node.h
@@ -33,6 +33,7 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -160,6 +161,8 @@
 
   // Scheduling.
   std::map<CellId, CellState> Held; // Scheduled by this host.
+  std::map<CellId, std::set<HostId>> Early; // Wrote to this host for a cell
+                                            // that it does not hold.
   EntryState Entry;
   std::map<std::uint64_t, EngineCall> EngineCalls;   // By UpstreamId.
   std::map<std::uint64_t, OrderUpstream> OrderCalls; // By UpstreamId.
--- a/packages/node/SchedulePart.cpp
+++ b/packages/node/SchedulePart.cpp
@@ -62,6 +62,12 @@
     setHost(Cell, Peer.Name, Peer.DataCentre);
   for (const BackendRecord *Record : allBackends(T.S.Members))
     placeEngine(T, Id, Cell, *Record);
+  RegisterRequest Again;
+  Again.Cell = Id;
+  Again.Epoch = Assigned.Epoch;
+  for (const HostId &Host : T.S.Early[Id])
+    send(T, Host, Again);
+  T.S.Early.erase(Id);
   DecisionRecord D;
   D.Kind = "cell_held";
   D.Reason = "the table of cells names this host";
@@ -81,10 +87,13 @@
 }
 
 /// A message of an entry host to the cell that it names.
-template <class M, class F> bool toCell(Turn &T, const M &Content, F Function) {
+template <class M, class F> bool toCell(Turn &T, const HostId &From, const M &Content, F Function) {
   auto Found = T.S.Held.find(Content.Cell);
-  if (Found == T.S.Held.end())
-    return true; // Not held any more; the entry host learns the new holder.
+  if (Found == T.S.Held.end()) {
+    // Either the sender learns of the new holder soon, or this host will.
+    T.S.Early[Content.Cell].insert(From);
+    return true;
+  }
   CellEffects Out;
   Function(Found->second, Out);
   takeCell(T, Content.Cell, std::move(Out));
@@ -97,32 +106,32 @@
   const HostId &From;
 
   bool operator()(const Ask &M) const {
-    return toCell(T, M, [&](CellState &C, CellEffects &Out) {
+    return toCell(T, From, M, [&](CellState &C, CellEffects &Out) {
       onAsk(C, From, M, T.Now, Out);
     });
   }
   bool operator()(const Release &M) const {
-    return toCell(T, M, [&](CellState &C, CellEffects &Out) {
+    return toCell(T, From, M, [&](CellState &C, CellEffects &Out) {
       onRelease(C, From, M, T.Now, Out);
     });
   }
   bool operator()(const Withdraw &M) const {
-    return toCell(T, M, [&](CellState &C, CellEffects &Out) {
+    return toCell(T, From, M, [&](CellState &C, CellEffects &Out) {
       onWithdraw(C, From, M, T.Now, Out);
     });
   }
   bool operator()(const RenewGrants &M) const {
-    return toCell(T, M, [&](CellState &C, CellEffects &Out) {
+    return toCell(T, From, M, [&](CellState &C, CellEffects &Out) {
       onRenew(C, From, M, T.Now, Out);
     });
   }
   bool operator()(const Register &M) const {
-    return toCell(T, M, [&](CellState &C, CellEffects &Out) {
+    return toCell(T, From, M, [&](CellState &C, CellEffects &Out) {
       onRegister(C, From, M, T.Now, Out);
     });
   }
   bool operator()(const Progress &M) const {
-    return toCell(T, M, [&](CellState &C, CellEffects &Out) {
+    return toCell(T, From, M, [&](CellState &C, CellEffects &Out) {
       onProgress(C, From, M, T.Now, Out);
     });
   }
