--- a/packages/calls/Calls.cpp
+++ b/packages/calls/Calls.cpp
@@ -118,8 +118,10 @@
   Call.Retention = Service.Retention;
   if (!Call.Repeatable && Call.Wanted.Key.empty())
     return fail(Code::IdempotencyKeyMissing, "");
-  if (!Call.Repeatable && A.C.Dir.ControlLost)
-    return fail(Code::ControlUnavailable, "");
+  if (!Call.Repeatable && !A.C.Dir.ClaimsReachable)
+    return fail(Code::ControlUnavailable,
+                "this request was not sent; whether an earlier one with the "
+                "same key ran is not known here: send it again with that key");
   return setDeadline(A, Service);
 }
 
@@ -136,7 +138,7 @@
 void refuse(Admission &A, const Failure &Why) {
   constexpr Duration DefaultRetryAfter = seconds(1);
   Problem P{Why.Number, Why.Detail, A.R.Id, {}};
-  if (info(Why.Number).HttpStatus == 503)
+  if (info(Why.Number).HttpStatus >= 500)
     P.RetryAfter = DefaultRetryAfter;
   decide(A.C, "refuse", A.R.Id, info(Why.Number).Meaning)
       .add("code", static_cast<std::int64_t>(Why.Number))
@@ -377,8 +379,7 @@
     E.Kind = R.Deadline <= Now ? EventKind::Deadline : EventKind::Wake;
     dispatch(C, Id, E);
   }
-  tickCleanups(C);
-  tickResults(C);
+  followUp(C);
   if (State.DrainUntil != TimePoint() && State.DrainUntil <= Now)
     cutAll(State, Dir, Now, Out);
 }
@@ -387,10 +388,7 @@
   TimePoint Next = TimePoint::max();
   if (!State.Timers.empty())
     Next = State.Timers.begin()->first;
-  for (const auto &[Attempt, Work] : State.Cleanups)
-    Next = std::min(Next, Work.Next);
-  for (const auto &[Id, Way] : State.Results)
-    Next = std::min(Next, Way.Next);
+  Next = std::min(Next, State.NextFollowUp);
   if (State.DrainUntil != TimePoint() && !State.Requests.empty())
     Next = std::min(Next, State.DrainUntil);
   return Next;
--- a/packages/calls/Outcomes.cpp
+++ b/packages/calls/Outcomes.cpp
@@ -147,7 +147,9 @@
     return false;
   if (timeLeft(R, C.Now) <= Limits.BackoffLimit)
     return false;
-  bool Taken = takeRetry(C.S.Budgets[R.Service]);
+  bool Free = !R.TryServer.empty() &&
+              wasUnderWay(C.S.Episodes, R.TryServer, R.TryBegan, C.Now);
+  bool Taken = Free || takeRetry(C.S.Budgets[R.Service]);
   if (!Taken)
     count(C, "pimento_retries_refused_total");
   return Taken;
