--- a/packages/calls/Cleanups.cpp
+++ b/packages/calls/Cleanups.cpp
@@ -30,6 +30,7 @@
   for (std::uint32_t I = 0; I < std::min(Work.Rounds, MaxDoublings); ++I)
     Wait = std::min(Wait * 2, C.S.Times.CancelLimit);
   Work.Next = C.Now + Wait;
+  C.S.NextFollowUp = std::min(C.S.NextFollowUp, Work.Next);
   ++Work.Rounds;
 }
 
@@ -50,34 +51,7 @@
       Work.Engines.end());
 }
 
-} // namespace
-
-void startCleanup(Context &C, Cleanup Work) {
-  AttemptId Attempt = Work.Report.Attempt;
-  Cleanup &Kept = C.S.Cleanups[Attempt];
-  Kept = std::move(Work);
-  cancelRound(C, Kept);
-}
-
-void onCancelReply(Context &C, UpstreamId Upstream, const AttemptId &Attempt,
-                   bool Confirmed) {
-  auto Found = C.S.Cleanups.find(Attempt);
-  if (Found == C.S.Cleanups.end())
-    return;
-  Cleanup &Work = Found->second;
-  auto Call = Work.InFlight.find(static_cast<std::uint64_t>(Upstream));
-  if (Call == Work.InFlight.end())
-    return;
-  BackendId Backend = Call->second;
-  Work.InFlight.erase(Call);
-  if (!Confirmed)
-    return;
-  removeEngine(Work, Backend);
-  if (Work.Engines.empty())
-    endCleanup(C, Attempt);
-}
-
-void tickCleanups(Context &C) {
+void repeatCancels(Context &C) {
   std::vector<AttemptId> GivenUp;
   for (auto &[Attempt, Work] : C.S.Cleanups) {
     if (Work.Next > C.Now)
@@ -99,7 +73,7 @@
   }
 }
 
-void tickResults(Context &C) {
+void repeatResults(Context &C) {
   for (auto It = C.S.Results.begin(); It != C.S.Results.end();) {
     ResultOnItsWay &Way = It->second;
     if (Way.Until <= C.Now) {
@@ -116,6 +90,46 @@
   }
 }
 
+} // namespace
+
+void startCleanup(Context &C, Cleanup Work) {
+  AttemptId Attempt = Work.Report.Attempt;
+  Cleanup &Kept = C.S.Cleanups[Attempt];
+  Kept = std::move(Work);
+  cancelRound(C, Kept);
+}
+
+void onCancelReply(Context &C, UpstreamId Upstream, const AttemptId &Attempt,
+                   bool Confirmed) {
+  auto Found = C.S.Cleanups.find(Attempt);
+  if (Found == C.S.Cleanups.end())
+    return;
+  Cleanup &Work = Found->second;
+  auto Call = Work.InFlight.find(static_cast<std::uint64_t>(Upstream));
+  if (Call == Work.InFlight.end())
+    return;
+  BackendId Backend = Call->second;
+  Work.InFlight.erase(Call);
+  if (!Confirmed)
+    return;
+  removeEngine(Work, Backend);
+  if (Work.Engines.empty())
+    endCleanup(C, Attempt);
+}
+
+void followUp(Context &C) {
+  if (C.S.NextFollowUp > C.Now)
+    return;
+  repeatCancels(C);
+  repeatResults(C);
+  TimePoint Next = TimePoint::max();
+  for (const auto &[Attempt, Work] : C.S.Cleanups)
+    Next = std::min(Next, Work.Next);
+  for (const auto &[Id, Way] : C.S.Results)
+    Next = std::min(Next, Way.Next);
+  C.S.NextFollowUp = Next;
+}
+
 void onClaimResultAck(CallsState &State, const ClaimResultAck &A) {
   State.Results.erase(A.Request);
 }
--- a/packages/calls/RetryBudget.h
+++ b/packages/calls/RetryBudget.h
@@ -1,11 +1,14 @@
 //===- RetryBudget.h - How many second tries a service may make -*- C++ -*-===//
 #pragma once
 
+#include "base/Ids.h"
 #include "base/Random.h"
 #include "base/Settings.h"
 #include "base/Time.h"
 
+#include <cstddef>
 #include <cstdint>
+#include <map>
 
 namespace pimento::calls {
 
@@ -27,6 +30,24 @@
 /// Takes one retry out; false where there is none.
 bool takeRetry(RetryBudget &Budget);
 
+/// A run of failures of one backend server. It ends once the server has not
+/// failed for EpisodeGap.
+struct FailureEpisode {
+  TimePoint Began;
+  TimePoint Last;
+};
+constexpr Duration EpisodeGap = seconds(10);
+constexpr std::size_t MaxEpisodes = 4096; // Further servers are not followed.
+
+using FailureEpisodes = std::map<BackendId, FailureEpisode>;
+
+/// Notes a failure of a try that began at \p TryBegan, and tells whether the
+/// try was under way when the server began to fail. Tries of that kind cost no
+/// budget: a server that dies fails all it had at once, and each of them moves
+/// on once. What was sent to it later does cost.
+bool wasUnderWay(FailureEpisodes &Episodes, const BackendId &Server,
+                 TimePoint TryBegan, TimePoint Now);
+
 /// How long to wait before try number \p Try (from 2): doubled each time, and
 /// drawn between half of that and the whole.
 Duration backoff(const RetrySettings &Settings, std::uint32_t Try, Random &Rng);
--- a/packages/membership/News.cpp
+++ b/packages/membership/News.cpp
@@ -7,16 +7,10 @@
 namespace {
 
 constexpr std::size_t HostUpdateBytes = 24; // On the wire, about.
-constexpr std::uint32_t SendsPerDoubling = 3;
-
-/// How often one piece of news rides on pings: enough to reach every host
-/// with high probability, growing with the logarithm of their number.
-std::uint32_t sendLimit(const MembershipState &S) {
-  std::uint32_t Doublings = 1;
-  for (std::size_t Hosts = S.Running.size() + 1; Hosts > 1; Hosts /= 2)
-    ++Doublings;
-  return SendsPerDoubling * Doublings;
-}
+// How often one piece of news rides on pings. Gossip reaches nearly all hosts
+// before; this is for the few that it missed, and comparing registries for
+// those that this misses too.
+constexpr std::uint32_t SendLimit = 6;
 
 HostUpdate hostNews(const MembershipState &S, const HostId &Host) {
   if (Host == S.Config.Self)
@@ -43,10 +37,9 @@
   return Chosen;
 }
 
-template <class Id>
-void countSend(std::map<Id, News> &All, const Id &Key, std::uint32_t Limit) {
+template <class Id> void countSend(std::map<Id, News> &All, const Id &Key) {
   News &Item = All.at(Key);
-  if (++Item.Sends >= Limit && Item.Pushed)
+  if (++Item.Sends >= SendLimit && Item.Pushed)
     All.erase(Key);
 }
 
@@ -69,13 +62,15 @@
   return Bytes;
 }
 
-void addHostNews(MembershipState &S, const HostId &Host, TimePoint Now) {
-  S.HostNews[Host] = News();
+void addHostNews(MembershipState &S, const HostId &Host, bool Own,
+                 TimePoint Now) {
+  S.HostNews[Host] = {0, false, Own};
   S.NextGossip = std::min(S.NextGossip, Now + S.Config.GossipDelay);
 }
 
-void addBackendNews(MembershipState &S, const BackendId &Id, TimePoint Now) {
-  S.BackendNews[Id] = News();
+void addBackendNews(MembershipState &S, const BackendId &Id, bool Own,
+                    TimePoint Now) {
+  S.BackendNews[Id] = {0, false, Own};
   S.NextGossip = std::min(S.NextGossip, Now + S.Config.GossipDelay);
 }
 
@@ -87,14 +82,14 @@
       Target->second.Status != HostStatus::Alive)
     Page.Hosts.push_back(updateOf(To, Target->second)); // It may refute.
   std::size_t Left = S.Config.NewsBytes;
-  std::uint32_t Limit = sendLimit(S);
+
   for (const HostId &Host :
        leastTold(S.HostNews, S.Config.NewsBytes / HostUpdateBytes)) {
     if (Left < HostUpdateBytes)
       break;
     Left -= HostUpdateBytes;
     Page.Hosts.push_back(hostNews(S, Host));
-    countSend(S.HostNews, Host, Limit);
+    countSend(S.HostNews, Host);
   }
   constexpr std::size_t MostRecords = 32;
   for (const BackendId &Id : leastTold(S.BackendNews, MostRecords)) {
@@ -104,7 +99,7 @@
       break;
     Left -= std::min(Left, Bytes);
     Page.Backends.push_back(recordToSend(S, R, Now));
-    countSend(S.BackendNews, Id, Limit);
+    countSend(S.BackendNews, Id);
   }
   return Page;
 }
@@ -114,10 +109,12 @@
   Gossip G;
   G.Hosts.push_back(ownUpdate(S));
   std::size_t Left = S.Config.GossipBytes;
+  bool Own = false;
   for (auto &[Host, Item] : S.HostNews) {
     if (Item.Pushed || Left < HostUpdateBytes)
       continue;
     Item.Pushed = true;
+    Own |= Item.Own;
     Left -= HostUpdateBytes;
     if (Host != S.Config.Self)
       G.Hosts.push_back(hostNews(S, Host));
@@ -127,10 +124,12 @@
     if (Item.Pushed || Left < recordBytes(R))
       continue;
     Item.Pushed = true;
+    Own |= Item.Own;
     Left -= recordBytes(R);
     G.Backends.push_back(recordToSend(S, R, Now));
   }
-  for (const HostId &To : randomHosts(S, S.Config.Fanout, HostId()))
+  std::uint32_t Count = Own ? S.Config.OwnFanout : S.Config.Fanout;
+  for (const HostId &To : randomHosts(S, Count, HostId()))
     Out.Messages.push_back({To, G});
   // A burst is spread over time instead of filling the network at once.
   constexpr std::size_t Nearly = 1024;
