node: an empty register request asks for everything; early cells are bounded

Cause: a new holder asks the hosts that wrote to it too early to register, but it cannot name attempts that it never saw; the entry host answered such a request with nothing. Change: a RegisterRequest without attempts means all of the cell's attempts; at most 4096 early cells are kept. Ruled out: registering at every holder change unasked, which costs each entry host a message for each cell at each election.

--- a/packages/node/Node.h
+++ b/packages/node/Node.h
@@ -160,7 +160,7 @@
   calls::Directory Known;
 
   // Scheduling.
-  std::map<CellId, CellState> Held; // Scheduled by this host.
+  std::map<CellId, CellState> Held;         // Scheduled by this host.
   std::map<CellId, std::set<HostId>> Early; // Wrote to this host for a cell
                                             // that it does not hold.
   EntryState Entry;
--- a/packages/node/SchedulePart.cpp
+++ b/packages/node/SchedulePart.cpp
@@ -8,6 +8,7 @@
 
 constexpr Duration CellTickInterval = milliseconds(20);
 /// A new holder waits so long for entry hosts to register what they hold.
+constexpr std::size_t MaxEarlyCells = 4096;
 constexpr Duration RecoveryWait = milliseconds(150);
 
 /// The cell that schedules an engine: of the first model with a document that
@@ -87,11 +88,13 @@
 }
 
 /// A message of an entry host to the cell that it names.
-template <class M, class F> bool toCell(Turn &T, const HostId &From, const M &Content, F Function) {
+template <class M, class F>
+bool toCell(Turn &T, const HostId &From, const M &Content, F Function) {
   auto Found = T.S.Held.find(Content.Cell);
   if (Found == T.S.Held.end()) {
     // Either the sender learns of the new holder soon, or this host will.
-    T.S.Early[Content.Cell].insert(From);
+    if (T.S.Early.size() < MaxEarlyCells)
+      T.S.Early[Content.Cell].insert(From);
     return true;
   }
   CellEffects Out;
--- a/packages/schedule/Entry.cpp
+++ b/packages/schedule/Entry.cpp
@@ -262,6 +262,10 @@
   EntryCell &C = E.Cells[R.Cell];
   if (R.Epoch < C.Epoch || From != C.Holder)
     return;
+  if (R.Attempts.empty()) { // Everything that this host has in the cell.
+    registerAll(E, R.Cell, C, Now, Out);
+    return;
+  }
   Register Known = registration(E, R.Cell);
   for (const LocalAttempt &A : R.Attempts) {
     const AttemptId Id = {{R.Hi, A.Lo}, A.Number};
--- a/packages/wire/ScheduleMessages.h
+++ b/packages/wire/ScheduleMessages.h
@@ -230,8 +230,8 @@
   static constexpr std::uint16_t WireType = 309;
   CellId Cell{};
   std::uint64_t Epoch = 0;
-  std::uint64_t Hi = 0; // RequestId::Hi of every attempt below.
-  std::vector<LocalAttempt> Attempts;
+  std::uint64_t Hi = 0;               // RequestId::Hi of every attempt below.
+  std::vector<LocalAttempt> Attempts; // Empty: all of them.
 
   template <class Self, class Visitor>
   static void fields(Self &M, Visitor &&Visit) {
