--- a/packages/schedule/CellAsk.cpp
+++ b/packages/schedule/CellAsk.cpp
@@ -7,7 +7,7 @@
 namespace {
 
 /// How much longer a wait may become than its forecast before it is refused.
-constexpr double WaitMargin = 1.6;
+constexpr double WaitMargin = 2.0;
 /// Where no forecast is better than a guess.
 constexpr Duration DefaultRetryAfter = seconds(1);
 constexpr Duration MaxRetryAfter = minutes(5);
