ctl: pimentogladectl, the operators' command

The site had one binary; operators had to drive documents by hand over HTTP, and a lost answer left them to guess whether an edit had landed.

packages/ctl parses words into a plain Command, talks to the hosts through a small Network of functions and turns command and reply into text and exit code by pure functions. An edit whose answer is lost is sent again under the same edit id until a host that knows the edit answers; a later "not run" of another host does not settle it, and time running out has an exit code of its own. Questions go to the next address where one fails. The token comes from a file or the environment only. scripts/site.py puts its documents through it.

Trying it against a site showed that a document named "~cells" passed the check and would have overwritten the table of cells under its next number, and that a name with '/' could be checked but never put: both are refused now by checkDocument(), with rows in its test.

Ruled out: gflags' own loop, which exits with 1 on a wrong flag; asking all hosts for status, since each one's state is its own.

--- /dev/null
+++ b/packages/ctl/tests/RunTest.cpp
@@ -0,0 +1,144 @@
+#include <boost/test/unit_test.hpp>
+
+#include "base/Token.h"
+#include "ctl/Run.h"
+#include "ctl/tests/Fakes.h"
+
+#include <fstream>
+#include <sstream>
+
+using namespace pimento;
+using namespace pimento::ctl;
+using namespace pimento::ctl::test;
+
+namespace {
+
+const std::string Examples = std::string(PIMENTO_SOURCE_DIR) + "/examples/";
+const std::string Ledger = Examples + "documents/crew-ledger.json";
+
+std::string contents(const std::string &Path) {
+  std::ifstream File(Path);
+  std::stringstream Text;
+  Text << File.rdbuf();
+  return Text.str();
+}
+
+std::string replaced(std::string Text, const std::string &Old,
+                     const std::string &New) {
+  return Text.replace(Text.find(Old), Old.size(), New);
+}
+
+struct Fixture {
+  FakeNetwork Fake;
+  Options O;
+  std::string TokenFile;
+  std::string Token = "hidden-token";
+  std::string Input;
+  std::string Out;
+  std::string Err;
+
+  Fixture() { O.Operators = {"127.0.0.1:1"}; }
+
+  void expect(ExitCode Exit, const std::vector<std::string> &Words) {
+    std::istringstream In(Input);
+    std::ostringstream OutText;
+    std::ostringstream ErrText;
+    Session S{O, TokenFile, Token, Fake.network(), In};
+    ExitCode Seen = run(Words, S, OutText, ErrText);
+    Out = OutText.str();
+    Err = ErrText.str();
+    BOOST_TEST(static_cast<int>(Seen) == static_cast<int>(Exit), Err);
+    BOOST_TEST((Out + Err).find("hidden") == std::string::npos);
+  }
+  bool said(const std::string &Part) const {
+    return (Out + Err).find(Part) != std::string::npos;
+  }
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_CASE(AnEditCarriesTokenAndItsDigest, Fixture) {
+  Fake.Attempts = {answered(jsonReply(200, R"({"number":1})"))};
+  expect(ExitCode::Ok, {"document", "put", Ledger});
+  const UpstreamRequest &R = Fake.Sent.at(0);
+  BOOST_TEST(R.Target == "/v1/services/crew-ledger/document");
+  BOOST_TEST((R.Method == HttpMethod::Put));
+  BOOST_TEST(R.Body == contents(Ledger));
+  BOOST_TEST(headerValue(R.Headers, "Authorization") == "Bearer hidden-token");
+  BOOST_TEST(headerValue(R.Headers, "Idempotency-Key") == sha256Hex(R.Body));
+  O.EditId = "rise-7";
+  expect(ExitCode::Ok, {"document", "put", Ledger});
+  BOOST_TEST(headerValue(Fake.Sent.at(1).Headers, "Idempotency-Key") ==
+             "rise-7");
+}
+
+BOOST_FIXTURE_TEST_CASE(AFaultyDocumentIsNotSent, Fixture) {
+  Input = replaced(contents(Ledger), "\"weight\": 4", "\"weight\": 0");
+  Input = replaced(Input, "\"plain\"", "\"planned\"");
+  expect(ExitCode::InvalidInput, {"document", "put", "-"});
+  BOOST_TEST(Fake.Sent.empty());
+  BOOST_TEST(said("standard input: accounts[0].weight: expected"));
+  BOOST_TEST(said("standard input: kind: expected"));
+  expect(ExitCode::InvalidInput, {"document", "check", "-", Ledger});
+  BOOST_TEST(said(Ledger + ": good"));
+  expect(ExitCode::InvalidInput, {"document", "check", "/no/such/file"});
+  BOOST_TEST(said("cannot read /no/such/file"));
+}
+
+BOOST_FIXTURE_TEST_CASE(DiffTellsWhatChangesAndForWhom, Fixture) {
+  Input = replaced(contents(Ledger), "\"weight\": 4", "\"weight\": 9");
+  expect(ExitCode::Ok, {"document", "diff", Ledger, "-"});
+  BOOST_TEST(said("~ accounts.aurora-air.weight: 4 -> 9 (account aurora-air)"));
+  BOOST_TEST(said("note: an edit of number 1 needs number 2"));
+  Input = replaced(Input, "\"number\": 1", "\"number\": 2");
+  Fake.Attempts = {answered(jsonReply(200, contents(Ledger)))};
+  expect(ExitCode::Ok, {"document", "diff", "-"});
+  BOOST_TEST(said("crew-ledger: number 1 -> 2\n~ accounts"));
+  BOOST_TEST(!said("note"));
+  BOOST_TEST(Fake.Sent.at(0).Target == "/v1/services/crew-ledger/document");
+  Fake.Attempts = {answered(Code::UnknownService)};
+  expect(ExitCode::UnknownService, {"document", "diff", "-"});
+  expect(ExitCode::InvalidInput,
+         {"document", "diff", Ledger, Examples + "documents/marketplace.json"});
+}
+
+BOOST_FIXTURE_TEST_CASE(SettingsAreCheckedAllAtOnce, Fixture) {
+  expect(ExitCode::Ok,
+         {"settings", "check", Examples + "three-hosts/north-1.ini"});
+  Input = "[limits]\nbody = 3\nhaeders = 16KiB\n";
+  O.Json = true;
+  expect(ExitCode::InvalidInput, {"settings", "check", "-"});
+  BOOST_TEST(said(R"("key":"body","line":2)"));
+  BOOST_TEST(said(R"("key":"haeders","line":3)"));
+}
+
+BOOST_FIXTURE_TEST_CASE(WhatIsMissingIsSaidBeforeAnythingIsSent, Fixture) {
+  TokenFile = "/no/such/file";
+  expect(ExitCode::Usage, {"status"});
+  TokenFile.clear();
+  Token = "";
+  expect(ExitCode::Usage, {"status"});
+  Token = "hidden\r\ntoken";
+  expect(ExitCode::Usage, {"status"});
+  Token = "hidden-token";
+  O.Operators.clear();
+  expect(ExitCode::Usage, {"status"});
+  expect(ExitCode::Usage, {"statsu"});
+  BOOST_TEST(said("unknown command: statsu"));
+  BOOST_TEST(Fake.Sent.empty());
+}
+
+BOOST_FIXTURE_TEST_CASE(QuestionsGoToTheirPaths, Fixture) {
+  Fake.Attempts = {answered(jsonReply(200, "{}"))};
+  O.Json = true;
+  expect(ExitCode::Ok, {"status"});
+  expect(ExitCode::Ok, {"hosts"});
+  expect(ExitCode::Ok, {"backends"});
+  expect(ExitCode::UnknownService, {"in-force", "a b"});
+  expect(ExitCode::UnknownService, {"document", "history", "a"});
+  const char *Targets[] = {"/v1/status", "/v1/hosts", "/v1/backends",
+                           "/v1/services/a%20b/in-force",
+                           "/v1/services/a/history"};
+  for (std::size_t I = 0; I < std::size(Targets); ++I)
+    BOOST_TEST(Fake.Sent.at(I).Target == Targets[I]);
+}
--- a/packages/document/Document.cpp
+++ b/packages/document/Document.cpp
@@ -110,13 +110,23 @@
   R.refuse(From, "models", "model");
 }
 
+/// A name must fit one segment of a path, and none of the system's own may be
+/// overwritten.
+void readService(DocumentReader &R, const Json &From, ServiceDocument &D) {
+  R.id(From, "service", D.Service);
+  const std::string &Name = D.Service.Value;
+  if (Name.find('/') != std::string::npos ||
+      (!Name.empty() && Name.front() == ReservedServicePrefix))
+    R.error("service", "a name without '/' that does not begin with '~'", Name);
+}
+
 void readTop(DocumentReader &R, const Json &From, ServiceDocument &D) {
   R.expectKeys(From, {"number", "service", "kind", "time_limit_ms", "accounts",
                       "models", "calls", "claim_retention_hours",
                       "retry_budget", "ignores_fence"});
   constexpr std::uint64_t MaxNumber = 1ULL << 53U; // Exact in any JSON reader.
   D.Number = R.required(From, "number", {1, MaxNumber});
-  R.id(From, "service", D.Service);
+  readService(R, From, D);
   readKind(R, From, D);
   readTimeLimit(R, From, D);
   R.list(From, "accounts", {0, MaxDocumentAccounts}, [&](const Json &Element) {
--- a/packages/document/Document.h
+++ b/packages/document/Document.h
@@ -35,6 +35,7 @@
 constexpr std::size_t MaxDocumentCalls = 256;
 constexpr std::size_t MaxDocumentTokens = 16; // Digests of one account.
 constexpr std::size_t MaxDocumentIdBytes = 128;
+constexpr char ReservedServicePrefix = '~';    // Names of the system's own.
 constexpr std::size_t MaxDocumentErrors = 200; // Further ones are dropped.
 constexpr std::uint64_t MaxContextTokens = 1U << 24U;
 constexpr std::uint32_t MaxReplicas = 100000;
--- a/packages/document/tests/DocumentTest.cpp
+++ b/packages/document/tests/DocumentTest.cpp
@@ -123,6 +123,8 @@
   const std::vector<Fault> Faults = {
       {"\"service\": \"crew\"", "\"service\": \"\"", "service"},
       {"\"service\": \"crew\"", "\"service\": 7", "service"},
+      {"\"service\": \"crew\"", "\"service\": \"~cells\"", "service"},
+      {"\"service\": \"crew\"", "\"service\": \"a/b\"", "service"},
       {"\"service\": \"crew\"", "\"service\": \"a\\u0001b\"", "service"},
       {"\"service\": \"crew\",", "", "service"},
       {"\"kind\": \"model\"", "\"kind\": \"modal\"", "kind"},
--- a/scripts/site.py
+++ b/scripts/site.py
@@ -172,12 +172,23 @@
         wait_until(self.in_service, "the model and the ledger to answer")
 
     def put_document(self, name):
-        text = (ROOT / "examples/documents" / (name + ".json")).read_bytes()
-        url = f"{self.hosts[0]['operator']}/v1/services/{name}/document"
-        status, body = call(url, OPERATOR_TOKEN, text, method="PUT")
-        if status != 200:
-            raise SystemExit(f"document {name}: {status} {body.decode()}")
-        print(f"document {name}: {body.decode().strip()}")
+        text = self.operate("document", "put",
+                            ROOT / "examples/documents" / (name + ".json"))
+        print("document " + text.strip())
+
+    def operate(self, *words):
+        """Runs pimentogladectl against all hosts; its standard output."""
+        operators = ",".join(host["operator"] for host in self.hosts)
+        done = subprocess.run(
+            [str(self.bin / "pimentogladectl"), *map(str, words)],
+            env=os.environ | {"PIMENTO_OPERATOR": operators,
+                              "PIMENTO_OPERATOR_TOKEN": OPERATOR_TOKEN},
+            stdin=subprocess.DEVNULL, stdout=subprocess.PIPE,
+            stderr=subprocess.PIPE, text=True, timeout=START_SECONDS)
+        if done.returncode != 0:
+            raise SystemExit(f"pimentogladectl {words[0]}: exit status "
+                             f"{done.returncode}\n{done.stderr}")
+        return done.stdout
 
     def in_service(self):
         """Whether each host serves a short prompt and a look-up."""
