shell: a reply is over once it is written, and a broken stream says why

Cause: HttpServer forgot an exchange when its reply was queued, not when it was written. The last Drained never came, so the reducer kept each answered request for the 30 s of DeliverySilence ("caller reads nothing"), and a caller that did read nothing could not be closed. A stream that failed was aborted at once, so its problem event, queued just before, was lost: the caller saw a bare cut. Change: an exchange lives until its reply is written or its caller leaves; Drained(id, 0) reports the first, Left the second. breakStream() writes what was queued and then breaks the connection; Process uses it for streams that failed. Ruled out: ending delivery when the reply is handed over (a drain would then cut replies that are still being written).

--- a/packages/shell/HttpServer.cpp
+++ b/packages/shell/HttpServer.cpp
@@ -107,6 +107,8 @@
     evhttp_request *Request = nullptr;
     Connection *Link = nullptr;
     bool Streaming = false;
+    bool Ended = false;    // Nothing is added; its bytes are being written.
+    bool Breaking = false; // The connection breaks once they are.
   };
 
   /// One accepted connection. Holds a reference to the bufferevent, because
@@ -154,8 +156,11 @@
   bool expire(Connection &Link, Duration Now);
   void breakOff(Connection &Link, Code Number, const char *Detail);
   Exchange *find(ExchangeId Id);
+  Exchange *findOpen(ExchangeId Id);
+  void forget(ExchangeId Id);
+  void breakNow(ExchangeId Id);
   Connection *connectionOf(evhttp_connection *Link);
-  void finish(ExchangeId Id);
+  static void finish(Exchange &Ended);
 };
 
 bufferevent *HttpServer::Impl::accept(event_base *Base, void *Self) {
@@ -195,6 +200,11 @@
 void HttpServer::Impl::onReplied(evhttp_request *, void *Self) {
   auto &Link = *static_cast<Connection *>(Self);
   Link.Replying = false;
+  Link.IdleSince = steadyNow();
+  Impl &Server = *Link.Server;
+  ExchangeId Id = Link.Open;
+  Server.forget(Id);
+  Server.Hooks.Drained(Id, 0);
   if (evbuffer_get_length(bufferevent_get_input(Link.Stream)) > 0)
     Link.ReadingSince = steadyNow();
 }
@@ -252,7 +262,7 @@
   ExchangeId Id{Server.NextExchange++};
   Link->Open = Id;
   Link->Replying = true;
-  Server.Exchanges[static_cast<std::uint64_t>(Id)] = {Request, Link, false};
+  Server.Exchanges[static_cast<std::uint64_t>(Id)] = {Request, Link};
   evhttp_connection_set_closecb(Evcon, &Impl::onClosed, &Server);
   Link->CloseWatch.reset(event_new(Server.Base, bufferevent_getfd(Link->Stream),
                                    EV_CLOSED, &Impl::onLeft, Link));
@@ -275,9 +285,7 @@
   if (!Link || Link->Open == ExchangeId{})
     return;
   ExchangeId Id = Link->Open;
-  Link->Open = ExchangeId{};
-  Link->CloseWatch.reset();
-  Server.Exchanges.erase(static_cast<std::uint64_t>(Id));
+  Server.forget(Id);
   Server.Hooks.Left(Id);
 }
 
@@ -286,8 +294,13 @@
   Connection *Link = Server.connectionOf(Evcon);
   if (!Link || Link->Open == ExchangeId{})
     return;
-  Server.Hooks.Drained(
-      Link->Open, evbuffer_get_length(bufferevent_get_output(Link->Stream)));
+  ExchangeId Id = Link->Open;
+  std::size_t Pending =
+      evbuffer_get_length(bufferevent_get_output(Link->Stream));
+  Server.Hooks.Drained(Id, Pending);
+  Exchange *Written = Server.find(Id);
+  if (Pending == 0 && Written && Written->Breaking)
+    Server.breakNow(Id);
 }
 
 /// Sends a problem straight to the socket and shuts it, so that evhttp sees
@@ -311,7 +324,8 @@
   bufferevent_getcb(Link.Stream, nullptr, nullptr, &Callback, nullptr);
   if (!Callback)
     return true;
-  if (Link.Closing || Link.Open != ExchangeId{})
+  const Exchange *Open = find(Link.Open);
+  if (Link.Closing || (Open && !Open->Ended))
     return false;
   bool Reading = Link.ReadingSince != Duration::zero();
   if (Reading && Now - Link.ReadingSince > Limits.ReadTimeout)
@@ -319,7 +333,7 @@
   else if (!Reading && Now - Link.IdleSince > Limits.IdleTimeout) {
     Link.Closing = true;
     ::shutdown(bufferevent_getfd(Link.Stream), SHUT_RDWR);
-  } else if (Connections.size() > Limits.Connections)
+  } else if (!Open && Connections.size() > Limits.Connections)
     breakOff(Link, Code::Overloaded, "too many connections");
   return false;
 }
@@ -347,15 +361,33 @@
   return Found == Exchanges.end() ? nullptr : &Found->second;
 }
 
-/// The reply is whole; the connection waits for its next request.
-void HttpServer::Impl::finish(ExchangeId Id) {
-  Exchange *Ended = find(Id);
-  Connection *Link = Ended->Link;
-  evhttp_request_set_on_complete_cb(Ended->Request, &Impl::onReplied, Link);
+/// The exchange, unless its reply has ended.
+HttpServer::Impl::Exchange *HttpServer::Impl::findOpen(ExchangeId Id) {
+  Exchange *Found = find(Id);
+  return Found && !Found->Ended ? Found : nullptr;
+}
+
+/// The reply is whole; it still has to be written.
+void HttpServer::Impl::finish(Exchange &Ended) {
+  Ended.Ended = true;
+  Ended.Link->IdleSince = steadyNow();
+  evhttp_request_set_on_complete_cb(Ended.Request, &Impl::onReplied,
+                                    Ended.Link);
+}
+
+void HttpServer::Impl::forget(ExchangeId Id) {
+  Connection &Link = *find(Id)->Link;
   Exchanges.erase(static_cast<std::uint64_t>(Id));
-  Link->Open = ExchangeId{};
-  Link->CloseWatch.reset();
-  Link->IdleSince = steadyNow();
+  Link.Open = ExchangeId{};
+  Link.CloseWatch.reset();
+}
+
+void HttpServer::Impl::breakNow(ExchangeId Id) {
+  Exchange *Broken = find(Id);
+  evhttp_connection *Evcon = evhttp_request_get_connection(Broken->Request);
+  Broken->Link->Closing = true;
+  forget(Id);
+  evhttp_connection_free(Evcon);
 }
 
 HttpServer::HttpServer(event_base *Base, HttpServerLimits Limits,
@@ -426,18 +458,18 @@
 } // namespace
 
 void HttpServer::reply(ExchangeId Id, const HttpReply &Reply) {
-  Impl::Exchange *Exchange = Data->find(Id);
+  Impl::Exchange *Exchange = Data->findOpen(Id);
   if (!Exchange || Exchange->Streaming)
     return;
   evhttp_request *Request = Exchange->Request;
-  Data->finish(Id);
+  Impl::finish(*Exchange);
   addHeaders(Request, Reply.Headers);
   evhttp_send_reply(Request, Reply.Status, nullptr, bufferOf(Reply.Body).get());
 }
 
 void HttpServer::startStream(ExchangeId Id, int Status,
                              const std::vector<HttpHeader> &Headers) {
-  Impl::Exchange *Exchange = Data->find(Id);
+  Impl::Exchange *Exchange = Data->findOpen(Id);
   if (!Exchange || Exchange->Streaming)
     return;
   Exchange->Streaming = true;
@@ -446,7 +478,7 @@
 }
 
 void HttpServer::sendChunk(ExchangeId Id, std::string_view Bytes) {
-  Impl::Exchange *Exchange = Data->find(Id);
+  Impl::Exchange *Exchange = Data->findOpen(Id);
   if (!Exchange || !Exchange->Streaming || Bytes.empty())
     return;
   evhttp_send_reply_chunk_with_cb(Exchange->Request, bufferOf(Bytes).get(),
@@ -454,25 +486,29 @@
 }
 
 void HttpServer::endStream(ExchangeId Id) {
-  Impl::Exchange *Exchange = Data->find(Id);
+  Impl::Exchange *Exchange = Data->findOpen(Id);
   if (!Exchange || !Exchange->Streaming)
     return;
   evhttp_request *Request = Exchange->Request;
-  Data->finish(Id);
+  Impl::finish(*Exchange);
   evhttp_send_reply_end(Request);
 }
 
-void HttpServer::abort(ExchangeId Id) {
-  Impl::Exchange *Exchange = Data->find(Id);
+void HttpServer::breakStream(ExchangeId Id) {
+  Impl::Exchange *Exchange = Data->findOpen(Id);
   if (!Exchange)
     return;
-  Impl::Connection &Link = *Exchange->Link;
-  evhttp_connection *Evcon = evhttp_request_get_connection(Exchange->Request);
-  Data->Exchanges.erase(static_cast<std::uint64_t>(Id));
-  Link.Open = ExchangeId{};
-  Link.CloseWatch.reset();
-  Link.Closing = true;
-  evhttp_connection_free(Evcon);
+  Exchange->Ended = true;
+  Exchange->Breaking = true;
+  Exchange->Link->IdleSince = steadyNow();
+  bufferevent *Stream = Exchange->Link->Stream;
+  if (evbuffer_get_length(bufferevent_get_output(Stream)) == 0)
+    Data->breakNow(Id);
+}
+
+void HttpServer::abort(ExchangeId Id) {
+  if (Data->find(Id))
+    Data->breakNow(Id);
 }
 
 std::size_t HttpServer::connections() const { return Data->Connections.size(); }
--- a/packages/shell/HttpServer.h
+++ b/packages/shell/HttpServer.h
@@ -32,9 +32,11 @@
 
 struct HttpServerHooks {
   std::function<void(ExchangeId, HttpRequest)> Request;
-  /// The caller closed; the id is dead afterwards.
+  /// The caller closed before its reply was written; the id is dead
+  /// afterwards.
   std::function<void(ExchangeId)> Left;
-  /// Bytes of a stream went out; so many still wait.
+  /// Bytes of a reply went out; so many still wait. With none left of a reply
+  /// that has ended, the id is dead afterwards.
   std::function<void(ExchangeId, std::size_t)> Drained;
   /// A request was refused before it became an exchange.
   std::function<void(Code)> Refused;
@@ -53,15 +55,19 @@
   /// Closes the listener; open exchanges go on.
   void stopListening();
 
-  /// Whether this server holds the exchange.
+  /// Whether this server holds the exchange: until its reply is written.
   bool holds(ExchangeId Id) const;
-  /// Each of these does nothing for an exchange that has ended.
+  /// Each of these does nothing for an exchange whose reply has ended; abort()
+  /// does so only once it is written.
   void reply(ExchangeId Id, const HttpReply &Reply);
   void startStream(ExchangeId Id, int Status,
                    const std::vector<HttpHeader> &Headers);
   void sendChunk(ExchangeId Id, std::string_view Bytes);
   void endStream(ExchangeId Id);
-  /// Breaks the connection, so that the caller sees a cut answer.
+  /// Writes what was sent so far, then breaks the connection without the
+  /// stream's end, so that the caller sees a cut answer and why.
+  void breakStream(ExchangeId Id);
+  /// Breaks the connection at once; what waits to be written is lost.
   void abort(ExchangeId Id);
 
   std::size_t connections() const;
--- a/packages/shell/Process.cpp
+++ b/packages/shell/Process.cpp
@@ -319,7 +319,7 @@
   if (E.Whole)
     serverOf(E.Exchange).endStream(E.Exchange);
   else
-    serverOf(E.Exchange).abort(E.Exchange);
+    serverOf(E.Exchange).breakStream(E.Exchange);
 }
 
 void Process::operator()(const calls::CloseExchange &E) {
--- a/packages/shell/tests/HttpTest.cpp
+++ b/packages/shell/tests/HttpTest.cpp
@@ -6,6 +6,7 @@
 #include "shell/HttpServer.h"
 #include "shell/tests/Socket.h"
 
+#include <csignal>
 #include <optional>
 
 using namespace pimento;
@@ -21,6 +22,7 @@
   std::uint64_t NextExchange = 1;
   std::vector<std::pair<ExchangeId, HttpRequest>> Requests;
   std::vector<ExchangeId> Left;
+  std::vector<ExchangeId> Written; // Whose replies have nothing left to write.
   std::vector<Code> Refused;
   std::string Address = freeAddress();
   HttpServer Server{Base.get(), limits(), hooks(), NextExchange};
@@ -33,7 +35,10 @@
   std::optional<UpstreamFailure> Failure;
   HttpClient Client{Base.get(), clientHooks()};
 
-  Fixture() { BOOST_TEST_REQUIRE(Server.listen(Address)); }
+  Fixture() {
+    std::signal(SIGPIPE, SIG_IGN); // As the process does.
+    BOOST_TEST_REQUIRE(Server.listen(Address));
+  }
 
   static HttpServerLimits limits() {
     HttpServerLimits L;
@@ -49,7 +54,10 @@
       Requests.emplace_back(Id, std::move(R));
     };
     H.Left = [this](ExchangeId Id) { Left.push_back(Id); };
-    H.Drained = [](ExchangeId, std::size_t) {};
+    H.Drained = [this](ExchangeId Id, std::size_t Pending) {
+      if (Pending == 0)
+        Written.push_back(Id);
+    };
     H.Refused = [this](Code C) { Refused.push_back(C); };
     return H;
   }
@@ -152,6 +160,67 @@
   BOOST_TEST(Failure->BytesSent);
 }
 
+BOOST_FIXTURE_TEST_CASE(BrokenOffStreamsArriveUpToTheirEnd, Fixture) {
+  UpstreamRequest R;
+  R.Address = Address;
+  R.Target = "/";
+  open(R);
+  BOOST_TEST(until([&] { return !Requests.empty(); }));
+  ExchangeId Id = Requests[0].first;
+  Server.startStream(Id, 200, {});
+  Server.sendChunk(Id, "half");
+  Server.sendChunk(Id, "why");
+  Server.breakStream(Id);
+  BOOST_TEST(until([&] { return Failure.has_value(); }));
+  BOOST_TEST(Body == "halfwhy");
+  BOOST_TEST(!Ended);
+  BOOST_TEST(Server.exchanges() == 0U);
+  BOOST_TEST(!Written.empty());
+}
+
+BOOST_FIXTURE_TEST_CASE(EndedRepliesAreReportedOnceWritten, Fixture) {
+  UpstreamRequest R;
+  R.Address = Address;
+  R.Target = "/";
+  open(R);
+  BOOST_TEST(until([&] { return !Requests.empty(); }));
+  Server.reply(Requests[0].first, jsonReply(200, "{}"));
+  BOOST_TEST(until([&] { return Ended; }));
+  BOOST_TEST(until([&] { return !Written.empty(); }));
+  BOOST_TEST((Written.back() == Requests[0].first));
+  Client.open(UpstreamId{2}, R);
+  BOOST_TEST(until([&] { return Requests.size() == 2; }));
+  ExchangeId Stream = Requests[1].first;
+  Server.startStream(Stream, 200, {});
+  Server.sendChunk(Stream, "one");
+  Server.endStream(Stream);
+  BOOST_TEST(
+      until([&] { return !Written.empty() && Written.back() == Stream; }));
+  BOOST_TEST(until([&] { return Server.exchanges() == 0; }));
+  BOOST_TEST(Left.empty());
+}
+
+BOOST_FIXTURE_TEST_CASE(RepliesThatNobodyReadsCanBeClosed, Fixture) {
+  constexpr std::size_t MoreThanSocketsHold = 32U << 20U;
+  for (bool ByTheServer : {true, false}) {
+    auto Socket = std::make_unique<RawSocket>(Address);
+    Socket->write("GET / HTTP/1.1\r\n\r\n");
+    std::size_t Before = Requests.size();
+    BOOST_TEST_REQUIRE(until([&] { return Requests.size() > Before; }));
+    ExchangeId Id = Requests.back().first;
+    Server.reply(Id, jsonReply(200, std::string(MoreThanSocketsHold, 'x')));
+    BOOST_TEST(Server.holds(Id));
+    if (ByTheServer)
+      Server.abort(Id);
+    else
+      Socket.reset();
+    BOOST_TEST(until([&] { return !Server.holds(Id); }));
+    BOOST_TEST(until([&] { return Server.pendingBytes() == 0; }));
+    BOOST_TEST(Left.size() == (ByTheServer ? 0U : 1U));
+  }
+  BOOST_TEST(Written.empty());
+}
+
 BOOST_FIXTURE_TEST_CASE(RefusedConnectionProvesThatNothingWasSent, Fixture) {
   UpstreamRequest R;
   R.Address = freeAddress();
