--- a/packages/ctl/Command.cpp
+++ b/packages/ctl/Command.cpp
@@ -2,6 +2,7 @@
 
 #include "base/Settings.h"
 #include "document/Store.h"
+#include "load/Load.h"
 
 #include <algorithm>
 
@@ -105,7 +106,9 @@
 
 const std::vector<OwnCommand> &ownCommands() {
   // One row for each: {"name", "its meaning", theFunction}.
-  static const std::vector<OwnCommand> Table = {};
+  static const std::vector<OwnCommand> Table = {
+      {"load", "sends a bounded load to a site; docs/LOAD.md",
+       load::loadCommand}};
   return Table;
 }
 
