shell: a reply that was written ends its request

Calls keep a request until the shell says that all bytes of its answer went out. The shell never said so: it forgot the exchange when it handed the reply to evhttp. Each answered request therefore stood for 30 s (DeliverySilence) among those in progress, with its bytes, until "caller reads nothing" ended it: a host past some 70 requests a second reached [limits] requests (2048), and a graceful stop took half a minute after the last answer.

The exchange now lives until evhttp has written the reply, and then Drained says zero.

Ruled out: ending the request at the reply. The bytes that wait for a slow caller would not count against total_buffer.

--- a/packages/shell/HttpServer.cpp
+++ b/packages/shell/HttpServer.cpp
@@ -107,6 +107,8 @@
     evhttp_request *Request = nullptr;
     Connection *Link = nullptr;
     bool Streaming = false;
+    bool Whole = false;             // Only its bytes are still going out.
+    std::size_t Pending = SIZE_MAX; // Of these, as last reported.
   };
 
   /// One accepted connection. Holds a reference to the bufferevent, because
@@ -151,6 +153,7 @@
   static void rewrite(evutil_socket_t, short, void *Link);
 
   void sweep();
+  void watchDelivery(Connection &Link, Exchange &Sent, Duration Now);
   bool expire(Connection &Link, Duration Now);
   void breakOff(Connection &Link, Code Number, const char *Detail);
   Exchange *find(ExchangeId Id);
@@ -194,9 +197,15 @@
 /// A reply went out whole. Part of the next request may be there already.
 void HttpServer::Impl::onReplied(evhttp_request *, void *Self) {
   auto &Link = *static_cast<Connection *>(Self);
+  ExchangeId Id = Link.Open;
+  Link.Open = ExchangeId{};
+  Link.CloseWatch.reset();
   Link.Replying = false;
+  Link.IdleSince = steadyNow();
   if (evbuffer_get_length(bufferevent_get_input(Link.Stream)) > 0)
-    Link.ReadingSince = steadyNow();
+    Link.ReadingSince = Link.IdleSince;
+  Link.Server->Exchanges.erase(static_cast<std::uint64_t>(Id));
+  Link.Server->Hooks.Drained(Id, 0);
 }
 
 void HttpServer::Impl::onOutput(evbuffer *, const evbuffer_cb_info *Info,
@@ -304,6 +313,18 @@
   ::shutdown(Socket, SHUT_RDWR);
 }
 
+/// evhttp tells of a reply's end only. A caller that reads it slowly, but
+/// reads, is neither idle nor gone.
+void HttpServer::Impl::watchDelivery(Connection &Link, Exchange &Sent,
+                                     Duration Now) {
+  std::size_t Left = evbuffer_get_length(bufferevent_get_output(Link.Stream));
+  if (Left >= Sent.Pending || Left == 0)
+    return;
+  Sent.Pending = Left;
+  Link.IdleSince = Now;
+  Hooks.Drained(Link.Open, Left);
+}
+
 /// True once evhttp has let go of the connection.
 bool HttpServer::Impl::expire(Connection &Link, Duration Now) {
   // evhttp keeps this callback set for as long as it holds the connection.
@@ -311,8 +332,11 @@
   bufferevent_getcb(Link.Stream, nullptr, nullptr, &Callback, nullptr);
   if (!Callback)
     return true;
-  if (Link.Closing || Link.Open != ExchangeId{})
+  Exchange *Open = find(Link.Open);
+  if (Link.Closing || (Open && !Open->Whole))
     return false;
+  if (Open)
+    watchDelivery(Link, *Open, Now);
   bool Reading = Link.ReadingSince != Duration::zero();
   if (Reading && Now - Link.ReadingSince > Limits.ReadTimeout)
     breakOff(Link, Code::RequestTimeout, "");
@@ -347,15 +371,13 @@
   return Found == Exchanges.end() ? nullptr : &Found->second;
 }
 
-/// The reply is whole; the connection waits for its next request.
+/// The reply is whole; onReplied() comes once all of it was written.
 void HttpServer::Impl::finish(ExchangeId Id) {
   Exchange *Ended = find(Id);
-  Connection *Link = Ended->Link;
-  evhttp_request_set_on_complete_cb(Ended->Request, &Impl::onReplied, Link);
-  Exchanges.erase(static_cast<std::uint64_t>(Id));
-  Link->Open = ExchangeId{};
-  Link->CloseWatch.reset();
-  Link->IdleSince = steadyNow();
+  Ended->Whole = true;
+  Ended->Link->IdleSince = steadyNow();
+  evhttp_request_set_on_complete_cb(Ended->Request, &Impl::onReplied,
+                                    Ended->Link);
 }
 
 HttpServer::HttpServer(event_base *Base, HttpServerLimits Limits,
@@ -427,7 +449,7 @@
 
 void HttpServer::reply(ExchangeId Id, const HttpReply &Reply) {
   Impl::Exchange *Exchange = Data->find(Id);
-  if (!Exchange || Exchange->Streaming)
+  if (!Exchange || Exchange->Streaming || Exchange->Whole)
     return;
   evhttp_request *Request = Exchange->Request;
   Data->finish(Id);
@@ -438,7 +460,7 @@
 void HttpServer::startStream(ExchangeId Id, int Status,
                              const std::vector<HttpHeader> &Headers) {
   Impl::Exchange *Exchange = Data->find(Id);
-  if (!Exchange || Exchange->Streaming)
+  if (!Exchange || Exchange->Streaming || Exchange->Whole)
     return;
   Exchange->Streaming = true;
   addHeaders(Exchange->Request, Headers);
@@ -447,7 +469,7 @@
 
 void HttpServer::sendChunk(ExchangeId Id, std::string_view Bytes) {
   Impl::Exchange *Exchange = Data->find(Id);
-  if (!Exchange || !Exchange->Streaming || Bytes.empty())
+  if (!Exchange || !Exchange->Streaming || Exchange->Whole || Bytes.empty())
     return;
   evhttp_send_reply_chunk_with_cb(Exchange->Request, bufferOf(Bytes).get(),
                                   &Impl::onFlushed, Data.get());
@@ -455,7 +477,7 @@
 
 void HttpServer::endStream(ExchangeId Id) {
   Impl::Exchange *Exchange = Data->find(Id);
-  if (!Exchange || !Exchange->Streaming)
+  if (!Exchange || !Exchange->Streaming || Exchange->Whole)
     return;
   evhttp_request *Request = Exchange->Request;
   Data->finish(Id);
--- a/packages/shell/HttpServer.h
+++ b/packages/shell/HttpServer.h
@@ -34,7 +34,8 @@
   std::function<void(ExchangeId, HttpRequest)> Request;
   /// The caller closed; the id is dead afterwards.
   std::function<void(ExchangeId)> Left;
-  /// Bytes of a stream went out; so many still wait.
+  /// Bytes of a reply or a stream went out; so many still wait. After its end
+  /// zero says that all were written; the id is dead afterwards.
   std::function<void(ExchangeId, std::size_t)> Drained;
   /// A request was refused before it became an exchange.
   std::function<void(Code)> Refused;
@@ -53,7 +54,7 @@
   /// Closes the listener; open exchanges go on.
   void stopListening();
 
-  /// Whether this server holds the exchange.
+  /// Whether this server holds the exchange: until all bytes were written.
   bool holds(ExchangeId Id) const;
   /// Each of these does nothing for an exchange that has ended.
   void reply(ExchangeId Id, const HttpReply &Reply);
@@ -61,7 +62,8 @@
                    const std::vector<HttpHeader> &Headers);
   void sendChunk(ExchangeId Id, std::string_view Bytes);
   void endStream(ExchangeId Id);
-  /// Breaks the connection, so that the caller sees a cut answer.
+  /// Breaks the connection, so that the caller sees a cut answer; also while
+  /// the last bytes of a reply go out.
   void abort(ExchangeId Id);
 
   std::size_t connections() const;
--- a/packages/shell/tests/HttpTest.cpp
+++ b/packages/shell/tests/HttpTest.cpp
@@ -14,6 +14,7 @@
 namespace {
 
 constexpr Duration Patience = seconds(10);
+constexpr std::size_t NoBytes = 0;
 
 /// A server and a client on one loop.
 struct Fixture {
@@ -21,6 +22,7 @@
   std::uint64_t NextExchange = 1;
   std::vector<std::pair<ExchangeId, HttpRequest>> Requests;
   std::vector<ExchangeId> Left;
+  std::vector<std::pair<ExchangeId, std::size_t>> Drained;
   std::vector<Code> Refused;
   std::string Address = freeAddress();
   HttpServer Server{Base.get(), limits(), hooks(), NextExchange};
@@ -49,7 +51,9 @@
       Requests.emplace_back(Id, std::move(R));
     };
     H.Left = [this](ExchangeId Id) { Left.push_back(Id); };
-    H.Drained = [](ExchangeId, std::size_t) {};
+    H.Drained = [this](ExchangeId Id, std::size_t Left) {
+      Drained.emplace_back(Id, Left);
+    };
     H.Refused = [this](Code C) { Refused.push_back(C); };
     return H;
   }
@@ -84,6 +88,11 @@
   }
 
   void open(const UpstreamRequest &R) { Client.open(UpstreamId{1}, R); }
+
+  /// Whether the server said that all of this exchange was written.
+  bool delivered(ExchangeId Id) const {
+    return !Drained.empty() && Drained.back() == std::make_pair(Id, NoBytes);
+  }
 };
 
 void expectProblem(const std::string &Answer, Code Number) {
@@ -117,6 +126,39 @@
   BOOST_TEST(Body == "{}");
   BOOST_TEST(Delimited);
   BOOST_TEST(Sent);
+  BOOST_TEST(until([&] { return delivered(Requests[0].first); }));
+  BOOST_TEST(!Server.holds(Requests[0].first));
+}
+
+BOOST_FIXTURE_TEST_CASE(SlowCallersTakeARepliesBytesInSteps, Fixture) {
+  RawSocket Socket(Address);
+  Socket.write("GET / HTTP/1.1\r\n\r\nGET / HTTP/1.1\r\n\r\n");
+  BOOST_TEST(until([&] { return !Requests.empty(); }));
+  ExchangeId Id = Requests[0].first;
+  constexpr std::size_t Large = 32U << 20U; // More than sockets hold.
+  Server.reply(Id, jsonReply(200, std::string(Large, ' ')));
+  BOOST_TEST(until([&] { return !Drained.empty(); }));
+  BOOST_TEST(Drained.back().second > 0U);
+  std::size_t Before = Drained.back().second;
+  BOOST_TEST(until([&] {
+    Socket.readAvailable();
+    return Drained.back().second < Before;
+  }));
+  BOOST_TEST(Server.holds(Id));
+  BOOST_TEST(until([&] {
+    Socket.readAvailable();
+    return delivered(Id);
+  }));
+  // The next request of the same connection, and a caller that is cut off.
+  BOOST_TEST(until([&] { return Requests.size() == 2; }));
+  ExchangeId Next = Requests[1].first;
+  Server.reply(Next, jsonReply(200, std::string(Large, ' ')));
+  BOOST_TEST(until([&] { return Drained.back().first == Next; }));
+  Server.abort(Next);
+  BOOST_TEST(!Server.holds(Next));
+  BOOST_TEST(until([&] { return Socket.readAvailable(); }));
+  BOOST_TEST(!delivered(Next));
+  BOOST_TEST(Left.empty());
 }
 
 BOOST_FIXTURE_TEST_CASE(StreamsArriveInPieces, Fixture) {
@@ -134,6 +176,7 @@
   Server.endStream(Id);
   BOOST_TEST(until([&] { return Ended; }));
   BOOST_TEST(Body == "onetwo");
+  BOOST_TEST(until([&] { return delivered(Id); }));
 }
 
 BOOST_FIXTURE_TEST_CASE(CutStreamsFail, Fixture) {
