--- a/packages/shell/HttpServer.cpp
+++ b/packages/shell/HttpServer.cpp
@@ -109,6 +109,7 @@
     bool Streaming = false;
     bool Ended = false;    // Nothing is added; its bytes are being written.
     bool Breaking = false; // The connection breaks once they are.
+    std::size_t Pending = SIZE_MAX; // Of these, as last reported.
   };
 
   /// One accepted connection. Holds a reference to the bufferevent, because
@@ -153,6 +154,7 @@
   static void rewrite(evutil_socket_t, short, void *Link);
 
   void sweep();
+  void watchDelivery(Connection &Link, Exchange &Sent, Duration Now);
   bool expire(Connection &Link, Duration Now);
   void breakOff(Connection &Link, Code Number, const char *Detail);
   Exchange *find(ExchangeId Id);
@@ -317,6 +319,18 @@
   ::shutdown(Socket, SHUT_RDWR);
 }
 
+/// evhttp tells of a reply's end only. A caller that reads it slowly, but
+/// reads, is neither idle nor gone.
+void HttpServer::Impl::watchDelivery(Connection &Link, Exchange &Sent,
+                                     Duration Now) {
+  std::size_t Left = evbuffer_get_length(bufferevent_get_output(Link.Stream));
+  if (Left >= Sent.Pending || Left == 0)
+    return;
+  Sent.Pending = Left;
+  Link.IdleSince = Now;
+  Hooks.Drained(Link.Open, Left);
+}
+
 /// True once evhttp has let go of the connection.
 bool HttpServer::Impl::expire(Connection &Link, Duration Now) {
   // evhttp keeps this callback set for as long as it holds the connection.
@@ -324,9 +338,11 @@
   bufferevent_getcb(Link.Stream, nullptr, nullptr, &Callback, nullptr);
   if (!Callback)
     return true;
-  const Exchange *Open = find(Link.Open);
+  Exchange *Open = find(Link.Open);
   if (Link.Closing || (Open && !Open->Ended))
     return false;
+  if (Open)
+    watchDelivery(Link, *Open, Now);
   bool Reading = Link.ReadingSince != Duration::zero();
   if (Reading && Now - Link.ReadingSince > Limits.ReadTimeout)
     breakOff(Link, Code::RequestTimeout, "");
