--- a/packages/base/Settings.cpp
+++ b/packages/base/Settings.cpp
@@ -2,6 +2,7 @@
 
 #include "base/Ini.h"
 #include "base/Result.h"
+#include "base/SettingTable.h"
 
 #include <algorithm>
 #include <cctype>
@@ -10,236 +11,30 @@
 #include <optional>
 #include <set>
 #include <sstream>
-#include <variant>
 
 namespace pimento {
 
 namespace {
 
-//===----------------------------------------------------------------------===//
-// The table
-//===----------------------------------------------------------------------===//
-
-/// Where a row's value lives. The type of the field chooses the parser.
-template <class T> using FieldOf = T &(*)(Settings &);
-using Field =
-    std::variant<FieldOf<std::string>, FieldOf<HostId>, FieldOf<DataCentreId>,
-                 FieldOf<Duration>, FieldOf<std::uint64_t>, FieldOf<double>>;
-
-enum class Form {
-  Name,
-  Text,
-  Address,
-  Digest,
-  Level,
-  Time,
-  Count,
-  Bytes,
-  Share
-};
-
-struct Row {
-  const char *Section;
-  const char *Key;
-  Form Kind;
-  Field Target;
-  double Low; // In the unit that the range names; unused for texts.
-  double High;
-  bool Required;
-  const char *Meaning;
-};
-
-#define PIMENTO_FIELD(Type, Path)                                              \
-  static_cast<FieldOf<Type>>([](Settings &S) -> Type & { return S.Path; })
-
-constexpr double Milli = 1;
-constexpr double Second = 1000 * Milli;
-constexpr double Minute = 60 * Second;
-constexpr double Hour = 60 * Minute;
-constexpr double KiB = 1024;
-constexpr double MiB = 1024 * KiB;
-constexpr double GiB = 1024 * MiB;
-
-const std::vector<Row> &rows() {
-  static const std::vector<Row> Rows = {
-      {"host", "name", Form::Name, PIMENTO_FIELD(HostId, Host.Name), 0, 0, true,
-       "Name of this host, unique in the site and listed in [peers]"},
-      {"host", "data_centre", Form::Name,
-       PIMENTO_FIELD(DataCentreId, Host.DataCentre), 0, 0, true,
-       "Data centre in which this host stands"},
-      {"host", "caller_address", Form::Address,
-       PIMENTO_FIELD(std::string, Host.CallerAddress), 0, 0, true,
-       "Listener for callers and for announcements of backend servers"},
-      {"host", "operator_address", Form::Address,
-       PIMENTO_FIELD(std::string, Host.OperatorAddress), 0, 0, true,
-       "Listener for operators"},
-      {"host", "peer_address", Form::Address,
-       PIMENTO_FIELD(std::string, Host.PeerAddress), 0, 0, true,
-       "Listener for the other hosts of the site"},
-      {"host", "data_folder", Form::Text,
-       PIMENTO_FIELD(std::string, Host.DataFolder), 0, 0, false,
-       "Folder for the replicated log; empty on a host without a disk"},
-
-      {"security", "operator_token_sha256", Form::Digest,
-       PIMENTO_FIELD(std::string, Security.OperatorTokenSha256), 0, 0, true,
-       "SHA-256 of the operators' bearer token"},
-      {"security", "backend_token_sha256", Form::Digest,
-       PIMENTO_FIELD(std::string, Security.BackendTokenSha256), 0, 0, true,
-       "SHA-256 of the bearer token with which backend servers announce"},
-      {"security", "peer_token", Form::Text,
-       PIMENTO_FIELD(std::string, Security.PeerToken), 0, 0, true,
-       "Secret that all hosts of the site share; never logged"},
-
-      {"control", "heartbeat_interval", Form::Time,
-       PIMENTO_FIELD(Duration, Control.HeartbeatInterval), 10 * Milli,
-       5 * Second, false, "Time between a leader's heartbeats to the voters"},
-      {"control", "election_timeout", Form::Time,
-       PIMENTO_FIELD(Duration, Control.ElectionTimeout), 50 * Milli,
-       30 * Second, false,
-       "Least silence of the leader before an election; at least 3 heartbeats"},
-      {"control", "clock_drift_per_mille", Form::Count,
-       PIMENTO_FIELD(std::uint64_t, Control.ClockDriftPerMille), 0, 200, false,
-       "How far the rates of two hosts' clocks may differ"},
-      {"control", "snapshot_entries", Form::Count,
-       PIMENTO_FIELD(std::uint64_t, Control.SnapshotEntries), 16, 1e6, false,
-       "Log entries between two snapshots"},
-      {"control", "claim_partitions", Form::Count,
-       PIMENTO_FIELD(std::uint64_t, Control.ClaimPartitions), 1, 64, false,
-       "Replicated logs that keep claims; the same on every host"},
-
-      {"membership", "probe_interval", Form::Time,
-       PIMENTO_FIELD(Duration, Membership.ProbeInterval), 20 * Milli,
-       10 * Second, false, "Time between two liveness probes"},
-      {"membership", "probe_timeout", Form::Time,
-       PIMENTO_FIELD(Duration, Membership.ProbeTimeout), 5 * Milli, 10 * Second,
-       false, "Time for a direct answer before other hosts are asked to probe"},
-      {"membership", "suspicion_timeout", Form::Time,
-       PIMENTO_FIELD(Duration, Membership.SuspicionTimeout), 50 * Milli, Minute,
-       false, "Time in which a suspected host may object before it is dead"},
-      {"membership", "announce_timeout", Form::Time,
-       PIMENTO_FIELD(Duration, Membership.AnnounceTimeout), 100 * Milli, Minute,
-       false, "Silence after which a backend server gets no new work"},
-      {"membership", "freshness_bound", Form::Time,
-       PIMENTO_FIELD(Duration, Membership.FreshnessBound), 100 * Milli, Minute,
-       false, "Age of the document stamp past which a host refuses new work"},
-
-      {"limits", "body", Form::Bytes,
-       PIMENTO_FIELD(std::uint64_t, Limits.BodyBytes), 1 * KiB, 256 * MiB,
-       false, "Largest body of one request"},
-      {"limits", "headers", Form::Bytes,
-       PIMENTO_FIELD(std::uint64_t, Limits.HeaderBytes), 1 * KiB, 1 * MiB,
-       false, "Largest headers of one request"},
-      {"limits", "answer", Form::Bytes,
-       PIMENTO_FIELD(std::uint64_t, Limits.AnswerBytes), 1 * KiB, 256 * MiB,
-       false, "Largest answer that is not streamed"},
-      {"limits", "recorded_answer", Form::Bytes,
-       PIMENTO_FIELD(std::uint64_t, Limits.RecordedAnswerBytes), 1 * KiB,
-       1 * MiB, false, "Largest answer recorded with a claim"},
-      {"limits", "connections", Form::Count,
-       PIMENTO_FIELD(std::uint64_t, Limits.Connections), 1, 1e6, false,
-       "Callers' connections held at once"},
-      {"limits", "requests", Form::Count,
-       PIMENTO_FIELD(std::uint64_t, Limits.Requests), 1, 1e6, false,
-       "Requests in progress at once"},
-      {"limits", "stream_buffer", Form::Bytes,
-       PIMENTO_FIELD(std::uint64_t, Limits.StreamBufferBytes), 4 * KiB,
-       64 * MiB, false, "Bytes held towards one slow caller"},
-      {"limits", "total_buffer", Form::Bytes,
-       PIMENTO_FIELD(std::uint64_t, Limits.TotalBufferBytes), 1 * MiB, 64 * GiB,
-       false, "Bytes held for all bodies and answers together"},
-      {"limits", "read_timeout", Form::Time,
-       PIMENTO_FIELD(Duration, Limits.ReadTimeout), 100 * Milli, Hour, false,
-       "Time in which a request must arrive whole"},
-      {"limits", "default_time_limit", Form::Time,
-       PIMENTO_FIELD(Duration, Limits.DefaultTimeLimit), 1 * Milli, 24 * Hour,
-       false, "Time limit where neither caller nor document states one"},
-      {"limits", "max_time_limit", Form::Time,
-       PIMENTO_FIELD(Duration, Limits.MaxTimeLimit), 1 * Milli, 24 * Hour,
-       false, "Longest time limit, whatever the caller states"},
-
-      {"schedule", "queue_length", Form::Count,
-       PIMENTO_FIELD(std::uint64_t, Schedule.QueueLength), 1, 1e6, false,
-       "Requests that may wait in one cell"},
-      {"schedule", "account_queue_length", Form::Count,
-       PIMENTO_FIELD(std::uint64_t, Schedule.AccountQueueLength), 1, 1e6, false,
-       "Requests of one client account that may wait in one cell"},
-      {"schedule", "grant_lease", Form::Time,
-       PIMENTO_FIELD(Duration, Schedule.GrantLease), 200 * Milli, Minute, false,
-       "Time after which a grant dies unless its host renews it"},
-      {"schedule", "prefix_index", Form::Bytes,
-       PIMENTO_FIELD(std::uint64_t, Schedule.PrefixIndexBytes), 64 * KiB,
-       1 * GiB, false, "Memory for prefix hints"},
-
-      {"orders", "weight_store_rate", Form::Bytes,
-       PIMENTO_FIELD(std::uint64_t, Orders.WeightStoreRate), 1 * MiB,
-       GiB * 1024, false,
-       "Bytes a second that the weight store gives to all loads"},
-      {"orders", "engine_load_rate", Form::Bytes,
-       PIMENTO_FIELD(std::uint64_t, Orders.EngineLoadRate), 1 * MiB, GiB * 1024,
-       false, "Bytes a second that one load takes; at most weight_store_rate"},
-      {"orders", "loads", Form::Count,
-       PIMENTO_FIELD(std::uint64_t, Orders.Loads), 1, 10000, false,
-       "Loads under way at once, whatever the rates allow"},
-      {"orders", "landing", Form::Time, PIMENTO_FIELD(Duration, Orders.Landing),
-       500 * Milli, 10 * Minute, false,
-       "Time in which an order that was sent arrives at its engine or never "
-       "does"},
-      {"orders", "load_limit", Form::Time,
-       PIMENTO_FIELD(Duration, Orders.LoadLimit), 1 * Second, 24 * Hour, false,
-       "Time for one load, after which it is undone"},
-      {"orders", "hold_time", Form::Time,
-       PIMENTO_FIELD(Duration, Orders.HoldTime), 1 * Second, 24 * Hour, false,
-       "Least time between two moves of one engine to another model"},
-
-      {"retries", "budget_share", Form::Share,
-       PIMENTO_FIELD(double, Retries.BudgetShare), 0, 1, false,
-       "Second tries as a share of first tries, for each service"},
-      {"retries", "attempts", Form::Count,
-       PIMENTO_FIELD(std::uint64_t, Retries.Attempts), 1, 10, false,
-       "Tries of one repeatable request"},
-      {"retries", "backoff_base", Form::Time,
-       PIMENTO_FIELD(Duration, Retries.BackoffBase), 1 * Milli, Minute, false,
-       "Mean wait before the second try"},
-      {"retries", "backoff_limit", Form::Time,
-       PIMENTO_FIELD(Duration, Retries.BackoffLimit), 1 * Milli, 10 * Minute,
-       false, "Longest wait between two tries"},
-
-      {"drain", "unready_time", Form::Time,
-       PIMENTO_FIELD(Duration, Drain.UnreadyTime), 0, 10 * Minute, false,
-       "Time from unready until new requests are refused"},
-      {"drain", "limit", Form::Time, PIMENTO_FIELD(Duration, Drain.Limit),
-       100 * Milli, 24 * Hour, false,
-       "Time after which requests still in progress are cut"},
-
-      {"log", "file", Form::Text, PIMENTO_FIELD(std::string, Log.File), 0, 0,
-       false, "File for JSON lines; empty: standard error"},
-      {"log", "level", Form::Level, PIMENTO_FIELD(std::string, Log.Level), 0, 0,
-       false, "Least level that is written"},
-  };
-  return Rows;
-}
-
-#undef PIMENTO_FIELD
-
-const char *typeName(Form F) {
+const char *typeName(SettingForm F) {
   switch (F) {
-  case Form::Name:
+  case SettingForm::Name:
     return "name";
-  case Form::Text:
+  case SettingForm::Text:
     return "text";
-  case Form::Address:
+  case SettingForm::Address:
     return "address";
-  case Form::Digest:
+  case SettingForm::Digest:
     return "digest";
-  case Form::Level:
+  case SettingForm::Level:
     return "level";
-  case Form::Time:
+  case SettingForm::Time:
     return "duration";
-  case Form::Count:
+  case SettingForm::Count:
     return "count";
-  case Form::Bytes:
+  case SettingForm::Bytes:
     return "bytes";
-  case Form::Share:
+  case SettingForm::Share:
     return "share";
   }
   return "text";
@@ -276,43 +71,43 @@
   return plainNumber(Value) + "B";
 }
 
-std::string showNumber(Form F, double Value) {
-  if (F == Form::Time)
+std::string showNumber(SettingForm F, double Value) {
+  if (F == SettingForm::Time)
     return showMilliseconds(Value);
-  if (F == Form::Bytes)
+  if (F == SettingForm::Bytes)
     return showBytes(Value);
   return plainNumber(Value);
 }
 
-bool isNumeric(Form F) {
-  return F == Form::Time || F == Form::Count || F == Form::Bytes ||
-         F == Form::Share;
+bool isNumeric(SettingForm F) {
+  return F == SettingForm::Time || F == SettingForm::Count ||
+         F == SettingForm::Bytes || F == SettingForm::Share;
 }
 
-std::string rangeText(const Row &R) {
+std::string rangeText(const SettingRow &R) {
   if (isNumeric(R.Kind))
     return showNumber(R.Kind, R.Low) + " to " + showNumber(R.Kind, R.High);
-  if (R.Kind == Form::Address)
+  if (R.Kind == SettingForm::Address)
     return "ip:port, port 1 to 65535";
-  if (R.Kind == Form::Digest)
+  if (R.Kind == SettingForm::Digest)
     return "64 hexadecimal digits";
-  if (R.Kind == Form::Level)
+  if (R.Kind == SettingForm::Level)
     return "debug, info, warning, error";
-  if (R.Kind == Form::Name)
+  if (R.Kind == SettingForm::Name)
     return "1 to 64 letters, digits, '-', '_' or '.'";
   return "";
 }
 
-std::string defaultText(const Row &R) {
+std::string defaultText(const SettingRow &R) {
   Settings Defaults;
-  if (const auto *F = std::get_if<FieldOf<Duration>>(&R.Target))
+  if (const auto *F = std::get_if<SettingOf<Duration>>(&R.Target))
     return showMilliseconds(
         static_cast<double>(toMilliseconds((*F)(Defaults))));
-  if (const auto *F = std::get_if<FieldOf<std::uint64_t>>(&R.Target))
+  if (const auto *F = std::get_if<SettingOf<std::uint64_t>>(&R.Target))
     return showNumber(R.Kind, static_cast<double>((*F)(Defaults)));
-  if (const auto *F = std::get_if<FieldOf<double>>(&R.Target))
+  if (const auto *F = std::get_if<SettingOf<double>>(&R.Target))
     return plainNumber((*F)(Defaults));
-  if (const auto *F = std::get_if<FieldOf<std::string>>(&R.Target))
+  if (const auto *F = std::get_if<SettingOf<std::string>>(&R.Target))
     return (*F)(Defaults);
   return "";
 }
@@ -344,15 +139,15 @@
          Text == "error";
 }
 
-bool isAcceptable(Form Kind, std::string_view Text) {
+bool isAcceptable(SettingForm Kind, std::string_view Text) {
   switch (Kind) {
-  case Form::Name:
+  case SettingForm::Name:
     return isName(Text);
-  case Form::Address:
+  case SettingForm::Address:
     return isAddress(Text);
-  case Form::Digest:
+  case SettingForm::Digest:
     return isDigest(Text);
-  case Form::Level:
+  case SettingForm::Level:
     return isLevel(Text);
   default:
     return true;
@@ -384,34 +179,34 @@
 /// Stores \p Text in the row's field. False where it is not of the row's type
 /// or out of its range.
 struct Store {
-  const Row &R;
+  const SettingRow &R;
   const std::string &Text;
   Settings &S;
 
   bool inRange(double Value) const { return Value >= R.Low && Value <= R.High; }
 
-  bool operator()(FieldOf<std::string> F) const {
+  bool operator()(SettingOf<std::string> F) const {
     F(S) = Text;
     return isAcceptable(R.Kind, Text);
   }
-  bool operator()(FieldOf<HostId> F) const {
+  bool operator()(SettingOf<HostId> F) const {
     F(S) = HostId(Text);
     return isAcceptable(R.Kind, Text);
   }
-  bool operator()(FieldOf<DataCentreId> F) const {
+  bool operator()(SettingOf<DataCentreId> F) const {
     F(S) = DataCentreId(Text);
     return isAcceptable(R.Kind, Text);
   }
-  bool operator()(FieldOf<Duration> F) const {
+  bool operator()(SettingOf<Duration> F) const {
     return parseDuration(Text, F(S)) &&
            inRange(static_cast<double>(toMilliseconds(F(S))));
   }
-  bool operator()(FieldOf<std::uint64_t> F) const {
-    bool Parsed =
-        R.Kind == Form::Bytes ? parseBytes(Text, F(S)) : parseCount(Text, F(S));
+  bool operator()(SettingOf<std::uint64_t> F) const {
+    bool Parsed = R.Kind == SettingForm::Bytes ? parseBytes(Text, F(S))
+                                               : parseCount(Text, F(S));
     return Parsed && inRange(static_cast<double>(F(S)));
   }
-  bool operator()(FieldOf<double> F) const {
+  bool operator()(SettingOf<double> F) const {
     return parseShare(Text, F(S)) && inRange(F(S));
   }
 };
@@ -455,8 +250,8 @@
   }
 };
 
-const Row *findRow(const IniEntry &Entry) {
-  for (const Row &R : rows()) {
+const SettingRow *findRow(const IniEntry &Entry) {
+  for (const SettingRow &R : settingRows()) {
     if (Entry.Section == R.Section && Entry.Key == R.Key)
       return &R;
   }
@@ -484,7 +279,7 @@
     takePeer(In, Entry);
     return;
   }
-  const Row *R = findRow(Entry);
+  const SettingRow *R = findRow(Entry);
   if (!R) {
     In.complain(Code::SettingUnknown, Entry, "a key of docs/SETTINGS.md");
     return;
@@ -498,7 +293,7 @@
 }
 
 void checkRequired(Reader &In) {
-  for (const Row &R : rows()) {
+  for (const SettingRow &R : settingRows()) {
     if (!R.Required || In.Seen.count({R.Section, R.Key}))
       continue;
     In.complain(Code::SettingMissing, 0, R.Section, R.Key, typeName(R.Kind),
@@ -590,12 +385,12 @@
   // Ranges are built texts; the rows of the result point into them.
   static const std::vector<std::string> Ranges = [] {
     std::vector<std::string> Texts;
-    for (const Row &R : rows())
+    for (const SettingRow &R : settingRows())
       Texts.push_back(rangeText(R));
     return Texts;
   }();
   std::vector<SettingInfo> Table;
-  for (const Row &R : rows())
+  for (const SettingRow &R : settingRows())
     Table.push_back({R.Section, R.Key, typeName(R.Kind),
                      Ranges[Table.size()].c_str(), defaultText(R), R.Required,
                      R.Meaning});
