node: gauges of freshness, cells, memory and logs

Cause: /metrics had counters and times, but not the ages and the memory that an operator looks for first: whether a host may serve, how old its stamp is, what its cells hold and wait for, what stays cancelled, how far a log is behind. Ruled out: labels by cell; a cell that moved away would leave its last value.

--- a/packages/node/Node.h
+++ b/packages/node/Node.h
@@ -190,4 +190,8 @@
 /// Whether the balancer should send callers here.
 bool isReady(const NodeState &S, TimePoint Now);
 
+/// What stands at \p Now, for metrics: freshness, cells held here, logs. Sums
+/// over all cells, so that no label outlives its cell.
+std::vector<MetricSample> nodeGauges(const NodeState &S, TimePoint Now);
+
 } // namespace pimento
--- a/packages/node/StatusPart.cpp
+++ b/packages/node/StatusPart.cpp
@@ -184,3 +184,45 @@
 }
 
 } // namespace pimento::node
+
+namespace pimento {
+
+std::vector<MetricSample> nodeGauges(const NodeState &S, TimePoint Now) {
+  CellFigures Sum;
+  for (const auto &[Id, Cell] : S.Held) {
+    CellFigures F = cellFigures(Cell);
+    Sum.Waiting += F.Waiting;
+    Sum.Grants += F.Grants;
+    Sum.Ejected += F.Ejected;
+    Sum.MemoryTokens += F.MemoryTokens;
+    Sum.HeldTokens += F.HeldTokens;
+    Sum.CancellingTokens += F.CancellingTokens;
+  }
+  std::vector<MetricSample> Out;
+  auto Gauge = [&](const char *Name, auto Value, std::string Label = "") {
+    Out.push_back({SampleKind::Gauge, Name, std::move(Label),
+                   static_cast<double>(Value)});
+  };
+  ServeVerdict Fresh = verdict(S.Spread, Now);
+  Gauge("pimento_serving", Fresh.Serve ? 1 : 0);
+  if (Fresh.Age != Duration::max())
+    Gauge("pimento_stamp_age_seconds", toSeconds(Fresh.Age));
+  Gauge("pimento_requests", S.Calls.Requests.size());
+  Gauge("pimento_cells_held", S.Held.size());
+  Gauge("pimento_cells_waiting", Sum.Waiting);
+  Gauge("pimento_cells_grants", Sum.Grants);
+  Gauge("pimento_cells_ejected_engines", Sum.Ejected);
+  Gauge("pimento_cells_memory_tokens", Sum.MemoryTokens);
+  Gauge("pimento_cells_held_tokens", Sum.HeldTokens);
+  Gauge("pimento_cells_cancelling_tokens", Sum.CancellingTokens);
+  for (const auto &[Group, Log] : S.Control.Logs) {
+    ReplicaStatus R = status(Log, Now);
+    std::string Label = "log=\"" + std::to_string(Group) + "\"";
+    Gauge("pimento_log_lease", R.Lease ? 1 : 0, Label);
+    Gauge("pimento_log_unapplied_entries", R.LastIndex - R.Applied, Label);
+    Gauge("pimento_log_unsaved_entries", R.LastIndex - R.SnapshotIndex, Label);
+  }
+  return Out;
+}
+
+} // namespace pimento
--- a/packages/node/tests/NodeTest.cpp
+++ b/packages/node/tests/NodeTest.cpp
@@ -275,6 +275,40 @@
   }
 }
 
+double gauge(VirtualSite &Site, const std::string &Host,
+             std::string_view Name) {
+  double Sum = 0;
+  for (const MetricSample &Sample :
+       nodeGauges(Site.node(Host), Site.P.clock(HostId(Host)))) {
+    if (Sample.Name == Name)
+      Sum += Sample.Value;
+  }
+  return Sum;
+}
+
+BOOST_AUTO_TEST_CASE(GaugesShowWhatIsHeldAndThatItReturns) {
+  VirtualSite Site(SiteOptions(), 95);
+  BOOST_TEST_REQUIRE(Site.start());
+  auto Total = [&](std::string_view Name) {
+    double Sum = 0;
+    for (const char *Host : {"north-1", "centre-1", "south-1"})
+      Sum += gauge(Site, Host, Name);
+    return Sum;
+  };
+  BOOST_TEST(Total("pimento_serving") == 3);
+  BOOST_TEST(Total("pimento_cells_held") == 1);
+  BOOST_TEST(Total("pimento_cells_held_tokens") == 0);
+  Site.complete("north-1", "a prompt", 200);
+  Site.P.runFor(milliseconds(500));
+  BOOST_TEST(Total("pimento_requests") == 1);
+  BOOST_TEST(Total("pimento_cells_grants") == 1);
+  BOOST_TEST(Total("pimento_cells_held_tokens") >= 200);
+  Site.P.runFor(seconds(20));
+  BOOST_TEST(Total("pimento_requests") == 0);
+  BOOST_TEST(Total("pimento_cells_held_tokens") == 0);
+  checkEnd(Site);
+}
+
 BOOST_AUTO_TEST_CASE(DrainCutsNothing) {
   for (std::uint64_t Seed = 80; Seed < 83; ++Seed) {
     VirtualSite Site(SiteOptions(), Seed);
--- a/packages/shell/Process.cpp
+++ b/packages/shell/Process.cpp
@@ -285,6 +285,8 @@
   auto Gauge = [this](const char *Name, double Value) {
     Numbers.record({SampleKind::Gauge, Name, "", Value});
   };
+  for (const MetricSample &Sample : nodeGauges(Node, now()))
+    Numbers.record(Sample);
   const LinkCounters &C = Links.counters();
   Gauge("pimento_caller_connections",
         static_cast<double>(Callers.connections()));
