--- a/apps/pimentoglade.cpp
+++ b/apps/pimentoglade.cpp
@@ -1,7 +1,9 @@
 //===- pimentoglade.cpp - The process of one entry host -------------------===//
 
 #include "base/Settings.h"
+#include "platform/Platform.h"
 #include "shell/Process.h"
+#include "shell/SiteProcess.h"
 
 #include <gflags/gflags.h>
 
@@ -21,6 +23,7 @@
   pimentoglade --settings=FILE --check   list what is wrong with the settings
 
 Every key is explained in docs/SETTINGS.md; examples/ holds whole sites.
+SIGHUP and a changed file make a host of a site with seeds read them again.
 The first SIGTERM drains the host: it turns unready, finishes what is in
 progress and exits with 0. A second one stops it at once.
 
@@ -57,5 +60,7 @@
     std::cout << FLAGS_settings << ": good\n";
     return 0;
   }
-  return pimento::runHost(S);
+  if (S.Join.Role.empty())
+    return pimento::runHost(S);
+  return pimento::runSiteHost(S, FLAGS_settings, pimento::platform::adapter());
 }
--- a/packages/base/Http.cpp
+++ b/packages/base/Http.cpp
@@ -5,9 +5,7 @@
 
 namespace pimento {
 
-namespace {
-
-bool sameName(std::string_view A, std::string_view B) {
+bool sameHeaderName(std::string_view A, std::string_view B) {
   auto Same = [](unsigned char X, unsigned char Y) {
     return std::tolower(X) == std::tolower(Y);
   };
@@ -15,8 +13,6 @@
          std::equal(A.begin(), A.end(), B.begin(), Same);
 }
 
-} // namespace
-
 const char *toString(HttpMethod M) {
   switch (M) {
   case HttpMethod::Get:
@@ -38,7 +34,7 @@
 std::string_view headerValue(const std::vector<HttpHeader> &Headers,
                              std::string_view Name) {
   for (const HttpHeader &Header : Headers) {
-    if (sameName(Header.Name, Name))
+    if (sameHeaderName(Header.Name, Name))
       return Header.Value;
   }
   return {};
--- a/packages/base/Http.h
+++ b/packages/base/Http.h
@@ -32,8 +32,9 @@
 
 struct HttpRequest {
   HttpMethod Method = HttpMethod::Get;
-  std::string Path;  // Decoded, begins with '/', without its query.
-  std::string Query; // Behind the '?', as it came.
+  std::string Path;   // Decoded, begins with '/', without its query.
+  std::string Query;  // Behind the '?', as it came.
+  std::string Target; // Path and query as they came.
   std::vector<HttpHeader> Headers;
   std::string Body;
 };
@@ -53,6 +54,9 @@
   std::vector<HttpHeader> Headers;
   std::string Body;
   bool MayReuse = false; // Whether an idle connection may carry it.
+  HttpHeader EchoHeader; // An answer that has it with another value is another
+                         // request's; empty: all are taken.
+  std::uint32_t ConnectionLimit = 0; // To the address; zero: none.
   Duration ConnectTimeout = seconds(1);
 };
 
@@ -63,6 +67,9 @@
   std::string Detail; // For logs.
 };
 
+/// Whether two header names are equal, without regard to case.
+bool sameHeaderName(std::string_view A, std::string_view B);
+
 /// The value of the first header of this name; empty where there is none.
 std::string_view headerValue(const std::vector<HttpHeader> &Headers,
                              std::string_view Name);
--- a/packages/base/SettingTable.cpp
+++ b/packages/base/SettingTable.cpp
@@ -24,6 +24,23 @@
       {"host", "data_folder", SettingForm::Text,
        PIMENTO_FIELD(std::string, Host.DataFolder), 0, 0, false,
        "Folder for the replicated log; empty on a host without a disk"},
+      {"host", "metrics_address", SettingForm::Address,
+       PIMENTO_FIELD(std::string, Host.MetricsAddress), 0, 0, false,
+       "Further listener that serves nothing but /metrics"},
+
+      {"join", "role", SettingForm::Role, PIMENTO_FIELD(std::string, Join.Role),
+       0, 0, false,
+       "What this host does in a site that finds its hosts by seeds; empty: "
+       "[peers] lists them"},
+      {"join", "seeds", SettingForm::AddressList,
+       PIMENTO_FIELD(std::string, Join.Seeds), 0, 0, false,
+       "Caller addresses of a few control hosts, separated by commas"},
+      {"join", "first_start", SettingForm::Count,
+       PIMENTO_FIELD(std::uint64_t, Join.First), 0, 1, false,
+       "1 where the whole site starts for the first time, with empty disks"},
+      {"join", "failures", SettingForm::Count,
+       PIMENTO_FIELD(std::uint64_t, Join.Failures), 0, 3, false,
+       "Control hosts that may be lost at the same time"},
 
       {"security", "operator_token_sha256", SettingForm::Digest,
        PIMENTO_FIELD(std::string, Security.OperatorTokenSha256), 0, 0, true,
@@ -67,6 +84,9 @@
       {"membership", "freshness_bound", SettingForm::Time,
        PIMENTO_FIELD(Duration, Membership.FreshnessBound), 100 * Milli, Minute,
        false, "Age of the document stamp past which a host refuses new work"},
+      {"membership", "announce_interval", SettingForm::Time,
+       PIMENTO_FIELD(Duration, Membership.AnnounceInterval), 0, Minute, false,
+       "Time between two reports of a backend server; zero: not known"},
 
       {"limits", "body", SettingForm::Bytes,
        PIMENTO_FIELD(std::uint64_t, Limits.BodyBytes), 1 * KiB, 256 * MiB,
@@ -114,6 +134,9 @@
       {"schedule", "prefix_index", SettingForm::Bytes,
        PIMENTO_FIELD(std::uint64_t, Schedule.PrefixIndexBytes), 64 * KiB,
        1 * GiB, false, "Memory for prefix hints"},
+      {"schedule", "reservation_limit", SettingForm::Time,
+       PIMENTO_FIELD(Duration, Schedule.ReservationLimit), 1 * Second, Hour,
+       false, "Longest time for which engines reserve memory"},
 
       {"orders", "weight_store_rate", SettingForm::Bytes,
        PIMENTO_FIELD(std::uint64_t, Orders.WeightStoreRate), 1 * MiB,
@@ -148,6 +171,12 @@
       {"retries", "backoff_limit", SettingForm::Time,
        PIMENTO_FIELD(Duration, Retries.BackoffLimit), 1 * Milli, 10 * Minute,
        false, "Longest wait between two tries"},
+      {"retries", "budget_allowance", SettingForm::Count,
+       PIMENTO_FIELD(std::uint64_t, Retries.BudgetAllowance), 0, 1e6, false,
+       "Second tries that one service may get in a window beyond the share"},
+      {"retries", "budget_window", SettingForm::Time,
+       PIMENTO_FIELD(Duration, Retries.BudgetWindow), 100 * Milli, Hour, false,
+       "Sliding window in which second tries are counted"},
 
       {"drain", "unready_time", SettingForm::Time,
        PIMENTO_FIELD(Duration, Drain.UnreadyTime), 0, 10 * Minute, false,
@@ -157,10 +186,14 @@
        "Time after which requests still in progress are cut"},
 
       {"log", "file", SettingForm::Text, PIMENTO_FIELD(std::string, Log.File),
-       0, 0, false, "File for JSON lines; empty: standard error"},
+       0, 0, false,
+       "File for JSON lines; empty: standard error; stdout: standard output"},
       {"log", "level", SettingForm::Level,
        PIMENTO_FIELD(std::string, Log.Level), 0, 0, false,
        "Least level that is written"},
+      {"log", "lines_per_second", SettingForm::Count,
+       PIMENTO_FIELD(std::uint64_t, Log.LinesPerSecond), 1, 1e6, false,
+       "Lines of one kind in a second; those beyond are counted only"},
   };
   return Rows;
 }
--- a/packages/base/SettingTable.h
+++ b/packages/base/SettingTable.h
@@ -26,6 +26,8 @@
   Address,
   Digest,
   Level,
+  Role,
+  AddressList,
   Time,
   Count,
   Bytes,
--- a/packages/base/Settings.cpp
+++ b/packages/base/Settings.cpp
@@ -28,6 +28,10 @@
     return "digest";
   case SettingForm::Level:
     return "level";
+  case SettingForm::Role:
+    return "role";
+  case SettingForm::AddressList:
+    return "addresses";
   case SettingForm::Time:
     return "duration";
   case SettingForm::Count:
@@ -93,6 +97,10 @@
     return "64 hexadecimal digits";
   if (R.Kind == SettingForm::Level)
     return "debug, info, warning, error";
+  if (R.Kind == SettingForm::Role)
+    return "entry, control";
+  if (R.Kind == SettingForm::AddressList)
+    return "ip:port, ip:port, ...";
   if (R.Kind == SettingForm::Name)
     return "1 to 64 letters, digits, '-', '_' or '.'";
   return "";
@@ -139,6 +147,14 @@
          Text == "error";
 }
 
+bool isAddressList(std::string_view Text) {
+  for (const std::string &Address : splitAddresses(Text)) {
+    if (!isAddress(Address))
+      return false;
+  }
+  return true;
+}
+
 bool isAcceptable(SettingForm Kind, std::string_view Text) {
   switch (Kind) {
   case SettingForm::Name:
@@ -149,6 +165,10 @@
     return isDigest(Text);
   case SettingForm::Level:
     return isLevel(Text);
+  case SettingForm::Role:
+    return Text == "entry" || Text == "control";
+  case SettingForm::AddressList:
+    return isAddressList(Text);
   default:
     return true;
   }
@@ -339,6 +359,18 @@
     clash(In, "peers", "voter", "1, 3, 5 or 7 voters", std::to_string(Voters));
 }
 
+void checkJoin(Reader &In) {
+  const Settings &S = In.S;
+  if (!S.Peers.empty())
+    clash(In, "join", "role", "no [peers], since the seeds name hosts",
+          std::to_string(S.Peers.size()) + " peers");
+  if (S.Join.Seeds.empty())
+    clash(In, "join", "seeds", "at least one control host", "nothing");
+  if (S.Join.Role == "control" && S.Host.DataFolder.empty())
+    clash(In, "host", "data_folder", "a folder, because this is a control host",
+          "nothing");
+}
+
 void checkTimes(Reader &In) {
   const Settings &S = In.S;
   auto Show = [](Duration D) {
@@ -435,7 +467,10 @@
   checkRequired(In);
   if (Problems.size() != Before)
     return false;
-  checkPeers(In);
+  if (S.Join.Role.empty())
+    checkPeers(In);
+  else
+    checkJoin(In);
   checkTimes(In);
   checkSizes(In);
   return Problems.size() == Before;
@@ -455,6 +490,43 @@
   return readSettings(Text.str(), Path, S, Problems);
 }
 
+std::vector<std::string> splitAddresses(std::string_view Text) {
+  std::vector<std::string> List;
+  std::size_t Begin = 0;
+  while (Begin < Text.size()) {
+    std::size_t End = std::min(Text.find(',', Begin), Text.size());
+    std::string_view Part = Text.substr(Begin, End - Begin);
+    while (!Part.empty() && Part.front() == ' ')
+      Part.remove_prefix(1);
+    while (!Part.empty() && Part.back() == ' ')
+      Part.remove_suffix(1);
+    if (!Part.empty())
+      List.emplace_back(Part);
+    Begin = End + 1;
+  }
+  return List;
+}
+
+namespace {
+
+/// Reads ".25s" behind a whole number: up to three decimals of a second.
+bool parseDecimals(std::string_view Text, Duration &Part) {
+  std::uint64_t Digits = 0;
+  std::string_view Unit;
+  constexpr std::size_t MaxDigits = 3;
+  if (!splitUnit(Text.substr(1), Digits, Unit) || Unit != "s")
+    return false;
+  std::size_t Count = Text.size() - 1 - Unit.size();
+  if (Count > MaxDigits)
+    return false;
+  for (; Count < MaxDigits; ++Count)
+    Digits *= 10;
+  Part = milliseconds(static_cast<std::int64_t>(Digits));
+  return true;
+}
+
+} // namespace
+
 bool parseDuration(std::string_view Text, Duration &D) {
   std::uint64_t Number = 0;
   std::string_view Unit;
@@ -462,6 +534,13 @@
   if (!splitUnit(Text, Number, Unit) || Number > MaxNumber)
     return false;
   auto Count = static_cast<std::int64_t>(Number);
+  Duration Part = Duration::zero();
+  if (!Unit.empty() && Unit.front() == '.') {
+    if (!parseDecimals(Unit, Part))
+      return false;
+    D = seconds(Count) + Part;
+    return true;
+  }
   if (Unit == "ms")
     D = milliseconds(Count);
   else if (Unit == "s")
--- a/packages/base/Settings.h
+++ b/packages/base/Settings.h
@@ -43,6 +43,16 @@
   std::string OperatorAddress; // ip:port for operators.
   std::string PeerAddress;     // ip:port for other hosts.
   std::string DataFolder;      // Empty: no disk, keeps no replicated log.
+  std::string MetricsAddress;  // ip:port for counters alone; empty: none.
+};
+
+/// [join]: a site whose hosts nobody lists. A host finds the others through a
+/// few seeds; [peers] stays empty.
+struct JoinSettings {
+  std::string Role;           // "entry" or "control"; empty: [peers] lists all.
+  std::string Seeds;          // ip:port of some control hosts, by commas.
+  std::uint64_t First = 0;    // 1: the whole site starts for the first time.
+  std::uint64_t Failures = 1; // Control hosts that may be lost at once.
 };
 
 /// [security]: who may speak to this host.
@@ -69,6 +79,7 @@
   Duration SuspicionTimeout = milliseconds(1000); // From suspect to dead.
   Duration AnnounceTimeout = milliseconds(2500);  // Silence of a server.
   Duration FreshnessBound = milliseconds(900);    // Age of a document stamp.
+  Duration AnnounceInterval = milliseconds(0);    // Zero: not known.
 };
 
 /// [limits]: what one host takes on.
@@ -92,6 +103,7 @@
   std::uint64_t AccountQueueLength = 2000;     // Of one client account.
   Duration GrantLease = milliseconds(2000);    // Unrenewed grants die after it.
   std::uint64_t PrefixIndexBytes = 16U << 20U; // Prefix hints of one host.
+  Duration ReservationLimit = seconds(20);     // Of memory at an engine.
 };
 
 /// [orders]: loads, unloads and changes of role at engines.
@@ -110,6 +122,8 @@
   std::uint64_t Attempts = 3;                // Tries of one request.
   Duration BackoffBase = milliseconds(20);   // Before the second try.
   Duration BackoffLimit = milliseconds(500); // Longest wait between tries.
+  std::uint64_t BudgetAllowance = 30;        // Second tries lent a window.
+  Duration BudgetWindow = seconds(10);       // In which tries are counted.
 };
 
 /// [drain]: a graceful stop.
@@ -120,12 +134,14 @@
 
 /// [log]: decision records.
 struct LogSettings {
-  std::string File;           // Empty: standard error.
-  std::string Level = "info"; // debug, info, warning or error.
+  std::string File;                   // Empty: standard error; "stdout".
+  std::string Level = "info";         // debug, info, warning or error.
+  std::uint64_t LinesPerSecond = 200; // Of one kind; more are counted only.
 };
 
 struct Settings {
   HostSettings Host;
+  JoinSettings Join;
   SecuritySettings Security;
   ControlSettings Control;
   MembershipSettings Membership;
@@ -176,10 +192,13 @@
 bool loadSettings(const std::string &Path, Settings &S,
                   std::vector<SettingProblem> &Problems);
 
-/// A duration such as "250ms", "2s", "5m" or "1h"; the unit is required.
+/// A duration such as "250ms", "2s", "1.5s", "5m" or "1h"; the unit is
+/// required.
 bool parseDuration(std::string_view Text, Duration &D);
 /// A size such as "100B", "64KiB", "16MiB" or "4GiB"; the unit is required.
 bool parseBytes(std::string_view Text, std::uint64_t &Bytes);
+/// The addresses in a list that is separated by commas.
+std::vector<std::string> splitAddresses(std::string_view Text);
 /// Whether \p Text is an IPv4 or bracketed IPv6 address with a port; port 0
 /// is refused.
 bool isAddress(std::string_view Text);
--- /dev/null
+++ b/packages/control/ControlSpread.cpp
@@ -0,0 +1,250 @@
+// What control hosts tell each other and the entry hosts.
+
+#include "control/ControlTurn.h"
+
+#include <algorithm>
+
+namespace pimento::control {
+
+namespace {
+
+constexpr Duration NewsInterval = milliseconds(400);
+/// Silence after which a control host counts as dead.
+constexpr Duration ControlSilence = milliseconds(1300);
+/// A control host that nothing names any more is forgotten after so long.
+constexpr Duration ForgetControl = seconds(20);
+/// An entry host that asks no more is not told anything.
+constexpr Duration EntrySilence = milliseconds(2000);
+constexpr Duration ForgetEntry = seconds(20);
+constexpr std::size_t MaxWaitingReports = 8192;
+
+/// Everyone that might be a control host.
+std::vector<HostId> contacts(const ControlHost &S) {
+  std::vector<HostId> Hosts = S.Seeds;
+  for (const auto &[Host, Peer] : S.Controls)
+    Hosts.push_back(Host);
+  for (const Member &Who : members(S.Log).Members)
+    Hosts.push_back(Who.Host);
+  std::sort(Hosts.begin(), Hosts.end());
+  Hosts.erase(std::unique(Hosts.begin(), Hosts.end()), Hosts.end());
+  Hosts.erase(std::remove(Hosts.begin(), Hosts.end(), S.Self), Hosts.end());
+  return Hosts;
+}
+
+std::vector<ServerReport> takeReports(ControlTurn &T, ControlPeer &Peer) {
+  if (Peer.WantsAll) {
+    Peer.WantsAll = false;
+    Peer.Reports.clear();
+    Peer.Since.clear();
+    std::vector<ServerReport> All = changedServers(T.S.Servers, 0, T.Now);
+    auto IsSilent = [](const ServerReport &R) {
+      return R.Phase == ServerPhase::Silent; // Each host judges silence.
+    };
+    All.erase(std::remove_if(All.begin(), All.end(), IsSilent), All.end());
+    return All;
+  }
+  std::vector<ServerReport> Reports = std::move(Peer.Reports);
+  for (std::size_t I = 0; I < Reports.size(); ++I)
+    Reports[I].Age = T.Now - Peer.Since[I];
+  Peer.Reports.clear();
+  Peer.Since.clear();
+  return Reports;
+}
+
+void sendNews(ControlTurn &T) {
+  ControlHost &S = T.S;
+  std::vector<HostId> Living = livingControls(S, T.Now);
+  for (const HostId &Host : contacts(S)) {
+    ControlPeer &Peer = S.Controls[Host];
+    ControlNews News;
+    News.Known = Living;
+    News.Leaving = S.StopAt != TimePoint();
+    News.WantsAll = Peer.Heard == TimePoint();
+    if (T.Now < Peer.Heard + ControlSilence)
+      News.Reports = takeReports(T, Peer);
+    else
+      Peer.WantsAll = true;
+    send(T, Host, std::move(News));
+  }
+  S.NextNews = T.Now + NewsInterval;
+}
+
+void forgetHosts(ControlTurn &T) {
+  ControlHost &S = T.S;
+  std::vector<HostId> Named = S.Seeds;
+  for (const Member &Who : members(S.Log).Members)
+    Named.push_back(Who.Host);
+  for (auto It = S.Controls.begin(); It != S.Controls.end();) {
+    bool IsNamed =
+        std::find(Named.begin(), Named.end(), It->first) != Named.end();
+    bool Old = T.Now > It->second.Heard + ForgetControl;
+    It = Old && !IsNamed ? S.Controls.erase(It) : std::next(It);
+  }
+  for (auto It = S.Entries.begin(); It != S.Entries.end();) {
+    bool Old = T.Now > It->second.Heard + ForgetEntry;
+    It = Old ? S.Entries.erase(It) : std::next(It);
+  }
+}
+
+bool isLiving(const EntryPeer &Entry, TimePoint Now) {
+  return Now < Entry.Heard + EntrySilence;
+}
+
+/// The leader keeps the host that places requests while it lives and is ready,
+/// else takes the one that has been there for longest.
+void choosePlacer(ControlTurn &T) {
+  ControlHost &S = T.S;
+  if (!isLeader(S, T.Now)) {
+    S.Placer = HostId();
+    return;
+  }
+  auto Held = S.Entries.find(S.Placer);
+  if (Held != S.Entries.end() && isLiving(Held->second, T.Now) &&
+      Held->second.Ready)
+    return;
+  HostId Before = S.Placer;
+  const EntryPeer *Best = nullptr;
+  S.Placer = HostId();
+  for (const auto &[Host, Entry] : S.Entries) {
+    if (!isLiving(Entry, T.Now) || !Entry.Ready)
+      continue;
+    if (Best != nullptr && Best->First <= Entry.First)
+      continue;
+    Best = &Entry;
+    S.Placer = Host;
+  }
+  if (S.Placer == Before)
+    return;
+  DecisionRecord Record{"placer", {}, "the one before is not ready", {}};
+  Record.add("host", S.Placer.Value);
+  Record.add("before", Before.Value);
+  log(T, std::move(Record));
+  S.NewsDue = true;
+}
+
+std::uint64_t livingEntries(const ControlTurn &T) {
+  std::uint64_t Count = 0;
+  for (const auto &[Host, Entry] : T.S.Entries)
+    Count += isLiving(Entry, T.Now) ? 1 : 0;
+  return Count;
+}
+
+/// What \p Entry lacks; all servers where \p Whole.
+SiteState stateFor(ControlTurn &T, EntryPeer &Entry, bool Whole) {
+  const ControlHost &S = T.S;
+  SiteState State;
+  State.Current = isCurrent(S, T.Now);
+  State.Leader = leader(S.Log);
+  State.Config = S.Newest.Number;
+  std::uint64_t Has = std::max(Entry.Config, Entry.SentConfig);
+  if (State.Current && S.Newest.Number > Has) {
+    State.Text = S.Newest.Text;
+    Entry.SentConfig = S.Newest.Number;
+  }
+  State.ControlLife = S.Life;
+  State.Revision = S.Servers.Revision;
+  State.Whole = Whole;
+  State.Base = Whole ? 0 : Entry.SentRevision;
+  State.Servers =
+      changedServers(S.Servers, Whole ? 0 : Entry.SentRevision, T.Now);
+  Entry.SentRevision = S.Servers.Revision;
+  State.Controls = livingControls(S, T.Now);
+  State.Entries = livingEntries(T);
+  State.Placer = S.Placer;
+  return State;
+}
+
+void tellEntries(ControlTurn &T) {
+  for (auto &[Host, Entry] : T.S.Entries) {
+    if (isLiving(Entry, T.Now))
+      send(T, Host, stateFor(T, Entry, false));
+  }
+}
+
+} // namespace
+
+std::vector<HostId> livingControls(const ControlHost &S, TimePoint Now) {
+  std::vector<HostId> Living = {S.Self};
+  for (const auto &[Host, Peer] : S.Controls) {
+    if (Peer.Heard != TimePoint() && Now < Peer.Heard + ControlSilence)
+      Living.push_back(Host);
+  }
+  return Living;
+}
+
+void tickSpread(ControlTurn &T) {
+  if (T.Now < T.S.NextNews)
+    return;
+  sendNews(T);
+  forgetHosts(T);
+  choosePlacer(T);
+}
+
+void controlNews(ControlTurn &T, const HostId &From, const ControlNews &M) {
+  ControlHost &S = T.S;
+  ControlPeer &Peer = S.Controls[From];
+  if (Peer.Heard == TimePoint() || T.Now > Peer.Heard + ControlSilence) {
+    DecisionRecord Record{"control_host_heard", {}, "its news came", {}};
+    Record.add("host", From.Value);
+    log(T, std::move(Record));
+  }
+  Peer.Heard = T.Now;
+  Peer.Leaving = M.Leaving;
+  Peer.WantsAll = Peer.WantsAll || M.WantsAll;
+  for (const HostId &Host : M.Known) {
+    if (Host != S.Self)
+      S.Controls[Host]; // Told of this host with the next news.
+  }
+  for (const ServerReport &Report : M.Reports) {
+    if (takeReport(S.Servers, Report, T.Now - Report.Age))
+      S.NewsDue = true;
+  }
+}
+
+void entrySync(ControlTurn &T, const HostId &From, Incarnation Life,
+               const EntrySync &M) {
+  EntryPeer &Entry = T.S.Entries[From];
+  if (Entry.Life != Life || !isLiving(Entry, T.Now)) {
+    Entry = EntryPeer();
+    Entry.First = T.Now;
+    Entry.Life = Life;
+  }
+  Entry.Heard = T.Now;
+  Entry.Ready = M.Ready;
+  Entry.Config = M.Config;
+  Entry.SentConfig = M.Config;
+  bool Whole = M.ControlLife != T.S.Life || M.Revision > T.S.Servers.Revision;
+  Entry.SentRevision = Whole ? 0 : M.Revision;
+  choosePlacer(T);
+  SiteState State = stateFor(T, Entry, Whole);
+  State.Sequence = M.Sequence;
+  send(T, From, std::move(State));
+  settlePuts(T);
+}
+
+void relay(ControlTurn &T, const ServerReport &Report) {
+  for (auto &[Host, Peer] : T.S.Controls) {
+    if (Peer.WantsAll || Peer.Reports.size() >= MaxWaitingReports) {
+      Peer.WantsAll = true;
+      continue;
+    }
+    Peer.Reports.push_back(Report);
+    Peer.Since.push_back(T.Now);
+  }
+}
+
+void spreadChanges(ControlTurn &T) {
+  ControlHost &S = T.S;
+  bool NewRouting = false;
+  for (const auto &[Host, Entry] : S.Entries)
+    NewRouting = NewRouting ||
+                 (isLiving(Entry, T.Now) && Entry.SentConfig < S.Newest.Number);
+  if (!S.NewsDue && !(NewRouting && isCurrent(S, T.Now)))
+    return;
+  tellEntries(T);
+  if (S.NewsDue)
+    sendNews(T);
+  S.NewsDue = false;
+}
+
+} // namespace pimento::control
--- /dev/null
+++ b/packages/control/VoterPlan.cpp
@@ -0,0 +1,78 @@
+#include "control/VoterPlan.h"
+
+namespace pimento {
+
+namespace {
+
+bool isLost(const VoterCandidate &C, const HostId &Self,
+            const VoterTarget &Target) {
+  return C.Host != Self && (C.Leaving || C.Silence > Target.ReplaceAfter);
+}
+
+/// A living host that is no member; null where there is none.
+const VoterCandidate *findNewcomer(const std::vector<VoterCandidate> &Hosts,
+                                   const VoterTarget &Target) {
+  for (const VoterCandidate &C : Hosts) {
+    if (!C.Member && !C.Leaving && C.Silence < Target.AliveWithin)
+      return &C;
+  }
+  return nullptr;
+}
+
+/// The member that has been silent for longest among those that are lost.
+const VoterCandidate *findLost(const std::vector<VoterCandidate> &Hosts,
+                               const HostId &Self, const VoterTarget &Target,
+                               bool Learner) {
+  const VoterCandidate *Worst = nullptr;
+  for (const VoterCandidate &C : Hosts) {
+    if (!C.Member || C.Learner != Learner || !isLost(C, Self, Target))
+      continue;
+    if (Worst == nullptr || C.Silence > Worst->Silence)
+      Worst = &C;
+  }
+  return Worst;
+}
+
+const VoterCandidate *findSurplus(const std::vector<VoterCandidate> &Hosts,
+                                  const HostId &Self) {
+  for (const VoterCandidate &C : Hosts) {
+    if (C.Member && !C.Learner && C.Host != Self)
+      return &C;
+  }
+  return nullptr;
+}
+
+} // namespace
+
+VoterChange planVoters(const std::vector<VoterCandidate> &Hosts,
+                       const HostId &Self, const VoterTarget &Target) {
+  std::size_t Voters = 0;
+  std::size_t Learners = 0;
+  for (const VoterCandidate &C : Hosts) {
+    Voters += C.Member && !C.Learner ? 1 : 0;
+    Learners += C.Member && C.Learner ? 1 : 0;
+  }
+  const VoterCandidate *LostLearner = findLost(Hosts, Self, Target, true);
+  if (LostLearner != nullptr)
+    return {VoterStep::Remove, LostLearner->Host, "a learner is silent"};
+  if (Learners > 0)
+    return {}; // It becomes a voter soon.
+  const VoterCandidate *Lost = findLost(Hosts, Self, Target, false);
+  if (Voters > Target.Voters) {
+    if (Lost != nullptr)
+      return {VoterStep::Remove, Lost->Host, "a successor has its vote"};
+    if (const VoterCandidate *Surplus = findSurplus(Hosts, Self))
+      return {VoterStep::Remove, Surplus->Host, "there are more than needed"};
+    return {};
+  }
+  const VoterCandidate *Newcomer = findNewcomer(Hosts, Target);
+  if (Newcomer == nullptr)
+    return {};
+  if (Voters < Target.Voters)
+    return {VoterStep::Add, Newcomer->Host, "there are fewer than needed"};
+  if (Lost != nullptr)
+    return {VoterStep::Add, Newcomer->Host, "a voter is silent"};
+  return {};
+}
+
+} // namespace pimento
--- /dev/null
+++ b/packages/gateway/Admission.cpp
@@ -0,0 +1,176 @@
+// From a caller's request to its route, its account and its first server, and
+// from there to its final answer.
+
+#include "gateway/GatewayTurn.h"
+
+#include "base/Problem.h"
+
+#include <algorithm>
+
+namespace pimento::gateway {
+
+namespace {
+
+/// Told to callers who came before this host knew any configuration.
+constexpr Duration StartRetryAfter = milliseconds(500);
+/// Told to callers who were refused for want of a server.
+constexpr Duration ServerRetryAfter = milliseconds(300);
+
+std::string_view pathOf(const std::string &Target) {
+  return std::string_view(Target).substr(0, Target.find('?'));
+}
+
+HttpReply problem(const Gateway &S, Code Number, std::string Detail,
+                  Duration RetryAfter) {
+  Problem P;
+  P.Number = Number;
+  P.Detail = std::move(Detail);
+  HttpReply Reply = problemReply(P);
+  if (RetryAfter > Duration::zero())
+    Reply.Headers.push_back(S.Platform.encodeRetryAfter(RetryAfter));
+  return Reply;
+}
+
+/// Answers a request that has no call.
+void refuse(GatewayTurn &T, ExchangeId Exchange, const CallFacts &Facts,
+            Code Number, const char *Reason,
+            Duration RetryAfter = Duration::zero()) {
+  DecisionRecord Record{"refused", {}, Reason, {}};
+  Record.add("try", Facts.TryId);
+  Record.add("host_header", Facts.Host);
+  Record.add("code", static_cast<std::int64_t>(Number));
+  Record.add("routing", static_cast<std::int64_t>(
+                            T.S.Routes ? T.S.Routes->Config.Number : 0));
+  Record.add("routing_age_ms", toMilliseconds(T.Now - T.S.Link.CurrentAt));
+  log(T, std::move(Record));
+  count(T, "pimento_requests_total",
+        std::string("result=\"") + toString(Number) + "\"");
+  reply(T, Exchange, problem(T.S, Number, Reason, RetryAfter));
+}
+
+/// The time within which the final answer is due.
+Duration timeLimit(const Route &R, const CallFacts &Facts) {
+  return Facts.TimeLimit ? std::min(R.TimeLimit, *Facts.TimeLimit)
+                         : R.TimeLimit;
+}
+
+std::uint64_t answerTokens(const CallFacts &Facts) {
+  if (Facts.ExpectedTokens == 0)
+    return Facts.AnswerTokens;
+  return std::min(Facts.AnswerTokens, Facts.ExpectedTokens * 3 / 2);
+}
+
+} // namespace
+
+void admit(GatewayTurn &T, ExchangeId Exchange, const HttpRequest &R) {
+  Gateway &S = T.S;
+  CallFacts Facts = S.Platform.decodeFacts(R);
+  if (!S.Routes) {
+    refuse(T, Exchange, Facts, Code::HostNotFresh,
+           "no configuration is known here yet", StartRetryAfter);
+    return;
+  }
+  const Route *Path = findRoute(*S.Routes, Facts.Host, pathOf(R.Target));
+  if (Path == nullptr) {
+    refuse(T, Exchange, Facts, Code::NotFound, "no route matches");
+    return;
+  }
+  const RoutedAccount *Account = findAccount(*S.Routes, Facts.Key);
+  if (Account == nullptr && !Path->Public && needsKeys(*S.Routes)) {
+    refuse(T, Exchange, Facts, Code::Unauthorized, "the key is not known");
+    return;
+  }
+  std::uint64_t Ticket = S.NextTicket++;
+  GatewayCall &C = S.Calls[Ticket];
+  C.Ticket = Ticket;
+  C.Exchange = Exchange;
+  C.Method = R.Method;
+  C.Target = R.Target;
+  C.Body = R.Body;
+  C.Table = S.Routes;
+  C.Path = Path;
+  C.Service = chooseTarget(*Path, S.Rng());
+  auto Service = S.Routes->ByService.find(C.Service);
+  C.OnEngine = Service != S.Routes->ByService.end() &&
+               Service->second->Engine.has_value() && Facts.PromptTokens > 0;
+  C.Priority = Path->Priority;
+  if (Account != nullptr) {
+    C.Account = Account->Name;
+    C.Priority = Account->Priority.value_or(Path->Priority);
+  }
+  C.Arrived = T.Now;
+  C.Until = T.Now + timeLimit(*Path, Facts);
+  C.Facts = std::move(Facts);
+  C.Facts.AnswerTokens = answerTokens(C.Facts);
+  C.Events.LastId = C.Facts.LastEvent;
+  S.ByExchange[Exchange] = Ticket;
+  onRequest(S.Repeats, C.Service, S.RepeatRules, T.Now);
+  startAttempt(T, C);
+}
+
+void fail(GatewayTurn &T, GatewayCall &C, Code Number, const char *Reason,
+          Duration RetryAfter) {
+  bool NotRun = info(Number).Result == Outcome::NotRun;
+  if (NotRun && RetryAfter == Duration::zero())
+    RetryAfter = ServerRetryAfter;
+  int Status = info(Number).HttpStatus;
+  if (C.Replying) {
+    T.Out.push_back(calls::EndStream{C.Exchange, false});
+  } else {
+    reply(T, C.Exchange,
+          problem(T.S, Number, Reason, NotRun ? RetryAfter : Duration::zero()));
+  }
+  finish(T, C, Status, Number, Reason);
+}
+
+void finish(GatewayTurn &T, GatewayCall &C, int Status, Code Result,
+            const char *Reason) {
+  closeAttempt(T, C, true);
+  freeReservations(T, C);
+  if (C.Placed)
+    noteStage(T, C, PlaceStage::Ended);
+  DecisionRecord Record = record(T, C, "request", Reason);
+  Record.add("route", C.Path->Name);
+  Record.add("service", C.Service.Value);
+  Record.add("account", C.Account.Value);
+  Record.add("server", C.Attempt.Server.Value);
+  Record.add("status", static_cast<std::int64_t>(Status));
+  Record.add("code", static_cast<std::int64_t>(Result));
+  Record.add("sends", static_cast<std::int64_t>(C.Sends));
+  Record.add("events", static_cast<std::int64_t>(C.Events.Events));
+  if (C.Facts.PromptTokens > 0)
+    Record.add("prompt_tokens",
+               static_cast<std::int64_t>(C.Facts.PromptTokens));
+  if (C.FirstEventAt != TimePoint())
+    Record.add("first_event_ms", toMilliseconds(C.FirstEventAt - C.Arrived));
+  if (C.Attempt.Forecast > Duration::zero())
+    Record.add("forecast_ms", toMilliseconds(C.Attempt.Forecast));
+  Record.add("routing", static_cast<std::int64_t>(C.Table->Config.Number));
+  log(T, std::move(Record));
+  count(T, "pimento_requests_total",
+        std::string("result=\"") + toString(Result) + "\"");
+  std::string Kind = std::string("kind=\"") + toString(C.Path->Kind) + "\"";
+  sample(T, "pimento_request_seconds", Kind, T.Now - C.Arrived);
+  if (C.FirstEventAt != TimePoint())
+    sample(T, "pimento_first_event_seconds", Kind, C.FirstEventAt - C.Arrived);
+  if (C.CheckAt != TimePoint())
+    T.S.Timers.erase({C.CheckAt, C.Ticket});
+  T.S.ByExchange.erase(C.Exchange);
+  T.S.Calls.erase(C.Ticket);
+}
+
+void callerLeft(GatewayTurn &T, ExchangeId Exchange) {
+  auto Found = T.S.ByExchange.find(Exchange);
+  if (Found == T.S.ByExchange.end())
+    return;
+  GatewayCall &C = *findCall(T, Found->second);
+  T.S.ByExchange.erase(Found);
+  C.Exchange = ExchangeId{};
+  // A call that may run once goes on: cutting it could leave it half done.
+  bool AtServer = C.Stage == CallStage::Sent || C.Stage == CallStage::Answering;
+  if (C.Path->Kind == CallKind::Once && AtServer && C.Attempt.BytesSent)
+    return;
+  finish(T, C, 0, Code::CallerLeft, "the caller left");
+}
+
+} // namespace pimento::gateway
--- /dev/null
+++ b/packages/gateway/Answer.cpp
@@ -0,0 +1,177 @@
+// A backend server's answer on its way to the caller.
+
+#include "gateway/GatewayTurn.h"
+
+namespace pimento::gateway {
+
+namespace {
+
+constexpr int StatusOk = 200;
+constexpr int FirstErrorStatus = 400;
+constexpr int FirstServerErrorStatus = 500;
+
+GatewayCall *callOf(GatewayTurn &T, UpstreamId Upstream) {
+  auto Found = T.S.ByUpstream.find(Upstream);
+  return Found == T.S.ByUpstream.end() ? nullptr : findCall(T, Found->second);
+}
+
+/// Headers that this host sets itself, or that concern one connection only.
+bool isForCaller(const HttpHeader &Header) {
+  for (const char *Name :
+       {"Connection", "Keep-Alive", "Proxy-Connection", "Transfer-Encoding",
+        "Content-Length", "Trailer", "TE", "Upgrade"}) {
+    if (sameHeaderName(Header.Name, Name))
+      return false;
+  }
+  return true;
+}
+
+HttpReply headFor(const GatewayTurn &T, const CallAttempt &Attempt) {
+  HttpReply Reply;
+  Reply.Status = Attempt.Status;
+  for (const HttpHeader &Header : Attempt.Headers) {
+    if (isForCaller(Header))
+      Reply.Headers.push_back(Header);
+  }
+  if (T.S.Stopping)
+    Reply.Headers.push_back({"Connection", "close"});
+  return Reply;
+}
+
+bool isOwnAnswer(const GatewayCall &C) {
+  const AnswerFacts &Answer = C.Attempt.Answer;
+  bool Succeeded = C.Attempt.Status < FirstErrorStatus;
+  if (!Answer.TryId.empty() && Answer.TryId != C.Facts.TryId)
+    return false;
+  return !Succeeded || (Answer.Stamped && Answer.TryId == C.Facts.TryId);
+}
+
+void beginStream(GatewayTurn &T, GatewayCall &C) {
+  C.Attempt.PassesOn = true;
+  if (C.Replying)
+    return;
+  C.Replying = true;
+  T.Out.push_back(calls::StartStream{C.Exchange, headFor(T, C.Attempt)});
+}
+
+void passEvents(GatewayTurn &T, GatewayCall &C, std::string_view Bytes) {
+  std::string Whole = takeEvents(C.Events, Bytes);
+  if (Whole.empty())
+    return;
+  if (C.FirstEventAt == TimePoint())
+    C.FirstEventAt = T.Now;
+  if (C.Placed && C.Attempt.Forecast >= Duration::zero() &&
+      C.Attempt.LastBytes == C.Attempt.Began)
+    noteStage(T, C, PlaceStage::Writing);
+  C.Attempt.LastBytes = T.Now;
+  T.Out.push_back(calls::StreamBytes{C.Exchange, std::move(Whole)});
+}
+
+void endStream(GatewayTurn &T, GatewayCall &C, bool Delimited) {
+  if (!Delimited && !C.Events.Partial.empty()) {
+    attemptFailed(T, C, true, Code::StreamCut,
+                  "the stream ended within an event");
+    return;
+  }
+  closeAttempt(T, C, false);
+  if (!C.Events.Partial.empty())
+    T.Out.push_back(
+        calls::StreamBytes{C.Exchange, std::move(C.Events.Partial)});
+  T.Out.push_back(calls::EndStream{C.Exchange, true});
+  finish(T, C, StatusOk, Code::Ok, "");
+}
+
+void endHealthGood(GatewayTurn &T, GatewayCall &C) {
+  if (C.OnEngine)
+    return;
+  auto Servers = T.S.PlainServers.find(C.Service);
+  static const std::vector<calls::PlainServer> None;
+  onCallEnded(T.S.Health, C.Attempt.Server, true,
+              Servers == T.S.PlainServers.end() ? None : Servers->second,
+              T.Now);
+}
+
+void deliver(GatewayTurn &T, GatewayCall &C) {
+  closeAttempt(T, C, false);
+  endHealthGood(T, C);
+  HttpReply Reply = headFor(T, C.Attempt);
+  Reply.Body = std::move(C.Attempt.Body);
+  int Status = C.Attempt.Status;
+  if (C.Exchange != ExchangeId{})
+    T.Out.push_back(calls::SendReply{C.Exchange, std::move(Reply)});
+  bool Good = Status < FirstServerErrorStatus;
+  finish(T, C, Status, Good ? Code::Ok : Code::BackendFailed,
+         Good ? "" : "the server answered with a failure");
+}
+
+void blameCulprit(GatewayTurn &T, const GatewayCall &C) {
+  const std::string &Culprit = C.Attempt.Answer.Culprit;
+  if (Culprit.empty())
+    return;
+  for (const auto &[Id, E] : T.S.Engines.Engines) {
+    if (E.Address == Culprit)
+      note(T.S.Engines, {T.S.Self, 0}, PlaceStage::Failed, Id, T.Now);
+  }
+}
+
+void endWhole(GatewayTurn &T, GatewayCall &C) {
+  if (C.Attempt.Answer.NotRun) {
+    blameCulprit(T, C);
+    closeAttempt(T, C, false);
+    attemptFailed(T, C, false, Code::RefusedByBackend,
+                  "the server did not run it");
+    return;
+  }
+  bool Own = isOwnAnswer(C);
+  bool Failed = C.Attempt.Status >= FirstServerErrorStatus;
+  bool Again = mayRunAgain(C) && maySendAgain(T, C);
+  if (!Own || (Failed && Again) || C.Replying) {
+    closeAttempt(T, C, false);
+    attemptFailed(T, C, true, Code::BackendFailed,
+                  Own ? "the server answered with a failure"
+                      : "the answer is not one to this request");
+    return;
+  }
+  deliver(T, C);
+}
+
+} // namespace
+
+void upstreamHead(GatewayTurn &T, const UpstreamHead &E) {
+  GatewayCall *C = callOf(T, E.Call);
+  if (C == nullptr)
+    return;
+  C->Attempt.Status = E.Status;
+  C->Attempt.Headers = E.Headers;
+  C->Attempt.Answer = T.S.Platform.decodeAnswer(E.Status, E.Headers);
+  C->Stage = CallStage::Answering;
+  bool Streams = C->Path->Kind == CallKind::Stream && E.Status == StatusOk;
+  if (Streams && isOwnAnswer(*C))
+    beginStream(T, *C);
+}
+
+void upstreamData(GatewayTurn &T, const UpstreamData &E) {
+  GatewayCall *C = callOf(T, E.Call);
+  if (C == nullptr)
+    return;
+  if (C->Attempt.PassesOn) {
+    passEvents(T, *C, E.Bytes);
+    return;
+  }
+  C->Attempt.LastBytes = T.Now;
+  C->Attempt.Body += E.Bytes;
+  if (C->Attempt.Body.size() > T.S.Config.Limits.AnswerBytes)
+    attemptFailed(T, *C, true, Code::AnswerTooLarge, "the answer is too large");
+}
+
+void upstreamEnd(GatewayTurn &T, const UpstreamEnd &E) {
+  GatewayCall *C = callOf(T, E.Call);
+  if (C == nullptr)
+    return;
+  if (C->Attempt.PassesOn)
+    endStream(T, *C, E.Delimited);
+  else
+    endWhole(T, *C);
+}
+
+} // namespace pimento::gateway
--- /dev/null
+++ b/packages/gateway/Attempt.cpp
@@ -0,0 +1,289 @@
+// Sending a request to a backend server, and what follows from a failure.
+
+#include "gateway/GatewayTurn.h"
+
+#include <algorithm>
+
+namespace pimento::gateway {
+
+namespace {
+
+/// Connections that fail cost no try at a server, but must end some time.
+constexpr std::uint32_t MaxTries = 6;
+/// Time that must be left for another send to make sense.
+constexpr Duration LeastTimeLeft = milliseconds(20);
+/// A server close by takes a connection in a few milliseconds.
+constexpr Duration PlainConnectTime = milliseconds(150);
+constexpr Duration EngineConnectTime = milliseconds(300);
+/// An idempotent call is sent elsewhere after this multiple of its objective.
+constexpr int OverdueObjectives = 2;
+constexpr Duration LeastOverdue = milliseconds(150);
+/// A stream without an event for so long goes on elsewhere.
+constexpr int StallPauses = 4;
+constexpr Duration LeastStall = milliseconds(1000);
+/// Of the callers' patience: a later event finds nobody.
+constexpr double StallShare = 0.6;
+
+const std::vector<calls::PlainServer> &plainServers(const Gateway &S,
+                                                    const ServiceId &Service) {
+  static const std::vector<calls::PlainServer> None;
+  auto Found = S.PlainServers.find(Service);
+  return Found == S.PlainServers.end() ? None : Found->second;
+}
+
+/// Servers of this data centre where there are healthy ones, else all.
+std::vector<calls::PlainServer> nearServers(const GatewayTurn &T,
+                                            const GatewayCall &C) {
+  const auto &All = plainServers(T.S, C.Service);
+  std::vector<calls::PlainServer> Near;
+  for (const calls::PlainServer &Server : All) {
+    auto Health = T.S.Health.Servers.find(Server.Backend);
+    bool Ejected =
+        Health != T.S.Health.Servers.end() &&
+        (Health->second.EjectedUntil > T.Now || Health->second.Trickling);
+    bool Busy =
+        Health != T.S.Health.Servers.end() && Health->second.InFlight >= 2;
+    bool Tried = std::find(C.Tried.begin(), C.Tried.end(), Server.Backend) !=
+                 C.Tried.end();
+    if (Server.DataCentre == T.S.Engines.Here && !Ejected && !Tried && !Busy)
+      Near.push_back(Server);
+  }
+  return Near.empty() ? All : Near;
+}
+
+void startPlain(GatewayTurn &T, GatewayCall &C) {
+  std::vector<calls::PlainServer> Servers = nearServers(T, C);
+  calls::ServerChoice Choice =
+      chooseServer(T.S.Health, Servers, C.Tried, T.S.Rng, T.Now);
+  if (Choice.Server == nullptr) {
+    fail(T, C, C.MayHaveRun ? Code::BackendFailed : Code::NoBackend,
+         "no server of the service reports itself");
+    return;
+  }
+  C.Attempt.Server = Choice.Server->Backend;
+  C.Attempt.ServerLife = Choice.Server->Life;
+  C.Attempt.Address = Choice.Server->Address;
+  onCallStarted(T.S.Health, *Choice.Server, T.Now);
+  sendAttempt(T, C, {});
+}
+
+std::uint32_t connectionLimit(const Gateway &S, const GatewayCall &C) {
+  auto Service = C.Table->ByService.find(C.Service);
+  if (Service == C.Table->ByService.end() || Service->second->Connections == 0)
+    return 0;
+  // One host more than is known: a new one is heard of late.
+  return std::max<std::uint32_t>(
+      2, Service->second->Connections /
+             static_cast<std::uint32_t>(S.Link.Entries + 1));
+}
+
+Duration stallTime(const Route &R) {
+  Duration Stall = std::max(LeastStall, StallPauses * R.PauseObjective);
+  if (R.Patience > Duration::zero())
+    Stall = std::min(Stall, fromSeconds(toSeconds(R.Patience) * StallShare));
+  return Stall;
+}
+
+/// When the attempt under way is to be given up for another one.
+TimePoint overdueAt(const GatewayCall &C) {
+  const Route &R = *C.Path;
+  if (R.Kind == CallKind::Stream) {
+    Duration Wait = stallTime(R);
+    if (C.Attempt.LastBytes == C.Attempt.Began)
+      Wait += C.Attempt.Forecast;
+    return C.Attempt.LastBytes + Wait;
+  }
+  return C.Attempt.Began +
+         std::max(LeastOverdue, OverdueObjectives * R.Objective);
+}
+
+void scheduleCheck(GatewayTurn &T, GatewayCall &C) {
+  TimePoint At = C.Until;
+  if (mayRunAgain(C))
+    At = std::min(At, std::max(overdueAt(C), T.Now + milliseconds(1)));
+  checkAt(T, C, At);
+}
+
+void endHealth(GatewayTurn &T, GatewayCall &C, bool Good) {
+  if (!C.OnEngine && !C.Attempt.Server.empty())
+    onCallEnded(T.S.Health, C.Attempt.Server, Good,
+                plainServers(T.S, C.Service), T.Now);
+}
+
+void logFailedTry(GatewayTurn &T, const GatewayCall &C, bool Ran, Code Number,
+                  const char *Reason) {
+  DecisionRecord Record = record(T, C, "try_failed", Reason);
+  Record.add("server", C.Attempt.Server.Value);
+  Record.add("address", C.Attempt.Address);
+  Record.add("may_have_run", Ran);
+  Record.add("code", static_cast<std::int64_t>(Number));
+  Record.add("status", static_cast<std::int64_t>(C.Attempt.Status));
+  Record.add("sends", static_cast<std::int64_t>(C.Sends));
+  Record.add("stage", std::string(toString(C.Stage)));
+  Record.add("since_bytes_ms", toMilliseconds(T.Now - C.Attempt.LastBytes));
+  log(T, std::move(Record));
+}
+
+/// The code of a request that no server is tried for any more.
+Code finalCode(const GatewayCall &C, Code Number) {
+  if (!C.MayHaveRun)
+    return info(Number).Result == Outcome::NotRun ? Number
+                                                  : Code::RefusedByBackend;
+  if (C.Path->Kind == CallKind::Once)
+    return Code::OutcomeUnknown;
+  return C.Replying ? Code::StreamCut : Code::BackendFailed;
+}
+
+} // namespace
+
+bool mayRunAgain(const GatewayCall &C) {
+  return C.Path->Kind == CallKind::Idempotent ||
+         (C.Path->Kind == CallKind::Stream && C.Path->Resumable);
+}
+
+bool maySendAgain(GatewayTurn &T, const GatewayCall &C) {
+  if (C.Tries >= MaxTries || C.Sends >= C.Path->Attempts ||
+      T.Now + LeastTimeLeft > C.Until || C.Exchange == ExchangeId{})
+    return false;
+  return C.Sends == 0 || repeatsLeft(T.S.Repeats, C.Service, T.S.RepeatRules,
+                                     T.S.Link.Entries, T.Now) >= 1;
+}
+
+void startAttempt(GatewayTurn &T, GatewayCall &C) {
+  if (C.Sends > 0)
+    takeRepeat(T.S.Repeats, C.Service, T.S.RepeatRules, T.S.Link.Entries,
+               T.Now);
+  C.Attempt = CallAttempt();
+  if (C.OnEngine)
+    askForEngines(T, C);
+  else
+    startPlain(T, C);
+}
+
+void sendAttempt(GatewayTurn &T, GatewayCall &C,
+                 const std::vector<HelperFacts> &Helpers) {
+  Gateway &S = T.S;
+  ForwardFacts Facts;
+  Facts.TimeLeft = C.Until - T.Now;
+  Facts.Expected = C.Attempt.Server;
+  Facts.Account = C.Account;
+  Facts.LastEvent = C.Events.LastId;
+  Facts.Helpers = Helpers;
+  UpstreamRequest Request;
+  Request.Address = C.Attempt.Address;
+  Request.Method = C.Method;
+  Request.Target = C.Target;
+  Request.Headers = S.Platform.encodeForward(C.Facts, Facts);
+  Request.Body = C.Body;
+  Request.MayReuse = mayRunAgain(C);
+  Request.ConnectTimeout = C.OnEngine ? EngineConnectTime : PlainConnectTime;
+  Request.EchoHeader = {S.Platform.TryIdHeader, C.Facts.TryId};
+  Request.ConnectionLimit = connectionLimit(S, C);
+  C.Attempt.Upstream = UpstreamId{S.NextUpstream++};
+  C.Attempt.Began = T.Now;
+  C.Attempt.LastBytes = T.Now;
+  C.Events.Partial.clear();
+  C.Stage = CallStage::Sent;
+  C.Tries += 1;
+  S.ByUpstream[C.Attempt.Upstream] = C.Ticket;
+  T.Out.push_back(
+      calls::OpenUpstream{C.Attempt.Upstream, std::move(Request), C.Until});
+  scheduleCheck(T, C);
+}
+
+void upstreamSent(GatewayTurn &T, UpstreamId Upstream) {
+  auto Found = T.S.ByUpstream.find(Upstream);
+  if (Found == T.S.ByUpstream.end())
+    return;
+  GatewayCall &C = *findCall(T, Found->second);
+  if (C.Attempt.Upstream != Upstream || C.Attempt.BytesSent)
+    return;
+  C.Attempt.BytesSent = true;
+  C.Sends += 1;
+}
+
+void upstreamFailed(GatewayTurn &T, UpstreamId Upstream,
+                    const UpstreamFailure &Why) {
+  auto Found = T.S.ByUpstream.find(Upstream);
+  if (Found == T.S.ByUpstream.end())
+    return;
+  GatewayCall &C = *findCall(T, Found->second);
+  T.S.ByUpstream.erase(Found);
+  C.Attempt.Upstream = UpstreamId{};
+  if (Why.BytesSent && !C.Attempt.BytesSent) {
+    C.Attempt.BytesSent = true;
+    C.Sends += 1;
+  }
+  attemptFailed(T, C, Why.BytesSent,
+                Why.BytesSent ? Code::BackendFailed : Code::ConnectFailed,
+                Why.BytesSent ? "the connection broke"
+                              : "no connection to the server");
+}
+
+void closeAttempt(GatewayTurn &T, GatewayCall &C, bool Abort) {
+  if (C.Attempt.Upstream == UpstreamId{})
+    return;
+  T.S.ByUpstream.erase(C.Attempt.Upstream);
+  if (Abort) {
+    T.Out.push_back(calls::AbortUpstream{C.Attempt.Upstream});
+    if (!C.OnEngine)
+      onCallDropped(T.S.Health, C.Attempt.Server);
+  }
+  C.Attempt.Upstream = UpstreamId{};
+}
+
+void attemptFailed(GatewayTurn &T, GatewayCall &C, bool Ran, Code Number,
+                   const char *Reason) {
+  logFailedTry(T, C, Ran, Number, Reason);
+  count(T, "pimento_tries_failed_total",
+        std::string("code=\"") + toString(Number) + "\"");
+  if (C.Attempt.Upstream != UpstreamId{}) {
+    T.S.ByUpstream.erase(C.Attempt.Upstream);
+    T.Out.push_back(calls::AbortUpstream{C.Attempt.Upstream});
+    C.Attempt.Upstream = UpstreamId{};
+  }
+  endHealth(T, C, false);
+  freeReservations(T, C);
+  if (C.Placed)
+    noteStage(T, C, PlaceStage::Failed, C.Attempt.Server);
+  C.MayHaveRun = C.MayHaveRun || Ran;
+  C.Tried.push_back(C.Attempt.Server);
+  C.LastFailure = Number;
+  bool Allowed = !C.MayHaveRun || mayRunAgain(C);
+  if (Allowed && maySendAgain(T, C)) {
+    startAttempt(T, C);
+    return;
+  }
+  fail(T, C, finalCode(C, Number), Reason);
+}
+
+void checkCall(GatewayTurn &T, GatewayCall &C) {
+  if (T.Now >= C.Until) {
+    bool Waiting = !C.MayHaveRun && !C.Attempt.BytesSent;
+    fail(T, C, Waiting ? Code::DeadlineUnreachable : Code::DeadlineExceeded,
+         "the time limit passed");
+    return;
+  }
+  if (C.Stage == CallStage::Placing) {
+    checkPlacing(T, C);
+    return;
+  }
+  bool AtServer = C.Stage == CallStage::Sent || C.Stage == CallStage::Answering;
+  if (!AtServer || !mayRunAgain(C)) {
+    checkAt(T, C, C.Until);
+    return;
+  }
+  if (T.Now < overdueAt(C)) {
+    scheduleCheck(T, C);
+    return;
+  }
+  // Without leave for another send, the server that has it goes on.
+  if (!maySendAgain(T, C)) {
+    checkAt(T, C, C.Until);
+    return;
+  }
+  attemptFailed(T, C, C.Attempt.BytesSent, Code::BackendFailed,
+                "no answer or event for long");
+}
+
+} // namespace pimento::gateway
--- /dev/null
+++ b/packages/gateway/ControlLink.cpp
@@ -0,0 +1,120 @@
+#include "gateway/ControlLink.h"
+
+#include <algorithm>
+
+namespace pimento {
+
+namespace {
+
+constexpr Duration AskInterval = milliseconds(500);
+constexpr Duration AnswerTimeout = milliseconds(600);
+/// A control host that did not answer, or is cut off, is left alone for long.
+constexpr Duration Avoidance = milliseconds(1500);
+
+bool isAvoided(const ControlLink &L, const HostId &Host, TimePoint Now) {
+  auto Found = L.AvoidUntil.find(Host);
+  return Found != L.AvoidUntil.end() && Found->second > Now;
+}
+
+std::vector<HostId> hosts(const ControlLink &L) {
+  std::vector<HostId> All = L.Known;
+  All.insert(All.end(), L.Seeds.begin(), L.Seeds.end());
+  std::sort(All.begin(), All.end());
+  All.erase(std::unique(All.begin(), All.end()), All.end());
+  return All;
+}
+
+/// Any control host that is not avoided; where all are, any.
+HostId chooseHome(const ControlLink &L, Random &Rng, TimePoint Now) {
+  std::vector<HostId> All = hosts(L);
+  std::vector<HostId> Good;
+  for (const HostId &Host : All) {
+    if (!isAvoided(L, Host, Now))
+      Good.push_back(Host);
+  }
+  const std::vector<HostId> &From = Good.empty() ? All : Good;
+  return From.empty() ? HostId() : From[below(Rng, From.size())];
+}
+
+void leaveHome(ControlLink &L, TimePoint Now) {
+  L.AvoidUntil[L.Home] = Now + Avoidance;
+  L.Home = HostId();
+  L.Answered = L.Sequence;
+  L.NextAsk = Now;
+}
+
+} // namespace
+
+std::optional<Outbound> tickLink(ControlLink &L, const LinkReport &Have,
+                                 Random &Rng, TimePoint Now) {
+  bool Open = L.Answered < L.Sequence;
+  if (Open && Now >= L.AskedAt + AnswerTimeout)
+    leaveHome(L, Now);
+  if (Now < L.NextAsk)
+    return std::nullopt;
+  if (L.Home.empty())
+    L.Home = chooseHome(L, Rng, Now);
+  if (L.Home.empty())
+    return std::nullopt;
+  if (L.Answered == L.Sequence)
+    L.AskedAt = Now;
+  L.NextAsk = Now + AskInterval;
+  EntrySync M;
+  M.Sequence = ++L.Sequence;
+  M.ControlLife = L.ControlLife;
+  M.Revision = L.Revision;
+  M.Config = Have.Config;
+  M.Ready = Have.Ready;
+  M.DataCentre = Have.DataCentre;
+  return Outbound{L.Home, std::move(M)};
+}
+
+bool takeState(ControlLink &L, const HostId &From, const SiteState &M,
+               TimePoint Now) {
+  bool Asked = From == L.Home;
+  if (Asked && M.Sequence > L.Answered) {
+    L.Answered = M.Sequence;
+    L.AskedAt = Now;
+  }
+  if (!M.Current) {
+    if (Asked)
+      leaveHome(L, Now);
+    if (!M.Leader.empty() && !isAvoided(L, M.Leader, Now) && L.Home.empty())
+      L.Home = M.Leader;
+    return false;
+  }
+  L.CurrentAt = Now;
+  if (!M.Controls.empty())
+    L.Known = M.Controls;
+  L.Leader = M.Leader;
+  if (From == M.Leader) {
+    L.Placer = M.Placer;
+    L.Entries = std::max<std::uint64_t>(1, M.Entries);
+  }
+  if (Asked && M.Leader != From && !M.Leader.empty() &&
+      !isAvoided(L, M.Leader, Now)) {
+    L.Home = M.Leader;
+    L.Answered = L.Sequence;
+    L.NextAsk = Now;
+  }
+  // Servers come as changes of what this host has of that one.
+  bool Follows =
+      M.Whole || (M.ControlLife == L.ControlLife && M.Base <= L.Revision);
+  if (Follows) {
+    L.ControlLife = M.ControlLife;
+    L.Revision = M.Revision;
+  }
+  return true;
+}
+
+void askSoon(ControlLink &L, TimePoint Now) {
+  L.NextAsk = std::min(L.NextAsk, Now);
+}
+
+TimePoint nextLinkTick(const ControlLink &L) {
+  if (L.Answered < L.Sequence)
+    return std::min(L.NextAsk, L.AskedAt + AnswerTimeout);
+  return L.NextAsk;
+}
+
+} // namespace pimento
--- /dev/null
+++ b/packages/gateway/Gateway.cpp
@@ -0,0 +1,220 @@
+#include "gateway/Gateway.h"
+
+#include "gateway/GatewayTurn.h"
+
+#include <algorithm>
+
+namespace pimento {
+
+using namespace gateway;
+
+namespace {
+
+std::string hostPart(const std::string &Address) {
+  return Address.substr(0, Address.rfind(':'));
+}
+
+/// What may change while the host runs.
+void takeSettings(Gateway &S, const Settings &C) {
+  S.Config = C;
+  S.RepeatRules.Share = C.Retries.BudgetShare;
+  S.RepeatRules.Allowance = C.Retries.BudgetAllowance;
+  S.RepeatRules.Window = C.Retries.BudgetWindow;
+  S.Link.Seeds.clear();
+  for (const std::string &Seed : splitAddresses(C.Join.Seeds))
+    S.Link.Seeds.emplace_back(hostPart(Seed));
+}
+
+void tickCalls(GatewayTurn &T) {
+  while (!T.S.Timers.empty() && T.S.Timers.begin()->first <= T.Now) {
+    std::uint64_t Ticket = T.S.Timers.begin()->second;
+    T.S.Timers.erase(T.S.Timers.begin());
+    GatewayCall *C = findCall(T, Ticket);
+    if (C == nullptr)
+      continue;
+    C->CheckAt = TimePoint();
+    checkCall(T, *C);
+  }
+}
+
+struct Handle {
+  GatewayTurn &T;
+  const Event &Whole;
+
+  void operator()(const Tick &) const {
+    tickCalls(T);
+    tickPlacing(T);
+    tickSite(T);
+  }
+  void operator()(const PeerMessage &E) const {
+    T.S.LostHosts.erase(E.From);
+    if (const auto *State = std::get_if<SiteState>(&E.Content))
+      entryState(T, E.From, *State);
+    else if (const auto *Ask = std::get_if<PlaceAsk>(&E.Content))
+      placeAsk(T, E.From, *Ask);
+    else if (const auto *Reply = std::get_if<PlaceReply>(&E.Content))
+      placeReply(T, E.From, *Reply);
+    else if (const auto *Note = std::get_if<PlaceNote>(&E.Content))
+      placeNote(T, E.From, *Note);
+    else
+      count(T, "pimento_unexpected_messages_total");
+  }
+  void operator()(const PeerLost &E) const {
+    T.S.LostHosts.emplace(E.Host, T.Now);
+  }
+  void operator()(const CallerRequest &E) const {
+    admit(T, E.Exchange, E.Request);
+  }
+  void operator()(const OperatorRequest &E) const {
+    operatorCall(T, E.Exchange, E.Request);
+  }
+  void operator()(const ExchangeLeft &E) const { callerLeft(T, E.Exchange); }
+  void operator()(const UpstreamSent &E) const { upstreamSent(T, E.Call); }
+  void operator()(const UpstreamHead &E) const {
+    if (!reservationEvent(T, Whole))
+      upstreamHead(T, E);
+  }
+  void operator()(const UpstreamData &E) const {
+    if (!reservationEvent(T, Whole))
+      upstreamData(T, E);
+  }
+  void operator()(const UpstreamEnd &E) const {
+    if (!reservationEvent(T, Whole))
+      upstreamEnd(T, E);
+  }
+  void operator()(const UpstreamFailed &E) const {
+    if (!reservationEvent(T, Whole))
+      upstreamFailed(T, E.Call, E.Why);
+  }
+  void operator()(const StopRequested &) const { stopRequested(T); }
+  void operator()(const SettingsRead &E) const { takeSettings(T.S, E.Config); }
+  template <class Other> void operator()(const Other &) const {}
+};
+
+} // namespace
+
+const char *toString(CallStage S) {
+  switch (S) {
+  case CallStage::Placing:
+    return "placing";
+  case CallStage::Reserving:
+    return "reserving";
+  case CallStage::Sent:
+    return "sent";
+  case CallStage::Answering:
+    return "answering";
+  case CallStage::Pausing:
+    return "pausing";
+  }
+  return "unknown";
+}
+
+Gateway makeGateway(const GatewayStart &Start, TimePoint Now) {
+  const Settings &C = Start.Config;
+  Gateway S;
+  S.Platform = Start.Platform;
+  S.Self = HostId(hostPart(C.Host.PeerAddress));
+  S.Life = Start.Life;
+  S.Rng = Random(Start.Seed);
+  takeSettings(S, C);
+  S.Link.NextAsk = Now;
+  S.Engines.Here = C.Host.DataCentre;
+  // Tickets of two lives of a host must differ: they name reservations.
+  S.NextTicket = (Start.Life % (1ULL << 40U)) << 16U | 1U;
+  return S;
+}
+
+Effects reduceGateway(Gateway &S, const Event &E, TimePoint Now) {
+  GatewayTurn T{S, Now, {}};
+  std::visit(Handle{T, E}, E);
+  return std::move(T.Out);
+}
+
+bool isReady(const Gateway &S) {
+  return S.Routes != nullptr && !S.Stopping && !S.Servers.Servers.empty();
+}
+
+TimePoint nextWakeup(const Gateway &S, TimePoint Now) {
+  TimePoint Next =
+      std::min(nextLinkTick(S.Link), nextPlacerTick(S.Engines, Now));
+  if (!S.Timers.empty())
+    Next = std::min(Next, S.Timers.begin()->first);
+  if (S.Stopping)
+    Next = std::min({Next, S.StopListeningAt, S.StopAt});
+  return Next;
+}
+
+std::vector<MetricSample> gatewayGauges(const Gateway &S, TimePoint Now) {
+  auto Gauge = [](const char *Name, double Value) {
+    return MetricSample{SampleKind::Gauge, Name, "", Value};
+  };
+  std::uint64_t Number = S.Routes ? S.Routes->Config.Number : 0;
+  double Age =
+      S.Link.CurrentAt == TimePoint() ? -1 : toSeconds(Now - S.Link.CurrentAt);
+  return {
+      Gauge("pimento_ready", isReady(S) ? 1 : 0),
+      Gauge("pimento_routing_number", static_cast<double>(Number)),
+      Gauge("pimento_control_age_seconds", Age),
+      Gauge("pimento_calls_open", static_cast<double>(S.Calls.size())),
+      Gauge("pimento_calls_waiting",
+            static_cast<double>(S.Engines.Queue.size())),
+      Gauge("pimento_engine_requests",
+            static_cast<double>(S.Engines.Placed.size())),
+      Gauge("pimento_entry_hosts", static_cast<double>(S.Link.Entries)),
+      Gauge("pimento_places_here", S.Placer == S.Self ? 1 : 0),
+  };
+}
+
+namespace gateway {
+
+GatewayCall *findCall(GatewayTurn &T, std::uint64_t Ticket) {
+  auto Found = T.S.Calls.find(Ticket);
+  return Found == T.S.Calls.end() ? nullptr : &Found->second;
+}
+
+void checkAt(GatewayTurn &T, GatewayCall &C, TimePoint At) {
+  if (C.CheckAt != TimePoint())
+    T.S.Timers.erase({C.CheckAt, C.Ticket});
+  C.CheckAt = At;
+  T.S.Timers.emplace(At, C.Ticket);
+}
+
+void log(GatewayTurn &T, DecisionRecord Record) {
+  T.Out.push_back(LogDecision{std::move(Record)});
+}
+
+DecisionRecord record(const GatewayTurn &T, const GatewayCall &C,
+                      const char *Kind, std::string Reason) {
+  DecisionRecord Record{Kind, {}, std::move(Reason), {}};
+  Record.add("try", C.Facts.TryId);
+  Record.add("ticket", static_cast<std::int64_t>(C.Ticket));
+  Record.add("age_ms", toMilliseconds(T.Now - C.Arrived));
+  return Record;
+}
+
+void count(GatewayTurn &T, const char *Name, std::string Label) {
+  T.Out.push_back(
+      RecordSample{{SampleKind::Counter, Name, std::move(Label), 1}});
+}
+
+void sample(GatewayTurn &T, const char *Name, std::string Label, Duration D) {
+  T.Out.push_back(RecordSample{
+      {SampleKind::Distribution, Name, std::move(Label), toSeconds(D)}});
+}
+
+void send(GatewayTurn &T, const HostId &To, Message M) {
+  if (!To.empty() && To != T.S.Self)
+    T.Out.push_back(SendPeer{To, std::move(M)});
+}
+
+void reply(GatewayTurn &T, ExchangeId Exchange, HttpReply Reply) {
+  if (Exchange == ExchangeId{})
+    return;
+  if (T.S.Stopping)
+    Reply.Headers.push_back({"Connection", "close"});
+  T.Out.push_back(calls::SendReply{Exchange, std::move(Reply)});
+}
+
+} // namespace gateway
+
+} // namespace pimento
--- /dev/null
+++ b/packages/gateway/PlacePart.cpp
@@ -0,0 +1,399 @@
+// Engines for a request: asked of the host that places, or chosen here.
+
+#include "gateway/GatewayTurn.h"
+
+#include <algorithm>
+
+namespace pimento::gateway {
+
+namespace {
+
+/// The placer answers at once, also that a request waits.
+constexpr Duration AnswerTimeout = milliseconds(120);
+/// A request that waits asks again, in case the placer forgot it.
+constexpr Duration AskAgain = milliseconds(300);
+constexpr Duration PlacerAvoidance = milliseconds(1000);
+/// Beyond the request's own end.
+constexpr Duration ReservationSlack = milliseconds(500);
+constexpr Duration OrderConnectTime = milliseconds(300);
+
+bool placesHere(const Gateway &S, TimePoint Now) {
+  return S.Link.Placer.empty() || S.Link.Placer == S.Self ||
+         Now < S.PlacerBadUntil;
+}
+
+PlaceAsk askOf(const GatewayTurn &T, const GatewayCall &C) {
+  const Route &R = *C.Path;
+  PlaceAsk Ask;
+  Ask.Ticket = C.Ticket;
+  Ask.Service = C.Service;
+  Ask.PromptTokens = C.Facts.PromptTokens;
+  Ask.AnswerTokens = C.Facts.AnswerTokens;
+  Duration Age = T.Now - C.Arrived;
+  // A stream that goes on elsewhere is measured by its pauses.
+  Ask.Objective = C.Replying ? R.PauseObjective : R.Objective - Age;
+  Ask.PauseObjective = R.PauseObjective;
+  Duration Patience = R.Patience > Duration::zero() ? R.Patience : R.TimeLimit;
+  Ask.Patience = C.Replying ? Patience : Patience - Age;
+  Ask.TimeLeft = C.Until - T.Now;
+  Ask.Patience = std::min(Ask.Patience, Ask.TimeLeft);
+  Ask.Priority = C.Priority;
+  Ask.Account = C.Account;
+  Ask.DataCentre = T.S.Engines.Here;
+  Ask.Avoid = C.Tried;
+  return Ask;
+}
+
+/// The ask by which a request that runs is made known to another placer.
+PlaceAsk holdingAsk(const GatewayTurn &T, const GatewayCall &C) {
+  PlaceAsk Ask = askOf(T, C);
+  Ask.Holding.push_back(C.Place.First);
+  for (const EnginePart &Helper : C.Place.Helpers)
+    Ask.Holding.push_back(Helper);
+  Ask.Writing = C.Attempt.LastBytes > C.Attempt.Began;
+  return Ask;
+}
+
+const PlacerEngine *engineOf(const Gateway &S, const BackendId &Id) {
+  auto Found = S.Engines.Engines.find(Id);
+  return Found == S.Engines.Engines.end() ? nullptr : &Found->second;
+}
+
+std::vector<HelperFacts> helpersOf(const GatewayTurn &T, const GatewayCall &C) {
+  std::vector<HelperFacts> Helpers;
+  for (const EnginePart &Part : C.Place.Helpers) {
+    const PlacerEngine *E = engineOf(T.S, Part.Engine);
+    if (E == nullptr)
+      continue;
+    HelperFacts Helper;
+    Helper.Address = E->Address;
+    for (const Reservation &R : C.Reserved) {
+      if (R.Engine == Part.Engine)
+        Helper.Ticket = R.Ticket;
+    }
+    Helpers.push_back(std::move(Helper));
+  }
+  return Helpers;
+}
+
+UpstreamRequest orderRequest(const std::string &Address, EngineOrder Order) {
+  UpstreamRequest Request;
+  Request.Address = Address;
+  Request.Method = Order.Method;
+  Request.Target = std::move(Order.Target);
+  Request.Headers = std::move(Order.Headers);
+  Request.Body = std::move(Order.Body);
+  Request.MayReuse = true; // An order of the same ticket may be repeated.
+  Request.ConnectTimeout = OrderConnectTime;
+  return Request;
+}
+
+void reserve(GatewayTurn &T, GatewayCall &C) {
+  Gateway &S = T.S;
+  Duration Hold = std::min(C.Until - T.Now + ReservationSlack,
+                           S.Config.Schedule.ReservationLimit);
+  for (const EnginePart &Part : C.Place.Helpers) {
+    const PlacerEngine *E = engineOf(S, Part.Engine);
+    if (Part.MemoryTokens == 0 || E == nullptr)
+      continue;
+    Reservation R;
+    R.Engine = Part.Engine;
+    R.Address = E->Address;
+    R.Ticket = "r" + std::to_string(C.Ticket) + "-" + std::to_string(C.Tries) +
+               "-" + std::to_string(C.Reserved.size());
+    R.Tokens = Part.MemoryTokens;
+    R.Order = UpstreamId{S.NextUpstream++};
+    S.ByUpstream[R.Order] = C.Ticket;
+    T.Out.push_back(calls::OpenUpstream{
+        R.Order,
+        orderRequest(R.Address,
+                     S.Platform.encodeReserve(R.Ticket, R.Tokens, Hold)),
+        C.Until});
+    C.Reserved.push_back(std::move(R));
+  }
+}
+
+void logPlaced(GatewayTurn &T, const GatewayCall &C) {
+  DecisionRecord Record = record(T, C, "placed", "");
+  Record.add("server", C.Place.First.Engine.Value);
+  Record.add("helpers", static_cast<std::int64_t>(C.Place.Helpers.size()));
+  Record.add("reserved", static_cast<std::int64_t>(C.Reserved.size()));
+  Record.add("prompt_tokens", static_cast<std::int64_t>(C.Facts.PromptTokens));
+  Record.add("forecast_ms", toMilliseconds(C.Place.Forecast));
+  Record.add("placer", C.AskedRemote ? T.S.Link.Placer.Value : T.S.Self.Value);
+  Record.add("asked_ms", toMilliseconds(T.Now - C.AskedAt));
+  log(T, std::move(Record));
+}
+
+/// Goes on with the engines that the request was given.
+void takePlace(GatewayTurn &T, GatewayCall &C, const PlaceReply &M) {
+  C.Place = M;
+  C.Placed = true;
+  const PlacerEngine *E = engineOf(T.S, M.First.Engine);
+  C.Attempt.Server = M.First.Engine;
+  C.Attempt.Forecast = M.Forecast;
+  if (E == nullptr) {
+    attemptFailed(T, C, false, Code::NoBackend,
+                  "the placer's engine is not known here");
+    return;
+  }
+  C.Attempt.Address = E->Address;
+  if (C.AskedRemote)
+    ask(T.S.Engines, {T.S.Self, C.Ticket}, holdingAsk(T, C), T.Now);
+  reserve(T, C);
+  logPlaced(T, C);
+  if (C.Reserved.empty()) {
+    sendAttempt(T, C, helpersOf(T, C));
+    return;
+  }
+  C.Stage = CallStage::Reserving;
+  checkAt(T, C, C.Until);
+}
+
+void askHere(GatewayTurn &T, GatewayCall &C) {
+  C.AskedRemote = false;
+  PlaceOutcome Outcome =
+      ask(T.S.Engines, {T.S.Self, C.Ticket}, askOf(T, C), T.Now);
+  switch (Outcome.Verdict) {
+  case PlaceVerdict::Placed:
+    takePlace(T, C, Outcome.Reply);
+    return;
+  case PlaceVerdict::Refused:
+    fail(T, C, C.MayHaveRun ? Code::BackendFailed : Outcome.Reply.Result,
+         "no engine can answer in time", Outcome.Reply.RetryAfter);
+    return;
+  case PlaceVerdict::Waiting:
+    checkAt(T, C, T.Now + AskAgain);
+    return;
+  }
+}
+
+void askRemote(GatewayTurn &T, GatewayCall &C) {
+  C.AskedRemote = true;
+  C.Acknowledged = false;
+  send(T, T.S.Link.Placer, askOf(T, C));
+  checkAt(T, C, T.Now + AnswerTimeout);
+}
+
+/// A reservation was answered, or its order failed.
+void reservationAnswered(GatewayTurn &T, GatewayCall &C, Reservation &R,
+                         bool Granted) {
+  T.S.ByUpstream.erase(R.Order);
+  R.Order = UpstreamId{};
+  R.Granted = Granted;
+  if (!Granted) {
+    C.Tried.push_back(R.Engine);
+    attemptFailed(T, C, false, Code::RefusedByBackend,
+                  "an engine did not reserve memory");
+    return;
+  }
+  for (const Reservation &Other : C.Reserved) {
+    if (!Other.Granted)
+      return;
+  }
+  sendAttempt(T, C, helpersOf(T, C));
+}
+
+UpstreamId upstreamOf(const Event &E) {
+  if (const auto *Head = std::get_if<UpstreamHead>(&E))
+    return Head->Call;
+  if (const auto *Data = std::get_if<UpstreamData>(&E))
+    return Data->Call;
+  if (const auto *End = std::get_if<UpstreamEnd>(&E))
+    return End->Call;
+  if (const auto *Failed = std::get_if<UpstreamFailed>(&E))
+    return Failed->Call;
+  return UpstreamId{};
+}
+
+void sendRelease(GatewayTurn &T, PendingRelease Release) {
+  Gateway &S = T.S;
+  UpstreamId Order{S.NextUpstream++};
+  T.Out.push_back(calls::OpenUpstream{
+      Order,
+      orderRequest(Release.Address, S.Platform.encodeRelease(Release.Ticket)),
+      std::nullopt});
+  S.Releases[Order] = std::move(Release);
+}
+
+/// A release order is repeated a few times; after that the reservation runs
+/// out by itself.
+bool releaseEvent(GatewayTurn &T, const Event &E, UpstreamId Order) {
+  constexpr std::uint32_t MaxReleases = 4;
+  auto Found = T.S.Releases.find(Order);
+  if (Found == T.S.Releases.end())
+    return false;
+  bool Failed = std::holds_alternative<UpstreamFailed>(E);
+  if (!Failed && !std::holds_alternative<UpstreamEnd>(E))
+    return true;
+  PendingRelease Release = std::move(Found->second);
+  T.S.Releases.erase(Found);
+  Release.Sends += 1;
+  if (Failed && Release.Sends < MaxReleases)
+    sendRelease(T, std::move(Release));
+  return true;
+}
+
+} // namespace
+
+void askForEngines(GatewayTurn &T, GatewayCall &C) {
+  C.Stage = CallStage::Placing;
+  C.AskedAt = T.Now;
+  if (placesHere(T.S, T.Now))
+    askHere(T, C);
+  else
+    askRemote(T, C);
+}
+
+void placeReply(GatewayTurn &T, const HostId &From, const PlaceReply &M) {
+  GatewayCall *C = findCall(T, M.Ticket);
+  bool Expected = C != nullptr && C->Stage == CallStage::Placing &&
+                  C->AskedRemote && From == T.S.Link.Placer;
+  if (!Expected) {
+    bool Known = C != nullptr && C->Placed;
+    if (!Known && !M.First.Engine.empty())
+      send(T, From, PlaceNote{M.Ticket, PlaceStage::Ended, {}});
+    return;
+  }
+  if (M.Result != Code::Ok) {
+    fail(T, *C, C->MayHaveRun ? Code::BackendFailed : M.Result,
+         "no engine can answer in time", M.RetryAfter);
+    return;
+  }
+  if (M.First.Engine.empty()) {
+    C->Acknowledged = true;
+    checkAt(T, *C, std::min(C->Until, T.Now + AskAgain));
+    return;
+  }
+  takePlace(T, *C, M);
+}
+
+void placeAsk(GatewayTurn &T, const HostId &From, const PlaceAsk &M) {
+  PlaceOutcome Outcome = ask(T.S.Engines, {From, M.Ticket}, M, T.Now);
+  if (!M.Holding.empty())
+    return;
+  PlaceReply Reply = std::move(Outcome.Reply);
+  Reply.Ticket = M.Ticket; // Without an engine it says that the ask waits.
+  send(T, From, std::move(Reply));
+}
+
+void placeNote(GatewayTurn &T, const HostId &From, const PlaceNote &M) {
+  note(T.S.Engines, {From, M.Ticket}, M.Stage, M.Culprit, T.Now);
+}
+
+void noteStage(GatewayTurn &T, GatewayCall &C, PlaceStage Stage,
+               const BackendId &Culprit) {
+  note(T.S.Engines, {T.S.Self, C.Ticket}, Stage, Culprit, T.Now);
+  if (!T.S.Link.Placer.empty() && T.S.Link.Placer != T.S.Self)
+    send(T, T.S.Link.Placer, PlaceNote{C.Ticket, Stage, Culprit});
+  if (Stage != PlaceStage::Writing)
+    C.Placed = false;
+}
+
+bool reservationEvent(GatewayTurn &T, const Event &E) {
+  UpstreamId Order = upstreamOf(E);
+  if (releaseEvent(T, E, Order))
+    return true;
+  auto Found = T.S.ByUpstream.find(Order);
+  if (Found == T.S.ByUpstream.end())
+    return false;
+  GatewayCall &C = *findCall(T, Found->second);
+  for (Reservation &R : C.Reserved) {
+    if (R.Order != Order)
+      continue;
+    constexpr int StatusOk = 200;
+    if (const auto *Head = std::get_if<UpstreamHead>(&E))
+      R.Status = Head->Status;
+    else if (std::holds_alternative<UpstreamFailed>(E))
+      reservationAnswered(T, C, R, false);
+    else if (std::holds_alternative<UpstreamEnd>(E))
+      reservationAnswered(T, C, R, R.Status == StatusOk);
+    return true;
+  }
+  return false;
+}
+
+void freeReservations(GatewayTurn &T, GatewayCall &C) {
+  for (const Reservation &R : C.Reserved) {
+    if (R.Order != UpstreamId{})
+      T.S.ByUpstream.erase(R.Order);
+    sendRelease(T, {R.Address, R.Ticket, 0});
+  }
+  C.Reserved.clear();
+}
+
+void checkPlacing(GatewayTurn &T, GatewayCall &C) {
+  PlaceAsk Ask = askOf(T, C);
+  if (Ask.Patience <= Duration::zero()) {
+    if (C.AskedRemote)
+      send(T, T.S.Link.Placer, PlaceNote{C.Ticket, PlaceStage::Ended, {}});
+    note(T.S.Engines, {T.S.Self, C.Ticket}, PlaceStage::Ended, {}, T.Now);
+    fail(T, C, C.MayHaveRun ? Code::BackendFailed : Code::DeadlineUnreachable,
+         "no engine was free in time");
+    return;
+  }
+  if (!C.AskedRemote) {
+    checkAt(T, C, T.Now + AskAgain);
+    return;
+  }
+  if (C.Acknowledged && !placesHere(T.S, T.Now)) {
+    askRemote(T, C);
+    return;
+  }
+  if (!C.Acknowledged) {
+    DecisionRecord Record{"placer_silent", {}, "it did not answer", {}};
+    Record.add("placer", T.S.Link.Placer.Value);
+    Record.add("waited_ms", toMilliseconds(T.Now - C.AskedAt));
+    log(T, std::move(Record));
+    T.S.PlacerBadUntil = T.Now + PlacerAvoidance;
+  }
+  askHere(T, C);
+}
+
+void tickPlacing(GatewayTurn &T) {
+  for (auto &[Key, Reply] : tickPlacer(T.S.Engines, T.Now)) {
+    if (Key.first != T.S.Self) {
+      send(T, Key.first, std::move(Reply));
+      continue;
+    }
+    GatewayCall *C = findCall(T, Key.second);
+    if (C == nullptr || C->Stage != CallStage::Placing || C->AskedRemote) {
+      note(T.S.Engines, Key, PlaceStage::Ended, {}, T.Now);
+      continue;
+    }
+    if (Reply.Result == Code::Ok)
+      takePlace(T, *C, Reply);
+    else
+      fail(T, *C, C->MayHaveRun ? Code::BackendFailed : Reply.Result,
+           "no engine can answer in time", Reply.RetryAfter);
+  }
+}
+
+void followPlacer(GatewayTurn &T) {
+  Gateway &S = T.S;
+  if (S.Placer == S.Link.Placer)
+    return;
+  DecisionRecord Record{"placer", {}, "the leader named it", {}};
+  Record.add("host", S.Link.Placer.Value);
+  Record.add("before", S.Placer.Value);
+  log(T, std::move(Record));
+  bool PlacedHere = S.Placer == S.Self;
+  S.Placer = S.Link.Placer;
+  S.PlacerBadUntil = TimePoint();
+  if (S.Placer == S.Self || S.Placer.empty())
+    return;
+  if (PlacedHere) {
+    std::set<HostId> Others;
+    for (const auto &[Key, Request] : S.Engines.Placed)
+      Others.insert(Key.first);
+    Others.erase(S.Self);
+    for (const HostId &Other : Others)
+      dropHost(S.Engines, Other);
+  }
+  for (auto &[Ticket, C] : S.Calls) {
+    if (C.Placed)
+      send(T, S.Placer, holdingAsk(T, C));
+  }
+}
+
+} // namespace pimento::gateway
--- /dev/null
+++ b/packages/gateway/Placer.cpp
@@ -0,0 +1,345 @@
+#include "gateway/Placer.h"
+
+#include "gateway/EngineCost.h"
+#include "gateway/PlacerSearch.h"
+
+#include <algorithm>
+
+namespace pimento {
+
+namespace {
+
+/// Waiting requests are looked at anew so often.
+constexpr Duration QueueInterval = milliseconds(25);
+/// A placed request is forgotten so long after its caller must be gone.
+constexpr Duration ForgetAfter = seconds(2);
+/// A failed engine is left alone for so long, doubled with each failure.
+constexpr Duration FirstAvoidance = milliseconds(300);
+constexpr Duration LongestAvoidance = seconds(5);
+constexpr std::uint32_t MaxDoublings = 5;
+/// How fast an engine's pace is learnt, and from which ratio on it is slow.
+constexpr double LearningRate = 0.3;
+constexpr double SlowRatio = 1.8;
+constexpr double MaxSlowness = 10;
+constexpr Duration LeastRetryAfter = milliseconds(250);
+constexpr Duration MostRetryAfter = seconds(2);
+/// Room that is left for errors where nothing but waiting is left.
+constexpr Duration WaitMargin = milliseconds(60);
+
+Duration shorterPause(Duration A, Duration B) {
+  if (A == Duration::zero() || B == Duration::zero())
+    return std::max(A, B);
+  return std::min(A, B);
+}
+
+/// Sums up what is placed on each engine.
+void refresh(PlacerState &S) {
+  for (auto &[Id, E] : S.Engines) {
+    E.Writers = 0;
+    E.Readers = 0;
+    E.Helping = 0;
+    E.WriterContext = 0;
+    E.MemoryTokens = 0;
+    E.PauseLimit = Duration::zero();
+  }
+  for (const auto &[Key, Request] : S.Placed) {
+    bool First = true;
+    for (const PlacedPart &Part : Request.Parts) {
+      auto Found = S.Engines.find(Part.Engine);
+      bool Writes = First;
+      First = false;
+      if (Found == S.Engines.end())
+        continue;
+      PlacerEngine &E = Found->second;
+      E.MemoryTokens += Part.MemoryTokens;
+      if (!Writes) {
+        E.Helping += Request.Writing ? 0 : 1;
+        continue;
+      }
+      (Request.Writing ? E.Writers : E.Readers) += 1;
+      if (Request.Writing)
+        E.WriterContext += Request.Ask.PromptTokens;
+      E.PauseLimit = shorterPause(E.PauseLimit, Request.Ask.PauseObjective);
+    }
+  }
+}
+
+/// Nothing is read any more where nobody reads.
+void settleReading(PlacerState &S, TimePoint Now) {
+  for (auto &[Id, E] : S.Engines) {
+    if (E.Readers == 0 && E.Helping == 0)
+      E.ReadFreeAt = std::min(E.ReadFreeAt, Now);
+  }
+}
+
+PlaceReply replyOf(std::uint64_t Ticket, const PlacedRequest &Request,
+                   TimePoint Now) {
+  PlaceReply Reply;
+  Reply.Ticket = Ticket;
+  Reply.Forecast = std::max(Duration::zero(), Request.ReadBy - Now);
+  bool First = true;
+  for (const PlacedPart &Part : Request.Parts) {
+    EnginePart Out{Part.Engine, Part.MemoryTokens};
+    if (First)
+      Reply.First = std::move(Out);
+    else
+      Reply.Helpers.push_back(std::move(Out));
+    First = false;
+  }
+  Reply.First.MemoryTokens = 0; // Kept without a reservation.
+  return Reply;
+}
+
+PlaceReply place(PlacerState &S, const PlaceKey &Key, const PlaceAsk &Ask,
+                 placer::Plan Found, TimePoint Now) {
+  PlacedRequest Request;
+  Request.Ask = Ask;
+  Request.Parts = std::move(Found.Parts);
+  Request.Since = Now;
+  Request.ReadBy = Now + Found.Forecast;
+  Request.Expires = Now + Ask.TimeLeft + ForgetAfter;
+  for (const PlacedPart &Part : Request.Parts) {
+    PlacerEngine &E = S.Engines.at(Part.Engine);
+    E.ReadFreeAt = std::max(E.ReadFreeAt, Now) + Part.Reading;
+  }
+  PlaceReply Reply = replyOf(Key.second, Request, Now);
+  S.Placed[Key] = std::move(Request);
+  refresh(S);
+  return Reply;
+}
+
+/// How long until engines have read what was placed, on average.
+Duration meanBacklog(const PlacerState &S, const ServiceId &Service,
+                     TimePoint Now) {
+  Duration Sum = Duration::zero();
+  std::int64_t Count = 0;
+  for (const auto &[Id, E] : S.Engines) {
+    if (E.Service != Service)
+      continue;
+    Sum += std::max(Duration::zero(), E.ReadFreeAt - Now);
+    ++Count;
+  }
+  return Count == 0 ? Duration::zero() : Sum / Count;
+}
+
+PlaceReply refusal(const PlacerState &S, std::uint64_t Ticket,
+                   const ServiceId &Service, Code Reason, TimePoint Now) {
+  PlaceReply Reply;
+  Reply.Ticket = Ticket;
+  Reply.Result = Reason;
+  Reply.RetryAfter =
+      std::clamp(meanBacklog(S, Service, Now), LeastRetryAfter, MostRetryAfter);
+  return Reply;
+}
+
+/// An ask as it stands \p Waited later.
+PlaceAsk agedAsk(const PlaceAsk &Ask, Duration Waited) {
+  PlaceAsk Aged = Ask;
+  Aged.Objective -= Waited;
+  Aged.Patience -= Waited;
+  Aged.TimeLeft -= Waited;
+  return Aged;
+}
+
+bool hasEngine(const PlacerState &S, const ServiceId &Service) {
+  for (const auto &[Id, E] : S.Engines) {
+    if (E.Service == Service && E.Ready)
+      return true;
+  }
+  return false;
+}
+
+/// Places now, waits, or refuses. \p Ask is aged already.
+PlaceOutcome decide(PlacerState &S, const PlaceKey &Key, const PlaceAsk &Ask,
+                    TimePoint Now) {
+  auto Facts = S.Facts.find(Ask.Service);
+  if (Facts == S.Facts.end() || !hasEngine(S, Ask.Service))
+    return {PlaceVerdict::Refused,
+            refusal(S, Key.second, Ask.Service, Code::NoBackend, Now)};
+  Duration Least = placer::leastTime(Facts->second, Ask);
+  if (Ask.Patience < Least)
+    return {PlaceVerdict::Refused, refusal(S, Key.second, Ask.Service,
+                                           Code::DeadlineUnreachable, Now)};
+  std::optional<placer::Plan> Found = placer::findPlan(S, Ask, Now);
+  bool CanWait = Ask.Objective > Least + WaitMargin;
+  if (Found) {
+    double Gain =
+        placer::worthOf(Ask) * (Found->OnTime ? 1 : 1 - placer::LateLoss);
+    bool InTime = Found->Forecast < Ask.Patience;
+    bool Harmless = Found->Harm == 0;
+    bool Good = Harmless ? (Found->OnTime || !CanWait)
+                         : (!CanWait && Gain > Found->Harm);
+    if (InTime && Good)
+      return {PlaceVerdict::Placed, place(S, Key, Ask, std::move(*Found), Now)};
+  }
+  return {PlaceVerdict::Waiting, {}};
+}
+
+/// Records a request that runs already.
+PlaceOutcome record(PlacerState &S, const PlaceKey &Key, const PlaceAsk &Ask,
+                    TimePoint Now) {
+  PlacedRequest Request;
+  Request.Ask = Ask;
+  Request.Since = Now;
+  Request.ReadBy = Now;
+  Request.Expires = Now + Ask.TimeLeft + ForgetAfter;
+  Request.Writing = Ask.Writing;
+  for (const EnginePart &Part : Ask.Holding)
+    Request.Parts.push_back({Part.Engine, {}, Part.MemoryTokens});
+  if (!Request.Parts.empty() && Request.Parts.front().MemoryTokens == 0)
+    Request.Parts.front().MemoryTokens = Ask.PromptTokens + Ask.AnswerTokens;
+  PlaceReply Reply = replyOf(Key.second, Request, Now);
+  S.Placed[Key] = std::move(Request);
+  refresh(S);
+  return {PlaceVerdict::Placed, Reply};
+}
+
+void learnPace(PlacerState &S, const PlacedRequest &Request, TimePoint Now) {
+  auto Found = S.Engines.find(Request.Parts.front().Engine);
+  Duration Forecast = Request.ReadBy - Request.Since;
+  if (Found == S.Engines.end() || Request.Parts.size() != 1 ||
+      Forecast <= Duration::zero())
+    return;
+  double Ratio = toSeconds(Now - Request.Since) / toSeconds(Forecast);
+  PlacerEngine &E = Found->second;
+  double Seen = Ratio > SlowRatio ? Ratio * E.Slowness : 1.0;
+  E.Slowness += LearningRate * (std::min(Seen, MaxSlowness) - E.Slowness);
+}
+
+void blame(PlacerState &S, const BackendId &Culprit, TimePoint Now) {
+  auto Found = S.Engines.find(Culprit);
+  if (Found == S.Engines.end())
+    return;
+  PlacerEngine &E = Found->second;
+  Duration Time = FirstAvoidance * (1LL << std::min(E.Failures, MaxDoublings));
+  E.AvoidUntil = Now + std::min(Time, LongestAvoidance);
+  E.Failures += 1;
+}
+
+void praise(PlacerState &S, const PlacedRequest &Request) {
+  auto Found = S.Engines.find(Request.Parts.front().Engine);
+  if (Found != S.Engines.end())
+    Found->second.Failures = 0;
+}
+
+void withdraw(PlacerState &S, const PlaceKey &Key) {
+  auto Is = [&](const WaitingRequest &W) { return W.Key == Key; };
+  S.Queue.erase(std::remove_if(S.Queue.begin(), S.Queue.end(), Is),
+                S.Queue.end());
+}
+
+void expire(PlacerState &S, TimePoint Now) {
+  bool Changed = false;
+  for (auto It = S.Placed.begin(); It != S.Placed.end();) {
+    bool Old = Now > It->second.Expires;
+    Changed = Changed || Old;
+    It = Old ? S.Placed.erase(It) : std::next(It);
+  }
+  if (Changed)
+    refresh(S);
+}
+
+} // namespace
+
+void setEngines(PlacerState &S, const RouteTable &Routes,
+                const ServerBook &Servers) {
+  S.Facts.clear();
+  for (const auto &[Name, Service] : Routes.ByService) {
+    if (Service->Engine)
+      S.Facts[Name] = *Service->Engine;
+  }
+  std::map<BackendId, PlacerEngine> Next;
+  for (const auto &[Id, Known] : Servers.Servers) {
+    const ServerReport &R = Known.Report;
+    if (S.Facts.count(R.Service) == 0 || R.Phase == ServerPhase::Gone)
+      continue;
+    auto Old = S.Engines.find(Id);
+    PlacerEngine E;
+    if (Old != S.Engines.end() && Old->second.Born == R.Born)
+      E = Old->second;
+    E.Service = R.Service;
+    E.Born = R.Born;
+    E.Address = R.Address;
+    E.DataCentre = R.DataCentre;
+    E.Ready = R.Phase == ServerPhase::Ready;
+    Next.emplace(Id, std::move(E));
+  }
+  S.Engines = std::move(Next);
+  refresh(S);
+}
+
+PlaceOutcome ask(PlacerState &S, const PlaceKey &Key, const PlaceAsk &Ask,
+                 TimePoint Now) {
+  if (!Ask.Holding.empty())
+    return record(S, Key, Ask, Now);
+  auto Known = S.Placed.find(Key);
+  if (Known != S.Placed.end())
+    return {PlaceVerdict::Placed, replyOf(Key.second, Known->second, Now)};
+  for (const WaitingRequest &W : S.Queue) {
+    if (W.Key == Key)
+      return {PlaceVerdict::Waiting, {}};
+  }
+  PlaceOutcome Outcome = decide(S, Key, Ask, Now);
+  if (Outcome.Verdict == PlaceVerdict::Waiting)
+    S.Queue.push_back({Key, Ask, Now});
+  return Outcome;
+}
+
+void note(PlacerState &S, const PlaceKey &Key, PlaceStage Stage,
+          const BackendId &Culprit, TimePoint Now) {
+  withdraw(S, Key);
+  if (Stage == PlaceStage::Failed)
+    blame(S, Culprit, Now);
+  auto Found = S.Placed.find(Key);
+  if (Found == S.Placed.end())
+    return;
+  if (Stage == PlaceStage::Writing) {
+    learnPace(S, Found->second, Now);
+    Found->second.Writing = true;
+  } else {
+    if (Stage == PlaceStage::Ended && Found->second.Writing)
+      praise(S, Found->second);
+    S.Placed.erase(Found);
+  }
+  refresh(S);
+  settleReading(S, Now);
+}
+
+std::vector<std::pair<PlaceKey, PlaceReply>> tickPlacer(PlacerState &S,
+                                                        TimePoint Now) {
+  expire(S, Now);
+  std::vector<std::pair<PlaceKey, PlaceReply>> Answers;
+  std::deque<WaitingRequest> Queue = std::move(S.Queue);
+  S.Queue.clear();
+  // The most urgent account first, then whose first event is due soonest.
+  std::stable_sort(Queue.begin(), Queue.end(),
+                   [](const WaitingRequest &A, const WaitingRequest &B) {
+                     if (A.Ask.Priority != B.Ask.Priority)
+                       return A.Ask.Priority < B.Ask.Priority;
+                     return A.Since + A.Ask.Objective <
+                            B.Since + B.Ask.Objective;
+                   });
+  for (WaitingRequest &W : Queue) {
+    PlaceOutcome Outcome = decide(S, W.Key, agedAsk(W.Ask, Now - W.Since), Now);
+    if (Outcome.Verdict == PlaceVerdict::Waiting)
+      S.Queue.push_back(std::move(W));
+    else
+      Answers.emplace_back(W.Key, std::move(Outcome.Reply));
+  }
+  return Answers;
+}
+
+TimePoint nextPlacerTick(const PlacerState &S, TimePoint Now) {
+  return S.Queue.empty() ? TimePoint::max() : Now + QueueInterval;
+}
+
+void dropHost(PlacerState &S, const HostId &Host) {
+  for (auto It = S.Placed.begin(); It != S.Placed.end();)
+    It = It->first.first == Host ? S.Placed.erase(It) : std::next(It);
+  auto Is = [&](const WaitingRequest &W) { return W.Key.first == Host; };
+  S.Queue.erase(std::remove_if(S.Queue.begin(), S.Queue.end(), Is),
+                S.Queue.end());
+  refresh(S);
+}
+
+} // namespace pimento
--- /dev/null
+++ b/packages/gateway/Placer.h
@@ -0,0 +1,122 @@
+//===- Placer.h - Which engines run a request -------------------*- C++ -*-===//
+//
+// Answers the pattern of prompts of very unlike lengths on shared engines: a
+// long prompt that is read among requests that write makes their next events
+// late, and a short prompt behind a long one waits for it. So
+// * short prompts are packed onto engines that already write for short ones,
+// * a long prompt is read in parts by as many engines as its objective needs,
+//   in parts so small that nobody's next event is late,
+// * what fits nowhere yet waits, as long as its caller would still be there,
+//   and is refused at once when that cannot be met.
+//
+//   PlacerState S;
+//   setEngines(S, Service, Facts, Servers);
+//   PlaceOutcome O = ask(S, Key, Ask, Now);   // Placed, waiting or refused.
+//   note(S, Key, Stage, Culprit, Now);
+//   for (auto &[Key, Reply] : tickPlacer(S, Now)) ... // Those that waited.
+//
+// One entry host does this for all; where it cannot be reached, each does it
+// for its own requests. Reports of engines lag: what was placed here is the
+// better estimate. Needs no network.
+//
+//===----------------------------------------------------------------------===//
+#pragma once
+
+#include "base/Decision.h"
+#include "routing/Routing.h"
+#include "routing/Servers.h"
+#include "wire/SiteMessages.h"
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace pimento {
+
+/// A request, by the host that holds it.
+using PlaceKey = std::pair<HostId, std::uint64_t>;
+
+/// One engine's part of a placed request.
+struct PlacedPart {
+  BackendId Engine;
+  Duration Reading = {};          // Of this part, alone on the engine.
+  std::uint64_t MemoryTokens = 0; // Held there.
+};
+
+struct PlacedRequest {
+  PlaceAsk Ask;
+  std::vector<PlacedPart> Parts; // The first one writes the answer.
+  TimePoint Since{};
+  TimePoint ReadBy{};  // Forecast of its first event.
+  TimePoint Expires{}; // Forgotten then, whatever is heard.
+  bool Writing = false;
+};
+
+struct WaitingRequest {
+  PlaceKey Key;
+  PlaceAsk Ask;
+  TimePoint Since{};
+};
+
+/// One engine, as what was placed there tells.
+struct PlacerEngine {
+  ServiceId Service;
+  std::uint64_t Born = 0; // Of its life.
+  std::string Address;
+  DataCentreId DataCentre;
+  bool Ready = true;
+  std::size_t Writers = 0;
+  std::size_t Readers = 0;         // First parts that are not writing yet.
+  std::size_t Helping = 0;         // Parts of others' prompts.
+  std::uint64_t WriterContext = 0; // Tokens.
+  std::uint64_t MemoryTokens = 0;  // Held.
+  TimePoint ReadFreeAt{};          // All reading placed here is done.
+  Duration PauseLimit = {};        // Shortest of the requests here; zero: none.
+  double Slowness = 1;             // Of reading, against the data sheet.
+  std::uint32_t Failures = 0;      // In a row.
+  TimePoint AvoidUntil{};
+};
+
+struct PlacerState {
+  DataCentreId Here;
+  std::map<ServiceId, EngineFacts> Facts;
+  std::map<BackendId, PlacerEngine> Engines;
+  std::map<PlaceKey, PlacedRequest> Placed;
+  std::deque<WaitingRequest> Queue; // In order of arrival.
+};
+
+enum class PlaceVerdict : std::uint8_t { Placed, Waiting, Refused };
+
+struct PlaceOutcome {
+  PlaceVerdict Verdict = PlaceVerdict::Refused;
+  PlaceReply Reply;
+};
+
+/// Brings the engines of all services in step with the routes in force and
+/// the servers that report themselves.
+void setEngines(PlacerState &S, const RouteTable &Routes,
+                const ServerBook &Servers);
+
+/// Where the request runs. An ask that names engines already is only recorded;
+/// one that was answered before gets the same answer.
+PlaceOutcome ask(PlacerState &S, const PlaceKey &Key, const PlaceAsk &Ask,
+                 TimePoint Now);
+
+/// What became of a request; of one that waits, Ended withdraws it.
+void note(PlacerState &S, const PlaceKey &Key, PlaceStage Stage,
+          const BackendId &Culprit, TimePoint Now);
+
+/// Places or refuses what waited.
+std::vector<std::pair<PlaceKey, PlaceReply>> tickPlacer(PlacerState &S,
+                                                        TimePoint Now);
+
+/// When tickPlacer() is needed next; the far future while nothing waits.
+TimePoint nextPlacerTick(const PlacerState &S, TimePoint Now);
+
+/// Everything that \p Host holds or waits for is gone with it.
+void dropHost(PlacerState &S, const HostId &Host);
+
+} // namespace pimento
--- /dev/null
+++ b/packages/gateway/PlacerSearch.cpp
@@ -0,0 +1,237 @@
+#include "gateway/PlacerSearch.h"
+
+#include "gateway/EngineCost.h"
+
+#include <algorithm>
+#include <array>
+#include <cmath>
+
+namespace pimento::placer {
+
+namespace {
+
+constexpr std::array<std::size_t, 8> PartCounts = {1, 2, 3, 4, 6, 8, 12, 16};
+/// Of the longest pause that a request allows; the rest is for the way.
+constexpr double PauseShare = 0.85;
+/// Of the time to the first event that is left; the rest is for errors of the
+/// forecast.
+constexpr double ObjectiveShare = 0.75;
+/// A request's worth grows with its size, but more slowly.
+constexpr double WorthExponent = 0.75;
+/// What an engine's time costs, so that equal plans take less of it.
+constexpr double WorthPerSecond = 400;
+constexpr double WorthPerPart = 10;
+/// Requests of another pace on the same engine hinder each other later.
+constexpr double MixedPaceCost = 60;
+constexpr double IdleEngineCost = 40; // To a short prompt: others need it more.
+constexpr double CrossingCost = 2;    // To another data centre.
+
+Duration scaled(Duration D, double Factor) {
+  return fromSeconds(toSeconds(D) * Factor);
+}
+
+/// One engine with one part of the request on it.
+struct Option {
+  const BackendId *Id = nullptr;
+  const PlacerEngine *Engine = nullptr;
+  Duration ReadBy = {}; // From now until the part is read.
+  Duration Pass = {};   // Of the request's own writing, were it the first.
+  double Harm = 0;
+  double Cost = 0; // Breaks ties; grows with what the choice hinders.
+  std::uint64_t FreeTokens = 0;
+  bool HasSlot = false;
+};
+
+struct Search {
+  const PlacerState &S;
+  const PlaceAsk &Ask;
+  TimePoint Now;
+  const EngineFacts &F;
+  Duration Whole; // Reading time of the prompt on one engine.
+
+  bool isEligible(const BackendId &Id, const PlacerEngine &E,
+                  bool TakeAvoided) const {
+    bool Tried =
+        std::find(Ask.Avoid.begin(), Ask.Avoid.end(), Id) != Ask.Avoid.end();
+    return E.Service == Ask.Service && E.Ready && !Tried &&
+           (TakeAvoided || E.AvoidUntil <= Now);
+  }
+
+  /// Worth of the requests on \p Id whose next event comes too late in a pass
+  /// of length \p Pass.
+  double harmAt(const BackendId &Id, Duration Pass) const {
+    double Harm = 0;
+    for (const auto &[Key, Request] : S.Placed) {
+      if (Request.Parts.empty() || Request.Parts.front().Engine != Id)
+        continue;
+      Duration Limit = Request.Ask.PauseObjective;
+      if (Limit > Duration::zero() && Pass > scaled(Limit, PauseShare))
+        Harm += LateLoss * worthOf(Request.Ask);
+    }
+    return Harm;
+  }
+
+  Option optionAt(const BackendId &Id, const PlacerEngine &E,
+                  Duration Reading) const {
+    Option O;
+    O.Id = &Id;
+    O.Engine = &E;
+    Reading = scaled(Reading, E.Slowness);
+    Duration Backlog = std::max(Duration::zero(), E.ReadFreeAt - Now);
+    std::size_t Active = E.Writers + E.Readers;
+    Duration PassNow = passTime(F, E.Writers, E.WriterContext);
+    O.Pass = passTime(F, E.Writers + 1, E.WriterContext + Ask.PromptTokens);
+    Duration Start = E.Writers > 0 ? PassNow / 2 : Duration::zero();
+    O.ReadBy = Start + Backlog +
+               sharedReadingTime(F, Reading, E.Writers, E.WriterContext);
+    if (Active > 0) {
+      Duration Limit = passReadingLimit(F, Ask.PromptTokens);
+      O.Harm = harmAt(Id, O.Pass + std::min(Backlog + Reading, Limit));
+    }
+    std::uint64_t Held = std::min(E.MemoryTokens, F.MemoryTokens);
+    O.FreeTokens = F.MemoryTokens - Held;
+    O.HasSlot = Active < F.Slots;
+    O.Cost = O.Harm + toSeconds(Backlog) * WorthPerSecond +
+             paceCost(E, Active) +
+             (E.DataCentre == Ask.DataCentre ? 0 : CrossingCost);
+    return O;
+  }
+
+  /// Short prompts go where others of their pace write already; long ones
+  /// where nobody does.
+  double paceCost(const PlacerEngine &E, std::size_t Active) const {
+    bool Idle = Active == 0;
+    bool Short = isShort();
+    if (Idle)
+      return Short ? IdleEngineCost : 0;
+    if (E.PauseLimit != Ask.PauseObjective)
+      return MixedPaceCost;
+    return Short ? -static_cast<double>(E.Writers)
+                 : 2 * static_cast<double>(Active);
+  }
+
+  /// Whether the prompt is read within a pass without making anyone late.
+  bool isShort() const {
+    return Ask.PauseObjective > Duration::zero() &&
+           Whole < scaled(Ask.PauseObjective, 1 - PauseShare + 0.35);
+  }
+
+  std::vector<Option> options(Duration Reading, bool TakeAvoided) const {
+    std::vector<Option> List;
+    for (const auto &[Id, E] : S.Engines) {
+      if (isEligible(Id, E, TakeAvoided))
+        List.push_back(optionAt(Id, E, Reading));
+    }
+    std::sort(List.begin(), List.end(),
+              [](const Option &A, const Option &B) { return A.Cost < B.Cost; });
+    return List;
+  }
+
+  std::uint64_t neededTokens() const {
+    return Ask.PromptTokens + Ask.AnswerTokens;
+  }
+
+  /// Keeps at helpers what the first engine has no room for. False where they
+  /// have too little together.
+  bool spreadMemory(Plan &P, const std::vector<const Option *> &Chosen) const {
+    std::uint64_t Needed = neededTokens();
+    std::uint64_t AtFirst = std::min(Chosen.front()->FreeTokens, Needed);
+    P.Parts.front().MemoryTokens = AtFirst;
+    std::uint64_t Left = Needed - AtFirst;
+    for (std::size_t I = 1; I < Chosen.size() && Left > 0; ++I) {
+      std::uint64_t Here = std::min(Chosen[I]->FreeTokens, Left);
+      P.Parts[I].MemoryTokens = Here;
+      Left -= Here;
+    }
+    return Left == 0;
+  }
+
+  /// The first engine needs a slot and, where possible, room for everything.
+  const Option *chooseFirst(const std::vector<Option> &List) const {
+    const Option *Best = nullptr;
+    for (const Option &O : List) {
+      if (!O.HasSlot)
+        continue;
+      if (O.FreeTokens >= neededTokens())
+        return &O;
+      if (Best == nullptr || O.FreeTokens > Best->FreeTokens)
+        Best = &O;
+    }
+    return Best;
+  }
+
+  std::optional<Plan> planOf(std::size_t Count,
+                             const std::vector<Option> &List) const {
+    const Option *First = chooseFirst(List);
+    if (First == nullptr || List.size() < Count)
+      return std::nullopt;
+    std::vector<const Option *> Chosen = {First};
+    for (const Option &O : List) {
+      if (Chosen.size() == Count)
+        break;
+      if (&O != First && O.Engine->Helping < F.Slots)
+        Chosen.push_back(&O);
+    }
+    if (Chosen.size() < Count)
+      return std::nullopt;
+    Plan P;
+    Duration Part = Whole / static_cast<std::int64_t>(Count);
+    for (const Option *O : Chosen) {
+      P.Parts.push_back({*O->Id, scaled(Part, O->Engine->Slowness), 0});
+      P.Forecast = std::max(P.Forecast, O->ReadBy);
+      P.Harm += O->Harm;
+    }
+    P.Forecast += First->Pass;
+    P.OnTime = P.Forecast <= scaled(Ask.Objective, ObjectiveShare);
+    if (!spreadMemory(P, Chosen))
+      return std::nullopt;
+    return P;
+  }
+
+  /// What the plan is worth, its cost taken off.
+  double valueOf(const Plan &P) const {
+    double Gain = worthOf(Ask) * (P.OnTime ? 1 : 1 - LateLoss);
+    auto Parts = static_cast<double>(P.Parts.size());
+    return Gain - P.Harm - Parts * WorthPerPart -
+           toSeconds(P.Forecast) * WorthPerPart;
+  }
+
+  std::optional<Plan> best(bool TakeAvoided) const {
+    std::optional<Plan> Best;
+    for (std::size_t Count : PartCounts) {
+      std::vector<Option> List =
+          options(Whole / static_cast<std::int64_t>(Count), TakeAvoided);
+      std::optional<Plan> P = planOf(Count, List);
+      if (P && (!Best || valueOf(*P) > valueOf(*Best)))
+        Best = std::move(P);
+      if (Best && Best->OnTime && Best->Harm == 0)
+        break; // More engines would only cost more.
+    }
+    return Best;
+  }
+};
+
+} // namespace
+
+double worthOf(const PlaceAsk &Ask) {
+  return std::pow(static_cast<double>(Ask.PromptTokens + 1), WorthExponent);
+}
+
+std::optional<Plan> findPlan(const PlacerState &S, const PlaceAsk &Ask,
+                             TimePoint Now) {
+  auto Facts = S.Facts.find(Ask.Service);
+  if (Facts == S.Facts.end())
+    return std::nullopt;
+  Search Try{S, Ask, Now, Facts->second,
+             readingTime(Facts->second, Ask.PromptTokens)};
+  std::optional<Plan> Found = Try.best(false);
+  return Found ? Found : Try.best(true);
+}
+
+Duration leastTime(const EngineFacts &F, const PlaceAsk &Ask) {
+  constexpr std::int64_t MostParts = PartCounts.back();
+  return readingTime(F, Ask.PromptTokens) / MostParts +
+         passTime(F, 1, Ask.PromptTokens);
+}
+
+} // namespace pimento::placer
--- /dev/null
+++ b/packages/gateway/SitePart.cpp
@@ -0,0 +1,207 @@
+// Control hosts, other entry hosts, the balancer, and the stop.
+
+#include "gateway/GatewayTurn.h"
+
+#include "base/Problem.h"
+
+#include <algorithm>
+
+namespace pimento::gateway {
+
+namespace {
+
+/// A host whose link broke may only have lost the link.
+constexpr Duration LostHostTime = milliseconds(1500);
+/// Unready for so long before the listener closes: the balancer asks once a
+/// second and needs two misses.
+constexpr Duration UnreadyTime = milliseconds(3500);
+/// Before the limit of the stop: for the last answers to go out.
+constexpr Duration StopReserve = milliseconds(900);
+
+/// The plain servers of each service that take new work.
+void refreshPlainServers(Gateway &S) {
+  S.PlainServers.clear();
+  std::map<ServiceId, std::vector<calls::PlainServer>> Silent;
+  for (const auto &[Id, Known] : S.Servers.Servers) {
+    const ServerReport &R = Known.Report;
+    calls::PlainServer Server{Id, R.Born, R.Address, R.DataCentre};
+    if (R.Phase == ServerPhase::Ready)
+      S.PlainServers[R.Service].push_back(std::move(Server));
+    else if (R.Phase == ServerPhase::Silent)
+      Silent[R.Service].push_back(std::move(Server));
+  }
+  // Where none reports itself, those that did are better than nothing.
+  for (auto &[Service, Servers] : Silent) {
+    if (S.PlainServers.count(Service) == 0)
+      S.PlainServers[Service] = std::move(Servers);
+  }
+}
+
+void logServer(GatewayTurn &T, const ServerReport &R) {
+  DecisionRecord Record{"server_changed", {}, "a control host said so", {}};
+  Record.add("server", R.Id.Value);
+  Record.add("service", R.Service.Value);
+  Record.add("phase", std::string(toString(R.Phase)));
+  Record.add("age_ms", toMilliseconds(R.Age));
+  log(T, std::move(Record));
+}
+
+bool takeServers(GatewayTurn &T, const SiteState &M) {
+  Gateway &S = T.S;
+  bool Changed = false;
+  for (const ServerReport &R : M.Servers) {
+    if (!takeReport(S.Servers, R, T.Now - R.Age))
+      continue;
+    Changed = true;
+    logServer(T, R);
+  }
+  if (!M.Whole)
+    return Changed;
+  for (auto It = S.Servers.Servers.begin(); It != S.Servers.Servers.end();) {
+    auto Is = [&, Id = &It->first](const ServerReport &R) {
+      return R.Id == *Id;
+    };
+    bool Listed = std::any_of(M.Servers.begin(), M.Servers.end(), Is);
+    Changed = Changed || !Listed;
+    It = Listed ? std::next(It) : S.Servers.Servers.erase(It);
+  }
+  return Changed;
+}
+
+bool takeRouting(GatewayTurn &T, const SiteState &M) {
+  Gateway &S = T.S;
+  std::uint64_t Held = S.Routes ? S.Routes->Config.Number : 0;
+  if (M.Text.Data.empty() || M.Config <= Held)
+    return false;
+  RoutingConfig Config;
+  std::string Fault = S.Platform.decodeRouting(M.Text.Data, Config);
+  if (!Fault.empty()) {
+    log(T, {"routing_unreadable", {}, Fault, {}});
+    return false;
+  }
+  S.Routes = makeRouteTable(std::move(Config));
+  DecisionRecord Record{"routing_in_force", {}, "a control host sent it", {}};
+  Record.add("number", static_cast<std::int64_t>(M.Config));
+  Record.add("before", static_cast<std::int64_t>(Held));
+  Record.add("routes",
+             static_cast<std::int64_t>(S.Routes->Config.Routes.size()));
+  log(T, std::move(Record));
+  askSoon(S.Link, T.Now);
+  return true;
+}
+
+void tickLostHosts(GatewayTurn &T) {
+  auto &Lost = T.S.LostHosts;
+  for (auto It = Lost.begin(); It != Lost.end();) {
+    if (T.Now < It->second + LostHostTime) {
+      ++It;
+      continue;
+    }
+    dropHost(T.S.Engines, It->first);
+    It = Lost.erase(It);
+  }
+}
+
+/// Requests that are still in progress get their final answer.
+void cutCalls(GatewayTurn &T) {
+  std::vector<std::uint64_t> Tickets;
+  for (const auto &[Ticket, C] : T.S.Calls)
+    Tickets.push_back(Ticket);
+  for (std::uint64_t Ticket : Tickets) {
+    GatewayCall *C = findCall(T, Ticket);
+    bool Ran = C->MayHaveRun || C->Attempt.BytesSent;
+    Code Number = Ran ? Code::StreamCut : Code::Draining;
+    if (Ran && C->Path->Kind == CallKind::Once)
+      Number = Code::OutcomeUnknown;
+    fail(T, *C, Number, "this host stops");
+  }
+}
+
+void tickStop(GatewayTurn &T) {
+  Gateway &S = T.S;
+  if (!S.Stopping || T.Now < S.StopListeningAt)
+    return;
+  T.Out.push_back(StopListening{});
+  bool Last = T.Now >= S.StopAt;
+  if (Last)
+    cutCalls(T);
+  if (S.Calls.empty())
+    T.Out.push_back(Exit{Last ? 1 : 0});
+  S.StopListeningAt = T.Now + milliseconds(50);
+}
+
+LinkReport reportOf(const Gateway &S) {
+  LinkReport Report;
+  Report.Config = S.Routes ? S.Routes->Config.Number : 0;
+  Report.Ready = isReady(S);
+  Report.DataCentre = S.Engines.Here;
+  return Report;
+}
+
+} // namespace
+
+void tickSite(GatewayTurn &T) {
+  Gateway &S = T.S;
+  std::optional<Outbound> Question =
+      tickLink(S.Link, reportOf(S), S.Rng, T.Now);
+  if (Question)
+    send(T, Question->To, std::move(Question->Content));
+  tickLostHosts(T);
+  tickStop(T);
+}
+
+void entryState(GatewayTurn &T, const HostId &From, const SiteState &M) {
+  Gateway &S = T.S;
+  bool WasReady = isReady(S);
+  HostId Home = S.Link.Home;
+  if (!takeState(S.Link, From, M, T.Now))
+    return;
+  bool ServersChanged = takeServers(T, M);
+  bool RoutesChanged = takeRouting(T, M);
+  if (ServersChanged)
+    refreshPlainServers(S);
+  if (S.Routes && (ServersChanged || RoutesChanged))
+    setEngines(S.Engines, *S.Routes, S.Servers);
+  followPlacer(T);
+  if (Home != S.Link.Home) {
+    DecisionRecord Record{"control_host", {}, "it leads", {}};
+    Record.add("host", S.Link.Home.Value);
+    Record.add("before", Home.Value);
+    log(T, std::move(Record));
+  }
+  if (isReady(S) != WasReady) {
+    askSoon(S.Link, T.Now);
+    log(T, {"ready", {}, isReady(S) ? "takes callers" : "takes none", {}});
+  }
+}
+
+void stopRequested(GatewayTurn &T) {
+  Gateway &S = T.S;
+  if (S.Stopping)
+    return;
+  S.Stopping = true;
+  Duration Limit = S.Config.Drain.Limit;
+  S.StopListeningAt = T.Now + std::min(UnreadyTime, Limit / 2);
+  S.StopAt = T.Now + std::max(Limit - StopReserve, Limit / 2);
+  askSoon(S.Link, T.Now);
+  DecisionRecord Record{"stop_requested", {}, "unready from now on", {}};
+  Record.add("calls", static_cast<std::int64_t>(S.Calls.size()));
+  Record.add("limit_ms", toMilliseconds(Limit));
+  log(T, std::move(Record));
+}
+
+void operatorCall(GatewayTurn &T, ExchangeId Exchange, const HttpRequest &R) {
+  PlatformCall Call = T.S.Platform.decodeCall(R);
+  if (!std::holds_alternative<ReadyQuery>(Call)) {
+    T.Out.push_back(calls::SendReply{
+        Exchange, problemReply({Code::NotFound, "no such call here", {}, {}})});
+    return;
+  }
+  bool Ready = isReady(T.S);
+  HttpReply Reply =
+      Ready ? jsonReply(200, "{}")
+            : problemReply({Code::HostNotFresh, "takes no callers", {}, {}});
+  T.Out.push_back(calls::SendReply{Exchange, std::move(Reply)});
+}
+
+} // namespace pimento::gateway
--- a/packages/node/Events.h
+++ b/packages/node/Events.h
@@ -9,6 +9,7 @@
 #include "base/Decision.h"
 #include "base/Http.h"
 #include "base/Ids.h"
+#include "base/Settings.h"
 #include "base/Time.h"
 #include "calls/Effects.h"
 #include "storage/Records.h"
@@ -101,11 +102,16 @@
 /// The system asks the process to stop: once to drain, twice to stop at once.
 struct StopRequested {};
 
+/// The settings file was read again and is good.
+struct SettingsRead {
+  Settings Config;
+};
+
 using Event =
     std::variant<Tick, PeerMessage, PeerLost, CallerRequest, OperatorRequest,
                  ExchangeLeft, ExchangeDrained, UpstreamSent, UpstreamHead,
                  UpstreamData, UpstreamEnd, UpstreamFailed, DiskWritten,
-                 DiskFailed, StopRequested>;
+                 DiskFailed, StopRequested, SettingsRead>;
 
 //===----------------------------------------------------------------------===//
 // Effects, besides those of calls/Effects.h
@@ -129,16 +135,20 @@
   MetricSample Sample;
 };
 
+/// Takes no new connections of callers.
+struct StopListening {};
+
 /// Ends the process.
 struct Exit {
   int Status = 0;
 };
 
-using Effect = std::variant<SendPeer, calls::SendReply, calls::StartStream,
-                            calls::StreamBytes, calls::EndStream,
-                            calls::CloseExchange, calls::OpenUpstream,
-                            calls::AbortUpstream, calls::PauseUpstream,
-                            WriteDisk, LogDecision, RecordSample, Exit>;
+using Effect =
+    std::variant<SendPeer, calls::SendReply, calls::StartStream,
+                 calls::StreamBytes, calls::EndStream, calls::CloseExchange,
+                 calls::OpenUpstream, calls::AbortUpstream,
+                 calls::PauseUpstream, WriteDisk, LogDecision, RecordSample,
+                 StopListening, Exit>;
 
 using Effects = std::vector<Effect>;
 
--- a/packages/node/Node.cpp
+++ b/packages/node/Node.cpp
@@ -95,6 +95,8 @@
   void operator()(const DiskWritten &E) const { diskWritten(T, E); }
   void operator()(const DiskFailed &E) const { diskFailed(T, E); }
   void operator()(const StopRequested &) const { stopRequested(T); }
+  /// A listed site takes its settings at its start.
+  void operator()(const SettingsRead &) const {}
 
   void upstream() const {
     if (!engineCallEvent(T, Whole) && !orderCallEvent(T, Whole))
--- a/packages/replica/Replica.h
+++ b/packages/replica/Replica.h
@@ -220,7 +220,8 @@
   TimePoint NextProbe{};
 
   // The start.
-  bool Admitted = false; // The others found this disk to be the newest.
+  std::vector<HostId> Contacts; // Hosts that may keep this log as well.
+  bool Admitted = false;        // The others found this disk to be the newest.
   std::vector<SeenDisk> Seen;
   PartialSnapshot Incoming;
 
@@ -252,6 +253,10 @@
 /// the group that it is meant for.
 const ReplicaHeader *replicaHeader(const Message &M);
 
+/// Hosts that may keep this log, as discovery found them: a disk that belongs
+/// to nothing yet tells them of itself.
+void setContacts(ReplicaState &S, std::vector<HostId> Hosts);
+
 /// The connection to \p Host broke, as it does when a process ends. A follower
 /// of it stands as soon as the promise that it gave its leader is over, instead
 /// of waiting for a longer silence.
--- a/packages/replica/Start.cpp
+++ b/packages/replica/Start.cpp
@@ -9,11 +9,12 @@
 /// Probe intervals after which another host's word is too old to form on.
 constexpr int FormationIntervals = 5;
 
-/// The hosts that may know of this disk: members and configured voters.
+/// The hosts that may know of this disk.
 std::vector<HostId> others(const ReplicaState &S) {
   std::vector<HostId> Hosts = S.Config.FormationVoters;
   for (const Member &Who : members(S).Members)
     Hosts.push_back(Who.Host);
+  Hosts.insert(Hosts.end(), S.Contacts.begin(), S.Contacts.end());
   std::sort(Hosts.begin(), Hosts.end());
   Hosts.erase(std::unique(Hosts.begin(), Hosts.end()), Hosts.end());
   Hosts.erase(std::remove(Hosts.begin(), Hosts.end(), S.Config.Self),
@@ -305,3 +306,11 @@
 }
 
 } // namespace pimento::replica
+
+namespace pimento {
+
+void setContacts(ReplicaState &S, std::vector<HostId> Hosts) {
+  S.Contacts = std::move(Hosts);
+}
+
+} // namespace pimento
--- /dev/null
+++ b/packages/routing/Servers.cpp
@@ -0,0 +1,163 @@
+#include "routing/Servers.h"
+
+#include <algorithm>
+
+namespace pimento {
+
+namespace {
+
+bool isNewer(const ServerReport &A, const ServerReport &B) {
+  if (A.Born != B.Born)
+    return A.Born > B.Born;
+  return A.Sequence > B.Sequence;
+}
+
+bool isLeaving(ServerPhase P) {
+  return P == ServerPhase::Draining || P == ServerPhase::Gone;
+}
+
+bool sameTarget(const ServerReport &A, const ServerReport &B) {
+  return A.Born == B.Born && A.Service == B.Service && A.Address == B.Address &&
+         A.DataCentre == B.DataCentre && A.Slots == B.Slots &&
+         A.Phase == B.Phase;
+}
+
+void touch(ServerBook &Book, KnownServer &Server) {
+  Server.Revision = ++Book.Revision;
+}
+
+/// Another, younger server at the same address; null where there is none.
+const KnownServer *findSuccessor(const ServerBook &Book,
+                                 const ServerReport &Report) {
+  for (const auto &[Id, Other] : Book.Servers) {
+    if (Id != Report.Id && Other.Report.Address == Report.Address &&
+        Other.Report.Born > Report.Born &&
+        Other.Report.Phase != ServerPhase::Gone)
+      return &Other;
+  }
+  return nullptr;
+}
+
+/// Whoever had the address before is gone.
+void dropPredecessors(ServerBook &Book, const ServerReport &Report) {
+  for (auto &[Id, Other] : Book.Servers) {
+    if (Id == Report.Id || Other.Report.Address != Report.Address ||
+        Other.Report.Born >= Report.Born ||
+        Other.Report.Phase == ServerPhase::Gone)
+      continue;
+    Other.Report.Phase = ServerPhase::Gone;
+    touch(Book, Other);
+  }
+}
+
+/// What a life said of leaving stays said, whatever it reports later.
+ServerPhase mergedPhase(const ServerReport &Old, const ServerReport &New) {
+  if (Old.Born != New.Born || !isLeaving(Old.Phase))
+    return New.Phase;
+  return std::max(Old.Phase, New.Phase);
+}
+
+} // namespace
+
+const char *toString(ServerPhase P) {
+  switch (P) {
+  case ServerPhase::Ready:
+    return "ready";
+  case ServerPhase::Draining:
+    return "draining";
+  case ServerPhase::Silent:
+    return "silent";
+  case ServerPhase::Gone:
+    return "gone";
+  }
+  return "unknown";
+}
+
+bool takeReport(ServerBook &Book, const ServerReport &Report, TimePoint Heard) {
+  auto Found = Book.Servers.find(Report.Id);
+  if (Found != Book.Servers.end()) {
+    KnownServer &Known = Found->second;
+    bool Leaves = Report.Born == Known.Report.Born && isLeaving(Report.Phase) &&
+                  !isLeaving(Known.Report.Phase);
+    if (isNewer(Known.Report, Report) && !Leaves)
+      return false;
+  }
+  bool Superseded = findSuccessor(Book, Report) != nullptr;
+  KnownServer &Known = Book.Servers[Report.Id];
+  bool IsNew = Known.Revision == 0;
+  ServerReport Next = Report;
+  Next.Age = Duration::zero();
+  if (!IsNew)
+    Next.Phase = mergedPhase(Known.Report, Report);
+  if (Superseded)
+    Next.Phase = ServerPhase::Gone;
+  bool Changed = IsNew || !sameTarget(Known.Report, Next);
+  Known.Report = std::move(Next);
+  Known.Heard = std::max(Known.Heard, Heard);
+  if (!Changed)
+    return false;
+  touch(Book, Known);
+  if (Known.Report.Phase != ServerPhase::Gone)
+    dropPredecessors(Book, Known.Report);
+  return true;
+}
+
+bool takeLeave(ServerBook &Book, const BackendId &Id, std::uint64_t Born,
+               TimePoint Now) {
+  auto Found = Book.Servers.find(Id);
+  if (Found == Book.Servers.end())
+    return false;
+  KnownServer &Known = Found->second;
+  bool OtherLife = Born != 0 && Born < Known.Report.Born;
+  if (OtherLife || Known.Report.Phase == ServerPhase::Gone)
+    return false;
+  Known.Report.Phase = ServerPhase::Gone;
+  Known.Report.Sequence += 1;
+  Known.Heard = Now;
+  touch(Book, Known);
+  return true;
+}
+
+bool tickServers(ServerBook &Book, const ServerLimits &Limits, TimePoint Now) {
+  bool Changed = false;
+  for (auto It = Book.Servers.begin(); It != Book.Servers.end();) {
+    KnownServer &Known = It->second;
+    Duration Silence = Now - Known.Heard;
+    if (Silence > Limits.ForgetAfter) {
+      It = Book.Servers.erase(It);
+      continue;
+    }
+    if (Silence > Limits.SilentAfter &&
+        Known.Report.Phase == ServerPhase::Ready) {
+      Known.Report.Phase = ServerPhase::Silent;
+      touch(Book, Known);
+      Changed = true;
+    }
+    ++It;
+  }
+  return Changed;
+}
+
+TimePoint nextServerTick(const ServerBook &Book, const ServerLimits &Limits,
+                         TimePoint Now) {
+  TimePoint Next = Now + Limits.SilentAfter;
+  for (const auto &[Id, Known] : Book.Servers) {
+    if (Known.Report.Phase == ServerPhase::Ready)
+      Next = std::min(Next, Known.Heard + Limits.SilentAfter);
+  }
+  return Next + milliseconds(1);
+}
+
+std::vector<ServerReport>
+changedServers(const ServerBook &Book, std::uint64_t Revision, TimePoint Now) {
+  std::vector<ServerReport> List;
+  for (const auto &[Id, Known] : Book.Servers) {
+    if (Known.Revision <= Revision)
+      continue;
+    List.push_back(Known.Report);
+    List.back().Age = Now - Known.Heard;
+  }
+  return List;
+}
+
+} // namespace pimento
--- /dev/null
+++ b/packages/shell/AnswerParser.cpp
@@ -0,0 +1,119 @@
+#include "shell/AnswerParser.h"
+
+#include <boost/beast/http/basic_parser.hpp>
+
+#include <string>
+
+namespace pimento {
+
+namespace {
+
+namespace http = boost::beast::http;
+using boost::beast::error_code;
+using boost::beast::string_view;
+
+constexpr std::uint32_t MaxHeaderBytes = 64U << 10U;
+
+class Parser : public http::basic_parser<false> {
+public:
+  explicit Parser(AnswerHooks &TheHooks) : Hooks(TheHooks) {
+    body_limit(boost::none);
+    header_limit(MaxHeaderBytes);
+    eager(true);
+  }
+
+private:
+  void on_request_impl(http::verb, string_view, string_view, int,
+                       error_code &) override {}
+  void on_response_impl(int Code, string_view, int, error_code &) override {
+    Status = Code;
+  }
+  void on_field_impl(http::field, string_view Name, string_view Value,
+                     error_code &) override {
+    Headers.push_back({std::string(Name), std::string(Value)});
+  }
+  void on_header_impl(error_code &) override {
+    Hooks.Head(Status, std::move(Headers));
+  }
+  void on_body_init_impl(const boost::optional<std::uint64_t> &,
+                         error_code &) override {}
+  std::size_t on_body_impl(string_view Bytes, error_code &) override {
+    Hooks.Body({Bytes.data(), Bytes.size()});
+    return Bytes.size();
+  }
+  void on_chunk_header_impl(std::uint64_t, string_view, error_code &) override {
+  }
+  std::size_t on_chunk_body_impl(std::uint64_t, string_view Bytes,
+                                 error_code &) override {
+    Hooks.Body({Bytes.data(), Bytes.size()});
+    return Bytes.size();
+  }
+  void on_finish_impl(error_code &) override {}
+
+  AnswerHooks &Hooks;
+  int Status = 0;
+  std::vector<HttpHeader> Headers;
+};
+
+} // namespace
+
+struct AnswerParser::Impl {
+  explicit Impl(AnswerHooks TheHooks)
+      : Hooks(std::move(TheHooks)), Reader(Hooks) {}
+  AnswerHooks Hooks;
+  Parser Reader;
+  std::string Kept; // Bytes that the parser needs again with those behind.
+  bool Failed = false;
+};
+
+AnswerParser::AnswerParser(AnswerHooks Hooks)
+    : Data(std::make_unique<Impl>(std::move(Hooks))) {}
+AnswerParser::~AnswerParser() = default;
+
+std::size_t AnswerParser::feed(std::string_view Bytes) {
+  if (Data->Failed || Data->Reader.is_done())
+    return 0;
+  std::size_t Before = Data->Kept.size();
+  std::string Joined = std::move(Data->Kept);
+  Data->Kept.clear();
+  Joined += Bytes;
+  std::size_t Used = 0;
+  while (Used < Joined.size() && !Data->Reader.is_done()) {
+    error_code Error;
+    std::size_t Taken = Data->Reader.put(
+        boost::asio::const_buffer(Joined.data() + Used, Joined.size() - Used),
+        Error);
+    Used += Taken;
+    if (Error == http::error::need_more)
+      break;
+    if (Error) {
+      Data->Failed = true;
+      return Bytes.size();
+    }
+    if (Taken == 0)
+      break;
+  }
+  if (Data->Reader.is_done())
+    return Used > Before ? Used - Before : 0;
+  Data->Kept = Joined.substr(Used);
+  return Bytes.size();
+}
+
+void AnswerParser::end() {
+  if (Data->Failed || Data->Reader.is_done())
+    return;
+  error_code Error;
+  Data->Reader.put_eof(Error);
+  Data->Failed = static_cast<bool>(Error) || !Data->Reader.is_done();
+}
+
+bool AnswerParser::failed() const { return Data->Failed; }
+bool AnswerParser::done() const { return Data->Reader.is_done(); }
+bool AnswerParser::delimited() const {
+  return Data->Reader.is_header_done() && !Data->Reader.need_eof();
+}
+bool AnswerParser::keepsAlive() const {
+  return Data->Reader.is_header_done() && Data->Reader.keep_alive();
+}
+
+} // namespace pimento
--- a/packages/shell/HttpClient.cpp
+++ b/packages/shell/HttpClient.cpp
@@ -1,13 +1,16 @@
 #include "shell/HttpClient.h"
 
-#include "shell/Address.h"
+#include "shell/AnswerParser.h"
+#include "shell/SocketOptions.h"
 
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
-#include <event2/http.h>
-#include <event2/http_struct.h>
-#include <event2/keyvalq_struct.h>
 
+#include <netinet/in.h>
+
+#include <algorithm>
+#include <charconv>
+#include <deque>
 #include <unordered_map>
 #include <vector>
 
@@ -15,188 +18,348 @@
 
 namespace {
 
-/// The reducers bound every call in time; evhttp's own timeouts stay out.
-constexpr Duration NoTimeout = hours(24 * 365);
-constexpr std::size_t MaxAnswerHeaderBytes = 64U << 10U;
-
-evhttp_cmd_type commandOf(HttpMethod M) {
-  switch (M) {
-  case HttpMethod::Post:
-    return EVHTTP_REQ_POST;
-  case HttpMethod::Put:
-    return EVHTTP_REQ_PUT;
-  case HttpMethod::Delete:
-    return EVHTTP_REQ_DELETE;
-  case HttpMethod::Patch:
-    return EVHTTP_REQ_PATCH;
-  default:
-    return EVHTTP_REQ_GET;
-  }
+/// An idle connection is kept for so long where the server says nothing, and
+/// for this share of the time that it does say.
+constexpr Duration IdleTime = seconds(4);
+constexpr double IdleShare = 0.6;
+constexpr std::size_t IdleAtOneAddress = 8;
+constexpr Duration SweepInterval = seconds(2);
+
+Duration steadyNow() {
+  return std::chrono::steady_clock::now().time_since_epoch();
 }
 
-std::vector<HttpHeader> inputHeaders(evhttp_request *Request) {
-  std::vector<HttpHeader> Headers;
-  const evkeyvalq *List = evhttp_request_get_input_headers(Request);
-  for (const evkeyval *Entry = List->tqh_first; Entry;
-       Entry = Entry->next.tqe_next)
-    Headers.push_back({Entry->key, Entry->value});
-  return Headers;
+/// Whole seconds behind "timeout=" in a Keep-Alive header.
+Duration idleTimeOf(const std::vector<HttpHeader> &Headers) {
+  std::string_view Value = headerValue(Headers, "Keep-Alive");
+  constexpr std::string_view Field = "timeout=";
+  std::size_t At = Value.find(Field);
+  if (At == std::string_view::npos)
+    return IdleTime;
+  Value.remove_prefix(At + Field.size());
+  std::uint32_t Seconds = 0;
+  std::from_chars(Value.data(), Value.data() + Value.size(), Seconds);
+  return std::min(IdleTime, fromSeconds(IdleShare * Seconds));
 }
 
-const char *describe(evhttp_request_error Error) {
-  switch (Error) {
-  case EVREQ_HTTP_TIMEOUT:
-    return "timeout";
-  case EVREQ_HTTP_EOF:
-    return "connection closed";
-  case EVREQ_HTTP_INVALID_HEADER:
-    return "invalid header";
-  case EVREQ_HTTP_BUFFER_ERROR:
-    return "buffer error";
-  case EVREQ_HTTP_REQUEST_CANCEL:
-    return "cancelled";
-  case EVREQ_HTTP_DATA_TOO_LONG:
-    return "answer too long";
-  }
-  return "broken";
+bool hasHeader(const std::vector<HttpHeader> &Headers, std::string_view Name) {
+  auto Is = [&](const HttpHeader &H) { return sameHeaderName(H.Name, Name); };
+  return std::any_of(Headers.begin(), Headers.end(), Is);
+}
+
+std::string headText(const UpstreamRequest &R) {
+  std::string Text =
+      std::string(toString(R.Method)) + " " + R.Target + " HTTP/1.1\r\n";
+  if (!hasHeader(R.Headers, "Host"))
+    Text += "Host: " + R.Address + "\r\n";
+  for (const HttpHeader &Header : R.Headers)
+    Text += Header.Name + ": " + Header.Value + "\r\n";
+  if (!R.Body.empty() || R.Method != HttpMethod::Get)
+    Text += "Content-Length: " + std::to_string(R.Body.size()) + "\r\n";
+  return Text + "\r\n";
 }
 
 } // namespace
 
 struct HttpClient::Impl {
-  struct Call {
+  /// One connection, with at most one call on it.
+  struct Connection {
     Impl *Client = nullptr;
-    UpstreamId Id{};
-    evhttp_connection *Link = nullptr;
+    std::string Address;
+    bufferevent *Stream = nullptr;
+    bool Connected = false;
+    bool Dead = false; // Freed soon; no callback does anything any more.
+    Duration IdleUntil = Duration::zero(); // Without a call.
+
+    UpstreamId Call{}; // Zero: none.
+    UpstreamRequest Request;
     std::unique_ptr<Timer> ConnectTimer;
+    std::unique_ptr<AnswerParser> Parser;
     bool Sent = false;
-    bool Ended = false; // No hook is called any more.
-    const char *Error = nullptr;
+    bool Stray = false; // The answer that is read is another request's.
+    bool KeptIdle = false;
+    Duration MayIdle = IdleTime;
+
+    ~Connection() {
+      if (Stream != nullptr)
+        bufferevent_free(Stream);
+    }
   };
 
   event_base *Base;
   HttpClientHooks Hooks;
-  std::unordered_map<std::uint64_t, std::unique_ptr<Call>> Calls;
-  std::vector<std::unique_ptr<Call>> Ended; // Freed outside callbacks.
+  HttpClientCounters Counters;
+  std::unordered_map<Connection *, std::unique_ptr<Connection>> All;
+  std::unordered_map<std::uint64_t, Connection *> Calls;
+  std::unordered_map<std::string, std::deque<Connection *>> Idle;
+  std::unordered_map<std::string, std::uint32_t> Open; // By address.
   std::unique_ptr<Timer> Reaper;
+  std::unique_ptr<Timer> Sweep;
 
+  static void onRead(bufferevent *, void *Self);
+  static void onEvent(bufferevent *, short What, void *Self);
   static void onSent(evbuffer *, const evbuffer_cb_info *Info, void *Self);
-  static int onHead(evhttp_request *Request, void *Self);
-  static void onData(evhttp_request *Request, void *Self);
-  static void onError(evhttp_request_error Error, void *Self);
-  static void onDone(evhttp_request *Request, void *Self);
-
-  void start(Call &C, const UpstreamRequest &Request);
-  void end(Call &C);
-  void fail(Call &C, bool TimedOut, const char *Detail);
-  Call *find(UpstreamId Id);
+
+  Connection *takeIdle(const std::string &Address);
+  Connection *connect(const UpstreamRequest &Request);
+  void start(Connection &C);
+  void resetParser(Connection &C);
+  void headRead(Connection &C, int Status, std::vector<HttpHeader> Headers);
+  void read(Connection &C);
+  void answered(Connection &C);
+  void fail(Connection &C, bool TimedOut, const char *Detail);
+  void release(Connection &C);
+  void kill(Connection &C);
+  void sweep();
 };
 
+/// libevent may still stand on the connection's stack: it is freed a little
+/// later.
+void HttpClient::Impl::kill(Connection &C) {
+  if (C.Dead)
+    return;
+  C.Dead = true;
+  C.ConnectTimer.reset();
+  bufferevent_disable(C.Stream, EV_READ | EV_WRITE);
+  auto Kept = Idle.find(C.Address);
+  if (Kept != Idle.end()) {
+    auto &List = Kept->second;
+    List.erase(std::remove(List.begin(), List.end(), &C), List.end());
+    if (List.empty())
+      Idle.erase(Kept);
+  }
+  auto Count = Open.find(C.Address);
+  if (--Count->second == 0)
+    Open.erase(Count);
+  Reaper->start(Duration::zero());
+}
+
+void HttpClient::Impl::fail(Connection &C, bool TimedOut, const char *Detail) {
+  UpstreamFailure Why;
+  Why.BytesSent = C.Sent;
+  Why.TimedOut = TimedOut;
+  Why.Detail = Detail;
+  UpstreamId Id = C.Call;
+  kill(C);
+  if (Id == UpstreamId{})
+    return;
+  Calls.erase(static_cast<std::uint64_t>(Id));
+  C.Call = UpstreamId{};
+  Hooks.Failed(Id, std::move(Why));
+}
+
 void HttpClient::Impl::onSent(evbuffer *, const evbuffer_cb_info *Info,
                               void *Self) {
-  auto &C = *static_cast<Call *>(Self);
-  if (Info->n_deleted == 0 || C.Sent || C.Ended)
+  auto &C = *static_cast<Connection *>(Self);
+  if (Info->n_deleted == 0 || C.Sent || C.Dead || C.Call == UpstreamId{})
     return;
   C.Sent = true;
-  C.ConnectTimer->stop();
-  C.Client->Hooks.Sent(C.Id);
+  C.Client->Hooks.Sent(C.Call);
 }
 
-int HttpClient::Impl::onHead(evhttp_request *Request, void *Self) {
-  auto &C = *static_cast<Call *>(Self);
-  if (!C.Ended)
-    C.Client->Hooks.Head(C.Id, evhttp_request_get_response_code(Request),
-                         inputHeaders(Request));
-  return 0;
+void HttpClient::Impl::onEvent(bufferevent *, short What, void *Self) {
+  auto &C = *static_cast<Connection *>(Self);
+  if (C.Dead)
+    return;
+  Impl &Client = *C.Client;
+  if (What & BEV_EVENT_CONNECTED) {
+    C.Connected = true;
+    C.ConnectTimer->stop();
+    setSocketOptions(bufferevent_getfd(C.Stream));
+    return;
+  }
+  if (C.Call == UpstreamId{}) {
+    Client.kill(C);
+    return;
+  }
+  Client.read(C);
+  if (C.Dead || C.Call == UpstreamId{})
+    return;
+  bool Clean = (What & BEV_EVENT_EOF) != 0;
+  if (Clean)
+    C.Parser->end();
+  if (Clean && C.Parser->done() && !C.Stray)
+    Client.answered(C);
+  else
+    Client.fail(C, false, C.Connected ? "connection closed" : "no connection");
 }
 
-void HttpClient::Impl::onData(evhttp_request *Request, void *Self) {
-  auto &C = *static_cast<Call *>(Self);
-  evbuffer *Input = evhttp_request_get_input_buffer(Request);
-  std::string Bytes(evbuffer_get_length(Input), '\0');
-  evbuffer_remove(Input, Bytes.data(), Bytes.size());
-  if (!C.Ended && !Bytes.empty())
-    C.Client->Hooks.Data(C.Id, std::move(Bytes));
+void HttpClient::Impl::onRead(bufferevent *, void *Self) {
+  auto &C = *static_cast<Connection *>(Self);
+  if (C.Dead)
+    return;
+  if (C.Call == UpstreamId{})
+    C.Client->kill(C); // Nothing was asked: whatever it is, it is nobody's.
+  else
+    C.Client->read(C);
 }
 
-void HttpClient::Impl::onError(evhttp_request_error Error, void *Self) {
-  static_cast<Call *>(Self)->Error = describe(Error);
+void HttpClient::Impl::read(Connection &C) {
+  evbuffer *Input = bufferevent_get_input(C.Stream);
+  while (!C.Dead && C.Call != UpstreamId{}) {
+    std::size_t Size = evbuffer_get_contiguous_space(Input);
+    if (Size == 0)
+      return;
+    const auto *Bytes =
+        reinterpret_cast<const char *>(evbuffer_pullup(Input, Size));
+    std::string Copy(Bytes, Size); // Hooks may free what the buffer holds.
+    std::size_t Used = C.Parser->feed(Copy);
+    if (C.Dead || C.Call == UpstreamId{})
+      return;
+    evbuffer_drain(Input, Used);
+    if (C.Parser->failed()) {
+      fail(C, false, "the answer is malformed");
+      return;
+    }
+    if (!C.Parser->done())
+      continue;
+    if (!C.Stray) {
+      answered(C);
+      return;
+    }
+    if (!C.Parser->keepsAlive()) {
+      fail(C, false, "connection closed");
+      return;
+    }
+    resetParser(C);
+  }
 }
 
-void HttpClient::Impl::onDone(evhttp_request *Request, void *Self) {
-  auto &C = *static_cast<Call *>(Self);
-  if (C.Ended)
-    return;
-  bool Answered = Request && evhttp_request_get_response_code(Request) != 0;
-  if (!Answered || C.Error) {
-    C.Client->fail(C, false, C.Error ? C.Error : "no connection");
-    return;
+void HttpClient::Impl::headRead(Connection &C, int Status,
+                                std::vector<HttpHeader> Headers) {
+  constexpr int FirstFinalStatus = 200;
+  const HttpHeader &Echo = C.Request.EchoHeader;
+  std::string_view Seen = headerValue(Headers, Echo.Name);
+  bool Other = !Echo.Value.empty() && !Seen.empty() && Seen != Echo.Value;
+  C.Stray = Other || Status < FirstFinalStatus;
+  if (Other) {
+    ++Counters.Strays;
+    C.KeptIdle = false;
   }
-  onData(Request, Self);
-  const evkeyvalq *Headers = evhttp_request_get_input_headers(Request);
-  bool Delimited = evhttp_find_header(Headers, "Content-Length") ||
-                   evhttp_find_header(Headers, "Transfer-Encoding");
-  UpstreamId Id = C.Id;
-  Impl &Client = *C.Client;
-  Client.end(C);
-  Client.Hooks.End(Id, Delimited);
+  if (C.Stray)
+    return;
+  C.MayIdle = idleTimeOf(Headers);
+  Hooks.Head(C.Call, Status, std::move(Headers));
 }
 
-HttpClient::Impl::Call *HttpClient::Impl::find(UpstreamId Id) {
-  auto Found = Calls.find(static_cast<std::uint64_t>(Id));
-  return Found == Calls.end() ? nullptr : Found->second.get();
+void HttpClient::Impl::resetParser(Connection &C) {
+  C.Stray = false;
+  AnswerHooks Read;
+  Read.Head = [this, &C](int Status, std::vector<HttpHeader> Headers) {
+    headRead(C, Status, std::move(Headers));
+  };
+  Read.Body = [this, &C](std::string_view Bytes) {
+    if (!C.Stray && !C.Dead && C.Call != UpstreamId{})
+      Hooks.Data(C.Call, std::string(Bytes));
+  };
+  C.Parser = std::make_unique<AnswerParser>(std::move(Read));
 }
 
-/// evhttp may still stand on the call's stack: it is freed a little later.
-void HttpClient::Impl::end(Call &C) {
-  C.Ended = true;
-  auto Found = Calls.find(static_cast<std::uint64_t>(C.Id));
-  Ended.push_back(std::move(Found->second));
-  Calls.erase(Found);
-  Reaper->start(Duration::zero());
+void HttpClient::Impl::answered(Connection &C) {
+  UpstreamId Id = C.Call;
+  bool Delimited = C.Parser->delimited();
+  evbuffer *Input = bufferevent_get_input(C.Stream);
+  evbuffer *Output = bufferevent_get_output(C.Stream);
+  bool Clean =
+      evbuffer_get_length(Input) == 0 && evbuffer_get_length(Output) == 0;
+  bool Keep = Delimited && Clean && C.KeptIdle && C.Parser->keepsAlive() &&
+              C.MayIdle > Duration::zero();
+  Calls.erase(static_cast<std::uint64_t>(Id));
+  C.Call = UpstreamId{};
+  if (Keep)
+    release(C);
+  else
+    kill(C);
+  Hooks.End(Id, Delimited);
 }
 
-void HttpClient::Impl::fail(Call &C, bool TimedOut, const char *Detail) {
-  UpstreamFailure Why;
-  Why.BytesSent = C.Sent;
-  Why.TimedOut = TimedOut;
-  Why.Detail = Detail;
-  UpstreamId Id = C.Id;
-  end(C);
-  Hooks.Failed(Id, std::move(Why));
+/// Keeps the connection for a later call.
+void HttpClient::Impl::release(Connection &C) {
+  C.IdleUntil = steadyNow() + C.MayIdle;
+  C.Request = UpstreamRequest();
+  auto &List = Idle[C.Address];
+  List.push_back(&C);
+  if (List.size() > IdleAtOneAddress)
+    kill(*List.front());
+  if (!Sweep->pending())
+    Sweep->start(SweepInterval);
 }
 
-void HttpClient::Impl::start(Call &C, const UpstreamRequest &Request) {
-  IpPort Target;
-  if (!splitAddress(Request.Address, Target)) {
-    fail(C, false, "the address is not ip:port");
-    return;
+void HttpClient::Impl::sweep() {
+  Duration Now = steadyNow();
+  std::vector<Connection *> Old;
+  for (auto &[Address, List] : Idle) {
+    for (Connection *C : List) {
+      if (C->IdleUntil < Now)
+        Old.push_back(C);
+    }
   }
-  C.Link =
-      evhttp_connection_base_new(Base, nullptr, Target.Ip.c_str(), Target.Port);
-  timeval Never = toTimeval(NoTimeout);
-  evhttp_connection_set_timeout_tv(C.Link, &Never);
-  evhttp_connection_set_max_headers_size(
-      C.Link, static_cast<ev_ssize_t>(MaxAnswerHeaderBytes));
-  bufferevent *Stream = evhttp_connection_get_bufferevent(C.Link);
-  evbuffer_add_cb(bufferevent_get_output(Stream), &Impl::onSent, &C);
-  evhttp_request *Call = evhttp_request_new(&Impl::onDone, &C);
-  evhttp_request_set_header_cb(Call, &Impl::onHead);
-  evhttp_request_set_chunked_cb(Call, &Impl::onData);
-  evhttp_request_set_error_cb(Call, &Impl::onError);
-  evkeyvalq *Output = evhttp_request_get_output_headers(Call);
-  evhttp_add_header(Output, "Host", Request.Address.c_str());
-  evhttp_add_header(Output, "Connection", "close");
-  for (const HttpHeader &Header : Request.Headers)
-    evhttp_add_header(Output, Header.Name.c_str(), Header.Value.c_str());
-  evbuffer_add(evhttp_request_get_output_buffer(Call), Request.Body.data(),
-               Request.Body.size());
+  for (Connection *C : Old)
+    kill(*C);
+  if (!Idle.empty())
+    Sweep->start(SweepInterval);
+}
+
+/// The connection that was used last, as long as it may be used.
+HttpClient::Impl::Connection *
+HttpClient::Impl::takeIdle(const std::string &Address) {
+  Duration Now = steadyNow();
+  for (;;) {
+    auto Found = Idle.find(Address);
+    if (Found == Idle.end())
+      return nullptr;
+    Connection *C = Found->second.back();
+    bool Usable = C->IdleUntil > Now &&
+                  evbuffer_get_length(bufferevent_get_input(C->Stream)) == 0;
+    if (!Usable) {
+      kill(*C);
+      continue;
+    }
+    Found->second.pop_back();
+    if (Found->second.empty())
+      Idle.erase(Found);
+    return C;
+  }
+}
+
+HttpClient::Impl::Connection *
+HttpClient::Impl::connect(const UpstreamRequest &Request) {
+  sockaddr_storage Target{};
+  int Size = sizeof(Target);
+  if (evutil_parse_sockaddr_port(Request.Address.c_str(),
+                                 reinterpret_cast<sockaddr *>(&Target),
+                                 &Size) != 0)
+    return nullptr;
+  auto Owned = std::make_unique<Connection>();
+  Connection &C = *Owned;
+  C.Client = this;
+  C.Address = Request.Address;
+  C.Stream = bufferevent_socket_new(Base, -1, BEV_OPT_CLOSE_ON_FREE);
+  All.emplace(&C, std::move(Owned));
+  ++Open[C.Address];
+  ++Counters.Opened;
+  bufferevent_setcb(C.Stream, &Impl::onRead, nullptr, &Impl::onEvent, &C);
+  evbuffer_add_cb(bufferevent_get_output(C.Stream), &Impl::onSent, &C);
+  C.ConnectTimer = std::make_unique<Timer>(
+      Base, [this, &C] { fail(C, true, "connect timeout"); });
   C.ConnectTimer->start(Request.ConnectTimeout);
-  // A request that evhttp refuses at once is reported through onDone.
-  if (evhttp_make_request(C.Link, Call, commandOf(Request.Method),
-                          Request.Target.c_str()) != 0 &&
-      !C.Ended)
-    fail(C, false, "no connection");
+  bufferevent_enable(C.Stream, EV_READ | EV_WRITE);
+  if (bufferevent_socket_connect(
+          C.Stream, reinterpret_cast<sockaddr *>(&Target), Size) != 0) {
+    kill(C);
+    return nullptr;
+  }
+  return &C;
+}
+
+void HttpClient::Impl::start(Connection &C) {
+  C.Sent = false;
+  C.KeptIdle = true;
+  resetParser(C);
+  std::string Head = headText(C.Request);
+  evbuffer *Output = bufferevent_get_output(C.Stream);
+  evbuffer_add(Output, Head.data(), Head.size());
+  evbuffer_add(Output, C.Request.Body.data(), C.Request.Body.size());
 }
 
 HttpClient::HttpClient(event_base *Base, HttpClientHooks Hooks)
@@ -204,54 +367,78 @@
   Data->Base = Base;
   Data->Hooks = std::move(Hooks);
   Data->Reaper = std::make_unique<Timer>(Base, [this] {
-    for (auto &Call : Data->Ended) {
-      if (Call->Link)
-        evhttp_connection_free(Call->Link);
-    }
-    Data->Ended.clear();
+    for (auto It = Data->All.begin(); It != Data->All.end();)
+      It = It->second->Dead ? Data->All.erase(It) : std::next(It);
   });
+  Data->Sweep = std::make_unique<Timer>(Base, [this] { Data->sweep(); });
 }
 
-HttpClient::~HttpClient() {
-  for (auto &[Id, Call] : Data->Calls) {
-    Call->Ended = true;
-    if (Call->Link)
-      evhttp_connection_free(Call->Link);
-  }
-  for (auto &Call : Data->Ended) {
-    if (Call->Link)
-      evhttp_connection_free(Call->Link);
-  }
-}
+HttpClient::~HttpClient() = default;
 
 void HttpClient::open(UpstreamId Id, const UpstreamRequest &Request) {
-  auto Owned = std::make_unique<Impl::Call>();
-  Impl::Call &C = *Owned;
-  C.Client = Data.get();
-  C.Id = Id;
-  C.ConnectTimer = std::make_unique<Timer>(Data->Base, [this, Id] {
-    if (Impl::Call *Waiting = Data->find(Id))
-      Data->fail(*Waiting, true, "connect timeout");
-  });
-  Data->Calls[static_cast<std::uint64_t>(Id)] = std::move(Owned);
-  Data->start(C, Request);
+  Impl::Connection *C =
+      Request.MayReuse ? Data->takeIdle(Request.Address) : nullptr;
+  bool Reused = C != nullptr;
+  Data->Counters.Reused += Reused ? 1 : 0;
+  UpstreamFailure Why;
+  Why.BytesSent = false;
+  if (!Reused) {
+    auto Open = Data->Open.find(Request.Address);
+    bool Full = Request.ConnectionLimit != 0 && Open != Data->Open.end() &&
+                Open->second >= Request.ConnectionLimit;
+    // An idle connection makes room for a new one.
+    auto Idle = Data->Idle.find(Request.Address);
+    if (Full && Idle != Data->Idle.end()) {
+      Data->kill(*Idle->second.front());
+      Full = false;
+    }
+    Data->Counters.Refused += Full ? 1 : 0;
+    Why.Detail = Full ? "the limit of connections is reached" : "no connection";
+    C = Full ? nullptr : Data->connect(Request);
+  }
+  if (C == nullptr || C->Dead) {
+    Data->Hooks.Failed(Id, std::move(Why));
+    return;
+  }
+  C->Call = Id;
+  C->Request = Request;
+  Data->Calls[static_cast<std::uint64_t>(Id)] = C;
+  Data->start(*C);
 }
 
 void HttpClient::abort(UpstreamId Id) {
-  if (Impl::Call *C = Data->find(Id))
-    Data->end(*C);
+  auto Found = Data->Calls.find(static_cast<std::uint64_t>(Id));
+  if (Found == Data->Calls.end())
+    return;
+  Impl::Connection &C = *Found->second;
+  Data->Calls.erase(Found);
+  C.Call = UpstreamId{};
+  Data->kill(C);
 }
 
 void HttpClient::pause(UpstreamId Id) {
-  if (Impl::Call *C = Data->find(Id))
-    bufferevent_disable(evhttp_connection_get_bufferevent(C->Link), EV_READ);
+  auto Found = Data->Calls.find(static_cast<std::uint64_t>(Id));
+  if (Found != Data->Calls.end())
+    bufferevent_disable(Found->second->Stream, EV_READ);
 }
 
 void HttpClient::resume(UpstreamId Id) {
-  if (Impl::Call *C = Data->find(Id))
-    bufferevent_enable(evhttp_connection_get_bufferevent(C->Link), EV_READ);
+  auto Found = Data->Calls.find(static_cast<std::uint64_t>(Id));
+  if (Found != Data->Calls.end())
+    bufferevent_enable(Found->second->Stream, EV_READ);
 }
 
 std::size_t HttpClient::calls() const { return Data->Calls.size(); }
 
+std::size_t HttpClient::connections() const {
+  std::size_t Sum = 0;
+  for (const auto &[Address, Count] : Data->Open)
+    Sum += Count;
+  return Sum;
+}
+
+const HttpClientCounters &HttpClient::counters() const {
+  return Data->Counters;
+}
+
 } // namespace pimento
--- a/packages/shell/HttpClient.h
+++ b/packages/shell/HttpClient.h
@@ -1,7 +1,10 @@
-//===- HttpClient.h - evhttp towards backend servers ------------*- C++ -*-===//
+//===- HttpClient.h - Requests to backend servers ---------------*- C++ -*-===//
 //
-// Opens one connection for each call. The bytes that leave are counted at the
-// connection's output buffer, so that a failure can prove that none did.
+// Keeps connections open between calls. An idle connection on which anything
+// comes, or that the server announced to close soon, is never used again, nor
+// is one whose call was aborted, failed, or was answered before all of the
+// request was written. The bytes that leave are counted at the connection's
+// output buffer, so that a failure can prove that none did.
 //
 //===----------------------------------------------------------------------===//
 #pragma once
@@ -26,6 +29,14 @@
   std::function<void(UpstreamId, UpstreamFailure)> Failed;
 };
 
+/// What went on since the start.
+struct HttpClientCounters {
+  std::uint64_t Opened = 0;  // Connections.
+  std::uint64_t Reused = 0;  // Calls on a connection that was open already.
+  std::uint64_t Strays = 0;  // Answers to other requests, dropped.
+  std::uint64_t Refused = 0; // Calls beyond an address's limit.
+};
+
 class HttpClient {
 public:
   HttpClient(event_base *Base, HttpClientHooks Hooks);
@@ -41,6 +52,8 @@
   void resume(UpstreamId Id);
 
   std::size_t calls() const;
+  std::size_t connections() const;
+  const HttpClientCounters &counters() const;
 
 private:
   struct Impl;
--- a/packages/shell/HttpServer.cpp
+++ b/packages/shell/HttpServer.cpp
@@ -2,6 +2,7 @@
 
 #include "base/Problem.h"
 #include "shell/Address.h"
+#include "shell/SocketOptions.h"
 
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
@@ -60,6 +61,8 @@
   }
   if (const char *Query = Uri ? evhttp_uri_get_query(Uri) : nullptr)
     Result.Query = Query;
+  if (const char *Target = evhttp_request_get_uri(Request))
+    Result.Target = Target;
   const evkeyvalq *Headers = evhttp_request_get_input_headers(Request);
   for (const evkeyval *Entry = Headers->tqh_first; Entry;
        Entry = Entry->next.tqe_next)
@@ -123,6 +126,7 @@
     Duration ReadingSince = Duration::zero(); // Zero: no part of a request.
     Duration IdleSince = Duration::zero();
     std::size_t ReadBytes = 0; // Of the request that is being read.
+    bool Prepared = false;     // Its socket's options are set.
     bool Replying = false;     // What is written is this server's own reply.
     bool Closing = false;
   };
@@ -261,6 +265,9 @@
   if (!Link)
     return;
   Link->ReadingSince = Duration::zero();
+  if (!Link->Prepared)
+    setSocketOptions(bufferevent_getfd(Link->Stream));
+  Link->Prepared = true;
   ExchangeId Id{Server.NextExchange++};
   Link->Open = Id;
   Link->Replying = true;
@@ -420,6 +427,8 @@
                                  EVHTTP_REQ_DELETE | EVHTTP_REQ_PATCH);
   timeval Never = toTimeval(NoTimeout);
   evhttp_set_timeout_tv(Data->Http, &Never);
+  // A reply has the headers that it is given.
+  evhttp_set_default_content_type(Data->Http, nullptr);
   evhttp_set_bevcb(Data->Http, &Impl::accept, Data.get());
   evhttp_set_gencb(Data->Http, &Impl::onRequest, Data.get());
   Data->Sweep = std::make_unique<Timer>(Base, [this] { Data->sweep(); });
--- a/packages/shell/Logger.cpp
+++ b/packages/shell/Logger.cpp
@@ -1,6 +1,7 @@
 #include "shell/Logger.h"
 
 #include "base/Json.h"
+#include "shell/LineWriter.h"
 
 #include <boost/core/null_deleter.hpp>
 #include <boost/log/core.hpp>
@@ -15,13 +16,43 @@
 #include <ctime>
 #include <fstream>
 #include <iostream>
+#include <map>
+#include <unistd.h>
 
 namespace pimento {
 
 namespace {
 
 using Backend = boost::log::sinks::text_ostream_backend;
-using Sink = boost::log::sinks::synchronous_sink<Backend>;
+
+/// Standard output, whose reader may stop reading.
+class OutputBackend : public boost::log::sinks::basic_formatted_sink_backend<
+                          char, boost::log::sinks::synchronized_feeding> {
+public:
+  void consume(const boost::log::record_view &, const std::string &Line) {
+    addLine(Writer, Line, Urgent);
+  }
+
+  LineWriter Writer = makeLineWriter(STDOUT_FILENO);
+  bool Urgent = false; // The line that comes next.
+};
+
+/// A request's last line is what an operator looks for first.
+constexpr const char *LastLineKind = "request";
+constexpr std::uint64_t LastLineShare = 4; // Of the bound of other kinds.
+
+/// Lines of one kind in the current second.
+struct KindCount {
+  std::int64_t Second = 0;
+  std::uint64_t Lines = 0;
+  std::uint64_t LeftOut = 0;
+};
+
+std::int64_t steadySecond() {
+  return std::chrono::duration_cast<seconds>(
+             std::chrono::steady_clock::now().time_since_epoch())
+      .count();
+}
 
 const char *nameOf(LogLevel Level) {
   switch (Level) {
@@ -57,10 +88,54 @@
 struct Logger::Impl {
   LogLevel Least = LogLevel::Info;
   HostId Host;
-  boost::shared_ptr<Sink> Output;
+  std::uint64_t LinesPerSecond = 0;
+  std::map<std::string, KindCount> Kinds;
+  boost::shared_ptr<boost::log::sinks::sink> Output;
+  boost::shared_ptr<OutputBackend> Standard; // Null: it writes elsewhere.
   boost::log::sources::logger Source;
+
+  bool admit(const char *Kind);
+  void emit(LogLevel Level, const DecisionRecord &Record);
 };
 
+template <class SinkBackend>
+boost::shared_ptr<boost::log::sinks::sink>
+sinkOf(boost::shared_ptr<SinkBackend> Lines) {
+  using Sink = boost::log::sinks::synchronous_sink<SinkBackend>;
+  auto Output = boost::make_shared<Sink>(Lines);
+  Output->set_formatter(boost::log::expressions::stream
+                        << boost::log::expressions::smessage);
+  return Output;
+}
+
+/// Whether one more line of this kind fits into the second. Tells how many did
+/// not, once the second is over.
+bool Logger::Impl::admit(const char *Kind) {
+  KindCount &Count = Kinds[Kind];
+  std::int64_t Second = steadySecond();
+  if (Count.Second != Second) {
+    std::uint64_t LeftOut = Count.LeftOut;
+    Count = KindCount();
+    Count.Second = Second;
+    if (LeftOut > 0) {
+      DecisionRecord Record;
+      Record.Kind = "lines_left_out";
+      Record.Reason = Kind;
+      Record.add("count", static_cast<std::int64_t>(LeftOut));
+      emit(LogLevel::Warning, Record);
+    }
+  }
+  std::uint64_t Bound = LinesPerSecond;
+  if (std::string_view(Kind) == LastLineKind)
+    Bound *= LastLineShare;
+  if (Count.Lines < Bound) {
+    ++Count.Lines;
+    return true;
+  }
+  ++Count.LeftOut;
+  return false;
+}
+
 LogLevel logLevelOf(std::string_view Name) {
   for (LogLevel Level : {LogLevel::Debug, LogLevel::Warning, LogLevel::Error}) {
     if (Name == nameOf(Level))
@@ -73,30 +148,35 @@
     : Data(std::make_unique<Impl>()) {
   Data->Least = logLevelOf(Settings.Level);
   Data->Host = std::move(Host);
-  auto Lines = boost::make_shared<Backend>();
-  auto File = boost::make_shared<std::ofstream>();
-  if (!Settings.File.empty())
-    File->open(Settings.File, std::ios::app);
-  if (File->is_open())
-    Lines->add_stream(File);
-  else
-    Lines->add_stream(
-        boost::shared_ptr<std::ostream>(&std::clog, boost::null_deleter()));
-  Lines->auto_flush(true);
-  Data->Output = boost::make_shared<Sink>(Lines);
-  Data->Output->set_formatter(boost::log::expressions::stream
-                              << boost::log::expressions::smessage);
+  Data->LinesPerSecond = Settings.LinesPerSecond;
+  if (Settings.File == "stdout") {
+    Data->Standard = boost::make_shared<OutputBackend>();
+    Data->Output = sinkOf(Data->Standard);
+  } else {
+    auto Lines = boost::make_shared<Backend>();
+    auto File = boost::make_shared<std::ofstream>();
+    if (!Settings.File.empty())
+      File->open(Settings.File, std::ios::app);
+    if (File->is_open())
+      Lines->add_stream(File);
+    else
+      Lines->add_stream(
+          boost::shared_ptr<std::ostream>(&std::clog, boost::null_deleter()));
+    Lines->auto_flush(true);
+    Data->Output = sinkOf(Lines);
+  }
   boost::log::core::get()->add_sink(Data->Output);
 }
 
-Logger::~Logger() { boost::log::core::get()->remove_sink(Data->Output); }
+Logger::~Logger() {
+  flush();
+  boost::log::core::get()->remove_sink(Data->Output);
+}
 
-void Logger::write(LogLevel Level, const DecisionRecord &Record) {
-  if (Level < Data->Least)
-    return;
+void Logger::Impl::emit(LogLevel Level, const DecisionRecord &Record) {
   Json Line = {{"time", wallTime()},
                {"level", nameOf(Level)},
-               {"host", Data->Host.Value},
+               {"host", Host.Value},
                {"kind", Record.Kind}};
   if (!Record.Request.empty())
     Line["request"] = toString(Record.Request);
@@ -105,8 +185,24 @@
   for (const DecisionField &Field : Record.Fields)
     std::visit([&](const auto &Value) { Line[Field.Name] = Value; },
                Field.Value);
-  BOOST_LOG(Data->Source) << Line.dump(-1, ' ', false,
-                                       Json::error_handler_t::replace);
+  if (Standard)
+    Standard->Urgent = std::string_view(Record.Kind) == LastLineKind;
+  BOOST_LOG(Source) << Line.dump(-1, ' ', false,
+                                 Json::error_handler_t::replace);
+}
+
+void Logger::write(LogLevel Level, const DecisionRecord &Record) {
+  if (Level >= Data->Least && Data->admit(Record.Kind))
+    Data->emit(Level, Record);
+}
+
+void Logger::flush() {
+  if (Data->Standard)
+    flushLines(Data->Standard->Writer);
+}
+
+std::uint64_t Logger::linesDropped() const {
+  return Data->Standard ? Data->Standard->Writer.Dropped : 0;
 }
 
 void Logger::write(LogLevel Level, const char *Kind, std::string Reason) {
--- a/packages/shell/Logger.h
+++ b/packages/shell/Logger.h
@@ -15,7 +15,9 @@
 /// The level of this name; Info for any other text.
 LogLevel logLevelOf(std::string_view Name);
 
-/// Writes one JSON object a line through Boost.Log. Fields: time (UTC), level,
+/// Writes one JSON object a line through Boost.Log, a bounded number a second
+/// of each kind. Lines for standard output wait for flush(), which never
+/// blocks. Fields: time (UTC), level,
 /// host, kind, request, reason, and those of the record.
 class Logger {
 public:
@@ -26,6 +28,10 @@
   Logger &operator=(const Logger &) = delete;
 
   void write(LogLevel Level, const DecisionRecord &Record);
+  /// Writes what waits for standard output, as far as it is taken.
+  void flush();
+  /// Lines that nobody took in time.
+  std::uint64_t linesDropped() const;
   /// A line of kind \p Kind without fields.
   void write(LogLevel Level, const char *Kind, std::string Reason);
 
--- a/packages/shell/PeerLinks.cpp
+++ b/packages/shell/PeerLinks.cpp
@@ -57,6 +57,7 @@
   struct Peer {
     std::string Address;
     std::deque<std::string> Waiting; // Frames, while no link is ready.
+    std::size_t WaitingBytes = 0;
     TimePoint NextDial;
   };
 
@@ -66,6 +67,8 @@
   std::string Token;
   PeerLinksHooks Hooks;
   std::map<HostId, Peer> Peers;
+  std::string SitePort;  // Not empty: any host with the token is a peer; its
+                         // name is its IP address.
   std::list<Link> Links; // Newest last.
   std::unique_ptr<evconnlistener, ListenerDeleter> Listener;
   std::unique_ptr<Timer> Reaper;
@@ -81,6 +84,7 @@
   void take(Link &L, Message M);
   void answer(Link &L, const Challenge &C);
   void accept(Link &L, const Hello &H);
+  Peer *peerOf(const HostId &Host);
   void drop(Link &L, Code Number, std::string Detail);
   void markDead(Link &L);
   void dial(const HostId &To, Peer &P);
@@ -170,10 +174,24 @@
   L.Socket->send(encode(H));
 }
 
+/// The peer of this name, made where any host may be one; null for others.
+PeerLinks::Impl::Peer *PeerLinks::Impl::peerOf(const HostId &Host) {
+  if (Host == Self || Host.empty())
+    return nullptr;
+  auto Found = Peers.find(Host);
+  if (Found != Peers.end())
+    return &Found->second;
+  if (SitePort.empty())
+    return nullptr;
+  Peer &P = Peers[Host];
+  P.Address = Host.Value + ":" + SitePort;
+  return &P;
+}
+
 void PeerLinks::Impl::accept(Link &L, const Hello &H) {
   std::string Expected = linkProof(Token, L.Nonce, H.Host, H.Life);
   bool Proved = equalConstantTime(Expected, H.Proof);
-  bool Known = Peers.count(H.Host) > 0 && H.Host != Self;
+  bool Known = peerOf(H.Host) != nullptr;
   bool Meant = L.Dialled.empty() || L.Dialled == H.Host;
   if (!Proved || !Known || !Meant) {
     drop(L, Code::PeerUnauthorized,
@@ -237,6 +255,7 @@
   Link *L = readyLink(To);
   while (L && !P.Waiting.empty()) {
     sendOn(*L, P.Waiting.front());
+    P.WaitingBytes -= P.Waiting.front().size();
     P.Waiting.pop_front();
   }
 }
@@ -259,6 +278,8 @@
 
 PeerLinks::~PeerLinks() = default;
 
+void PeerLinks::admitSite(const std::string &Port) { Data->SitePort = Port; }
+
 bool PeerLinks::listen(const std::string &Address) {
   sockaddr_storage Target{};
   int Size = sizeof(Target);
@@ -274,17 +295,20 @@
 }
 
 void PeerLinks::send(const HostId &To, const Message &M) {
-  auto Found = Data->Peers.find(To);
-  if (Found == Data->Peers.end() || To == Data->Self)
+  Impl::Peer *Found = Data->peerOf(To);
+  if (Found == nullptr)
     return;
-  Impl::Peer &P = Found->second;
+  Impl::Peer &P = *Found;
   std::string Frame = encode(M);
   if (Impl::Link *L = Data->readyLink(To)) {
     Data->sendOn(*L, Frame);
     return;
   }
+  P.WaitingBytes += Frame.size();
   P.Waiting.push_back(std::move(Frame));
-  if (P.Waiting.size() > MaxWaitingMessages) {
+  while (P.Waiting.size() > MaxWaitingMessages ||
+         (P.WaitingBytes > MaxWaitingBytes && P.Waiting.size() > 1)) {
+    P.WaitingBytes -= P.Waiting.front().size();
     P.Waiting.pop_front();
     ++Data->Counters.MessagesDropped;
   }
--- a/packages/shell/Process.cpp
+++ b/packages/shell/Process.cpp
@@ -5,6 +5,7 @@
 #include "node/Node.h"
 #include "shell/DataFolder.h"
 #include "shell/EventLoop.h"
+#include "shell/HostProgram.h"
 #include "shell/HttpClient.h"
 #include "shell/HttpServer.h"
 #include "shell/Logger.h"
@@ -13,24 +14,31 @@
 
 #include <event2/event.h>
 
+#include <sys/stat.h>
+
 #include <csignal>
 #include <deque>
+#include <memory>
 #include <random>
 
 namespace pimento {
 
 namespace {
 
-constexpr Duration GaugeInterval = seconds(1);
+/// Between two looks at the settings file.
+constexpr Duration SettingsInterval = seconds(2);
+/// The system's timers are no finer, and each one costs.
+constexpr Duration LeastTickInterval = milliseconds(1);
 /// Operators' documents and questions are small.
 constexpr std::size_t OperatorBodyBytes = 4U << 20U;
 constexpr std::size_t OperatorConnections = 256;
 
-TimePoint now() { return std::chrono::steady_clock::now(); }
+TimePoint steadyNow() { return std::chrono::steady_clock::now(); }
 
 class Process {
 public:
-  Process(const Settings &S, DataFolder &Folder);
+  Process(const Settings &S, DataFolder &Folder, Incarnation TheLife,
+          HostProgram TheProgram);
   Process(const Process &) = delete;
   Process &operator=(const Process &) = delete;
 
@@ -50,10 +58,12 @@
   void operator()(const WriteDisk &E);
   void operator()(const LogDecision &E) { Log.write(LogLevel::Info, E.Record); }
   void operator()(const RecordSample &E) { Numbers.record(E.Sample); }
+  void operator()(const StopListening &) { Callers.stopListening(); }
   void operator()(const Exit &E);
 
 private:
   HttpServerHooks serverHooks(bool Operators);
+  HttpServerHooks readerHooks();
   HttpClientHooks clientHooks();
   PeerLinksHooks linkHooks();
   HttpServerLimits callerLimits() const;
@@ -65,10 +75,15 @@
   void dispatch(Event E);
   void handle(const Event &E);
   void tick();
+  void scheduleTick();
+  void reload();
+  void watchSettings();
   void syncWrites();
   void recordGauges();
-  bool answerHere(ExchangeId Id, const HttpRequest &Request);
+  bool answerHere(HttpServer &Server, ExchangeId Id,
+                  const HttpRequest &Request);
   static void onSignal(evutil_socket_t, short, void *Self);
+  static void onHangup(evutil_socket_t, short, void *Self);
 
   Settings Config;
   EventBasePtr Base;
@@ -78,62 +93,56 @@
   Incarnation Life;
   DataFolder &Data;
   std::vector<DiskWrite> Writes; // Synced together, once the loop comes round.
-  NodeState Node;
+  HostProgram Program;
   HttpServer Callers;
   HttpServer Operators;
+  HttpServer Readers; // Of metrics.
   HttpClient Client;
   PeerLinks Links;
   Timer TickTimer;
   Timer SyncTimer;
   EventPtr Terminate;
   EventPtr Interrupt;
-  std::deque<Event> Waiting; // Events that came while another was handled.
+  EventPtr Hangup;
+  Timer SettingsTimer;
+  timespec SettingsChanged{}; // Of the file, when it was read last.
+  std::deque<Event> Waiting;  // Events that came while another was handled.
   bool Handling = false;
   int ExitStatus = 0;
-  TimePoint NextGauges;
+  TimePoint TickAt{}; // The timer's; the epoch: it is not set.
 };
 
-std::uint64_t systemSeed() {
-  std::random_device Device;
-  return (static_cast<std::uint64_t>(Device()) << 32U) | Device();
-}
-
-/// Lives of one host rise with time, so that a later one always wins.
-Incarnation makeLife() {
-  auto Wall = std::chrono::system_clock::now().time_since_epoch();
-  return static_cast<Incarnation>(
-      std::chrono::duration_cast<microseconds>(Wall).count());
-}
-
-NodeStart nodeStart(const Settings &S, Incarnation Life, DataFolder &Folder) {
-  NodeStart Start;
-  Start.Config = S;
-  Start.Life = Life;
-  Start.Seed = systemSeed();
-  Start.WallClock = std::chrono::system_clock::now().time_since_epoch();
-  if (Folder.Open) {
-    Start.DiskLife = Folder.Open->Self.Life;
-    Start.Start = Folder.Open->Self.Start;
-    Start.Found = std::move(Folder.Found);
-  }
-  return Start;
+timespec changeTime(const std::string &Path) {
+  struct stat Status {};
+  if (Path.empty() || stat(Path.c_str(), &Status) != 0)
+    return {};
+  return Status.st_mtim;
 }
 
-Process::Process(const Settings &S, DataFolder &Folder)
-    : Config(S), Base(makeEventBase()), Log(S.Log, S.Host.Name),
-      Life(makeLife()), Data(Folder),
-      Node(makeNode(nodeStart(S, Life, Folder), now())),
+Process::Process(const Settings &S, DataFolder &Folder, Incarnation TheLife,
+                 HostProgram TheProgram)
+    : Config(S), Base(makeEventBase()), Log(S.Log, S.Host.Name), Life(TheLife),
+      Data(Folder), Program(std::move(TheProgram)),
       Callers(Base.get(), callerLimits(), serverHooks(false), NextExchange),
       Operators(Base.get(), operatorLimits(), serverHooks(true), NextExchange),
+      Readers(Base.get(), operatorLimits(), readerHooks(), NextExchange),
       Client(Base.get(), clientHooks()),
-      Links(Base.get(), S.Host.Name, Life, S.Security.PeerToken, S.Peers,
+      Links(Base.get(), Program.Self, Life, S.Security.PeerToken, S.Peers,
             linkHooks()),
       TickTimer(Base.get(), [this] { tick(); }),
       SyncTimer(Base.get(), [this] { syncWrites(); }),
       Terminate(evsignal_new(Base.get(), SIGTERM, &Process::onSignal, this)),
-      Interrupt(evsignal_new(Base.get(), SIGINT, &Process::onSignal, this)) {
+      Interrupt(evsignal_new(Base.get(), SIGINT, &Process::onSignal, this)),
+      Hangup(evsignal_new(Base.get(), SIGHUP, &Process::onHangup, this)),
+      SettingsTimer(Base.get(), [this] { watchSettings(); }),
+      SettingsChanged(changeTime(Program.SettingsFile)) {
   event_add(Terminate.get(), nullptr);
   event_add(Interrupt.get(), nullptr);
+  event_add(Hangup.get(), nullptr);
+  if (!Program.SettingsFile.empty())
+    SettingsTimer.start(SettingsInterval);
+  if (!Program.SitePort.empty())
+    Links.admitSite(Program.SitePort);
 }
 
 HttpServerLimits Process::callerLimits() const {
@@ -155,7 +164,7 @@
 HttpServerHooks Process::serverHooks(bool ForOperators) {
   HttpServerHooks Hooks;
   Hooks.Request = [this, ForOperators](ExchangeId Id, HttpRequest Request) {
-    if (answerHere(Id, Request))
+    if (answerHere(ForOperators ? Operators : Callers, Id, Request))
       return;
     if (ForOperators)
       dispatch(OperatorRequest{Id, std::move(Request)});
@@ -173,6 +182,20 @@
   return Hooks;
 }
 
+/// Takes no other requests than those that this process answers itself.
+HttpServerHooks Process::readerHooks() {
+  HttpServerHooks Hooks;
+  Hooks.Request = [this](ExchangeId Id, const HttpRequest &Request) {
+    if (answerHere(Readers, Id, Request))
+      return;
+    Readers.reply(Id, problemReply({Code::NotFound, "", {}, {}}));
+  };
+  Hooks.Left = [](ExchangeId) {};
+  Hooks.Drained = [](ExchangeId, std::size_t) {};
+  Hooks.Refused = [](Code) {};
+  return Hooks;
+}
+
 HttpClientHooks Process::clientHooks() {
   HttpClientHooks Hooks;
   Hooks.Sent = [this](UpstreamId Id) { dispatch(UpstreamSent{Id}); };
@@ -223,6 +246,9 @@
       {"caller_address", H.CallerAddress, Callers.listen(H.CallerAddress)},
   };
   bool All = true;
+  if (!H.MetricsAddress.empty() && !Readers.listen(H.MetricsAddress))
+    Log.write(LogLevel::Warning, "metrics_not_served",
+              "cannot listen on " + H.MetricsAddress);
   for (const Port &P : Ports) {
     if (P.Bound)
       continue;
@@ -241,19 +267,23 @@
   Log.write(LogLevel::Info, Record);
   tick();
   event_base_dispatch(Base.get());
-  Log.write(LogLevel::Info, "stop", "");
+  DecisionRecord Last;
+  Last.Kind = "stop";
+  Last.add("status", static_cast<std::int64_t>(ExitStatus));
+  Log.write(LogLevel::Info, Last);
   return ExitStatus;
 }
 
 /// Metrics live in the shell, not in the node's state.
-bool Process::answerHere(ExchangeId Id, const HttpRequest &Request) {
+bool Process::answerHere(HttpServer &Server, ExchangeId Id,
+                         const HttpRequest &Request) {
   if (Request.Path != "/metrics" || Request.Method != HttpMethod::Get)
     return false;
   recordGauges();
   HttpReply Reply;
   Reply.Headers.push_back({"Content-Type", "text/plain; version=0.0.4"});
   Reply.Body = Numbers.text();
-  serverOf(Id).reply(Id, Reply);
+  Server.reply(Id, Reply);
   return true;
 }
 
@@ -269,23 +299,72 @@
     handle(Next);
   }
   Handling = false;
+  scheduleTick();
+  Log.flush();
 }
 
 void Process::handle(const Event &E) {
-  for (const Effect &Effect : reduce(Node, E, now()))
+  for (const Effect &Effect : Program.Reduce(E, Program.Now()))
     std::visit(*this, Effect);
 }
 
 void Process::tick() {
+  TickAt = TimePoint();
   dispatch(Tick());
-  TickTimer.start(NodeTickInterval);
+}
+
+void Process::scheduleTick() {
+  TimePoint Now = Program.Now();
+  TimePoint Next = std::max(Program.NextTick(Now), Now + LeastTickInterval);
+  if (TickAt != TimePoint() && TickAt <= Next && TickAt > Now)
+    return;
+  TickAt = Next;
+  TickTimer.start(Next - Now);
+}
+
+/// Reads the settings again. What cannot be used leaves the old ones in force.
+void Process::reload() {
+  SettingsChanged = changeTime(Program.SettingsFile);
+  Settings Next;
+  std::vector<SettingProblem> Problems;
+  if (!loadSettings(Program.SettingsFile, Next, Problems)) {
+    DecisionRecord Record;
+    Record.Kind = "reload_refused";
+    Record.Reason = formatProblem(Problems.front());
+    Record.add("problems", static_cast<std::int64_t>(Problems.size()));
+    Log.write(LogLevel::Warning, Record);
+    Log.flush();
+    return;
+  }
+  Log.write(LogLevel::Info, "reload", "the settings were read again");
+  Config = Next;
+  dispatch(SettingsRead{std::move(Next)});
+}
+
+/// The file may change without a signal.
+void Process::watchSettings() {
+  SettingsTimer.start(SettingsInterval);
+  timespec Seen = changeTime(Program.SettingsFile);
+  bool Same = Seen.tv_sec == SettingsChanged.tv_sec &&
+              Seen.tv_nsec == SettingsChanged.tv_nsec;
+  if (!Same && Seen.tv_sec != 0)
+    reload();
+}
+
+void Process::onHangup(evutil_socket_t, short, void *Self) {
+  auto &Host = *static_cast<Process *>(Self);
+  if (Host.Program.SettingsFile.empty())
+    Host.Log.write(LogLevel::Warning, "reload_refused",
+                   "this host takes its settings at its start only");
+  else
+    Host.reload();
 }
 
 void Process::recordGauges() {
   auto Gauge = [this](const char *Name, double Value) {
     Numbers.record({SampleKind::Gauge, Name, "", Value});
   };
-  for (const MetricSample &Sample : nodeGauges(Node, now()))
+  for (const MetricSample &Sample : Program.Gauges(Program.Now()))
     Numbers.record(Sample);
   const LinkCounters &C = Links.counters();
   Gauge("pimento_caller_connections",
@@ -299,6 +378,13 @@
   Gauge("pimento_link_sent_messages", static_cast<double>(C.MessagesSent));
   Gauge("pimento_link_dropped_messages",
         static_cast<double>(C.MessagesDropped));
+  const HttpClientCounters &Out = Client.counters();
+  Gauge("pimento_upstream_connections",
+        static_cast<double>(Client.connections()));
+  Gauge("pimento_upstream_opened", static_cast<double>(Out.Opened));
+  Gauge("pimento_upstream_reused", static_cast<double>(Out.Reused));
+  Gauge("pimento_upstream_strays", static_cast<double>(Out.Strays));
+  Gauge("pimento_log_lines_dropped", static_cast<double>(Log.linesDropped()));
 }
 
 void Process::onSignal(evutil_socket_t, short, void *Self) {
@@ -337,7 +423,7 @@
 
 /// A process that was frozen wakes with effects whose leave has run out.
 void Process::operator()(const calls::OpenUpstream &E) {
-  if (!E.SendBy || now() <= *E.SendBy) {
+  if (!E.SendBy || Program.Now() <= *E.SendBy) {
     Client.open(E.Upstream, E.Request);
     return;
   }
@@ -359,7 +445,7 @@
 void Process::syncWrites() {
   std::vector<DiskWrite> Batch = std::move(Writes);
   Writes.clear();
-  auto Before = now();
+  auto Before = steadyNow();
   Failure Why;
   bool Synced = valueOr<bool>(
       [&]() -> Result<bool> {
@@ -370,7 +456,7 @@
       },
       false, Why);
   Numbers.record({SampleKind::Distribution, "pimento_disk_sync_seconds", "",
-                  toSeconds(now() - Before)});
+                  toSeconds(steadyNow() - Before)});
   if (!Synced) {
     Log.write(LogLevel::Error, "disk_failed", Why.Detail);
     dispatch(DiskFailed{Why.Number, Why.Detail});
@@ -389,18 +475,61 @@
 
 } // namespace
 
+std::uint64_t systemSeed() {
+  std::random_device Device;
+  return (static_cast<std::uint64_t>(Device()) << 32U) | Device();
+}
+
+/// Lives of one host rise with time, so that a later one always wins.
+Incarnation makeLife() {
+  auto Wall = std::chrono::system_clock::now().time_since_epoch();
+  return static_cast<Incarnation>(
+      std::chrono::duration_cast<microseconds>(Wall).count());
+}
+
+int runProgram(const Settings &S, DataFolder &Folder, Incarnation Life,
+               HostProgram Program) {
+  Process Host(S, Folder, Life, std::move(Program));
+  if (!Host.listen())
+    return 1;
+  return Host.run();
+}
+
 int runHost(const Settings &S) {
   std::signal(SIGPIPE, SIG_IGN);
   DataFolder Folder;
-  std::string Problem = openDataFolder(S, Folder);
-  if (!Problem.empty()) {
-    Logger(S.Log, S.Host.Name).write(LogLevel::Error, "start_failed", Problem);
+  if (!openOrReport(S, Folder))
     return 1;
+  NodeStart Start;
+  Start.Config = S;
+  Start.Life = makeLife();
+  Start.Seed = systemSeed();
+  Start.WallClock = std::chrono::system_clock::now().time_since_epoch();
+  if (Folder.Open) {
+    Start.DiskLife = Folder.Open->Self.Life;
+    Start.Start = Folder.Open->Self.Start;
+    Start.Found = std::move(Folder.Found);
   }
-  Process Host(S, Folder);
-  if (!Host.listen())
-    return 1;
-  return Host.run();
+  auto Node = std::make_shared<NodeState>(makeNode(Start, steadyNow()));
+  HostProgram Program;
+  Program.Self = S.Host.Name;
+  Program.Now = &steadyNow;
+  Program.Reduce = [Node](const Event &E, TimePoint Now) {
+    return reduce(*Node, E, Now);
+  };
+  Program.NextTick = [Node](TimePoint) {
+    return Node->LastTick + NodeTickInterval;
+  };
+  Program.Gauges = [Node](TimePoint Now) { return nodeGauges(*Node, Now); };
+  return runProgram(S, Folder, Start.Life, std::move(Program));
+}
+
+bool openOrReport(const Settings &S, DataFolder &Folder) {
+  std::string Problem = openDataFolder(S, Folder);
+  if (Problem.empty())
+    return true;
+  Logger(S.Log, S.Host.Name).write(LogLevel::Error, "start_failed", Problem);
+  return false;
 }
 
 } // namespace pimento
--- a/packages/shell/WebSocket.cpp
+++ b/packages/shell/WebSocket.cpp
@@ -1,6 +1,7 @@
 #include "shell/WebSocket.h"
 
 #include "shell/Address.h"
+#include "shell/SocketOptions.h"
 #include "wire/Messages.h"
 
 #include <event2/buffer.h>
@@ -12,8 +13,6 @@
 #include <websocketpp/server.hpp>
 
 #include <netinet/in.h>
-#include <netinet/tcp.h>
-#include <sys/socket.h>
 
 namespace pimento {
 
@@ -24,9 +23,6 @@
 using websocketpp::connection_hdl;
 
 constexpr std::size_t ReadChunkBytes = 16U << 10U;
-/// Bytes that go unacknowledged for so long mean that the path is dead.
-constexpr Duration UnacknowledgedTimeout = seconds(3);
-
 /// The one endpoint of its kind, with websocketpp's own logs off.
 template <class Endpoint> Endpoint &endpoint() {
   static Endpoint TheEndpoint;
@@ -35,13 +31,6 @@
   return TheEndpoint;
 }
 
-void setSocketOptions(evutil_socket_t Socket) {
-  int On = 1;
-  setsockopt(Socket, IPPROTO_TCP, TCP_NODELAY, &On, sizeof(On));
-  auto Timeout = static_cast<unsigned>(toMilliseconds(UnacknowledgedTimeout));
-  setsockopt(Socket, IPPROTO_TCP, TCP_USER_TIMEOUT, &Timeout, sizeof(Timeout));
-}
-
 } // namespace
 
 struct WebSocket::Impl {
--- a/packages/wire/Messages.h
+++ b/packages/wire/Messages.h
@@ -21,6 +21,7 @@
 #include "wire/OrderMessages.h"
 #include "wire/ReplicaMessages.h"
 #include "wire/ScheduleMessages.h"
+#include "wire/SiteMessages.h"
 
 #include <string>
 #include <string_view>
@@ -29,10 +30,10 @@
 namespace pimento {
 
 /// Every message. Each part lists its own in its header.
-using Message =
-    JoinedMessages<LinkMessages, ForwardMessages, ReplicaMessages,
-                   MembershipMessages, ScheduleMessages, CallMessages,
-                   DocumentMessages, OperatorMessages, OrderMessages>::Variant;
+using Message = JoinedMessages<LinkMessages, ForwardMessages, ReplicaMessages,
+                               MembershipMessages, ScheduleMessages,
+                               CallMessages, DocumentMessages, OperatorMessages,
+                               OrderMessages, SiteMessages>::Variant;
 
 /// A message and the host it goes to.
 struct Outbound {
