Orders given back until an engine says so; plans weighed by chances

Audits were late where parts of others' prompts were read ahead of them, which the plan did not count. After a power loss control hosts elected after 0.8 to 1.6 s, and callers were told to come back before that was over.

--- a/packages/control/ControlHost.h
+++ b/packages/control/ControlHost.h
@@ -20,11 +20,11 @@
 #pragma once
 
 #include "base/Settings.h"
+#include "control/VoterPlan.h"
 #include "node/Events.h"
 #include "replica/Replica.h"
 #include "routing/Adapter.h"
 #include "routing/Servers.h"
-#include "control/VoterPlan.h"
 
 #include <map>
 #include <optional>
--- a/packages/gateway/Admission.cpp
+++ b/packages/gateway/Admission.cpp
@@ -12,7 +12,7 @@
 namespace {
 
 /// Told to callers who came before this host knew any configuration.
-constexpr Duration StartRetryAfter = milliseconds(500);
+constexpr Duration StartRetryAfter = milliseconds(1500);
 /// Told to callers who were refused for want of a server.
 constexpr Duration ServerRetryAfter = milliseconds(300);
 
--- a/packages/gateway/Attempt.cpp
+++ b/packages/gateway/Attempt.cpp
@@ -268,6 +268,10 @@
     checkPlacing(T, C);
     return;
   }
+  if (C.Stage == CallStage::Reserving) {
+    checkReserving(T, C);
+    return;
+  }
   bool AtServer = C.Stage == CallStage::Sent || C.Stage == CallStage::Answering;
   if (!AtServer || !mayRunAgain(C)) {
     checkAt(T, C, C.Until);
--- a/packages/gateway/ControlLink.cpp
+++ b/packages/gateway/ControlLink.cpp
@@ -8,8 +8,11 @@
 
 constexpr Duration AskInterval = milliseconds(500);
 constexpr Duration AnswerTimeout = milliseconds(600);
-/// A control host that did not answer, or is cut off, is left alone for long.
+/// A control host that did not answer is left alone for so long.
 constexpr Duration Avoidance = milliseconds(1500);
+/// One that does not know the newest configuration may know it soon.
+constexpr Duration ShortAvoidance = milliseconds(200);
+constexpr Duration NotCurrentPause = milliseconds(60);
 
 bool isAvoided(const ControlLink &L, const HostId &Host, TimePoint Now) {
   auto Found = L.AvoidUntil.find(Host);
@@ -36,8 +39,8 @@
   return From.empty() ? HostId() : From[below(Rng, From.size())];
 }
 
-void leaveHome(ControlLink &L, TimePoint Now) {
-  L.AvoidUntil[L.Home] = Now + Avoidance;
+void leaveHome(ControlLink &L, Duration AvoidFor, TimePoint Now) {
+  L.AvoidUntil[L.Home] = Now + AvoidFor;
   L.Home = HostId();
   L.Answered = L.Sequence;
   L.NextAsk = Now;
@@ -49,7 +52,7 @@
                                  Random &Rng, TimePoint Now) {
   bool Open = L.Answered < L.Sequence;
   if (Open && Now >= L.AskedAt + AnswerTimeout)
-    leaveHome(L, Now);
+    leaveHome(L, Avoidance, Now);
   if (Now < L.NextAsk)
     return std::nullopt;
   if (L.Home.empty())
@@ -77,8 +80,10 @@
     L.AskedAt = Now;
   }
   if (!M.Current) {
-    if (Asked)
-      leaveHome(L, Now);
+    if (Asked) {
+      leaveHome(L, ShortAvoidance, Now);
+      L.NextAsk = Now + NotCurrentPause;
+    }
     if (!M.Leader.empty() && !isAvoided(L, M.Leader, Now) && L.Home.empty())
       L.Home = M.Leader;
     return false;
--- a/packages/gateway/Gateway.cpp
+++ b/packages/gateway/Gateway.cpp
@@ -137,6 +137,8 @@
 TimePoint nextWakeup(const Gateway &S, TimePoint Now) {
   TimePoint Next =
       std::min(nextLinkTick(S.Link), nextPlacerTick(S.Engines, Now));
+  for (const PendingRelease &Release : S.Releases)
+    Next = std::min(Next, Release.NextAt);
   if (!S.Timers.empty())
     Next = std::min(Next, S.Timers.begin()->first);
   if (S.Stopping)
--- a/packages/gateway/Gateway.h
+++ b/packages/gateway/Gateway.h
@@ -68,16 +68,22 @@
   std::string Address;
   std::string Ticket;
   std::uint64_t Tokens = 0;
-  UpstreamId Order{}; // Under way; zero: answered.
-  int Status = 0;     // Of the order's answer.
+  UpstreamId Order{};  // Under way; zero: answered.
+  TimePoint Expires{}; // At the engine.
+  int Status = 0;      // Of the order's answer.
   bool Granted = false;
 };
 
-/// An order by which a reservation is given back.
+/// A reservation that is to be given back. Orders may be lost, or be carried
+/// out seconds late, that by which the memory was reserved as well.
 struct PendingRelease {
   std::string Address;
   std::string Ticket;
-  std::uint32_t Sends = 0;
+  UpstreamId Order{};     // Under way; zero: none.
+  bool Doubtful = false;  // The reservation itself may still come about.
+  bool Confirmed = false; // An engine said that it holds nothing.
+  TimePoint NextAt{};     // Of the next order, or the end of the one under way.
+  TimePoint Until{};      // It runs out by itself.
 };
 
 /// One try at one backend server.
@@ -160,9 +166,9 @@
   PlacerState Engines; // Of all requests while this host places them, else of
                        // its own.
   HostId Placer;       // Who placed last; empty or Self: this host.
-  TimePoint PlacerBadUntil{};                    // It did not answer.
-  std::map<UpstreamId, PendingRelease> Releases; // Under way.
-  std::map<HostId, TimePoint> LostHosts;         // Whose link broke then.
+  TimePoint PlacerBadUntil{}; // It did not answer.
+  std::vector<PendingRelease> Releases;
+  std::map<HostId, TimePoint> LostHosts; // Whose link broke then.
 
   bool Stopping = false;
   TimePoint StopListeningAt{};
--- a/packages/gateway/PlacePart.cpp
+++ b/packages/gateway/PlacePart.cpp
@@ -16,6 +16,11 @@
 /// Beyond the request's own end.
 constexpr Duration ReservationSlack = milliseconds(500);
 constexpr Duration OrderConnectTime = milliseconds(300);
+/// An engine answers an order at once, or the answer is lost.
+constexpr Duration OrderTimeout = milliseconds(300);
+constexpr Duration RepeatOrderAfter = milliseconds(100);
+/// An order to reserve that got no answer may be carried out much later.
+constexpr Duration DoubtInterval = milliseconds(1000);
 
 bool placesHere(const Gateway &S, TimePoint Now) {
   return S.Link.Placer.empty() || S.Link.Placer == S.Self ||
@@ -102,6 +107,7 @@
     R.Ticket = "r" + std::to_string(C.Ticket) + "-" + std::to_string(C.Tries) +
                "-" + std::to_string(C.Reserved.size());
     R.Tokens = Part.MemoryTokens;
+    R.Expires = T.Now + Hold;
     R.Order = UpstreamId{S.NextUpstream++};
     S.ByUpstream[R.Order] = C.Ticket;
     T.Out.push_back(calls::OpenUpstream{
@@ -147,7 +153,7 @@
     return;
   }
   C.Stage = CallStage::Reserving;
-  checkAt(T, C, C.Until);
+  checkAt(T, C, std::min(C.Until, T.Now + OrderTimeout));
 }
 
 void askHere(GatewayTurn &T, GatewayCall &C) {
@@ -206,32 +212,52 @@
   return UpstreamId{};
 }
 
-void sendRelease(GatewayTurn &T, PendingRelease Release) {
+/// Sends the order to give memory back.
+void sendRelease(GatewayTurn &T, PendingRelease &Release) {
   Gateway &S = T.S;
-  UpstreamId Order{S.NextUpstream++};
+  Release.Order = UpstreamId{S.NextUpstream++};
+  Release.NextAt = T.Now + OrderTimeout;
   T.Out.push_back(calls::OpenUpstream{
-      Order,
+      Release.Order,
       orderRequest(Release.Address, S.Platform.encodeRelease(Release.Ticket)),
       std::nullopt});
-  S.Releases[Order] = std::move(Release);
 }
 
-/// A release order is repeated a few times; after that the reservation runs
-/// out by itself.
+/// An answer to an order that gives memory back.
 bool releaseEvent(GatewayTurn &T, const Event &E, UpstreamId Order) {
-  constexpr std::uint32_t MaxReleases = 4;
-  auto Found = T.S.Releases.find(Order);
-  if (Found == T.S.Releases.end())
-    return false;
-  bool Failed = std::holds_alternative<UpstreamFailed>(E);
-  if (!Failed && !std::holds_alternative<UpstreamEnd>(E))
+  for (PendingRelease &Release : T.S.Releases) {
+    if (Release.Order != Order)
+      continue;
+    if (std::holds_alternative<UpstreamEnd>(E)) {
+      Release.Order = UpstreamId{};
+      Release.Confirmed = true;
+      Release.NextAt = T.Now + DoubtInterval;
+    } else if (std::holds_alternative<UpstreamFailed>(E)) {
+      Release.Order = UpstreamId{};
+      Release.NextAt = T.Now + RepeatOrderAfter;
+    }
     return true;
-  PendingRelease Release = std::move(Found->second);
-  T.S.Releases.erase(Found);
-  Release.Sends += 1;
-  if (Failed && Release.Sends < MaxReleases)
-    sendRelease(T, std::move(Release));
-  return true;
+  }
+  return false;
+}
+
+void tickReleases(GatewayTurn &T) {
+  auto IsOver = [&](const PendingRelease &R) {
+    bool Done = R.Confirmed && !R.Doubtful;
+    return R.Order == UpstreamId{} && (Done || T.Now >= R.Until);
+  };
+  auto &Releases = T.S.Releases;
+  for (PendingRelease &R : Releases) {
+    if (T.Now < R.NextAt)
+      continue;
+    if (R.Order != UpstreamId{})
+      T.Out.push_back(calls::AbortUpstream{R.Order});
+    R.Order = UpstreamId{};
+    if (!IsOver(R))
+      sendRelease(T, R);
+  }
+  Releases.erase(std::remove_if(Releases.begin(), Releases.end(), IsOver),
+                 Releases.end());
 }
 
 } // namespace
@@ -315,13 +341,33 @@
 
 void freeReservations(GatewayTurn &T, GatewayCall &C) {
   for (const Reservation &R : C.Reserved) {
-    if (R.Order != UpstreamId{})
+    PendingRelease Release;
+    Release.Address = R.Address;
+    Release.Ticket = R.Ticket;
+    Release.Until = R.Expires;
+    Release.Doubtful = R.Status == 0;
+    if (R.Order != UpstreamId{}) {
       T.S.ByUpstream.erase(R.Order);
-    sendRelease(T, {R.Address, R.Ticket, 0});
+      T.Out.push_back(calls::AbortUpstream{R.Order});
+    }
+    sendRelease(T, Release);
+    T.S.Releases.push_back(std::move(Release));
   }
   C.Reserved.clear();
 }
 
+/// An engine that does not answer an order has not reserved anything yet, as
+/// far as is known.
+void checkReserving(GatewayTurn &T, GatewayCall &C) {
+  for (Reservation &R : C.Reserved) {
+    if (R.Order == UpstreamId{})
+      continue;
+    T.Out.push_back(calls::AbortUpstream{R.Order});
+    reservationAnswered(T, C, R, false);
+    return;
+  }
+}
+
 void checkPlacing(GatewayTurn &T, GatewayCall &C) {
   PlaceAsk Ask = askOf(T, C);
   if (Ask.Patience <= Duration::zero()) {
@@ -351,6 +397,7 @@
 }
 
 void tickPlacing(GatewayTurn &T) {
+  tickReleases(T);
   for (auto &[Key, Reply] : tickPlacer(T.S.Engines, T.Now)) {
     if (Key.first != T.S.Self) {
       send(T, Key.first, std::move(Reply));
--- a/packages/gateway/Placer.cpp
+++ b/packages/gateway/Placer.cpp
@@ -90,6 +90,14 @@
   return Reply;
 }
 
+/// Parts of spread prompts are read ahead of whole ones.
+void delayReaders(PlacerState &S, const PlacedPart &Part) {
+  for (auto &[Key, Other] : S.Placed) {
+    if (!Other.Writing && Other.Parts.front().Engine == Part.Engine)
+      Other.ReadBy += Part.Reading;
+  }
+}
+
 PlaceReply place(PlacerState &S, const PlaceKey &Key, const PlaceAsk &Ask,
                  placer::Plan Found, TimePoint Now) {
   PlacedRequest Request;
@@ -101,6 +109,8 @@
   for (const PlacedPart &Part : Request.Parts) {
     PlacerEngine &E = S.Engines.at(Part.Engine);
     E.ReadFreeAt = std::max(E.ReadFreeAt, Now) + Part.Reading;
+    if (Request.Parts.size() > 1)
+      delayReaders(S, Part);
   }
   PlaceReply Reply = replyOf(Key.second, Request, Now);
   S.Placed[Key] = std::move(Request);
--- a/packages/gateway/PlacerSearch.cpp
+++ b/packages/gateway/PlacerSearch.cpp
@@ -13,14 +13,15 @@
 constexpr std::array<std::size_t, 8> PartCounts = {1, 2, 3, 4, 6, 8, 12, 16};
 /// Of the longest pause that a request allows; the rest is for the way.
 constexpr double PauseShare = 0.85;
-/// Of the time to the first event that is left; the rest is for errors of the
-/// forecast.
-constexpr double ObjectiveShare = 0.75;
+/// How far forecasts are off, as a share of the time that is left.
+constexpr double ForecastSpread = 0.18;
+/// A request counts as on time with at least this chance.
+constexpr double OnTimeChance = 0.7;
 /// A request's worth grows with its size, but more slowly.
 constexpr double WorthExponent = 0.75;
 /// What an engine's time costs, so that equal plans take less of it.
 constexpr double WorthPerSecond = 400;
-constexpr double WorthPerPart = 10;
+constexpr double WorthPerPart = 25;
 /// Requests of another pace on the same engine hinder each other later.
 constexpr double MixedPaceCost = 60;
 constexpr double IdleEngineCost = 40; // To a short prompt: others need it more.
@@ -37,7 +38,8 @@
   Duration ReadBy = {}; // From now until the part is read.
   Duration Pass = {};   // Of the request's own writing, were it the first.
   double Harm = 0;
-  double Cost = 0; // Breaks ties; grows with what the choice hinders.
+  double Hindrance = 0; // Worth that requests which are read there may lose.
+  double Cost = 0;      // Breaks ties; grows with what the choice hinders.
   std::uint64_t FreeTokens = 0;
   bool HasSlot = false;
 };
@@ -57,6 +59,29 @@
            (TakeAvoided || E.AvoidUntil <= Now);
   }
 
+  /// Chance that the first event of a request comes in time.
+  static double chanceOf(Duration Forecast, Duration Left) {
+    if (Left <= Duration::zero())
+      return 0;
+    double Ratio = toSeconds(Forecast) / toSeconds(Left);
+    return 1 / (1 + std::exp((Ratio - 1) / ForecastSpread));
+  }
+
+  /// What the requests that are read on \p Id lose by \p Reading ahead of them.
+  double delayHarm(const BackendId &Id, Duration Reading) const {
+    double Harm = 0;
+    for (const auto &[Key, Request] : S.Placed) {
+      if (Request.Writing || Request.Parts.front().Engine != Id)
+        continue;
+      Duration Left = Request.Since + Request.Ask.Objective - Now;
+      Duration Forecast = std::max(Duration::zero(), Request.ReadBy - Now);
+      double Lost =
+          chanceOf(Forecast, Left) - chanceOf(Forecast + Reading, Left);
+      Harm += LateLoss * Lost * worthOf(Request.Ask);
+    }
+    return Harm;
+  }
+
   /// Worth of the requests on \p Id whose next event comes too late in a pass
   /// of length \p Pass.
   double harmAt(const BackendId &Id, Duration Pass) const {
@@ -88,10 +113,12 @@
       Duration Limit = passReadingLimit(F, Ask.PromptTokens);
       O.Harm = harmAt(Id, O.Pass + std::min(Backlog + Reading, Limit));
     }
+    if (E.Readers > 0)
+      O.Hindrance = delayHarm(Id, Reading);
     std::uint64_t Held = std::min(E.MemoryTokens, F.MemoryTokens);
     O.FreeTokens = F.MemoryTokens - Held;
     O.HasSlot = Active < F.Slots;
-    O.Cost = O.Harm + toSeconds(Backlog) * WorthPerSecond +
+    O.Cost = O.Harm + O.Hindrance + toSeconds(Backlog) * WorthPerSecond +
              paceCost(E, Active) +
              (E.DataCentre == Ask.DataCentre ? 0 : CrossingCost);
     return O;
@@ -180,9 +207,11 @@
       P.Parts.push_back({*O->Id, scaled(Part, O->Engine->Slowness), 0});
       P.Forecast = std::max(P.Forecast, O->ReadBy);
       P.Harm += O->Harm;
+      P.Hindrance += O->Hindrance;
     }
     P.Forecast += First->Pass;
-    P.OnTime = P.Forecast <= scaled(Ask.Objective, ObjectiveShare);
+    P.Chance = chanceOf(P.Forecast, Ask.Objective);
+    P.OnTime = P.Chance >= OnTimeChance;
     if (!spreadMemory(P, Chosen))
       return std::nullopt;
     return P;
@@ -190,10 +219,9 @@
 
   /// What the plan is worth, its cost taken off.
   double valueOf(const Plan &P) const {
-    double Gain = worthOf(Ask) * (P.OnTime ? 1 : 1 - LateLoss);
+    double Gain = worthOf(Ask) * (1 - LateLoss + LateLoss * P.Chance);
     auto Parts = static_cast<double>(P.Parts.size());
-    return Gain - P.Harm - Parts * WorthPerPart -
-           toSeconds(P.Forecast) * WorthPerPart;
+    return Gain - P.Harm - P.Hindrance - Parts * WorthPerPart;
   }
 
   std::optional<Plan> best(bool TakeAvoided) const {
@@ -204,8 +232,6 @@
       std::optional<Plan> P = planOf(Count, List);
       if (P && (!Best || valueOf(*P) > valueOf(*Best)))
         Best = std::move(P);
-      if (Best && Best->OnTime && Best->Harm == 0)
-        break; // More engines would only cost more.
     }
     return Best;
   }
--- a/packages/gateway/PlacerSearch.h
+++ b/packages/gateway/PlacerSearch.h
@@ -17,6 +17,8 @@
   std::vector<PlacedPart> Parts; // The first one writes the answer.
   Duration Forecast = {};        // Until the first event.
   double Harm = 0;               // Worth of the requests made late.
+  double Hindrance = 0;          // Worth that others may lose by waiting.
+  double Chance = 0;             // That the first event comes in time.
   bool OnTime = false;           // Of the request itself.
 };
 
--- a/packages/shell/PeerLinks.cpp
+++ b/packages/shell/PeerLinks.cpp
@@ -23,6 +23,8 @@
 constexpr std::size_t MaxWaitingBytes = 8U << 20U; // On one link.
 constexpr Duration HandshakeTimeout = seconds(1);
 constexpr Duration RedialInterval = milliseconds(100);
+/// Longest pause between two calls of a host that does not answer.
+constexpr Duration MaxRedialInterval = milliseconds(800);
 constexpr std::size_t MaxLinks = 4096;
 
 std::string makeNonce() {
@@ -59,6 +61,7 @@
     std::deque<std::string> Waiting; // Frames, while no link is ready.
     std::size_t WaitingBytes = 0;
     TimePoint NextDial;
+    Duration DialPause = RedialInterval;
   };
 
   event_base *Base;
@@ -200,6 +203,7 @@
   }
   L.Host = H.Host;
   L.Life = H.Life;
+  Peers[H.Host].DialPause = RedialInterval;
   L.Deadline->stop();
   flush(L.Host);
 }
@@ -223,7 +227,8 @@
   }
   if (Now < P.NextDial)
     return;
-  P.NextDial = Now + RedialInterval;
+  P.NextDial = Now + P.DialPause;
+  P.DialPause = std::min(2 * P.DialPause, MaxRedialInterval);
   Link &L = addLink();
   L.Dialled = To;
   L.Socket = WebSocket::dial(Base, P.Address, hooksOf(L));
--- a/packages/shell/SiteProcess.cpp
+++ b/packages/shell/SiteProcess.cpp
@@ -1,9 +1,9 @@
 #include "shell/SiteProcess.h"
 
+#include "control/ControlHost.h"
 #include "gateway/Gateway.h"
 #include "shell/DataFolder.h"
 #include "shell/HostProgram.h"
-#include "control/ControlHost.h"
 
 #include <csignal>
 #include <ctime>
