Reservations are short leases that are renewed while their request runs

Ruled out: releases that engines refuse (none was).

Change: a reservation lasts 3 s and is renewed every 0.7 s; an order that is carried out late holds memory for less than the platform allows.

--- a/packages/gateway/Attempt.cpp
+++ b/packages/gateway/Attempt.cpp
@@ -264,6 +264,7 @@
          "the time limit passed");
     return;
   }
+  renewReservations(T, C);
   if (C.Stage == CallStage::Placing) {
     checkPlacing(T, C);
     return;
--- a/packages/gateway/Gateway.cpp
+++ b/packages/gateway/Gateway.cpp
@@ -177,6 +177,8 @@
 void checkAt(GatewayTurn &T, GatewayCall &C, TimePoint At) {
   if (C.CheckAt != TimePoint())
     T.S.Timers.erase({C.CheckAt, C.Ticket});
+  if (!C.Reserved.empty())
+    At = std::min(At, C.RenewAt);
   C.CheckAt = At;
   T.S.Timers.emplace(At, C.Ticket);
 }
--- a/packages/gateway/Gateway.h
+++ b/packages/gateway/Gateway.h
@@ -74,16 +74,15 @@
   bool Granted = false;
 };
 
-/// A reservation that is to be given back. Orders may be lost, or be carried
-/// out seconds late, that by which the memory was reserved as well.
+/// A reservation that is to be given back, until an engine says so or it runs
+/// out.
 struct PendingRelease {
   std::string Address;
   std::string Ticket;
-  UpstreamId Order{};     // Under way; zero: none.
-  bool Doubtful = false;  // The reservation itself may still come about.
-  bool Confirmed = false; // An engine said that it holds nothing.
-  TimePoint NextAt{};     // Of the next order, or the end of the one under way.
-  TimePoint Until{};      // It runs out by itself.
+  UpstreamId Order{}; // Under way; zero: none.
+  bool Confirmed = false;
+  TimePoint NextAt{}; // Of the next order, or the end of the one under way.
+  TimePoint Until{};  // It runs out by itself.
 };
 
 /// One try at one backend server.
@@ -134,6 +133,7 @@
   bool Acknowledged = false; // The placer said that it waits.
   PlaceReply Place;
   std::vector<Reservation> Reserved;
+  TimePoint RenewAt{}; // Of all that is reserved.
 
   bool Replying = false; // The caller has the head of an answer.
   EventSplitter Events;  // Of the stream to the caller.
--- a/packages/gateway/GatewayTurn.h
+++ b/packages/gateway/GatewayTurn.h
@@ -74,6 +74,7 @@
 void freeReservations(GatewayTurn &T, GatewayCall &C);
 void checkPlacing(GatewayTurn &T, GatewayCall &C);
 void checkReserving(GatewayTurn &T, GatewayCall &C);
+void renewReservations(GatewayTurn &T, GatewayCall &C);
 void tickPlacing(GatewayTurn &T);
 /// The placer may have changed: registers what runs with the new one.
 void followPlacer(GatewayTurn &T);
--- a/packages/gateway/PlacePart.cpp
+++ b/packages/gateway/PlacePart.cpp
@@ -13,14 +13,16 @@
 /// A request that waits asks again, in case the placer forgot it.
 constexpr Duration AskAgain = milliseconds(300);
 constexpr Duration PlacerAvoidance = milliseconds(1000);
-/// Beyond the request's own end.
-constexpr Duration ReservationSlack = milliseconds(500);
 constexpr Duration OrderConnectTime = milliseconds(300);
 /// An engine answers an order at once, or the answer is lost.
 constexpr Duration OrderTimeout = milliseconds(300);
 constexpr Duration RepeatOrderAfter = milliseconds(100);
-/// An order to reserve that got no answer may be carried out much later.
-constexpr Duration DoubtInterval = milliseconds(1000);
+/// Engines keep memory for so long without word from here, so that a host that
+/// dies leaves nothing behind: platforms allow it a few seconds. An order that
+/// is carried out late does no harm either.
+constexpr Duration ReservationLease = milliseconds(3000);
+/// Some renewals may be lost.
+constexpr Duration RenewInterval = milliseconds(700);
 
 bool placesHere(const Gateway &S, TimePoint Now) {
   return S.Link.Placer.empty() || S.Link.Placer == S.Self ||
@@ -93,12 +95,26 @@
   return Request;
 }
 
-void reserve(GatewayTurn &T, GatewayCall &C) {
+Duration leaseOf(const Gateway &S) {
+  return std::min(ReservationLease, S.Config.Schedule.ReservationLimit);
+}
+
+/// Sends the order that makes or renews a reservation.
+void orderMemory(GatewayTurn &T, GatewayCall &C, Reservation &R) {
   Gateway &S = T.S;
-  Duration Hold = std::min(C.Until - T.Now + ReservationSlack,
-                           S.Config.Schedule.ReservationLimit);
+  R.Order = UpstreamId{S.NextUpstream++};
+  R.Expires = T.Now + leaseOf(S);
+  S.ByUpstream[R.Order] = C.Ticket;
+  T.Out.push_back(calls::OpenUpstream{
+      R.Order,
+      orderRequest(R.Address,
+                   S.Platform.encodeReserve(R.Ticket, R.Tokens, leaseOf(S))),
+      C.Until});
+}
+
+void reserve(GatewayTurn &T, GatewayCall &C) {
   for (const EnginePart &Part : C.Place.Helpers) {
-    const PlacerEngine *E = engineOf(S, Part.Engine);
+    const PlacerEngine *E = engineOf(T.S, Part.Engine);
     if (Part.MemoryTokens == 0 || E == nullptr)
       continue;
     Reservation R;
@@ -107,16 +123,18 @@
     R.Ticket = "r" + std::to_string(C.Ticket) + "-" + std::to_string(C.Tries) +
                "-" + std::to_string(C.Reserved.size());
     R.Tokens = Part.MemoryTokens;
-    R.Expires = T.Now + Hold;
-    R.Order = UpstreamId{S.NextUpstream++};
-    S.ByUpstream[R.Order] = C.Ticket;
-    T.Out.push_back(calls::OpenUpstream{
-        R.Order,
-        orderRequest(R.Address,
-                     S.Platform.encodeReserve(R.Ticket, R.Tokens, Hold)),
-        C.Until});
+    orderMemory(T, C, R);
     C.Reserved.push_back(std::move(R));
   }
+  C.RenewAt = T.Now + RenewInterval;
+}
+
+void dropOrder(GatewayTurn &T, Reservation &R) {
+  if (R.Order == UpstreamId{})
+    return;
+  T.S.ByUpstream.erase(R.Order);
+  T.Out.push_back(calls::AbortUpstream{R.Order});
+  R.Order = UpstreamId{};
 }
 
 void logPlaced(GatewayTurn &T, const GatewayCall &C) {
@@ -186,6 +204,8 @@
                          bool Granted) {
   T.S.ByUpstream.erase(R.Order);
   R.Order = UpstreamId{};
+  if (C.Stage != CallStage::Reserving)
+    return; // A renewal; the next one follows whatever came of it.
   R.Granted = Granted;
   if (!Granted) {
     C.Tried.push_back(R.Engine);
@@ -231,7 +251,6 @@
     if (std::holds_alternative<UpstreamEnd>(E)) {
       Release.Order = UpstreamId{};
       Release.Confirmed = true;
-      Release.NextAt = T.Now + DoubtInterval;
     } else if (std::holds_alternative<UpstreamFailed>(E)) {
       Release.Order = UpstreamId{};
       Release.NextAt = T.Now + RepeatOrderAfter;
@@ -243,8 +262,7 @@
 
 void tickReleases(GatewayTurn &T) {
   auto IsOver = [&](const PendingRelease &R) {
-    bool Done = R.Confirmed && !R.Doubtful;
-    return R.Order == UpstreamId{} && (Done || T.Now >= R.Until);
+    return R.Order == UpstreamId{} && (R.Confirmed || T.Now >= R.Until);
   };
   auto &Releases = T.S.Releases;
   for (PendingRelease &R : Releases) {
@@ -340,22 +358,30 @@
 }
 
 void freeReservations(GatewayTurn &T, GatewayCall &C) {
-  for (const Reservation &R : C.Reserved) {
+  for (Reservation &R : C.Reserved) {
+    dropOrder(T, R);
     PendingRelease Release;
     Release.Address = R.Address;
     Release.Ticket = R.Ticket;
     Release.Until = R.Expires;
-    Release.Doubtful = R.Status == 0;
-    if (R.Order != UpstreamId{}) {
-      T.S.ByUpstream.erase(R.Order);
-      T.Out.push_back(calls::AbortUpstream{R.Order});
-    }
     sendRelease(T, Release);
     T.S.Releases.push_back(std::move(Release));
   }
   C.Reserved.clear();
 }
 
+void renewReservations(GatewayTurn &T, GatewayCall &C) {
+  if (C.Reserved.empty() || T.Now < C.RenewAt)
+    return;
+  C.RenewAt = T.Now + RenewInterval;
+  for (Reservation &R : C.Reserved) {
+    if (!R.Granted)
+      continue;
+    dropOrder(T, R);
+    orderMemory(T, C, R);
+  }
+}
+
 /// An engine that does not answer an order has not reserved anything yet, as
 /// far as is known.
 void checkReserving(GatewayTurn &T, GatewayCall &C) {
