--- a/packages/gateway/Admission.cpp
+++ b/packages/gateway/Admission.cpp
@@ -13,6 +13,8 @@
 
 /// Told to callers who came before this host knew any configuration.
 constexpr Duration StartRetryAfter = milliseconds(1500);
+/// Another host takes it at once.
+constexpr Duration StopRetryAfter = milliseconds(20);
 /// Told to callers who were refused for want of a server.
 constexpr Duration ServerRetryAfter = milliseconds(300);
 
@@ -70,6 +72,11 @@
            "no configuration is known here yet", StartRetryAfter);
     return;
   }
+  if (S.Stopping && T.Now >= S.RefuseAt) {
+    refuse(T, Exchange, Facts, Code::Draining, "this host stops",
+           StopRetryAfter);
+    return;
+  }
   const Route *Path = findRoute(*S.Routes, Facts.Host, pathOf(R.Target));
   if (Path == nullptr) {
     refuse(T, Exchange, Facts, Code::NotFound, "no route matches");
--- a/packages/gateway/Gateway.h
+++ b/packages/gateway/Gateway.h
@@ -171,6 +171,7 @@
   std::map<HostId, TimePoint> LostHosts; // Whose link broke then.
 
   bool Stopping = false;
+  TimePoint RefuseAt{}; // New requests, while it stops.
   TimePoint StopListeningAt{};
   TimePoint StopAt{};
 };
--- a/packages/gateway/Placer.cpp
+++ b/packages/gateway/Placer.cpp
@@ -151,22 +151,22 @@
   return Aged;
 }
 
-bool hasEngine(const PlacerState &S, const ServiceId &Service) {
-  for (const auto &[Id, E] : S.Engines) {
-    if (E.Service == Service && E.Ready)
-      return true;
-  }
-  return false;
+std::size_t readyEngines(const PlacerState &S, const ServiceId &Service) {
+  std::size_t Count = 0;
+  for (const auto &[Id, E] : S.Engines)
+    Count += E.Service == Service && E.Ready ? 1 : 0;
+  return Count;
 }
 
 /// Places now, waits, or refuses. \p Ask is aged already.
 PlaceOutcome decide(PlacerState &S, const PlaceKey &Key, const PlaceAsk &Ask,
                     TimePoint Now) {
   auto Facts = S.Facts.find(Ask.Service);
-  if (Facts == S.Facts.end() || !hasEngine(S, Ask.Service))
+  std::size_t Engines = readyEngines(S, Ask.Service);
+  if (Facts == S.Facts.end() || Engines == 0)
     return {PlaceVerdict::Refused,
             refusal(S, Key.second, Ask.Service, Code::NoBackend, Now)};
-  Duration Least = placer::leastTime(Facts->second, Ask);
+  Duration Least = placer::leastTime(Facts->second, Ask, Engines);
   if (Ask.Patience < Least)
     return {PlaceVerdict::Refused, refusal(S, Key.second, Ask.Service,
                                            Code::DeadlineUnreachable, Now)};
--- a/packages/gateway/PlacerSearch.cpp
+++ b/packages/gateway/PlacerSearch.cpp
@@ -254,9 +254,11 @@
   return Found ? Found : Try.best(true);
 }
 
-Duration leastTime(const EngineFacts &F, const PlaceAsk &Ask) {
-  constexpr std::int64_t MostParts = PartCounts.back();
-  return readingTime(F, Ask.PromptTokens) / MostParts +
+Duration leastTime(const EngineFacts &F, const PlaceAsk &Ask,
+                   std::size_t Engines) {
+  std::size_t Parts =
+      std::min(PartCounts.back(), std::max<std::size_t>(1, Engines));
+  return readingTime(F, Ask.PromptTokens) / static_cast<std::int64_t>(Parts) +
          passTime(F, 1, Ask.PromptTokens);
 }
 
--- a/packages/gateway/PlacerSearch.h
+++ b/packages/gateway/PlacerSearch.h
@@ -29,8 +29,9 @@
 std::optional<Plan> findPlan(const PlacerState &S, const PlaceAsk &Ask,
                              TimePoint Now);
 
-/// Time to the first event on engines with nothing else to do.
-Duration leastTime(const EngineFacts &F, const PlaceAsk &Ask);
+/// Time to the first event on \p Engines engines with nothing else to do.
+Duration leastTime(const EngineFacts &F, const PlaceAsk &Ask,
+                   std::size_t Engines);
 
 /// Part of a late request's worth that is lost.
 constexpr double LateLoss = 0.75;
--- a/packages/gateway/SitePart.cpp
+++ b/packages/gateway/SitePart.cpp
@@ -12,9 +12,9 @@
 
 /// A host whose link broke may only have lost the link.
 constexpr Duration LostHostTime = milliseconds(1500);
-/// Unready for so long before the listener closes: the balancer asks once a
+/// Unready for so long before requests are refused: the balancer asks once a
 /// second and needs two misses.
-constexpr Duration UnreadyTime = milliseconds(3500);
+constexpr Duration UnreadyTime = milliseconds(3000);
 /// Before the limit of the stop: for the last answers to go out.
 constexpr Duration StopReserve = milliseconds(900);
 
@@ -181,7 +181,8 @@
     return;
   S.Stopping = true;
   Duration Limit = S.Config.Drain.Limit;
-  S.StopListeningAt = T.Now + std::min(UnreadyTime, Limit / 2);
+  S.RefuseAt = T.Now + std::min(UnreadyTime, Limit / 2);
+  S.StopListeningAt = S.RefuseAt;
   S.StopAt = T.Now + std::max(Limit - StopReserve, Limit / 2);
   askSoon(S.Link, T.Now);
   DecisionRecord Record{"stop_requested", {}, "unready from now on", {}};
--- a/packages/gateway/tests/ControlLinkTest.cpp
+++ b/packages/gateway/tests/ControlLinkTest.cpp
@@ -1,1 +1,95 @@
-// later
+#include <boost/test/unit_test.hpp>
+
+#include "gateway/ControlLink.h"
+
+using namespace pimento;
+
+namespace {
+
+const TimePoint Start = TimePoint(seconds(100));
+
+struct Fixture {
+  ControlLink Link;
+  Random Rng{7};
+  LinkReport Have;
+
+  Fixture() { Link.Seeds = {HostId("a"), HostId("b"), HostId("c")}; }
+
+  std::optional<Outbound> tick(TimePoint Now) {
+    return tickLink(Link, Have, Rng, Now);
+  }
+
+  SiteState state(const char *Leader, bool Current = true) {
+    SiteState M;
+    M.Sequence = Link.Sequence;
+    M.Current = Current;
+    M.Leader = HostId(Leader);
+    M.Controls = {HostId("a"), HostId("b"), HostId("c")};
+    M.ControlLife = 1;
+    M.Revision = 4;
+    return M;
+  }
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_CASE(ItMovesToTheLeader, Fixture) {
+  auto First = tick(Start);
+  BOOST_REQUIRE(First);
+  HostId Asked = First->To;
+  HostId Leader(Asked == HostId("a") ? "b" : "a");
+  BOOST_TEST(takeState(Link, Asked, state(Leader.Value.c_str()), Start));
+  BOOST_TEST(Link.Home == Leader);
+  auto Second = tick(Start);
+  BOOST_REQUIRE(Second);
+  BOOST_TEST(Second->To == Leader);
+}
+
+BOOST_FIXTURE_TEST_CASE(ASilentHostIsLeft, Fixture) {
+  HostId Silent = tick(Start)->To;
+  std::optional<Outbound> Next;
+  TimePoint Now = Start;
+  while (Now < Start + seconds(1) && Link.Home == Silent) {
+    Now += milliseconds(20);
+    if (auto M = tick(Now))
+      Next = M;
+  }
+  BOOST_REQUIRE(Next);
+  BOOST_TEST(Next->To != Silent);
+}
+
+BOOST_FIXTURE_TEST_CASE(AHostThatIsCutOffIsNotBelieved, Fixture) {
+  HostId Asked = tick(Start)->To;
+  BOOST_TEST(!takeState(Link, Asked, state("", false), Start));
+  BOOST_TEST((Link.CurrentAt == TimePoint()));
+  auto Next = tick(Start + milliseconds(100));
+  BOOST_REQUIRE(Next);
+  BOOST_TEST(Next->To != Asked);
+}
+
+BOOST_FIXTURE_TEST_CASE(ALostUpdateIsAskedForAgain, Fixture) {
+  HostId Asked = tick(Start)->To;
+  SiteState Whole = state(Asked.Value.c_str());
+  Whole.Whole = true;
+  BOOST_TEST(takeState(Link, Asked, Whole, Start));
+  BOOST_TEST(Link.Revision == 4U);
+  SiteState Later = state(Asked.Value.c_str());
+  Later.Sequence = 0;
+  Later.Base = 6; // What led from 4 to 6 never came.
+  Later.Revision = 7;
+  BOOST_TEST(takeState(Link, Asked, Later, Start));
+  BOOST_TEST(Link.Revision == 4U);
+  Later.Base = 4;
+  BOOST_TEST(takeState(Link, Asked, Later, Start));
+  BOOST_TEST(Link.Revision == 7U);
+}
+
+BOOST_FIXTURE_TEST_CASE(OnlyTheLeaderNamesThePlacer, Fixture) {
+  HostId Asked = tick(Start)->To;
+  SiteState M = state(Asked == HostId("a") ? "b" : "a");
+  M.Placer = HostId("x");
+  takeState(Link, Asked, M, Start);
+  BOOST_TEST(Link.Placer.empty());
+  takeState(Link, M.Leader, M, Start);
+  BOOST_TEST(Link.Placer == HostId("x"));
+}
--- a/packages/gateway/tests/EventSplitterTest.cpp
+++ b/packages/gateway/tests/EventSplitterTest.cpp
@@ -1,1 +1,36 @@
-// later
+#include <boost/test/unit_test.hpp>
+
+#include "gateway/EventSplitter.h"
+
+using namespace pimento;
+
+BOOST_AUTO_TEST_CASE(OnlyWholeEventsPass) {
+  EventSplitter S;
+  BOOST_TEST(takeEvents(S, "id: 1\nda").empty());
+  BOOST_TEST(takeEvents(S, "ta: x\n").empty());
+  BOOST_TEST(S.LastId.empty());
+  BOOST_TEST(takeEvents(S, "\nid: 2\n") == "id: 1\ndata: x\n\n");
+  BOOST_TEST(S.LastId == "1");
+  BOOST_TEST(S.Partial == "id: 2\n");
+  BOOST_TEST(S.Events == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(AnyCutOfAStreamGivesTheSameBytes) {
+  std::string Whole = "id: 1\ndata: a\n\nid:2\ndata: b\r\n\r\n: hint\n\n"
+                      "id: 3\ndata: c\n\n";
+  for (std::size_t Cut = 0; Cut <= Whole.size(); ++Cut) {
+    EventSplitter S;
+    std::string Passed = takeEvents(S, Whole.substr(0, Cut));
+    Passed += takeEvents(S, Whole.substr(Cut));
+    BOOST_TEST(Passed == Whole);
+    BOOST_TEST(S.LastId == "3");
+    BOOST_TEST(S.Events == 4U);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(AnEndlessEventIsNotHeldForEver) {
+  EventSplitter S;
+  std::string Passed = takeEvents(S, std::string(MaxEventBytes + 1, 'x'));
+  BOOST_TEST(Passed.size() == MaxEventBytes + 1);
+  BOOST_TEST(S.Partial.empty());
+}
--- a/packages/gateway/tests/GatewayTest.cpp
+++ b/packages/gateway/tests/GatewayTest.cpp
@@ -1,1 +1,469 @@
-// later
+#define BOOST_TEST_MODULE gateway
+#include <boost/test/unit_test.hpp>
+
+#include "gateway/Gateway.h"
+#include "platform/Platform.h"
+
+#include <algorithm>
+
+using namespace pimento;
+
+namespace {
+
+const TimePoint Start = TimePoint(seconds(100));
+const HostId Control("10.0.0.100");
+
+const char *const RoutingText =
+    R"({"version":3,"routes":[)"
+    R"({"name":"stream","host":"h","pathPrefix":"/s/","routeType":"streaming",)"
+    R"("timeoutMs":10000,"sloMs":300,"itlTargetMs":250,"service":"llm",)"
+    R"("maxAttempts":2,"resumable":true},)"
+    R"({"name":"long","host":"h","pathPrefix":"/l/","routeType":"streaming",)"
+    R"("timeoutMs":15000,"sloMs":3000,"itlTargetMs":1000,"service":"llm",)"
+    R"("maxAttempts":2,"resumable":true},)"
+    R"({"name":"read","host":"h","pathPrefix":"/r/","routeType":"idempotent",)"
+    R"("timeoutMs":600,"sloMs":100,"service":"plain","maxAttempts":2},)"
+    R"({"name":"sign","host":"h","pathPrefix":"/w/",)"
+    R"("routeType":"non_idempotent","timeoutMs":600,"sloMs":100,)"
+    R"("service":"plain","maxAttempts":2},)"
+    R"({"name":"open","host":"h","pathPrefix":"/o/","routeType":"idempotent",)"
+    R"("timeoutMs":600,"sloMs":100,"service":"plain","public":true}],)"
+    R"("services":[{"name":"llm","engine":{"slots":16,"kvCapacity":232000,)"
+    R"("stride":43,"chunk":2048,"step_ms":1.02,"per_seq_ms":0.00226,)"
+    R"("context_per_k":0.00431,"read_per_s":206000.0,"pairs_per_m":0.138}},)"
+    R"({"name":"plain","maxConnections":110}],)"
+    R"("tenants":[{"name":"t","apiKeys":["k"]}]})";
+
+ServerReport server(const char *Id, const char *Service, const char *Address) {
+  ServerReport R;
+  R.Id = BackendId(Id);
+  R.Born = 1;
+  R.Sequence = 1;
+  R.Service = ServiceId(Service);
+  R.Address = Address;
+  return R;
+}
+
+struct Rig {
+  Gateway S;
+  TimePoint Now = Start;
+  Effects Last; // Of the last event.
+  std::uint64_t NextExchange = 1;
+
+  explicit Rig(bool Informed = true) {
+    GatewayStart G;
+    G.Config.Host.PeerAddress = "10.0.0.1:7340";
+    G.Config.Join.Role = "entry";
+    G.Config.Join.Seeds = "10.0.0.100:80";
+    G.Config.Drain.Limit = seconds(8);
+    G.Platform = platform::adapter();
+    G.Life = 9;
+    S = makeGateway(G, Now);
+    tick();
+    if (Informed)
+      inform();
+  }
+
+  void event(const Event &E) { Last = reduceGateway(S, E, Now); }
+  void tick(Duration After = Duration::zero()) {
+    Now += After;
+    event(Tick());
+  }
+  /// Lets time pass in small steps; keeps all effects.
+  Effects pass(Duration Time) {
+    Effects All;
+    for (TimePoint End = Now + Time; Now < End;) {
+      tick(milliseconds(10));
+      All.insert(All.end(), Last.begin(), Last.end());
+    }
+    Last = All;
+    return All;
+  }
+
+  void inform(const char *Text = RoutingText, std::uint64_t Number = 3) {
+    SiteState M;
+    M.Sequence = S.Link.Sequence;
+    M.Current = true;
+    M.Leader = Control;
+    M.Config = Number;
+    M.Text.Data = Text;
+    M.Whole = true;
+    M.Servers = {server("e1", "llm", "10.0.1.1:80"),
+                 server("e2", "llm", "10.0.1.2:80"),
+                 server("p1", "plain", "10.0.2.1:80"),
+                 server("p2", "plain", "10.0.2.2:80")};
+    event(PeerMessage{Control, 1, M});
+  }
+
+  ExchangeId call(HttpMethod Method, const char *Target,
+                  std::vector<HttpHeader> More = {}) {
+    HttpRequest R;
+    R.Method = Method;
+    R.Path = Target;
+    R.Target = Target;
+    R.Headers = {{"Host", "h"},
+                 {"X-Pimentoglade-Attempt-Id", "id1"},
+                 {"Authorization", "Token k"}};
+    for (HttpHeader &Header : More)
+      R.Headers.push_back(std::move(Header));
+    ExchangeId Id{NextExchange++};
+    event(CallerRequest{Id, R});
+    return Id;
+  }
+  ExchangeId stream() {
+    return call(HttpMethod::Post, "/s/1",
+                {{"X-Pimentoglade-Token-Count", "5000,1300"}});
+  }
+
+  template <class T> std::vector<T> all() const {
+    std::vector<T> Found;
+    for (const Effect &E : Last) {
+      if (const auto *Is = std::get_if<T>(&E))
+        Found.push_back(*Is);
+    }
+    return Found;
+  }
+  template <class T> T one() const {
+    std::vector<T> Found = all<T>();
+    BOOST_REQUIRE_MESSAGE(Found.size() == 1, "effects: " << Found.size());
+    return Found.front();
+  }
+
+  void sent(UpstreamId Id) { event(UpstreamSent{Id}); }
+  void head(UpstreamId Id, int Status, std::vector<HttpHeader> More = {}) {
+    std::vector<HttpHeader> Headers = {{"X-Pimentoglade-Attempt-Id", "id1"},
+                                       {"X-Pimentoglade-Replica-Stamp", "s"},
+                                       {"Digest", "d"}};
+    for (HttpHeader &Header : More)
+      Headers.push_back(std::move(Header));
+    event(UpstreamHead{Id, Status, Headers});
+  }
+  void broken(UpstreamId Id, bool BytesSent) {
+    UpstreamFailure Why;
+    Why.BytesSent = BytesSent;
+    event(UpstreamFailed{Id, Why});
+  }
+};
+
+std::string_view valueOf(const calls::OpenUpstream &Open, const char *Name) {
+  return headerValue(Open.Request.Headers, Name);
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(AHostWithoutConfigurationRefusesHonestly) {
+  Rig R(false);
+  R.call(HttpMethod::Get, "/r/1");
+  calls::SendReply Reply = R.one<calls::SendReply>();
+  BOOST_TEST(Reply.Reply.Status == 503);
+  BOOST_TEST(!headerValue(Reply.Reply.Headers, "Retry-After").empty());
+  BOOST_TEST(!isReady(R.S));
+  R.inform();
+  BOOST_TEST(isReady(R.S));
+}
+
+BOOST_AUTO_TEST_CASE(RoutesAndKeysDecide) {
+  Rig R;
+  R.call(HttpMethod::Get, "/none/1");
+  BOOST_TEST(R.one<calls::SendReply>().Reply.Status == 404);
+  R.call(HttpMethod::Get, "/r/1", {{"Authorization", "Token other"}});
+  BOOST_TEST(R.all<calls::OpenUpstream>().size() == 1U); // The first counts.
+  HttpRequest Bare;
+  Bare.Path = Bare.Target = "/r/1";
+  Bare.Headers = {{"Host", "h"}};
+  R.event(CallerRequest{ExchangeId{900}, Bare});
+  BOOST_TEST(R.one<calls::SendReply>().Reply.Status == 401);
+  Bare.Path = Bare.Target = "/o/1";
+  R.event(CallerRequest{ExchangeId{901}, Bare});
+  calls::OpenUpstream Open = R.one<calls::OpenUpstream>();
+  BOOST_TEST(valueOf(Open, "X-Pimentoglade-Tenant").empty());
+}
+
+BOOST_AUTO_TEST_CASE(BytesGoThroughAsTheyAre) {
+  Rig R;
+  ExchangeId Id = R.call(HttpMethod::Get, "/r/a%2Fb?x=%20");
+  calls::OpenUpstream Open = R.one<calls::OpenUpstream>();
+  BOOST_TEST(Open.Request.Target == "/r/a%2Fb?x=%20");
+  BOOST_TEST(valueOf(Open, "X-Pimentoglade-Tenant") == "t");
+  BOOST_TEST(valueOf(Open, "Authorization").empty());
+  BOOST_TEST(valueOf(Open, "X-Pimentoglade-Deadline-Ms") == "600");
+  R.sent(Open.Upstream);
+  R.head(Open.Upstream, 200);
+  BOOST_TEST(R.all<calls::SendReply>().empty());
+  R.event(UpstreamData{Open.Upstream, "bytes"});
+  R.event(UpstreamEnd{Open.Upstream, true});
+  calls::SendReply Reply = R.one<calls::SendReply>();
+  BOOST_TEST((Reply.Exchange == Id));
+  BOOST_TEST(Reply.Reply.Body == "bytes");
+  BOOST_TEST(headerValue(Reply.Reply.Headers, "Digest") == "d");
+  BOOST_TEST(R.S.Calls.empty());
+  BOOST_TEST(R.S.Timers.empty());
+}
+
+/// A call that may run once is never sent again once a byte of it left.
+BOOST_AUTO_TEST_CASE(WhatMayRunOnceIsNotRepeated) {
+  Rig R;
+  R.call(HttpMethod::Post, "/w/1");
+  calls::OpenUpstream Open = R.one<calls::OpenUpstream>();
+  BOOST_TEST(!Open.Request.MayReuse);
+  R.sent(Open.Upstream);
+  R.broken(Open.Upstream, true);
+  BOOST_TEST(R.all<calls::OpenUpstream>().empty());
+  int Status = R.one<calls::SendReply>().Reply.Status;
+  BOOST_TEST((Status == 502 || Status == 504));
+}
+
+BOOST_AUTO_TEST_CASE(WhatProvablyDidNotRunGoesElsewhere) {
+  Rig R;
+  R.call(HttpMethod::Post, "/w/1");
+  calls::OpenUpstream First = R.one<calls::OpenUpstream>();
+  R.broken(First.Upstream, false);
+  calls::OpenUpstream Second = R.one<calls::OpenUpstream>();
+  BOOST_TEST(Second.Request.Address != First.Request.Address);
+  R.sent(Second.Upstream);
+  R.head(Second.Upstream, 503, {{"X-Pimentoglade-Not-Executed", "1"}});
+  R.event(UpstreamEnd{Second.Upstream, true});
+  calls::OpenUpstream Third = R.one<calls::OpenUpstream>();
+  R.sent(Third.Upstream);
+  R.head(Third.Upstream, 503, {{"X-Pimentoglade-Not-Executed", "1"}});
+  R.event(UpstreamEnd{Third.Upstream, true});
+  // Two servers were reached: that is all the route allows.
+  calls::SendReply Reply = R.one<calls::SendReply>();
+  BOOST_TEST(Reply.Reply.Status == 503);
+  BOOST_TEST(!headerValue(Reply.Reply.Headers, "Retry-After").empty());
+}
+
+BOOST_AUTO_TEST_CASE(FailuresOfIdempotentCallsAreRepeatedOnce) {
+  Rig R;
+  R.call(HttpMethod::Get, "/r/1");
+  calls::OpenUpstream First = R.one<calls::OpenUpstream>();
+  R.sent(First.Upstream);
+  R.head(First.Upstream, 500);
+  R.event(UpstreamEnd{First.Upstream, true});
+  calls::OpenUpstream Second = R.one<calls::OpenUpstream>();
+  BOOST_TEST(Second.Request.Address != First.Request.Address);
+  R.sent(Second.Upstream);
+  R.head(Second.Upstream, 500);
+  R.event(UpstreamEnd{Second.Upstream, true});
+  // The server's own failure, with its stamp and status.
+  calls::SendReply Reply = R.one<calls::SendReply>();
+  BOOST_TEST(Reply.Reply.Status == 500);
+  BOOST_TEST(headerValue(Reply.Reply.Headers, "X-Pimentoglade-Replica-Stamp") ==
+             "s");
+}
+
+BOOST_AUTO_TEST_CASE(AnAnswerToAnotherRequestIsNotPassedOn) {
+  Rig R;
+  R.call(HttpMethod::Post, "/w/1");
+  calls::OpenUpstream Open = R.one<calls::OpenUpstream>();
+  R.sent(Open.Upstream);
+  R.event(UpstreamHead{Open.Upstream,
+                       200,
+                       {{"X-Pimentoglade-Attempt-Id", "other"},
+                        {"X-Pimentoglade-Replica-Stamp", "s"}}});
+  R.event(UpstreamEnd{Open.Upstream, true});
+  BOOST_TEST(R.one<calls::SendReply>().Reply.Status >= 502);
+}
+
+BOOST_AUTO_TEST_CASE(OverdueIdempotentCallsGoElsewhere) {
+  Rig R;
+  R.call(HttpMethod::Get, "/r/1");
+  R.sent(R.one<calls::OpenUpstream>().Upstream);
+  R.pass(milliseconds(350));
+  BOOST_TEST(R.all<calls::OpenUpstream>().size() == 1U);
+  BOOST_TEST(R.all<calls::AbortUpstream>().size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(TheTimeLimitIsAnswered) {
+  Rig R;
+  R.call(HttpMethod::Post, "/w/1");
+  R.sent(R.one<calls::OpenUpstream>().Upstream);
+  R.pass(milliseconds(590));
+  BOOST_TEST(R.all<calls::SendReply>().empty());
+  R.pass(milliseconds(30));
+  BOOST_TEST(R.one<calls::SendReply>().Reply.Status == 504);
+  BOOST_TEST(R.all<calls::AbortUpstream>().size() == 1U);
+  BOOST_TEST(R.S.Calls.empty());
+}
+
+BOOST_AUTO_TEST_CASE(StreamsGoOnElsewhereAfterAWholeEvent) {
+  Rig R;
+  ExchangeId Id = R.stream();
+  calls::OpenUpstream First = R.one<calls::OpenUpstream>();
+  R.sent(First.Upstream);
+  R.head(First.Upstream, 200);
+  BOOST_TEST((R.one<calls::StartStream>().Exchange == Id));
+  R.event(UpstreamData{First.Upstream, "id: 1\ndata: a\n\nid: 2\nda"});
+  BOOST_TEST(R.one<calls::StreamBytes>().Bytes == "id: 1\ndata: a\n\n");
+  R.broken(First.Upstream, true);
+  calls::OpenUpstream Second = R.one<calls::OpenUpstream>();
+  BOOST_TEST(Second.Request.Address != First.Request.Address);
+  BOOST_TEST(valueOf(Second, "Last-Event-Id") == "1");
+  R.sent(Second.Upstream);
+  R.head(Second.Upstream, 200);
+  BOOST_TEST(R.all<calls::StartStream>().empty());
+  R.event(UpstreamData{Second.Upstream, "id: 2\ndata: b\n\n"});
+  BOOST_TEST(R.one<calls::StreamBytes>().Bytes == "id: 2\ndata: b\n\n");
+  R.event(UpstreamEnd{Second.Upstream, true});
+  BOOST_TEST(R.one<calls::EndStream>().Whole);
+  BOOST_TEST(R.S.Engines.Placed.empty());
+}
+
+BOOST_AUTO_TEST_CASE(AStreamThatCannotGoOnIsSeenToBeCut) {
+  Rig R;
+  R.stream();
+  for (int Send = 0; Send < 2; ++Send) {
+    calls::OpenUpstream Open = R.one<calls::OpenUpstream>();
+    R.sent(Open.Upstream);
+    R.head(Open.Upstream, 200);
+    R.event(UpstreamData{Open.Upstream, "id: 1\ndata: a\n\n"});
+    R.broken(Open.Upstream, true);
+  }
+  BOOST_TEST(!R.one<calls::EndStream>().Whole);
+  BOOST_TEST(R.S.Calls.empty());
+}
+
+BOOST_AUTO_TEST_CASE(WorkForACallerThatLeftEnds) {
+  Rig R;
+  ExchangeId Id = R.stream();
+  UpstreamId Upstream = R.one<calls::OpenUpstream>().Upstream;
+  R.sent(Upstream);
+  R.event(ExchangeLeft{Id});
+  BOOST_TEST((R.one<calls::AbortUpstream>().Upstream == Upstream));
+  BOOST_TEST(R.S.Calls.empty());
+  BOOST_TEST(R.S.Engines.Placed.empty());
+  // What may run once is not cut in the middle.
+  Id = R.call(HttpMethod::Post, "/w/1");
+  Upstream = R.one<calls::OpenUpstream>().Upstream;
+  R.sent(Upstream);
+  R.event(ExchangeLeft{Id});
+  BOOST_TEST(R.all<calls::AbortUpstream>().empty());
+  R.head(Upstream, 200);
+  R.event(UpstreamEnd{Upstream, true});
+  BOOST_TEST(R.all<calls::SendReply>().empty());
+  BOOST_TEST(R.S.Calls.empty());
+}
+
+BOOST_AUTO_TEST_CASE(AnOlderConfigurationNeverReturns) {
+  Rig R;
+  std::string Newer = RoutingText;
+  Newer.replace(Newer.find("\"version\":3"), 11, "\"version\":9");
+  Newer.replace(Newer.find("/r/"), 3, "/n/");
+  R.inform(Newer.c_str(), 9);
+  R.inform(RoutingText, 3);
+  BOOST_TEST(R.S.Routes->Config.Number == 9U);
+  R.call(HttpMethod::Get, "/r/1");
+  BOOST_TEST(R.one<calls::SendReply>().Reply.Status == 404);
+}
+
+BOOST_AUTO_TEST_CASE(AStopIsUnreadyFirstAndEndsOnceAllIsAnswered) {
+  Rig R;
+  R.call(HttpMethod::Post, "/w/1");
+  UpstreamId Upstream = R.one<calls::OpenUpstream>().Upstream;
+  R.sent(Upstream);
+  R.event(StopRequested());
+  BOOST_TEST(!isReady(R.S));
+  R.pass(seconds(1));
+  BOOST_TEST(R.all<StopListening>().empty());
+  ExchangeId Late = R.call(HttpMethod::Get, "/r/1"); // Still served.
+  calls::OpenUpstream Open = R.one<calls::OpenUpstream>();
+  R.head(Open.Upstream, 200);
+  R.event(UpstreamEnd{Open.Upstream, true});
+  calls::SendReply Reply = R.one<calls::SendReply>();
+  BOOST_TEST((Reply.Exchange == Late));
+  BOOST_TEST(headerValue(Reply.Reply.Headers, "Connection") == "close");
+  R.pass(milliseconds(2100));
+  BOOST_TEST(!R.all<StopListening>().empty());
+  BOOST_TEST(!R.all<Exit>().empty());
+  BOOST_TEST(R.all<Exit>().front().Status == 0);
+}
+
+/// What comes on a kept connection late in a stop could not be finished.
+BOOST_AUTO_TEST_CASE(LateInAStopNothingNewIsTaken) {
+  Rig R;
+  R.stream();
+  UpstreamId Upstream = R.one<calls::OpenUpstream>().Upstream;
+  R.sent(Upstream);
+  R.head(Upstream, 200);
+  R.event(StopRequested());
+  for (int Event = 0; Event < 7; ++Event) {
+    R.pass(milliseconds(450));
+    R.event(UpstreamData{Upstream, "data: a\n\n"});
+  }
+  R.stream();
+  BOOST_TEST(R.all<calls::OpenUpstream>().empty());
+  calls::SendReply Reply = R.one<calls::SendReply>();
+  BOOST_TEST(Reply.Reply.Status == 503);
+  BOOST_TEST(headerValue(Reply.Reply.Headers, "Connection") == "close");
+  BOOST_TEST(!headerValue(Reply.Reply.Headers, "Retry-After").empty());
+  R.event(UpstreamData{Upstream, "id: 1\ndata: a\n\n"});
+  R.event(UpstreamEnd{Upstream, true});
+  BOOST_TEST(R.one<calls::EndStream>().Whole);
+}
+
+/// An engine holds memory of a long prompt only while this host says so.
+BOOST_AUTO_TEST_CASE(ReservationsAreRenewedAndGivenBack) {
+  Rig R;
+  ExchangeId Id = R.call(HttpMethod::Post, "/l/1",
+                         {{"X-Pimentoglade-Token-Count", "300000,700"},
+                          {"X-Pimentoglade-Deadline-Ms", "15000"}});
+  calls::OpenUpstream Reserve = R.one<calls::OpenUpstream>();
+  BOOST_TEST(Reserve.Request.Body.find("reserve") != std::string::npos);
+  R.event(UpstreamHead{Reserve.Upstream, 200, {}});
+  R.event(UpstreamEnd{Reserve.Upstream, true});
+  calls::OpenUpstream Open = R.one<calls::OpenUpstream>();
+  BOOST_TEST(valueOf(Open, "X-Pimentoglade-Helpers").find("/r") !=
+             std::string_view::npos);
+  R.sent(Open.Upstream);
+  R.pass(milliseconds(1000));
+  std::vector<calls::OpenUpstream> Renewals = R.all<calls::OpenUpstream>();
+  BOOST_REQUIRE(!Renewals.empty());
+  BOOST_TEST(Renewals[0].Request.Body == Reserve.Request.Body);
+  R.event(ExchangeLeft{Id});
+  calls::OpenUpstream Release = R.one<calls::OpenUpstream>();
+  BOOST_TEST(Release.Request.Body.find("release") != std::string::npos);
+  R.broken(Release.Upstream, true); // Its answer is lost.
+  R.pass(milliseconds(300));
+  Release = R.one<calls::OpenUpstream>();
+  BOOST_TEST(Release.Request.Body.find("release") != std::string::npos);
+  R.event(UpstreamHead{Release.Upstream, 200, {}});
+  R.event(UpstreamEnd{Release.Upstream, true});
+  R.pass(seconds(4));
+  BOOST_TEST(R.all<calls::OpenUpstream>().empty());
+  BOOST_TEST(R.S.Releases.empty());
+}
+
+/// Nobody else places: the host does it itself at once.
+BOOST_AUTO_TEST_CASE(ASilentPlacerIsPassedOver) {
+  Rig R;
+  R.S.Link.Placer = HostId("10.0.0.2");
+  R.stream();
+  BOOST_TEST(R.all<calls::OpenUpstream>().empty());
+  BOOST_TEST(R.all<SendPeer>().size() == 1U);
+  R.pass(milliseconds(200));
+  BOOST_TEST(R.all<calls::OpenUpstream>().size() == 1U);
+  R.stream(); // While it is left alone.
+  BOOST_TEST(R.all<calls::OpenUpstream>().size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(ARemotePlacersAnswerIsFollowed) {
+  Rig R;
+  HostId Placer("10.0.0.2");
+  R.S.Link.Placer = Placer;
+  R.stream();
+  auto Asked = std::get<PlaceAsk>(R.one<SendPeer>().Content);
+  PlaceReply Reply;
+  Reply.Ticket = Asked.Ticket;
+  R.event(PeerMessage{Placer, 1, Reply}); // It waits.
+  R.pass(milliseconds(200));
+  BOOST_TEST(R.all<calls::OpenUpstream>().empty());
+  Reply.First.Engine = BackendId("e2");
+  R.event(PeerMessage{Placer, 1, Reply});
+  calls::OpenUpstream Open = R.one<calls::OpenUpstream>();
+  BOOST_TEST(Open.Request.Address == "10.0.1.2:80");
+  // An answer that comes twice, or too late, is given back.
+  Reply.Ticket = 424242;
+  R.event(PeerMessage{Placer, 1, Reply});
+  auto Note = std::get<PlaceNote>(R.one<SendPeer>().Content);
+  BOOST_TEST((Note.Stage == PlaceStage::Ended));
+}
--- a/packages/gateway/tests/PlacerTest.cpp
+++ b/packages/gateway/tests/PlacerTest.cpp
@@ -1,1 +1,263 @@
-// later
+#include <boost/test/unit_test.hpp>
+
+#include "gateway/EngineCost.h"
+#include "gateway/Placer.h"
+
+#include <set>
+
+using namespace pimento;
+
+namespace {
+
+const TimePoint Start = TimePoint(seconds(100));
+const ServiceId Service("llm");
+const HostId Here("10.0.0.1");
+
+EngineFacts facts() {
+  EngineFacts F;
+  F.Slots = 16;
+  F.MemoryTokens = 232000;
+  F.Stride = 43;
+  F.ChunkTokens = 2048;
+  F.Step = microseconds(1020);
+  F.StepPerWriter = Duration(2260);
+  F.StepPerThousandContext = Duration(4310);
+  F.ReadTokensPerSecond = 206000;
+  F.ReadPerMillionPairs = microseconds(138);
+  return F;
+}
+
+struct Fixture {
+  PlacerState S;
+  std::uint64_t NextTicket = 1;
+  TimePoint Now = Start;
+
+  void addEngines(int Count) {
+    RoutingConfig C;
+    C.Services = {{Service, 0, facts()}};
+    ServerBook Book;
+    for (int I = 0; I < Count; ++I) {
+      ServerReport R;
+      R.Id = BackendId("e" + std::to_string(100 + I));
+      R.Born = 1;
+      R.Service = Service;
+      R.Address = "10.0.1." + std::to_string(I) + ":80";
+      takeReport(Book, R, Start);
+    }
+    setEngines(S, *makeRouteTable(C), Book);
+  }
+
+  static PlaceAsk brief(std::uint64_t Tokens = 5000) {
+    PlaceAsk A;
+    A.Service = Service;
+    A.PromptTokens = Tokens;
+    A.AnswerTokens = 1300;
+    A.Objective = milliseconds(300);
+    A.PauseObjective = milliseconds(250);
+    A.Patience = seconds(2);
+    A.TimeLeft = seconds(10);
+    return A;
+  }
+  static PlaceAsk audit(std::uint64_t Tokens = 133000) {
+    PlaceAsk A = brief(Tokens);
+    A.AnswerTokens = 700;
+    A.Objective = milliseconds(2500);
+    A.PauseObjective = seconds(1);
+    A.Patience = seconds(10);
+    A.TimeLeft = seconds(15);
+    return A;
+  }
+
+  PlaceOutcome place(PlaceAsk A) {
+    A.Ticket = NextTicket++;
+    return ask(S, {Here, A.Ticket}, A, Now);
+  }
+  void begin(const PlaceOutcome &O) {
+    note(S, {Here, O.Reply.Ticket}, PlaceStage::Writing, {}, Now);
+  }
+  void end(const PlaceOutcome &O) {
+    note(S, {Here, O.Reply.Ticket}, PlaceStage::Ended, {}, Now);
+  }
+
+  /// The longest that a pass with this reading would last anywhere where a
+  /// request with \p Pause writes.
+  Duration longestPause(const PlaceOutcome &O, std::uint64_t Tokens) {
+    Duration Longest = {};
+    auto Parts = static_cast<std::int64_t>(1 + O.Reply.Helpers.size());
+    Duration Part = readingTime(facts(), Tokens) / Parts;
+    std::vector<BackendId> Engines = {O.Reply.First.Engine};
+    for (const EnginePart &Helper : O.Reply.Helpers)
+      Engines.push_back(Helper.Engine);
+    for (const BackendId &Id : Engines) {
+      const PlacerEngine &E = S.Engines.at(Id);
+      if (E.Writers > 0)
+        Longest = std::max(
+            Longest, Part + passTime(facts(), E.Writers, E.WriterContext));
+    }
+    return Longest;
+  }
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(CostsFollowTheDataSheet) {
+  EngineFacts F = facts();
+  BOOST_TEST(toMilliseconds(readingTime(F, 45000)) >= 350);
+  BOOST_TEST(toMilliseconds(readingTime(F, 45000)) <= 365);
+  BOOST_TEST(toMilliseconds(readingTime(F, 133000)) >= 1850);
+  BOOST_TEST(toMilliseconds(readingTime(F, 133000)) <= 1900);
+  BOOST_TEST(toMilliseconds(passTime(F, 1, 5000)) == 44);
+  BOOST_TEST((passTime(F, 0, 0) == F.Step));
+  BOOST_TEST(toMilliseconds(passReadingLimit(F, 0)) == 427);
+  BOOST_TEST(toMilliseconds(writingTime(F, 86, milliseconds(50))) == 100);
+}
+
+BOOST_FIXTURE_TEST_CASE(ShortPromptsArePacked, Fixture) {
+  addEngines(12);
+  std::set<BackendId> Used;
+  for (int I = 0; I < 10; ++I) {
+    PlaceOutcome O = place(brief());
+    BOOST_REQUIRE((O.Verdict == PlaceVerdict::Placed));
+    BOOST_TEST(O.Reply.Helpers.empty());
+    BOOST_TEST(toMilliseconds(O.Reply.Forecast) <= 300);
+    Used.insert(O.Reply.First.Engine);
+    Now += milliseconds(60);
+    begin(O);
+  }
+  BOOST_TEST(Used.size() <= 2U);
+}
+
+BOOST_FIXTURE_TEST_CASE(LongPromptsAreReadInTime, Fixture) {
+  addEngines(12);
+  PlaceOutcome O = place(audit(133000));
+  BOOST_REQUIRE((O.Verdict == PlaceVerdict::Placed));
+  BOOST_TEST(!O.Reply.Helpers.empty());
+  BOOST_TEST(toMilliseconds(O.Reply.Forecast) <= 2000);
+}
+
+/// Short prompts write everywhere; a long one must not make their events late.
+BOOST_FIXTURE_TEST_CASE(LongPromptsDoNotStallShortOnes, Fixture) {
+  addEngines(21);
+  for (int I = 0; I < 21 * 8; ++I) {
+    PlaceOutcome O = place(brief());
+    if (O.Verdict == PlaceVerdict::Placed)
+      begin(O);
+    Now += milliseconds(5);
+  }
+  Now += milliseconds(500);
+  for (std::uint64_t Tokens : {45000U, 100000U, 133000U}) {
+    PlaceAsk A = Tokens < 50000U ? audit(Tokens) : audit(Tokens);
+    PlaceOutcome O = place(A);
+    if (O.Verdict != PlaceVerdict::Placed)
+      continue;
+    BOOST_TEST(toMilliseconds(longestPause(O, Tokens)) <= 250);
+  }
+}
+
+BOOST_FIXTURE_TEST_CASE(WhatOneEngineCannotHoldIsKeptAtHelpers, Fixture) {
+  addEngines(21);
+  PlaceOutcome O = place(audit(400000));
+  BOOST_REQUIRE((O.Verdict == PlaceVerdict::Placed));
+  std::uint64_t Kept = 0;
+  for (const EnginePart &Helper : O.Reply.Helpers) {
+    BOOST_TEST(Helper.MemoryTokens <= facts().MemoryTokens);
+    Kept += Helper.MemoryTokens;
+  }
+  BOOST_TEST(Kept + facts().MemoryTokens >= 400700U);
+  BOOST_TEST(O.Reply.Helpers.size() <= 16U);
+  // No engine is named twice, nor helps itself.
+  std::set<BackendId> Engines = {O.Reply.First.Engine};
+  for (const EnginePart &Helper : O.Reply.Helpers)
+    BOOST_TEST(Engines.insert(Helper.Engine).second);
+}
+
+BOOST_FIXTURE_TEST_CASE(MemoryIsNeverPromisedTwice, Fixture) {
+  addEngines(4);
+  for (int I = 0; I < 40; ++I)
+    place(audit(150000));
+  for (const auto &[Id, E] : S.Engines)
+    BOOST_TEST(E.MemoryTokens <= facts().MemoryTokens);
+  for (const auto &[Id, E] : S.Engines)
+    BOOST_TEST(E.Writers + E.Readers <= facts().Slots);
+}
+
+BOOST_FIXTURE_TEST_CASE(WhatCannotBeServedIsRefusedAtOnce, Fixture) {
+  addEngines(3);
+  PlaceAsk Late = audit(600000);
+  Late.Patience = seconds(1); // Reading alone takes longer.
+  PlaceOutcome O = place(Late);
+  BOOST_TEST((O.Verdict == PlaceVerdict::Refused));
+  BOOST_TEST((O.Reply.RetryAfter > Duration::zero()));
+  PlaceAsk Other = brief();
+  Other.Service = ServiceId("nobody");
+  BOOST_TEST((place(Other).Verdict == PlaceVerdict::Refused));
+}
+
+BOOST_FIXTURE_TEST_CASE(WhoWaitsIsPlacedOrRefusedInTime, Fixture) {
+  addEngines(1);
+  std::vector<PlaceOutcome> Running;
+  std::size_t Waiting = 0;
+  for (int I = 0; I < 40; ++I) {
+    PlaceOutcome O = place(brief());
+    if (O.Verdict == PlaceVerdict::Placed)
+      Running.push_back(O);
+    Waiting += O.Verdict == PlaceVerdict::Waiting ? 1 : 0;
+  }
+  BOOST_TEST(Waiting > 0U);
+  BOOST_TEST((nextPlacerTick(S, Now) < Now + seconds(1)));
+  std::size_t Answered = 0;
+  for (int Step = 0; Step < 120; ++Step) {
+    Now += milliseconds(25);
+    if (!Running.empty() && Step % 8 == 0) {
+      end(Running.back());
+      Running.pop_back();
+    }
+    Answered += tickPlacer(S, Now).size();
+  }
+  BOOST_TEST(Answered == Waiting);
+  BOOST_TEST((nextPlacerTick(S, Now) == TimePoint::max()));
+}
+
+BOOST_FIXTURE_TEST_CASE(AnAskThatIsRepeatedGetsTheSameEngines, Fixture) {
+  addEngines(8);
+  PlaceAsk A = audit();
+  A.Ticket = 77;
+  PlaceOutcome First = ask(S, {Here, 77}, A, Now);
+  PlaceOutcome Second = ask(S, {Here, 77}, A, Now + milliseconds(50));
+  BOOST_TEST(First.Reply.First.Engine == Second.Reply.First.Engine);
+  BOOST_TEST(First.Reply.Helpers.size() == Second.Reply.Helpers.size());
+  BOOST_TEST(S.Placed.size() == 1U);
+}
+
+BOOST_FIXTURE_TEST_CASE(AFailedEngineIsAvoided, Fixture) {
+  addEngines(6);
+  PlaceOutcome O = place(brief());
+  BackendId Failed = O.Reply.First.Engine;
+  note(S, {Here, O.Reply.Ticket}, PlaceStage::Failed, Failed, Now);
+  for (int I = 0; I < 20; ++I)
+    BOOST_TEST(place(brief()).Reply.First.Engine != Failed);
+}
+
+BOOST_FIXTURE_TEST_CASE(AHostThatDiesLeavesNothing, Fixture) {
+  addEngines(6);
+  for (int I = 0; I < 12; ++I)
+    place(brief());
+  place(audit());
+  dropHost(S, Here);
+  BOOST_TEST(S.Placed.empty());
+  BOOST_TEST(S.Queue.empty());
+  for (const auto &[Id, E] : S.Engines)
+    BOOST_TEST(E.Readers + E.Writers + E.Helping + E.MemoryTokens == 0U);
+}
+
+/// Another host placed it before; the new placer must count it.
+BOOST_FIXTURE_TEST_CASE(RunningRequestsAreTakenOver, Fixture) {
+  addEngines(2);
+  PlaceAsk A = audit(200000);
+  A.Ticket = 5;
+  A.Holding = {{BackendId("e100"), 0}, {BackendId("e101"), 30000}};
+  ask(S, {HostId("10.0.0.2"), 5}, A, Now);
+  BOOST_TEST(S.Engines.at(BackendId("e100")).MemoryTokens == 200700U);
+  BOOST_TEST(S.Engines.at(BackendId("e101")).MemoryTokens == 30000U);
+  BOOST_TEST(S.Engines.at(BackendId("e101")).Helping == 1U);
+}
--- a/packages/routing/tests/ServersTest.cpp
+++ b/packages/routing/tests/ServersTest.cpp
@@ -1,1 +1,105 @@
-// later
+#include <boost/test/unit_test.hpp>
+
+#include "routing/Servers.h"
+
+using namespace pimento;
+
+namespace {
+
+const TimePoint Start = TimePoint(seconds(100));
+
+ServerReport report(const char *Id, std::uint64_t Born, std::uint64_t Sequence,
+                    ServerPhase Phase = ServerPhase::Ready,
+                    const char *Address = "10.0.0.1:80") {
+  ServerReport R;
+  R.Id = BackendId(Id);
+  R.Born = Born;
+  R.Sequence = Sequence;
+  R.Service = ServiceId("llm");
+  R.Address = Address;
+  R.Phase = Phase;
+  return R;
+}
+
+ServerPhase phaseOf(const ServerBook &Book, const char *Id) {
+  return Book.Servers.at(BackendId(Id)).Report.Phase;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(AReportThatOnlyShowsLifeIsNoChange) {
+  ServerBook Book;
+  BOOST_TEST(takeReport(Book, report("a", 5, 1), Start));
+  BOOST_TEST(!takeReport(Book, report("a", 5, 2), Start + seconds(1)));
+  BOOST_TEST((Book.Servers.at(BackendId("a")).Heard == Start + seconds(1)));
+  BOOST_TEST(Book.Revision == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(LateReportsOfOneLifeChangeNothing) {
+  ServerBook Book;
+  takeReport(Book, report("a", 5, 1), Start);
+  takeReport(Book, report("a", 5, 4, ServerPhase::Draining), Start);
+  BOOST_TEST(!takeReport(Book, report("a", 5, 3), Start + seconds(1)));
+  BOOST_TEST((phaseOf(Book, "a") == ServerPhase::Draining));
+  // Nor does a later one that forgot that it leaves.
+  BOOST_TEST(!takeReport(Book, report("a", 5, 5), Start + seconds(1)));
+  BOOST_TEST((phaseOf(Book, "a") == ServerPhase::Draining));
+}
+
+BOOST_AUTO_TEST_CASE(WhoeverLeavesIsHeardAlsoOutOfOrder) {
+  ServerBook Book;
+  takeReport(Book, report("a", 5, 9), Start);
+  BOOST_TEST(takeReport(Book, report("a", 5, 8, ServerPhase::Draining), Start));
+  BOOST_TEST((phaseOf(Book, "a") == ServerPhase::Draining));
+}
+
+BOOST_AUTO_TEST_CASE(ANewLifeUnderAnOldNameBeginsAnew) {
+  ServerBook Book;
+  takeReport(Book, report("a", 5, 70), Start);
+  takeLeave(Book, BackendId("a"), 5, Start);
+  BOOST_TEST((phaseOf(Book, "a") == ServerPhase::Gone));
+  BOOST_TEST(!takeReport(Book, report("a", 4, 90), Start));
+  BOOST_TEST(takeReport(Book, report("a", 6, 1), Start));
+  BOOST_TEST((phaseOf(Book, "a") == ServerPhase::Ready));
+  // The old life's goodbye comes late.
+  BOOST_TEST(!takeLeave(Book, BackendId("a"), 5, Start));
+}
+
+BOOST_AUTO_TEST_CASE(AnAddressBelongsToTheYoungestServer) {
+  ServerBook Book;
+  takeReport(Book, report("old", 5, 1), Start);
+  takeReport(Book, report("new", 6, 1), Start);
+  BOOST_TEST((phaseOf(Book, "old") == ServerPhase::Gone));
+  // A report that was held up speaks for a dead server.
+  takeReport(Book, report("old", 5, 2), Start + seconds(1));
+  BOOST_TEST((phaseOf(Book, "old") == ServerPhase::Gone));
+  BOOST_TEST((phaseOf(Book, "new") == ServerPhase::Ready));
+}
+
+BOOST_AUTO_TEST_CASE(SilenceIsNoticedAndForgotten) {
+  ServerBook Book;
+  ServerLimits Limits;
+  takeReport(Book, report("a", 5, 1), Start);
+  BOOST_TEST(!tickServers(Book, Limits, Start + Limits.SilentAfter));
+  BOOST_TEST(
+      (nextServerTick(Book, Limits, Start) > Start + Limits.SilentAfter));
+  TimePoint Later = Start + Limits.SilentAfter + milliseconds(2);
+  BOOST_TEST(tickServers(Book, Limits, Later));
+  BOOST_TEST((phaseOf(Book, "a") == ServerPhase::Silent));
+  BOOST_TEST(takeReport(Book, report("a", 5, 2), Later));
+  BOOST_TEST((phaseOf(Book, "a") == ServerPhase::Ready));
+  tickServers(Book, Limits, Later + Limits.ForgetAfter + seconds(1));
+  BOOST_TEST(Book.Servers.empty());
+}
+
+BOOST_AUTO_TEST_CASE(ChangesSinceARevisionAreListedWithAges) {
+  ServerBook Book;
+  takeReport(Book, report("a", 5, 1), Start);
+  std::uint64_t Seen = Book.Revision;
+  takeReport(Book, report("b", 5, 1, ServerPhase::Ready, "10.0.0.2:80"), Start);
+  auto Changed = changedServers(Book, Seen, Start + seconds(2));
+  BOOST_REQUIRE(Changed.size() == 1U);
+  BOOST_TEST(Changed[0].Id == BackendId("b"));
+  BOOST_TEST((Changed[0].Age == seconds(2)));
+  BOOST_TEST(changedServers(Book, 0, Start).size() == 2U);
+}
--- a/packages/shell/AnswerParser.cpp
+++ b/packages/shell/AnswerParser.cpp
@@ -102,13 +102,20 @@
 void AnswerParser::end() {
   if (Data->Failed || Data->Reader.is_done())
     return;
+  // Beast takes a connection that ends before its first byte for whole.
+  if (!Data->Reader.is_header_done()) {
+    Data->Failed = true;
+    return;
+  }
   error_code Error;
   Data->Reader.put_eof(Error);
   Data->Failed = static_cast<bool>(Error) || !Data->Reader.is_done();
 }
 
 bool AnswerParser::failed() const { return Data->Failed; }
-bool AnswerParser::done() const { return Data->Reader.is_done(); }
+bool AnswerParser::done() const {
+  return Data->Reader.is_done() && !Data->Failed;
+}
 bool AnswerParser::delimited() const {
   return Data->Reader.is_header_done() && !Data->Reader.need_eof();
 }
--- /dev/null
+++ b/packages/shell/tests/ClientTest.cpp
@@ -0,0 +1,299 @@
+#include <boost/test/unit_test.hpp>
+
+#include "shell/HttpClient.h"
+#include "shell/LineWriter.h"
+#include "shell/tests/Socket.h"
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/listener.h>
+
+#include <csignal>
+#include <fcntl.h>
+#include <list>
+#include <map>
+#include <memory>
+#include <unistd.h>
+
+using namespace pimento;
+using namespace pimento::test;
+
+namespace {
+
+constexpr Duration Patience = seconds(10);
+
+/// A server whose answers the test writes byte by byte.
+class RawServer {
+public:
+  struct Connection {
+    bufferevent *Stream = nullptr;
+    std::string Received;
+    bool Closed = false;
+    ~Connection() {
+      if (Stream)
+        bufferevent_free(Stream);
+    }
+    void write(const std::string &Bytes) const {
+      bufferevent_write(Stream, Bytes.data(), Bytes.size());
+    }
+  };
+
+  std::string Address = freeAddress();
+  std::list<Connection> Connections;
+
+  explicit RawServer(event_base *TheBase) : Base(TheBase) {
+    sockaddr_storage Target{};
+    int Size = sizeof(Target);
+    evutil_parse_sockaddr_port(Address.c_str(),
+                               reinterpret_cast<sockaddr *>(&Target), &Size);
+    Listener =
+        evconnlistener_new_bind(Base, &RawServer::onAccept, this,
+                                LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE, 16,
+                                reinterpret_cast<sockaddr *>(&Target), Size);
+  }
+  ~RawServer() { evconnlistener_free(Listener); }
+  RawServer(const RawServer &) = delete;
+  RawServer &operator=(const RawServer &) = delete;
+
+private:
+  static void onAccept(evconnlistener *, evutil_socket_t Socket, sockaddr *,
+                       int, void *Self) {
+    auto &Server = *static_cast<RawServer *>(Self);
+    Connection &C = Server.Connections.emplace_back();
+    C.Stream =
+        bufferevent_socket_new(Server.Base, Socket, BEV_OPT_CLOSE_ON_FREE);
+    bufferevent_setcb(C.Stream, &RawServer::onRead, nullptr,
+                      &RawServer::onEvent, &C);
+    bufferevent_enable(C.Stream, EV_READ | EV_WRITE);
+  }
+  static void onRead(bufferevent *Stream, void *Self) {
+    auto &C = *static_cast<Connection *>(Self);
+    evbuffer *Input = bufferevent_get_input(Stream);
+    std::string Bytes(evbuffer_get_length(Input), '\0');
+    evbuffer_remove(Input, Bytes.data(), Bytes.size());
+    C.Received += Bytes;
+  }
+  static void onEvent(bufferevent *, short, void *Self) {
+    static_cast<Connection *>(Self)->Closed = true;
+  }
+
+  event_base *Base;
+  evconnlistener *Listener = nullptr;
+};
+
+struct Outcome {
+  int Status = 0;
+  std::string Body;
+  bool Sent = false;
+  bool Ended = false;
+  bool Delimited = false;
+  bool Failed = false;
+  UpstreamFailure Why;
+};
+
+struct Fixture {
+  EventBasePtr Base = makeEventBase();
+  RawServer Server{Base.get()};
+  std::map<UpstreamId, Outcome> Calls;
+  HttpClient Client{Base.get(), hooks()};
+
+  Fixture() { std::signal(SIGPIPE, SIG_IGN); }
+
+  HttpClientHooks hooks() {
+    HttpClientHooks H;
+    H.Sent = [this](UpstreamId Id) { Calls[Id].Sent = true; };
+    H.Head = [this](UpstreamId Id, int Status,
+                    const std::vector<HttpHeader> &) {
+      Calls[Id].Status = Status;
+    };
+    H.Data = [this](UpstreamId Id, const std::string &Bytes) {
+      Calls[Id].Body += Bytes;
+    };
+    H.End = [this](UpstreamId Id, bool Delimited) {
+      Calls[Id].Ended = true;
+      Calls[Id].Delimited = Delimited;
+    };
+    H.Failed = [this](UpstreamId Id, const UpstreamFailure &Why) {
+      Calls[Id].Failed = true;
+      Calls[Id].Why = Why;
+    };
+    return H;
+  }
+
+  template <class F> bool until(F Done) {
+    return runUntil(Base.get(), Patience, Done);
+  }
+  void settle() {
+    runUntil(Base.get(), milliseconds(60), [] { return false; });
+  }
+
+  Outcome &open(std::uint64_t Number, std::string Body = "",
+                std::uint32_t Limit = 0) {
+    UpstreamRequest R;
+    R.Address = Server.Address;
+    R.Method = Body.empty() ? HttpMethod::Get : HttpMethod::Post;
+    R.Target = "/x";
+    R.Body = std::move(Body);
+    R.MayReuse = true;
+    R.EchoHeader = {"Echo", std::to_string(Number)};
+    R.ConnectionLimit = Limit;
+    UpstreamId Id{Number};
+    Client.open(Id, R);
+    return Calls[Id];
+  }
+
+  /// The connection that the nth request came on.
+  RawServer::Connection &connection(std::size_t Index) {
+    until([&] { return Server.Connections.size() > Index; });
+    RawServer::Connection &C = *std::next(Server.Connections.begin(),
+                                          static_cast<std::ptrdiff_t>(Index));
+    until([&] { return C.Received.find("\r\n\r\n") != std::string::npos; });
+    return C;
+  }
+
+  static std::string answer(const char *Echo, const std::string &Body = "ok") {
+    return "HTTP/1.1 200 OK\r\nEcho: " + std::string(Echo) +
+           "\r\nContent-Length: " + std::to_string(Body.size()) + "\r\n\r\n" +
+           Body;
+  }
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_CASE(ConnectionsAreUsedAgain, Fixture) {
+  open(1);
+  connection(0).write(answer("1"));
+  BOOST_TEST(until([&] { return Calls[UpstreamId{1}].Ended; }));
+  Outcome &Second = open(2);
+  settle();
+  BOOST_TEST(Server.Connections.size() == 1U);
+  connection(0).write(answer("2", "again"));
+  BOOST_TEST(until([&] { return Second.Ended; }));
+  BOOST_TEST(Second.Body == "again");
+  BOOST_TEST(Client.counters().Reused == 1U);
+}
+
+BOOST_FIXTURE_TEST_CASE(AnExtraAnswerIsNobodys, Fixture) {
+  open(1);
+  connection(0).write(answer("1"));
+  BOOST_TEST(until([&] { return Calls[UpstreamId{1}].Ended; }));
+  // It comes while the connection is idle: that one is never used again.
+  connection(0).write(answer("1", "late"));
+  settle();
+  Outcome &Second = open(2);
+  connection(1).write(answer("2", "mine"));
+  BOOST_TEST(until([&] { return Second.Ended; }));
+  BOOST_TEST(Second.Body == "mine");
+}
+
+BOOST_FIXTURE_TEST_CASE(AnotherRequestsAnswerIsSkipped, Fixture) {
+  Outcome &Call = open(7);
+  connection(0).write(answer("6", "late") + answer("7", "mine"));
+  BOOST_TEST(until([&] { return Call.Ended; }));
+  BOOST_TEST(Call.Body == "mine");
+  BOOST_TEST(Client.counters().Strays == 1U);
+  settle();
+  BOOST_TEST(Client.connections() == 0U);
+}
+
+BOOST_FIXTURE_TEST_CASE(BytesBehindAnAnswerPoisonTheConnection, Fixture) {
+  Outcome &Call = open(1);
+  connection(0).write(answer("1") + "more");
+  BOOST_TEST(until([&] { return Call.Ended; }));
+  settle();
+  BOOST_TEST(Client.connections() == 0U);
+}
+
+BOOST_FIXTURE_TEST_CASE(AnAnswerBeforeTheRequestIsWrittenEndsIt, Fixture) {
+  Outcome &Call = open(1, std::string(16U << 20U, 'x'));
+  bufferevent_disable(connection(0).Stream, EV_READ);
+  connection(0).write(answer("1"));
+  BOOST_TEST(until([&] { return Call.Ended || Call.Failed; }));
+  settle();
+  BOOST_TEST(Client.connections() == 0U);
+}
+
+BOOST_FIXTURE_TEST_CASE(CutAnswersFail, Fixture) {
+  for (const char *Bytes :
+       {"", "HTTP/1.1 200 OK\r\nEcho: 1\r\n",
+        "HTTP/1.1 200 OK\r\nEcho: 1\r\nContent-Length: 9\r\n\r\nabc",
+        "HTTP/1.1 200 OK\r\nEcho: 1\r\nTransfer-Encoding: chunked\r\n\r\n"
+        "3\r\nabc\r\n",
+        "what is this\r\n\r\n"}) {
+    Calls.clear();
+    std::size_t Before = Server.Connections.size();
+    Outcome &Call = open(1);
+    RawServer::Connection &C = connection(Before);
+    C.write(Bytes);
+    settle();
+    bufferevent_free(C.Stream);
+    C.Stream = nullptr;
+    BOOST_TEST(until([&] { return Call.Failed || Call.Ended; }));
+    BOOST_TEST(Call.Failed, Bytes);
+    BOOST_TEST(Call.Why.BytesSent);
+  }
+}
+
+BOOST_FIXTURE_TEST_CASE(AnswersWithoutLengthEndWithTheirConnection, Fixture) {
+  Outcome &Call = open(1);
+  RawServer::Connection &C = connection(0);
+  C.write("HTTP/1.1 200 OK\r\nEcho: 1\r\n\r\nabc");
+  BOOST_TEST(until([&] { return Call.Body == "abc"; }));
+  bufferevent_free(C.Stream);
+  C.Stream = nullptr;
+  BOOST_TEST(until([&] { return Call.Ended; }));
+  BOOST_TEST(!Call.Delimited);
+}
+
+BOOST_FIXTURE_TEST_CASE(ChunksArriveAsTheyCome, Fixture) {
+  Outcome &Call = open(1);
+  RawServer::Connection &C = connection(0);
+  C.write("HTTP/1.1 200 OK\r\nEcho: 1\r\nTransfer-Encoding: chunked\r\n\r\n"
+          "5\r\nfir");
+  settle();
+  C.write("st\r\n6\r\nsecond\r\n0\r\n\r\n");
+  BOOST_TEST(until([&] { return Call.Ended; }));
+  BOOST_TEST(Call.Body == "firstsecond");
+  BOOST_TEST(Call.Delimited);
+}
+
+BOOST_FIXTURE_TEST_CASE(TheLimitOfConnectionsHolds, Fixture) {
+  open(1, "", 2);
+  open(2, "", 2);
+  Outcome &Third = open(3, "", 2);
+  BOOST_TEST(Third.Failed);
+  BOOST_TEST(!Third.Why.BytesSent);
+  connection(0).write(answer("1"));
+  BOOST_TEST(until([&] { return Calls[UpstreamId{1}].Ended; }));
+  BOOST_TEST(!open(4, "", 2).Failed);
+}
+
+BOOST_AUTO_TEST_CASE(LinesNeverBlockTheirWriter) {
+  int Pipe[2];
+  BOOST_REQUIRE(::pipe(Pipe) == 0);
+  LineWriter W = makeLineWriter(Pipe[1]);
+  W.MaxWaiting = 4096;
+  std::string Line(99, 'x');
+  for (int I = 0; I < 3000; ++I) { // Far more than a pipe holds.
+    addLine(W, Line, false);
+    flushLines(W);
+  }
+  BOOST_TEST(W.Dropped > 0U);
+  BOOST_TEST(W.Waiting.size() <= 4096U);
+  addLine(W, "last", true); // Room is kept for what matters most.
+  BOOST_TEST(W.Waiting.find("last\n") != std::string::npos);
+  std::string Read;
+  char Chunk[65536];
+  fcntl(Pipe[0], F_SETFL, O_NONBLOCK);
+  for (;;) {
+    ssize_t Size = ::read(Pipe[0], Chunk, sizeof(Chunk));
+    if (Size <= 0)
+      break;
+    Read.append(Chunk, static_cast<std::size_t>(Size));
+    flushLines(W);
+  }
+  BOOST_TEST(W.Waiting.empty());
+  BOOST_TEST(Read.size() % 100 == 5U); // Whole lines, and "last".
+  ::close(Pipe[0]);
+  ::close(Pipe[1]);
+}
