Plans may cost others more the longer a request waits

Ruled out: packing of short prompts (occupancy by engine shows that they keep to as few engines as they need).

--- a/packages/control/ControlHost.cpp
+++ b/packages/control/ControlHost.cpp
@@ -71,7 +71,10 @@
     else
       logMessage(T, E.From, E.Content);
   }
-  void operator()(const PeerLost &E) const { onLinkLost(T.S.Log, E.Host); }
+  void operator()(const PeerLost &E) const {
+    onLinkLost(T.S.Log, E.Host);
+    entryLost(T, E.Host);
+  }
   void operator()(const CallerRequest &E) const {
     platformCall(T, E.Exchange, E.Request);
   }
--- a/packages/control/ControlSpread.cpp
+++ b/packages/control/ControlSpread.cpp
@@ -14,7 +14,7 @@
 /// A control host that nothing names any more is forgotten after so long.
 constexpr Duration ForgetControl = seconds(20);
 /// An entry host that asks no more is not told anything.
-constexpr Duration EntrySilence = milliseconds(2000);
+constexpr Duration EntrySilence = milliseconds(1200);
 constexpr Duration ForgetEntry = seconds(20);
 constexpr std::size_t MaxWaitingReports = 8192;
 
@@ -222,6 +222,11 @@
   settlePuts(T);
 }
 
+void entryLost(ControlTurn &T, const HostId &Host) {
+  T.S.Entries.erase(Host);
+  choosePlacer(T);
+}
+
 void relay(ControlTurn &T, const ServerReport &Report) {
   for (auto &[Host, Peer] : T.S.Controls) {
     if (Peer.WantsAll || Peer.Reports.size() >= MaxWaitingReports) {
--- a/packages/control/ControlTurn.h
+++ b/packages/control/ControlTurn.h
@@ -49,6 +49,8 @@
 void controlNews(ControlTurn &T, const HostId &From, const ControlNews &M);
 void entrySync(ControlTurn &T, const HostId &From, Incarnation Life,
                const EntrySync &M);
+/// The link to a host broke: most likely it died.
+void entryLost(ControlTurn &T, const HostId &Host);
 /// A report that this host heard itself goes to the other control hosts.
 void relay(ControlTurn &T, const ServerReport &Report);
 /// Sends what changed in this turn.
--- a/packages/gateway/PlacePart.cpp
+++ b/packages/gateway/PlacePart.cpp
@@ -40,6 +40,7 @@
   // A stream that goes on elsewhere is measured by its pauses.
   Ask.Objective = C.Replying ? R.PauseObjective : R.Objective - Age;
   Ask.PauseObjective = R.PauseObjective;
+  Ask.Waited = Age;
   Duration Patience = R.Patience > Duration::zero() ? R.Patience : R.TimeLimit;
   Ask.Patience = C.Replying ? Patience : Patience - Age;
   Ask.TimeLeft = C.Until - T.Now;
@@ -176,6 +177,7 @@
 
 void askHere(GatewayTurn &T, GatewayCall &C) {
   C.AskedRemote = false;
+  setAlone(T.S.Engines, T.S.Self, T.S.Link.Placer != T.S.Self);
   PlaceOutcome Outcome =
       ask(T.S.Engines, {T.S.Self, C.Ticket}, askOf(T, C), T.Now);
   switch (Outcome.Verdict) {
@@ -313,6 +315,7 @@
 }
 
 void placeAsk(GatewayTurn &T, const HostId &From, const PlaceAsk &M) {
+  setAlone(T.S.Engines, T.S.Self, false);
   PlaceOutcome Outcome = ask(T.S.Engines, {From, M.Ticket}, M, T.Now);
   if (!M.Holding.empty())
     return;
--- a/packages/gateway/Placer.cpp
+++ b/packages/gateway/Placer.cpp
@@ -21,11 +21,22 @@
 constexpr double LearningRate = 0.3;
 constexpr double SlowRatio = 1.8;
 constexpr double MaxSlowness = 10;
+/// Of preferences between engines, where hosts place alone.
+constexpr double CostPerRank = 2;
 constexpr Duration LeastRetryAfter = milliseconds(250);
 constexpr Duration MostRetryAfter = seconds(2);
 /// Room that is left for errors where nothing but waiting is left.
 constexpr Duration WaitMargin = milliseconds(60);
 
+/// Worth that others may lose by a request, as a share of its own: at once, at
+/// the last moment at which it is still in time, and once it is late.
+constexpr double LeastHarmShare = 0.05;
+constexpr double MostHarmShare = 0.6;
+constexpr double LateHarmShare = 0.15;
+/// Of the time between its objective and its caller's leaving, for which a
+/// late request waits.
+constexpr double WaitShare = 0.25;
+
 Duration shorterPause(Duration A, Duration B) {
   if (A == Duration::zero() || B == Duration::zero())
     return std::max(A, B);
@@ -146,6 +157,7 @@
 PlaceAsk agedAsk(const PlaceAsk &Ask, Duration Waited) {
   PlaceAsk Aged = Ask;
   Aged.Objective -= Waited;
+  Aged.Waited += Waited;
   Aged.Patience -= Waited;
   Aged.TimeLeft -= Waited;
   return Aged;
@@ -158,6 +170,20 @@
   return Count;
 }
 
+/// Whether to take the plan rather than to wait for a better one. With each
+/// moment that passes the request may cost others more.
+bool isAcceptable(const placer::Plan &Found, const PlaceAsk &Ask,
+                  Duration Slack) {
+  double Worth = placer::worthOf(Ask);
+  if (Slack <= Duration::zero())
+    return Found.Harm < Worth * (Found.OnTime ? MostHarmShare : LateHarmShare);
+  if (!Found.OnTime)
+    return false;
+  double Waited = 1 - toSeconds(Slack) / toSeconds(Slack + Ask.Waited);
+  double Share = LeastHarmShare + (MostHarmShare - LeastHarmShare) * Waited;
+  return Found.Harm <= Worth * Share;
+}
+
 /// Places now, waits, or refuses. \p Ask is aged already.
 PlaceOutcome decide(PlacerState &S, const PlaceKey &Key, const PlaceAsk &Ask,
                     TimePoint Now) {
@@ -171,17 +197,15 @@
     return {PlaceVerdict::Refused, refusal(S, Key.second, Ask.Service,
                                            Code::DeadlineUnreachable, Now)};
   std::optional<placer::Plan> Found = placer::findPlan(S, Ask, Now);
-  bool CanWait = Ask.Objective > Least + WaitMargin;
-  if (Found) {
-    double Gain =
-        placer::worthOf(Ask) * (Found->OnTime ? 1 : 1 - placer::LateLoss);
-    bool InTime = Found->Forecast < Ask.Patience;
-    bool Harmless = Found->Harm == 0;
-    bool Good = Harmless ? (Found->OnTime || !CanWait)
-                         : (!CanWait && Gain > Found->Harm);
-    if (InTime && Good)
-      return {PlaceVerdict::Placed, place(S, Key, Ask, std::move(*Found), Now)};
-  }
+  Duration Slack = Ask.Objective - Least - WaitMargin;
+  if (Found && Found->Forecast < Ask.Patience &&
+      isAcceptable(*Found, Ask, Slack))
+    return {PlaceVerdict::Placed, place(S, Key, Ask, std::move(*Found), Now)};
+  // Late already: a little more, then it is better to come back.
+  Duration Room = Ask.Patience - std::max(Ask.Objective, Duration::zero());
+  if (Slack <= Duration::zero() && -Ask.Objective > Room * WaitShare)
+    return {PlaceVerdict::Refused,
+            refusal(S, Key.second, Ask.Service, Code::QueueFull, Now)};
   return {PlaceVerdict::Waiting, {}};
 }
 
@@ -278,6 +302,14 @@
   refresh(S);
 }
 
+void setAlone(PlacerState &S, const HostId &Self, bool Alone) {
+  constexpr std::size_t Ranks = 32;
+  for (auto &[Id, E] : S.Engines) {
+    std::size_t Rank = std::hash<std::string>()(Self.Value + Id.Value) % Ranks;
+    E.Bias = Alone ? static_cast<double>(Rank) * CostPerRank : 0;
+  }
+}
+
 PlaceOutcome ask(PlacerState &S, const PlaceKey &Key, const PlaceAsk &Ask,
                  TimePoint Now) {
   if (!Ask.Holding.empty())
--- a/packages/gateway/Placer.h
+++ b/packages/gateway/Placer.h
@@ -76,7 +76,8 @@
   TimePoint ReadFreeAt{};          // All reading placed here is done.
   Duration PauseLimit = {};        // Shortest of the requests here; zero: none.
   double Slowness = 1;             // Of reading, against the data sheet.
-  std::uint32_t Failures = 0;      // In a row.
+  double Bias = 0; // Cost that spreads hosts that place for themselves.
+  std::uint32_t Failures = 0; // In a row.
   TimePoint AvoidUntil{};
 };
 
@@ -100,6 +101,10 @@
 void setEngines(PlacerState &S, const RouteTable &Routes,
                 const ServerBook &Servers);
 
+/// Hosts that place without knowing of each other each prefer other engines.
+/// \p Alone: from now on this host is one of them.
+void setAlone(PlacerState &S, const HostId &Self, bool Alone);
+
 /// Where the request runs. An ask that names engines already is only recorded;
 /// one that was answered before gets the same answer.
 PlaceOutcome ask(PlacerState &S, const PlaceKey &Key, const PlaceAsk &Ask,
--- a/packages/gateway/PlacerSearch.cpp
+++ b/packages/gateway/PlacerSearch.cpp
@@ -25,7 +25,9 @@
 /// Requests of another pace on the same engine hinder each other later.
 constexpr double MixedPaceCost = 60;
 constexpr double IdleEngineCost = 40; // To a short prompt: others need it more.
-constexpr double CrossingCost = 2;    // To another data centre.
+/// Engines keep memory in blocks, and answers grow longer than expected.
+constexpr double UsableMemory = 0.97;
+constexpr double CrossingCost = 2; // To another data centre.
 
 Duration scaled(Duration D, double Factor) {
   return fromSeconds(toSeconds(D) * Factor);
@@ -115,12 +117,13 @@
     }
     if (E.Readers > 0)
       O.Hindrance = delayHarm(Id, Reading);
-    std::uint64_t Held = std::min(E.MemoryTokens, F.MemoryTokens);
-    O.FreeTokens = F.MemoryTokens - Held;
+    auto Usable = static_cast<std::uint64_t>(
+        UsableMemory * static_cast<double>(F.MemoryTokens));
+    O.FreeTokens = Usable - std::min(E.MemoryTokens, Usable);
     O.HasSlot = Active < F.Slots;
     O.Cost = O.Harm + O.Hindrance + toSeconds(Backlog) * WorthPerSecond +
              paceCost(E, Active) +
-             (E.DataCentre == Ask.DataCentre ? 0 : CrossingCost);
+             (E.DataCentre == Ask.DataCentre ? 0 : CrossingCost) + E.Bias;
     return O;
   }
 
--- a/packages/wire/SiteMessages.h
+++ b/packages/wire/SiteMessages.h
@@ -135,12 +135,13 @@
   std::vector<BackendId> Avoid;    // Tried in vain.
   std::vector<EnginePart> Holding; // It runs there already.
   bool Writing = false;            // Its first event has come.
+  Duration Waited = {};            // Since it came to its entry host.
 
   template <class Self, class Visitor>
   static void fields(Self &M, Visitor &&Visit) {
     Visit(M.Ticket, M.Service, M.PromptTokens, M.AnswerTokens, M.Objective,
           M.PauseObjective, M.Patience, M.TimeLeft, M.Priority, M.Account,
-          M.DataCentre, M.Avoid, M.Holding, M.Writing);
+          M.DataCentre, M.Avoid, M.Holding, M.Writing, M.Waited);
   }
 };
 
