--- a/packages/gateway/PlacePart.cpp
+++ b/packages/gateway/PlacePart.cpp
@@ -141,7 +141,10 @@
 void logPlaced(GatewayTurn &T, const GatewayCall &C) {
   DecisionRecord Record = record(T, C, "placed", "");
   Record.add("server", C.Place.First.Engine.Value);
-  Record.add("helpers", static_cast<std::int64_t>(C.Place.Helpers.size()));
+  std::string Helpers;
+  for (const EnginePart &Part : C.Place.Helpers)
+    Helpers += (Helpers.empty() ? "" : " ") + Part.Engine.Value;
+  Record.add("helpers", std::move(Helpers));
   Record.add("reserved", static_cast<std::int64_t>(C.Reserved.size()));
   Record.add("prompt_tokens", static_cast<std::int64_t>(C.Facts.PromptTokens));
   Record.add("forecast_ms", toMilliseconds(C.Place.Forecast));
