Reads in the engines' own order: parts ahead of everything

The placer had taken them for first come first served, and so delayed prompts again and again by what it placed later. Ruled out: the reading times themselves (alone they are right within 25 ms).

Change: ReadQueue models that order; forecasts and the harm that a plan does to prompts being read follow from it, for every part and not only the first.

--- a/packages/gateway/Placer.cpp
+++ b/packages/gateway/Placer.cpp
@@ -75,14 +75,27 @@
   }
 }
 
-/// Nothing is read any more where nobody reads.
-void settleReading(PlacerState &S, TimePoint Now) {
+/// Lets the engines read up to \p Now.
+void advance(PlacerState &S, TimePoint Now) {
+  Duration Elapsed = Now - S.ReadsAt;
+  S.ReadsAt = Now;
   for (auto &[Id, E] : S.Engines) {
-    if (E.Readers == 0 && E.Helping == 0)
-      E.ReadFreeAt = std::min(E.ReadFreeAt, Now);
+    auto Facts = S.Facts.find(E.Service);
+    if (E.Reads.Items.empty() || Facts == S.Facts.end())
+      continue;
+    // Steps of the requests that write there take their share.
+    Duration Slowed =
+        sharedReadingTime(Facts->second, Elapsed, E.Writers, E.WriterContext);
+    double Share = toSeconds(Elapsed) / std::max(1e-9, toSeconds(Slowed));
+    advanceReads(E.Reads, fromSeconds(toSeconds(Elapsed) * Share));
   }
 }
 
+void dropReads(PlacerState &S, const PlaceKey &Key) {
+  for (auto &[Id, E] : S.Engines)
+    dropRead(E.Reads, Key);
+}
+
 PlaceReply replyOf(std::uint64_t Ticket, const PlacedRequest &Request,
                    TimePoint Now) {
   PlaceReply Reply;
@@ -101,14 +114,6 @@
   return Reply;
 }
 
-/// Parts of spread prompts are read ahead of whole ones.
-void delayReaders(PlacerState &S, const PlacedPart &Part) {
-  for (auto &[Key, Other] : S.Placed) {
-    if (!Other.Writing && Other.Parts.front().Engine == Part.Engine)
-      Other.ReadBy += Part.Reading;
-  }
-}
-
 PlaceReply place(PlacerState &S, const PlaceKey &Key, const PlaceAsk &Ask,
                  placer::Plan Found, TimePoint Now) {
   PlacedRequest Request;
@@ -117,12 +122,9 @@
   Request.Since = Now;
   Request.ReadBy = Now + Found.Forecast;
   Request.Expires = Now + Ask.TimeLeft + ForgetAfter;
-  for (const PlacedPart &Part : Request.Parts) {
-    PlacerEngine &E = S.Engines.at(Part.Engine);
-    E.ReadFreeAt = std::max(E.ReadFreeAt, Now) + Part.Reading;
-    if (Request.Parts.size() > 1)
-      delayReaders(S, Part);
-  }
+  bool Spread = Request.Parts.size() > 1;
+  for (const PlacedPart &Part : Request.Parts)
+    pushRead(S.Engines.at(Part.Engine).Reads, Key, Part.Reading, Spread);
   PlaceReply Reply = replyOf(Key.second, Request, Now);
   S.Placed[Key] = std::move(Request);
   refresh(S);
@@ -130,26 +132,25 @@
 }
 
 /// How long until engines have read what was placed, on average.
-Duration meanBacklog(const PlacerState &S, const ServiceId &Service,
-                     TimePoint Now) {
+Duration meanBacklog(const PlacerState &S, const ServiceId &Service) {
   Duration Sum = Duration::zero();
   std::int64_t Count = 0;
   for (const auto &[Id, E] : S.Engines) {
     if (E.Service != Service)
       continue;
-    Sum += std::max(Duration::zero(), E.ReadFreeAt - Now);
+    Sum += totalReading(E.Reads);
     ++Count;
   }
   return Count == 0 ? Duration::zero() : Sum / Count;
 }
 
 PlaceReply refusal(const PlacerState &S, std::uint64_t Ticket,
-                   const ServiceId &Service, Code Reason, TimePoint Now) {
+                   const ServiceId &Service, Code Reason) {
   PlaceReply Reply;
   Reply.Ticket = Ticket;
   Reply.Result = Reason;
   Reply.RetryAfter =
-      std::clamp(meanBacklog(S, Service, Now), LeastRetryAfter, MostRetryAfter);
+      std::clamp(meanBacklog(S, Service), LeastRetryAfter, MostRetryAfter);
   return Reply;
 }
 
@@ -191,11 +192,11 @@
   std::size_t Engines = readyEngines(S, Ask.Service);
   if (Facts == S.Facts.end() || Engines == 0)
     return {PlaceVerdict::Refused,
-            refusal(S, Key.second, Ask.Service, Code::NoBackend, Now)};
+            refusal(S, Key.second, Ask.Service, Code::NoBackend)};
   Duration Least = placer::leastTime(Facts->second, Ask, Engines);
   if (Ask.Patience < Least)
-    return {PlaceVerdict::Refused, refusal(S, Key.second, Ask.Service,
-                                           Code::DeadlineUnreachable, Now)};
+    return {PlaceVerdict::Refused,
+            refusal(S, Key.second, Ask.Service, Code::DeadlineUnreachable)};
   std::optional<placer::Plan> Found = placer::findPlan(S, Ask, Now);
   Duration Slack = Ask.Objective - Least - WaitMargin;
   if (Found && Found->Forecast < Ask.Patience &&
@@ -205,7 +206,7 @@
   Duration Room = Ask.Patience - std::max(Ask.Objective, Duration::zero());
   if (Slack <= Duration::zero() && -Ask.Objective > Room * WaitShare)
     return {PlaceVerdict::Refused,
-            refusal(S, Key.second, Ask.Service, Code::QueueFull, Now)};
+            refusal(S, Key.second, Ask.Service, Code::QueueFull)};
   return {PlaceVerdict::Waiting, {}};
 }
 
@@ -267,6 +268,8 @@
   for (auto It = S.Placed.begin(); It != S.Placed.end();) {
     bool Old = Now > It->second.Expires;
     Changed = Changed || Old;
+    if (Old)
+      dropReads(S, It->first);
     It = Old ? S.Placed.erase(It) : std::next(It);
   }
   if (Changed)
@@ -312,6 +315,7 @@
 
 PlaceOutcome ask(PlacerState &S, const PlaceKey &Key, const PlaceAsk &Ask,
                  TimePoint Now) {
+  advance(S, Now);
   if (!Ask.Holding.empty())
     return record(S, Key, Ask, Now);
   auto Known = S.Placed.find(Key);
@@ -329,7 +333,9 @@
 
 void note(PlacerState &S, const PlaceKey &Key, PlaceStage Stage,
           const BackendId &Culprit, TimePoint Now) {
+  advance(S, Now);
   withdraw(S, Key);
+  dropReads(S, Key);
   if (Stage == PlaceStage::Failed)
     blame(S, Culprit, Now);
   auto Found = S.Placed.find(Key);
@@ -344,11 +350,11 @@
     S.Placed.erase(Found);
   }
   refresh(S);
-  settleReading(S, Now);
 }
 
 std::vector<std::pair<PlaceKey, PlaceReply>> tickPlacer(PlacerState &S,
                                                         TimePoint Now) {
+  advance(S, Now);
   expire(S, Now);
   std::vector<std::pair<PlaceKey, PlaceReply>> Answers;
   std::deque<WaitingRequest> Queue = std::move(S.Queue);
@@ -376,8 +382,12 @@
 }
 
 void dropHost(PlacerState &S, const HostId &Host) {
-  for (auto It = S.Placed.begin(); It != S.Placed.end();)
-    It = It->first.first == Host ? S.Placed.erase(It) : std::next(It);
+  for (auto It = S.Placed.begin(); It != S.Placed.end();) {
+    bool Is = It->first.first == Host;
+    if (Is)
+      dropReads(S, It->first);
+    It = Is ? S.Placed.erase(It) : std::next(It);
+  }
   auto Is = [&](const WaitingRequest &W) { return W.Key.first == Host; };
   S.Queue.erase(std::remove_if(S.Queue.begin(), S.Queue.end(), Is),
                 S.Queue.end());
--- a/packages/gateway/Placer.h
+++ b/packages/gateway/Placer.h
@@ -23,6 +23,7 @@
 #pragma once
 
 #include "base/Decision.h"
+#include "gateway/ReadQueue.h"
 #include "routing/Routing.h"
 #include "routing/Servers.h"
 #include "wire/SiteMessages.h"
@@ -36,9 +37,6 @@
 
 namespace pimento {
 
-/// A request, by the host that holds it.
-using PlaceKey = std::pair<HostId, std::uint64_t>;
-
 /// One engine's part of a placed request.
 struct PlacedPart {
   BackendId Engine;
@@ -73,7 +71,7 @@
   std::size_t Helping = 0;         // Parts of others' prompts.
   std::uint64_t WriterContext = 0; // Tokens.
   std::uint64_t MemoryTokens = 0;  // Held.
-  TimePoint ReadFreeAt{};          // All reading placed here is done.
+  ReadQueue Reads;                 // As far as it should be by now.
   Duration PauseLimit = {};        // Shortest of the requests here; zero: none.
   double Slowness = 1;             // Of reading, against the data sheet.
   double Bias = 0; // Cost that spreads hosts that place for themselves.
@@ -87,6 +85,7 @@
   std::map<BackendId, PlacerEngine> Engines;
   std::map<PlaceKey, PlacedRequest> Placed;
   std::deque<WaitingRequest> Queue; // In order of arrival.
+  TimePoint ReadsAt{};              // Reads of all engines stand as of then.
 };
 
 enum class PlaceVerdict : std::uint8_t { Placed, Waiting, Refused };
--- a/packages/gateway/PlacerSearch.cpp
+++ b/packages/gateway/PlacerSearch.cpp
@@ -52,6 +52,7 @@
   TimePoint Now;
   const EngineFacts &F;
   Duration Whole; // Reading time of the prompt on one engine.
+  std::map<PlaceKey, Duration> Finishes; // Of prompts that are being read.
 
   bool isEligible(const BackendId &Id, const PlacerEngine &E,
                   bool TakeAvoided) const {
@@ -69,17 +70,23 @@
     return 1 / (1 + std::exp((Ratio - 1) / ForecastSpread));
   }
 
-  /// What the requests that are read on \p Id lose by \p Reading ahead of them.
-  double delayHarm(const BackendId &Id, Duration Reading) const {
+  /// What the requests that are read on an engine lose by \p Reading ahead of
+  /// them there.
+  double delayHarm(const PlacerEngine &E, Duration Reading) const {
     double Harm = 0;
-    for (const auto &[Key, Request] : S.Placed) {
-      if (Request.Writing || Request.Parts.front().Engine != Id)
-        continue;
-      Duration Left = Request.Since + Request.Ask.Objective - Now;
-      Duration Forecast = std::max(Duration::zero(), Request.ReadBy - Now);
+    Duration Before = {};
+    for (const ReadItem &Item : E.Reads.Items) {
+      Before += Item.Left;
+      auto Request = S.Placed.find(Item.Key);
+      auto Finish = Finishes.find(Item.Key);
+      if (Request == S.Placed.end() || Finish == Finishes.end() ||
+          Before + Reading <= Finish->second)
+        continue; // Another engine takes longer with its part.
+      Duration Left =
+          Request->second.Since + Request->second.Ask.Objective - Now;
       double Lost =
-          chanceOf(Forecast, Left) - chanceOf(Forecast + Reading, Left);
-      Harm += LateLoss * Lost * worthOf(Request.Ask);
+          chanceOf(Finish->second, Left) - chanceOf(Before + Reading, Left);
+      Harm += LateLoss * Lost * worthOf(Request->second.Ask);
     }
     return Harm;
   }
@@ -98,25 +105,24 @@
     return Harm;
   }
 
-  Option optionAt(const BackendId &Id, const PlacerEngine &E,
-                  Duration Reading) const {
+  Option optionAt(const BackendId &Id, const PlacerEngine &E, Duration Reading,
+                  bool Spread) const {
     Option O;
     O.Id = &Id;
     O.Engine = &E;
     Reading = scaled(Reading, E.Slowness);
-    Duration Backlog = std::max(Duration::zero(), E.ReadFreeAt - Now);
+    Duration Backlog = totalReading(E.Reads);
     std::size_t Active = E.Writers + E.Readers;
-    Duration PassNow = passTime(F, E.Writers, E.WriterContext);
+    Duration Limit = passReadingLimit(F, Ask.PromptTokens);
     O.Pass = passTime(F, E.Writers + 1, E.WriterContext + Ask.PromptTokens);
-    Duration Start = E.Writers > 0 ? PassNow / 2 : Duration::zero();
-    O.ReadBy = Start + Backlog +
-               sharedReadingTime(F, Reading, E.Writers, E.WriterContext);
-    if (Active > 0) {
-      Duration Limit = passReadingLimit(F, Ask.PromptTokens);
+    Duration Ahead = Spread ? Duration::zero() : Backlog;
+    O.ReadBy =
+        passWait(E, Backlog, Limit) +
+        sharedReadingTime(F, Reading + Ahead, E.Writers, E.WriterContext);
+    if (Active > 0)
       O.Harm = harmAt(Id, O.Pass + std::min(Backlog + Reading, Limit));
-    }
-    if (E.Readers > 0)
-      O.Hindrance = delayHarm(Id, Reading);
+    if (Spread)
+      O.Hindrance = delayHarm(E, Reading);
     auto Usable = static_cast<std::uint64_t>(
         UsableMemory * static_cast<double>(F.MemoryTokens));
     O.FreeTokens = Usable - std::min(E.MemoryTokens, Usable);
@@ -127,6 +133,16 @@
     return O;
   }
 
+  /// A pass that is under way ends before anything new is read.
+  Duration passWait(const PlacerEngine &E, Duration Backlog,
+                    Duration Limit) const {
+    if (E.Writers == 0)
+      return Duration::zero();
+    return (passTime(F, E.Writers, E.WriterContext) +
+            std::min(Backlog, Limit)) /
+           2;
+  }
+
   /// Short prompts go where others of their pace write already; long ones
   /// where nobody does.
   double paceCost(const PlacerEngine &E, std::size_t Active) const {
@@ -146,11 +162,12 @@
            Whole < scaled(Ask.PauseObjective, 1 - PauseShare + 0.35);
   }
 
-  std::vector<Option> options(Duration Reading, bool TakeAvoided) const {
+  std::vector<Option> options(std::size_t Count, bool TakeAvoided) const {
+    Duration Reading = Whole / static_cast<std::int64_t>(Count);
     std::vector<Option> List;
     for (const auto &[Id, E] : S.Engines) {
       if (isEligible(Id, E, TakeAvoided))
-        List.push_back(optionAt(Id, E, Reading));
+        List.push_back(optionAt(Id, E, Reading, Count > 1));
     }
     std::sort(List.begin(), List.end(),
               [](const Option &A, const Option &B) { return A.Cost < B.Cost; });
@@ -212,7 +229,7 @@
       P.Harm += O->Harm;
       P.Hindrance += O->Hindrance;
     }
-    P.Forecast += First->Pass;
+    P.Forecast += First->Engine->Writers > 0 ? First->Pass : First->Pass / 2;
     P.Chance = chanceOf(P.Forecast, Ask.Objective);
     P.OnTime = P.Chance >= OnTimeChance;
     if (!spreadMemory(P, Chosen))
@@ -230,8 +247,7 @@
   std::optional<Plan> best(bool TakeAvoided) const {
     std::optional<Plan> Best;
     for (std::size_t Count : PartCounts) {
-      std::vector<Option> List =
-          options(Whole / static_cast<std::int64_t>(Count), TakeAvoided);
+      std::vector<Option> List = options(Count, TakeAvoided);
       std::optional<Plan> P = planOf(Count, List);
       if (P && (!Best || valueOf(*P) > valueOf(*Best)))
         Best = std::move(P);
@@ -242,6 +258,24 @@
 
 } // namespace
 
+namespace {
+
+/// When each prompt is read whole, from now.
+std::map<PlaceKey, Duration> finishes(const PlacerState &S) {
+  std::map<PlaceKey, Duration> Latest;
+  for (const auto &[Id, E] : S.Engines) {
+    Duration Sum = {};
+    for (const ReadItem &Item : E.Reads.Items) {
+      Sum += Item.Left;
+      Duration &Finish = Latest[Item.Key];
+      Finish = std::max(Finish, Sum);
+    }
+  }
+  return Latest;
+}
+
+} // namespace
+
 double worthOf(const PlaceAsk &Ask) {
   return std::pow(static_cast<double>(Ask.PromptTokens + 1), WorthExponent);
 }
@@ -251,8 +285,12 @@
   auto Facts = S.Facts.find(Ask.Service);
   if (Facts == S.Facts.end())
     return std::nullopt;
-  Search Try{S, Ask, Now, Facts->second,
-             readingTime(Facts->second, Ask.PromptTokens)};
+  Search Try{S,
+             Ask,
+             Now,
+             Facts->second,
+             readingTime(Facts->second, Ask.PromptTokens),
+             finishes(S)};
   std::optional<Plan> Found = Try.best(false);
   return Found ? Found : Try.best(true);
 }
--- /dev/null
+++ b/packages/gateway/ReadQueue.h
@@ -0,0 +1,40 @@
+//===- ReadQueue.h - The order in which an engine reads ---------*- C++ -*-===//
+//
+// An engine reads one prompt at a time. Part of a prompt that is spread over
+// several engines goes ahead of everything that waits or is being read there;
+// a whole prompt goes behind everything. Lengths are the reading time that is
+// left, were nothing else to do.
+//
+//===----------------------------------------------------------------------===//
+#pragma once
+
+#include "base/Ids.h"
+#include "base/Time.h"
+
+#include <cstdint>
+#include <utility>
+#include <vector>
+
+namespace pimento {
+
+/// A request, by the host that holds it.
+using PlaceKey = std::pair<HostId, std::uint64_t>;
+
+struct ReadItem {
+  PlaceKey Key;
+  Duration Left = {};
+};
+
+struct ReadQueue {
+  std::vector<ReadItem> Items; // In the order in which they are read.
+};
+
+void pushRead(ReadQueue &Queue, const PlaceKey &Key, Duration Reading,
+              bool Ahead);
+/// \p Elapsed of reading was done.
+void advanceReads(ReadQueue &Queue, Duration Elapsed);
+void dropRead(ReadQueue &Queue, const PlaceKey &Key);
+/// All that is left to read.
+Duration totalReading(const ReadQueue &Queue);
+
+} // namespace pimento
