--- a/packages/gateway/Admission.cpp
+++ b/packages/gateway/Admission.cpp
@@ -150,6 +150,8 @@
                static_cast<std::int64_t>(C.Facts.PromptTokens));
   if (C.FirstEventAt != TimePoint())
     Record.add("first_event_ms", toMilliseconds(C.FirstEventAt - C.Arrived));
+  if (C.Events.Events > 1)
+    Record.add("longest_pause_ms", toMilliseconds(C.LongestPause));
   if (C.Attempt.Forecast > Duration::zero())
     Record.add("forecast_ms", toMilliseconds(C.Attempt.Forecast));
   Record.add("routing", static_cast<std::int64_t>(C.Table->Config.Number));
--- a/packages/gateway/Answer.cpp
+++ b/packages/gateway/Answer.cpp
@@ -2,6 +2,8 @@
 
 #include "gateway/GatewayTurn.h"
 
+#include <algorithm>
+
 namespace pimento::gateway {
 
 namespace {
@@ -60,6 +62,9 @@
     return;
   if (C.FirstEventAt == TimePoint())
     C.FirstEventAt = T.Now;
+  else
+    C.LongestPause = std::max(C.LongestPause, T.Now - C.LastEventAt);
+  C.LastEventAt = T.Now;
   if (C.Placed && C.Attempt.Forecast >= Duration::zero() &&
       C.Attempt.LastBytes == C.Attempt.Began)
     noteStage(T, C, PlaceStage::Writing);
--- a/packages/gateway/Gateway.h
+++ b/packages/gateway/Gateway.h
@@ -138,7 +138,9 @@
   bool Replying = false; // The caller has the head of an answer.
   EventSplitter Events;  // Of the stream to the caller.
   TimePoint FirstEventAt{};
-  TimePoint CheckAt{}; // Its entry in Timers.
+  TimePoint LastEventAt{};
+  Duration LongestPause = {}; // Between two events.
+  TimePoint CheckAt{};        // Its entry in Timers.
 };
 
 struct Gateway {
