No wait for promises where every voter started anew; a short wait at the start

Cause: after a loss of all power control hosts waited an election timeout for promises that their earlier starts might have given a leader, and entry hosts refused for that second what callers sent again once and no more.

Change: a voter that hears that no voter has led or heard a leader since its start is free at once; an entry host that has just started lets requests wait up to a second, or a fifth of their time, for its first configuration.

--- a/packages/gateway/Admission.cpp
+++ b/packages/gateway/Admission.cpp
@@ -13,6 +13,12 @@
 
 /// Told to callers who came before this host knew any configuration.
 constexpr Duration StartRetryAfter = milliseconds(1500);
+/// After its start a host hears from a control host within so long, as a rule.
+constexpr Duration StartTime = milliseconds(2000);
+/// A request waits for that, but no longer than this part of its time.
+constexpr Duration StartHold = milliseconds(1000);
+constexpr int HeldShare = 5;
+constexpr std::size_t MostHeld = 512;
 /// Another host takes it at once.
 constexpr Duration StopRetryAfter = milliseconds(20);
 /// Told to callers who were refused for want of a server.
@@ -64,9 +70,49 @@
 
 } // namespace
 
-void admit(GatewayTurn &T, ExchangeId Exchange, const HttpRequest &R) {
+namespace {
+
+/// Keeps a request for a short time right after the start, when a control host
+/// is about to answer. False where there is nothing to wait for.
+bool hold(GatewayTurn &T, ExchangeId Exchange, const HttpRequest &R,
+          const CallFacts &Facts) {
+  Gateway &S = T.S;
+  if (T.Now > S.Started + StartTime || S.Held.size() >= MostHeld)
+    return false;
+  Duration Limit = Facts.TimeLimit.value_or(StartHold) / HeldShare;
+  HeldRequest Request;
+  Request.Exchange = Exchange;
+  Request.Request = R;
+  Request.Arrived = T.Now;
+  Request.Until = T.Now + std::min(Limit, StartHold);
+  S.Held.push_back(std::move(Request));
+  return true;
+}
+
+} // namespace
+
+void tickHeld(GatewayTurn &T) {
+  Gateway &S = T.S;
+  std::vector<HeldRequest> Held = std::move(S.Held);
+  S.Held.clear();
+  for (HeldRequest &Request : Held) {
+    if (isReady(S))
+      admit(T, Request.Exchange, Request.Request, Request.Arrived);
+    else if (T.Now >= Request.Until)
+      refuse(T, Request.Exchange, S.Platform.decodeFacts(Request.Request),
+             Code::HostNotFresh, "no configuration is known here yet",
+             StartRetryAfter);
+    else
+      S.Held.push_back(std::move(Request));
+  }
+}
+
+void admit(GatewayTurn &T, ExchangeId Exchange, const HttpRequest &R,
+           TimePoint Arrived) {
   Gateway &S = T.S;
   CallFacts Facts = S.Platform.decodeFacts(R);
+  if (!S.Routes && hold(T, Exchange, R, Facts))
+    return;
   if (!S.Routes) {
     refuse(T, Exchange, Facts, Code::HostNotFresh,
            "no configuration is known here yet", StartRetryAfter);
@@ -105,8 +151,8 @@
     C.Account = Account->Name;
     C.Priority = Account->Priority.value_or(Path->Priority);
   }
-  C.Arrived = T.Now;
-  C.Until = T.Now + timeLimit(*Path, Facts);
+  C.Arrived = Arrived;
+  C.Until = Arrived + timeLimit(*Path, Facts);
   C.Facts = std::move(Facts);
   C.Facts.AnswerTokens = answerTokens(C.Facts);
   C.Events.LastId = C.Facts.LastEvent;
@@ -169,6 +215,9 @@
 }
 
 void callerLeft(GatewayTurn &T, ExchangeId Exchange) {
+  auto IsHeld = [&](const HeldRequest &H) { return H.Exchange == Exchange; };
+  auto &Held = T.S.Held;
+  Held.erase(std::remove_if(Held.begin(), Held.end(), IsHeld), Held.end());
   auto Found = T.S.ByExchange.find(Exchange);
   if (Found == T.S.ByExchange.end())
     return;
--- a/packages/gateway/Gateway.cpp
+++ b/packages/gateway/Gateway.cpp
@@ -42,6 +42,7 @@
   const Event &Whole;
 
   void operator()(const Tick &) const {
+    tickHeld(T);
     tickCalls(T);
     tickPlacing(T);
     tickSite(T);
@@ -63,7 +64,7 @@
     T.S.LostHosts.emplace(E.Host, T.Now);
   }
   void operator()(const CallerRequest &E) const {
-    admit(T, E.Exchange, E.Request);
+    admit(T, E.Exchange, E.Request, T.Now);
   }
   void operator()(const OperatorRequest &E) const {
     operatorCall(T, E.Exchange, E.Request);
@@ -117,6 +118,7 @@
   S.Life = Start.Life;
   S.Rng = Random(Start.Seed);
   takeSettings(S, C);
+  S.Started = Now;
   S.Link.NextAsk = Now;
   S.Engines.Here = C.Host.DataCentre;
   // Tickets of two lives of a host must differ: they name reservations.
@@ -137,6 +139,8 @@
 TimePoint nextWakeup(const Gateway &S, TimePoint Now) {
   TimePoint Next =
       std::min(nextLinkTick(S.Link), nextPlacerTick(S.Engines, Now));
+  for (const HeldRequest &Request : S.Held)
+    Next = std::min(Next, Request.Until);
   for (const PendingRelease &Release : S.Releases)
     Next = std::min(Next, Release.NextAt);
   if (!S.Timers.empty())
--- a/packages/gateway/Gateway.h
+++ b/packages/gateway/Gateway.h
@@ -143,6 +143,14 @@
   TimePoint CheckAt{};        // Its entry in Timers.
 };
 
+/// A request that came before this host knew any configuration.
+struct HeldRequest {
+  ExchangeId Exchange{};
+  HttpRequest Request;
+  TimePoint Arrived{};
+  TimePoint Until{}; // Refused then.
+};
+
 struct Gateway {
   Settings Config;
   Adapter Platform;
@@ -156,6 +164,8 @@
   std::map<ServiceId, std::vector<calls::PlainServer>> PlainServers;
   calls::HealthState Health;
   RepeatBudget Repeats;
+  std::vector<HeldRequest> Held; // In order of arrival.
+  TimePoint Started{};
   ControlLink Link;
 
   std::map<std::uint64_t, GatewayCall> Calls; // By ticket.
--- a/packages/gateway/GatewayTurn.h
+++ b/packages/gateway/GatewayTurn.h
@@ -29,7 +29,10 @@
 void reply(GatewayTurn &T, ExchangeId Exchange, HttpReply Reply);
 
 // Admission.cpp
-void admit(GatewayTurn &T, ExchangeId Exchange, const HttpRequest &R);
+void admit(GatewayTurn &T, ExchangeId Exchange, const HttpRequest &R,
+           TimePoint Arrived);
+/// Requests that came before the configuration: admits or refuses them.
+void tickHeld(GatewayTurn &T);
 /// The call's final answer, made here; ends it.
 void fail(GatewayTurn &T, GatewayCall &C, Code Number, const char *Reason,
           Duration RetryAfter = Duration::zero());
--- a/packages/gateway/SitePart.cpp
+++ b/packages/gateway/SitePart.cpp
@@ -169,6 +169,8 @@
     Record.add("before", Home.Value);
     log(T, std::move(Record));
   }
+  if (isReady(S))
+    tickHeld(T);
   if (isReady(S) != WasReady) {
     askSoon(S.Link, T.Now);
     log(T, {"ready", {}, isReady(S) ? "takes callers" : "takes none", {}});
--- a/packages/gateway/tests/GatewayTest.cpp
+++ b/packages/gateway/tests/GatewayTest.cpp
@@ -153,6 +153,7 @@
 
 BOOST_AUTO_TEST_CASE(AHostWithoutConfigurationRefusesHonestly) {
   Rig R(false);
+  R.pass(seconds(3));
   R.call(HttpMethod::Get, "/r/1");
   calls::SendReply Reply = R.one<calls::SendReply>();
   BOOST_TEST(Reply.Reply.Status == 503);
@@ -162,6 +163,33 @@
   BOOST_TEST(isReady(R.S));
 }
 
+/// Everything starts at once after a loss of power: callers come first.
+BOOST_AUTO_TEST_CASE(RightAfterItsStartAHostWaitsALittle) {
+  Rig R(false);
+  R.pass(milliseconds(100));
+  std::vector<HttpHeader> Limit = {{"X-Pimentoglade-Deadline-Ms", "10000"}};
+  R.call(HttpMethod::Get, "/r/1", Limit);
+  ExchangeId Leaves = R.call(HttpMethod::Get, "/r/2", Limit);
+  BOOST_TEST(R.Last.empty());
+  R.event(ExchangeLeft{Leaves});
+  R.pass(milliseconds(400));
+  R.inform();
+  calls::OpenUpstream Open = R.one<calls::OpenUpstream>();
+  BOOST_TEST(Open.Request.Target == "/r/1");
+  BOOST_TEST(valueOf(Open, "X-Pimentoglade-Deadline-Ms") == "200");
+}
+
+BOOST_AUTO_TEST_CASE(ItDoesNotWaitForLong) {
+  Rig R(false);
+  R.call(HttpMethod::Get, "/r/1", {{"X-Pimentoglade-Deadline-Ms", "10000"}});
+  R.call(HttpMethod::Get, "/r/2", {{"X-Pimentoglade-Deadline-Ms", "500"}});
+  R.pass(milliseconds(150));
+  BOOST_TEST(R.one<calls::SendReply>().Reply.Status == 503);
+  R.pass(milliseconds(900));
+  BOOST_TEST(R.one<calls::SendReply>().Reply.Status == 503);
+  BOOST_TEST(R.S.Held.empty());
+}
+
 BOOST_AUTO_TEST_CASE(RoutesAndKeysDecide) {
   Rig R;
   R.call(HttpMethod::Get, "/none/1");
--- a/packages/replica/Election.cpp
+++ b/packages/replica/Election.cpp
@@ -61,6 +61,7 @@
 void becomeLeader(ReplicaState &S, TimePoint Now, ReplicaEffects &E) {
   bool Forms = S.Role == ReplicaRole::Forming;
   S.Role = ReplicaRole::Leader;
+  S.Contacted = true;
   S.LeaderHost = S.Config.Self;
   S.LeadingSince = Now;
   S.NextHeartbeat = Now;
@@ -142,6 +143,7 @@
         .add("leader", From.Value);
   S.LeaderHost = From;
   S.LastContact = Now;
+  S.Contacted = true;
   resetElectionTimer(S, Now);
 }
 
--- a/packages/replica/Replica.h
+++ b/packages/replica/Replica.h
@@ -169,6 +169,7 @@
   std::uint64_t Term = 0;
   TimePoint At{};
   bool Good = false; // It found nothing against this replica's disk.
+  bool Idle = false; // It neither led nor heard a leader since its start.
 };
 
 /// A snapshot that arrives in pieces.
@@ -222,6 +223,8 @@
   // The start.
   std::vector<HostId> Contacts; // Hosts that may keep this log as well.
   bool Admitted = false;        // The others found this disk to be the newest.
+  bool Contacted = false;       // It led or heard a leader since its start.
+  bool Released = false; // Of the promise that an earlier start may have given.
   std::vector<SeenDisk> Seen;
   PartialSnapshot Incoming;
 
--- a/packages/replica/Start.cpp
+++ b/packages/replica/Start.cpp
@@ -123,6 +123,7 @@
   Reply.Verdict = Verdict;
   Reply.AskedLife = H.Life;
   Reply.AskedStart = H.Start;
+  Reply.Idle = !S.Contacted;
   if (const DiskMark *Mark = findMark(S, From, H.Life))
     Reply.KnownStart = Mark->Start;
   return Reply;
@@ -175,6 +176,34 @@
   return isSelfVoter(S) ? Voters >= majority(members(S)) : Others > 0;
 }
 
+/// Whether no voter has led or heard a leader since its start. Then no leader
+/// is left that could rely on a promise of an earlier start of this one.
+bool isWholeLogIdle(const ReplicaState &S) {
+  if (S.Contacted || !isSelfVoter(S))
+    return false;
+  for (const Member &Who : members(S).Members) {
+    if (Who.Learner || Who.Host == S.Config.Self)
+      continue;
+    const SeenDisk *Disk = findSeen(S, Who.Host);
+    if (Disk == nullptr || Disk->Life != Who.Life || !Disk->Idle)
+      return false;
+  }
+  return true;
+}
+
+/// After a start of all voters there is nothing to wait for.
+void releasePromise(ReplicaState &S, TimePoint Now, ReplicaEffects &E) {
+  if (S.Released || !S.Admitted || !isWholeLogIdle(S))
+    return;
+  constexpr int SpreadShare = 4; // Of the timeout, against split votes.
+  S.Released = true;
+  S.LastContact = TimePoint();
+  Duration Spread = S.Config.ElectionTimeout / SpreadShare;
+  S.ElectionDeadline = std::min(S.ElectionDeadline,
+                                Now + between(S.Rng, Duration::zero(), Spread));
+  decide(S, E, "release_promise", "every voter started anew");
+}
+
 bool mayForm(const ReplicaState &S, TimePoint Now) {
   const auto &Hosts = S.Config.FormationVoters;
   if (!isEmpty(S) || S.Role != ReplicaRole::Follower || Hosts.empty() ||
@@ -267,6 +296,7 @@
     resetElectionTimer(S, Now);
     decide(S, E, "admit", "a majority found nothing against the disk");
   }
+  releasePromise(S, Now, E);
   if (!mayForm(S, Now))
     return;
   std::uint64_t Term = S.Hard.Term;
@@ -278,10 +308,14 @@
 void onProbe(ReplicaState &S, const HostId &From, const ReplicaProbe &M,
              TimePoint Now, ReplicaEffects &E) {
   DiskVerdict Verdict = judgeProbe(S, From, M);
-  if (Verdict == DiskVerdict::Good)
+  if (Verdict == DiskVerdict::Good) {
     noteSeen(S, From, M.Header, M.Empty, Now);
-  else
+    // Only who was not admitted since its start asks as a voter.
+    ensureSeen(S, From).Idle = true;
+    releasePromise(S, Now, E);
+  } else {
     refuseDisk(S, From, M, Verdict, E);
+  }
   sendAfter(S, ticketForHard(S), From, probeReply(S, From, M.Header, Verdict),
             E);
 }
@@ -302,6 +336,7 @@
   }
   noteSeen(S, From, M.Header, M.Empty, Now);
   ensureSeen(S, From).Good = true;
+  ensureSeen(S, From).Idle = M.Idle;
   continueStart(S, Now, E);
 }
 
--- a/packages/replica/tests/FaultsTest.cpp
+++ b/packages/replica/tests/FaultsTest.cpp
@@ -322,3 +322,46 @@
                      << ", transfers " << Total.Transfers << ", disk failures "
                      << Total.DiskFailures);
 }
+
+/// All voters lost power: nobody can rely on a promise any more, so nobody
+/// waits for one to run out.
+BOOST_AUTO_TEST_CASE(ANewLeaderComesAtOnceWhereAllStartedAnew) {
+  for (std::uint64_t Seed = 1; Seed <= 20; ++Seed) {
+    Cluster C(Seed);
+    C.startAll();
+    BOOST_REQUIRE(!C.waitForLeader(seconds(5)).empty());
+    C.Net.runFor(seconds(1));
+    for (const HostId &Name : C.Voters)
+      C.Net.crash(Name);
+    C.Net.runFor(milliseconds(50));
+    for (const HostId &Name : C.Voters)
+      BOOST_REQUIRE(C.start(Name));
+    BOOST_TEST(!C.waitForLeader(C.Base.ElectionTimeout * 3 / 4).empty());
+    C.Net.runFor(seconds(2));
+    BOOST_TEST(C.broken() == "");
+  }
+}
+
+/// One that is not heard may still lead: its promise is kept.
+BOOST_AUTO_TEST_CASE(WhoIsNotHeardMayStillLead) {
+  for (std::uint64_t Seed = 1; Seed <= 20; ++Seed) {
+    Cluster C(Seed);
+    C.startAll();
+    HostId L = C.waitForLeader(seconds(5));
+    BOOST_REQUIRE(!L.empty());
+    C.Net.runFor(seconds(1));
+    for (const HostId &Name : C.Voters) {
+      if (Name == L)
+        continue;
+      C.Net.cut(Name, L);
+      C.Net.cut(L, Name);
+      C.Net.crash(Name);
+      BOOST_REQUIRE(C.start(Name));
+    }
+    C.Net.runFor(C.Base.ElectionTimeout * 3 / 4);
+    HostId Now = C.leader();
+    BOOST_TEST((Now == L || Now.empty()));
+    C.Net.runFor(seconds(3));
+    BOOST_TEST(C.broken() == "");
+  }
+}
--- a/packages/wire/ReplicaMessages.h
+++ b/packages/wire/ReplicaMessages.h
@@ -138,11 +138,12 @@
   Incarnation AskedLife = 0; // Echoed, so that an old answer is told apart.
   DiskStart AskedStart = 0;
   DiskStart KnownStart = 0; // Newest start of that disk known here.
+  bool Idle = false; // It neither led nor heard a leader since its start.
 
   template <class Self, class Visitor>
   static void fields(Self &M, Visitor &&Visit) {
-    Visit(M.Header, M.Empty, M.Verdict, M.AskedLife, M.AskedStart,
-          M.KnownStart);
+    Visit(M.Header, M.Empty, M.Verdict, M.AskedLife, M.AskedStart, M.KnownStart,
+          M.Idle);
   }
 };
 
