Backend servers are known right after a start

Cause: after a loss of all power entry hosts learnt of the engines one by one, as these reported themselves every 1.2 s, and put all that had waited on the first few: short prompts failed by the dozen in that second.

Change: control hosts keep on their disk which servers there were; after a start these count as ready for three seconds, by when they have reported themselves or are silent.

--- a/packages/control/ControlCalls.cpp
+++ b/packages/control/ControlCalls.cpp
@@ -3,6 +3,7 @@
 #include "control/ControlTurn.h"
 
 #include "base/Problem.h"
+#include "wire/Fields.h"
 
 namespace pimento::control {
 
@@ -10,6 +11,13 @@
 
 constexpr int TemporaryRedirect = 307;
 
+/// Servers are kept on the disk at most so often.
+constexpr Duration KeepInterval = milliseconds(1500);
+/// A server that an earlier start knew has so long to report itself.
+constexpr Duration RecallTime = milliseconds(3000);
+constexpr JsonLimits KeptLimits = {/*Bytes=*/8U << 20U, /*Depth=*/8,
+                                   /*Values=*/1U << 18U};
+
 /// Sends an operator to the leader, as far as it is known.
 void redirect(ControlTurn &T, ExchangeId Exchange, const HttpRequest &R) {
   HostId Leader = leader(T.S.Log);
@@ -174,4 +182,27 @@
   T.S.NextServers = nextServerTick(T.S.Servers, T.S.Limits, T.Now);
 }
 
+void recallServers(ControlHost &S, const std::string &Bytes, TimePoint Now) {
+  if (Bytes.empty())
+    return;
+  Failure Why;
+  ControlNews Kept = valueOr<ControlNews>(
+      [&] { return wire::fromBytes<ControlNews>(Bytes, KeptLimits); },
+      ControlNews(), Why);
+  for (const ServerReport &Report : Kept.Reports)
+    takeReport(S.Servers, Report, Now + RecallTime - S.Limits.SilentAfter);
+  S.KeptRevision = S.Servers.Revision;
+}
+
+void keepServers(ControlTurn &T) {
+  ControlHost &S = T.S;
+  if (S.KeptRevision == S.Servers.Revision || T.Now < S.NextKeep)
+    return;
+  S.KeptRevision = S.Servers.Revision;
+  S.NextKeep = T.Now + KeepInterval;
+  ControlNews Kept;
+  Kept.Reports = changedServers(S.Servers, 0, T.Now);
+  T.Out.push_back(KeepServers{wire::toBytes(Kept)});
+}
+
 } // namespace pimento::control
--- a/packages/control/ControlHost.cpp
+++ b/packages/control/ControlHost.cpp
@@ -60,6 +60,7 @@
     tickLog(T);
     control::tickServers(T);
     tickSpread(T);
+    keepServers(T);
     settlePuts(T);
     tickStop(T);
   }
@@ -108,6 +109,7 @@
   S.CallerPort = portPart(C.Host.CallerAddress);
   S.NextNews = Now;
   S.NextServers = Now;
+  recallServers(S, Start.KeptServers, Now);
   startLog(S, Start, Now);
   return S;
 }
--- a/packages/control/ControlHost.h
+++ b/packages/control/ControlHost.h
@@ -41,6 +41,7 @@
   Incarnation DiskLife = 0;
   DiskStart Start = 0;
   std::map<GroupId, Recovered> Found;
+  std::string KeptServers; // Of an earlier start; empty: none.
 };
 
 /// The newest configuration that the log holds.
@@ -106,8 +107,10 @@
 
   TimePoint NextNews{};
   TimePoint NextServers{};
-  TimePoint StopAt{};   // The epoch: not stopping.
-  TimePoint FailedAt{}; // Of the disk; the epoch: it works.
+  TimePoint NextKeep{};
+  std::uint64_t KeptRevision = 0; // Of the servers on the disk.
+  TimePoint StopAt{};             // The epoch: not stopping.
+  TimePoint FailedAt{};           // Of the disk; the epoch: it works.
   bool NewsDue = false; // Something changed that others should hear at once.
   bool WasLeader = false;
 };
--- a/packages/control/ControlTurn.h
+++ b/packages/control/ControlTurn.h
@@ -43,6 +43,10 @@
 // ControlCalls.cpp
 void platformCall(ControlTurn &T, ExchangeId Exchange, const HttpRequest &R);
 void tickServers(ControlTurn &T);
+/// Puts what changed on the disk now and then.
+void keepServers(ControlTurn &T);
+/// Servers that an earlier start knew: as good as ready until they are silent.
+void recallServers(ControlHost &S, const std::string &Bytes, TimePoint Now);
 
 // ControlSpread.cpp
 void tickSpread(ControlTurn &T);
--- a/packages/control/tests/ControlSite.h
+++ b/packages/control/tests/ControlSite.h
@@ -42,6 +42,7 @@
   std::vector<HostId> Seeds;
   std::map<HostId, std::unique_ptr<FakeDisk>> Disks;
   std::map<HostId, Replies> Answers;
+  std::map<HostId, std::string> Kept;              // Servers, on the disk.
   std::map<HostId, std::vector<SiteState>> States; // Sent to entry hosts.
   std::uint64_t NextExchange = 1;
   Incarnation NextLife = 1;
@@ -81,6 +82,7 @@
     Start.Platform = platform::adapter();
     Start.Life = NextLife++;
     Start.Seed = Net.Rng();
+    Start.KeptServers = Kept[Name];
     Start.DiskLife = N.Files.Self.Life;
     Start.Start = N.Files.Self.Start;
     Net.setClock(Name, 1.0, Duration::zero());
@@ -94,6 +96,7 @@
   }
   void loseDisk(const HostId &Name) {
     Net.crash(Name);
+    Kept.erase(Name);
     Disks.erase(Name);
   }
 
@@ -207,6 +210,8 @@
         write(N, Write->Write);
       else if (auto *Reply = std::get_if<calls::SendReply>(&Effect))
         Answers[N.Name][Reply->Exchange] = Reply->Reply;
+      else if (auto *Keep = std::get_if<KeepServers>(&Effect))
+        Kept[N.Name] = Keep->Bytes;
     }
   }
 
--- a/packages/control/tests/ControlTest.cpp
+++ b/packages/control/tests/ControlTest.cpp
@@ -228,3 +228,30 @@
   BOOST_TEST(
       (Site.States[Entry].back().Servers[0].Phase == ServerPhase::Draining));
 }
+
+/// After a loss of power entry hosts know the servers before these have
+/// reported themselves again; one that does not is taken for silent soon.
+BOOST_FIXTURE_TEST_CASE(ServersAreKnownRightAfterAStart, Fixture) {
+  Site.request(Leader, HttpMethod::Post, "/-/replicas/i-1/heartbeat",
+               R"({"service":"s","address":"10.0.7.1:80","zone":"z",)"
+               R"("state":"ready","sequence":1})");
+  Site.Net.runFor(seconds(3));
+  for (const HostId &Name : Site.Seeds)
+    Site.losePower(Name);
+  Site.startAll(false);
+  Leader = Site.waitForLeader(seconds(5));
+  BOOST_TEST_REQUIRE(!Leader.empty());
+  HostId Entry("10.0.5.5");
+  Site.Net.send(Entry, Leader, EntrySync{1, 0, 0, 0, true, {}});
+  Site.Net.runFor(milliseconds(50));
+  BOOST_TEST_REQUIRE(Site.States[Entry].back().Servers.size() == 1U);
+  BOOST_TEST(
+      (Site.States[Entry].back().Servers[0].Phase == ServerPhase::Ready));
+  for (std::uint64_t Sequence = 2; Sequence < 12; ++Sequence) {
+    Site.Net.runFor(milliseconds(500));
+    Site.Net.send(Entry, Leader, EntrySync{Sequence, 0, 0, 0, true, {}});
+  }
+  Site.Net.runFor(milliseconds(100));
+  BOOST_TEST(
+      (Site.States[Entry].back().Servers[0].Phase == ServerPhase::Silent));
+}
--- a/packages/node/Events.h
+++ b/packages/node/Events.h
@@ -135,6 +135,11 @@
   MetricSample Sample;
 };
 
+/// Replaces the file that tells a later start which backend servers there were.
+struct KeepServers {
+  std::string Bytes;
+};
+
 /// Takes no new connections of callers.
 struct StopListening {};
 
@@ -148,7 +153,7 @@
                  calls::StreamBytes, calls::EndStream, calls::CloseExchange,
                  calls::OpenUpstream, calls::AbortUpstream,
                  calls::PauseUpstream, WriteDisk, LogDecision, RecordSample,
-                 StopListening, Exit>;
+                 KeepServers, StopListening, Exit>;
 
 using Effects = std::vector<Effect>;
 
--- a/packages/shell/DataFolder.cpp
+++ b/packages/shell/DataFolder.cpp
@@ -1,6 +1,7 @@
 #include "shell/DataFolder.h"
 
 #include "base/Result.h"
+#include "storage/Files.h"
 
 #include <cstring>
 #include <random>
@@ -33,4 +34,31 @@
          ")";
 }
 
+namespace {
+
+constexpr const char *ServersName = "servers";
+
+} // namespace
+
+std::string keepServers(DataFolder &Folder, const std::string &Bytes) {
+  Failure Why;
+  valueOr<bool>(
+      [&]() -> Result<bool> {
+        auto Done =
+            storage::replaceFile(Folder.Open->Files, ServersName, Bytes);
+        if (!Done)
+          return Done.error();
+        return true;
+      },
+      false, Why);
+  return Why.Detail;
+}
+
+std::string keptServers(const DataFolder &Folder) {
+  std::string Bytes;
+  if (Folder.Open->Files.Read(ServersName, Bytes) != 0)
+    return "";
+  return Bytes;
+}
+
 } // namespace pimento
--- a/packages/shell/DataFolder.h
+++ b/packages/shell/DataFolder.h
@@ -21,4 +21,10 @@
 /// by another process is never written to.
 std::string openDataFolder(const Settings &S, DataFolder &Folder);
 
+/// Keeps what a later start is to find in keptServers(). Returns why it could
+/// not, or an empty text.
+std::string keepServers(DataFolder &Folder, const std::string &Bytes);
+/// What was kept last; empty where nothing was, or it cannot be read.
+std::string keptServers(const DataFolder &Folder);
+
 } // namespace pimento
--- a/packages/shell/Process.cpp
+++ b/packages/shell/Process.cpp
@@ -58,6 +58,7 @@
   void operator()(const WriteDisk &E);
   void operator()(const LogDecision &E) { Log.write(LogLevel::Info, E.Record); }
   void operator()(const RecordSample &E) { Numbers.record(E.Sample); }
+  void operator()(const KeepServers &E);
   void operator()(const StopListening &) { Callers.stopListening(); }
   void operator()(const Exit &E);
 
@@ -466,6 +467,12 @@
     dispatch(DiskWritten{Write.Group, Write.Ticket});
 }
 
+void Process::operator()(const KeepServers &E) {
+  std::string Problem = keepServers(Data, E.Bytes);
+  if (!Problem.empty())
+    Log.write(LogLevel::Warning, "servers_not_kept", Problem);
+}
+
 void Process::operator()(const Exit &E) {
   ExitStatus = E.Status;
   // Lets the replies go out that were written just before.
--- a/packages/shell/SiteProcess.cpp
+++ b/packages/shell/SiteProcess.cpp
@@ -77,6 +77,7 @@
     Start.DiskLife = Folder.Open->Self.Life;
     Start.Start = Folder.Open->Self.Start;
     Start.Found = std::move(Folder.Found);
+    Start.KeptServers = keptServers(Folder);
     return runProgram(S, Folder, Life,
                       controlProgram(S, File, std::move(Start)));
   }
