--- a/packages/control/ControlCalls.cpp
+++ b/packages/control/ControlCalls.cpp
@@ -5,6 +5,8 @@
 #include "base/Problem.h"
 #include "wire/Fields.h"
 
+#include <algorithm>
+
 namespace pimento::control {
 
 namespace {
@@ -190,7 +192,8 @@
       [&] { return wire::fromBytes<ControlNews>(Bytes, KeptLimits); },
       ControlNews(), Why);
   for (const ServerReport &Report : Kept.Reports)
-    takeReport(S.Servers, Report, Now + RecallTime - S.Limits.SilentAfter);
+    takeReport(S.Servers, Report,
+               std::min(Now, Now + RecallTime - S.Limits.SilentAfter));
   S.KeptRevision = S.Servers.Revision;
 }
 
