An engine that falls dark is noticed within four seconds

Change: probes of a silent connection begin after one second. Renewals that got no answer are in doubt all the same: their memory is given back until they can no longer be carried out.

--- a/packages/gateway/Gateway.h
+++ b/packages/gateway/Gateway.h
@@ -72,6 +72,7 @@
   TimePoint Expires{}; // At the engine.
   int Status = 0;      // Of the order's answer.
   bool Granted = false;
+  bool Doubtful = false; // An order got no answer: it may yet be carried out.
 };
 
 /// A reservation that is to be given back, until an engine says so or it runs
@@ -81,8 +82,9 @@
   std::string Ticket;
   UpstreamId Order{}; // Under way; zero: none.
   bool Confirmed = false;
-  TimePoint NextAt{}; // Of the next order, or the end of the one under way.
-  TimePoint Until{};  // It runs out by itself.
+  TimePoint NextAt{};     // Of the next order, or the end of the one under way.
+  TimePoint Until{};      // It runs out by itself.
+  TimePoint DoubtUntil{}; // An order that got no answer may yet make it anew.
 };
 
 /// One try at one backend server.
--- a/packages/gateway/PlacePart.cpp
+++ b/packages/gateway/PlacePart.cpp
@@ -17,6 +17,10 @@
 /// An engine answers an order at once, or the answer is lost.
 constexpr Duration OrderTimeout = milliseconds(300);
 constexpr Duration RepeatOrderAfter = milliseconds(100);
+/// An order without an answer may be carried out so much later, and then makes
+/// or renews a reservation that nobody needs.
+constexpr Duration LateOrderTime = seconds(13);
+constexpr Duration DoubtInterval = milliseconds(1000);
 /// Engines keep memory for so long without word from here, so that a host that
 /// dies leaves nothing behind: platforms allow it a few seconds. An order that
 /// is carried out late does no harm either.
@@ -136,6 +140,7 @@
   T.S.ByUpstream.erase(R.Order);
   T.Out.push_back(calls::AbortUpstream{R.Order});
   R.Order = UpstreamId{};
+  R.Doubtful = true;
 }
 
 void logPlaced(GatewayTurn &T, const GatewayCall &C) {
@@ -256,6 +261,7 @@
     if (std::holds_alternative<UpstreamEnd>(E)) {
       Release.Order = UpstreamId{};
       Release.Confirmed = true;
+      Release.NextAt = T.Now + DoubtInterval;
     } else if (std::holds_alternative<UpstreamFailed>(E)) {
       Release.Order = UpstreamId{};
       Release.NextAt = T.Now + RepeatOrderAfter;
@@ -267,7 +273,8 @@
 
 void tickReleases(GatewayTurn &T) {
   auto IsOver = [&](const PendingRelease &R) {
-    return R.Order == UpstreamId{} && (R.Confirmed || T.Now >= R.Until);
+    bool Free = R.Confirmed || T.Now >= R.Until;
+    return R.Order == UpstreamId{} && Free && T.Now >= R.DoubtUntil;
   };
   auto &Releases = T.S.Releases;
   for (PendingRelease &R : Releases) {
@@ -354,9 +361,10 @@
     constexpr int StatusOk = 200;
     if (const auto *Head = std::get_if<UpstreamHead>(&E))
       R.Status = Head->Status;
-    else if (std::holds_alternative<UpstreamFailed>(E))
+    else if (std::holds_alternative<UpstreamFailed>(E)) {
+      R.Doubtful = true;
       reservationAnswered(T, C, R, false);
-    else if (std::holds_alternative<UpstreamEnd>(E))
+    } else if (std::holds_alternative<UpstreamEnd>(E))
       reservationAnswered(T, C, R, R.Status == StatusOk);
     return true;
   }
@@ -370,6 +378,8 @@
     Release.Address = R.Address;
     Release.Ticket = R.Ticket;
     Release.Until = R.Expires;
+    if (R.Doubtful)
+      Release.DoubtUntil = T.Now + LateOrderTime;
     sendRelease(T, Release);
     T.S.Releases.push_back(std::move(Release));
   }
--- a/packages/gateway/tests/GatewayTest.cpp
+++ b/packages/gateway/tests/GatewayTest.cpp
@@ -447,6 +447,8 @@
   std::vector<calls::OpenUpstream> Renewals = R.all<calls::OpenUpstream>();
   BOOST_REQUIRE(!Renewals.empty());
   BOOST_TEST(Renewals[0].Request.Body == Reserve.Request.Body);
+  R.event(UpstreamHead{Renewals[0].Upstream, 200, {}});
+  R.event(UpstreamEnd{Renewals[0].Upstream, true});
   R.event(ExchangeLeft{Id});
   calls::OpenUpstream Release = R.one<calls::OpenUpstream>();
   BOOST_TEST(Release.Request.Body.find("release") != std::string::npos);
@@ -461,6 +463,33 @@
   BOOST_TEST(R.S.Releases.empty());
 }
 
+/// A renewal that got no answer may be carried out after all is given back.
+BOOST_AUTO_TEST_CASE(RenewalsInDoubtAreGivenBackForLonger) {
+  Rig R;
+  ExchangeId Id = R.call(HttpMethod::Post, "/l/1",
+                         {{"X-Pimentoglade-Token-Count", "300000,700"},
+                          {"X-Pimentoglade-Deadline-Ms", "15000"}});
+  calls::OpenUpstream Reserve = R.one<calls::OpenUpstream>();
+  R.event(UpstreamHead{Reserve.Upstream, 200, {}});
+  R.event(UpstreamEnd{Reserve.Upstream, true});
+  R.sent(R.one<calls::OpenUpstream>().Upstream);
+  R.pass(milliseconds(800)); // A renewal is under way, without an answer.
+  R.event(ExchangeLeft{Id});
+  std::size_t Releases = 0;
+  for (int Second = 0; Second < 16; ++Second) {
+    for (const calls::OpenUpstream &Open : R.all<calls::OpenUpstream>()) {
+      if (Open.Request.Body.find("release") == std::string::npos)
+        continue;
+      ++Releases;
+      R.event(UpstreamHead{Open.Upstream, 200, {}});
+      R.event(UpstreamEnd{Open.Upstream, true});
+    }
+    R.pass(milliseconds(1050));
+  }
+  BOOST_TEST(Releases >= 10U);
+  BOOST_TEST(R.S.Releases.empty());
+}
+
 /// Nobody else places: the host does it itself at once.
 BOOST_AUTO_TEST_CASE(ASilentPlacerIsPassedOver) {
   Rig R;
--- a/packages/shell/SocketOptions.cpp
+++ b/packages/shell/SocketOptions.cpp
@@ -13,7 +13,7 @@
 /// Bytes that go unacknowledged for so long mean that the path is dead.
 constexpr Duration UnacknowledgedTimeout = milliseconds(1500);
 // Probes of a silent connection: the first, the pause between, how many.
-constexpr Duration ProbeAfter = seconds(2);
+constexpr Duration ProbeAfter = seconds(1);
 constexpr Duration ProbeInterval = seconds(1);
 constexpr int ProbeCount = 2;
 
