pimentogladectl explain: what became of a request, from logs

Cause: an on-call engineer had to put a request's lines, its host's beliefs and others' luck at the same server together by hand.

Change: explain ID LOG... reads logs of any hosts, orders nothing by two hosts' clocks, counts what it cannot read. A line's own fields stay its own.

--- a/packages/control/ControlSpread.cpp
+++ b/packages/control/ControlSpread.cpp
@@ -116,7 +116,7 @@
   if (S.Placer == Before)
     return;
   DecisionRecord Record{"placer", {}, "the one before is not ready", {}};
-  Record.add("host", S.Placer.Value);
+  Record.add("placer", S.Placer.Value);
   Record.add("before", Before.Value);
   log(T, std::move(Record));
   S.NewsDue = true;
@@ -185,7 +185,7 @@
   ControlPeer &Peer = S.Controls[From];
   if (Peer.Heard == TimePoint() || T.Now > Peer.Heard + ControlSilence) {
     DecisionRecord Record{"control_host_heard", {}, "its news came", {}};
-    Record.add("host", From.Value);
+    Record.add("control", From.Value);
     log(T, std::move(Record));
   }
   Peer.Heard = T.Now;
--- a/packages/ctl/Command.cpp
+++ b/packages/ctl/Command.cpp
@@ -2,6 +2,7 @@
 
 #include "base/Settings.h"
 #include "document/Store.h"
+#include "explain/Explain.h"
 #include "load/Load.h"
 
 #include <algorithm>
@@ -108,7 +109,9 @@
   // One row for each: {"name", "its meaning", theFunction}.
   static const std::vector<OwnCommand> Table = {
       {"load", "sends a bounded load to a site; docs/LOAD.md",
-       load::loadCommand}};
+       load::loadCommand},
+      {"explain", "what became of a request, from logs; docs/OPERATIONS.md",
+       explain::explainCommand}};
   return Table;
 }
 
--- /dev/null
+++ b/packages/explain/Explain.cpp
@@ -0,0 +1,267 @@
+#include "explain/Explain.h"
+
+#include "base/Codes.h"
+#include "base/Json.h"
+
+#include <algorithm>
+#include <fstream>
+#include <map>
+#include <optional>
+#include <sstream>
+
+namespace pimento::explain {
+
+namespace {
+
+constexpr JsonLimits LineLimits = {/*Bytes=*/64U << 10U, /*Depth=*/8,
+                                   /*Values=*/1024};
+constexpr int StatusFound = 0;
+constexpr int StatusNothing = 1;
+constexpr int StatusUsage = 2;
+
+/// One readable line.
+struct Line {
+  Json Fields;
+  std::string Host;
+  std::string Kind;
+};
+
+std::string text(const Json &Fields, const char *Name) {
+  auto Found = Fields.find(Name);
+  if (Found == Fields.end())
+    return "";
+  return Found->is_string() ? Found->get<std::string>() : Found->dump();
+}
+
+std::int64_t number(const Json &Fields, const char *Name,
+                    std::int64_t Otherwise = 0) {
+  auto Found = Fields.find(Name);
+  return Found != Fields.end() && Found->is_number_integer()
+             ? Found->get<std::int64_t>()
+             : Otherwise;
+}
+
+/// A line may have something in front, such as the name of its process.
+std::optional<Line> readLine(std::string_view Whole) {
+  std::size_t Begin = Whole.find('{');
+  if (Begin == std::string_view::npos)
+    return std::nullopt;
+  Failure Why;
+  Line L;
+  L.Fields = valueOr<Json>(
+      [&] { return parseJson(Whole.substr(Begin), LineLimits); }, Json(), Why);
+  if (!L.Fields.is_object())
+    return std::nullopt;
+  L.Host = text(L.Fields, "host");
+  L.Kind = text(L.Fields, "kind");
+  if (L.Kind.empty())
+    return std::nullopt;
+  return L;
+}
+
+/// All lines by host, each host's in their order.
+using Logs = std::map<std::string, std::vector<Line>>;
+
+Logs readAll(const std::vector<LogFile> &Files, Explanation &E) {
+  Logs All;
+  for (const LogFile &File : Files) {
+    std::istringstream IS(File.Text);
+    for (std::string Whole; std::getline(IS, Whole);) {
+      if (Whole.empty())
+        continue;
+      ++E.Lines;
+      if (std::optional<Line> L = readLine(Whole))
+        All[L->Host].push_back(std::move(*L));
+      else
+        ++E.Unreadable;
+    }
+  }
+  return All;
+}
+
+bool isLast(const Line &L) {
+  return L.Kind == "request" || L.Kind == "refused";
+}
+
+/// "09:14:05.123" of a line's own clock.
+std::string timeOf(const Line &L) {
+  std::string Time = text(L.Fields, "time");
+  constexpr std::size_t DateSize = 11; // "2026-01-31T"
+  return Time.size() > DateSize ? Time.substr(DateSize) : Time;
+}
+
+std::string described(const Line &L) {
+  std::string Text = timeOf(L) + "  " + L.Kind;
+  for (const auto &[Name, Value] : L.Fields.items()) {
+    if (Name == "kind" || Name == "time" || Name == "host" || Name == "level" ||
+        Name == "try" || Name == "ticket")
+      continue;
+    Text += "  " + Name + "=" +
+            (Value.is_string() ? Value.get<std::string>() : Value.dump());
+  }
+  return Text;
+}
+
+/// What the last line says, in a sentence.
+std::string verdict(const Line &L) {
+  auto Number = static_cast<std::uint16_t>(number(L.Fields, "code"));
+  Code C = Code::Ok;
+  std::string Name =
+      codeFromNumber(Number, C) ? std::string(toString(C)) : "unknown code";
+  std::string Reason = text(L.Fields, "reason");
+  if (L.Kind == "refused")
+    return "refused before it had a call: " + Reason + " (" + Name + ")";
+  std::string Sends = std::to_string(number(L.Fields, "sends"));
+  if (Number != 0)
+    return "ended with status " + text(L.Fields, "status") + " (" + Name +
+           "): " + Reason + "; reached " + Sends + " server(s)";
+  std::string Text = "answered by " + text(L.Fields, "server") + " after " +
+                     text(L.Fields, "age_ms") + " ms";
+  if (L.Fields.contains("first_event_ms"))
+    Text += "; first event after " + text(L.Fields, "first_event_ms") +
+            " ms, forecast " + text(L.Fields, "forecast_ms") + " ms";
+  if (L.Fields.contains("longest_pause_ms"))
+    Text += ", longest pause " + text(L.Fields, "longest_pause_ms") + " ms";
+  return Text;
+}
+
+/// Kinds of lines that tell what a host believes; the newest of each counts.
+bool isBelief(const std::string &Kind) {
+  for (const char *Belief :
+       {"routing_in_force", "control_host", "placer", "placer_silent", "ready",
+        "stop_requested", "start", "reload", "lines_left_out"}) {
+    if (Kind == Belief)
+      return true;
+  }
+  return false;
+}
+
+/// What the host believed when it wrote line \p At.
+std::string beliefs(const std::vector<Line> &Log, std::size_t At) {
+  std::map<std::string, std::size_t> Newest;
+  for (std::size_t I = 0; I < At; ++I) {
+    if (isBelief(Log[I].Kind))
+      Newest[Log[I].Kind] = I;
+  }
+  std::string Text;
+  for (const auto &[Kind, I] : Newest)
+    Text += "    " + described(Log[I]) + "\n";
+  return Text;
+}
+
+std::vector<std::string> serversOf(const std::vector<Line> &Own) {
+  std::vector<std::string> Servers;
+  for (const Line &L : Own) {
+    std::string Server = text(L.Fields, "server");
+    bool Known =
+        std::find(Servers.begin(), Servers.end(), Server) != Servers.end();
+    if (!Server.empty() && !Known)
+      Servers.push_back(Server);
+  }
+  return Servers;
+}
+
+/// How others fared at a server: whether it or a path to it was at fault.
+std::string serverStory(const Logs &All, const std::string &Server) {
+  std::map<std::string, std::uint64_t> Failed; // By reason.
+  std::uint64_t Hosts = 0;
+  std::uint64_t Helped = 0;
+  std::int64_t Longest = 0;
+  for (const auto &[Host, Log] : All) {
+    bool Here = false;
+    for (const Line &L : Log) {
+      if (L.Kind == "try_failed" && text(L.Fields, "server") == Server) {
+        ++Failed[text(L.Fields, "reason")];
+        Here = true;
+      }
+      bool Helps = L.Kind == "placed" &&
+                   text(L.Fields, "helpers").find(Server) != std::string::npos;
+      if (!Helps)
+        continue;
+      ++Helped;
+      Longest = std::max(Longest, number(L.Fields, "prompt_tokens"));
+    }
+    Hosts += Here ? 1 : 0;
+  }
+  std::string Text = "  server " + Server + ", in all logs:\n";
+  for (const auto &[Reason, Count] : Failed)
+    Text += "    " + std::to_string(Count) + " tries failed: " + Reason + "\n";
+  if (!Failed.empty())
+    Text += "    at " + std::to_string(Hosts) + " host(s)\n";
+  if (Helped > 0)
+    Text += "    read parts of " + std::to_string(Helped) +
+            " other prompts, the longest of " + std::to_string(Longest) +
+            " tokens\n";
+  return Text;
+}
+
+void tellHost(const Logs &All, const std::string &Host,
+              const std::string &TryId, Explanation &E) {
+  const std::vector<Line> &Log = All.at(Host);
+  std::vector<Line> Own;
+  std::size_t End = 0;
+  for (std::size_t I = 0; I < Log.size(); ++I) {
+    if (text(Log[I].Fields, "try") != TryId)
+      continue;
+    Own.push_back(Log[I]);
+    End = I;
+  }
+  if (Own.empty())
+    return;
+  E.Found = true;
+  E.Text += "at " + Host + ":\n";
+  for (const Line &L : Own)
+    E.Text += "  " + described(L) + "\n";
+  if (isLast(Own.back()))
+    E.Text += "  => " + verdict(Own.back()) + "\n";
+  else
+    E.Text += "  => its last line is missing\n";
+  E.Text += "  what the host believed then:\n" + beliefs(Log, End);
+  for (const std::string &Server : serversOf(Own))
+    E.Text += serverStory(All, Server);
+}
+
+} // namespace
+
+Explanation explain(const std::string &TryId,
+                    const std::vector<LogFile> &Files) {
+  Explanation E;
+  Logs All = readAll(Files, E);
+  for (const auto &[Host, Log] : All)
+    tellHost(All, Host, TryId, E);
+  return E;
+}
+
+int explainCommand(const std::vector<std::string> &Arguments, std::ostream &Out,
+                   std::ostream &Err) {
+  constexpr std::size_t LeastArguments = 2;
+  if (Arguments.size() < LeastArguments || Arguments[0].empty() ||
+      Arguments[0].front() == '-') {
+    Err << "usage: pimentogladectl explain ID LOG...\n"
+           "  ID   the caller's id of one try, \"try\" in the logs\n"
+           "  LOG  files with the JSON lines of any hosts\n";
+    return StatusUsage;
+  }
+  std::vector<LogFile> Files;
+  for (std::size_t I = 1; I < Arguments.size(); ++I) {
+    std::ifstream File(Arguments[I], std::ios::binary);
+    std::ostringstream Text;
+    if (File)
+      Text << File.rdbuf();
+    if (!File || Text.fail()) {
+      Err << "explain: cannot read " << Arguments[I] << "\n";
+      return StatusUsage;
+    }
+    Files.push_back({Arguments[I], Text.str()});
+  }
+  Explanation E = explain(Arguments[0], Files);
+  Out << E.Text;
+  if (E.Unreadable > 0)
+    Err << "explain: " << E.Unreadable << " of " << E.Lines
+        << " lines are not readable\n";
+  if (!E.Found)
+    Err << "explain: no line is about " << Arguments[0] << "\n";
+  return E.Found ? StatusFound : StatusNothing;
+}
+
+} // namespace pimento::explain
--- a/packages/gateway/PlacePart.cpp
+++ b/packages/gateway/PlacePart.cpp
@@ -463,7 +463,7 @@
   if (S.Placer == S.Link.Placer)
     return;
   DecisionRecord Record{"placer", {}, "the leader named it", {}};
-  Record.add("host", S.Link.Placer.Value);
+  Record.add("placer", S.Link.Placer.Value);
   Record.add("before", S.Placer.Value);
   log(T, std::move(Record));
   bool PlacedHere = S.Placer == S.Self;
--- a/packages/gateway/SitePart.cpp
+++ b/packages/gateway/SitePart.cpp
@@ -165,7 +165,7 @@
   followPlacer(T);
   if (Home != S.Link.Home) {
     DecisionRecord Record{"control_host", {}, "it leads", {}};
-    Record.add("host", S.Link.Home.Value);
+    Record.add("control", S.Link.Home.Value);
     Record.add("before", Home.Value);
     log(T, std::move(Record));
   }
--- a/packages/replica/Start.cpp
+++ b/packages/replica/Start.cpp
@@ -150,7 +150,7 @@
 void refuseDisk(ReplicaState &S, const HostId &From, const ReplicaProbe &M,
                 DiskVerdict Verdict, ReplicaEffects &E) {
   DecisionRecord &Record = decide(S, E, "refuse_disk", describe(Verdict));
-  Record.add("host", From.Value);
+  Record.add("member", From.Value);
   Record.add("starts", static_cast<std::int64_t>(startCount(M.Header.Start)));
   Record.add("its_term", static_cast<std::int64_t>(M.Header.Term));
   Record.add("its_last", static_cast<std::int64_t>(M.LastIndex));
--- a/packages/shell/Logger.cpp
+++ b/packages/shell/Logger.cpp
@@ -182,9 +182,13 @@
     Line["request"] = toString(Record.Request);
   if (!Record.Reason.empty())
     Line["reason"] = Record.Reason;
-  for (const DecisionField &Field : Record.Fields)
-    std::visit([&](const auto &Value) { Line[Field.Name] = Value; },
-               Field.Value);
+  for (const DecisionField &Field : Record.Fields) {
+    // A record may speak of another host than the one that writes.
+    std::string Name = Field.Name;
+    if (Line.contains(Name))
+      Name = "about_" + Name;
+    std::visit([&](const auto &Value) { Line[Name] = Value; }, Field.Value);
+  }
   if (Standard)
     Standard->Urgent = std::string_view(Record.Kind) == LastLineKind;
   BOOST_LOG(Source) << Line.dump(-1, ' ', false,
--- a/packages/shell/tests/ClientTest.cpp
+++ b/packages/shell/tests/ClientTest.cpp
@@ -2,6 +2,7 @@
 
 #include "shell/HttpClient.h"
 #include "shell/LineWriter.h"
+#include "shell/Logger.h"
 #include "shell/tests/Socket.h"
 
 #include <event2/buffer.h>
@@ -9,10 +10,13 @@
 #include <event2/listener.h>
 
 #include <csignal>
+#include <cstdlib>
 #include <fcntl.h>
+#include <fstream>
 #include <list>
 #include <map>
 #include <memory>
+#include <sstream>
 #include <unistd.h>
 
 using namespace pimento;
@@ -81,7 +85,7 @@
   evconnlistener *Listener = nullptr;
 };
 
-struct Outcome {
+struct CallOutcome {
   int Status = 0;
   std::string Body;
   bool Sent = false;
@@ -94,7 +98,7 @@
 struct Fixture {
   EventBasePtr Base = makeEventBase();
   RawServer Server{Base.get()};
-  std::map<UpstreamId, Outcome> Calls;
+  std::map<UpstreamId, CallOutcome> Calls;
   HttpClient Client{Base.get(), hooks()};
 
   Fixture() { std::signal(SIGPIPE, SIG_IGN); }
@@ -127,8 +131,8 @@
     runUntil(Base.get(), milliseconds(60), [] { return false; });
   }
 
-  Outcome &open(std::uint64_t Number, std::string Body = "",
-                std::uint32_t Limit = 0) {
+  CallOutcome &open(std::uint64_t Number, std::string Body = "",
+                    std::uint32_t Limit = 0) {
     UpstreamRequest R;
     R.Address = Server.Address;
     R.Method = Body.empty() ? HttpMethod::Get : HttpMethod::Post;
@@ -164,7 +168,7 @@
   open(1);
   connection(0).write(answer("1"));
   BOOST_TEST(until([&] { return Calls[UpstreamId{1}].Ended; }));
-  Outcome &Second = open(2);
+  CallOutcome &Second = open(2);
   settle();
   BOOST_TEST(Server.Connections.size() == 1U);
   connection(0).write(answer("2", "again"));
@@ -180,14 +184,14 @@
   // It comes while the connection is idle: that one is never used again.
   connection(0).write(answer("1", "late"));
   settle();
-  Outcome &Second = open(2);
+  CallOutcome &Second = open(2);
   connection(1).write(answer("2", "mine"));
   BOOST_TEST(until([&] { return Second.Ended; }));
   BOOST_TEST(Second.Body == "mine");
 }
 
 BOOST_FIXTURE_TEST_CASE(AnotherRequestsAnswerIsSkipped, Fixture) {
-  Outcome &Call = open(7);
+  CallOutcome &Call = open(7);
   connection(0).write(answer("6", "late") + answer("7", "mine"));
   BOOST_TEST(until([&] { return Call.Ended; }));
   BOOST_TEST(Call.Body == "mine");
@@ -197,7 +201,7 @@
 }
 
 BOOST_FIXTURE_TEST_CASE(BytesBehindAnAnswerPoisonTheConnection, Fixture) {
-  Outcome &Call = open(1);
+  CallOutcome &Call = open(1);
   connection(0).write(answer("1") + "more");
   BOOST_TEST(until([&] { return Call.Ended; }));
   settle();
@@ -205,7 +209,7 @@
 }
 
 BOOST_FIXTURE_TEST_CASE(AnAnswerBeforeTheRequestIsWrittenEndsIt, Fixture) {
-  Outcome &Call = open(1, std::string(16U << 20U, 'x'));
+  CallOutcome &Call = open(1, std::string(16U << 20U, 'x'));
   bufferevent_disable(connection(0).Stream, EV_READ);
   connection(0).write(answer("1"));
   BOOST_TEST(until([&] { return Call.Ended || Call.Failed; }));
@@ -224,7 +228,7 @@
         CutChunk, std::string("what is this\r\n\r\n")}) {
     Calls.clear();
     std::size_t Before = Server.Connections.size();
-    Outcome &Call = open(1);
+    CallOutcome &Call = open(1);
     RawServer::Connection &C = connection(Before);
     C.write(Bytes);
     settle();
@@ -237,7 +241,7 @@
 }
 
 BOOST_FIXTURE_TEST_CASE(AnswersWithoutLengthEndWithTheirConnection, Fixture) {
-  Outcome &Call = open(1);
+  CallOutcome &Call = open(1);
   RawServer::Connection &C = connection(0);
   C.write("HTTP/1.1 200 OK\r\nEcho: 1\r\n\r\nabc");
   BOOST_TEST(until([&] { return Call.Body == "abc"; }));
@@ -248,7 +252,7 @@
 }
 
 BOOST_FIXTURE_TEST_CASE(ChunksArriveAsTheyCome, Fixture) {
-  Outcome &Call = open(1);
+  CallOutcome &Call = open(1);
   RawServer::Connection &C = connection(0);
   C.write("HTTP/1.1 200 OK\r\nEcho: 1\r\nTransfer-Encoding: chunked\r\n\r\n"
           "5\r\nfir");
@@ -262,7 +266,7 @@
 BOOST_FIXTURE_TEST_CASE(TheLimitOfConnectionsHolds, Fixture) {
   open(1, "", 2);
   open(2, "", 2);
-  Outcome &Third = open(3, "", 2);
+  CallOutcome &Third = open(3, "", 2);
   BOOST_TEST(Third.Failed);
   BOOST_TEST(!Third.Why.BytesSent);
   connection(0).write(answer("1"));
@@ -299,3 +303,33 @@
   ::close(Pipe[0]);
   ::close(Pipe[1]);
 }
+
+/// Lines of a host are found by its name: a record about another host must not
+/// take its place.
+BOOST_AUTO_TEST_CASE(ALinesOwnFieldsStayItsOwn) {
+  char Path[] = "/tmp/pimento-log-XXXXXX";
+  int File = ::mkstemp(Path);
+  BOOST_REQUIRE(File >= 0);
+  ::close(File);
+  LogSettings Settings;
+  Settings.File = Path;
+  Settings.LinesPerSecond = 3;
+  {
+    Logger Log(Settings, HostId("me"));
+    DecisionRecord Record;
+    Record.Kind = "placer";
+    Record.add("host", std::string("other"));
+    for (int I = 0; I < 9; ++I)
+      Log.write(LogLevel::Info, Record);
+  }
+  std::ifstream Input(Path);
+  std::size_t Lines = 0;
+  for (std::string Line; std::getline(Input, Line);) {
+    ++Lines;
+    BOOST_TEST(Line.find("\"host\":\"me\"") != std::string::npos);
+    BOOST_TEST(Line.find("\"about_host\":\"other\"") != std::string::npos);
+  }
+  BOOST_TEST(Lines >= 3U);
+  BOOST_TEST(Lines <= 6U); // The bound of a second, or of two.
+  std::remove(Path);
+}
