One function for an address's parts, one for both programs of a site

The parts of an address were cut out in three files, and the two kinds of hosts were wired to the shell by two functions of one shape. No change of behaviour; controlTest, gatewayTest and shellTest pass.

--- a/packages/base/Settings.cpp
+++ b/packages/base/Settings.cpp
@@ -490,6 +490,14 @@
   return readSettings(Text.str(), Path, S, Problems);
 }
 
+std::string ipOf(std::string_view Address) {
+  return std::string(Address.substr(0, Address.rfind(':')));
+}
+
+std::string portOf(std::string_view Address) {
+  return std::string(Address.substr(Address.rfind(':') + 1));
+}
+
 std::vector<std::string> splitAddresses(std::string_view Text) {
   std::vector<std::string> List;
   std::size_t Begin = 0;
--- a/packages/base/Settings.h
+++ b/packages/base/Settings.h
@@ -197,6 +197,9 @@
 bool parseDuration(std::string_view Text, Duration &D);
 /// A size such as "100B", "64KiB", "16MiB" or "4GiB"; the unit is required.
 bool parseBytes(std::string_view Text, std::uint64_t &Bytes);
+/// The parts of an address in front of its last colon and behind it.
+std::string ipOf(std::string_view Address);
+std::string portOf(std::string_view Address);
 /// The addresses in a list that is separated by commas.
 std::vector<std::string> splitAddresses(std::string_view Text);
 /// Whether \p Text is an IPv4 or bracketed IPv6 address with a port; port 0
--- a/packages/control/ControlHost.cpp
+++ b/packages/control/ControlHost.cpp
@@ -18,20 +18,12 @@
 /// Reports of a server that may be missing before it counts as silent.
 constexpr int MissedReports = 4;
 
-std::string hostPart(const std::string &Address) {
-  return Address.substr(0, Address.rfind(':'));
-}
-
-std::string portPart(const std::string &Address) {
-  return Address.substr(Address.rfind(':') + 1);
-}
-
 /// What may change while the host runs.
 void takeSettings(ControlHost &S, const Settings &C) {
   S.Config = C;
   S.Seeds.clear();
   for (const std::string &Seed : splitAddresses(C.Join.Seeds))
-    S.Seeds.emplace_back(hostPart(Seed));
+    S.Seeds.emplace_back(ipOf(Seed));
   S.Limits.SilentAfter =
       std::max(C.Membership.AnnounceTimeout,
                MissedReports * C.Membership.AnnounceInterval);
@@ -104,9 +96,9 @@
   ControlHost S;
   takeSettings(S, C);
   S.Platform = Start.Platform;
-  S.Self = HostId(hostPart(C.Host.PeerAddress));
+  S.Self = HostId(ipOf(C.Host.PeerAddress));
   S.Life = Start.Life;
-  S.CallerPort = portPart(C.Host.CallerAddress);
+  S.CallerPort = portOf(C.Host.CallerAddress);
   S.NextNews = Now;
   S.NextServers = Now;
   recallServers(S, Start.KeptServers, Now);
--- a/packages/gateway/Gateway.cpp
+++ b/packages/gateway/Gateway.cpp
@@ -10,10 +10,6 @@
 
 namespace {
 
-std::string hostPart(const std::string &Address) {
-  return Address.substr(0, Address.rfind(':'));
-}
-
 /// What may change while the host runs.
 void takeSettings(Gateway &S, const Settings &C) {
   S.Config = C;
@@ -22,7 +18,7 @@
   S.RepeatRules.Window = C.Retries.BudgetWindow;
   S.Link.Seeds.clear();
   for (const std::string &Seed : splitAddresses(C.Join.Seeds))
-    S.Link.Seeds.emplace_back(hostPart(Seed));
+    S.Link.Seeds.emplace_back(ipOf(Seed));
 }
 
 void tickCalls(GatewayTurn &T) {
@@ -114,7 +110,7 @@
   const Settings &C = Start.Config;
   Gateway S;
   S.Platform = Start.Platform;
-  S.Self = HostId(hostPart(C.Host.PeerAddress));
+  S.Self = HostId(ipOf(C.Host.PeerAddress));
   S.Life = Start.Life;
   S.Rng = Random(Start.Seed);
   takeSettings(S, C);
--- a/packages/shell/SiteProcess.cpp
+++ b/packages/shell/SiteProcess.cpp
@@ -21,41 +21,30 @@
   return TimePoint(seconds(Time.tv_sec) + Duration(Time.tv_nsec));
 }
 
-std::string portPart(const std::string &Address) {
-  return Address.substr(Address.rfind(':') + 1);
-}
-
 HostProgram commonProgram(const Settings &S, const std::string &File) {
   HostProgram Program;
-  Program.SitePort = portPart(S.Host.PeerAddress);
+  Program.SitePort = portOf(S.Host.PeerAddress);
   Program.SettingsFile = File;
   Program.Now = &bootNow;
   return Program;
 }
 
-HostProgram controlProgram(const Settings &S, const std::string &File,
-                           const ControlStart &Start) {
-  auto Host = std::make_shared<ControlHost>(makeControlHost(Start, bootNow()));
+/// The program of a host with the given state and reducer.
+template <class Host>
+HostProgram programOf(const Settings &S, const std::string &File, Host Initial,
+                      Effects (*Reduce)(Host &, const Event &, TimePoint),
+                      std::vector<MetricSample> (*Gauges)(const Host &,
+                                                          TimePoint)) {
+  auto State = std::make_shared<Host>(std::move(Initial));
   HostProgram Program = commonProgram(S, File);
-  Program.Self = Host->Self;
-  Program.Reduce = [Host](const Event &E, TimePoint Now) {
-    return reduceControl(*Host, E, Now);
+  Program.Self = State->Self;
+  Program.Reduce = [State, Reduce](const Event &E, TimePoint Now) {
+    return Reduce(*State, E, Now);
   };
-  Program.NextTick = [Host](TimePoint Now) { return nextWakeup(*Host, Now); };
-  Program.Gauges = [Host](TimePoint Now) { return controlGauges(*Host, Now); };
-  return Program;
-}
-
-HostProgram entryProgram(const Settings &S, const std::string &File,
-                         const GatewayStart &Start) {
-  auto Host = std::make_shared<Gateway>(makeGateway(Start, bootNow()));
-  HostProgram Program = commonProgram(S, File);
-  Program.Self = Host->Self;
-  Program.Reduce = [Host](const Event &E, TimePoint Now) {
-    return reduceGateway(*Host, E, Now);
+  Program.NextTick = [State](TimePoint Now) { return nextWakeup(*State, Now); };
+  Program.Gauges = [State, Gauges](TimePoint Now) {
+    return Gauges(*State, Now);
   };
-  Program.NextTick = [Host](TimePoint Now) { return nextWakeup(*Host, Now); };
-  Program.Gauges = [Host](TimePoint Now) { return gatewayGauges(*Host, Now); };
   return Program;
 }
 
@@ -78,14 +67,18 @@
     Start.Start = Folder.Open->Self.Start;
     Start.Found = std::move(Folder.Found);
     Start.KeptServers = keptServers(Folder);
-    return runProgram(S, Folder, Life, controlProgram(S, File, Start));
+    return runProgram(S, Folder, Life,
+                      programOf(S, File, makeControlHost(Start, bootNow()),
+                                &reduceControl, &controlGauges));
   }
   GatewayStart Start;
   Start.Config = S;
   Start.Platform = Platform;
   Start.Life = Life;
   Start.Seed = systemSeed();
-  return runProgram(S, Folder, Life, entryProgram(S, File, Start));
+  return runProgram(S, Folder, Life,
+                    programOf(S, File, makeGateway(Start, bootNow()),
+                              &reduceGateway, &gatewayGauges));
 }
 
 } // namespace pimento
