--- a/packages/shell/Logger.cpp
+++ b/packages/shell/Logger.cpp
@@ -186,7 +186,7 @@
     // A record may speak of another host than the one that writes.
     std::string Name = Field.Name;
     if (Line.contains(Name))
-      Name = "about_" + Name;
+      Name.insert(0, "about_");
     std::visit([&](const auto &Value) { Line[Name] = Value; }, Field.Value);
   }
   if (Standard)
