--- a/packages/gateway/Placer.h
+++ b/packages/gateway/Placer.h
@@ -10,8 +10,8 @@
 //   and is refused at once when that cannot be met.
 //
 //   PlacerState S;
-//   setEngines(S, Service, Facts, Servers);
-//   PlaceOutcome O = ask(S, Key, Ask, Now);   // Placed, waiting or refused.
+//   setEngines(S, Routes, Servers);
+//   PlaceOutcome O = ask(S, Key, Ask, Now); // Placed, waiting or refused.
 //   note(S, Key, Stage, Culprit, Now);
 //   for (auto &[Key, Reply] : tickPlacer(S, Now)) ... // Those that waited.
 //
