gateway: no two reservations of a site share a name; waiting asks move with the placer

Two tries of a request that ended while reserving shared a name as well. Names now hold the host, its life and the number of the order. The new test failed before: r589825-0-0 on both hosts.

--- a/packages/gateway/PlacePart.cpp
+++ b/packages/gateway/PlacePart.cpp
@@ -104,6 +104,13 @@
   return std::min(ReservationLease, S.Config.Schedule.ReservationLimit);
 }
 
+/// Never the same for two reservations of a site: engines tell them apart by
+/// name alone, and hosts that start at the same moment count alike.
+std::string reservationName(const Gateway &S) {
+  return "r" + S.Self.Value + "-" + std::to_string(S.Life) + "-" +
+         std::to_string(S.NextUpstream);
+}
+
 /// Sends the order that makes or renews a reservation.
 void orderMemory(GatewayTurn &T, GatewayCall &C, Reservation &R) {
   Gateway &S = T.S;
@@ -125,8 +132,7 @@
     Reservation R;
     R.Engine = Part.Engine;
     R.Address = E->Address;
-    R.Ticket = "r" + std::to_string(C.Ticket) + "-" + std::to_string(C.Tries) +
-               "-" + std::to_string(C.Reserved.size());
+    R.Ticket = reservationName(T.S);
     R.Tokens = Part.MemoryTokens;
     orderMemory(T, C, R);
     C.Reserved.push_back(std::move(R));
@@ -290,6 +296,25 @@
                  Releases.end());
 }
 
+/// What waits at the placer before would wait there for nothing.
+void moveWaiting(GatewayTurn &T, const HostId &Before) {
+  std::vector<std::uint64_t> Waiting;
+  for (const auto &[Ticket, C] : T.S.Calls) {
+    if (C.Stage == CallStage::Placing)
+      Waiting.push_back(Ticket);
+  }
+  for (std::uint64_t Ticket : Waiting) {
+    GatewayCall *C = findCall(T, Ticket);
+    if (C == nullptr)
+      continue;
+    if (C->AskedRemote)
+      send(T, Before, PlaceNote{Ticket, PlaceStage::Ended, {}});
+    else
+      note(T.S.Engines, {T.S.Self, Ticket}, PlaceStage::Ended, {}, T.Now);
+    askForEngines(T, *C);
+  }
+}
+
 } // namespace
 
 void askForEngines(GatewayTurn &T, GatewayCall &C) {
@@ -466,9 +491,11 @@
   Record.add("placer", S.Link.Placer.Value);
   Record.add("before", S.Placer.Value);
   log(T, std::move(Record));
-  bool PlacedHere = S.Placer == S.Self;
+  HostId Before = S.Placer;
+  bool PlacedHere = Before == S.Self;
   S.Placer = S.Link.Placer;
   S.PlacerBadUntil = TimePoint();
+  moveWaiting(T, Before);
   if (S.Placer == S.Self || S.Placer.empty())
     return;
   if (PlacedHere) {
--- a/packages/gateway/tests/GatewayTest.cpp
+++ b/packages/gateway/tests/GatewayTest.cpp
@@ -50,9 +50,9 @@
   Effects Last; // Of the last event.
   std::uint64_t NextExchange = 1;
 
-  explicit Rig(bool Informed = true) {
+  explicit Rig(bool Informed = true, const char *Address = "10.0.0.1:7340") {
     GatewayStart G;
-    G.Config.Host.PeerAddress = "10.0.0.1:7340";
+    G.Config.Host.PeerAddress = Address;
     G.Config.Join.Role = "entry";
     G.Config.Join.Seeds = "10.0.0.100:80";
     G.Config.Drain.Limit = seconds(8);
@@ -490,6 +490,60 @@
   BOOST_TEST(R.S.Releases.empty());
 }
 
+/// Engines know a reservation by its name alone: neither hosts that started at
+/// the same moment nor two tries of a request may share one.
+BOOST_AUTO_TEST_CASE(NoTwoReservationsOfASiteHaveTheSameName) {
+  auto Reserve = [](Rig &R) {
+    R.call(HttpMethod::Post, "/l/1",
+           {{"X-Pimentoglade-Token-Count", "300000,700"},
+            {"X-Pimentoglade-Deadline-Ms", "15000"}});
+    return R.one<calls::OpenUpstream>();
+  };
+  Rig First(true, "10.0.0.1:7340");
+  Rig Second(true, "10.0.0.2:7340");
+  calls::OpenUpstream Order = Reserve(First);
+  BOOST_TEST(Order.Request.Body != Reserve(Second).Request.Body);
+  // The engine refuses, so that the request is tried with other engines.
+  First.S.Servers.Servers.clear();
+  First.event(UpstreamHead{Order.Upstream, 409, {}});
+  First.event(UpstreamEnd{Order.Upstream, true});
+  for (const calls::OpenUpstream &Open : First.all<calls::OpenUpstream>()) {
+    bool Reserves = Open.Request.Body.find("reserve") != std::string::npos;
+    BOOST_TEST((!Reserves || Open.Request.Body != Order.Request.Body));
+  }
+}
+
+/// A rolling restart moves the placer again and again: what waits at the old
+/// one asks the new one at once.
+BOOST_AUTO_TEST_CASE(WhatWaitsMovesWithThePlacer) {
+  Rig R;
+  auto Name = [&](const char *Placer) {
+    SiteState M;
+    M.Sequence = R.S.Link.Sequence;
+    M.Current = true;
+    M.Leader = Control;
+    M.Config = 3;
+    M.Placer = HostId(Placer);
+    R.event(PeerMessage{Control, 1, M});
+  };
+  Name("10.0.0.2");
+  R.stream();
+  auto Asked = std::get<PlaceAsk>(R.one<SendPeer>().Content);
+  PlaceReply Waits;
+  Waits.Ticket = Asked.Ticket;
+  R.event(PeerMessage{HostId("10.0.0.2"), 1, Waits});
+  Name("10.0.0.3");
+  bool AskedNew = false;
+  for (const SendPeer &Send : R.all<SendPeer>()) {
+    const auto *Ask = std::get_if<PlaceAsk>(&Send.Content);
+    AskedNew = AskedNew || (Ask != nullptr && Send.To == HostId("10.0.0.3") &&
+                            Ask->Ticket == Asked.Ticket);
+  }
+  BOOST_TEST(AskedNew);
+  Name("10.0.0.1"); // This host itself: it needs to ask nobody.
+  BOOST_TEST(R.all<calls::OpenUpstream>().size() == 1U);
+}
+
 /// Nobody else places: the host does it itself at once.
 BOOST_AUTO_TEST_CASE(ASilentPlacerIsPassedOver) {
   Rig R;
