control: a placer that a rolling restart leaves alone, and kept by a new leader

Entry hosts now tell their uptime and the placer they ask. The leader keeps that one; else it takes who started last and has run for 5 s. An entry host keeps the placer while a leader names none.

--- a/packages/control/ControlHost.h
+++ b/packages/control/ControlHost.h
@@ -67,9 +67,10 @@
 /// An entry host that asks this host.
 struct EntryPeer {
   TimePoint Heard{};
-  TimePoint First{}; // Heard since then without a longer gap.
   Incarnation Life = 0;
   bool Ready = false;
+  HostId Placer;            // That it asks; empty: none.
+  Duration Uptime = {};     // When it was heard last.
   std::uint64_t Config = 0; // In force there.
   std::uint64_t SentConfig = 0;
   std::uint64_t SentRevision = 0; // Of this host's servers.
--- a/packages/control/ControlSpread.cpp
+++ b/packages/control/ControlSpread.cpp
@@ -16,6 +16,8 @@
 /// An entry host that asks no more is not told anything.
 constexpr Duration EntrySilence = milliseconds(1200);
 constexpr Duration ForgetEntry = seconds(20);
+/// An entry host that has run for so long has come up for good.
+constexpr Duration SettlingTime = seconds(5);
 constexpr std::size_t MaxWaitingReports = 8192;
 
 /// Everyone that might be a control host.
@@ -90,29 +92,59 @@
   return Now < Entry.Heard + EntrySilence;
 }
 
-/// The leader keeps the host that places requests while it lives and is ready,
-/// else takes the one that has been there for longest.
+bool mayPlace(const ControlTurn &T, const HostId &Host) {
+  auto Found = T.S.Entries.find(Host);
+  return Found != T.S.Entries.end() && isLiving(Found->second, T.Now) &&
+         Found->second.Ready;
+}
+
+/// The placer that most entry hosts ask; empty: none that lives and is ready.
+HostId placerInUse(const ControlTurn &T) {
+  std::map<HostId, std::size_t> Votes;
+  for (const auto &[Host, Entry] : T.S.Entries) {
+    if (isLiving(Entry, T.Now) && mayPlace(T, Entry.Placer))
+      Votes[Entry.Placer] += 1;
+  }
+  auto Fewer = [](const auto &A, const auto &B) { return A.second < B.second; };
+  auto Most = std::max_element(Votes.begin(), Votes.end(), Fewer);
+  return Most == Votes.end() ? HostId() : Most->first;
+}
+
+/// Answers the pattern of rolling restarts, in which hosts go one after the
+/// other: who started last is stopped last. A host that just came up may be
+/// one that keeps failing, so it has to have run for a while.
+HostId nextPlacer(const ControlTurn &T) {
+  HostId Best;
+  Duration BestUptime = {};
+  for (const auto &[Host, Entry] : T.S.Entries) {
+    if (!mayPlace(T, Host))
+      continue;
+    bool Settled = Entry.Uptime >= SettlingTime;
+    bool BestSettled = BestUptime >= SettlingTime;
+    bool Younger = Entry.Uptime < BestUptime;
+    bool Better = Settled == BestSettled ? Younger == Settled : Settled;
+    if (!Best.empty() && !Better)
+      continue;
+    Best = Host;
+    BestUptime = Entry.Uptime;
+  }
+  return Best;
+}
+
+/// The leader keeps the host that places requests while it lives and is ready.
+/// A new leader keeps the one that the entry hosts ask already.
 void choosePlacer(ControlTurn &T) {
   ControlHost &S = T.S;
   if (!isLeader(S, T.Now)) {
     S.Placer = HostId();
     return;
   }
-  auto Held = S.Entries.find(S.Placer);
-  if (Held != S.Entries.end() && isLiving(Held->second, T.Now) &&
-      Held->second.Ready)
+  if (mayPlace(T, S.Placer))
     return;
   HostId Before = S.Placer;
-  const EntryPeer *Best = nullptr;
-  S.Placer = HostId();
-  for (const auto &[Host, Entry] : S.Entries) {
-    if (!isLiving(Entry, T.Now) || !Entry.Ready)
-      continue;
-    if (Best != nullptr && Best->First <= Entry.First)
-      continue;
-    Best = &Entry;
-    S.Placer = Host;
-  }
+  S.Placer = placerInUse(T);
+  if (S.Placer.empty())
+    S.Placer = nextPlacer(T);
   if (S.Placer == Before)
     return;
   DecisionRecord Record{"placer", {}, "the one before is not ready", {}};
@@ -206,11 +238,12 @@
   EntryPeer &Entry = T.S.Entries[From];
   if (Entry.Life != Life || !isLiving(Entry, T.Now)) {
     Entry = EntryPeer();
-    Entry.First = T.Now;
     Entry.Life = Life;
   }
   Entry.Heard = T.Now;
   Entry.Ready = M.Ready;
+  Entry.Placer = M.Placer;
+  Entry.Uptime = M.Uptime;
   Entry.Config = M.Config;
   Entry.SentConfig = M.Config;
   bool Whole = M.ControlLife != T.S.Life || M.Revision > T.S.Servers.Revision;
--- a/packages/control/tests/ControlTest.cpp
+++ b/packages/control/tests/ControlTest.cpp
@@ -209,6 +209,55 @@
   BOOST_TEST(Site.statusOf(Leader, Id) == 200);
 }
 
+/// In a rolling restart who started last is stopped last, but who only just
+/// came up may be one that keeps failing.
+BOOST_FIXTURE_TEST_CASE(ThePlacerIsTheOneThatARollingRestartLeaves, Fixture) {
+  auto Sync = [&](const char *Entry, Duration Uptime, bool Ready,
+                  const char *Placer) {
+    EntrySync M;
+    M.Sequence = 1;
+    M.Ready = Ready;
+    M.Uptime = Uptime;
+    M.Placer = HostId(Placer);
+    Site.Net.send(HostId(Entry), Leader, M);
+    Site.Net.runFor(milliseconds(20));
+  };
+  auto Placer = [&] { return Site.Net.node(Leader).State.Placer; };
+  Sync("10.0.5.1", seconds(100), true, "");
+  BOOST_TEST(Placer() == HostId("10.0.5.1"));
+  Sync("10.0.5.2", seconds(90), true, "10.0.5.1");
+  Sync("10.0.5.3", seconds(20), true, "10.0.5.1");
+  Sync("10.0.5.4", seconds(1), true, "10.0.5.1");
+  BOOST_TEST(Placer() == HostId("10.0.5.1"));
+  Sync("10.0.5.1", seconds(101), false, "10.0.5.1"); // It stops.
+  BOOST_TEST(Placer() == HostId("10.0.5.3"));
+}
+
+/// A new leader does not move the work of placing without need.
+BOOST_FIXTURE_TEST_CASE(ANewLeaderKeepsThePlacerThatIsAsked, Fixture) {
+  HostId Old = Leader;
+  Site.Net.crash(Old);
+  Leader = Site.waitForLeader(seconds(10));
+  BOOST_TEST_REQUIRE(!Leader.empty());
+  EntrySync M;
+  M.Sequence = 1;
+  M.Ready = true;
+  M.Placer = HostId("10.0.5.2");
+  // Every entry host is heard before the leader has a placer to name.
+  Site.Net.perform(Leader, Duration::zero(),
+                   [&](ControlNode &N, TimePoint Now) {
+                     for (const char *Entry : {"10.0.5.1", "10.0.5.2"}) {
+                       EntryPeer &Peer = N.State.Entries[HostId(Entry)];
+                       Peer.Heard = Now;
+                       Peer.Ready = true;
+                       Peer.Placer = M.Placer;
+                     }
+                   });
+  Site.Net.send(HostId("10.0.5.1"), Leader, M);
+  Site.Net.runFor(milliseconds(50));
+  BOOST_TEST(Site.Net.node(Leader).State.Placer == HostId("10.0.5.2"));
+}
+
 BOOST_FIXTURE_TEST_CASE(ReportsReachEntryHostsOfOtherControlHosts, Fixture) {
   HostId Entry("10.0.5.5");
   HostId Other = follower();
--- a/packages/gateway/ControlLink.cpp
+++ b/packages/gateway/ControlLink.cpp
@@ -69,6 +69,8 @@
   M.Config = Have.Config;
   M.Ready = Have.Ready;
   M.DataCentre = Have.DataCentre;
+  M.Placer = L.Placer;
+  M.Uptime = Have.Uptime;
   return Outbound{L.Home, std::move(M)};
 }
 
@@ -93,7 +95,9 @@
     L.Known = M.Controls;
   L.Leader = M.Leader;
   if (From == M.Leader) {
-    L.Placer = M.Placer;
+    // A new leader names none at first: the one before may still do.
+    if (!M.Placer.empty())
+      L.Placer = M.Placer;
     L.Entries = std::max<std::uint64_t>(1, M.Entries);
   }
   if (Asked && M.Leader != From && !M.Leader.empty() &&
--- a/packages/gateway/ControlLink.h
+++ b/packages/gateway/ControlLink.h
@@ -43,6 +43,7 @@
   std::uint64_t Config = 0;
   bool Ready = false;
   DataCentreId DataCentre;
+  Duration Uptime = {}; // Since its start.
 };
 
 /// The next question, when it is due.
--- a/packages/gateway/SitePart.cpp
+++ b/packages/gateway/SitePart.cpp
@@ -130,11 +130,12 @@
   S.StopListeningAt = T.Now + milliseconds(50);
 }
 
-LinkReport reportOf(const Gateway &S) {
+LinkReport reportOf(const Gateway &S, TimePoint Now) {
   LinkReport Report;
   Report.Config = S.Routes ? S.Routes->Config.Number : 0;
   Report.Ready = isReady(S);
   Report.DataCentre = S.Engines.Here;
+  Report.Uptime = Now - S.Started;
   return Report;
 }
 
@@ -143,7 +144,7 @@
 void tickSite(GatewayTurn &T) {
   Gateway &S = T.S;
   std::optional<Outbound> Question =
-      tickLink(S.Link, reportOf(S), S.Rng, T.Now);
+      tickLink(S.Link, reportOf(S, T.Now), S.Rng, T.Now);
   if (Question)
     send(T, Question->To, std::move(Question->Content));
   tickLostHosts(T);
--- a/packages/gateway/tests/ControlLinkTest.cpp
+++ b/packages/gateway/tests/ControlLinkTest.cpp
@@ -92,4 +92,8 @@
   BOOST_TEST(Link.Placer.empty());
   takeState(Link, M.Leader, M, Start);
   BOOST_TEST(Link.Placer == HostId("x"));
+  // A new leader names none before it has heard of the entry hosts.
+  M.Placer = HostId();
+  takeState(Link, M.Leader, M, Start);
+  BOOST_TEST(Link.Placer == HostId("x"));
 }
--- a/packages/wire/SiteMessages.h
+++ b/packages/wire/SiteMessages.h
@@ -73,11 +73,13 @@
                                // none.
   bool Ready = false;          // It takes callers.
   DataCentreId DataCentre;
+  HostId Placer;        // That it asks; empty: none.
+  Duration Uptime = {}; // Since its start.
 
   template <class Self, class Visitor>
   static void fields(Self &M, Visitor &&Visit) {
     Visit(M.Sequence, M.ControlLife, M.Revision, M.Config, M.Ready,
-          M.DataCentre);
+          M.DataCentre, M.Placer, M.Uptime);
   }
 };
 
