gateway: a placer that takes over knows what engines have still to read

Requests under way now carry the forecast that is left; reads are counted from it. Also forgotten: what a host's last life held, when it is back within the time for which a lost link is borne. Tests failed before: reads of a request taken over were zero, and two lives of a host counted together.

--- a/packages/gateway/Gateway.cpp
+++ b/packages/gateway/Gateway.cpp
@@ -48,7 +48,7 @@
     if (const auto *State = std::get_if<SiteState>(&E.Content))
       entryState(T, E.From, *State);
     else if (const auto *Ask = std::get_if<PlaceAsk>(&E.Content))
-      placeAsk(T, E.From, *Ask);
+      placeAsk(T, E.From, E.Life, *Ask);
     else if (const auto *Reply = std::get_if<PlaceReply>(&E.Content))
       placeReply(T, E.From, *Reply);
     else if (const auto *Note = std::get_if<PlaceNote>(&E.Content))
--- a/packages/gateway/Gateway.h
+++ b/packages/gateway/Gateway.h
@@ -180,7 +180,8 @@
   PlacerState Engines; // Of all requests while this host places them, else of
                        // its own.
   HostId Placer;       // Who placed last; empty or Self: this host.
-  TimePoint PlacerBadUntil{}; // It did not answer.
+  TimePoint PlacerBadUntil{};               // It did not answer.
+  std::map<HostId, Incarnation> AskerLives; // Of hosts that asked here.
   std::vector<PendingRelease> Releases;
   std::map<HostId, TimePoint> LostHosts; // Whose link broke then.
 
--- a/packages/gateway/GatewayTurn.h
+++ b/packages/gateway/GatewayTurn.h
@@ -68,7 +68,8 @@
 // PlacePart.cpp
 void askForEngines(GatewayTurn &T, GatewayCall &C);
 void placeReply(GatewayTurn &T, const HostId &From, const PlaceReply &M);
-void placeAsk(GatewayTurn &T, const HostId &From, const PlaceAsk &M);
+void placeAsk(GatewayTurn &T, const HostId &From, Incarnation Life,
+              const PlaceAsk &M);
 void placeNote(GatewayTurn &T, const HostId &From, const PlaceNote &M);
 /// Tells the placer what became of the call.
 void noteStage(GatewayTurn &T, GatewayCall &C, PlaceStage Stage,
--- a/packages/gateway/PlacePart.cpp
+++ b/packages/gateway/PlacePart.cpp
@@ -63,6 +63,10 @@
   for (const EnginePart &Helper : C.Place.Helpers)
     Ask.Holding.push_back(Helper);
   Ask.Writing = C.Attempt.LastBytes > C.Attempt.Began;
+  Duration Running = C.Attempt.Began == TimePoint() ? Duration::zero()
+                                                    : T.Now - C.Attempt.Began;
+  if (!Ask.Writing)
+    Ask.ReadIn = std::max(Duration::zero(), C.Attempt.Forecast - Running);
   return Ask;
 }
 
@@ -349,7 +353,14 @@
   takePlace(T, *C, M);
 }
 
-void placeAsk(GatewayTurn &T, const HostId &From, const PlaceAsk &M) {
+void placeAsk(GatewayTurn &T, const HostId &From, Incarnation Life,
+              const PlaceAsk &M) {
+  auto Known = T.S.AskerLives.emplace(From, Life).first;
+  if (Known->second != Life) {
+    // It started anew: nobody will tell what became of its requests.
+    dropHost(T.S.Engines, From);
+    Known->second = Life;
+  }
   setAlone(T.S.Engines, T.S.Self, false);
   PlaceOutcome Outcome = ask(T.S.Engines, {From, M.Ticket}, M, T.Now);
   if (!M.Holding.empty())
--- a/packages/gateway/Placer.cpp
+++ b/packages/gateway/Placer.cpp
@@ -218,6 +218,23 @@
   return {PlaceVerdict::Waiting, {}};
 }
 
+/// What its engines have still to read, as far as its own forecast tells.
+void recordReads(PlacerState &S, const PlaceKey &Key, PlacedRequest &Request) {
+  auto Facts = S.Facts.find(Request.Ask.Service);
+  if (Facts == S.Facts.end() || Request.Parts.empty())
+    return;
+  auto Count = static_cast<std::int64_t>(Request.Parts.size());
+  Duration Whole = readingTime(Facts->second, Request.Ask.PromptTokens);
+  Duration Reading = std::min(Whole / Count, Request.Ask.ReadIn);
+  for (PlacedPart &Part : Request.Parts) {
+    auto Engine = S.Engines.find(Part.Engine);
+    if (Engine == S.Engines.end())
+      continue;
+    Part.Reading = Reading;
+    pushRead(Engine->second.Reads, Key, Reading, /*Ahead=*/Count > 1);
+  }
+}
+
 /// Records a request that runs already.
 PlaceOutcome record(PlacerState &S, const PlaceKey &Key, const PlaceAsk &Ask,
                     TimePoint Now) {
@@ -225,13 +242,16 @@
   Request.Ask = Ask;
   Request.Worth = placer::worthOf(Ask);
   Request.Since = Now;
-  Request.ReadBy = Now;
+  Request.ReadBy = Now + Ask.ReadIn;
   Request.Expires = Now + Ask.TimeLeft + ForgetAfter;
   Request.Writing = Ask.Writing;
   for (const EnginePart &Part : Ask.Holding)
     Request.Parts.push_back({Part.Engine, {}, Part.MemoryTokens});
   if (!Request.Parts.empty() && Request.Parts.front().MemoryTokens == 0)
     Request.Parts.front().MemoryTokens = Ask.PromptTokens + Ask.AnswerTokens;
+  dropReads(S, Key);
+  if (Ask.ReadIn > Duration::zero())
+    recordReads(S, Key, Request);
   PlaceReply Reply = replyOf(Key.second, Request, Now);
   S.Placed[Key] = std::move(Request);
   refresh(S);
--- a/packages/gateway/tests/GatewayTest.cpp
+++ b/packages/gateway/tests/GatewayTest.cpp
@@ -513,6 +513,29 @@
   }
 }
 
+/// A host that was killed and is back before its silence counts leaves nothing
+/// behind at the placer.
+BOOST_AUTO_TEST_CASE(WhatAHostsLastLifeHeldIsForgotten) {
+  Rig R;
+  R.S.Link.Placer = R.S.Self;
+  auto Ask = [&](Incarnation Life, std::uint64_t Ticket) {
+    PlaceAsk A;
+    A.Ticket = Ticket;
+    A.Service = ServiceId("llm");
+    A.PromptTokens = 5000;
+    A.AnswerTokens = 700;
+    A.Objective = milliseconds(300);
+    A.Patience = seconds(2);
+    A.TimeLeft = seconds(10);
+    R.event(PeerMessage{HostId("10.0.0.2"), Life, A});
+  };
+  Ask(1, 1);
+  Ask(1, 2);
+  BOOST_TEST(R.S.Engines.Placed.size() == 2U);
+  Ask(2, 70001);
+  BOOST_TEST(R.S.Engines.Placed.size() == 1U);
+}
+
 /// A rolling restart moves the placer again and again: what waits at the old
 /// one asks the new one at once.
 BOOST_AUTO_TEST_CASE(WhatWaitsMovesWithThePlacer) {
--- a/packages/gateway/tests/PlacerTest.cpp
+++ b/packages/gateway/tests/PlacerTest.cpp
@@ -260,3 +260,35 @@
   BOOST_TEST(S.Engines.at(BackendId("e101")).MemoryTokens == 30000U);
   BOOST_TEST(S.Engines.at(BackendId("e101")).Helping == 1U);
 }
+
+/// A new placer that forgot what engines have still to read would send short
+/// prompts behind long ones.
+BOOST_FIXTURE_TEST_CASE(ReadsAreTakenOverWithTheirRequests, Fixture) {
+  addEngines(2);
+  PlaceAsk A = audit(200000);
+  A.Holding = {{BackendId("e100"), 0}};
+  A.ReadIn = seconds(2);
+  A.Ticket = 5;
+  ask(S, {HostId("10.0.0.2"), 5}, A, Now);
+  ask(S, {HostId("10.0.0.2"), 5}, A, Now); // Told twice, counted once.
+  BOOST_TEST(
+      (totalReading(S.Engines.at(BackendId("e100")).Reads) == seconds(2)));
+  for (int I = 0; I < 4; ++I)
+    BOOST_TEST(place(brief()).Reply.First.Engine == BackendId("e101"));
+  note(S, {HostId("10.0.0.2"), 5}, PlaceStage::Writing, {}, Now);
+  BOOST_TEST((totalReading(S.Engines.at(BackendId("e100")).Reads) ==
+              Duration::zero()));
+}
+
+/// Read in parts, each engine has no more than its own before it.
+BOOST_FIXTURE_TEST_CASE(PartsAreTakenOverAsParts, Fixture) {
+  addEngines(4);
+  PlaceAsk A = audit(200000);
+  A.Ticket = 5;
+  A.Holding = {{BackendId("e100"), 0}, {BackendId("e101"), 30000}};
+  A.ReadIn = seconds(30);
+  ask(S, {HostId("10.0.0.2"), 5}, A, Now);
+  Duration Part = readingTime(facts(), 200000) / 2;
+  for (const char *Id : {"e100", "e101"})
+    BOOST_TEST((totalReading(S.Engines.at(BackendId(Id)).Reads) == Part));
+}
--- a/packages/wire/SiteMessages.h
+++ b/packages/wire/SiteMessages.h
@@ -138,12 +138,14 @@
   std::vector<EnginePart> Holding; // It runs there already.
   bool Writing = false;            // Its first event has come.
   Duration Waited = {};            // Since it came to its entry host.
+  Duration ReadIn = {}; // Of one that runs: forecast until it is read; zero:
+                        // it is, or nothing was forecast.
 
   template <class Self, class Visitor>
   static void fields(Self &M, Visitor &&Visit) {
     Visit(M.Ticket, M.Service, M.PromptTokens, M.AnswerTokens, M.Objective,
           M.PauseObjective, M.Patience, M.TimeLeft, M.Priority, M.Account,
-          M.DataCentre, M.Avoid, M.Holding, M.Writing, M.Waited);
+          M.DataCentre, M.Avoid, M.Holding, M.Writing, M.Waited, M.ReadIn);
   }
 };
 
