gateway: searches for engines cost a third

Each search computed everything anew for each number of parts, and each note summed up all requests of the site. Now what does not depend on the part is computed once a search, reads that parts would go ahead of only where there are parts, and sums are kept up by engine. New test: the sums never drift from what is placed.

--- a/packages/gateway/Placer.cpp
+++ b/packages/gateway/Placer.cpp
@@ -45,40 +45,81 @@
   return std::min(A, B);
 }
 
-/// Sums up what is placed on each engine.
-void refresh(PlacerState &S) {
-  for (auto &[Id, E] : S.Engines) {
-    E.Writers = 0;
-    E.Readers = 0;
-    E.Helping = 0;
-    E.WriterContext = 0;
-    E.MemoryTokens = 0;
-    E.PauseLimit = Duration::zero();
-    E.Listeners.clear();
-  }
-  for (const auto &[Key, Request] : S.Placed) {
-    bool First = true;
-    for (const PlacedPart &Part : Request.Parts) {
-      auto Found = S.Engines.find(Part.Engine);
-      bool Writes = First;
-      First = false;
-      if (Found == S.Engines.end())
-        continue;
-      PlacerEngine &E = Found->second;
-      E.MemoryTokens += Part.MemoryTokens;
-      if (!Writes) {
-        E.Helping += Request.Writing ? 0 : 1;
-        continue;
-      }
-      (Request.Writing ? E.Writers : E.Readers) += 1;
-      if (Request.Writing)
-        E.WriterContext += Request.Ask.PromptTokens;
-      E.PauseLimit = shorterPause(E.PauseLimit, Request.Ask.PauseObjective);
-      E.Listeners.push_back({Request.Ask.PauseObjective, Request.Worth});
+/// Sums up what is placed on an engine.
+void sumUp(PlacerEngine &E) {
+  E.Writers = 0;
+  E.Readers = 0;
+  E.Helping = 0;
+  E.WriterContext = 0;
+  E.MemoryTokens = 0;
+  E.PauseLimit = Duration::zero();
+  for (const EngineShare &Share : E.Shares) {
+    E.MemoryTokens += Share.MemoryTokens;
+    if (!Share.First) {
+      E.Helping += Share.Writing ? 0 : 1;
+      continue;
     }
+    (Share.Writing ? E.Writers : E.Readers) += 1;
+    E.WriterContext += Share.Writing ? Share.Context : 0;
+    E.PauseLimit = shorterPause(E.PauseLimit, Share.PauseLimit);
+  }
+}
+
+void addShares(PlacerState &S, const PlaceKey &Key,
+               const PlacedRequest &Request) {
+  bool First = true;
+  for (const PlacedPart &Part : Request.Parts) {
+    auto Found = S.Engines.find(Part.Engine);
+    bool IsFirst = First;
+    First = false;
+    if (Found == S.Engines.end())
+      continue;
+    EngineShare Share;
+    Share.Key = Key;
+    Share.MemoryTokens = Part.MemoryTokens;
+    Share.Context = Request.Ask.PromptTokens;
+    Share.PauseLimit = Request.Ask.PauseObjective;
+    Share.Worth = Request.Worth;
+    Share.First = IsFirst;
+    Share.Writing = Request.Writing;
+    Found->second.Shares.push_back(std::move(Share));
+    sumUp(Found->second);
+  }
+}
+
+/// Removes the request's parts from its engines, reads included.
+void dropParts(PlacerState &S, const PlaceKey &Key,
+               const PlacedRequest &Request) {
+  for (const PlacedPart &Part : Request.Parts) {
+    auto Found = S.Engines.find(Part.Engine);
+    if (Found == S.Engines.end())
+      continue;
+    auto &Shares = Found->second.Shares;
+    auto Is = [&](const EngineShare &Share) { return Share.Key == Key; };
+    Shares.erase(std::remove_if(Shares.begin(), Shares.end(), Is),
+                 Shares.end());
+    dropRead(Found->second.Reads, Key);
+    sumUp(Found->second);
   }
 }
 
+/// The request's first event came: nothing of it is read any more.
+void setWriting(PlacerState &S, const PlaceKey &Key, PlacedRequest &Request) {
+  Request.Writing = true;
+  dropParts(S, Key, Request);
+  addShares(S, Key, Request);
+}
+
+/// Where engines themselves came or went.
+void addAllShares(PlacerState &S) {
+  for (auto &[Id, E] : S.Engines) {
+    E.Shares.clear();
+    sumUp(E);
+  }
+  for (const auto &[Key, Request] : S.Placed)
+    addShares(S, Key, Request);
+}
+
 /// Lets the engines read up to \p Now.
 void advance(PlacerState &S, TimePoint Now) {
   Duration Elapsed = Now - S.ReadsAt;
@@ -95,11 +136,6 @@
   }
 }
 
-void dropReads(PlacerState &S, const PlaceKey &Key) {
-  for (auto &[Id, E] : S.Engines)
-    dropRead(E.Reads, Key);
-}
-
 PlaceReply replyOf(std::uint64_t Ticket, const PlacedRequest &Request,
                    TimePoint Now) {
   PlaceReply Reply;
@@ -131,8 +167,8 @@
   for (const PlacedPart &Part : Request.Parts)
     pushRead(S.Engines.at(Part.Engine).Reads, Key, Part.Reading, Spread);
   PlaceReply Reply = replyOf(Key.second, Request, Now);
+  addShares(S, Key, Request);
   S.Placed[Key] = std::move(Request);
-  refresh(S);
   return Reply;
 }
 
@@ -249,12 +285,14 @@
     Request.Parts.push_back({Part.Engine, {}, Part.MemoryTokens});
   if (!Request.Parts.empty() && Request.Parts.front().MemoryTokens == 0)
     Request.Parts.front().MemoryTokens = Ask.PromptTokens + Ask.AnswerTokens;
-  dropReads(S, Key);
+  auto Known = S.Placed.find(Key);
+  if (Known != S.Placed.end())
+    dropParts(S, Key, Known->second);
   if (Ask.ReadIn > Duration::zero())
     recordReads(S, Key, Request);
+  addShares(S, Key, Request);
   PlaceReply Reply = replyOf(Key.second, Request, Now);
   S.Placed[Key] = std::move(Request);
-  refresh(S);
   return {PlaceVerdict::Placed, Reply};
 }
 
@@ -293,16 +331,12 @@
 }
 
 void expire(PlacerState &S, TimePoint Now) {
-  bool Changed = false;
   for (auto It = S.Placed.begin(); It != S.Placed.end();) {
     bool Old = Now > It->second.Expires;
-    Changed = Changed || Old;
     if (Old)
-      dropReads(S, It->first);
+      dropParts(S, It->first, It->second);
     It = Old ? S.Placed.erase(It) : std::next(It);
   }
-  if (Changed)
-    refresh(S);
 }
 
 } // namespace
@@ -331,7 +365,7 @@
     Next.emplace(Id, std::move(E));
   }
   S.Engines = std::move(Next);
-  refresh(S);
+  addAllShares(S);
 }
 
 void setAlone(PlacerState &S, const HostId &Self, bool Alone) {
@@ -364,7 +398,6 @@
           const BackendId &Culprit, TimePoint Now) {
   advance(S, Now);
   withdraw(S, Key);
-  dropReads(S, Key);
   if (Stage == PlaceStage::Failed)
     blame(S, Culprit, Now);
   auto Found = S.Placed.find(Key);
@@ -372,13 +405,13 @@
     return;
   if (Stage == PlaceStage::Writing) {
     learnPace(S, Found->second, Now);
-    Found->second.Writing = true;
-  } else {
-    if (Stage == PlaceStage::Ended && Found->second.Writing)
-      praise(S, Found->second);
-    S.Placed.erase(Found);
+    setWriting(S, Key, Found->second);
+    return;
   }
-  refresh(S);
+  if (Stage == PlaceStage::Ended && Found->second.Writing)
+    praise(S, Found->second);
+  dropParts(S, Key, Found->second);
+  S.Placed.erase(Found);
 }
 
 std::vector<std::pair<PlaceKey, PlaceReply>> tickPlacer(PlacerState &S,
@@ -416,13 +449,12 @@
   for (auto It = S.Placed.begin(); It != S.Placed.end();) {
     bool Is = It->first.first == Host;
     if (Is)
-      dropReads(S, It->first);
+      dropParts(S, It->first, It->second);
     It = Is ? S.Placed.erase(It) : std::next(It);
   }
   auto Is = [&](const WaitingRequest &W) { return W.Key.first == Host; };
   S.Queue.erase(std::remove_if(S.Queue.begin(), S.Queue.end(), Is),
                 S.Queue.end());
-  refresh(S);
 }
 
 } // namespace pimento
--- a/packages/gateway/Placer.h
+++ b/packages/gateway/Placer.h
@@ -54,10 +54,15 @@
   double Worth = 0; // To its caller, by its size.
 };
 
-/// A request whose events come from an engine.
-struct Listener {
-  Duration PauseLimit = {}; // Between two events; zero: none.
+/// A placed request's part, as its engine sees it.
+struct EngineShare {
+  PlaceKey Key;
+  std::uint64_t MemoryTokens = 0; // Held here.
+  std::uint64_t Context = 0;      // Of the whole prompt, tokens.
+  Duration PauseLimit = {};       // Between two events; zero: none.
   double Worth = 0;
+  bool First = false; // The request's events come from here.
+  bool Writing = false;
 };
 
 struct WaitingRequest {
@@ -79,7 +84,7 @@
   std::uint64_t WriterContext = 0; // Tokens.
   std::uint64_t MemoryTokens = 0;  // Held.
   ReadQueue Reads;                 // As far as it should be by now.
-  std::vector<Listener> Listeners; // Requests whose first part is here.
+  std::vector<EngineShare> Shares; // All of the sums above are over these.
   Duration PauseLimit = {};        // Shortest of the requests here; zero: none.
   double Slowness = 1;             // Of reading, against the data sheet.
   double Bias = 0; // Cost that spreads hosts that place for themselves.
--- a/packages/gateway/PlacerSearch.cpp
+++ b/packages/gateway/PlacerSearch.cpp
@@ -33,6 +33,29 @@
   return fromSeconds(toSeconds(D) * Factor);
 }
 
+/// A prompt that an engine reads for now.
+struct Pending {
+  Duration Before = {}; // Until it is read here.
+  Duration Finish = {}; // Until all of its engines have read it.
+  Duration Left = {};   // Until its first event is late.
+  double Chance = 0;    // That it is not.
+  double Worth = 0;
+};
+
+/// What is the same for an engine whatever part of the request it gets.
+struct Candidate {
+  const BackendId *Id = nullptr;
+  const PlacerEngine *Engine = nullptr;
+  Duration Backlog = {};
+  Duration Pass = {};     // Of the request's own writing, were it the first.
+  Duration PassWait = {}; // For the pass that is under way.
+  double ReadFactor = 1;  // Of reading among those that write.
+  double BaseCost = 0;
+  std::uint64_t FreeTokens = 0;
+  bool HasSlot = false;
+  std::vector<Pending> Reads; // Only where parts go ahead of them.
+};
+
 /// One engine with one part of the request on it.
 struct Option {
   const BackendId *Id = nullptr;
@@ -46,13 +69,27 @@
   bool HasSlot = false;
 };
 
+/// When each prompt is read whole, from now.
+std::map<PlaceKey, Duration> finishes(const PlacerState &S) {
+  std::map<PlaceKey, Duration> Latest;
+  for (const auto &[Id, E] : S.Engines) {
+    Duration Sum = {};
+    for (const ReadItem &Item : E.Reads.Items) {
+      Sum += Item.Left;
+      Duration &Finish = Latest[Item.Key];
+      Finish = std::max(Finish, Sum);
+    }
+  }
+  return Latest;
+}
+
 struct Search {
   const PlacerState &S;
   const PlaceAsk &Ask;
   TimePoint Now;
   const EngineFacts &F;
   Duration Whole; // Reading time of the prompt on one engine.
-  std::map<PlaceKey, Duration> Finishes; // Of prompts that are being read.
+  Duration Limit; // Longest reading in one pass, of this prompt.
 
   bool isEligible(const BackendId &Id, const PlacerEngine &E,
                   bool TakeAvoided) const {
@@ -72,21 +109,13 @@
 
   /// What the requests that are read on an engine lose by \p Reading ahead of
   /// them there.
-  double delayHarm(const PlacerEngine &E, Duration Reading) const {
+  static double delayHarm(const Candidate &C, Duration Reading) {
     double Harm = 0;
-    Duration Before = {};
-    for (const ReadItem &Item : E.Reads.Items) {
-      Before += Item.Left;
-      auto Request = S.Placed.find(Item.Key);
-      auto Finish = Finishes.find(Item.Key);
-      if (Request == S.Placed.end() || Finish == Finishes.end() ||
-          Before + Reading <= Finish->second)
+    for (const Pending &P : C.Reads) {
+      if (P.Before + Reading <= P.Finish)
         continue; // Another engine takes longer with its part.
-      Duration Left =
-          Request->second.Since + Request->second.Ask.Objective - Now;
-      double Lost =
-          chanceOf(Finish->second, Left) - chanceOf(Before + Reading, Left);
-      Harm += LateLoss * Lost * Request->second.Worth;
+      double Lost = P.Chance - chanceOf(P.Before + Reading, P.Left);
+      Harm += LateLoss * Lost * P.Worth;
     }
     return Harm;
   }
@@ -94,40 +123,53 @@
   /// Worth of the requests on an engine whose next event comes too late in a
   /// pass of length \p Pass.
   static double harmAt(const PlacerEngine &E, Duration Pass) {
+    if (E.PauseLimit == Duration::zero() ||
+        Pass <= scaled(E.PauseLimit, PauseShare))
+      return 0;
     double Harm = 0;
-    for (const Listener &L : E.Listeners) {
-      if (L.PauseLimit > Duration::zero() &&
-          Pass > scaled(L.PauseLimit, PauseShare))
-        Harm += LateLoss * L.Worth;
+    for (const EngineShare &Share : E.Shares) {
+      if (Share.First && Share.PauseLimit > Duration::zero() &&
+          Pass > scaled(Share.PauseLimit, PauseShare))
+        Harm += LateLoss * Share.Worth;
     }
     return Harm;
   }
 
-  Option optionAt(const BackendId &Id, const PlacerEngine &E, Duration Reading,
-                  bool Spread) const {
-    Option O;
-    O.Id = &Id;
-    O.Engine = &E;
-    Reading = scaled(Reading, E.Slowness);
-    Duration Backlog = totalReading(E.Reads);
+  Candidate candidateAt(const BackendId &Id, const PlacerEngine &E) const {
+    Candidate C;
+    C.Id = &Id;
+    C.Engine = &E;
+    C.Backlog = totalReading(E.Reads);
     std::size_t Active = E.Writers + E.Readers;
-    Duration Limit = passReadingLimit(F, Ask.PromptTokens);
-    O.Pass = passTime(F, E.Writers + 1, E.WriterContext + Ask.PromptTokens);
-    Duration Ahead = Spread ? Duration::zero() : Backlog;
-    O.ReadBy =
-        passWait(E, Backlog, Limit) +
-        sharedReadingTime(F, Reading + Ahead, E.Writers, E.WriterContext);
-    if (Active > 0)
-      O.Harm = harmAt(E, O.Pass + std::min(Backlog + Reading, Limit));
-    if (Spread)
-      O.Hindrance = delayHarm(E, Reading);
+    C.Pass = passTime(F, E.Writers + 1, E.WriterContext + Ask.PromptTokens);
+    C.PassWait = passWait(E, C.Backlog, Limit);
+    C.ReadFactor =
+        toSeconds(sharedReadingTime(F, seconds(1), E.Writers, E.WriterContext));
     auto Usable = static_cast<std::uint64_t>(
         UsableMemory * static_cast<double>(F.MemoryTokens));
-    O.FreeTokens = Usable - std::min(E.MemoryTokens, Usable);
-    O.HasSlot = Active < F.Slots;
-    O.Cost = O.Harm + O.Hindrance + toSeconds(Backlog) * WorthPerSecond +
-             paceCost(E, Active) +
-             (E.DataCentre == Ask.DataCentre ? 0 : CrossingCost) + E.Bias;
+    C.FreeTokens = Usable - std::min(E.MemoryTokens, Usable);
+    C.HasSlot = Active < F.Slots;
+    C.BaseCost = toSeconds(C.Backlog) * WorthPerSecond + paceCost(E, Active) +
+                 (E.DataCentre == Ask.DataCentre ? 0 : CrossingCost) + E.Bias;
+    return C;
+  }
+
+  Option optionAt(const Candidate &C, Duration Reading, bool Spread) const {
+    const PlacerEngine &E = *C.Engine;
+    Option O;
+    O.Id = C.Id;
+    O.Engine = C.Engine;
+    O.Pass = C.Pass;
+    O.FreeTokens = C.FreeTokens;
+    O.HasSlot = C.HasSlot;
+    Reading = scaled(Reading, E.Slowness);
+    Duration Ahead = Spread ? Duration::zero() : C.Backlog;
+    O.ReadBy = C.PassWait + scaled(Reading + Ahead, C.ReadFactor);
+    if (E.Writers + E.Readers > 0)
+      O.Harm = harmAt(E, O.Pass + std::min(C.Backlog + Reading, Limit));
+    if (Spread)
+      O.Hindrance = delayHarm(C, Reading);
+    O.Cost = O.Harm + O.Hindrance + C.BaseCost;
     return O;
   }
 
@@ -160,13 +202,45 @@
            Whole < scaled(Ask.PauseObjective, 1 - PauseShare + 0.35);
   }
 
-  std::vector<Option> options(std::size_t Count, bool TakeAvoided) const {
-    Duration Reading = Whole / static_cast<std::int64_t>(Count);
-    std::vector<Option> List;
+  std::vector<Candidate> candidates(bool TakeAvoided) const {
+    std::vector<Candidate> List;
+    List.reserve(S.Engines.size());
     for (const auto &[Id, E] : S.Engines) {
       if (isEligible(Id, E, TakeAvoided))
-        List.push_back(optionAt(Id, E, Reading, Count > 1));
+        List.push_back(candidateAt(Id, E));
+    }
+    return List;
+  }
+
+  /// Adds the prompts that parts of this one would go ahead of.
+  void addReads(std::vector<Candidate> &List) const {
+    std::map<PlaceKey, Duration> Finishes = finishes(S);
+    for (Candidate &C : List) {
+      Duration Before = {};
+      for (const ReadItem &Item : C.Engine->Reads.Items) {
+        Before += Item.Left;
+        auto Request = S.Placed.find(Item.Key);
+        if (Request == S.Placed.end())
+          continue;
+        Pending P;
+        P.Before = Before;
+        P.Finish = Finishes.at(Item.Key);
+        P.Left = Request->second.Since + Request->second.Ask.Objective - Now;
+        P.Chance = chanceOf(P.Finish, P.Left);
+        P.Worth = Request->second.Worth;
+        C.Reads.push_back(P);
+      }
     }
+  }
+
+  /// Cheapest first.
+  std::vector<Option> options(const std::vector<Candidate> &From,
+                              std::size_t Count) const {
+    Duration Reading = Whole / static_cast<std::int64_t>(Count);
+    std::vector<Option> List;
+    List.reserve(From.size());
+    for (const Candidate &C : From)
+      List.push_back(optionAt(C, Reading, Count > 1));
     std::sort(List.begin(), List.end(),
               [](const Option &A, const Option &B) { return A.Cost < B.Cost; });
     return List;
@@ -244,8 +318,15 @@
 
   std::optional<Plan> best(bool TakeAvoided) const {
     std::optional<Plan> Best;
+    std::vector<Candidate> All = candidates(TakeAvoided);
+    bool HasReads = false;
     for (std::size_t Count : PartCounts) {
-      std::vector<Option> List = options(Count, TakeAvoided);
+      if (Count > All.size())
+        break;
+      if (Count > 1 && !HasReads)
+        addReads(All);
+      HasReads = Count > 1;
+      std::vector<Option> List = options(All, Count);
       std::optional<Plan> P = planOf(Count, List);
       if (P && (!Best || valueOf(*P) > valueOf(*Best)))
         Best = std::move(P);
@@ -259,24 +340,6 @@
 
 } // namespace
 
-namespace {
-
-/// When each prompt is read whole, from now.
-std::map<PlaceKey, Duration> finishes(const PlacerState &S) {
-  std::map<PlaceKey, Duration> Latest;
-  for (const auto &[Id, E] : S.Engines) {
-    Duration Sum = {};
-    for (const ReadItem &Item : E.Reads.Items) {
-      Sum += Item.Left;
-      Duration &Finish = Latest[Item.Key];
-      Finish = std::max(Finish, Sum);
-    }
-  }
-  return Latest;
-}
-
-} // namespace
-
 double worthOf(const PlaceAsk &Ask) {
   return std::pow(static_cast<double>(Ask.PromptTokens + 1), WorthExponent);
 }
@@ -291,7 +354,7 @@
              Now,
              Facts->second,
              readingTime(Facts->second, Ask.PromptTokens),
-             finishes(S)};
+             passReadingLimit(Facts->second, Ask.PromptTokens)};
   std::optional<Plan> Found = Try.best(false);
   return Found ? Found : Try.best(true);
 }
--- a/packages/gateway/tests/PlacerTest.cpp
+++ b/packages/gateway/tests/PlacerTest.cpp
@@ -249,6 +249,40 @@
     BOOST_TEST(E.Readers + E.Writers + E.Helping + E.MemoryTokens == 0U);
 }
 
+/// What an engine holds is kept up as requests come and go; it must never
+/// drift from what is placed.
+BOOST_FIXTURE_TEST_CASE(SumsStayInStepWithWhatIsPlaced, Fixture) {
+  addEngines(6);
+  std::vector<PlaceOutcome> Open;
+  for (std::uint64_t Step = 0; Step < 400; ++Step) {
+    Now += milliseconds(20);
+    PlaceOutcome O = place(Step % 5 == 0 ? audit(50000 + Step * 700) : brief());
+    if (O.Verdict == PlaceVerdict::Placed)
+      Open.push_back(O);
+    if (Step % 2 == 0 && !Open.empty())
+      begin(Open[Step % Open.size()]);
+    if (Step % 3 != 0 && !Open.empty()) {
+      end(Open.front());
+      Open.erase(Open.begin());
+    }
+    tickPlacer(S, Now);
+    PlacerState Anew = S;
+    addEngines(6); // Sums up anew from all that is placed.
+    for (const auto &[Id, E] : S.Engines) {
+      const PlacerEngine &Before = Anew.Engines.at(Id);
+      BOOST_TEST(E.Writers == Before.Writers);
+      BOOST_TEST(E.Readers == Before.Readers);
+      BOOST_TEST(E.Helping == Before.Helping);
+      BOOST_TEST(E.WriterContext == Before.WriterContext);
+      BOOST_TEST(E.MemoryTokens == Before.MemoryTokens);
+      BOOST_TEST((E.PauseLimit == Before.PauseLimit));
+    }
+  }
+  dropHost(S, Here);
+  for (const auto &[Id, E] : S.Engines)
+    BOOST_TEST((E.Shares.empty() && E.Reads.Items.empty()));
+}
+
 /// Another host placed it before; the new placer must count it.
 BOOST_FIXTURE_TEST_CASE(RunningRequestsAreTakenOver, Fixture) {
   addEngines(2);
