gateway: who refused memory is blamed; a new placer hears first what runs

Each refusal then blamed the engine that was to read the prompt, not the one that refused, so that sound engines were left alone for 0.3 s, doubled each time, and the refusing one was asked again. A new placer now places nothing for 60 ms, and the log line names the culprit. Tests failed before: the first engine had the failure; the prompt went to the engine that was full. One step of an older test waits 100 ms now, since the host that becomes placer settles first.

--- a/packages/gateway/Answer.cpp
+++ b/packages/gateway/Answer.cpp
@@ -109,19 +109,20 @@
          Good ? "" : "the server answered with a failure");
 }
 
-void blameCulprit(GatewayTurn &T, const GatewayCall &C) {
-  const std::string &Culprit = C.Attempt.Answer.Culprit;
-  if (Culprit.empty())
+/// An engine may refuse for the sake of another one, which it names.
+void findCulprit(const GatewayTurn &T, GatewayCall &C) {
+  const std::string &Address = C.Attempt.Answer.Culprit;
+  if (Address.empty())
     return;
   for (const auto &[Id, E] : T.S.Engines.Engines) {
-    if (E.Address == Culprit)
-      note(T.S.Engines, {T.S.Self, 0}, PlaceStage::Failed, Id, T.Now);
+    if (E.Address == Address)
+      C.Culprit = Id;
   }
 }
 
 void endWhole(GatewayTurn &T, GatewayCall &C) {
   if (C.Attempt.Answer.NotRun) {
-    blameCulprit(T, C);
+    findCulprit(T, C);
     closeAttempt(T, C, false);
     attemptFailed(T, C, false, Code::RefusedByBackend,
                   "the server did not run it");
--- a/packages/gateway/Attempt.cpp
+++ b/packages/gateway/Attempt.cpp
@@ -115,6 +115,7 @@
   DecisionRecord Record = record(T, C, "try_failed", Reason);
   Record.add("server", C.Attempt.Server.Value);
   Record.add("address", C.Attempt.Address);
+  Record.add("culprit", C.Culprit.Value);
   Record.add("may_have_run", Ran);
   Record.add("code", static_cast<std::int64_t>(Number));
   Record.add("status", static_cast<std::int64_t>(C.Attempt.Status));
@@ -244,10 +245,12 @@
   }
   endHealth(T, C, false);
   freeReservations(T, C);
+  BackendId Culprit = C.Culprit.empty() ? C.Attempt.Server : C.Culprit;
+  C.Culprit = BackendId();
   if (C.Placed)
-    noteStage(T, C, PlaceStage::Failed, C.Attempt.Server);
+    noteStage(T, C, PlaceStage::Failed, Culprit);
   C.MayHaveRun = C.MayHaveRun || Ran;
-  C.Tried.push_back(C.Attempt.Server);
+  C.Tried.push_back(std::move(Culprit));
   C.LastFailure = Number;
   bool Allowed = !C.MayHaveRun || mayRunAgain(C);
   if (Allowed && maySendAgain(T, C)) {
--- a/packages/gateway/Gateway.h
+++ b/packages/gateway/Gateway.h
@@ -125,7 +125,7 @@
   std::uint32_t Tries = 0; // Connections included that carried nothing.
   bool MayHaveRun = false; // Some send may have run.
   std::vector<BackendId> Tried;
-  BackendId Blamed; // Of the last failure.
+  BackendId Culprit; // Of the attempt's failure; empty: its server.
   Code LastFailure = Code::Ok;
 
   CallAttempt Attempt;
--- a/packages/gateway/PlacePart.cpp
+++ b/packages/gateway/PlacePart.cpp
@@ -13,6 +13,8 @@
 /// A request that waits asks again, in case the placer forgot it.
 constexpr Duration AskAgain = milliseconds(300);
 constexpr Duration PlacerAvoidance = milliseconds(1000);
+/// Within so long all entry hosts have told a new placer what runs.
+constexpr Duration SettlingTime = milliseconds(60);
 constexpr Duration OrderConnectTime = milliseconds(300);
 /// An engine answers an order at once, or the answer is lost.
 constexpr Duration OrderTimeout = milliseconds(300);
@@ -228,7 +230,7 @@
     return; // A renewal; the next one follows whatever came of it.
   R.Granted = Granted;
   if (!Granted) {
-    C.Tried.push_back(R.Engine);
+    C.Culprit = R.Engine;
     attemptFailed(T, C, false, Code::RefusedByBackend,
                   "an engine did not reserve memory");
     return;
@@ -506,6 +508,8 @@
   bool PlacedHere = Before == S.Self;
   S.Placer = S.Link.Placer;
   S.PlacerBadUntil = TimePoint();
+  if (S.Placer == S.Self && !Before.empty())
+    S.Engines.SettlesAt = T.Now + SettlingTime;
   moveWaiting(T, Before);
   if (S.Placer == S.Self || S.Placer.empty())
     return;
--- a/packages/gateway/Placer.cpp
+++ b/packages/gateway/Placer.cpp
@@ -239,6 +239,8 @@
   if (Ask.Patience < Least)
     return {PlaceVerdict::Refused,
             refusal(S, Key.second, Ask.Service, Code::DeadlineUnreachable)};
+  if (Now < S.SettlesAt)
+    return {PlaceVerdict::Waiting, {}};
   std::optional<placer::Plan> Found;
   if (MaySearch)
     Found = placer::findPlan(S, Ask, Now);
--- a/packages/gateway/Placer.h
+++ b/packages/gateway/Placer.h
@@ -99,6 +99,7 @@
   std::map<PlaceKey, PlacedRequest> Placed;
   std::deque<WaitingRequest> Queue; // In order of arrival.
   TimePoint ReadsAt{};              // Reads of all engines stand as of then.
+  TimePoint SettlesAt{}; // Until then others tell what runs: nothing is placed.
 };
 
 enum class PlaceVerdict : std::uint8_t { Placed, Waiting, Refused };
--- a/packages/gateway/tests/GatewayTest.cpp
+++ b/packages/gateway/tests/GatewayTest.cpp
@@ -564,9 +564,57 @@
   }
   BOOST_TEST(AskedNew);
   Name("10.0.0.1"); // This host itself: it needs to ask nobody.
+  R.pass(milliseconds(100));
   BOOST_TEST(R.all<calls::OpenUpstream>().size() == 1U);
 }
 
+/// A new placer first hears what runs: what it placed before would meet engines
+/// whose memory is taken, again and again.
+BOOST_AUTO_TEST_CASE(ANewPlacerHearsWhatRunsFirst) {
+  Rig R;
+  auto Name = [&](const char *Placer) {
+    SiteState M;
+    M.Sequence = R.S.Link.Sequence;
+    M.Current = true;
+    M.Leader = Control;
+    M.Config = 3;
+    M.Placer = HostId(Placer);
+    R.event(PeerMessage{Control, 1, M});
+  };
+  Name("10.0.0.2");
+  Name("10.0.0.1");
+  R.call(HttpMethod::Post, "/l/1",
+         {{"X-Pimentoglade-Token-Count", "133000,700"}});
+  BOOST_TEST(R.all<calls::OpenUpstream>().empty());
+  PlaceAsk Runs;
+  Runs.Ticket = 7;
+  Runs.Service = ServiceId("llm");
+  Runs.PromptTokens = 200000;
+  Runs.AnswerTokens = 700;
+  Runs.TimeLeft = seconds(10);
+  Runs.Holding = {{BackendId("e1"), 0}};
+  R.event(PeerMessage{HostId("10.0.0.3"), 1, Runs});
+  R.pass(milliseconds(100));
+  calls::OpenUpstream Open = R.one<calls::OpenUpstream>();
+  BOOST_TEST(Open.Request.Address == "10.0.1.2:80");
+}
+
+/// The engine that refused memory is left alone, not the one that was to read
+/// the prompt.
+BOOST_AUTO_TEST_CASE(WhoRefusedMemoryIsBlamed) {
+  Rig R;
+  R.call(HttpMethod::Post, "/l/1",
+         {{"X-Pimentoglade-Token-Count", "300000,700"},
+          {"X-Pimentoglade-Deadline-Ms", "15000"}});
+  calls::OpenUpstream Reserve = R.one<calls::OpenUpstream>();
+  BackendId Refuser(Reserve.Request.Address == "10.0.1.1:80" ? "e1" : "e2");
+  BackendId Other(Refuser.Value == "e1" ? "e2" : "e1");
+  R.event(UpstreamHead{Reserve.Upstream, 409, {}});
+  R.event(UpstreamEnd{Reserve.Upstream, true});
+  BOOST_TEST(R.S.Engines.Engines.at(Refuser).Failures == 1U);
+  BOOST_TEST(R.S.Engines.Engines.at(Other).Failures == 0U);
+}
+
 /// Nobody else places: the host does it itself at once.
 BOOST_AUTO_TEST_CASE(ASilentPlacerIsPassedOver) {
   Rig R;
