gateway: an engine whose first events are overdue counts as busy

Ruled out: late answers of the placer (3 ms at the median), refused reservations (16), processor time (the same without). Overdue first events now count as reading that is still ahead, and requests under way that are overdue are told to a new placer as needing as long again. The test failed before: three more briefs went to the silent engine.

--- a/packages/gateway/PlacePart.cpp
+++ b/packages/gateway/PlacePart.cpp
@@ -67,8 +67,10 @@
   Ask.Writing = C.Attempt.LastBytes > C.Attempt.Began;
   Duration Running = C.Attempt.Began == TimePoint() ? Duration::zero()
                                                     : T.Now - C.Attempt.Began;
+  // What is overdue is taken to need as long again.
+  Duration Overdue = Running - C.Attempt.Forecast;
   if (!Ask.Writing)
-    Ask.ReadIn = std::max(Duration::zero(), C.Attempt.Forecast - Running);
+    Ask.ReadIn = std::max(Overdue, -Overdue);
   return Ask;
 }
 
--- a/packages/gateway/Placer.cpp
+++ b/packages/gateway/Placer.cpp
@@ -81,6 +81,8 @@
     Share.PauseLimit = Request.Ask.PauseObjective;
     Share.Worth = Request.Worth;
     Share.First = IsFirst;
+    Share.Alone = Request.Parts.size() == 1;
+    Share.ReadBy = Request.ReadBy;
     Share.Writing = Request.Writing;
     Found->second.Shares.push_back(std::move(Share));
     sumUp(Found->second);
--- a/packages/gateway/Placer.h
+++ b/packages/gateway/Placer.h
@@ -62,7 +62,9 @@
   Duration PauseLimit = {};       // Between two events; zero: none.
   double Worth = 0;
   bool First = false; // The request's events come from here.
+  bool Alone = false; // No other engine has a part.
   bool Writing = false;
+  TimePoint ReadBy{}; // Forecast of its first event.
 };
 
 struct WaitingRequest {
--- a/packages/gateway/PlacerSearch.cpp
+++ b/packages/gateway/PlacerSearch.cpp
@@ -135,11 +135,23 @@
     return Harm;
   }
 
+  /// How late the first events from an engine are: it reads something that is
+  /// not known here, or stands still. Answers the pattern of a silent engine
+  /// that looks idle and draws all new requests.
+  Duration overdue(const PlacerEngine &E) const {
+    Duration Longest = {};
+    for (const EngineShare &Share : E.Shares) {
+      if (Share.First && Share.Alone && !Share.Writing)
+        Longest = std::max(Longest, Now - Share.ReadBy);
+    }
+    return Longest;
+  }
+
   Candidate candidateAt(const BackendId &Id, const PlacerEngine &E) const {
     Candidate C;
     C.Id = &Id;
     C.Engine = &E;
-    C.Backlog = totalReading(E.Reads);
+    C.Backlog = totalReading(E.Reads) + overdue(E);
     std::size_t Active = E.Writers + E.Readers;
     C.Pass = passTime(F, E.Writers + 1, E.WriterContext + Ask.PromptTokens);
     C.PassWait = passWait(E, C.Backlog, Limit);
--- a/packages/gateway/tests/PlacerTest.cpp
+++ b/packages/gateway/tests/PlacerTest.cpp
@@ -314,6 +314,24 @@
               Duration::zero()));
 }
 
+/// An engine that reads what nobody here knows of looks idle: once its first
+/// events are late, new requests go elsewhere.
+BOOST_FIXTURE_TEST_CASE(ASilentEngineDrawsNoMoreRequests, Fixture) {
+  addEngines(2);
+  PlaceOutcome First = place(brief());
+  BackendId Silent = First.Reply.First.Engine;
+  Now += First.Reply.Forecast + milliseconds(250);
+  for (int I = 0; I < 3; ++I) {
+    PlaceOutcome Next = place(brief());
+    BOOST_TEST_REQUIRE((Next.Verdict == PlaceVerdict::Placed));
+    BOOST_TEST(Next.Reply.First.Engine != Silent);
+    begin(Next);
+  }
+  begin(First); // It speaks again.
+  PlaceOutcome Last = place(brief());
+  BOOST_TEST((Last.Verdict == PlaceVerdict::Placed));
+}
+
 /// Read in parts, each engine has no more than its own before it.
 BOOST_FIXTURE_TEST_CASE(PartsAreTakenOverAsParts, Fixture) {
   addEngines(4);
