--- a/packages/gateway/PlacerSearch.cpp
+++ b/packages/gateway/PlacerSearch.cpp
@@ -137,7 +137,8 @@
 
   /// How late the first events from an engine are: it reads something that is
   /// not known here, or stands still. Answers the pattern of a silent engine
-  /// that looks idle and draws all new requests.
+  /// that looks idle and draws all new requests. It says which engine is
+  /// better, not when a request would be read.
   Duration overdue(const PlacerEngine &E) const {
     Duration Longest = {};
     for (const EngineShare &Share : E.Shares) {
@@ -151,7 +152,7 @@
     Candidate C;
     C.Id = &Id;
     C.Engine = &E;
-    C.Backlog = totalReading(E.Reads) + overdue(E);
+    C.Backlog = totalReading(E.Reads);
     std::size_t Active = E.Writers + E.Readers;
     C.Pass = passTime(F, E.Writers + 1, E.WriterContext + Ask.PromptTokens);
     C.PassWait = passWait(E, C.Backlog, Limit);
@@ -161,7 +162,8 @@
         UsableMemory * static_cast<double>(F.MemoryTokens));
     C.FreeTokens = Usable - std::min(E.MemoryTokens, Usable);
     C.HasSlot = Active < F.Slots;
-    C.BaseCost = toSeconds(C.Backlog) * WorthPerSecond + paceCost(E, Active) +
+    C.BaseCost = toSeconds(C.Backlog + overdue(E)) * WorthPerSecond +
+                 paceCost(E, Active) +
                  (E.DataCentre == Ask.DataCentre ? 0 : CrossingCost) + E.Bias;
     return C;
   }
