--- a/fuzz/DecoderFuzz.cpp
+++ b/fuzz/DecoderFuzz.cpp
@@ -98,7 +98,7 @@
 
 template <std::size_t Index = 0>
 void allFrames(std::vector<std::string> &Frames) {
-  if constexpr (Index < std::variant_size_v<Message>) {
+  if constexpr (Index < std::variant_size_v<MessageVariant>) {
     Message M;
     M.emplace<Index>();
     Frames.push_back(encode(M));
