--- a/packages/wire/tests/WireTest.cpp
+++ b/packages/wire/tests/WireTest.cpp
@@ -35,7 +35,8 @@
 
 template <std::size_t Index = 0> void collectTypes(std::vector<int> &Types) {
   if constexpr (Index < std::variant_size_v<MessageVariant>) {
-    Types.push_back(std::variant_alternative_t<Index, MessageVariant>::WireType);
+    Types.push_back(
+        std::variant_alternative_t<Index, MessageVariant>::WireType);
     collectTypes<Index + 1>(Types);
   }
 }
