control: large configurations go to some entry hosts at a time, and are acknowledged in force

The leader sent 350 KB to 77 entry hosts at once, again to each with its next question after 0.5 s, and again after each change of leader; heartbeats of the log waited behind. Ruled out: lost packets and cuts (none in those seconds), disks. Each entry host now gets a configuration once, at most 4 MiB are under way, and it is sent again only after the time that a slow link needs. Tests: LargeConfigurationsGoToSomeAtATime, LargeConfigurationsAreAcknowledgedInForce; an older test waits 700 ms first, since a new leader does.

--- a/packages/control/ControlCalls.cpp
+++ b/packages/control/ControlCalls.cpp
@@ -56,8 +56,14 @@
     return;
   }
   if (Config.Number <= S.Newest.Number) {
-    // A higher number is in force: there is nothing to change.
-    reply(T, Exchange, jsonReply(200, "{}"));
+    // There is nothing to change, but it may not be in force everywhere yet.
+    PendingRouting Known;
+    Known.Exchange = Exchange;
+    Known.Number = Config.Number;
+    Known.Asked = T.Now;
+    Known.Committed = T.Now;
+    S.Puts.push_back(Known);
+    settlePuts(T);
     return;
   }
   for (const PendingRouting &Put : S.Puts) {
--- a/packages/control/ControlHost.h
+++ b/packages/control/ControlHost.h
@@ -73,6 +73,7 @@
   Duration Uptime = {};     // When it was heard last.
   std::uint64_t Config = 0; // In force there.
   std::uint64_t SentConfig = 0;
+  TimePoint SentAt{};             // Of SentConfig; the epoch: nothing was sent.
   std::uint64_t SentRevision = 0; // Of this host's servers.
   std::uint64_t SentSequence = 0; // Its last question answered.
 };
@@ -97,6 +98,8 @@
 
   ReplicaState Log;
   StoredRouting Newest;
+  TimePoint NewestAt{}; // Committed as far as known here; the epoch: restored.
+  TimePoint LeadsSince{}; // Of the newest time that this host led.
   std::uint64_t HighestProposed = 0;
   ServerLimits Limits;
   ServerBook Servers;
--- a/packages/control/ControlLog.cpp
+++ b/packages/control/ControlLog.cpp
@@ -18,8 +18,15 @@
 /// Entry hosts have so long to put a committed configuration in force before
 /// the operator is answered all the same.
 constexpr Duration InForceTime = milliseconds(1000);
+/// Longer with the bytes of all copies, by what a small host's link and
+/// processor pass on.
+constexpr double SpreadBytesPerSecond = 12e6;
+/// Operators are owed an answer within four seconds or more.
+constexpr Duration LongestInForceTime = milliseconds(3000);
 /// Silence after which an entry host is not waited for.
 constexpr Duration EntrySilence = milliseconds(1500);
+/// Within so long each entry host that lives has asked the leader.
+constexpr Duration HearingTime = milliseconds(700);
 constexpr JsonLimits StoredLimits = {/*Bytes=*/16U << 20U, /*Depth=*/4,
                                      /*Values=*/16};
 
@@ -53,6 +60,7 @@
   Record.add("bytes", static_cast<std::int64_t>(Stored.Text.Data.size()));
   log(T, std::move(Record));
   T.S.Newest = std::move(Stored);
+  T.S.NewestAt = T.Now;
 }
 
 void adoptBytes(ControlTurn &T, std::string_view Bytes) {
@@ -156,8 +164,11 @@
   take(T, std::move(E));
 }
 
-/// Whether every entry host that answers has the configuration in force.
+/// Whether every entry host that answers has the configuration in force. A new
+/// leader cannot tell, since it has not heard all of them.
 bool isInForce(const ControlTurn &T, std::uint64_t Number) {
+  if (T.Now < T.S.LeadsSince + HearingTime)
+    return false;
   for (const auto &[Host, Entry] : T.S.Entries) {
     if (T.Now < Entry.Heard + EntrySilence && Entry.Config < Number)
       return false;
@@ -165,12 +176,24 @@
   return true;
 }
 
+/// For how long an operator waits until all entry hosts have the configuration
+/// in force: a large one for many hosts takes the leader's link for a while.
+Duration inForceTime(const ControlHost &S) {
+  auto Bytes = static_cast<double>(S.Newest.Text.Data.size()) *
+               static_cast<double>(S.Entries.size());
+  return std::min(InForceTime + fromSeconds(Bytes / SpreadBytesPerSecond),
+                  LongestInForceTime);
+}
+
 /// Zero while the operator has to wait, else the status of the answer.
 int statusOf(const ControlTurn &T, const PendingRouting &Put) {
   constexpr int Accepted = 200;
   constexpr int Unknown = 503;
   if (Put.Committed != TimePoint()) {
-    bool Due = isInForce(T, Put.Number) || T.Now >= Put.Committed + InForceTime;
+    TimePoint Since = Put.Number == T.S.Newest.Number
+                          ? std::max(T.S.NewestAt, T.S.LeadsSince)
+                          : Put.Committed;
+    bool Due = isInForce(T, Put.Number) || T.Now >= Since + inForceTime(T.S);
     return Due ? Accepted : 0;
   }
   return T.Now >= Put.Asked + ProposalTime ? Unknown : 0;
@@ -244,6 +267,7 @@
   if (Leads == T.S.WasLeader)
     return;
   T.S.WasLeader = Leads;
+  T.S.LeadsSince = T.Now;
   T.S.NewsDue = true;
   DecisionRecord Record{Leads ? "leads" : "leads_no_more", {}, "", {}};
   Record.add("term", static_cast<std::int64_t>(term(T.S.Log)));
--- a/packages/control/ControlSpread.cpp
+++ b/packages/control/ControlSpread.cpp
@@ -19,6 +19,13 @@
 /// An entry host that has run for so long has come up for good.
 constexpr Duration SettlingTime = seconds(5);
 constexpr std::size_t MaxWaitingReports = 8192;
+/// A configuration that is not in force at an entry host after so long, and the
+/// time that it takes over a slow link, is sent again.
+constexpr Duration SendAgainAfter = milliseconds(500);
+constexpr double SlowLinkBytesPerSecond = 200e3;
+/// Configurations may be under way to entry hosts at a time, so that those of
+/// thousands of routes do not hold up the replicated log on the leader's link.
+constexpr std::size_t MaxBytesUnderWay = std::size_t{4} << 20U;
 
 /// Everyone that might be a control host.
 std::vector<HostId> contacts(const ControlHost &S) {
@@ -161,6 +168,26 @@
   return Count;
 }
 
+bool isUnderWay(const ControlTurn &T, const EntryPeer &Entry) {
+  auto Bytes = static_cast<double>(T.S.Newest.Text.Data.size());
+  Duration Transfer = fromSeconds(Bytes / SlowLinkBytesPerSecond);
+  return Entry.Config < Entry.SentConfig &&
+         T.Now < Entry.SentAt + SendAgainAfter + Transfer;
+}
+
+/// Answers the pattern of a large configuration for many hosts: each gets it
+/// once, some at a time.
+bool maySendConfig(const ControlTurn &T, const EntryPeer &Entry) {
+  const ControlHost &S = T.S;
+  bool Lacks = S.Newest.Number > std::max(Entry.Config, Entry.SentConfig);
+  if (!Lacks || !isCurrent(S, T.Now))
+    return false;
+  std::size_t Bytes = 0;
+  for (const auto &[Host, Other] : S.Entries)
+    Bytes += isUnderWay(T, Other) ? S.Newest.Text.Data.size() : 0;
+  return Bytes == 0 || Bytes + S.Newest.Text.Data.size() <= MaxBytesUnderWay;
+}
+
 /// What \p Entry lacks; all servers where \p Whole.
 SiteState stateFor(ControlTurn &T, EntryPeer &Entry, bool Whole) {
   const ControlHost &S = T.S;
@@ -168,10 +195,10 @@
   State.Current = isCurrent(S, T.Now);
   State.Leader = leader(S.Log);
   State.Config = S.Newest.Number;
-  std::uint64_t Has = std::max(Entry.Config, Entry.SentConfig);
-  if (State.Current && S.Newest.Number > Has) {
+  if (maySendConfig(T, Entry)) {
     State.Text = S.Newest.Text;
     Entry.SentConfig = S.Newest.Number;
+    Entry.SentAt = T.Now;
   }
   State.ControlLife = S.Life;
   State.Revision = S.Servers.Revision;
@@ -245,7 +272,8 @@
   Entry.Placer = M.Placer;
   Entry.Uptime = M.Uptime;
   Entry.Config = M.Config;
-  Entry.SentConfig = M.Config;
+  if (!isUnderWay(T, Entry))
+    Entry.SentConfig = M.Config;
   bool Whole = M.ControlLife != T.S.Life || M.Revision > T.S.Servers.Revision;
   Entry.SentRevision = Whole ? 0 : M.Revision;
   choosePlacer(T);
@@ -273,16 +301,15 @@
 
 void spreadChanges(ControlTurn &T) {
   ControlHost &S = T.S;
-  bool NewRouting = false;
-  for (const auto &[Host, Entry] : S.Entries)
-    NewRouting = NewRouting ||
-                 (isLiving(Entry, T.Now) && Entry.SentConfig < S.Newest.Number);
-  if (!S.NewsDue && !(NewRouting && isCurrent(S, T.Now)))
-    return;
-  tellEntries(T);
-  if (S.NewsDue)
+  if (S.NewsDue) {
+    tellEntries(T);
     sendNews(T);
-  S.NewsDue = false;
+    S.NewsDue = false;
+  }
+  for (auto &[Host, Entry] : S.Entries) {
+    if (isLiving(Entry, T.Now) && maySendConfig(T, Entry))
+      send(T, Host, stateFor(T, Entry, false));
+  }
 }
 
 } // namespace pimento::control
--- a/packages/control/tests/ControlTest.cpp
+++ b/packages/control/tests/ControlTest.cpp
@@ -190,6 +190,7 @@
 
 BOOST_FIXTURE_TEST_CASE(EntryHostsAreToldAtOnceAndWaitedFor, Fixture) {
   HostId Entry("10.0.5.5");
+  Site.Net.runFor(milliseconds(700)); // The leader has heard all by now.
   EntrySync Sync;
   Sync.Sequence = 1;
   Sync.Ready = true;
@@ -209,6 +210,87 @@
   BOOST_TEST(Site.statusOf(Leader, Id) == 200);
 }
 
+/// A configuration of thousands of routes goes to each entry host once, and to
+/// some at a time: more would hold up the replicated log on the leader's link.
+BOOST_FIXTURE_TEST_CASE(LargeConfigurationsGoToSomeAtATime, Fixture) {
+  constexpr std::size_t Hosts = 40;
+  constexpr std::size_t LargeBytes = 300000;
+  auto Name = [](std::size_t I) {
+    return HostId("10.0.6." + std::to_string(I));
+  };
+  auto Sync = [&](std::size_t I, std::uint64_t Sequence, std::uint64_t Config) {
+    EntrySync M;
+    M.Sequence = Sequence;
+    M.Config = Config;
+    M.Ready = true;
+    Site.Net.send(Name(I), Leader, M);
+  };
+  auto Sent = [&](std::size_t I) {
+    const auto &States = Site.States[Name(I)];
+    return std::count_if(States.begin(), States.end(), [](const SiteState &M) {
+      return !M.Text.Data.empty();
+    });
+  };
+  for (std::size_t I = 0; I < Hosts; ++I)
+    Sync(I, 1, 0);
+  Site.Net.runFor(milliseconds(50));
+  ExchangeId Put = Site.put(Leader, 5, std::string(LargeBytes, 'r'));
+  Site.Net.runFor(milliseconds(200));
+  auto Reached = [&] {
+    std::size_t Count = 0;
+    for (std::size_t I = 0; I < Hosts; ++I)
+      Count += Sent(I) > 0 ? 1 : 0;
+    return Count;
+  };
+  BOOST_TEST(Reached() > 0U);
+  BOOST_TEST(Reached() * LargeBytes <= (4U << 20U));
+  // They ask on while it is under way, then have it in force in turn.
+  for (std::uint64_t Round = 2; Round < 12; ++Round) {
+    for (std::size_t I = 0; I < Hosts; ++I)
+      Sync(I, 2 * Round, 0);
+    Site.Net.runFor(milliseconds(20));
+    for (std::size_t I = 0; I < Hosts; ++I) {
+      if (Sent(I) > 0)
+        Sync(I, 2 * Round + 1, 5);
+    }
+    Site.Net.runFor(milliseconds(60));
+  }
+  for (std::size_t I = 0; I < Hosts; ++I)
+    BOOST_TEST(Sent(I) == 1);
+  BOOST_TEST(Site.statusOf(Leader, Put) == 200);
+}
+
+/// It is acknowledged once it is in force, for which a large one needs longer;
+/// an operator that asks again is not kept waiting anew.
+BOOST_FIXTURE_TEST_CASE(LargeConfigurationsAreAcknowledgedInForce, Fixture) {
+  constexpr std::size_t Hosts = 40;
+  auto SyncAll = [&](std::uint64_t Sequence, std::uint64_t Config) {
+    for (std::size_t I = 0; I < Hosts; ++I) {
+      EntrySync M;
+      M.Sequence = Sequence;
+      M.Config = Config;
+      M.Ready = true;
+      Site.Net.send(HostId("10.0.6." + std::to_string(I)), Leader, M);
+    }
+  };
+  SyncAll(1, 0);
+  Site.Net.runFor(milliseconds(50));
+  std::string Large(600000, 'r');
+  ExchangeId First = Site.put(Leader, 5, Large);
+  for (std::uint64_t Round = 2; Round < 6; ++Round) {
+    Site.Net.runFor(milliseconds(400));
+    SyncAll(Round, 0);
+  }
+  BOOST_TEST(Site.statusOf(Leader, First) == 0); // 1.6 s: not in force.
+  ExchangeId Again = Site.put(Leader, 5, Large);
+  for (std::uint64_t Round = 6; Round < 10; ++Round) {
+    Site.Net.runFor(milliseconds(400));
+    SyncAll(Round, 0);
+  }
+  BOOST_TEST(Site.statusOf(Leader, First) == 200);
+  BOOST_TEST(Site.statusOf(Leader, Again) == 200);
+}
+
 /// In a rolling restart who started last is stopped last, but who only just
 /// came up may be one that keeps failing.
 BOOST_FIXTURE_TEST_CASE(ThePlacerIsTheOneThatARollingRestartLeaves, Fixture) {
@@ -261,7 +343,7 @@
 BOOST_FIXTURE_TEST_CASE(ReportsReachEntryHostsOfOtherControlHosts, Fixture) {
   HostId Entry("10.0.5.5");
   HostId Other = follower();
-  Site.Net.send(Entry, Leader, EntrySync{1, 0, 0, 0, true, {}});
+  Site.Net.send(Entry, Leader, EntrySync{1, 0, 0, 0, true, {}, {}, {}});
   Site.Net.runFor(milliseconds(600));
   auto Beat = [&](const HostId &At, int Sequence, const char *State) {
     Site.request(
@@ -293,7 +375,7 @@
   Leader = Site.waitForLeader(seconds(5));
   BOOST_TEST_REQUIRE(!Leader.empty());
   HostId Entry("10.0.5.5");
-  Site.Net.send(Entry, Leader, EntrySync{1, 0, 0, 0, true, {}});
+  Site.Net.send(Entry, Leader, EntrySync{1, 0, 0, 0, true, {}, {}, {}});
   Site.Net.runFor(milliseconds(50));
   auto Whole =
       std::find_if(Site.States[Entry].begin(), Site.States[Entry].end(),
@@ -303,7 +385,8 @@
   BOOST_TEST((Whole->Servers[0].Phase == ServerPhase::Ready));
   for (std::uint64_t Sequence = 2; Sequence < 12; ++Sequence) {
     Site.Net.runFor(milliseconds(500));
-    Site.Net.send(Entry, Leader, EntrySync{Sequence, 0, 0, 0, true, {}});
+    Site.Net.send(Entry, Leader,
+                  EntrySync{Sequence, 0, 0, 0, true, {}, {}, {}});
   }
   Site.Net.runFor(milliseconds(100));
   BOOST_TEST(
--- a/packages/gateway/tests/GatewayTest.cpp
+++ b/packages/gateway/tests/GatewayTest.cpp
@@ -95,6 +95,17 @@
     event(PeerMessage{Control, 1, M});
   }
 
+  /// The leader says which host places requests.
+  void namePlacer(const char *Placer) {
+    SiteState M;
+    M.Sequence = S.Link.Sequence;
+    M.Current = true;
+    M.Leader = Control;
+    M.Config = 3;
+    M.Placer = HostId(Placer);
+    event(PeerMessage{Control, 1, M});
+  }
+
   ExchangeId call(HttpMethod Method, const char *Target,
                   std::vector<HttpHeader> More = {}) {
     HttpRequest R;
@@ -540,22 +551,13 @@
 /// one asks the new one at once.
 BOOST_AUTO_TEST_CASE(WhatWaitsMovesWithThePlacer) {
   Rig R;
-  auto Name = [&](const char *Placer) {
-    SiteState M;
-    M.Sequence = R.S.Link.Sequence;
-    M.Current = true;
-    M.Leader = Control;
-    M.Config = 3;
-    M.Placer = HostId(Placer);
-    R.event(PeerMessage{Control, 1, M});
-  };
-  Name("10.0.0.2");
+  R.namePlacer("10.0.0.2");
   R.stream();
   auto Asked = std::get<PlaceAsk>(R.one<SendPeer>().Content);
   PlaceReply Waits;
   Waits.Ticket = Asked.Ticket;
   R.event(PeerMessage{HostId("10.0.0.2"), 1, Waits});
-  Name("10.0.0.3");
+  R.namePlacer("10.0.0.3");
   bool AskedNew = false;
   for (const SendPeer &Send : R.all<SendPeer>()) {
     const auto *Ask = std::get_if<PlaceAsk>(&Send.Content);
@@ -563,7 +565,7 @@
                             Ask->Ticket == Asked.Ticket);
   }
   BOOST_TEST(AskedNew);
-  Name("10.0.0.1"); // This host itself: it needs to ask nobody.
+  R.namePlacer("10.0.0.1"); // This host itself: it needs to ask nobody.
   R.pass(milliseconds(100));
   BOOST_TEST(R.all<calls::OpenUpstream>().size() == 1U);
 }
@@ -572,17 +574,8 @@
 /// whose memory is taken, again and again.
 BOOST_AUTO_TEST_CASE(ANewPlacerHearsWhatRunsFirst) {
   Rig R;
-  auto Name = [&](const char *Placer) {
-    SiteState M;
-    M.Sequence = R.S.Link.Sequence;
-    M.Current = true;
-    M.Leader = Control;
-    M.Config = 3;
-    M.Placer = HostId(Placer);
-    R.event(PeerMessage{Control, 1, M});
-  };
-  Name("10.0.0.2");
-  Name("10.0.0.1");
+  R.namePlacer("10.0.0.2");
+  R.namePlacer("10.0.0.1");
   R.call(HttpMethod::Post, "/l/1",
          {{"X-Pimentoglade-Token-Count", "133000,700"}});
   BOOST_TEST(R.all<calls::OpenUpstream>().empty());
