--- a/packages/control/ControlSpread.cpp
+++ b/packages/control/ControlSpread.cpp
@@ -23,8 +23,8 @@
 /// time that it takes over a slow link, is sent again.
 constexpr Duration SendAgainAfter = milliseconds(500);
 constexpr double SlowLinkBytesPerSecond = 200e3;
-/// Configurations may be under way to entry hosts at a time, so that those of
-/// thousands of routes do not hold up the replicated log on the leader's link.
+/// Of configurations that are under way to entry hosts: more of them would hold
+/// up the replicated log's heartbeats on the leader's link.
 constexpr std::size_t MaxBytesUnderWay = std::size_t{4} << 20U;
 
 /// Everyone that might be a control host.
