gateway: logs say what the placer believed when it placed or refused

Logs told which engines a request got and the forecast, but not how slow the placer took them to be, nor how old that belief was; a refusal told nothing of the plans that were weighed. Change: a placement's reply carries what the placer believed (PlacementBasis), appended to the message; the entry host writes it with its placed line and with a new line, placement_refused. The three places that end a refused call share one function. No decision changes.

--- a/packages/gateway/PlacePart.cpp
+++ b/packages/gateway/PlacePart.cpp
@@ -168,6 +168,20 @@
   R.IsUnconfirmed = true;
 }
 
+/// Adds what the placer believed of the engines it chose, or of the whole
+/// service if it chose none.
+void addBasis(DecisionRecord &Record, const PlacementBasis &Basis) {
+  constexpr std::int64_t NoAge = -1;
+  Record.add("slowness_max", Basis.MaxSlowness);
+  Record.add("speeds_unknown", static_cast<std::int64_t>(Basis.UnknownSpeeds));
+  Record.add("speed_age_ms",
+             Basis.SpeedAge ? toMilliseconds(*Basis.SpeedAge) : NoAge);
+  Record.add("engines_slow", static_cast<std::int64_t>(Basis.SlowEngines));
+  Record.add("backlog_ms", toMilliseconds(Basis.Backlog));
+  Record.add("penalty_share", Basis.PenaltyShare);
+  Record.add("searches", static_cast<std::int64_t>(Basis.Searches));
+}
+
 void logPlaced(GatewayTurn &T, const GatewayCall &C) {
   DecisionRecord Record = record(T, C, "placed", "");
   Record.add("server", C.Placement.First.Engine.Value);
@@ -181,7 +195,25 @@
   Record.add("placer",
              C.IsRemotePlacement ? T.S.Link.Placer.Value : T.S.Self.Value);
   Record.add("asked_ms", toMilliseconds(T.Now - C.PlacementRequestedAt));
+  addBasis(Record, C.Placement.Basis);
+  log(T, std::move(Record));
+}
+
+/// Ends the call after the placer refused it.
+void placementRefused(GatewayTurn &T, GatewayCall &C, const PlacementReply &M) {
+  const char *Reason = "no engine can answer in time";
+  DecisionRecord Record = record(T, C, "placement_refused", Reason);
+  Record.add("code", static_cast<std::int64_t>(M.Result));
+  Record.add("prompt_tokens", static_cast<std::int64_t>(C.Info.PromptTokens));
+  Record.add("sends", static_cast<std::int64_t>(C.Sends));
+  Record.add("placer",
+             C.IsRemotePlacement ? T.S.Link.Placer.Value : T.S.Self.Value);
+  Record.add("asked_ms", toMilliseconds(T.Now - C.PlacementRequestedAt));
+  Record.add("best_forecast_ms", toMilliseconds(M.Basis.BestForecast));
+  addBasis(Record, M.Basis);
   log(T, std::move(Record));
+  fail(T, C, C.MayHaveRun ? Code::BackendFailed : M.Result, Reason,
+       M.RetryAfter);
 }
 
 /// Reserves memory at the helpers of the placement, or sends the request if no
@@ -221,8 +253,7 @@
     startPlacedCall(T, C, Outcome.Reply);
     return;
   case PlacementVerdict::Refused:
-    fail(T, C, C.MayHaveRun ? Code::BackendFailed : Outcome.Reply.Result,
-         "no engine can answer in time", Outcome.Reply.RetryAfter);
+    placementRefused(T, C, Outcome.Reply);
     return;
   case PlacementVerdict::Waiting:
     checkAt(T, C, T.Now + PlacementResendInterval);
@@ -363,8 +394,7 @@
     return;
   }
   if (M.Result != Code::Ok) {
-    fail(T, *C, C->MayHaveRun ? Code::BackendFailed : M.Result,
-         "no engine can answer in time", M.RetryAfter);
+    placementRefused(T, *C, M);
     return;
   }
   if (M.First.Engine.empty()) {
@@ -519,8 +549,7 @@
     if (Reply.Result == Code::Ok)
       startPlacedCall(T, *C, Reply);
     else
-      fail(T, *C, C->MayHaveRun ? Code::BackendFailed : Reply.Result,
-           "no engine can answer in time", Reply.RetryAfter);
+      placementRefused(T, *C, Reply);
   }
 }
 
--- a/packages/gateway/Placer.cpp
+++ b/packages/gateway/Placer.cpp
@@ -162,6 +162,44 @@
   return Reply;
 }
 
+/// Mean time until the service's engines finish their prefill queues.
+Duration meanBacklog(const PlacerState &S, const ServiceId &Service) {
+  Duration Sum = Duration::zero();
+  std::int64_t Count = 0;
+  for (const auto &[Id, E] : S.Engines) {
+    if (E.Service != Service)
+      continue;
+    Sum += prefillBacklog(E.Prefills);
+    ++Count;
+  }
+  return Count == 0 ? Duration::zero() : Sum / Count;
+}
+
+/// Returns what the placer believes of the service's engines and, with a plan,
+/// of the engines that the plan uses.
+PlacementBasis basisOf(const PlacerState &S, const PlacementRequest &Spec,
+                       const std::optional<placer::Plan> &Plan, TimePoint Now) {
+  PlacementBasis Basis;
+  Basis.Backlog = meanBacklog(S, Spec.Service);
+  for (const auto &[Id, E] : S.Engines)
+    Basis.SlowEngines += E.Service == Spec.Service && E.Slowness > 1 ? 1 : 0;
+  if (!Plan)
+    return Basis;
+  Basis.BestForecast = Plan->Forecast;
+  Basis.PenaltyShare = Plan->Penalty / placer::utilityOf(Spec);
+  for (const PlacedPart &Part : Plan->Parts) {
+    const PlacerEngine &E = S.Engines.at(Part.Engine);
+    Basis.MaxSlowness = std::max(Basis.MaxSlowness, E.Slowness);
+    if (E.SpeedSeenAt == TimePoint()) {
+      ++Basis.UnknownSpeeds;
+      continue;
+    }
+    Basis.SpeedAge = std::max(Basis.SpeedAge.value_or(Duration::zero()),
+                              Now - E.SpeedSeenAt);
+  }
+  return Basis;
+}
+
 PlacementReply place(PlacerState &S, const PlacementKey &Key,
                      const PlacementRequest &Spec, placer::Plan Found,
                      TimePoint Now) {
@@ -182,19 +220,6 @@
   return Reply;
 }
 
-/// Mean time until the service's engines finish their prefill queues.
-Duration meanBacklog(const PlacerState &S, const ServiceId &Service) {
-  Duration Sum = Duration::zero();
-  std::int64_t Count = 0;
-  for (const auto &[Id, E] : S.Engines) {
-    if (E.Service != Service)
-      continue;
-    Sum += prefillBacklog(E.Prefills);
-    ++Count;
-  }
-  return Count == 0 ? Duration::zero() : Sum / Count;
-}
-
 PlacementReply refusal(const PlacerState &S, std::uint64_t Ticket,
                        const ServiceId &Service, Code Reason) {
   PlacementReply Reply;
@@ -260,15 +285,21 @@
     Found = placer::findPlan(S, Spec, Now);
   Duration Slack = Spec.Objective - Least - WaitMargin;
   if (Found && Found->Forecast < Spec.EventTimeLeft &&
-      isAcceptable(*Found, Spec, Slack))
-    return {PlacementVerdict::Placed,
-            place(S, Key, Spec, std::move(*Found), Now)};
+      isAcceptable(*Found, Spec, Slack)) {
+    PlacementBasis Basis = basisOf(S, Spec, Found, Now);
+    PlacementReply Reply = place(S, Key, Spec, std::move(*Found), Now);
+    Reply.Basis = Basis;
+    return {PlacementVerdict::Placed, std::move(Reply)};
+  }
   // A late request waits for a while; then a retry by its caller is better.
   Duration Room =
       Spec.EventTimeLeft - std::max(Spec.Objective, Duration::zero());
-  if (Slack <= Duration::zero() && -Spec.Objective > Room * LateWaitShare)
-    return {PlacementVerdict::Refused,
-            refusal(S, Key.second, Spec.Service, Code::QueueFull)};
+  if (Slack <= Duration::zero() && -Spec.Objective > Room * LateWaitShare) {
+    PlacementReply Reply =
+        refusal(S, Key.second, Spec.Service, Code::QueueFull);
+    Reply.Basis = basisOf(S, Spec, Found, Now);
+    return {PlacementVerdict::Refused, std::move(Reply)};
+  }
   return {PlacementVerdict::Waiting, {}};
 }
 
@@ -329,6 +360,7 @@
   PlacerEngine &E = Found->second;
   double Sample = Ratio > SlowRatio ? Ratio * E.Slowness : 1.0;
   E.Slowness += LearningRate * (std::min(Sample, MaxSlowness) - E.Slowness);
+  E.SpeedSeenAt = Now;
 }
 
 void recordEngineFailure(PlacerState &S, const BackendId &FaultyServer,
@@ -415,8 +447,9 @@
       return {PlacementVerdict::Waiting, {}};
   }
   PlacementOutcome Outcome = decide(S, Key, Spec, /*MaySearch=*/true, Now);
+  Outcome.Reply.Basis.Searches = 1;
   if (Outcome.Verdict == PlacementVerdict::Waiting)
-    S.Queue.push_back({Key, Spec, Now});
+    S.Queue.push_back({Key, Spec, Now, /*Searches=*/1});
   return Outcome;
 }
 
@@ -457,9 +490,11 @@
                    });
   std::size_t Searches = 0;
   for (WaitingRequest &W : Queue) {
-    PlacementOutcome Outcome =
-        decide(S, W.Key, requestAfterWait(W.Spec, Now - W.Since),
-               Searches++ < MaxSearchesPerTick, Now);
+    bool MaySearch = Searches++ < MaxSearchesPerTick;
+    W.Searches += MaySearch ? 1 : 0;
+    PlacementOutcome Outcome = decide(
+        S, W.Key, requestAfterWait(W.Spec, Now - W.Since), MaySearch, Now);
+    Outcome.Reply.Basis.Searches = W.Searches;
     if (Outcome.Verdict == PlacementVerdict::Waiting)
       S.Queue.push_back(std::move(W));
     else
--- a/packages/gateway/Placer.h
+++ b/packages/gateway/Placer.h
@@ -74,6 +74,7 @@
   PlacementKey Key;
   PlacementRequest Spec;
   TimePoint Since{};
+  std::uint64_t Searches = 0; // Searches for engines so far.
 };
 
 /// Load of an engine, estimated from the requests placed on it.
@@ -93,6 +94,7 @@
   std::vector<EngineShare> Shares; // Source of the totals above.
   Duration MaxEventGap = {}; // Shortest limit of its requests; zero: none.
   double Slowness = 1;       // Prefill time relative to the data sheet.
+  TimePoint SpeedSeenAt{};   // Latest observation of Slowness; epoch: none.
   double Bias = 0; // Cost term that makes hosts which place independently
                    // prefer different engines.
   std::uint32_t Failures = 0; // Consecutive failures.
--- a/packages/gateway/tests/GatewayTest.cpp
+++ b/packages/gateway/tests/GatewayTest.cpp
@@ -652,3 +652,35 @@
   auto Update = std::get<PlacementUpdate>(R.only<SendPeer>().Content);
   BOOST_TEST((Update.Stage == PlacementStage::Ended));
 }
+
+/// A refusal must be explained by the logs of the host that the caller reached:
+/// what the placer believed of the engines, and how old that belief was.
+BOOST_AUTO_TEST_CASE(RefusalIsLoggedWithThePlacersBeliefs) {
+  GatewayFixture R;
+  HostId Placer("10.0.0.2");
+  R.S.Link.Placer = Placer;
+  R.stream();
+  PlacementReply Reply;
+  Reply.Ticket = std::get<PlacementRequest>(R.only<SendPeer>().Content).Ticket;
+  Reply.Result = Code::QueueFull;
+  Reply.Basis.MaxSlowness = 4;
+  Reply.Basis.SpeedAge = milliseconds(700);
+  R.event(PeerMessage{Placer, 1, Reply});
+  const DecisionRecord *Refusal = nullptr;
+  std::vector<LogDecision> Lines = R.all<LogDecision>();
+  for (const LogDecision &Line : Lines) {
+    if (std::string(Line.Record.Kind) == "placement_refused")
+      Refusal = &Line.Record;
+  }
+  BOOST_REQUIRE(Refusal != nullptr);
+  auto Has = [&](const DecisionField &Wanted) {
+    return std::any_of(Refusal->Fields.begin(), Refusal->Fields.end(),
+                       [&](const DecisionField &Field) {
+                         return std::string(Field.Name) == Wanted.Name &&
+                                Field.Value == Wanted.Value;
+                       });
+  };
+  BOOST_TEST(Has({"slowness_max", 4.0}));
+  BOOST_TEST(Has({"speed_age_ms", std::int64_t{700}}));
+  BOOST_TEST(Has({"placer", Placer.Value}));
+}
--- a/packages/wire/SiteMessages.h
+++ b/packages/wire/SiteMessages.h
@@ -24,6 +24,7 @@
 #include "wire/MessageList.h"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -163,6 +164,29 @@
   }
 };
 
+/// What the placer believed when it placed or refused a request. Entry hosts
+/// write it to their logs and make no decision with it.
+struct PlacementBasis {
+  double MaxSlowness = 1; // Highest prefill time of a chosen engine, relative
+                          // to its data sheet.
+  std::uint64_t UnknownSpeeds = 0;  // Chosen engines without an observed speed.
+  std::optional<Duration> SpeedAge; // Age of the oldest observed speed of the
+                                    // chosen engines; empty: none.
+  std::uint64_t SlowEngines = 0; // Engines of the service that are slower than
+                                 // their data sheet.
+  Duration Backlog = {};         // Mean prefill backlog of all engines.
+  Duration BestForecast = {}; // Forecast of the best plan; zero: no plan found.
+  double PenaltyShare = 0; // That plan's penalty for other requests, as a share
+                           // of the request's own utility.
+  std::uint64_t Searches = 0; // Searches for engines, the last one included.
+
+  template <class Self, class Visitor>
+  static void fields(Self &M, Visitor &&Visit) {
+    Visit(M.MaxSlowness, M.UnknownSpeeds, M.SpeedAge, M.SlowEngines, M.Backlog,
+          M.BestForecast, M.PenaltyShare, M.Searches);
+  }
+};
+
 /// The placer's answer. Without a first engine and with Result Ok it
 /// acknowledges that the request waits.
 struct PlacementReply {
@@ -173,10 +197,12 @@
   std::vector<EnginePart> Helpers; // Engines that prefill parts of the prompt.
   Duration Forecast = {};          // Forecast time to the first event.
   Duration RetryAfter = {}; // Delay before the caller's retry of a refusal.
+  PlacementBasis Basis;
 
   template <class Self, class Visitor>
   static void fields(Self &M, Visitor &&Visit) {
-    Visit(M.Ticket, M.Result, M.First, M.Helpers, M.Forecast, M.RetryAfter);
+    Visit(M.Ticket, M.Result, M.First, M.Helpers, M.Forecast, M.RetryAfter,
+          M.Basis);
   }
 };
 
