gateway: the choice of engines counts their slowness

What callers saw: long prompts answered seconds late, or not at all, while some engines were slow, even where the placer knew which. Cause: the search ordered engines by backlog and penalties; the time that the request's own part takes at an engine was left out, so an idle slow engine came before a busy fast one, and one slow member holds up its whole group. The event interval, which is decode steps of the same engine, was forecast at the speed of the data sheet. Change: the cost of an engine has the part's prefill time there, at the price of backlog; event intervals and the prefill within one grow with slowness.

--- a/packages/gateway/PlacerSearch.cpp
+++ b/packages/gateway/PlacerSearch.cpp
@@ -57,6 +57,7 @@
   Duration Backlog = {};
   Duration Interval = {}; // Event interval if this engine decodes the answer.
   Duration IntervalWait = {}; // Expected wait for the current event interval.
+  Duration MaxPrefill = {};   // Most of the prompt's prefill in one interval.
   double PrefillSlowdown = 1; // Factor due to decode steps of other requests.
   double BaseCost = 0;
   std::uint64_t FreeTokens = 0;
@@ -97,7 +98,8 @@
   TimePoint Now;
   const EngineProfile &F;
   Duration FullPrefillTime; // Prefill time of the whole prompt on one engine.
-  Duration MaxPrefill; // Most of this prompt's prefill in one event interval.
+  Duration MaxPrefill; // Most of this prompt's prefill in one event interval of
+                       // an engine as fast as its data sheet.
 
   bool isEligible(const BackendId &Id, const PlacerEngine &E,
                   bool AllowAvoided) const {
@@ -164,9 +166,12 @@
     C.Engine = &E;
     C.Backlog = prefillBacklog(E.Prefills);
     std::size_t Active = E.DecodingCount + E.PrefillingCount;
-    C.Interval = eventIntervalTime(F, E.DecodingCount + 1,
-                                   E.DecodingContext + Spec.PromptTokens);
-    C.IntervalWait = intervalWait(E, C.Backlog, MaxPrefill);
+    C.Interval =
+        scaled(eventIntervalTime(F, E.DecodingCount + 1,
+                                 E.DecodingContext + Spec.PromptTokens),
+               E.Slowness);
+    C.MaxPrefill = scaled(MaxPrefill, E.Slowness);
+    C.IntervalWait = intervalWait(E, C.Backlog, C.MaxPrefill);
     C.PrefillSlowdown = toSeconds(prefillTimeWhileDecoding(
         F, seconds(1), E.DecodingCount, E.DecodingContext));
     auto Usable = static_cast<std::uint64_t>(
@@ -195,10 +200,11 @@
         C.IntervalWait + scaled(PrefillTime + Ahead, C.PrefillSlowdown);
     if (E.DecodingCount + E.PrefillingCount > 0)
       O.Penalty = eventDelayPenalty(
-          E, O.Interval + std::min(C.Backlog + PrefillTime, MaxPrefill));
+          E, O.Interval + std::min(C.Backlog + PrefillTime, C.MaxPrefill));
     if (IsSplit)
       O.ExpectedPenalty = prefillDelayPenalty(C, PrefillTime);
-    O.Cost = O.Penalty + O.ExpectedPenalty + C.BaseCost;
+    O.Cost = O.Penalty + O.ExpectedPenalty + C.BaseCost +
+             toSeconds(PrefillTime) * UtilityPerSecond;
     return O;
   }
 
@@ -208,9 +214,9 @@
                         Duration MaxPrefill) const {
     if (E.DecodingCount == 0)
       return Duration::zero();
-    return (eventIntervalTime(F, E.DecodingCount, E.DecodingContext) +
-            std::min(Backlog, MaxPrefill)) /
-           2;
+    Duration Interval = scaled(
+        eventIntervalTime(F, E.DecodingCount, E.DecodingContext), E.Slowness);
+    return (Interval + std::min(Backlog, MaxPrefill)) / 2;
   }
 
   /// Cost that steers short prompts to engines which already decode for
--- a/packages/gateway/tests/PlacerTest.cpp
+++ b/packages/gateway/tests/PlacerTest.cpp
@@ -351,3 +351,31 @@
   for (const char *Id : {"e100", "e101"})
     BOOST_TEST((prefillBacklog(S.Engines.at(BackendId(Id)).Prefills) == Part));
 }
+
+/// Guards against a slow engine in a group, which delays the whole prompt: the
+/// choice of engines must count the time that a part takes at each of them.
+BOOST_FIXTURE_TEST_CASE(GroupsLeaveOutSlowEngines, Fixture) {
+  addEngines(12);
+  for (const char *Id : {"e100", "e103", "e104", "e111"})
+    S.Engines.at(BackendId(Id)).Slowness = 4;
+  PlacementOutcome O = place(longRequest(200000));
+  BOOST_TEST_REQUIRE((O.Verdict == PlacementVerdict::Placed));
+  BOOST_TEST(!O.Reply.Helpers.empty());
+  BOOST_TEST(S.Engines.at(O.Reply.First.Engine).Slowness == 1);
+  for (const EnginePart &Helper : O.Reply.Helpers)
+    BOOST_TEST(S.Engines.at(Helper.Engine).Slowness == 1);
+}
+
+/// Guards against forecasts that are too short at a slow engine: its decode
+/// steps take longer as well as its prefill.
+BOOST_FIXTURE_TEST_CASE(ForecastGrowsWithSlowness, Fixture) {
+  addEngines(1);
+  PlacementRequest A = shortRequest();
+  A.Objective = seconds(2);
+  Duration OnSheet = place(A).Reply.Forecast;
+  dropHost(S, Here);
+  S.Engines.at(BackendId("e100")).Slowness = 4;
+  Duration Slow = place(A).Reply.Forecast;
+  BOOST_TEST(toMilliseconds(Slow) >= toMilliseconds(4 * OnSheet) - 1);
+  BOOST_TEST(toMilliseconds(Slow) <= toMilliseconds(4 * OnSheet) + 1);
+}
