gateway: engines in doubt are asked how slow they are

Cause: the placer learned an engine's slowness from first events of requests on that engine alone. Long prompts run on groups, which taught nothing; every group of 16 had a slow member. What a single engine taught was forgotten, as a forecast that allowed for the slowness came true and counted as proof of full speed; and errors of the forecast counted as slowness of healthy engines. Evidence: the placed lines of lost requests have a belief of 1.00 (median), 8 s old, with 7 of 12 engines never observed. Change: a first event that is half its forecast late puts all engines of the request in doubt; the placer, and no other host, asks each for its load report, once a second at most, until it reports its usual speed. The estimate from first events is gone. A report corrects the backlog that is already queued. Why it works: the engine knows its own speed, and a group's late first event need not be attributed to one of 16. A fleet that keeps its forecasts is never asked. Of the longest tenth still too few are served.

--- a/bench/PlacerFleet.cpp
+++ b/bench/PlacerFleet.cpp
@@ -2,6 +2,7 @@
 
 #include "base/Random.h"
 #include "gateway/EngineCost.h"
+#include "gateway/EngineSpeed.h"
 #include "gateway/Placer.h"
 
 #include <algorithm>
@@ -17,6 +18,8 @@
 const HostId EntryHost("10.0.0.1");
 /// Step of the virtual time.
 constexpr Duration Step = milliseconds(5);
+/// Time until the answer to a query of an engine's load.
+constexpr Duration ReportLag = milliseconds(200);
 /// Time after the last arrival until all requests have ended.
 constexpr Duration CoolDown = seconds(16);
 /// Utility of a late answer, as a share of that of one in time.
@@ -72,6 +75,7 @@
   std::vector<Caller> Callers;
   std::map<std::uint64_t, FleetAttempt> Open; // By ticket.
   std::uint64_t NextTicket = 1;
+  std::deque<std::pair<TimePoint, BackendId>> SpeedQueries; // Answers due.
 
   explicit Fleet(const FleetRun &R) : Run(R), Rng(R.Seed) {
     RoutingConfig Config;
@@ -300,6 +304,16 @@
     }
   }
 
+  /// Answers the placer's queries with the slowness of some time ago.
+  void answerSpeedQueries() {
+    for (const BackendId &Id : takeSpeedQueries(Placer, Now))
+      SpeedQueries.emplace_back(Now + ReportLag, Id);
+    for (; !SpeedQueries.empty() && SpeedQueries.front().first <= Now;
+         SpeedQueries.pop_front())
+      recordSlowness(Placer, SpeedQueries.front().second,
+                     Engines.at(SpeedQueries.front().second).Slowness, Now);
+  }
+
   void play() {
     makeCallers();
     std::size_t Next = 0;
@@ -315,6 +329,7 @@
         if (ask(Ticket, A))
           Open[Ticket] = std::move(A);
       }
+      answerSpeedQueries();
       if (Now < TickAt)
         continue;
       tickWaiting();
--- a/packages/gateway/Gateway.cpp
+++ b/packages/gateway/Gateway.cpp
@@ -37,10 +37,17 @@
   GatewayTurn &T;
   const Event &Original;
 
+  /// Whether the event belongs to an order or a query of this host and not to a
+  /// caller's request; it is then processed.
+  bool isOwnQuery() const {
+    return reservationEvent(T, Original) || speedQueryEvent(T, Original);
+  }
+
   void operator()(const Tick &) const {
     tickHeld(T);
     tickCalls(T);
     tickPlacing(T);
+    tickSpeeds(T);
     tickSite(T);
   }
   void operator()(const PeerMessage &E) const {
@@ -68,19 +75,19 @@
   void operator()(const ExchangeLeft &E) const { callerLeft(T, E.Exchange); }
   void operator()(const UpstreamSent &E) const { upstreamSent(T, E.Call); }
   void operator()(const UpstreamHead &E) const {
-    if (!reservationEvent(T, Original))
+    if (!isOwnQuery())
       upstreamHead(T, E);
   }
   void operator()(const UpstreamData &E) const {
-    if (!reservationEvent(T, Original))
+    if (!isOwnQuery())
       upstreamData(T, E);
   }
   void operator()(const UpstreamEnd &E) const {
-    if (!reservationEvent(T, Original))
+    if (!isOwnQuery())
       upstreamEnd(T, E);
   }
   void operator()(const UpstreamFailed &E) const {
-    if (!reservationEvent(T, Original))
+    if (!isOwnQuery())
       upstreamFailed(T, E.Call, E.Why);
   }
   void operator()(const StopRequested &) const { stopRequested(T); }
@@ -135,7 +142,8 @@
 
 TimePoint nextWakeup(const Gateway &S, TimePoint Now) {
   TimePoint Next =
-      std::min(nextLinkTick(S.Link), nextPlacerTick(S.Engines, Now));
+      std::min({nextLinkTick(S.Link), nextPlacerTick(S.Engines, Now),
+                nextSpeedTick(S, Now)});
   for (const HeldRequest &Request : S.Held)
     Next = std::min(Next, Request.HoldUntil);
   for (const PendingRelease &Release : S.Releases)
@@ -184,6 +192,18 @@
   T.S.Timers.emplace(At, C.Ticket);
 }
 
+UpstreamId upstreamOf(const Event &E) {
+  if (const auto *Head = std::get_if<UpstreamHead>(&E))
+    return Head->Call;
+  if (const auto *Data = std::get_if<UpstreamData>(&E))
+    return Data->Call;
+  if (const auto *End = std::get_if<UpstreamEnd>(&E))
+    return End->Call;
+  if (const auto *Failed = std::get_if<UpstreamFailed>(&E))
+    return Failed->Call;
+  return UpstreamId{};
+}
+
 void log(GatewayTurn &T, DecisionRecord Record) {
   T.Out.push_back(LogDecision{std::move(Record)});
 }
--- a/packages/gateway/Gateway.h
+++ b/packages/gateway/Gateway.h
@@ -25,6 +25,7 @@
 // Attempt.cpp     attempts and their failures
 // Answer.cpp      answers and streams
 // PlacePart.cpp   placement on engines, memory reservations
+// SpeedPart.cpp   load reports of engines whose speed is in doubt
 // SitePart.cpp    control hosts, other entry hosts, shutdown
 //
 //===----------------------------------------------------------------------===//
@@ -95,6 +96,14 @@
                            // unanswered order may still renew the reservation.
 };
 
+/// A query of an engine's load that has no answer yet.
+struct SpeedQuery {
+  BackendId Engine;
+  int Status = 0; // HTTP status of the answer; zero: no head yet.
+  std::string Body;
+  TimePoint ExpiresAt{};
+};
+
 /// One sending of a request to a backend server.
 struct CallAttempt {
   BackendId Server;
@@ -197,6 +206,7 @@
   std::map<HostId, IncarnationNumber>
       RequesterIncarnations; // Of entry hosts that sent placement requests.
   std::vector<PendingRelease> Releases;
+  std::map<UpstreamId, SpeedQuery> SpeedQueries;
   std::map<HostId, TimePoint> LostHosts; // When a host's link was lost.
 
   bool Stopping = false;
--- a/packages/gateway/GatewayTurn.h
+++ b/packages/gateway/GatewayTurn.h
@@ -33,6 +33,9 @@
 /// Sends an answer to a caller; does nothing if the caller disconnected.
 void reply(GatewayTurn &T, ExchangeId Exchange, HttpReply Reply);
 
+/// Returns the upstream exchange of an event, or zero.
+UpstreamId upstreamOf(const Event &E);
+
 // Admission.cpp
 /// Admits a caller's request and starts its first attempt, or holds or refuses
 /// the request.
@@ -113,6 +116,19 @@
 /// reports running ones to it.
 void followPlacer(GatewayTurn &T);
 
+/// Whether this host chooses engines itself: it is the placer, or none is known
+/// or the placer is avoided.
+bool placesHere(const Gateway &S, TimePoint Now);
+
+// SpeedPart.cpp
+/// Asks engines whose speed is in doubt for their load reports.
+void tickSpeeds(GatewayTurn &T);
+/// Returns the time by which tickSpeeds() must be called next.
+TimePoint nextSpeedTick(const Gateway &S, TimePoint Now);
+/// Processes an event that belongs to a query of an engine's load. Returns
+/// false for any other event.
+bool speedQueryEvent(GatewayTurn &T, const Event &E);
+
 // SitePart.cpp
 /// Queries the control host, drops the placements of lost hosts and advances a
 /// shutdown.
--- a/packages/gateway/PlacePart.cpp
+++ b/packages/gateway/PlacePart.cpp
@@ -37,11 +37,6 @@
 /// Short enough for several renewals within a lease, since some may be lost.
 constexpr Duration RenewInterval = milliseconds(700);
 
-bool placesLocally(const Gateway &S, TimePoint Now) {
-  return S.Link.Placer.empty() || S.Link.Placer == S.Self ||
-         Now < S.PlacerAvoidedUntil;
-}
-
 PlacementRequest makePlacementRequest(const GatewayTurn &T,
                                       const GatewayCall &C) {
   const Route &R = *C.Path;
@@ -290,18 +285,6 @@
   sendAttempt(T, C, helpersOf(T, C));
 }
 
-UpstreamId upstreamOf(const Event &E) {
-  if (const auto *Head = std::get_if<UpstreamHead>(&E))
-    return Head->Call;
-  if (const auto *Data = std::get_if<UpstreamData>(&E))
-    return Data->Call;
-  if (const auto *End = std::get_if<UpstreamEnd>(&E))
-    return End->Call;
-  if (const auto *Failed = std::get_if<UpstreamFailed>(&E))
-    return Failed->Call;
-  return UpstreamId{};
-}
-
 /// Sends an order that releases a reservation.
 void sendRelease(GatewayTurn &T, PendingRelease &Release) {
   Gateway &S = T.S;
@@ -373,10 +356,15 @@
 
 } // namespace
 
+bool placesHere(const Gateway &S, TimePoint Now) {
+  return S.Link.Placer.empty() || S.Link.Placer == S.Self ||
+         Now < S.PlacerAvoidedUntil;
+}
+
 void requestPlacement(GatewayTurn &T, GatewayCall &C) {
   C.Stage = CallStage::Placing;
   C.PlacementRequestedAt = T.Now;
-  if (placesLocally(T.S, T.Now))
+  if (placesHere(T.S, T.Now))
     placeLocally(T, C);
   else
     placeRemotely(T, C);
@@ -518,7 +506,7 @@
     checkAt(T, C, T.Now + PlacementResendInterval);
     return;
   }
-  if (C.Acknowledged && !placesLocally(T.S, T.Now)) {
+  if (C.Acknowledged && !placesHere(T.S, T.Now)) {
     placeRemotely(T, C);
     return;
   }
--- a/packages/gateway/Placer.cpp
+++ b/packages/gateway/Placer.cpp
@@ -1,6 +1,7 @@
 #include "gateway/Placer.h"
 
 #include "gateway/EngineCost.h"
+#include "gateway/EngineSpeed.h"
 #include "gateway/PlacerSearch.h"
 
 #include <algorithm>
@@ -20,11 +21,6 @@
 constexpr Duration InitialAvoidance = milliseconds(300);
 constexpr Duration MaxAvoidance = seconds(5);
 constexpr std::uint32_t MaxDoublings = 5;
-/// Weight of a new sample in an engine's slowness, and the ratio of actual to
-/// forecast time above which a sample counts as slow.
-constexpr double LearningRate = 0.3;
-constexpr double SlowRatio = 1.8;
-constexpr double MaxSlowness = 10;
 /// Cost of one rank in a host's preferences, for hosts that place
 /// independently.
 constexpr double CostPerRank = 2;
@@ -88,7 +84,10 @@
     Share.IsFirstPart = IsFirst;
     Share.IsOnlyPart = Request.Parts.size() == 1;
     Share.FirstEventForecast = Request.FirstEventForecast;
+    Share.DoubtAt = doubtAt(Request.Since, Request.FirstEventForecast);
     Share.Decoding = Request.Decoding;
+    if (!Share.Decoding)
+      S.SpeedCheckAt = std::min(S.SpeedCheckAt, Share.DoubtAt);
     Found->second.Shares.push_back(std::move(Share));
     updateTotals(Found->second);
   }
@@ -349,20 +348,6 @@
   return {PlacementVerdict::Placed, Reply};
 }
 
-void updateSlowness(PlacerState &S, const PlacedRequest &Request,
-                    TimePoint Now) {
-  auto Found = S.Engines.find(Request.Parts.front().Engine);
-  Duration Forecast = Request.FirstEventForecast - Request.Since;
-  if (Found == S.Engines.end() || Request.Parts.size() != 1 ||
-      Forecast <= Duration::zero())
-    return;
-  double Ratio = toSeconds(Now - Request.Since) / toSeconds(Forecast);
-  PlacerEngine &E = Found->second;
-  double Sample = Ratio > SlowRatio ? Ratio * E.Slowness : 1.0;
-  E.Slowness += LearningRate * (std::min(Sample, MaxSlowness) - E.Slowness);
-  E.SpeedSeenAt = Now;
-}
-
 void recordEngineFailure(PlacerState &S, const BackendId &FaultyServer,
                          TimePoint Now) {
   auto Found = S.Engines.find(FaultyServer);
@@ -463,7 +448,6 @@
   if (Found == S.Placed.end())
     return;
   if (Stage == PlacementStage::Decoding) {
-    updateSlowness(S, Found->second, Now);
     setDecoding(S, Key, Found->second);
     return;
   }
--- a/packages/gateway/Placer.h
+++ b/packages/gateway/Placer.h
@@ -68,6 +68,7 @@
   bool IsOnlyPart = false;  // No other engine has a part of the request.
   bool Decoding = false;
   TimePoint FirstEventForecast{}; // Forecast time of the first event.
+  TimePoint DoubtAt{}; // Without a first event by then, the engine may be slow.
 };
 
 struct WaitingRequest {
@@ -92,9 +93,10 @@
   std::uint64_t MemoryTokens = 0;    // Tokens of memory held.
   PrefillQueue Prefills; // Estimated state at PlacerState::PrefillsAt.
   std::vector<EngineShare> Shares; // Source of the totals above.
-  Duration MaxEventGap = {}; // Shortest limit of its requests; zero: none.
-  double Slowness = 1;       // Prefill time relative to the data sheet.
-  TimePoint SpeedSeenAt{};   // Latest observation of Slowness; epoch: none.
+  Duration MaxEventGap = {};  // Shortest limit of its requests; zero: none.
+  double Slowness = 1;        // Prefill time relative to the data sheet.
+  TimePoint SpeedSeenAt{};    // Latest report of Slowness; epoch: none.
+  TimePoint SpeedQueriedAt{}; // Latest query of its load; epoch: none.
   double Bias = 0; // Cost term that makes hosts which place independently
                    // prefer different engines.
   std::uint32_t Failures = 0; // Consecutive failures.
@@ -109,6 +111,8 @@
   std::map<PlacementKey, PlacedRequest> Placed;
   std::deque<WaitingRequest> Queue; // In order of arrival.
   TimePoint PrefillsAt{}; // Time to which all prefill queues are advanced.
+  TimePoint SpeedCheckAt = TimePoint::max(); // Next check whether engines are
+                                             // to be asked for their speed.
   TimePoint PlacementPausedUntil{}; // New requests wait until then, while entry
                                     // hosts report what already runs.
 };
--- a/packages/gateway/tests/GatewayTest.cpp
+++ b/packages/gateway/tests/GatewayTest.cpp
@@ -143,6 +143,17 @@
     return Found.front();
   }
 
+  /// The only query of an engine's load among the last effects.
+  calls::OpenUpstream onlySpeedQuery() const {
+    std::vector<calls::OpenUpstream> Queries;
+    for (calls::OpenUpstream &Open : all<calls::OpenUpstream>()) {
+      if (Open.Request.Target == "/-/report")
+        Queries.push_back(std::move(Open));
+    }
+    BOOST_REQUIRE_MESSAGE(Queries.size() == 1, "queries: " << Queries.size());
+    return Queries.front();
+  }
+
   void sent(UpstreamId Id) { event(UpstreamSent{Id}); }
   void head(UpstreamId Id, int Status, std::vector<HttpHeader> More = {}) {
     std::vector<HttpHeader> Headers = {{"X-Pimentoglade-Attempt-Id", "id1"},
@@ -684,3 +695,71 @@
   BOOST_TEST(Has({"speed_age_ms", std::int64_t{700}}));
   BOOST_TEST(Has({"placer", Placer.Value}));
 }
+
+/// Guards against a slow engine that goes unnoticed because nobody can tell it
+/// from the late first event alone: the placer asks for its load report, and
+/// again until the engine is as fast as its data sheet.
+BOOST_AUTO_TEST_CASE(EngineWithALateFirstEventIsAskedForItsSpeed) {
+  GatewayFixture R;
+  R.namePlacer("10.0.0.1");
+  ExchangeId Call = R.stream();
+  calls::OpenUpstream Sent = R.only<calls::OpenUpstream>();
+  R.advance(milliseconds(40));
+  BOOST_TEST(R.all<calls::OpenUpstream>().empty()); // Not in doubt yet.
+  R.advance(milliseconds(200));
+  calls::OpenUpstream Query = R.onlySpeedQuery();
+  BOOST_TEST(Query.Request.Address == Sent.Request.Address);
+  R.event(UpstreamHead{Query.Upstream, 200, {}});
+  R.event(UpstreamData{Query.Upstream, R"({"pace":4.0})"});
+  R.event(UpstreamEnd{Query.Upstream, true});
+  BackendId Engine(Sent.Request.Address == "10.0.1.1:80" ? "e1" : "e2");
+  BOOST_TEST(R.S.Engines.Engines.at(Engine).Slowness == 4.0);
+  R.event(ExchangeLeft{Call});
+  R.advance(milliseconds(1000));
+  Query = R.onlySpeedQuery(); // Asked again once a second.
+  R.event(UpstreamHead{Query.Upstream, 200, {}});
+  R.event(UpstreamData{Query.Upstream, R"({"pace":1})"});
+  R.event(UpstreamEnd{Query.Upstream, true});
+  BOOST_TEST(R.S.Engines.Engines.at(Engine).Slowness == 1.0);
+}
+
+/// Guards against queries that never end, or that change a belief without an
+/// answer, at an engine that is silent or answers with something else.
+BOOST_AUTO_TEST_CASE(UnansweredSpeedQueryChangesNothing) {
+  GatewayFixture R;
+  R.namePlacer("10.0.0.1");
+  R.stream();
+  R.advance(milliseconds(240));
+  calls::OpenUpstream Query = R.onlySpeedQuery();
+  R.event(UpstreamHead{Query.Upstream, 200, {}});
+  R.event(UpstreamData{Query.Upstream, "{"});
+  R.event(UpstreamEnd{Query.Upstream, true});
+  for (const auto &[Id, E] : R.S.Engines.Engines)
+    BOOST_TEST(E.Slowness == 1.0);
+  R.advance(milliseconds(1000));
+  Query = R.onlySpeedQuery();
+  R.advance(milliseconds(600));
+  BOOST_TEST(R.S.SpeedQueries.empty());
+  std::vector<calls::AbortUpstream> Aborted = R.all<calls::AbortUpstream>();
+  BOOST_TEST(std::any_of(Aborted.begin(), Aborted.end(),
+                         [&](const calls::AbortUpstream &Abort) {
+                           return Abort.Upstream == Query.Upstream;
+                         }));
+}
+
+/// Guards against queries by every entry host: only the host that places
+/// requests needs to know the engines' speed.
+BOOST_AUTO_TEST_CASE(OnlyThePlacerAsksForSpeeds) {
+  GatewayFixture R;
+  HostId Placer("10.0.0.2");
+  R.namePlacer("10.0.0.2");
+  R.stream();
+  PlacementReply Reply;
+  Reply.Ticket = std::get<PlacementRequest>(R.only<SendPeer>().Content).Ticket;
+  Reply.First.Engine = BackendId("e2");
+  Reply.Forecast = milliseconds(80);
+  R.event(PeerMessage{Placer, 1, Reply});
+  BOOST_TEST(R.all<calls::OpenUpstream>().size() == 1U);
+  R.advance(milliseconds(500));
+  BOOST_TEST(R.all<calls::OpenUpstream>().empty());
+}
--- a/packages/gateway/tests/PlacerTest.cpp
+++ b/packages/gateway/tests/PlacerTest.cpp
@@ -1,6 +1,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include "gateway/EngineCost.h"
+#include "gateway/EngineSpeed.h"
 #include "gateway/Placer.h"
 
 #include <set>
@@ -379,3 +380,37 @@
   BOOST_TEST(toMilliseconds(Slow) >= toMilliseconds(4 * OnSheet) - 1);
   BOOST_TEST(toMilliseconds(Slow) <= toMilliseconds(4 * OnSheet) + 1);
 }
+
+/// Guards against a slow engine that is hidden in a group: after the late first
+/// event of a split prompt, every engine of the group is asked.
+BOOST_FIXTURE_TEST_CASE(LateGroupPutsAllItsEnginesInDoubt, Fixture) {
+  addEngines(12);
+  PlacementOutcome O = place(longRequest(200000));
+  BOOST_TEST_REQUIRE(!O.Reply.Helpers.empty());
+  BOOST_TEST(takeSpeedQueries(S, Now + O.Reply.Forecast).empty());
+  Now += 2 * O.Reply.Forecast + milliseconds(50);
+  std::set<BackendId> Asked;
+  for (int I = 0; I < 20; ++I) {
+    for (const BackendId &Id : takeSpeedQueries(S, Now))
+      BOOST_TEST(Asked.insert(Id).second);
+    Now += milliseconds(25);
+  }
+  std::set<BackendId> Group = {O.Reply.First.Engine};
+  for (const EnginePart &Helper : O.Reply.Helpers)
+    Group.insert(Helper.Engine);
+  BOOST_TEST((Asked == Group));
+  BOOST_TEST((nextSpeedQuery(S) > Now));
+}
+
+/// Guards against a backlog that is forecast with an outdated speed.
+BOOST_FIXTURE_TEST_CASE(ReportedSlownessCorrectsTheBacklog, Fixture) {
+  addEngines(1);
+  place(longRequest());
+  PlacerEngine &E = S.Engines.at(BackendId("e100"));
+  Duration Before = prefillBacklog(E.Prefills);
+  recordSlowness(S, BackendId("e100"), 4, Now);
+  BOOST_TEST((prefillBacklog(E.Prefills) == 4 * Before));
+  recordSlowness(S, BackendId("e100"), 1.05, Now); // As good as the data sheet.
+  BOOST_TEST(E.Slowness == 1.0);
+  BOOST_TEST((prefillBacklog(E.Prefills) == Before));
+}
--- a/packages/routing/Adapter.h
+++ b/packages/routing/Adapter.h
@@ -103,7 +103,8 @@
   bool Events = false;      // The body is a stream of events.
 };
 
-/// An HTTP request that reserves or releases memory at an engine.
+/// An HTTP request to an engine that reserves or releases memory, or asks for
+/// the engine's load.
 struct EngineOrder {
   HttpMethod Method = HttpMethod::Post;
   std::string Target;
@@ -111,6 +112,11 @@
   std::string Body;
 };
 
+/// Information from an engine's load report.
+struct EngineLoad {
+  double Slowness = 1; // Time of the engine's work relative to its data sheet.
+};
+
 struct Adapter {
   PlatformCall (*DecodeCall)(const HttpRequest &R) = nullptr;
   /// Parses a configuration. Returns a description of the first error, or an
@@ -131,6 +137,11 @@
   EngineOrder (*EncodeReserve)(const std::string &Ticket, std::uint64_t Tokens,
                                Duration Hold) = nullptr;
   EngineOrder (*EncodeRelease)(const std::string &Ticket) = nullptr;
+  /// Returns the request for an engine's load report.
+  EngineOrder (*EncodeLoadQuery)() = nullptr;
+  /// Parses a load report; empty if it is malformed.
+  std::optional<EngineLoad> (*DecodeLoadReport)(std::string_view Body) =
+      nullptr;
   /// Returns the body that acknowledges a backend server's report.
   /// \p NextAddress is the address for its next report, or empty.
   std::string (*EncodeReportReply)(const std::string &NextAddress) = nullptr;
