gateway: all waiting requests are searched for in turn

What callers saw: long prompts refused after 4 s and more with 503, code 201, without a send, while the placer's backlog was 0.15 s. Cause: a tick makes six searches, since a search takes processor time, and gave them to those whose objective ended first. These are the same six at each tick, and under load they are the ones that fit nowhere; all others waited until they were late themselves and were then refused. Evidence: of 179 prompts over 111,000 tokens that were refused without a send on audits-slow, 65 had been searched for once, on arrival, in 4 s. Change: a waiting request is due again after a tenth of its objective, and the ones due first are searched for. Those with short objectives still come often.

--- a/packages/gateway/Placer.cpp
+++ b/packages/gateway/Placer.cpp
@@ -14,6 +14,8 @@
 constexpr Duration QueueInterval = milliseconds(25);
 /// Limit of searches in one tick, since a search takes processor time.
 constexpr std::size_t MaxSearchesPerTick = 6;
+/// Share of its objective after which a waiting request is searched for again.
+constexpr double SearchShare = 0.1;
 /// A placed request is dropped this long after its deadline.
 constexpr Duration ForgetAfter = seconds(2);
 /// Time for which a failed engine is avoided; doubles with each failure in a
@@ -263,6 +265,12 @@
   return Found.Penalty <= Utility * Share;
 }
 
+/// Time at which the next search for a waiting request is due. Requests with
+/// short objectives are searched for more often.
+TimePoint nextSearch(const PlacementRequest &Spec, TimePoint Now) {
+  return Now + fromSeconds(toSeconds(Spec.Objective) * SearchShare);
+}
+
 /// Places the request, lets it wait or refuses it. \p Spec contains the times
 /// that remain now. Without \p MaySearch, the request is not placed.
 PlacementOutcome decide(PlacerState &S, const PlacementKey &Key,
@@ -434,7 +442,7 @@
   PlacementOutcome Outcome = decide(S, Key, Spec, /*MaySearch=*/true, Now);
   Outcome.Reply.Basis.Searches = 1;
   if (Outcome.Verdict == PlacementVerdict::Waiting)
-    S.Queue.push_back({Key, Spec, Now, /*Searches=*/1});
+    S.Queue.push_back({Key, Spec, Now, /*Searches=*/1, nextSearch(Spec, Now)});
   return Outcome;
 }
 
@@ -464,18 +472,20 @@
   std::vector<std::pair<PlacementKey, PlacementReply>> Answers;
   std::deque<WaitingRequest> Queue = std::move(S.Queue);
   S.Queue.clear();
-  // Highest priority first, then the earliest objective for the first event.
+  // Highest priority first, then the one whose next search is due first.
   std::stable_sort(Queue.begin(), Queue.end(),
                    [](const WaitingRequest &A, const WaitingRequest &B) {
                      if (A.Spec.Priority != B.Spec.Priority)
                        return A.Spec.Priority < B.Spec.Priority;
-                     return A.Since + A.Spec.Objective <
-                            B.Since + B.Spec.Objective;
+                     return A.SearchAt < B.SearchAt;
                    });
   std::size_t Searches = 0;
   for (WaitingRequest &W : Queue) {
     bool MaySearch = Searches++ < MaxSearchesPerTick;
-    W.Searches += MaySearch ? 1 : 0;
+    if (MaySearch) {
+      W.Searches += 1;
+      W.SearchAt = nextSearch(W.Spec, Now);
+    }
     PlacementOutcome Outcome = decide(
         S, W.Key, requestAfterWait(W.Spec, Now - W.Since), MaySearch, Now);
     Outcome.Reply.Basis.Searches = W.Searches;
--- a/packages/gateway/Placer.h
+++ b/packages/gateway/Placer.h
@@ -76,6 +76,7 @@
   PlacementRequest Spec;
   TimePoint Since{};
   std::uint64_t Searches = 0; // Searches for engines so far.
+  TimePoint SearchAt{};       // The next search is due then.
 };
 
 /// Load of an engine, estimated from the requests placed on it.
--- a/packages/gateway/tests/PlacerTest.cpp
+++ b/packages/gateway/tests/PlacerTest.cpp
@@ -414,3 +414,20 @@
   BOOST_TEST(E.Slowness == 1.0);
   BOOST_TEST((prefillBacklog(E.Prefills) == Before));
 }
+
+/// Guards against requests that wait until they are refused while all searches
+/// go to others, which wait longer and fit nowhere either: with many waiting,
+/// each must be searched for in turn.
+BOOST_FIXTURE_TEST_CASE(AllWaitingRequestsAreSearchedFor, Fixture) {
+  addEngines(1);
+  for (int I = 0; I < 40; ++I)
+    place(longRequest(200000));
+  BOOST_TEST_REQUIRE(S.Queue.size() > 20U);
+  for (int I = 0; I < 40; ++I) {
+    Now += milliseconds(25);
+    tickPlacer(S, Now);
+  }
+  BOOST_TEST_REQUIRE(S.Queue.size() > 20U);
+  for (const WaitingRequest &W : S.Queue)
+    BOOST_TEST(W.Searches >= 3U);
+}
