gateway: late requests leave engines to those that can be in time

What callers saw: with more long prompts than the engines can serve, most were answered late instead of some in time and the others refused. Each late answer made the next one late. Change: a late request waits while one that can still be in time would earn more per second of prefill. Short late requests, which cost little, still go first.

--- a/packages/gateway/Placer.cpp
+++ b/packages/gateway/Placer.cpp
@@ -249,6 +249,48 @@
   return Count;
 }
 
+/// Time that the request can still wait and be in time; negative if it is late.
+Duration slackOf(const PlacerState &S, const EngineProfile &F,
+                 const PlacementRequest &Spec) {
+  std::size_t Engines = readyEngines(S, Spec.Service);
+  return Spec.Objective - placer::minTimeToFirstEvent(F, Spec, Engines) -
+         WaitMargin;
+}
+
+/// Utility of the request's answer per second of its prefill.
+double utilityRate(const EngineProfile &F, const PlacementRequest &Spec) {
+  constexpr double MinSeconds = 1e-4;
+  double Seconds = toSeconds(prefillTime(F, Spec.PromptTokens));
+  return placer::utilityOf(Spec) / std::max(MinSeconds, Seconds);
+}
+
+/// Finds the highest utility rates of the requests in \p Queue that can still
+/// be in time.
+void updateOnTimeRates(PlacerState &S, const std::deque<WaitingRequest> &Queue,
+                       TimePoint Now) {
+  S.OnTimeRates.clear();
+  for (const WaitingRequest &W : Queue) {
+    auto Profile = S.Profiles.find(W.Spec.Service);
+    if (Profile == S.Profiles.end())
+      continue;
+    PlacementRequest Aged = requestAfterWait(W.Spec, Now - W.Since);
+    if (slackOf(S, Profile->second, Aged) <= Duration::zero())
+      continue;
+    double &Rate = S.OnTimeRates[Aged.Service];
+    Rate = std::max(Rate, utilityRate(Profile->second, Aged));
+  }
+}
+
+/// Whether a waiting request that can still be in time would earn more with the
+/// same engine time than this one, which is late. Under overload, engines that
+/// serve late requests first make all others late as well.
+bool yieldsToOthers(const PlacerState &S, const EngineProfile &F,
+                    const PlacementRequest &Spec) {
+  auto Others = S.OnTimeRates.find(Spec.Service);
+  return Others != S.OnTimeRates.end() &&
+         utilityRate(F, Spec) * (1 - placer::LateUtilityLoss) < Others->second;
+}
+
 /// Whether to accept the plan instead of waiting for a better one. The penalty
 /// accepted for other requests grows while the request waits. \p Slack: time
 /// that it can still wait and be in time.
@@ -290,8 +332,10 @@
   std::optional<placer::Plan> Found;
   if (MaySearch)
     Found = placer::findPlan(S, Spec, Now);
-  Duration Slack = Spec.Objective - Least - WaitMargin;
-  if (Found && Found->Forecast < Spec.EventTimeLeft &&
+  Duration Slack = slackOf(S, Profile->second, Spec);
+  bool Yields = Slack <= Duration::zero() && Found && !Found->OnTime &&
+                yieldsToOthers(S, Profile->second, Spec);
+  if (Found && Found->Forecast < Spec.EventTimeLeft && !Yields &&
       isAcceptable(*Found, Spec, Slack)) {
     PlacementBasis Basis = basisOf(S, Spec, Found, Now);
     PlacementReply Reply = place(S, Key, Spec, std::move(*Found), Now);
@@ -479,6 +523,7 @@
                        return A.Spec.Priority < B.Spec.Priority;
                      return A.SearchAt < B.SearchAt;
                    });
+  updateOnTimeRates(S, Queue, Now);
   std::size_t Searches = 0;
   for (WaitingRequest &W : Queue) {
     bool MaySearch = Searches++ < MaxSearchesPerTick;
--- a/packages/gateway/Placer.h
+++ b/packages/gateway/Placer.h
@@ -111,6 +111,9 @@
   std::map<BackendId, PlacerEngine> Engines;
   std::map<PlacementKey, PlacedRequest> Placed;
   std::deque<WaitingRequest> Queue; // In order of arrival.
+  std::map<ServiceId, double>
+      OnTimeRates; // Highest utility per second of prefill of the waiting
+                   // requests that could still be in time at the last tick.
   TimePoint PrefillsAt{}; // Time to which all prefill queues are advanced.
   TimePoint SpeedCheckAt = TimePoint::max(); // Next check whether engines are
                                              // to be asked for their speed.
--- a/packages/gateway/tests/PlacerTest.cpp
+++ b/packages/gateway/tests/PlacerTest.cpp
@@ -431,3 +431,32 @@
   for (const WaitingRequest &W : S.Queue)
     BOOST_TEST(W.Searches >= 3U);
 }
+
+/// Guards against overload in which every answer is late: a late request must
+/// leave free engines to a waiting one that can still be in time, and get them
+/// if none waits.
+BOOST_FIXTURE_TEST_CASE(LateRequestsLeaveEnginesToThoseInTime, Fixture) {
+  for (bool OtherWaits : {false, true}) {
+    S = PlacerState();
+    addEngines(1);
+    PlacementRequest Big = longRequest(150000);
+    Big.Objective = seconds(5);
+    PlacementOutcome Running = place(Big); // Takes most of the memory.
+    BOOST_TEST_REQUIRE((Running.Verdict == PlacementVerdict::Placed));
+    startDecoding(Running);
+    PlacementRequest Late = longRequest(100000);
+    Late.Objective = milliseconds(100);
+    std::uint64_t LateTicket = NextTicket;
+    BOOST_TEST_REQUIRE((place(Late).Verdict == PlacementVerdict::Waiting));
+    if (OtherWaits)
+      BOOST_TEST_REQUIRE(
+          (place(longRequest(100000)).Verdict == PlacementVerdict::Waiting));
+    endRequest(Running);
+    Now += milliseconds(25);
+    bool LateIsPlaced = false;
+    for (const auto &[Key, Reply] : tickPlacer(S, Now))
+      LateIsPlaced = LateIsPlaced ||
+                     (Key.second == LateTicket && Reply.Result == Code::Ok);
+    BOOST_TEST(LateIsPlaced == !OtherWaits);
+  }
+}
