--- a/packages/gateway/Gateway.cpp
+++ b/packages/gateway/Gateway.cpp
@@ -46,6 +46,7 @@
   void operator()(const Tick &) const {
     tickHeld(T);
     tickCalls(T);
+    tickReleases(T);
     tickPlacing(T);
     tickSpeeds(T);
     tickSite(T);
--- a/packages/gateway/Gateway.h
+++ b/packages/gateway/Gateway.h
@@ -24,7 +24,8 @@
 // Admission.cpp   routes and accounts
 // Attempt.cpp     attempts and their failures
 // Answer.cpp      answers and streams
-// PlacePart.cpp   placement on engines, memory reservations
+// PlacePart.cpp   placement on engines
+// ReservePart.cpp memory reservations at helpers
 // SpeedPart.cpp   load reports of engines whose speed is in doubt
 // SitePart.cpp    control hosts, other entry hosts, shutdown
 //
--- a/packages/gateway/GatewayTurn.h
+++ b/packages/gateway/GatewayTurn.h
@@ -99,18 +99,9 @@
 /// Reports the call's new stage to the placer.
 void reportStage(GatewayTurn &T, GatewayCall &C, PlacementStage Stage,
                  const BackendId &FaultyServer = BackendId());
-/// Processes an event that belongs to an order about memory. Returns false for
-/// any other event.
-bool reservationEvent(GatewayTurn &T, const Event &E);
-/// Releases all reservations of the call.
-void freeReservations(GatewayTurn &T, GatewayCall &C);
 /// Handles the timer of a call that waits for engines.
 void checkPlacing(GatewayTurn &T, GatewayCall &C);
-/// Handles the timer of a call that waits for reservations.
-void checkReserving(GatewayTurn &T, GatewayCall &C);
-/// Renews the call's granted reservations when they are due.
-void renewReservations(GatewayTurn &T, GatewayCall &C);
-/// Repeats releases and answers waiting placement requests.
+/// Answers waiting placement requests.
 void tickPlacing(GatewayTurn &T);
 /// Follows a change of the placer: moves waiting requests to the new placer and
 /// reports running ones to it.
@@ -120,6 +111,32 @@
 /// or the placer is avoided.
 bool placesHere(const Gateway &S, TimePoint Now);
 
+/// Returns the engine, or null if this host does not know it.
+const PlacerEngine *engineOf(const Gateway &S, const BackendId &Id);
+
+// ReservePart.cpp
+/// Returns an HTTP request that carries an order or a query to an engine.
+UpstreamRequest orderRequest(const std::string &Address, EngineOrder Order);
+/// Sends orders that reserve memory at the helpers of the call's placement.
+void reserve(GatewayTurn &T, GatewayCall &C);
+/// Schedules checkReserving() for the time at which unanswered orders fail.
+void checkReservationsLater(GatewayTurn &T, GatewayCall &C);
+/// Returns the helpers of the call's placement with their reservations.
+std::vector<HelperInfo> helpersOf(const GatewayTurn &T, const GatewayCall &C);
+/// Processes an event that belongs to an order about memory. Returns false for
+/// any other event.
+bool reservationEvent(GatewayTurn &T, const Event &E);
+/// Releases all reservations of the call.
+void freeReservations(GatewayTurn &T, GatewayCall &C);
+/// Repeats releases that are not confirmed.
+void tickReleases(GatewayTurn &T);
+/// Handles the timer of a call that waits for reservations: fails the attempt
+/// if an order got no answer in time, since the engine may not have reserved
+/// the memory.
+void checkReserving(GatewayTurn &T, GatewayCall &C);
+/// Renews the call's granted reservations when they are due.
+void renewReservations(GatewayTurn &T, GatewayCall &C);
+
 // SpeedPart.cpp
 /// Asks engines whose speed is in doubt for their load reports.
 void tickSpeeds(GatewayTurn &T);
--- a/packages/gateway/PlacePart.cpp
+++ b/packages/gateway/PlacePart.cpp
@@ -1,5 +1,4 @@
-// Placement of requests on engines, by the site's placer or by this host, and
-// memory reservations at helpers.
+// Placement of requests on engines, by the site's placer or by this host.
 
 #include "gateway/GatewayTurn.h"
 
@@ -21,21 +20,6 @@
 /// Time within which all entry hosts report their running requests to a new
 /// placer.
 constexpr Duration PlacerHandoverTime = milliseconds(60);
-constexpr Duration OrderConnectTime = milliseconds(300);
-/// Timeout of an order. An engine answers orders at once, so a later answer is
-/// taken as lost.
-constexpr Duration OrderTimeout = milliseconds(300);
-constexpr Duration OrderRetryDelay = milliseconds(100);
-/// An order without an answer may take effect up to this time later, and then
-/// creates or renews a reservation that is no longer needed.
-constexpr Duration MaxOrderDelay = seconds(13);
-constexpr Duration ReleaseRepeatInterval = milliseconds(1000);
-/// Engines free reserved memory after this time without a renewal. This limits
-/// how long the memory of a dead host stays reserved, for which platforms allow
-/// a few seconds, and the effect of an order that is executed late.
-constexpr Duration ReservationLease = milliseconds(3000);
-/// Short enough for several renewals within a lease, since some may be lost.
-constexpr Duration RenewInterval = milliseconds(700);
 
 PlacementRequest makePlacementRequest(const GatewayTurn &T,
                                       const GatewayCall &C) {
@@ -79,90 +63,6 @@
   return Spec;
 }
 
-const PlacerEngine *engineOf(const Gateway &S, const BackendId &Id) {
-  auto Found = S.Engines.Engines.find(Id);
-  return Found == S.Engines.Engines.end() ? nullptr : &Found->second;
-}
-
-std::vector<HelperInfo> helpersOf(const GatewayTurn &T, const GatewayCall &C) {
-  std::vector<HelperInfo> Helpers;
-  for (const EnginePart &Part : C.Placement.Helpers) {
-    const PlacerEngine *E = engineOf(T.S, Part.Engine);
-    if (E == nullptr)
-      continue;
-    HelperInfo Helper;
-    Helper.Address = E->Address;
-    for (const Reservation &R : C.Reserved) {
-      if (R.Engine == Part.Engine)
-        Helper.Ticket = R.Ticket;
-    }
-    Helpers.push_back(std::move(Helper));
-  }
-  return Helpers;
-}
-
-UpstreamRequest orderRequest(const std::string &Address, EngineOrder Order) {
-  UpstreamRequest Request;
-  Request.Address = Address;
-  Request.Method = Order.Method;
-  Request.Target = std::move(Order.Target);
-  Request.Headers = std::move(Order.Headers);
-  Request.Body = std::move(Order.Body);
-  Request.MayReuse = true; // Orders with the same ticket are idempotent.
-  Request.ConnectTimeout = OrderConnectTime;
-  return Request;
-}
-
-Duration leaseOf(const Gateway &S) {
-  return std::min(ReservationLease, S.Config.Schedule.ReservationLimit);
-}
-
-/// Returns a reservation name that is unique in the site. Engines distinguish
-/// reservations only by name, and hosts that start at the same moment have
-/// equal counters.
-std::string reservationName(const Gateway &S) {
-  return "r" + S.Self.Value + "-" + std::to_string(S.Incarnation) + "-" +
-         std::to_string(S.NextUpstream);
-}
-
-/// Sends an order that creates or renews a reservation.
-void orderMemory(GatewayTurn &T, GatewayCall &C, Reservation &R) {
-  Gateway &S = T.S;
-  R.Order = UpstreamId{S.NextUpstream++};
-  R.Expires = T.Now + leaseOf(S);
-  S.ByUpstream[R.Order] = C.Ticket;
-  T.Out.push_back(calls::OpenUpstream{
-      R.Order,
-      orderRequest(R.Address,
-                   S.Platform.EncodeReserve(R.Ticket, R.Tokens, leaseOf(S))),
-      C.Deadline});
-}
-
-void reserve(GatewayTurn &T, GatewayCall &C) {
-  for (const EnginePart &Part : C.Placement.Helpers) {
-    const PlacerEngine *E = engineOf(T.S, Part.Engine);
-    if (Part.MemoryTokens == 0 || E == nullptr)
-      continue;
-    Reservation R;
-    R.Engine = Part.Engine;
-    R.Address = E->Address;
-    R.Ticket = reservationName(T.S);
-    R.Tokens = Part.MemoryTokens;
-    orderMemory(T, C, R);
-    C.Reserved.push_back(std::move(R));
-  }
-  C.RenewAt = T.Now + RenewInterval;
-}
-
-void dropOrder(GatewayTurn &T, Reservation &R) {
-  if (R.Order == UpstreamId{})
-    return;
-  T.S.ByUpstream.erase(R.Order);
-  T.Out.push_back(calls::AbortUpstream{R.Order});
-  R.Order = UpstreamId{};
-  R.IsUnconfirmed = true;
-}
-
 /// Adds what the placer believed of the engines it chose, or of the whole
 /// service if it chose none.
 void addBasis(DecisionRecord &Record, const PlacementBasis &Basis) {
@@ -235,7 +135,7 @@
     return;
   }
   C.Stage = CallStage::Reserving;
-  checkAt(T, C, std::min(C.Deadline, T.Now + OrderTimeout));
+  checkReservationsLater(T, C);
 }
 
 void placeLocally(GatewayTurn &T, GatewayCall &C) {
@@ -263,76 +163,6 @@
   checkAt(T, C, T.Now + PlacementReplyTimeout);
 }
 
-/// Handles the result of a reservation order. Sends the request once all its
-/// reservations are granted.
-void reservationAnswered(GatewayTurn &T, GatewayCall &C, Reservation &R,
-                         bool Granted) {
-  T.S.ByUpstream.erase(R.Order);
-  R.Order = UpstreamId{};
-  if (C.Stage != CallStage::Reserving)
-    return; // Result of a renewal; the next renewal follows in any case.
-  R.Granted = Granted;
-  if (!Granted) {
-    C.FaultyServer = R.Engine;
-    attemptFailed(T, C, false, Code::RefusedByBackend,
-                  "an engine refused or did not answer a memory reservation");
-    return;
-  }
-  for (const Reservation &Other : C.Reserved) {
-    if (!Other.Granted)
-      return;
-  }
-  sendAttempt(T, C, helpersOf(T, C));
-}
-
-/// Sends an order that releases a reservation.
-void sendRelease(GatewayTurn &T, PendingRelease &Release) {
-  Gateway &S = T.S;
-  Release.Order = UpstreamId{S.NextUpstream++};
-  Release.NextAt = T.Now + OrderTimeout;
-  T.Out.push_back(calls::OpenUpstream{
-      Release.Order,
-      orderRequest(Release.Address, S.Platform.EncodeRelease(Release.Ticket)),
-      std::nullopt});
-}
-
-/// Processes an event of a release order. Returns false for any other event.
-bool releaseEvent(GatewayTurn &T, const Event &E, UpstreamId Order) {
-  for (PendingRelease &Release : T.S.Releases) {
-    if (Release.Order != Order)
-      continue;
-    if (std::holds_alternative<UpstreamEnd>(E)) {
-      Release.Order = UpstreamId{};
-      Release.Confirmed = true;
-      Release.NextAt = T.Now + ReleaseRepeatInterval;
-    } else if (std::holds_alternative<UpstreamFailed>(E)) {
-      Release.Order = UpstreamId{};
-      Release.NextAt = T.Now + OrderRetryDelay;
-    }
-    return true;
-  }
-  return false;
-}
-
-void tickReleases(GatewayTurn &T) {
-  auto IsOver = [&](const PendingRelease &R) {
-    bool Free = R.Confirmed || T.Now >= R.ExpiresAt;
-    return R.Order == UpstreamId{} && Free && T.Now >= R.RepeatUntil;
-  };
-  auto &Releases = T.S.Releases;
-  for (PendingRelease &R : Releases) {
-    if (T.Now < R.NextAt)
-      continue;
-    if (R.Order != UpstreamId{})
-      T.Out.push_back(calls::AbortUpstream{R.Order});
-    R.Order = UpstreamId{};
-    if (!IsOver(R))
-      sendRelease(T, R);
-  }
-  Releases.erase(std::remove_if(Releases.begin(), Releases.end(), IsOver),
-                 Releases.end());
-}
-
 /// Moves waiting requests to the current placer, since the previous one no
 /// longer answers them.
 void moveWaitingRequests(GatewayTurn &T, const HostId &Before) {
@@ -356,6 +186,11 @@
 
 } // namespace
 
+const PlacerEngine *engineOf(const Gateway &S, const BackendId &Id) {
+  auto Found = S.Engines.Engines.find(Id);
+  return Found == S.Engines.Engines.end() ? nullptr : &Found->second;
+}
+
 bool placesHere(const Gateway &S, TimePoint Now) {
   return S.Link.Placer.empty() || S.Link.Placer == S.Self ||
          Now < S.PlacerAvoidedUntil;
@@ -427,69 +262,6 @@
     C.Placed = false;
 }
 
-bool reservationEvent(GatewayTurn &T, const Event &E) {
-  UpstreamId Order = upstreamOf(E);
-  if (releaseEvent(T, E, Order))
-    return true;
-  auto Found = T.S.ByUpstream.find(Order);
-  if (Found == T.S.ByUpstream.end())
-    return false;
-  GatewayCall &C = *findCall(T, Found->second);
-  for (Reservation &R : C.Reserved) {
-    if (R.Order != Order)
-      continue;
-    constexpr int StatusOk = 200;
-    if (const auto *Head = std::get_if<UpstreamHead>(&E))
-      R.Status = Head->Status;
-    else if (std::holds_alternative<UpstreamFailed>(E)) {
-      R.IsUnconfirmed = true;
-      reservationAnswered(T, C, R, false);
-    } else if (std::holds_alternative<UpstreamEnd>(E))
-      reservationAnswered(T, C, R, R.Status == StatusOk);
-    return true;
-  }
-  return false;
-}
-
-void freeReservations(GatewayTurn &T, GatewayCall &C) {
-  for (Reservation &R : C.Reserved) {
-    dropOrder(T, R);
-    PendingRelease Release;
-    Release.Address = R.Address;
-    Release.Ticket = R.Ticket;
-    Release.ExpiresAt = R.Expires;
-    if (R.IsUnconfirmed)
-      Release.RepeatUntil = T.Now + MaxOrderDelay;
-    sendRelease(T, Release);
-    T.S.Releases.push_back(std::move(Release));
-  }
-  C.Reserved.clear();
-}
-
-void renewReservations(GatewayTurn &T, GatewayCall &C) {
-  if (C.Reserved.empty() || T.Now < C.RenewAt)
-    return;
-  C.RenewAt = T.Now + RenewInterval;
-  for (Reservation &R : C.Reserved) {
-    if (!R.Granted)
-      continue;
-    dropOrder(T, R);
-    orderMemory(T, C, R);
-  }
-}
-
-/// Fails the attempt if a reservation order got no answer in time; the engine
-/// may not have reserved the memory.
-void checkReserving(GatewayTurn &T, GatewayCall &C) {
-  for (Reservation &R : C.Reserved) {
-    if (R.Order == UpstreamId{})
-      continue;
-    T.Out.push_back(calls::AbortUpstream{R.Order});
-    reservationAnswered(T, C, R, false);
-    return;
-  }
-}
-
 void checkPlacing(GatewayTurn &T, GatewayCall &C) {
   PlacementRequest Spec = makePlacementRequest(T, C);
   if (Spec.EventTimeLeft <= Duration::zero()) {
@@ -522,7 +294,6 @@
 }
 
 void tickPlacing(GatewayTurn &T) {
-  tickReleases(T);
   for (auto &[Key, Reply] : tickPlacer(T.S.Engines, T.Now)) {
     if (Key.first != T.S.Self) {
       send(T, Key.first, std::move(Reply));
--- a/packages/gateway/SpeedPart.cpp
+++ b/packages/gateway/SpeedPart.cpp
@@ -7,7 +7,6 @@
 
 namespace {
 
-constexpr Duration ConnectTime = milliseconds(300);
 /// Engines answer at once, so a later answer is taken as lost.
 constexpr Duration QueryTimeout = milliseconds(500);
 constexpr std::size_t MaxReportBytes = 64U << 10U;
@@ -15,21 +14,16 @@
 
 void sendQuery(GatewayTurn &T, const BackendId &Id) {
   Gateway &S = T.S;
-  EngineOrder Order = S.Platform.EncodeLoadQuery();
-  UpstreamRequest Request;
-  Request.Address = S.Engines.Engines.at(Id).Address;
-  Request.Method = Order.Method;
-  Request.Target = std::move(Order.Target);
-  Request.Headers = std::move(Order.Headers);
-  Request.MayReuse = true;
-  Request.ConnectTimeout = ConnectTime;
   SpeedQuery Query;
   Query.Engine = Id;
   Query.ExpiresAt = T.Now + QueryTimeout;
   UpstreamId Upstream{S.NextUpstream++};
   S.SpeedQueries[Upstream] = std::move(Query);
   T.Out.push_back(
-      calls::OpenUpstream{Upstream, std::move(Request), std::nullopt});
+      calls::OpenUpstream{Upstream,
+                          orderRequest(S.Engines.Engines.at(Id).Address,
+                                       S.Platform.EncodeLoadQuery()),
+                          std::nullopt});
 }
 
 void recordAnswer(GatewayTurn &T, const SpeedQuery &Query) {
