bench: lint of the engine model

Cause and change: two findings of clang-tidy in PlacerFleet.cpp, a move of a trivial type and a rounding by hand.

--- a/bench/PlacerFleet.cpp
+++ b/bench/PlacerFleet.cpp
@@ -121,7 +121,7 @@
             MaxUtility, BaseUtility + (1 - BaseUtility) *
                                           static_cast<double>(C.PromptTokens) /
                                           Kind.MeanTokens);
-        Callers.push_back(std::move(C));
+        Callers.push_back(C);
       }
     }
     std::sort(Callers.begin(), Callers.end(),
@@ -135,7 +135,7 @@
       if (Now < RunStart + Spell.From || Now >= RunStart + Spell.To)
         continue;
       auto Count = static_cast<std::size_t>(
-          Spell.Share * static_cast<double>(Engines.size()) + 0.5);
+          std::lround(Spell.Share * static_cast<double>(Engines.size())));
       for (auto &[Id, E] : Engines) {
         if (Count-- == 0)
           break;
