node, wire: three field comments name what they speak of

Change: comments only, and gatewayTest's case for requests that are late when they join the queue; the queue's comment says how it is ordered.

--- a/packages/gateway/Placer.h
+++ b/packages/gateway/Placer.h
@@ -110,7 +110,7 @@
   std::map<ServiceId, EngineProfile> Profiles;
   std::map<BackendId, PlacerEngine> Engines;
   std::map<PlacementKey, PlacedRequest> Placed;
-  std::deque<WaitingRequest> Queue; // In order of arrival.
+  std::deque<WaitingRequest> Queue; // Ordered by each tick; new ones follow.
   std::map<ServiceId, double>
       OnTimeRates; // Highest utility per second of prefill of the waiting
                    // requests that could still be in time at the last tick.
--- a/packages/gateway/tests/PlacerTest.cpp
+++ b/packages/gateway/tests/PlacerTest.cpp
@@ -460,3 +460,24 @@
     BOOST_TEST(LateIsPlaced == !OtherWaits);
   }
 }
+
+/// Guards against the same for requests that are late when they join the queue,
+/// such as those whose first attempt failed: they must not come first each
+/// time.
+BOOST_FIXTURE_TEST_CASE(LateArrivalsDoNotTakeAllSearches, Fixture) {
+  addEngines(1);
+  place(longRequest(200000));
+  for (int I = 0; I < 20; ++I) {
+    PlacementRequest Late = longRequest(200000);
+    Late.Objective = -milliseconds(100);
+    place(Late);
+  }
+  for (int I = 0; I < 20; ++I)
+    place(longRequest(200000));
+  for (int I = 0; I < 20; ++I) {
+    Now += milliseconds(25);
+    tickPlacer(S, Now);
+  }
+  for (const WaitingRequest &W : S.Queue)
+    BOOST_TEST(W.Searches >= 2U);
+}
--- a/packages/node/Node.h
+++ b/packages/node/Node.h
@@ -136,12 +136,12 @@
   TimePoint NextSend; // Next send to the leader, or to a voter.
   TimePoint Until;    // Deadline of the reply to the operator.
 
-  // Edit only.
+  // The next three fields are used for edits only.
   PutDocument Edit;
   std::uint32_t Sends = 0;
   std::uint32_t Refusals = 0; // Replies that no leader accepts edits.
 
-  std::uint64_t Query = 0; // InForce only.
+  std::uint64_t Query = 0; // Number of the query; used for InForce only.
   std::optional<InForceAnswer> Answer;
   std::optional<HistoryReply> History;
 };
--- a/packages/wire/ReplicaMessages.h
+++ b/packages/wire/ReplicaMessages.h
@@ -224,8 +224,8 @@
   Duration SentAt = {};        // Echo of the request.
   std::uint64_t PrevIndex = 0; // Echo of the request.
   bool Accepted = false;
-  std::uint64_t Match = 0; // If accepted: last entry that is synced and equal.
-  std::uint64_t Hint = 0;  // If not: last entry that may still be equal.
+  std::uint64_t Match = 0; // Accepted: last entry that is synced and equal.
+  std::uint64_t Hint = 0;  // Not accepted: last entry that may still be equal.
 
   template <class Self, class Visitor>
   static void fields(Self &M, Visitor &&Visit) {
