gateway, bench: engines are suspected, the field's word, and names of the model

Cause: reading the diff as a newcomer: private words (doubt, spell, fate, ask) where the field has terms; a suspected member is one that a detector accuses.

--- a/bench/PlacerBench.cpp
+++ b/bench/PlacerBench.cpp
@@ -136,7 +136,7 @@
   }
   struct Scenario {
     std::string Name;
-    std::vector<SlowSpell> Slow;
+    std::vector<SlowPeriod> Slow;
   };
   const std::vector<Scenario> Scenarios = {
       {"long-burst", {}},
--- a/bench/PlacerFleet.cpp
+++ b/bench/PlacerFleet.cpp
@@ -35,14 +35,20 @@
   return fromSeconds(toSeconds(D) * Factor);
 }
 
-enum class Fate : std::uint8_t { Open, OnTime, Late, Refused, CallerLeft };
+enum class CallerOutcome : std::uint8_t {
+  Open,
+  OnTime,
+  Late,
+  Refused,
+  CallerLeft
+};
 
 struct Caller {
   std::size_t Kind = 0;
   std::uint64_t PromptTokens = 0;
   TimePoint At; // Arrival of the first attempt.
   double Utility = 0;
-  Fate Result = Fate::Open;
+  CallerOutcome Result = CallerOutcome::Open;
   TimePoint EndedAt;
 };
 
@@ -131,15 +137,15 @@
   void setSlowness() {
     for (auto &[Id, E] : Engines)
       E.Slowness = 1;
-    for (const SlowSpell &Spell : Run.Slow) {
-      if (Now < RunStart + Spell.From || Now >= RunStart + Spell.To)
+    for (const SlowPeriod &Period : Run.Slow) {
+      if (Now < RunStart + Period.From || Now >= RunStart + Period.To)
         continue;
       auto Count = static_cast<std::size_t>(
-          std::lround(Spell.Share * static_cast<double>(Engines.size())));
+          std::lround(Period.Share * static_cast<double>(Engines.size())));
       for (auto &[Id, E] : Engines) {
         if (Count-- == 0)
           break;
-        E.Slowness = Spell.Factor;
+        E.Slowness = Period.Factor;
       }
     }
   }
@@ -159,7 +165,7 @@
     return Spec;
   }
 
-  void end(std::size_t Caller, Fate Result) {
+  void end(std::size_t Caller, CallerOutcome Result) {
     Callers[Caller].Result = Result;
     Callers[Caller].EndedAt = Now;
   }
@@ -169,7 +175,7 @@
     const Caller &C = Callers[A.Caller];
     Duration Left = C.At + Run.Kinds[C.Kind].TimeLimit - Now;
     if (A.IsRetry || Left <= Duration::zero()) {
-      end(A.Caller, Fate::Refused);
+      end(A.Caller, CallerOutcome::Refused);
       return false;
     }
     A.IsRetry = true;
@@ -192,7 +198,7 @@
   }
 
   /// Returns true if the attempt stays open.
-  bool ask(std::uint64_t Ticket, FleetAttempt &A) {
+  bool requestEngines(std::uint64_t Ticket, FleetAttempt &A) {
     A.RetryAt = TimePoint();
     A.Arrived = Now;
     PlacementOutcome Outcome =
@@ -229,7 +235,8 @@
         Now + decodeTime(Run.Profile,
                          static_cast<std::uint64_t>(Kind.AnswerTokens),
                          Interval);
-    end(A.Caller, Now - C.At <= Kind.Objective ? Fate::OnTime : Fate::Late);
+    end(A.Caller, Now - C.At <= Kind.Objective ? CallerOutcome::OnTime
+                                               : CallerOutcome::Late);
     updateStage(Placer, {EntryHost, Ticket}, PlacementStage::Decoding, {}, Now);
   }
 
@@ -272,7 +279,7 @@
     if (Now < A.Arrived + Kind.EventTimeout &&
         Now < Callers[A.Caller].At + Kind.TimeLimit)
       return false;
-    end(A.Caller, Fate::CallerLeft);
+    end(A.Caller, CallerOutcome::CallerLeft);
     return true;
   }
 
@@ -286,7 +293,7 @@
                     Now);
         Stays = false;
       } else if (A.RetryAt != TimePoint() && Now >= A.RetryAt) {
-        Stays = ask(Ticket, A);
+        Stays = requestEngines(Ticket, A);
       }
       It = Stays ? std::next(It) : Open.erase(It);
     }
@@ -326,7 +333,7 @@
         std::uint64_t Ticket = NextTicket++;
         FleetAttempt A;
         A.Caller = Next;
-        if (ask(Ticket, A))
+        if (requestEngines(Ticket, A))
           Open[Ticket] = std::move(A);
       }
       answerSpeedQueries();
@@ -364,15 +371,16 @@
       continue;
     ++F.Requests;
     Owed += C.Utility;
-    bool Served = C.Result == Fate::OnTime || C.Result == Fate::Late;
-    F.OnTime += C.Result == Fate::OnTime ? 1 : 0;
-    F.Late += C.Result == Fate::Late ? 1 : 0;
-    F.CallerLeft += C.Result == Fate::CallerLeft ? 1 : 0;
-    if (C.Result == Fate::OnTime)
+    bool Served =
+        C.Result == CallerOutcome::OnTime || C.Result == CallerOutcome::Late;
+    F.OnTime += C.Result == CallerOutcome::OnTime ? 1 : 0;
+    F.Late += C.Result == CallerOutcome::Late ? 1 : 0;
+    F.CallerLeft += C.Result == CallerOutcome::CallerLeft ? 1 : 0;
+    if (C.Result == CallerOutcome::OnTime)
       Earned += C.Utility;
-    if (C.Result == Fate::Late)
+    if (C.Result == CallerOutcome::Late)
       Earned += C.Utility * LateUtility;
-    if (C.Result == Fate::Refused) {
+    if (C.Result == CallerOutcome::Refused) {
       ++F.Refused;
       F.RefusedAfter += C.EndedAt - C.At;
     }
--- a/bench/PlacerFleet.h
+++ b/bench/PlacerFleet.h
@@ -39,7 +39,7 @@
 };
 
 /// Engines that are slow for a while.
-struct SlowSpell {
+struct SlowPeriod {
   double Share = 0;  // Share of all engines.
   double Factor = 1; // Time for any work, relative to the data sheet.
   Duration From = {};
@@ -50,7 +50,7 @@
   std::size_t Engines = 1;
   EngineProfile Profile;
   std::vector<FleetRequestKind> Kinds;
-  std::vector<SlowSpell> Slow;
+  std::vector<SlowPeriod> Slow;
   Duration Length = {}; // Time in which requests arrive.
   std::uint64_t Seed = 7;
 };
--- a/packages/gateway/EngineSpeed.cpp
+++ b/packages/gateway/EngineSpeed.cpp
@@ -6,42 +6,42 @@
 
 namespace {
 
-/// An engine is asked at most once in this time.
+/// An engine is queried at most once in this time.
 constexpr Duration QueryInterval = seconds(1);
-/// Interval between checks while any engine is in doubt.
+/// Interval between checks while any engine is suspected.
 constexpr Duration CheckInterval = milliseconds(25);
 /// Bounds the load of the queries on this host.
 constexpr std::size_t MaxQueriesPerCheck = 3;
-/// A first event is in doubt if it takes longer than its forecast time times
-/// DoubtRatio and DoubtMargin.
-constexpr double DoubtRatio = 1.5;
-constexpr Duration DoubtMargin = milliseconds(50);
+/// An engine is suspected if a first event takes longer than its forecast time
+/// times SuspicionRatio, plus SuspicionMargin.
+constexpr double SuspicionRatio = 1.5;
+constexpr Duration SuspicionMargin = milliseconds(50);
 /// Reports below this slowness count as the speed of the data sheet.
 constexpr double MinSlowness = 1.2;
 constexpr double MaxSlowness = 10;
 
-/// Time from which the engine is to be asked.
+/// Time from which the engine is to be queried.
 TimePoint queryAt(const PlacerEngine &E) {
   TimePoint Earliest = E.SpeedQueriedAt == TimePoint()
                            ? TimePoint()
                            : E.SpeedQueriedAt + QueryInterval;
   if (E.Slowness > 1)
     return Earliest;
-  TimePoint Doubt = TimePoint::max();
+  TimePoint Suspect = TimePoint::max();
   for (const EngineShare &Share : E.Shares) {
     if (!Share.Decoding)
-      Doubt = std::min(Doubt, Share.DoubtAt);
+      Suspect = std::min(Suspect, Share.SuspectAt);
   }
-  return std::max(Earliest, Doubt);
+  return std::max(Earliest, Suspect);
 }
 
 } // namespace
 
-TimePoint doubtAt(TimePoint Since, TimePoint Forecast) {
+TimePoint suspectAt(TimePoint Since, TimePoint Forecast) {
   if (Forecast <= Since)
     return TimePoint::max();
-  return Since + fromSeconds(toSeconds(Forecast - Since) * DoubtRatio) +
-         DoubtMargin;
+  return Since + fromSeconds(toSeconds(Forecast - Since) * SuspicionRatio) +
+         SuspicionMargin;
 }
 
 std::vector<BackendId> takeSpeedQueries(PlacerState &S, TimePoint Now) {
@@ -57,7 +57,7 @@
     else if (At > Now)
       S.SpeedCheckAt = std::min(S.SpeedCheckAt, At);
   }
-  // Those that were asked the longest time ago go first.
+  // Those that were queried the longest time ago go first.
   std::sort(Due.begin(), Due.end());
   for (const auto &[QueriedAt, Id] : Due) {
     if (Queries.size() == MaxQueriesPerCheck)
--- a/packages/gateway/Gateway.h
+++ b/packages/gateway/Gateway.h
@@ -26,7 +26,7 @@
 // Answer.cpp      answers and streams
 // PlacePart.cpp   placement on engines
 // ReservePart.cpp memory reservations at helpers
-// SpeedPart.cpp   load reports of engines whose speed is in doubt
+// SpeedPart.cpp   load reports of engines suspected of being slow
 // SitePart.cpp    control hosts, other entry hosts, shutdown
 //
 //===----------------------------------------------------------------------===//
--- a/packages/gateway/GatewayTurn.h
+++ b/packages/gateway/GatewayTurn.h
@@ -138,7 +138,7 @@
 void renewReservations(GatewayTurn &T, GatewayCall &C);
 
 // SpeedPart.cpp
-/// Asks engines whose speed is in doubt for their load reports.
+/// Queries the load reports of engines that are suspected of being slow.
 void tickSpeeds(GatewayTurn &T);
 /// Returns the time by which tickSpeeds() must be called next.
 TimePoint nextSpeedTick(const Gateway &S, TimePoint Now);
--- a/packages/gateway/Placer.cpp
+++ b/packages/gateway/Placer.cpp
@@ -65,10 +65,10 @@
     Share.IsFirstPart = IsFirst;
     Share.IsOnlyPart = Request.Parts.size() == 1;
     Share.FirstEventForecast = Request.FirstEventForecast;
-    Share.DoubtAt = doubtAt(Request.Since, Request.FirstEventForecast);
+    Share.SuspectAt = suspectAt(Request.Since, Request.FirstEventForecast);
     Share.Decoding = Request.Decoding;
     if (!Share.Decoding)
-      S.SpeedCheckAt = std::min(S.SpeedCheckAt, Share.DoubtAt);
+      S.SpeedCheckAt = std::min(S.SpeedCheckAt, Share.SuspectAt);
     Found->second.Shares.push_back(std::move(Share));
     updateTotals(Found->second);
   }
--- a/packages/gateway/Placer.h
+++ b/packages/gateway/Placer.h
@@ -68,7 +68,7 @@
   bool IsOnlyPart = false;  // No other engine has a part of the request.
   bool Decoding = false;
   TimePoint FirstEventForecast{}; // Forecast time of the first event.
-  TimePoint DoubtAt{}; // Without a first event by then, the engine may be slow.
+  TimePoint SuspectAt{}; // The engine may be slow without an event by then.
 };
 
 struct WaitingRequest {
@@ -115,8 +115,8 @@
       OnTimeRates; // Highest utility per second of prefill of the waiting
                    // requests that could still be in time at the last tick.
   TimePoint PrefillsAt{}; // Time to which all prefill queues are advanced.
-  TimePoint SpeedCheckAt = TimePoint::max(); // Next check whether engines are
-                                             // to be asked for their speed.
+  TimePoint SpeedCheckAt = TimePoint::max(); // Next check whether load reports
+                                             // of engines are to be queried.
   TimePoint PlacementPausedUntil{}; // New requests wait until then, while entry
                                     // hosts report what already runs.
 };
--- a/packages/gateway/SpeedPart.cpp
+++ b/packages/gateway/SpeedPart.cpp
@@ -1,4 +1,4 @@
-// Asks engines whose speed is in doubt for their load reports.
+// Queries the load reports of engines that are suspected of being slow.
 
 #include "gateway/EngineSpeed.h"
 #include "gateway/GatewayTurn.h"
--- a/packages/gateway/tests/GatewayTest.cpp
+++ b/packages/gateway/tests/GatewayTest.cpp
@@ -705,7 +705,7 @@
   ExchangeId Call = R.stream();
   calls::OpenUpstream Sent = R.only<calls::OpenUpstream>();
   R.advance(milliseconds(40));
-  BOOST_TEST(R.all<calls::OpenUpstream>().empty()); // Not in doubt yet.
+  BOOST_TEST(R.all<calls::OpenUpstream>().empty()); // Not suspected yet.
   R.advance(milliseconds(200));
   calls::OpenUpstream Query = R.onlySpeedQuery();
   BOOST_TEST(Query.Request.Address == Sent.Request.Address);
--- a/packages/gateway/tests/PlacerTest.cpp
+++ b/packages/gateway/tests/PlacerTest.cpp
@@ -383,7 +383,7 @@
 
 /// Guards against a slow engine that is hidden in a group: after the late first
 /// event of a split prompt, every engine of the group is asked.
-BOOST_FIXTURE_TEST_CASE(LateGroupPutsAllItsEnginesInDoubt, Fixture) {
+BOOST_FIXTURE_TEST_CASE(LateGroupMakesAllItsEnginesSuspect, Fixture) {
   addEngines(12);
   PlacementOutcome O = place(longRequest(200000));
   BOOST_TEST_REQUIRE(!O.Reply.Helpers.empty());
