--- a/packages/base/Ids.h
+++ b/packages/base/Ids.h
@@ -12,6 +12,7 @@
 //   ModelName        a model, adapter or version as callers write it
 //   RequestId        one request of a caller; never reused
 //   AttemptId        one sending of a request to one backend server
+//   PartId           a part of a prompt that several requests may share
 //
 //===----------------------------------------------------------------------===//
 #pragma once
@@ -59,6 +60,9 @@
 /// higher number, so that messages of an earlier run can be recognised.
 using IncarnationNumber = std::uint64_t;
 
+/// Identifies a part of a prompt; requests with equal parts have equal ids.
+enum class PartId : std::uint64_t {};
+
 /// Identifies one request of a caller. Hi identifies the incarnation of the
 /// entry host, and Lo counts the requests of that incarnation.
 struct RequestId {
--- a/packages/gateway/Answer.cpp
+++ b/packages/gateway/Answer.cpp
@@ -153,6 +153,7 @@
   if (C == nullptr)
     return;
   C->Attempt.Status = E.Status;
+  C->Attempt.HeadAt = T.Now;
   C->Attempt.Headers = E.Headers;
   C->Attempt.Answer = T.S.Platform.DecodeAnswer(E.Status, E.Headers);
   C->Stage = CallStage::Answering;
--- a/packages/gateway/Gateway.h
+++ b/packages/gateway/Gateway.h
@@ -112,6 +112,7 @@
   std::string Address;
   UpstreamId Upstream{}; // Open exchange with the server; zero: none.
   TimePoint Began{};
+  TimePoint HeadAt{};     // Receipt of the answer's head; the epoch: none.
   TimePoint LastBytes{};  // Last receipt of answer bytes; Began if none came.
   Duration Forecast = {}; // Forecast time to the first event; zero: none.
   bool BytesSent = false;
--- a/packages/gateway/GatewayTurn.h
+++ b/packages/gateway/GatewayTurn.h
@@ -26,6 +26,8 @@
 /// Starts a decision record about a call, with its attempt id, ticket and age.
 DecisionRecord record(const GatewayTurn &T, const GatewayCall &C,
                       const char *Kind, std::string Reason);
+/// Returns the ids of a prompt's first parts for a log line.
+std::string partsText(const std::vector<PartId> &Parts);
 void count(GatewayTurn &T, const char *Name, std::string Label = "");
 void sample(GatewayTurn &T, const char *Name, std::string Label, Duration D);
 /// Sends a message to another host; does nothing for this host or an empty id.
--- a/packages/gateway/PlacePart.cpp
+++ b/packages/gateway/PlacePart.cpp
@@ -85,6 +85,7 @@
     Helpers += (Helpers.empty() ? "" : " ") + Part.Engine.Value;
   Record.add("helpers", std::move(Helpers));
   Record.add("reserved", static_cast<std::int64_t>(C.Reserved.size()));
+  Record.add("parts", partsText(C.Info.Parts));
   Record.add("prompt_tokens", static_cast<std::int64_t>(C.Info.PromptTokens));
   Record.add("forecast_ms", toMilliseconds(C.Placement.Forecast));
   Record.add("placer",
--- a/packages/routing/Adapter.h
+++ b/packages/routing/Adapter.h
@@ -71,6 +71,7 @@
   std::uint64_t PromptTokens = 0;   // Zero: the request has no prompt.
   std::uint64_t AnswerTokens = 0;   // Longest answer that the caller accepts.
   std::uint64_t ExpectedTokens = 0; // Caller's estimate; zero: none.
+  std::vector<PartId> Parts;        // Parts of the prompt, in their order.
   std::vector<HttpHeader> ForwardedHeaders; // Headers for the backend server.
 };
 
