gateway: a site whose engines crash on a part of a prompt, known red

Five cases: bad part second, first, two of them, beside engines that end by themselves, beside entry hosts that restart.

--- a/packages/control/tests/ControlSite.h
+++ b/packages/control/tests/ControlSite.h
@@ -18,6 +18,7 @@
 #include "testing/FakeDisk.h"
 #include "testing/Pump.h"
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -45,6 +46,9 @@
   std::map<HostId, Replies> Answers;
   std::map<HostId, std::string> Kept;              // Stored servers by host.
   std::map<HostId, std::vector<SiteState>> States; // Sent to entry hosts.
+  /// Receives messages to hosts that are not control hosts; States is then not
+  /// filled. Unset: States is.
+  std::function<void(const HostId &From, const SendPeer &)> OnOtherHost;
   std::uint64_t NextExchange = 1;
   IncarnationNumber NextIncarnation = 1;
 
@@ -183,6 +187,17 @@
     return Answers[Name].at(Id).Body;
   }
 
+  /// Delivers a message of a host that is not a control host.
+  void deliverFrom(const HostId &From, IncarnationNumber Incarnation,
+                   const HostId &To, const Message &M, Duration Delay) {
+    if (Disks.count(To) == 0 || !Net.up(To))
+      return;
+    Net.perform(To, Delay,
+                [this, From, Incarnation, M](ControlNode &N, TimePoint Now) {
+                  run(N, PeerMessage{From, Incarnation, M}, Now);
+                });
+  }
+
   std::size_t voters(const HostId &Name) {
     std::size_t Count = 0;
     for (const Member &Who : members(Net.node(Name).State.Log).Members)
@@ -219,6 +234,10 @@
   }
 
   void deliver(ControlNode &N, const SendPeer &Send) {
+    if (OnOtherHost && Disks.count(Send.To) == 0) {
+      OnOtherHost(N.Name, Send);
+      return;
+    }
     if (const auto *State = std::get_if<SiteState>(&Send.Content)) {
       States[Send.To].push_back(*State);
       return;
--- /dev/null
+++ b/packages/gateway/tests/CrashSite.h
@@ -0,0 +1,144 @@
+//===- CrashSite.h - A site whose engines crash on some prompts -*- C++ -*-===//
+//
+//   CrashSite Site(Seed);
+//   Site.BadParts = {PartId{0xbad}};
+//   Site.run(seconds(8), {});
+//   Site.run(seconds(25), [&] { ... });        // The action runs each step.
+//   BOOST_TEST(Site.lateSends() <= 3);
+//
+// Control hosts, entry hosts and engines in virtual time. An engine that begins
+// to write the answer to a prompt with a bad part crashes, which breaks off all
+// its answers; it is back after some seconds under another id.
+//
+//===----------------------------------------------------------------------===//
+#pragma once
+
+#include "control/tests/ControlSite.h"
+#include "gateway/Gateway.h"
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace pimento::testing {
+
+/// A request that an engine runs or has queued.
+struct EngineRun {
+  HostId Host;
+  UpstreamId Upstream{};
+  std::string Attempt;
+  bool Bad = false;
+  TimePoint BeginsAt{}; // The engine begins to write the answer.
+  TimePoint NextEventAt{};
+  int Events = 0;
+};
+
+struct CrashEngine {
+  std::string Id;
+  std::string Address;
+  std::uint64_t Born = 0;
+  std::uint64_t Sequence = 0;
+  bool Up = true;
+  TimePoint BackAt{};
+  TimePoint ReportAt{};
+  std::vector<EngineRun> Runs;
+};
+
+/// A caller's request, as the caller sees it.
+struct CallerView {
+  bool Bad = false;
+  std::string Account;
+  TimePoint SentAt{};
+  int Sends = 0; // Sends that reached an engine.
+  bool Began = false;
+  bool Complete = false;
+  int Status = 0; // Of a reply without a stream; zero: none.
+};
+
+struct EntryNode {
+  HostId Name;
+  Gateway State;
+  bool Up = true;
+  TimePoint BackAt{};
+};
+
+/// How requests are made; see addCallers().
+struct Traffic {
+  Duration SoundEvery = milliseconds(40);
+  Duration BadEvery = milliseconds(250);
+  bool BadIsFirst = false; // The bad part is the first part of the prompt.
+  std::vector<std::string> Accounts = {"a", "b", "c"};
+  bool OneBadAccount = false; // All bad requests are of the first account.
+};
+
+class CrashSite {
+public:
+  ControlSite Control;
+  std::map<HostId, EntryNode> Entries;
+  std::vector<CrashEngine> Engines;
+  std::vector<PartId> BadParts; // Empty: no bad requests are sent.
+  std::set<PartId> Cured;       // Bad parts that crash no engine any more.
+  Traffic Load;
+  std::map<std::string, CallerView> Callers; // By the attempt's id.
+  std::vector<TimePoint> BadCrashes;
+  std::vector<TimePoint>
+      BadSends; // Sends of bad requests that reached engines.
+
+  explicit CrashSite(std::uint64_t Seed);
+
+  /// Runs the site with its traffic; calls \p Action, if set, in each step.
+  void run(Duration Time, const std::function<void()> &Action = {});
+  TimePoint now() const { return Control.Net.now(); }
+
+  /// Crashes an engine for a reason other than a request.
+  void crash(std::size_t Engine, bool ByRequest = false);
+  /// Kills an entry host; it starts again, with an empty state, after \p Down.
+  void killEntry(const HostId &Name, Duration Down);
+  /// Sends one request; returns the id of its attempt.
+  std::string call(const HostId &Host, const std::string &Account,
+                   const std::vector<PartId> &Parts, bool Bad);
+
+  /// Sends of bad requests later than three seconds after the fifth crash.
+  std::size_t lateSends() const;
+  /// Share of the sound requests sent between the times that were answered
+  /// completely by the first engine; 1 if there were none.
+  double soundShare(TimePoint From, TimePoint Until) const;
+
+private:
+  struct Letter {
+    TimePoint At{};
+    HostId From;
+    HostId To;
+    IncarnationNumber Incarnation = 0;
+    Message Content;
+  };
+
+  Random Rng;
+  std::uint64_t NextExchange = 1;
+  std::uint64_t NextAttempt = 1;
+  std::uint64_t NextPart = 0x100000;
+  std::uint64_t NextEngine = 1;
+  std::uint64_t NextIncarnation = 100;
+  TimePoint SoundAt{};
+  TimePoint BadAt{};
+  std::deque<Letter> Letters;
+  std::map<std::pair<HostId, ExchangeId>, std::string> Exchanges;
+
+  void startEntry(const HostId &Name);
+  void event(EntryNode &N, const Event &E);
+  void perform(EntryNode &N, const Effect &E);
+  void open(EntryNode &N, const calls::OpenUpstream &Open);
+  void answerAtOnce(EntryNode &N, UpstreamId Upstream, int Status,
+                    std::vector<HttpHeader> Headers, std::string Body);
+  void stepEngines();
+  void stepEngine(std::size_t Index);
+  void stepCallers();
+  void stepLetters();
+  void report(CrashEngine &E);
+  const HostId &anyEntry();
+};
+
+} // namespace pimento::testing
