--- a/packages/base/Http.h
+++ b/packages/base/Http.h
@@ -68,7 +68,8 @@
 struct UpstreamFailure {
   bool BytesSent = true; // False: certainly no byte left this host.
   bool TimedOut = false;
-  std::string Detail; // Text for logs.
+  bool Malformed = false; // The server's bytes were no HTTP answer.
+  std::string Detail;     // Text for logs.
 };
 
 /// Compares two header names, ignoring case.
--- a/packages/control/ControlCalls.cpp
+++ b/packages/control/ControlCalls.cpp
@@ -179,7 +179,8 @@
 } // namespace
 
 void onPlatformCall(ControlTurn &T, ExchangeId Exchange, const HttpRequest &R) {
-  std::visit(Answer{T, Exchange, R}, T.S.Platform.DecodeCall(R));
+  if (!quarantineCall(T, Exchange, R))
+    std::visit(Answer{T, Exchange, R}, T.S.Platform.DecodeCall(R));
 }
 
 void tickServers(ControlTurn &T) {
@@ -209,16 +210,24 @@
         S.Servers, Report,
         std::min(Now, Now + RestoredReportTimeout - S.Limits.SilentAfter));
   S.StoredRevision = S.Servers.Revision;
+  for (const QuarantineRecord &Record : Stored.Quarantine.Records)
+    applyRecord(S.Quarantine, Record, Now);
+  S.StoredQuarantine = quarantineDigest(S.Quarantine);
 }
 
 void storeServers(ControlTurn &T) {
   ControlHost &S = T.S;
-  if (S.StoredRevision == S.Servers.Revision || T.Now < S.NextServersWrite)
+  std::uint64_t Digest = quarantineDigest(S.Quarantine);
+  bool IsStored =
+      S.StoredRevision == S.Servers.Revision && S.StoredQuarantine == Digest;
+  if (IsStored || T.Now < S.NextServersWrite)
     return;
+  S.StoredQuarantine = Digest;
   S.StoredRevision = S.Servers.Revision;
   S.NextServersWrite = T.Now + ServersWriteInterval;
   ControlHeartbeat Stored;
   Stored.Reports = changedServers(S.Servers, 0, T.Now);
+  Stored.Quarantine.Records = quarantineRecords(S.Quarantine, T.Now);
   T.Out.push_back(StoreServers{wire::toBytes(Stored)});
 }
 
--- a/packages/control/ControlHost.cpp
+++ b/packages/control/ControlHost.cpp
@@ -55,6 +55,7 @@
   void operator()(const Tick &) const {
     tickLog(T);
     control::tickServers(T);
+    tickQuarantine(T);
     tickSpread(T);
     storeServers(T);
     answerPendingPuts(T);
@@ -124,6 +125,7 @@
 TimePoint nextWakeup(const ControlHost &S, TimePoint Now) {
   TimePoint Next =
       std::min({nextTick(S.Log), S.NextControlHeartbeat, S.NextServerTick});
+  Next = std::min(Next, S.Quarantine.JudgeAt);
   if (!S.PendingPuts.empty())
     Next = std::min(Next, Now + milliseconds(100));
   if (S.StopAt != TimePoint())
@@ -147,6 +149,8 @@
             static_cast<double>(S.NewestRouting.Number)),
       Gauge("pimento_servers", static_cast<double>(S.Servers.Servers.size())),
       Gauge("pimento_entry_hosts", static_cast<double>(S.Entries.size())),
+      Gauge("pimento_quarantined_parts",
+            static_cast<double>(activeQuarantines(S.Quarantine))),
   };
 }
 
--- a/packages/control/ControlHost.h
+++ b/packages/control/ControlHost.h
@@ -27,6 +27,7 @@
 #include "base/Settings.h"
 #include "control/VoterPlan.h"
 #include "node/Events.h"
+#include "quarantine/PartQuarantine.h"
 #include "replica/Replica.h"
 #include "routing/Adapter.h"
 #include "routing/Servers.h"
@@ -65,9 +66,10 @@
 struct ControlPeer {
   TimePoint LastSeen{}; // Time of the host's last heartbeat; the epoch: none.
   bool Leaving = false; // The host announced that it is stopping.
-  bool RequestsFullState = true;     // The next heartbeat carries all servers.
-  std::vector<ServerReport> Reports; // Reports not sent yet.
-  std::vector<TimePoint> Since;      // Arrival time of each of Reports.
+  bool RequestsFullState = true;      // The next heartbeat carries all servers.
+  std::vector<ServerReport> Reports;  // Reports not sent yet.
+  std::vector<TimePoint> Since;       // Arrival time of each of Reports.
+  std::uint64_t QuarantineDigest = 0; // Of the host's quarantined parts.
 };
 
 /// State kept for an entry host that synchronises with this host.
@@ -82,6 +84,8 @@
   TimePoint SentAt{};           // When SentConfig was sent; the epoch: never.
   std::uint64_t SentRevision = 0; // Revision of Servers sent to it.
   std::uint64_t SentSequence = 0; // Sequence of the last EntrySync answered.
+  std::uint64_t QuarantineDigest = 0; // Of the quarantined parts known there.
+  std::uint64_t WatchDigest = 0;      // Of the watched parts known there.
 };
 
 /// An operator's configuration that is not acknowledged yet.
@@ -112,6 +116,9 @@
   std::uint64_t HighestProposed = 0;
   ServerLimits Limits;
   ServerRegistry Servers;
+  PartQuarantine Quarantine; // Parts of prompts that crash engines.
+  std::map<AccountPart, TimePoint> Clearances; // To be sent to control hosts.
+  std::uint64_t StoredQuarantine = 0;          // Digest of those on the disk.
   std::map<HostId, ControlPeer> Controls;
   std::map<HostId, EntryPeer> Entries;
   std::vector<PendingRouting> PendingPuts;
--- /dev/null
+++ b/packages/control/ControlQuarantine.cpp
@@ -0,0 +1,222 @@
+// Parts of prompts that crash engines: evidence of the entry hosts, judgement,
+// spread, and operators' calls.
+
+#include "control/ControlTurn.h"
+
+#include "base/Json.h"
+#include "base/Problem.h"
+
+#include <algorithm>
+#include <charconv>
+
+namespace pimento::control {
+
+namespace {
+
+/// Evidence of this age is sent with each heartbeat to the other control hosts,
+/// so that a new leader has it. Longer than two heartbeats.
+constexpr Duration EvidenceRelayTime = milliseconds(1200);
+/// Delay of a judgement at a host that does not judge, since another one leads.
+constexpr Duration NotJudgingDelay = milliseconds(500);
+constexpr std::size_t MaxClearances = 256;
+constexpr const char *QuarantinePath = "/v1/quarantine";
+constexpr int HexBase = 16;
+
+std::string partText(PartId Part) {
+  constexpr std::size_t MaxDigits = 16;
+  std::array<char, MaxDigits> Digits{};
+  char *End = std::to_chars(Digits.data(), Digits.data() + Digits.size(),
+                            static_cast<std::uint64_t>(Part), HexBase)
+                  .ptr;
+  return {Digits.data(), End};
+}
+
+DecisionRecord recordOf(const char *Kind, const char *Reason,
+                        const QuarantineScope &Scope, const Quarantined &Q) {
+  DecisionRecord Record{Kind, {}, Reason, {}};
+  Record.add("part", partText(Scope.Part));
+  Record.add("account", Scope.Account.Value);
+  Record.add("all_accounts", Scope.AllAccounts);
+  Record.add("crashes", static_cast<std::int64_t>(Q.Crashes));
+  Record.add("requests", static_cast<std::int64_t>(Q.Requests));
+  Record.add("trials", static_cast<std::int64_t>(Q.Trials));
+  Record.add("version", static_cast<std::int64_t>(Q.Version));
+  return Record;
+}
+
+std::vector<AccountPart> watchedParts(const PartQuarantine &S) {
+  std::vector<AccountPart> Parts;
+  for (const auto &[Part, Since] : S.Watched)
+    Parts.push_back(Part);
+  return Parts;
+}
+
+/// Whether this host judges: exactly one host does while a leader is known.
+bool judges(const ControlHost &S, TimePoint Now) {
+  return isLeader(S, Now) || leader(S.Log).empty();
+}
+
+void rememberClearance(ControlHost &S, const PartClearance &Clearance,
+                       TimePoint Now) {
+  TimePoint Limit = Now - EvidenceRelayTime;
+  for (auto It = S.Clearances.begin(); It != S.Clearances.end();)
+    It = It->second < Limit ? S.Clearances.erase(It) : std::next(It);
+  if (S.Clearances.size() < MaxClearances)
+    S.Clearances[Clearance.Part] = Now;
+}
+
+Json describe(const QuarantineScope &Scope, const Quarantined &Q,
+              TimePoint Now) {
+  Json Entry = {{"part", partText(Scope.Part)},
+                {"allAccounts", Scope.AllAccounts},
+                {"sinceMs", toMilliseconds(Now - Q.Since)},
+                {"crashes", Q.Crashes},
+                {"requests", Q.Requests},
+                {"trials", Q.Trials}};
+  if (!Scope.AllAccounts)
+    Entry["account"] = Scope.Account.Value;
+  if (Q.TrialAt != TimePoint::max())
+    Entry["nextTrialMs"] = toMilliseconds(Q.TrialAt - Now);
+  return Entry;
+}
+
+void listQuarantine(ControlTurn &T, ExchangeId Exchange) {
+  Json Parts = Json::array();
+  for (const auto &[Scope, Q] : T.S.Quarantine.Parts) {
+    if (Q.Active)
+      Parts.push_back(describe(Scope, Q, T.Now));
+  }
+  reply(T, Exchange, jsonReply(200, Json({{"parts", Parts}}).dump()));
+}
+
+/// Lifts the quarantines of the part named by the last segment of the path, for
+/// all accounts.
+void liftPart(ControlTurn &T, ExchangeId Exchange, std::string_view Text) {
+  std::uint64_t Number = 0;
+  const char *End = Text.data() + Text.size();
+  auto [Last, Error] = std::from_chars(Text.data(), End, Number, HexBase);
+  if (Error != std::errc() || Last != End) {
+    refuse(T, Exchange, Code::BadRequest,
+           "the path does not end with a part in hexadecimal");
+    return;
+  }
+  std::int64_t Lifted = 0;
+  for (auto &[Scope, Q] : T.S.Quarantine.Parts) {
+    if (Scope.Part != PartId{Number} ||
+        !liftQuarantine(T.S.Quarantine, Scope, T.Now))
+      continue;
+    ++Lifted;
+    log(T, recordOf("part_released", "an operator lifted the quarantine", Scope,
+                    Q));
+  }
+  if (Lifted == 0) {
+    refuse(T, Exchange, Code::NotFound, "the part is not in quarantine");
+    return;
+  }
+  T.S.UpdateDue = true;
+  reply(T, Exchange, jsonReply(200, Json({{"lifted", Lifted}}).dump()));
+}
+
+} // namespace
+
+void onQuarantineUpdate(ControlTurn &T, const HostId &From,
+                        const QuarantineUpdate &M) {
+  PartQuarantine &Q = T.S.Quarantine;
+  bool Changed = false;
+  for (const QuarantineRecord &Record : M.Records)
+    Changed = applyRecord(Q, Record, T.Now) || Changed;
+  for (const EngineCrash &Crash : M.Crashes) {
+    if (!addCrash(Q, Crash, T.Now))
+      continue;
+    DecisionRecord Record{
+        "engine_crash", {}, "an engine broke off answers of a host", {}};
+    Record.add("server", Crash.Server.Value);
+    Record.add("reporter", From.Value);
+    Record.add("requests", static_cast<std::int64_t>(Crash.Requests.size()));
+    Record.add("age_ms", toMilliseconds(Crash.Age));
+    log(T, std::move(Record));
+  }
+  for (const PartClearance &Clearance : M.Clearances) {
+    rememberClearance(T.S, Clearance, T.Now);
+    if (!addClearance(Q, Clearance, T.Now))
+      continue;
+    Changed = true;
+    DecisionRecord Record{
+        "part_released", {}, "a request with the part was answered", {}};
+    Record.add("part", partText(Clearance.Part.Part));
+    Record.add("account", Clearance.Part.Account.Value);
+    Record.add("reporter", From.Value);
+    log(T, std::move(Record));
+  }
+  if (Changed)
+    T.S.UpdateDue = true;
+}
+
+QuarantineUpdate quarantineUpdateFor(const ControlTurn &T,
+                                     std::uint64_t KnownDigest,
+                                     std::uint64_t KnownWatchDigest) {
+  const PartQuarantine &Q = T.S.Quarantine;
+  QuarantineUpdate M;
+  M.Digest = quarantineDigest(Q);
+  if (M.Digest != KnownDigest)
+    M.Records = quarantineRecords(Q, T.Now);
+  std::vector<AccountPart> Watched = watchedParts(Q);
+  M.WatchDigest = watchDigest(Watched);
+  if (M.WatchDigest != KnownWatchDigest)
+    M.Watched = std::move(Watched);
+  return M;
+}
+
+QuarantineUpdate quarantineUpdateFor(const ControlTurn &T,
+                                     const ControlPeer &Peer) {
+  const PartQuarantine &Q = T.S.Quarantine;
+  QuarantineUpdate M;
+  M.Digest = quarantineDigest(Q);
+  if (M.Digest != Peer.QuarantineDigest)
+    M.Records = quarantineRecords(Q, T.Now);
+  M.Crashes = crashesSince(Q, T.Now - EvidenceRelayTime, T.Now);
+  for (const auto &[Part, ReceivedAt] : T.S.Clearances) {
+    std::optional<TimePoint> At =
+        answeredAt(Q.Answered, Part.Account, Part.Part);
+    if (At && T.Now < ReceivedAt + EvidenceRelayTime)
+      M.Clearances.push_back({Part, T.Now - *At});
+  }
+  return M;
+}
+
+void tickQuarantine(ControlTurn &T) {
+  PartQuarantine &Q = T.S.Quarantine;
+  if (T.Now < Q.JudgeAt)
+    return;
+  if (!judges(T.S, T.Now)) {
+    Q.JudgeAt = T.Now + NotJudgingDelay;
+    return;
+  }
+  std::uint64_t WatchBefore = watchDigest(watchedParts(Q));
+  for (const QuarantineScope &Scope : judgeParts(Q, T.Now)) {
+    log(T, recordOf("part_quarantined",
+                    "crashes of engines have this part in common", Scope,
+                    Q.Parts.at(Scope)));
+    count(T, "pimento_parts_quarantined_total");
+    T.S.UpdateDue = true;
+  }
+  if (watchDigest(watchedParts(Q)) != WatchBefore)
+    T.S.UpdateDue = true;
+}
+
+bool quarantineCall(ControlTurn &T, ExchangeId Exchange, const HttpRequest &R) {
+  std::string_view Path = R.Path;
+  std::string_view Prefix = QuarantinePath;
+  if (Path == Prefix && R.Method == HttpMethod::Get) {
+    listQuarantine(T, Exchange);
+    return true;
+  }
+  bool IsLift = R.Method == HttpMethod::Delete && Path.size() > Prefix.size() &&
+                Path.substr(0, Prefix.size()) == Prefix &&
+                Path[Prefix.size()] == '/';
+  if (IsLift)
+    liftPart(T, Exchange, Path.substr(Prefix.size() + 1));
+  return IsLift;
+}
+
+} // namespace pimento::control
--- a/packages/control/ControlSpread.cpp
+++ b/packages/control/ControlSpread.cpp
@@ -74,6 +74,7 @@
     Heartbeat.Known = LiveHosts;
     Heartbeat.Leaving = S.StopAt != TimePoint();
     Heartbeat.RequestsFullState = Peer.LastSeen == TimePoint();
+    Heartbeat.Quarantine = quarantineUpdateFor(T, Peer);
     if (T.Now < Peer.LastSeen + ControlHostTimeout)
       Heartbeat.Reports = takePendingReports(T, Peer);
     else
@@ -221,6 +222,10 @@
   State.Controls = liveControlHosts(S, T.Now);
   State.Entries = liveEntryHostCount(T);
   State.Placer = S.Placer;
+  State.Quarantine =
+      quarantineUpdateFor(T, Entry.QuarantineDigest, Entry.WatchDigest);
+  Entry.QuarantineDigest = State.Quarantine.Digest;
+  Entry.WatchDigest = State.Quarantine.WatchDigest;
   return State;
 }
 
@@ -276,6 +281,8 @@
     if (applyReport(S.Servers, Report, T.Now - Report.Age))
       S.UpdateDue = true;
   }
+  Peer.QuarantineDigest = M.Quarantine.Digest;
+  onQuarantineUpdate(T, From, M.Quarantine);
 }
 
 void onEntrySync(ControlTurn &T, const HostId &From,
@@ -292,6 +299,9 @@
   Entry.Config = M.Config;
   if (!isConfigInFlight(T, Entry))
     Entry.SentConfig = M.Config;
+  Entry.QuarantineDigest = M.Quarantine.Digest;
+  Entry.WatchDigest = M.Quarantine.WatchDigest;
+  onQuarantineUpdate(T, From, M.Quarantine);
   bool Whole = M.ControlIncarnation != T.S.Incarnation ||
                M.Revision > T.S.Servers.Revision;
   Entry.SentRevision = Whole ? 0 : M.Revision;
--- a/packages/control/ControlTurn.h
+++ b/packages/control/ControlTurn.h
@@ -55,6 +55,23 @@
 /// silent.
 void restoreServers(ControlHost &S, const std::string &Bytes, TimePoint Now);
 
+// ControlQuarantine.cpp
+/// Merges what another host knows of parts that crash engines.
+void onQuarantineUpdate(ControlTurn &T, const HostId &From,
+                        const QuarantineUpdate &M);
+/// What a host with the given digests lacks.
+QuarantineUpdate quarantineUpdateFor(const ControlTurn &T,
+                                     std::uint64_t KnownDigest,
+                                     std::uint64_t KnownWatchDigest);
+/// The same for another control host, with recent evidence.
+QuarantineUpdate quarantineUpdateFor(const ControlTurn &T,
+                                     const ControlPeer &Peer);
+/// Judges new evidence, if this host leads or no leader is known.
+void tickQuarantine(ControlTurn &T);
+/// Answers an operator's call about quarantined parts. Returns false for any
+/// other call.
+bool quarantineCall(ControlTurn &T, ExchangeId Exchange, const HttpRequest &R);
+
 // ControlSpread.cpp
 void tickSpread(ControlTurn &T);
 void onControlHeartbeat(ControlTurn &T, const HostId &From,
--- a/packages/gateway/Answer.cpp
+++ b/packages/gateway/Answer.cpp
@@ -77,6 +77,7 @@
 
 void endStream(GatewayTurn &T, GatewayCall &C, bool Delimited) {
   if (!Delimited && !C.Events.Partial.empty()) {
+    noteCrash(T, C);
     attemptFailed(T, C, true, Code::StreamCut,
                   "the backend server's stream ended within an event");
     return;
@@ -86,6 +87,7 @@
     T.Out.push_back(
         calls::StreamBytes{C.Exchange, std::move(C.Events.Partial)});
   T.Out.push_back(calls::EndStream{C.Exchange, true});
+  noteComplete(T, C);
   finish(T, C, StatusOk, Code::Ok, "");
 }
 
@@ -108,6 +110,8 @@
   if (C.Exchange != ExchangeId{})
     T.Out.push_back(calls::SendReply{C.Exchange, std::move(Reply)});
   bool Succeeded = Status < FirstServerErrorStatus;
+  if (Status < FirstErrorStatus)
+    noteComplete(T, C);
   finish(T, C, Status, Succeeded ? Code::Ok : Code::BackendFailed,
          Succeeded ? "" : "the backend server answered with a failure");
 }
--- a/packages/gateway/Attempt.cpp
+++ b/packages/gateway/Attempt.cpp
@@ -171,6 +171,8 @@
 }
 
 void startAttempt(GatewayTurn &T, GatewayCall &C) {
+  if (refuseQuarantined(T, C))
+    return;
   if (C.Sends > 0)
     takeSiteRetry(T.S.Retries, C.Service, T.S.RetryRules, T.S.Link.Entries,
                   T.Now);
@@ -236,6 +238,8 @@
     C.Attempt.BytesSent = true;
     C.Sends += 1;
   }
+  if (Why.BytesSent && !Why.TimedOut && !Why.Malformed)
+    noteCrash(T, C);
   attemptFailed(T, C, Why.BytesSent,
                 Why.BytesSent ? Code::BackendFailed : Code::ConnectFailed,
                 Why.BytesSent ? "the connection broke"
--- a/packages/gateway/Gateway.cpp
+++ b/packages/gateway/Gateway.cpp
@@ -175,6 +175,8 @@
       Gauge("pimento_engine_requests",
             static_cast<double>(S.Engines.Placed.size())),
       Gauge("pimento_entry_hosts", static_cast<double>(S.Link.Entries)),
+      Gauge("pimento_quarantined_parts",
+            static_cast<double>(activeQuarantines(S.Quarantine))),
       Gauge("pimento_places_here", S.Placer == S.Self ? 1 : 0),
   };
 }
--- a/packages/gateway/Gateway.h
+++ b/packages/gateway/Gateway.h
@@ -27,6 +27,7 @@
 // PlacePart.cpp   placement on engines
 // ReservePart.cpp memory reservations at helpers
 // SpeedPart.cpp   load reports of engines suspected of being slow
+// QuarantinePart.cpp parts of prompts that crash engines
 // SitePart.cpp    control hosts, other entry hosts, shutdown
 //
 //===----------------------------------------------------------------------===//
@@ -40,6 +41,7 @@
 #include "gateway/Placer.h"
 #include "gateway/RepeatBudget.h"
 #include "node/Events.h"
+#include "quarantine/PartQuarantine.h"
 #include "routing/Adapter.h"
 #include "routing/Routing.h"
 #include "routing/Servers.h"
@@ -158,6 +160,8 @@
   std::vector<Reservation> Reserved;
   TimePoint RenewAt{}; // Next renewal of all reservations.
 
+  bool IsTrial = false;  // A part of its prompt is in quarantine; it is sent
+                         // once to see whether engines still crash.
   bool Replying = false; // The head of an answer was sent to the caller.
   EventSplitter Events;  // State of the stream to the caller.
   TimePoint FirstEventAt{};
@@ -209,7 +213,10 @@
       RequesterIncarnations; // Of entry hosts that sent placement requests.
   std::vector<PendingRelease> Releases;
   std::map<UpstreamId, SpeedQuery> SpeedQueries;
-  std::map<HostId, TimePoint> LostHosts; // When a host's link was lost.
+  PartQuarantine Quarantine; // Parts that crash engines, and own evidence.
+  std::uint64_t ControlQuarantineDigest = 0;   // Of the active control host.
+  std::map<AccountPart, TimePoint> Clearances; // To be reported.
+  std::map<HostId, TimePoint> LostHosts;       // When a host's link was lost.
 
   bool Stopping = false;
   TimePoint RefuseAt{}; // During shutdown: new requests are refused from then.
--- a/packages/gateway/GatewayTurn.h
+++ b/packages/gateway/GatewayTurn.h
@@ -148,6 +148,19 @@
 /// false for any other event.
 bool speedQueryEvent(GatewayTurn &T, const Event &E);
 
+// QuarantinePart.cpp
+/// Refuses the call if a part of its prompt is in quarantine, unless it is sent
+/// as a trial. Returns whether it was refused; \p C is then invalid.
+bool refuseQuarantined(GatewayTurn &T, GatewayCall &C);
+/// Records that an engine broke off its answer to the call.
+void noteCrash(GatewayTurn &T, const GatewayCall &C);
+/// Records that an engine answered the call completely.
+void noteComplete(GatewayTurn &T, const GatewayCall &C);
+/// What a control host is to know of parts that crash engines.
+QuarantineUpdate quarantineReport(GatewayTurn &T);
+/// Merges what a control host knows of parts that crash engines.
+void onQuarantineUpdate(GatewayTurn &T, const QuarantineUpdate &M);
+
 // SitePart.cpp
 /// Queries the control host, drops the placements of lost hosts and advances a
 /// shutdown.
--- a/packages/gateway/PlacePart.cpp
+++ b/packages/gateway/PlacePart.cpp
@@ -126,6 +126,7 @@
     return;
   }
   C.Attempt.Address = E->Address;
+  C.Attempt.ServerIncarnation = E->Incarnation;
   if (C.IsRemotePlacement)
     placeRequest(T.S.Engines, {T.S.Self, C.Ticket}, makeRunningRequest(T, C),
                  T.Now);
--- /dev/null
+++ b/packages/gateway/QuarantinePart.cpp
@@ -0,0 +1,201 @@
+// Parts of prompts that crash engines: refusal of requests with such parts, and
+// evidence for the control hosts, which judge it.
+
+#include "gateway/GatewayTurn.h"
+
+#include <algorithm>
+
+namespace pimento::gateway {
+
+namespace {
+
+/// Evidence is part of each message to control hosts for this time, so that it
+/// arrives although messages or control hosts are lost.
+constexpr Duration ReportTime = seconds(3);
+/// Delay of a report, so that one message carries all calls that an engine's
+/// crash broke off.
+constexpr Duration ReportDelay = milliseconds(10);
+/// Parts of a prompt that are reported, the first ones.
+constexpr std::size_t MaxReportedParts = 32;
+/// A complete answer is reported if it is not older.
+constexpr Duration ProofRetention = std::chrono::minutes(10);
+/// Retry-After while no trial of the part is planned.
+constexpr Duration UntilOperatorActs = std::chrono::hours(1);
+constexpr Duration MinRetryAfter = seconds(1);
+
+void reportSoon(GatewayTurn &T) {
+  T.S.Link.NextSyncAt = std::min(T.S.Link.NextSyncAt, T.Now + ReportDelay);
+}
+
+std::vector<PartId> reportedParts(const GatewayCall &C) {
+  const std::vector<PartId> &Parts = C.Info.Parts;
+  std::size_t Count = std::min(Parts.size(), MaxReportedParts);
+  return {Parts.begin(), Parts.begin() + static_cast<std::ptrdiff_t>(Count)};
+}
+
+/// Reports the latest complete answer with the part, if one is known.
+void reportAnswered(GatewayTurn &T, const AccountPart &Part) {
+  std::optional<TimePoint> At =
+      answeredAt(T.S.Quarantine.Answered, Part.Account, Part.Part);
+  if (At && T.Now < *At + ProofRetention)
+    T.S.Clearances[Part] = T.Now;
+}
+
+bool isWatched(const GatewayTurn &T, const AccountPart &Part) {
+  const PartQuarantine &Q = T.S.Quarantine;
+  return Q.Watched.count(Part) > 0 ||
+         findQuarantine(Q, Part.Account, {Part.Part}).Part != nullptr;
+}
+
+/// Whether this host may send a trial: only the placer does, so that there is
+/// one at a time.
+bool maySendTrial(const GatewayTurn &T, const GatewayCall &C,
+                  const QuarantineMatch &Match) {
+  return Match.Count == 1 && T.Now >= Match.Part->TrialAt &&
+         C.AttemptCount == 0 && T.S.Link.Placer == T.S.Self;
+}
+
+void logQuarantine(GatewayTurn &T, const GatewayCall &C, const char *Kind,
+                   const char *Reason, const QuarantineMatch &Match) {
+  DecisionRecord Record = record(T, C, Kind, Reason);
+  Record.add("account", C.Account.Value);
+  Record.add("part", partsText({Match.Scope.Part}));
+  Record.add("all_accounts", Match.Scope.AllAccounts);
+  Record.add("since_ms", toMilliseconds(T.Now - Match.Part->Since));
+  Record.add("crashes", static_cast<std::int64_t>(Match.Part->Crashes));
+  Record.add("trials", static_cast<std::int64_t>(Match.Part->Trials));
+  log(T, std::move(Record));
+}
+
+/// Ends calls with a quarantined part that have no answer yet. The engine has
+/// not begun to write and is spared the crash.
+void withdrawCalls(GatewayTurn &T) {
+  std::vector<std::uint64_t> Tickets;
+  for (const auto &[Ticket, C] : T.S.Calls) {
+    if (C.OnEngine && !C.IsTrial && C.Stage != CallStage::Answering)
+      Tickets.push_back(Ticket);
+  }
+  for (std::uint64_t Ticket : Tickets) {
+    if (GatewayCall *C = findCall(T, Ticket))
+      refuseQuarantined(T, *C);
+  }
+}
+
+} // namespace
+
+bool refuseQuarantined(GatewayTurn &T, GatewayCall &C) {
+  if (!C.OnEngine)
+    return false;
+  QuarantineMatch Match =
+      findQuarantine(T.S.Quarantine, C.Account, C.Info.Parts);
+  if (Match.Part == nullptr)
+    return false;
+  if (maySendTrial(T, C, Match)) {
+    C.IsTrial = true;
+    beginTrial(T.S.Quarantine, Match.Scope, T.Now);
+    logQuarantine(T, C, "part_trial",
+                  "sent once to see whether engines still crash", Match);
+    reportSoon(T);
+    return false;
+  }
+  const char *Reason = "a part of the prompt is in quarantine";
+  logQuarantine(T, C, "part_refused", Reason, Match);
+  bool Ran = C.MayHaveRun || C.Attempt.BytesSent;
+  Code Number = C.Replying ? Code::StreamCut
+                : Ran      ? Code::BackendFailed
+                           : Code::PartQuarantined;
+  TimePoint TrialAt = Match.Part->TrialAt;
+  Duration RetryAfter = TrialAt == TimePoint::max()
+                            ? UntilOperatorActs
+                            : std::max(MinRetryAfter, TrialAt - T.Now);
+  if (C.Stage == CallStage::Placing)
+    reportStage(T, C, PlacementStage::Ended);
+  fail(T, C, Number, Reason, RetryAfter);
+  return true;
+}
+
+void noteCrash(GatewayTurn &T, const GatewayCall &C) {
+  if (!C.OnEngine || C.Info.Parts.empty())
+    return;
+  CrashedRequest Request;
+  Request.Account = C.Account;
+  Request.Request = std::hash<std::string>()(C.Info.ClientAttemptId);
+  Request.Parts = reportedParts(C);
+  EngineCrash Crash;
+  Crash.Server = C.Attempt.Server;
+  Crash.Incarnation = C.Attempt.ServerIncarnation;
+  Crash.Requests = {std::move(Request)};
+  addCrash(T.S.Quarantine, Crash, T.Now);
+  for (PartId Part : C.Info.Parts)
+    reportAnswered(T, {C.Account, Part});
+  count(T, "pimento_engine_crash_requests_total");
+  reportSoon(T);
+}
+
+void noteComplete(GatewayTurn &T, const GatewayCall &C) {
+  if (!C.OnEngine)
+    return;
+  for (PartId Part : reportedParts(C)) {
+    AccountPart Key{C.Account, Part};
+    bool Watched = isWatched(T, Key);
+    addClearance(T.S.Quarantine, {Key, Duration::zero()}, T.Now);
+    if (!Watched)
+      continue;
+    T.S.Clearances[Key] = T.Now;
+    reportSoon(T);
+  }
+}
+
+QuarantineUpdate quarantineReport(GatewayTurn &T) {
+  Gateway &S = T.S;
+  const PartQuarantine &Q = S.Quarantine;
+  QuarantineUpdate M;
+  M.Digest = quarantineDigest(Q);
+  if (M.Digest != S.ControlQuarantineDigest)
+    M.Records = quarantineRecords(Q, T.Now);
+  M.Crashes = crashesSince(Q, T.Now - ReportTime, T.Now);
+  for (auto It = S.Clearances.begin(); It != S.Clearances.end();) {
+    const auto &[Part, ReportedAt] = *It;
+    std::optional<TimePoint> At =
+        answeredAt(Q.Answered, Part.Account, Part.Part);
+    if (At && T.Now < ReportedAt + ReportTime) {
+      M.Clearances.push_back({Part, T.Now - *At});
+      ++It;
+    } else {
+      It = S.Clearances.erase(It);
+    }
+  }
+  std::vector<AccountPart> Watched;
+  for (const auto &[Part, Since] : Q.Watched)
+    Watched.push_back(Part);
+  M.WatchDigest = watchDigest(Watched);
+  return M;
+}
+
+void onQuarantineUpdate(GatewayTurn &T, const QuarantineUpdate &M) {
+  PartQuarantine &Q = T.S.Quarantine;
+  T.S.ControlQuarantineDigest = M.Digest;
+  bool Changed = false;
+  for (const QuarantineRecord &Record : M.Records)
+    Changed = applyRecord(Q, Record, T.Now) || Changed;
+  if (Changed) {
+    DecisionRecord Record{
+        "quarantine_changed", {}, "a control host reported a change", {}};
+    Record.add("parts", static_cast<std::int64_t>(activeQuarantines(Q)));
+    log(T, std::move(Record));
+    withdrawCalls(T);
+  }
+  if (M.WatchDigest == 0)
+    Q.Watched.clear();
+  if (M.Watched.empty())
+    return;
+  Q.Watched.clear();
+  for (const AccountPart &Part : M.Watched) {
+    Q.Watched.emplace(Part, T.Now);
+    reportAnswered(T, Part);
+  }
+  if (!T.S.Clearances.empty())
+    reportSoon(T);
+}
+
+} // namespace pimento::gateway
--- a/packages/gateway/SitePart.cpp
+++ b/packages/gateway/SitePart.cpp
@@ -150,8 +150,11 @@
   Gateway &S = T.S;
   std::optional<Outbound> Query =
       tickLink(S.Link, reportOf(S, T.Now), S.Rng, T.Now);
-  if (Query)
+  if (Query) {
+    if (auto *Sync = std::get_if<EntrySync>(&Query->Content))
+      Sync->Quarantine = quarantineReport(T);
     send(T, Query->To, std::move(Query->Content));
+  }
   tickLostHosts(T);
   tickStop(T);
 }
@@ -160,6 +163,9 @@
   Gateway &S = T.S;
   bool WasReady = isReady(S);
   HostId ActiveControl = S.Link.ActiveControl;
+  // Also from a control host that is not current: a quarantine holds while the
+  // control hosts have no leader.
+  onQuarantineUpdate(T, M.Quarantine);
   if (!applySiteState(S.Link, From, M, T.Now))
     return;
   bool ServersChanged = applyServers(T, M);
--- a/packages/gateway/tests/CrashingPartTest.cpp
+++ b/packages/gateway/tests/CrashingPartTest.cpp
@@ -96,3 +96,118 @@
       Site.killEntry(Victim->first, milliseconds(1000));
   });
 }
+
+/// Guards against BUDGET before any request was answered: the part that all
+/// requests share cannot be told from the bad one by crashes alone.
+BOOST_AUTO_TEST_CASE(PartIsContainedBeforeAnyAnswer) {
+  CrashSite Site(12);
+  Site.BadParts = {PartId{0xbad}};
+  TimePoint From = Site.now();
+  Site.run(seconds(25));
+  BOOST_TEST(Site.lateSends() <= MaxLateSends);
+  BOOST_TEST(Site.soundShare(From + SettledAfter, Site.now() - seconds(1)) >
+             0.9);
+}
+
+/// Guards against a quarantine that is forgotten when all processes end at
+/// once: the control hosts keep it on their disks, and hosts that start learn
+/// it.
+BOOST_AUTO_TEST_CASE(QuarantineOutlivesTheLossOfAllHosts) {
+  CrashSite Site(6);
+  Site.BadParts = {PartId{0xbad}};
+  Site.run(seconds(10));
+  for (const HostId &Host : Site.Control.Seeds)
+    Site.Control.losePower(Host);
+  for (auto &[Name, N] : Site.Entries)
+    Site.killEntry(Name, milliseconds(500));
+  Site.run(milliseconds(300));
+  for (const HostId &Host : Site.Control.Seeds)
+    Site.Control.start(Host, false);
+  std::size_t Before = Site.BadSends.size();
+  Site.run(seconds(15));
+  BOOST_TEST(Site.BadSends.size() == Before);
+  BOOST_TEST(Site.soundShare(Site.now() - seconds(6), Site.now() - seconds(1)) >
+             0.9);
+}
+
+/// Guards against a quarantine that ends or starts late while the control hosts
+/// have no leader.
+BOOST_AUTO_TEST_CASE(QuarantineHoldsWithoutALeader) {
+  CrashSite Site(7);
+  Site.BadParts = {PartId{0xbad}};
+  Site.run(seconds(8));
+  HostId Leader = Site.Control.leader();
+  for (const HostId &Host : Site.Control.Seeds) {
+    if (Host != Leader)
+      Site.Control.losePower(Host);
+  }
+  Site.killEntry(Site.Entries.begin()->first, milliseconds(500));
+  std::size_t Before = Site.BadSends.size();
+  Site.run(seconds(12));
+  BOOST_TEST(Site.Control.leader().empty());
+  BOOST_TEST(Site.BadSends.size() == Before);
+}
+
+/// Guards against engines that are crashed again and again to see whether the
+/// part still does so.
+BOOST_AUTO_TEST_CASE(TrialsOfABadPartAreFew) {
+  CrashSite Site(8);
+  Site.Load.SoundEvery = milliseconds(200);
+  Site.BadParts = {PartId{0xbad}};
+  Site.run(std::chrono::minutes(25));
+  BOOST_TEST(Site.lateSends() >= 1U);
+  BOOST_TEST(Site.lateSends() <= MaxLateSends);
+}
+
+/// Guards against a part that stays refused although it is cured.
+BOOST_AUTO_TEST_CASE(CuredPartIsServedAgain) {
+  CrashSite Site(9);
+  Site.Load.SoundEvery = milliseconds(200);
+  Site.BadParts = {PartId{0xbad}};
+  Site.run(seconds(12));
+  std::size_t Crashes = Site.BadCrashes.size();
+  Site.Cured = {PartId{0xbad}};
+  TimePoint CuredAt = Site.now();
+  Site.run(std::chrono::minutes(11));
+  BOOST_TEST(Site.BadCrashes.size() == Crashes);
+  BOOST_TEST(Site.soundShare(CuredAt + seconds(650), Site.now() - seconds(1)) >
+             0.9);
+}
+
+/// Guards against sound callers that pay for engines that end for other
+/// reasons: one by one, and many at once.
+BOOST_AUTO_TEST_CASE(CrashesForOtherReasonsRefuseNobody) {
+  CrashSite Site(10);
+  Site.run(seconds(2));
+  TimePoint NextAt = Site.now();
+  int Round = 0;
+  Site.run(seconds(40), [&] {
+    if (Site.now() < NextAt)
+      return;
+    NextAt = Site.now() + milliseconds(1500);
+    std::size_t Count = ++Round % 4 == 0 ? 6 : 1;
+    for (std::size_t I = 0; I < Count; ++I)
+      Site.crash((static_cast<std::size_t>(Round) + I) % Site.Engines.size());
+  });
+  for (const auto &[Name, N] : Site.Entries)
+    BOOST_TEST(N.State.Quarantine.Parts.empty());
+}
+
+/// Guards against an account that has the shared part of others quarantined by
+/// sending prompts that crash engines for another reason.
+BOOST_AUTO_TEST_CASE(BadRequestsOfOneAccountRefuseNoOther) {
+  CrashSite Site(11);
+  Site.run(seconds(4));
+  Site.Load.OneBadAccount = true;
+  // The part that all sound requests of account b share.
+  Site.BadParts = {PartId{0x500 + 'b'}};
+  TimePoint From = Site.now();
+  Site.run(seconds(20));
+  std::size_t Refused = 0;
+  for (const auto &[Attempt, View] : Site.Callers) {
+    if (!View.Bad && View.SentAt > From && View.Account == "b")
+      Refused += View.Status == 503 ? 1 : 0;
+  }
+  BOOST_TEST(Refused == 0U);
+  BOOST_TEST(Site.lateSends() <= MaxLateSends);
+}
--- /dev/null
+++ b/packages/quarantine/PartQuarantine.cpp
@@ -0,0 +1,255 @@
+#include "quarantine/PartQuarantine.h"
+
+#include <algorithm>
+
+namespace pimento {
+
+namespace {
+
+/// Delay of a judgement after new evidence, so that the reports of all entry
+/// hosts about one crash are judged together.
+constexpr Duration JudgeDelay = milliseconds(50);
+constexpr Duration FirstTrialAfter = seconds(5);
+/// Of parts that the same crashes accuse: a trial with just one of them tells
+/// them apart.
+constexpr Duration FirstTrialOfTiedAfter = seconds(1);
+constexpr Duration NextTrialAfter = std::chrono::minutes(10);
+/// Records of ended quarantines are kept so long, since a host that was cut off
+/// may still hold the earlier version.
+constexpr Duration EndedRetention = std::chrono::minutes(10);
+constexpr std::size_t MaxCrashRequests = 64;
+constexpr std::size_t MaxQuarantined = 256;
+
+std::uint64_t mix(std::uint64_t Hash, std::uint64_t Value) {
+  constexpr std::uint64_t Prime = 0x100000001B3ULL;
+  return (Hash ^ Value) * Prime ^ (Hash >> 29U);
+}
+
+/// Hash that is equal on all hosts.
+std::uint64_t hashOf(const AccountPart &Part) {
+  constexpr std::uint64_t Start = 0xCBF29CE484222325ULL;
+  std::uint64_t Hash = mix(Start, static_cast<std::uint64_t>(Part.Part));
+  for (char Letter : Part.Account.Value)
+    Hash = mix(Hash, static_cast<unsigned char>(Letter));
+  return Hash;
+}
+
+bool isKnownRequest(const KnownCrash &Crash, const CrashedRequest &R) {
+  auto Is = [&](const CrashedRequest &Known) {
+    return Known.Request == R.Request && Known.Account == R.Account;
+  };
+  return std::any_of(Crash.Requests.begin(), Crash.Requests.end(), Is);
+}
+
+void dropOldestCrash(PartQuarantine &S) {
+  auto Older = [](const auto &A, const auto &B) {
+    return A.second.At < B.second.At;
+  };
+  S.Crashes.erase(std::min_element(S.Crashes.begin(), S.Crashes.end(), Older));
+}
+
+/// Drops records of ended quarantines after their retention, and the oldest
+/// ones beyond the limit.
+void pruneParts(PartQuarantine &S, TimePoint Now) {
+  for (auto It = S.Parts.begin(); It != S.Parts.end();) {
+    bool IsOld = !It->second.Active && Now > It->second.Since + EndedRetention;
+    It = IsOld ? S.Parts.erase(It) : std::next(It);
+  }
+  auto Older = [](const auto &A, const auto &B) {
+    return std::tie(A.second.Active, A.second.Since) <
+           std::tie(B.second.Active, B.second.Since);
+  };
+  while (S.Parts.size() > MaxQuarantined)
+    S.Parts.erase(std::min_element(S.Parts.begin(), S.Parts.end(), Older));
+}
+
+void endQuarantine(Quarantined &Q, TimePoint Now) {
+  Q.Version += 1;
+  Q.Active = false;
+  Q.Since = Now;
+  Q.TrialAt = TimePoint::max();
+}
+
+} // namespace
+
+bool addCrash(PartQuarantine &S, const EngineCrash &Crash, TimePoint Now) {
+  TimePoint At = Now - Crash.Age;
+  if (Crash.Requests.empty() || Crash.Age > EvidenceRetention)
+    return false;
+  KnownCrash &Known = S.Crashes[{Crash.Server, Crash.Incarnation}];
+  Known.At = Known.Requests.empty() ? At : std::min(Known.At, At);
+  bool Changed = false;
+  for (const CrashedRequest &R : Crash.Requests) {
+    if (Known.Requests.size() >= MaxCrashRequests || isKnownRequest(Known, R))
+      continue;
+    Known.Requests.push_back(R);
+    Changed = true;
+  }
+  if (!Changed)
+    return false;
+  Known.ChangedAt = Now;
+  S.JudgeAt = std::min(S.JudgeAt, Now + JudgeDelay);
+  if (S.Crashes.size() > MaxCrashes)
+    dropOldestCrash(S);
+  return true;
+}
+
+bool addClearance(PartQuarantine &S, const PartClearance &Clearance,
+                  TimePoint Now) {
+  const AccountPart &Part = Clearance.Part;
+  TimePoint At = Now - Clearance.Age;
+  noteAnswered(S.Answered, Part.Account, Part.Part, At);
+  if (S.Watched.count(Part) > 0)
+    S.JudgeAt = std::min(S.JudgeAt, Now + JudgeDelay);
+  bool Changed = false;
+  for (bool AllAccounts : {false, true}) {
+    QuarantineScope Scope = scopeOf(Part, AllAccounts);
+    auto Found = S.Parts.find(Scope);
+    if (Found == S.Parts.end() || !Found->second.Active ||
+        At <= Found->second.Since)
+      continue;
+    endQuarantine(Found->second, Now);
+    Changed = true;
+  }
+  return Changed;
+}
+
+bool applyRecord(PartQuarantine &S, const QuarantineRecord &R, TimePoint Now) {
+  bool IsActive = R.Version % 2 == 1;
+  if (R.Version == 0 || (!IsActive && R.Age > EndedRetention))
+    return false;
+  QuarantineScope Scope =
+      scopeOf(AccountPart{R.Account, R.Part}, R.AllAccounts);
+  Quarantined &Q = S.Parts[Scope];
+  bool IsNewer = std::tie(R.Version, R.Trials) > std::tie(Q.Version, Q.Trials);
+  if (!IsNewer)
+    return false;
+  Q.Version = R.Version;
+  Q.Active = IsActive;
+  Q.Since = Now - R.Age;
+  Q.Crashes = R.Crashes;
+  Q.Requests = R.Requests;
+  Q.Trials = R.Trials;
+  Q.TrialAt = R.TrialIn ? Now + *R.TrialIn : TimePoint::max();
+  pruneParts(S, Now);
+  return true;
+}
+
+std::size_t activeQuarantines(const PartQuarantine &S) {
+  auto IsActive = [](const auto &Entry) { return Entry.second.Active; };
+  return static_cast<std::size_t>(
+      std::count_if(S.Parts.begin(), S.Parts.end(), IsActive));
+}
+
+std::vector<QuarantineRecord> quarantineRecords(const PartQuarantine &S,
+                                                TimePoint Now) {
+  std::vector<QuarantineRecord> Records;
+  for (const auto &[Scope, Q] : S.Parts) {
+    QuarantineRecord R;
+    R.Part = Scope.Part;
+    R.Account = Scope.Account;
+    R.AllAccounts = Scope.AllAccounts;
+    R.Version = Q.Version;
+    R.Age = Now - Q.Since;
+    R.Crashes = Q.Crashes;
+    R.Requests = Q.Requests;
+    R.Trials = Q.Trials;
+    if (Q.TrialAt != TimePoint::max())
+      R.TrialIn = Q.TrialAt - Now;
+    Records.push_back(std::move(R));
+  }
+  return Records;
+}
+
+std::uint64_t quarantineDigest(const PartQuarantine &S) {
+  std::uint64_t Digest = 0;
+  for (const auto &[Scope, Q] : S.Parts) {
+    std::uint64_t Hash = hashOf(AccountPart{Scope.Account, Scope.Part});
+    Hash = mix(mix(mix(Hash, Scope.AllAccounts ? 1 : 0), Q.Version), Q.Trials);
+    Digest += Hash | 1U;
+  }
+  return Digest;
+}
+
+std::uint64_t watchDigest(const std::vector<AccountPart> &Watched) {
+  std::uint64_t Digest = 0;
+  for (const AccountPart &Part : Watched)
+    Digest += hashOf(Part) | 1U;
+  return Digest;
+}
+
+std::vector<EngineCrash> crashesSince(const PartQuarantine &S, TimePoint Since,
+                                      TimePoint Now) {
+  std::vector<EngineCrash> List;
+  for (const auto &[Key, Crash] : S.Crashes) {
+    if (Crash.ChangedAt <= Since)
+      continue;
+    List.push_back({Key.first, Key.second, Now - Crash.At, Crash.Requests});
+  }
+  return List;
+}
+
+QuarantineMatch findQuarantine(const PartQuarantine &S,
+                               const AccountId &Account,
+                               const std::vector<PartId> &Parts) {
+  QuarantineMatch Match;
+  if (S.Parts.empty())
+    return Match;
+  for (PartId Part : Parts) {
+    for (bool AllAccounts : {false, true}) {
+      QuarantineScope Scope = scopeOf({Account, Part}, AllAccounts);
+      auto Found = S.Parts.find(Scope);
+      if (Found == S.Parts.end() || !Found->second.Active)
+        continue;
+      Match.Count += 1;
+      if (Match.Part != nullptr && Found->second.TrialAt <= Match.Part->TrialAt)
+        continue;
+      Match.Scope = std::move(Scope);
+      Match.Part = &Found->second;
+    }
+  }
+  return Match;
+}
+
+void beginQuarantine(PartQuarantine &S, const QuarantineScope &Scope,
+                     std::size_t Crashes, std::size_t Requests, bool IsTied,
+                     TimePoint Now) {
+  Quarantined &Q = S.Parts[Scope];
+  Q.Version += Q.Active ? 2 : 1;
+  Q.Active = true;
+  Q.Since = Now;
+  Q.Crashes = Crashes;
+  Q.Requests = Requests;
+  Q.Trials = 0;
+  Q.TrialAt = Now + (IsTied ? FirstTrialOfTiedAfter : FirstTrialAfter);
+  if (Scope.AllAccounts) {
+    // The quarantines of single accounts would have trials of their own.
+    for (auto &[Other, Single] : S.Parts) {
+      if (Other.Part == Scope.Part && !Other.AllAccounts && Single.Active)
+        endQuarantine(Single, Now);
+    }
+  }
+  pruneParts(S, Now);
+}
+
+void beginTrial(PartQuarantine &S, const QuarantineScope &Scope,
+                TimePoint Now) {
+  Quarantined &Q = S.Parts.at(Scope);
+  Q.Trials += 1;
+  Q.TrialAt = Q.Trials < MaxTrials ? Now + NextTrialAfter : TimePoint::max();
+}
+
+bool liftQuarantine(PartQuarantine &S, const QuarantineScope &Scope,
+                    TimePoint Now) {
+  auto Found = S.Parts.find(Scope);
+  if (Found == S.Parts.end() || !Found->second.Active)
+    return false;
+  endQuarantine(Found->second, Now);
+  return true;
+}
+
+QuarantineScope scopeOf(const AccountPart &Part, bool AllAccounts) {
+  return {Part.Part, AllAccounts ? AccountId() : Part.Account, AllAccounts};
+}
+
+} // namespace pimento
--- /dev/null
+++ b/packages/quarantine/tests/PartQuarantineTest.cpp
@@ -0,0 +1,219 @@
+#include <boost/test/unit_test.hpp>
+
+#include "quarantine/PartQuarantine.h"
+
+#include <algorithm>
+
+using namespace pimento;
+
+namespace {
+
+const TimePoint Start = TimePoint(seconds(1000));
+constexpr PartId Common{1};
+constexpr PartId Bad{0xbad};
+
+struct Judge {
+  PartQuarantine S;
+  TimePoint Now = Start;
+  std::uint64_t NextEngine = 1;
+  std::uint64_t NextRequest = 1;
+
+  CrashedRequest request(const char *Account, std::vector<PartId> Parts) {
+    return {AccountId(Account), NextRequest++, std::move(Parts)};
+  }
+  /// An engine crashes with these requests; time passes and is judged.
+  void crash(std::vector<CrashedRequest> Requests,
+             Duration After = milliseconds(400)) {
+    EngineCrash C;
+    C.Server = BackendId("e" + std::to_string(NextEngine++));
+    C.Requests = std::move(Requests);
+    addCrash(S, C, Now);
+    pass(After);
+  }
+  void pass(Duration Time) {
+    for (TimePoint End = Now + Time; Now < End;) {
+      judgeParts(S, Now);
+      Now += std::min<Duration>(End - Now, milliseconds(50));
+    }
+  }
+  void answer(const char *Account, PartId Part) {
+    addClearance(S, {{AccountId(Account), Part}, {}}, Now);
+  }
+  bool refuses(const char *Account, PartId Part) const {
+    return findQuarantine(S, AccountId(Account), {Part}).Part != nullptr;
+  }
+};
+
+} // namespace
+
+/// Guards against sound requests that pay for a bad part: they share its
+/// crashes and its other parts.
+BOOST_AUTO_TEST_CASE(OnlyThePartThatAllCrashesShareIsQuarantined) {
+  Judge J;
+  J.answer("a", Common);
+  J.answer("b", PartId{7});
+  for (std::uint64_t I = 0; I < 3; ++I)
+    J.crash({J.request("a", {Common, Bad, PartId{100 + I}}),
+             J.request("a", {Common, PartId{200 + I}}),
+             J.request("b", {PartId{7}, PartId{300 + I % 2}})});
+  J.pass(seconds(1));
+  BOOST_TEST(J.refuses("a", Bad));
+  BOOST_TEST(activeQuarantines(J.S) == 1U);
+}
+
+/// Guards against crashes for a common reason, such as a loss of power, that
+/// accuse the parts of all requests then running.
+BOOST_AUTO_TEST_CASE(EnginesThatEndTogetherCountOnce) {
+  Judge J;
+  for (int I = 0; I < 20; ++I)
+    J.crash({J.request("a", {Common, PartId{50}})}, milliseconds(2));
+  J.pass(seconds(2));
+  BOOST_TEST(activeQuarantines(J.S) == 0U);
+}
+
+/// Guards against a popular part that is accused since engines end by
+/// themselves every now and then: its complete answers clear it.
+BOOST_AUTO_TEST_CASE(CompleteAnswersClearAPart) {
+  Judge J;
+  for (int I = 0; I < 50; ++I) {
+    J.crash({J.request("a", {Common, PartId{100U + I}})}, seconds(2));
+    J.answer("a", Common);
+  }
+  BOOST_TEST(activeQuarantines(J.S) == 0U);
+}
+
+/// Guards against one request that is sent again and again beside crashes that
+/// others caused.
+BOOST_AUTO_TEST_CASE(OneRequestAloneDoesNotAccuse) {
+  Judge J;
+  CrashedRequest Unlucky = J.request("a", {PartId{5}, PartId{6}});
+  for (int I = 0; I < 6; ++I)
+    J.crash({Unlucky, J.request("b", {PartId{60U + I}})});
+  BOOST_TEST(activeQuarantines(J.S) == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(TwoBadPartsAtOnceAreBothQuarantined) {
+  Judge J;
+  J.answer("a", Common);
+  for (std::uint64_t I = 0; I < 6; ++I)
+    J.crash({J.request("a", {Common, PartId{0xbad + I % 2}, PartId{100 + I}})});
+  J.pass(seconds(1));
+  BOOST_TEST(J.refuses("a", PartId{0xbad}));
+  BOOST_TEST(J.refuses("a", PartId{0xbae}));
+  BOOST_TEST(!J.refuses("a", Common));
+}
+
+/// Guards against a part that always accompanies the bad one before anything
+/// was answered: both are accused alike, and the sound one is released by its
+/// first complete answer.
+BOOST_AUTO_TEST_CASE(SoundPartIsReleasedByItsFirstAnswer) {
+  Judge J;
+  for (std::uint64_t I = 0; I < 6; ++I)
+    J.crash({J.request("a", {Common, Bad, PartId{100 + I}})});
+  J.pass(seconds(1));
+  BOOST_TEST(J.refuses("a", Bad));
+  J.pass(seconds(1));
+  J.answer("a", Common);
+  BOOST_TEST(!J.refuses("a", Common));
+  BOOST_TEST(J.refuses("a", Bad));
+}
+
+/// Guards against an account that has the part of another one quarantined by
+/// naming it in requests that crash engines for another reason.
+BOOST_AUTO_TEST_CASE(AccountCannotHaveAnothersPartQuarantined) {
+  Judge J;
+  for (std::uint64_t I = 0; I < 20; ++I)
+    J.crash({J.request("attacker", {PartId{77}, PartId{100 + I}})});
+  BOOST_TEST(J.refuses("attacker", PartId{77}));
+  BOOST_TEST(!J.refuses("owner", PartId{77}));
+}
+
+BOOST_AUTO_TEST_CASE(PartThatCrashesForSeveralAccountsIsQuarantinedForAll) {
+  Judge J;
+  J.answer("x", Common);
+  for (const char *Account : {"a", "b", "c"})
+    J.crash({J.request(Account, {Bad, PartId{J.NextRequest + 100}})});
+  J.pass(seconds(1));
+  BOOST_TEST(J.refuses("d", Bad));
+  // One account first, others later.
+  Judge K;
+  for (int I = 0; I < 3; ++I)
+    K.crash({K.request("a", {Bad, PartId{K.NextRequest + 100}})});
+  K.pass(seconds(1));
+  BOOST_TEST(K.refuses("a", Bad));
+  BOOST_TEST(!K.refuses("d", Bad));
+  for (const char *Account : {"b", "c"})
+    K.crash({K.request(Account, {Bad, PartId{K.NextRequest + 100}})});
+  K.pass(seconds(1));
+  BOOST_TEST(K.refuses("d", Bad));
+  BOOST_TEST(activeQuarantines(K.S) == 1U);
+}
+
+/// The reports of several hosts about one crash are one crash, in any order and
+/// any number.
+BOOST_AUTO_TEST_CASE(RepeatedReportsCountOnce) {
+  Judge J;
+  EngineCrash C;
+  C.Server = BackendId("e");
+  C.Requests = {J.request("a", {Bad, PartId{100}})};
+  for (int I = 0; I < 10; ++I) {
+    addCrash(J.S, C, J.Now);
+    J.pass(milliseconds(500));
+  }
+  BOOST_TEST(J.S.Crashes.size() == 1U);
+  BOOST_TEST(activeQuarantines(J.S) == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(TrialsAreFewAndAnAnswerEndsTheQuarantine) {
+  Judge J;
+  for (int I = 0; I < 3; ++I)
+    J.crash({J.request("a", {Bad, PartId{J.NextRequest + 100}})});
+  J.pass(seconds(1));
+  std::uint32_t Trials = 0;
+  for (int Minute = 0; Minute < 600; ++Minute) {
+    J.Now += std::chrono::minutes(1);
+    QuarantineMatch Match = findQuarantine(J.S, AccountId("a"), {Bad});
+    BOOST_REQUIRE(Match.Part != nullptr);
+    if (J.Now < Match.Part->TrialAt)
+      continue;
+    beginTrial(J.S, Match.Scope, J.Now);
+    ++Trials;
+  }
+  BOOST_TEST(Trials == MaxTrials);
+  J.answer("a", Bad);
+  BOOST_TEST(!J.refuses("a", Bad));
+}
+
+/// Guards against a lift or a quarantine that an older record of another host
+/// reverts.
+BOOST_AUTO_TEST_CASE(NewestRecordHolds) {
+  Judge J;
+  for (int I = 0; I < 3; ++I)
+    J.crash({J.request("a", {Bad, PartId{J.NextRequest + 100}})});
+  J.pass(seconds(1));
+  std::vector<QuarantineRecord> Old = quarantineRecords(J.S, J.Now);
+  PartQuarantine Other;
+  for (const QuarantineRecord &R : Old)
+    BOOST_TEST(applyRecord(Other, R, J.Now));
+  BOOST_TEST(quarantineDigest(Other) == quarantineDigest(J.S));
+  BOOST_TEST((findQuarantine(Other, AccountId("a"), {Bad}).Part != nullptr));
+  BOOST_TEST(liftQuarantine(J.S, {Bad, AccountId("a"), false}, J.Now));
+  BOOST_TEST(quarantineDigest(Other) != quarantineDigest(J.S));
+  for (const QuarantineRecord &R : Old)
+    BOOST_TEST(!applyRecord(J.S, R, J.Now));
+  BOOST_TEST(!J.refuses("a", Bad));
+  for (const QuarantineRecord &R : quarantineRecords(J.S, J.Now))
+    applyRecord(Other, R, J.Now);
+  BOOST_TEST(quarantineDigest(Other) == quarantineDigest(J.S));
+}
+
+BOOST_AUTO_TEST_CASE(EvidenceIsBoundedAndForgotten) {
+  Judge J;
+  for (std::uint64_t I = 0; I < 1000; ++I)
+    J.crash({J.request("a", {PartId{1000 + I}})}, milliseconds(50));
+  BOOST_TEST(J.S.Crashes.size() <= MaxCrashes);
+  J.crash({J.request("a", {PartId{1}})});
+  J.Now += EvidenceRetention + seconds(1);
+  J.crash({J.request("a", {PartId{1}})});
+  BOOST_TEST(J.S.Crashes.size() == 1U);
+}
--- a/packages/shell/HttpClient.cpp
+++ b/packages/shell/HttpClient.cpp
@@ -50,6 +50,12 @@
   return std::any_of(Headers.begin(), Headers.end(), Matches);
 }
 
+UpstreamFailure failure(const char *Detail) {
+  UpstreamFailure Why;
+  Why.Detail = Detail;
+  return Why;
+}
+
 std::string formatHead(const UpstreamRequest &R) {
   std::string Text =
       std::string(toString(R.Method)) + " " + R.Target + " HTTP/1.1\r\n";
@@ -112,7 +118,7 @@
   void onHead(Connection &C, int Status, std::vector<HttpHeader> Headers);
   void read(Connection &C);
   void complete(Connection &C);
-  void fail(Connection &C, bool TimedOut, const char *Detail);
+  void fail(Connection &C, UpstreamFailure Why);
   void keepIdle(Connection &C);
   void discard(Connection &C);
   void sweep();
@@ -139,11 +145,8 @@
   Reaper->start(Duration::zero());
 }
 
-void HttpClient::Impl::fail(Connection &C, bool TimedOut, const char *Detail) {
-  UpstreamFailure Why;
+void HttpClient::Impl::fail(Connection &C, UpstreamFailure Why) {
   Why.BytesSent = C.Sent;
-  Why.TimedOut = TimedOut;
-  Why.Detail = Detail;
   UpstreamId Id = C.Call;
   discard(C);
   if (Id == UpstreamId{})
@@ -186,7 +189,8 @@
   if (Clean && C.Parser->done() && !C.Mismatched)
     Client.complete(C);
   else
-    Client.fail(C, false, C.Connected ? "connection closed" : "no connection");
+    Client.fail(C,
+                failure(C.Connected ? "connection closed" : "no connection"));
 }
 
 void HttpClient::Impl::onRead(bufferevent *, void *Self) {
@@ -213,7 +217,9 @@
       return;
     evbuffer_drain(Input, Used);
     if (C.Parser->failed()) {
-      fail(C, false, "the HTTP answer is malformed");
+      UpstreamFailure Why = failure("the HTTP answer is malformed");
+      Why.Malformed = true;
+      fail(C, std::move(Why));
       return;
     }
     if (!C.Parser->done())
@@ -223,7 +229,7 @@
       return;
     }
     if (!C.Parser->keepsAlive()) {
-      fail(C, false, "connection closed");
+      fail(C, failure("connection closed"));
       return;
     }
     resetParser(C);
@@ -347,8 +353,11 @@
   ++Counters.Opened;
   bufferevent_setcb(C.Stream, &Impl::onRead, nullptr, &Impl::onEvent, &C);
   evbuffer_add_cb(bufferevent_get_output(C.Stream), &Impl::onSent, &C);
-  C.ConnectTimer = std::make_unique<Timer>(
-      Base, [this, &C] { fail(C, true, "connect timeout"); });
+  C.ConnectTimer = std::make_unique<Timer>(Base, [this, &C] {
+    UpstreamFailure Why = failure("connect timeout");
+    Why.TimedOut = true;
+    fail(C, std::move(Why));
+  });
   C.ConnectTimer->start(Request.ConnectTimeout);
   bufferevent_enable(C.Stream, EV_READ | EV_WRITE);
   if (bufferevent_socket_connect(
--- a/packages/wire/SiteMessages.h
+++ b/packages/wire/SiteMessages.h
@@ -12,6 +12,9 @@
 //   entry host to placer           PlacementRequest, PlacementUpdate
 //   placer to entry host           PlacementReply
 //
+// Messages between entry hosts and control hosts also carry a QuarantineUpdate
+// about parts of prompts that crash engines; see quarantine/PartQuarantine.h.
+//
 // Fields travel in the order of fields(); the order is part of the format.
 //
 //===----------------------------------------------------------------------===//
@@ -26,6 +29,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <tuple>
 #include <vector>
 
 namespace pimento {
@@ -57,6 +61,100 @@
   }
 };
 
+/// A part of a prompt in requests of one client account.
+struct AccountPart {
+  AccountId Account;
+  PartId Part{};
+
+  friend bool operator==(const AccountPart &A, const AccountPart &B) {
+    return A.Part == B.Part && A.Account == B.Account;
+  }
+  friend bool operator<(const AccountPart &A, const AccountPart &B) {
+    return std::tie(A.Part, A.Account) < std::tie(B.Part, B.Account);
+  }
+
+  template <class Self, class Visitor>
+  static void fields(Self &M, Visitor &&Visit) {
+    Visit(M.Account, M.Part);
+  }
+};
+
+/// A request whose answer an engine broke off.
+struct CrashedRequest {
+  AccountId Account;
+  std::uint64_t Request = 0; // Hash of the caller's attempt id.
+  std::vector<PartId> Parts; // Parts of its prompt.
+
+  template <class Self, class Visitor>
+  static void fields(Self &M, Visitor &&Visit) {
+    Visit(M.Account, M.Request, M.Parts);
+  }
+};
+
+/// An engine that broke off the answers to requests of an entry host.
+struct EngineCrash {
+  BackendId Server;
+  IncarnationNumber Incarnation = 0; // Of the engine.
+  Duration Age = {};                 // Time since the crash.
+  std::vector<CrashedRequest> Requests;
+
+  template <class Self, class Visitor>
+  static void fields(Self &M, Visitor &&Visit) {
+    Visit(M.Server, M.Incarnation, M.Age, M.Requests);
+  }
+};
+
+/// A request with the part was answered completely.
+struct PartClearance {
+  AccountPart Part;
+  Duration Age = {}; // Time since the end of the answer.
+
+  template <class Self, class Visitor>
+  static void fields(Self &M, Visitor &&Visit) {
+    Visit(M.Part, M.Age);
+  }
+};
+
+/// A part that is or was in quarantine: requests with it are refused, since it
+/// crashes engines.
+struct QuarantineRecord {
+  PartId Part{};
+  AccountId Account;          // Unused if AllAccounts is set.
+  bool AllAccounts = false;   // The quarantine applies to every account.
+  std::uint64_t Version = 0;  // Odd: in quarantine; even: no longer. The record
+                              // with the highest version is valid.
+  Duration Age = {};          // Time since the version was set.
+  std::uint64_t Crashes = 0;  // Crashes that accused the part.
+  std::uint64_t Requests = 0; // Requests that accused the part.
+  std::uint32_t Trials = 0;   // Trials begun so far.
+  std::optional<Duration> TrialIn; // Time until the next trial; empty: none.
+
+  template <class Self, class Visitor>
+  static void fields(Self &M, Visitor &&Visit) {
+    Visit(M.Part, M.Account, M.AllAccounts, M.Version, M.Age, M.Crashes,
+          M.Requests, M.Trials, M.TrialIn);
+  }
+};
+
+/// What a host knows of parts that crash engines and the receiver may not.
+struct QuarantineUpdate {
+  std::uint64_t Digest = 0; // Of all records of the sender; zero: it has none.
+  std::vector<QuarantineRecord> Records; // Empty if the receiver has the same.
+  std::vector<EngineCrash> Crashes;      // Recent crashes.
+  std::vector<PartClearance> Clearances; // Of watched parts and suspects.
+  std::uint64_t WatchDigest = 0; // Of the watched parts; zero: none. From entry
+                                 // hosts: of those that they know.
+  std::vector<AccountPart> Watched; // From control hosts: parts whose next
+                                    // complete answer is to be reported; empty
+                                    // if the receiver knows them.
+
+  template <class Self, class Visitor>
+  static void fields(Self &M, Visitor &&Visit) {
+    Visit(M.Digest, M.Records, M.Crashes, M.Clearances, M.WatchDigest,
+          M.Watched);
+  }
+};
+
 /// Heartbeat between control hosts. Carries the reports of backend servers that
 /// the sender received since its previous heartbeat to the same host.
 struct ControlHeartbeat {
@@ -65,10 +163,11 @@
   std::vector<ServerReport> Reports;
   bool RequestsFullState = false; // The sender just started; send all reports.
   bool Leaving = false;           // The sender is about to stop.
+  QuarantineUpdate Quarantine;
 
   template <class Self, class Visitor>
   static void fields(Self &M, Visitor &&Visit) {
-    Visit(M.Known, M.Reports, M.RequestsFullState, M.Leaving);
+    Visit(M.Known, M.Reports, M.RequestsFullState, M.Leaving, M.Quarantine);
   }
 };
 
@@ -86,11 +185,12 @@
   DataCentreId DataCentre;
   HostId Placer;        // Placer that the sender uses; empty: none.
   Duration Uptime = {}; // Time since the sender's start.
+  QuarantineUpdate Quarantine;
 
   template <class Self, class Visitor>
   static void fields(Self &M, Visitor &&Visit) {
     Visit(M.Sequence, M.ControlIncarnation, M.Revision, M.Config, M.Ready,
-          M.DataCentre, M.Placer, M.Uptime);
+          M.DataCentre, M.Placer, M.Uptime, M.Quarantine);
   }
 };
 
@@ -112,12 +212,13 @@
   std::vector<HostId> Controls; // Control hosts that are alive.
   std::uint64_t Entries = 1;    // Entry hosts from which EntrySync came lately.
   HostId Placer; // Entry host that places requests on engines; empty: none.
+  QuarantineUpdate Quarantine;
 
   template <class Self, class Visitor>
   static void fields(Self &M, Visitor &&Visit) {
     Visit(M.Sequence, M.Current, M.Leader, M.Config, M.Text,
           M.ControlIncarnation, M.Revision, M.Base, M.Whole, M.Servers,
-          M.Controls, M.Entries, M.Placer);
+          M.Controls, M.Entries, M.Placer, M.Quarantine);
   }
 };
 
