shell, gateway: a late second answer is not taken for the answer to an order

What could happen: orders for memory and load queries have no id and reuse the connections of requests. A server's late second copy of a request's answer, with status 200, counted as a granted reservation; the reverse could reach a caller. Cause: an answer's id was compared only if the request had one itself. Change: a request without an id skips answers that bear one, and requests with and without an id no longer share connections. Result: LateCopyIsNotTheAnswerToARequestWithoutId failed before (200 and "late" for 409 and "mine") and passes; RequestsWithAndWithoutIdShareNoConnection too. Left: two orders still share a connection, so a late second answer to an order can be taken for the next one's; leases bound what that costs.

--- a/packages/base/Http.h
+++ b/packages/base/Http.h
@@ -58,7 +58,9 @@
   bool MayReuse = false; // Whether an idle connection may be used.
   /// An answer whose header of this name has another value belongs to another
   /// request: it is skipped, and the next answer on the connection is read. An
-  /// answer without the header is accepted. Empty value: no check.
+  /// answer without the header is accepted. Empty value: the request has no id,
+  /// so an answer with the header belongs to another request. Empty name: no
+  /// check. Requests with and without an id use different connections.
   HttpHeader EchoHeader;
   std::uint32_t ConnectionLimit = 0; // Connections to Address; 0: unlimited.
   Duration ConnectTimeout = seconds(1);
--- a/packages/gateway/GatewayTurn.h
+++ b/packages/gateway/GatewayTurn.h
@@ -86,6 +86,14 @@
 void upstreamData(GatewayTurn &T, const UpstreamData &E);
 void upstreamEnd(GatewayTurn &T, const UpstreamEnd &E);
 
+/// Processes an event that belongs to the query by which the end of a stream is
+/// confirmed. Returns false for any other event.
+bool confirmationEvent(GatewayTurn &T, const Event &E);
+/// Drops the query of a call whose end is not confirmed yet.
+void dropConfirmation(GatewayTurn &T, GatewayCall &C);
+/// Handles the timer of a call whose end is not confirmed in time.
+void checkConfirming(GatewayTurn &T, GatewayCall &C);
+
 // PlacePart.cpp
 /// Requests engines for the call from the placer. Places the call locally if
 /// this host is the placer, no placer is known or the placer is avoided. May
@@ -118,7 +126,8 @@
 
 // ReservePart.cpp
 /// Returns an HTTP request that carries an order or a query to an engine.
-UpstreamRequest orderRequest(const std::string &Address, EngineOrder Order);
+UpstreamRequest orderRequest(const Gateway &S, const std::string &Address,
+                             EngineOrder Order);
 /// Sends orders that reserve memory at the helpers of the call's placement.
 void reserve(GatewayTurn &T, GatewayCall &C);
 /// Schedules checkReserving() for the time at which unanswered orders fail.
--- a/packages/gateway/ReservePart.cpp
+++ b/packages/gateway/ReservePart.cpp
@@ -45,7 +45,7 @@
   S.ByUpstream[R.Order] = C.Ticket;
   T.Out.push_back(calls::OpenUpstream{
       R.Order,
-      orderRequest(R.Address,
+      orderRequest(S, R.Address,
                    S.Platform.EncodeReserve(R.Ticket, R.Tokens, leaseOf(S))),
       C.Deadline});
 }
@@ -88,7 +88,8 @@
   Release.NextAt = T.Now + OrderTimeout;
   T.Out.push_back(calls::OpenUpstream{
       Release.Order,
-      orderRequest(Release.Address, S.Platform.EncodeRelease(Release.Ticket)),
+      orderRequest(T.S, Release.Address,
+                   S.Platform.EncodeRelease(Release.Ticket)),
       std::nullopt});
 }
 
@@ -112,8 +113,10 @@
 
 } // namespace
 
-UpstreamRequest orderRequest(const std::string &Address, EngineOrder Order) {
+UpstreamRequest orderRequest(const Gateway &S, const std::string &Address,
+                             EngineOrder Order) {
   UpstreamRequest Request;
+  Request.EchoHeader = {S.Platform.ClientAttemptIdHeader, ""};
   Request.Address = Address;
   Request.Method = Order.Method;
   Request.Target = std::move(Order.Target);
--- a/packages/gateway/SpeedPart.cpp
+++ b/packages/gateway/SpeedPart.cpp
@@ -21,7 +21,7 @@
   S.SpeedQueries[Upstream] = std::move(Query);
   T.Out.push_back(
       calls::OpenUpstream{Upstream,
-                          orderRequest(S.Engines.Engines.at(Id).Address,
+                          orderRequest(S, S.Engines.Engines.at(Id).Address,
                                        S.Platform.EncodeLoadQuery()),
                           std::nullopt});
 }
--- a/packages/shell/HttpClient.cpp
+++ b/packages/shell/HttpClient.cpp
@@ -23,6 +23,9 @@
 constexpr Duration DefaultIdleTime = seconds(4);
 constexpr double IdleTimeFraction = 0.6;
 constexpr std::size_t MaxIdlePerAddress = 8;
+/// Bytes of interim answers and answers to other requests that are skipped
+/// while an answer is awaited. More may have no end.
+constexpr std::size_t MaxSkippedBytes = 1U << 20U;
 constexpr Duration SweepInterval = seconds(2);
 
 Duration steadyNow() {
@@ -50,12 +53,25 @@
   return std::any_of(Headers.begin(), Headers.end(), Matches);
 }
 
+/// Name of the pool of idle connections that a request uses. An answer without
+/// an id could belong to any request on its connection.
+std::string poolOf(const UpstreamRequest &R) {
+  bool HasId = !R.EchoHeader.Value.empty();
+  return R.Address + (HasId ? "" : " without id");
+}
+
 UpstreamFailure failure(const char *Detail) {
   UpstreamFailure Why;
   Why.Detail = Detail;
   return Why;
 }
 
+UpstreamFailure malformed(const char *Detail) {
+  UpstreamFailure Why = failure(Detail);
+  Why.Malformed = true;
+  return Why;
+}
+
 std::string formatHead(const UpstreamRequest &R) {
   std::string Text =
       std::string(toString(R.Method)) + " " + R.Target + " HTTP/1.1\r\n";
@@ -75,7 +91,9 @@
   struct Connection {
     Impl *Client = nullptr;
     std::string Address;
+    std::string Pool; // Of idle connections; see poolOf().
     bufferevent *Stream = nullptr;
+    std::size_t SkippedBytes = 0; // Of answers to other requests.
     bool Connected = false;
     bool Dead = false; // To be freed by the reaper; callbacks ignore it.
     Duration IdleUntil = Duration::zero(); // Latest time for reuse while idle.
@@ -102,7 +120,7 @@
   std::unordered_map<Connection *, std::unique_ptr<Connection>> Connections;
   std::unordered_map<std::uint64_t, Connection *> Calls;
   std::unordered_map<std::string, std::deque<Connection *>> Idle;
-  /// Number of open connections by address.
+  /// Number of open connections by address. Idle is by pool.
   std::unordered_map<std::string, std::uint32_t> OpenCounts;
   std::unique_ptr<Timer> Reaper;
   std::unique_ptr<Timer> Sweep;
@@ -111,7 +129,8 @@
   static void onEvent(bufferevent *, short What, void *Self);
   static void onSent(evbuffer *, const evbuffer_cb_info *Info, void *Self);
 
-  Connection *takeIdle(const std::string &Address);
+  Connection *takeIdle(const std::string &Pool);
+  bool discardIdle(const std::string &Address);
   Connection *connect(const UpstreamRequest &Request);
   void start(Connection &C);
   void resetParser(Connection &C);
@@ -132,7 +151,7 @@
   C.Dead = true;
   C.ConnectTimer.reset();
   bufferevent_disable(C.Stream, EV_READ | EV_WRITE);
-  auto IdleList = Idle.find(C.Address);
+  auto IdleList = Idle.find(C.Pool);
   if (IdleList != Idle.end()) {
     auto &List = IdleList->second;
     List.erase(std::remove(List.begin(), List.end(), &C), List.end());
@@ -217,9 +236,13 @@
       return;
     evbuffer_drain(Input, Used);
     if (C.Parser->failed()) {
-      UpstreamFailure Why = failure("the HTTP answer is malformed");
-      Why.Malformed = true;
-      fail(C, std::move(Why));
+      fail(C, malformed("the HTTP answer is malformed"));
+      return;
+    }
+    if (C.Mismatched)
+      C.SkippedBytes += Used;
+    if (C.SkippedBytes > MaxSkippedBytes) {
+      fail(C, malformed("the bytes of other answers do not end"));
       return;
     }
     if (!C.Parser->done())
@@ -242,7 +265,7 @@
   const HttpHeader &Echo = C.Request.EchoHeader;
   std::string_view EchoValue = headerValue(Headers, Echo.Name);
   bool BelongsToOther =
-      !Echo.Value.empty() && !EchoValue.empty() && EchoValue != Echo.Value;
+      !Echo.Name.empty() && !EchoValue.empty() && EchoValue != Echo.Value;
   C.Mismatched = BelongsToOther || Status < FirstFinalStatus;
   if (BelongsToOther) {
     ++Counters.MismatchedAnswers;
@@ -289,7 +312,7 @@
 void HttpClient::Impl::keepIdle(Connection &C) {
   C.IdleUntil = steadyNow() + C.MaxIdleTime;
   C.Request = UpstreamRequest();
-  auto &List = Idle[C.Address];
+  auto &List = Idle[C.Pool];
   List.push_back(&C);
   if (List.size() > MaxIdlePerAddress)
     discard(*List.front());
@@ -315,10 +338,10 @@
 /// Takes the most recently used idle connection that may still be reused; null
 /// if there is none.
 HttpClient::Impl::Connection *
-HttpClient::Impl::takeIdle(const std::string &Address) {
+HttpClient::Impl::takeIdle(const std::string &Pool) {
   Duration Now = steadyNow();
   for (;;) {
-    auto Found = Idle.find(Address);
+    auto Found = Idle.find(Pool);
     if (Found == Idle.end())
       return nullptr;
     Connection *C = Found->second.back();
@@ -335,6 +358,17 @@
   }
 }
 
+/// Closes an idle connection to the address; returns false if there is none.
+bool HttpClient::Impl::discardIdle(const std::string &Address) {
+  for (auto &[Pool, List] : Idle) {
+    if (List.front()->Address != Address)
+      continue;
+    discard(*List.front());
+    return true;
+  }
+  return false;
+}
+
 HttpClient::Impl::Connection *
 HttpClient::Impl::connect(const UpstreamRequest &Request) {
   sockaddr_storage Target{};
@@ -347,6 +381,7 @@
   Connection &C = *Owned;
   C.Client = this;
   C.Address = Request.Address;
+  C.Pool = poolOf(Request);
   C.Stream = bufferevent_socket_new(Base, -1, BEV_OPT_CLOSE_ON_FREE);
   Connections.emplace(&C, std::move(Owned));
   ++OpenCounts[C.Address];
@@ -370,6 +405,7 @@
 
 void HttpClient::Impl::start(Connection &C) {
   C.Sent = false;
+  C.SkippedBytes = 0;
   C.Reusable = true;
   resetParser(C);
   std::string Head = formatHead(C.Request);
@@ -393,7 +429,7 @@
 
 void HttpClient::open(UpstreamId Id, const UpstreamRequest &Request) {
   Impl::Connection *C =
-      Request.MayReuse ? Data->takeIdle(Request.Address) : nullptr;
+      Request.MayReuse ? Data->takeIdle(poolOf(Request)) : nullptr;
   bool Reused = C != nullptr;
   Data->Counters.Reused += Reused ? 1 : 0;
   UpstreamFailure Why;
@@ -404,11 +440,8 @@
                 Open != Data->OpenCounts.end() &&
                 Open->second >= Request.ConnectionLimit;
     // Closes an idle connection to make room for a new one.
-    auto Idle = Data->Idle.find(Request.Address);
-    if (Full && Idle != Data->Idle.end()) {
-      Data->discard(*Idle->second.front());
+    if (Full && Data->discardIdle(Request.Address))
       Full = false;
-    }
     Data->Counters.Refused += Full ? 1 : 0;
     Why.Detail = Full ? "the connection limit of the address is reached"
                       : "no connection";
--- a/packages/shell/tests/ClientTest.cpp
+++ b/packages/shell/tests/ClientTest.cpp
@@ -193,6 +193,75 @@
   BOOST_TEST(Second.Body == "mine");
 }
 
+/// Guards against a second copy of an answer that arrives after the next
+/// request was sent, if that request has no id of its own, such as an order.
+BOOST_FIXTURE_TEST_CASE(LateCopyIsNotTheAnswerToARequestWithoutId, Fixture) {
+  open(1);
+  connection(0).write(answer("1"));
+  BOOST_TEST(until([&] { return Calls[UpstreamId{1}].Ended; }));
+  UpstreamRequest Order;
+  Order.Address = Server.Address;
+  Order.Target = "/order";
+  Order.MayReuse = true;
+  Order.EchoHeader = {"Echo", ""};
+  Client.open(UpstreamId{2}, Order);
+  runBriefly();
+  RawServer::Connection &Used = Server.Connections.back();
+  Used.write(answer("1", "late"));
+  Used.write("HTTP/1.1 409 Conflict\r\nContent-Length: 4\r\n\r\nmine");
+  BOOST_TEST(until([&] { return Calls[UpstreamId{2}].Ended; }));
+  BOOST_TEST(Calls[UpstreamId{2}].Status == 409);
+  BOOST_TEST(Calls[UpstreamId{2}].Body == "mine");
+}
+
+/// Guards against the reverse: an answer without an id, such as the late copy
+/// of an order's answer, on a connection that carries a request.
+BOOST_FIXTURE_TEST_CASE(RequestsWithAndWithoutIdShareNoConnection, Fixture) {
+  UpstreamRequest Order;
+  Order.Address = Server.Address;
+  Order.Target = "/order";
+  Order.MayReuse = true;
+  Order.EchoHeader = {"Echo", ""};
+  Client.open(UpstreamId{1}, Order);
+  connection(0).write("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+  BOOST_TEST(until([&] { return Calls[UpstreamId{1}].Ended; }));
+  CallOutcome &Second = open(2);
+  connection(1).write(answer("2", "mine"));
+  BOOST_TEST(until([&] { return Second.Ended; }));
+  BOOST_TEST(Second.Body == "mine");
+  BOOST_TEST(Client.counters().Reused == 0U);
+}
+
+/// Guards against bytes without end that are no answer to the request: in a
+/// head, as answers to other requests, and as interim answers.
+BOOST_FIXTURE_TEST_CASE(BytesWithoutEndAreBrokenOff, Fixture) {
+  const std::string OtherHead = "HTTP/1.1 200 OK\r\nEcho: 6\r\n\r\n";
+  const std::string Interim = "HTTP/1.1 100 Continue\r\n\r\n";
+  struct Case {
+    std::string Head;
+    std::string Repeated;
+  };
+  for (const Case &Endless :
+       {Case{"", "x"}, Case{"HTTP/1.1 200 OK\r\n", "A: b\r\n"},
+        Case{OtherHead, "x"}, Case{"", Interim}}) {
+    Calls.clear();
+    std::size_t Before = Server.Connections.size();
+    CallOutcome &Call = open(7);
+    RawServer::Connection &C = connection(Before);
+    C.write(Endless.Head);
+    std::string Piece;
+    while (Piece.size() < (64U << 10U))
+      Piece += Endless.Repeated;
+    for (int I = 0; I < 64 && !Call.Failed; ++I) {
+      C.write(Piece);
+      runUntil(Base.get(), milliseconds(20), [&] { return Call.Failed; });
+    }
+    BOOST_TEST(Call.Failed, "repeated: " << Endless.Repeated);
+    BOOST_TEST(Call.Body.empty());
+    BOOST_TEST(Call.Why.Malformed);
+  }
+}
+
 BOOST_FIXTURE_TEST_CASE(AnswerToAnotherRequestIsSkipped, Fixture) {
   CallOutcome &Call = open(7);
   connection(0).write(answer("6", "late") + answer("7", "mine"));
