shell, gateway: answers without end are broken off

What could happen: an event that never ends was forwarded to its caller piece by piece until the deadline, and a server could send interim answers or answers to other requests for as long as the connection stood.

--- a/packages/gateway/EventSplitter.cpp
+++ b/packages/gateway/EventSplitter.cpp
@@ -50,11 +50,13 @@
     ++S.Events;
     Begin = End;
   }
-  if (Begin == 0 && S.Partial.size() > MaxEventBytes)
-    Begin = S.Partial.size();
   std::string Complete = S.Partial.substr(0, Begin);
   S.Partial.erase(0, Begin);
   return Complete;
 }
 
+bool isOverlong(const EventSplitter &S) {
+  return S.Partial.size() > MaxEventBytes;
+}
+
 } // namespace pimento
--- a/packages/gateway/EventSplitter.h
+++ b/packages/gateway/EventSplitter.h
@@ -26,8 +26,11 @@
 /// Longest incomplete event that is buffered.
 constexpr std::size_t MaxEventBytes = 1U << 20U;
 
-/// Adds \p Bytes and returns all events that are now complete. An incomplete
-/// event longer than MaxEventBytes is returned unfinished.
+/// Adds \p Bytes and returns all events that are now complete.
 std::string takeEvents(EventSplitter &S, std::string_view Bytes);
 
+/// Whether the incomplete event exceeds MaxEventBytes. The stream is then no
+/// sound answer, and may have no end.
+bool isOverlong(const EventSplitter &S);
+
 } // namespace pimento
