gateway: a stream without a length is complete only if its engine still runs

What could happen: an engine that crashed before its first event or between two events closed its connection cleanly, and an answer with neither a length nor chunks reached its caller as complete. Cause: the end of the connection counted as the end of the answer except within an event. Change: without any event such an answer is broken off. After an event the engine is asked for its load report, which a crashed engine does not answer; without an answer within 400 ms the stream goes on at another engine, or ends visibly cut. Slow streams and streams with a byte now and then were looked at: sound, with tests.

--- a/packages/gateway/Answer.cpp
+++ b/packages/gateway/Answer.cpp
@@ -11,6 +11,8 @@
 constexpr int StatusOk = 200;
 constexpr int FirstErrorStatus = 400;
 constexpr int FirstServerErrorStatus = 500;
+/// Time in which an engine answers that it still runs.
+constexpr Duration ConfirmationTimeout = milliseconds(400);
 
 GatewayCall *callOf(GatewayTurn &T, UpstreamId Upstream) {
   auto Found = T.S.ByUpstream.find(Upstream);
@@ -61,6 +63,11 @@
 
 void forwardEvents(GatewayTurn &T, GatewayCall &C, std::string_view Bytes) {
   std::string Events = takeEvents(C.Events, Bytes);
+  if (isOverlong(C.Events)) {
+    attemptFailed(T, C, true, Code::StreamCut,
+                  "an event of the backend server's stream does not end");
+    return;
+  }
   if (Events.empty())
     return;
   if (C.FirstEventAt == TimePoint())
@@ -71,17 +78,33 @@
   if (C.Placed && C.Attempt.Forecast >= Duration::zero() &&
       C.Attempt.LastBytes == C.Attempt.Began)
     reportStage(T, C, PlacementStage::Decoding);
+  C.Attempt.HasEvents = true;
   C.Attempt.LastBytes = T.Now;
   T.Out.push_back(calls::StreamBytes{C.Exchange, std::move(Events)});
 }
 
-void endStream(GatewayTurn &T, GatewayCall &C, bool Delimited) {
-  if (!Delimited && !C.Events.Partial.empty()) {
-    noteCrash(T, C);
-    attemptFailed(T, C, true, Code::StreamCut,
-                  "the backend server's stream ended within an event");
-    return;
-  }
+/// Asks the engine for its load report. An engine that crashed between two
+/// events closes its connections as one that has finished does, but answers
+/// nothing any more.
+void confirmEnd(GatewayTurn &T, GatewayCall &C) {
+  closeAttempt(T, C, false);
+  UpstreamId Id{T.S.NextUpstream++};
+  C.Stage = CallStage::Confirming;
+  C.Attempt.EndQuery = Id;
+  T.S.EndQueries[Id] = C.Ticket;
+  T.Out.push_back(calls::OpenUpstream{
+      Id, orderRequest(T.S, C.Attempt.Address, T.S.Platform.EncodeLoadQuery()),
+      std::nullopt});
+  count(T, "pimento_end_queries_total");
+  checkAt(T, C, std::min(C.Deadline, T.Now + ConfirmationTimeout));
+}
+
+void streamCut(GatewayTurn &T, GatewayCall &C, const char *Reason) {
+  noteCrash(T, C);
+  attemptFailed(T, C, true, Code::StreamCut, Reason);
+}
+
+void completeStream(GatewayTurn &T, GatewayCall &C) {
   closeAttempt(T, C, false);
   if (!C.Events.Partial.empty())
     T.Out.push_back(
@@ -91,6 +114,21 @@
   finish(T, C, StatusOk, Code::Ok, "");
 }
 
+/// Handles the end of a stream's connection, or of its length or chunks if it
+/// is \p Delimited.
+void endStream(GatewayTurn &T, GatewayCall &C, bool Delimited) {
+  if (Delimited)
+    completeStream(T, C);
+  else if (!C.Events.Partial.empty())
+    streamCut(T, C, "the backend server's stream ended within an event");
+  else if (!C.Attempt.HasEvents)
+    streamCut(T, C, "the backend server's stream ended before its first event");
+  else if (C.OnEngine)
+    confirmEnd(T, C);
+  else
+    completeStream(T, C);
+}
+
 void recordCallSuccess(GatewayTurn &T, GatewayCall &C) {
   if (C.OnEngine)
     return;
@@ -191,4 +229,31 @@
     endBufferedAnswer(T, *C);
 }
 
+bool confirmationEvent(GatewayTurn &T, const Event &E) {
+  auto Found = T.S.EndQueries.find(upstreamOf(E));
+  if (Found == T.S.EndQueries.end())
+    return false;
+  GatewayCall &C = *findCall(T, Found->second);
+  if (std::holds_alternative<UpstreamFailed>(E)) {
+    T.S.EndQueries.erase(Found);
+    C.Attempt.EndQuery = UpstreamId{};
+    streamCut(T, C, "the engine ended with its stream");
+  } else {
+    completeStream(T, C);
+  }
+  return true;
+}
+
+void dropConfirmation(GatewayTurn &T, GatewayCall &C) {
+  if (C.Attempt.EndQuery == UpstreamId{})
+    return;
+  T.S.EndQueries.erase(C.Attempt.EndQuery);
+  T.Out.push_back(calls::AbortUpstream{C.Attempt.EndQuery});
+  C.Attempt.EndQuery = UpstreamId{};
+}
+
+void checkConfirming(GatewayTurn &T, GatewayCall &C) {
+  streamCut(T, C, "the engine is silent after the end of its stream");
+}
+
 } // namespace pimento::gateway
--- a/packages/gateway/Attempt.cpp
+++ b/packages/gateway/Attempt.cpp
@@ -247,6 +247,7 @@
 }
 
 void closeAttempt(GatewayTurn &T, GatewayCall &C, bool Abort) {
+  dropConfirmation(T, C);
   if (C.Attempt.Upstream == UpstreamId{})
     return;
   T.S.ByUpstream.erase(C.Attempt.Upstream);
@@ -263,6 +264,7 @@
   logFailedAttempt(T, C, Ran, Number, Reason);
   count(T, "pimento_tries_failed_total",
         std::string("code=\"") + toString(Number) + "\"");
+  dropConfirmation(T, C);
   if (C.Attempt.Upstream != UpstreamId{}) {
     T.S.ByUpstream.erase(C.Attempt.Upstream);
     T.Out.push_back(calls::AbortUpstream{C.Attempt.Upstream});
@@ -302,6 +304,10 @@
     checkReserving(T, C);
     return;
   }
+  if (C.Stage == CallStage::Confirming) {
+    checkConfirming(T, C);
+    return;
+  }
   bool AtServer = C.Stage == CallStage::Sent || C.Stage == CallStage::Answering;
   if (!AtServer || !mayRunAgain(C)) {
     checkAt(T, C, C.Deadline);
--- a/packages/gateway/Gateway.cpp
+++ b/packages/gateway/Gateway.cpp
@@ -42,7 +42,8 @@
   /// Whether the event belongs to an order or a query of this host and not to a
   /// caller's request; it is then processed.
   bool isOwnQuery() const {
-    return reservationEvent(T, Original) || speedQueryEvent(T, Original);
+    return reservationEvent(T, Original) || speedQueryEvent(T, Original) ||
+           confirmationEvent(T, Original);
   }
 
   void operator()(const Tick &) const {
@@ -110,6 +111,8 @@
     return "sent";
   case CallStage::Answering:
     return "answering";
+  case CallStage::Confirming:
+    return "confirming";
   case CallStage::Pausing:
     return "pausing";
   }
--- a/packages/gateway/Gateway.h
+++ b/packages/gateway/Gateway.h
@@ -63,11 +63,13 @@
 };
 
 enum class CallStage : std::uint8_t {
-  Placing,   // Waits for the choice of engines.
-  Reserving, // Waits for memory reservations at helpers.
-  Sent,      // Being sent to a backend server; no answer yet.
-  Answering, // The head of the answer has arrived.
-  Pausing,   // Waits between two attempts.
+  Placing,    // Waits for the choice of engines.
+  Reserving,  // Waits for memory reservations at helpers.
+  Sent,       // Being sent to a backend server; no answer yet.
+  Answering,  // The head of the answer has arrived.
+  Confirming, // The connection ended a stream that has no length; the engine is
+              // asked whether it still runs.
+  Pausing,    // Waits between two attempts.
 };
 
 const char *toString(CallStage S);
@@ -113,6 +115,7 @@
   IncarnationNumber ServerIncarnation = 0;
   std::string Address;
   UpstreamId Upstream{}; // Open exchange with the server; zero: none.
+  UpstreamId EndQuery{}; // Query that confirms the answer's end; zero: none.
   TimePoint Began{};
   TimePoint HeadAt{};     // Receipt of the answer's head; the epoch: none.
   TimePoint LastBytes{};  // Last receipt of answer bytes; Began if none came.
@@ -123,6 +126,7 @@
   AnswerInfo Answer;
   std::string Body;         // Body of an answer that is buffered.
   bool IsForwarded = false; // Events are forwarded as they arrive.
+  bool HasEvents = false;   // A complete event has arrived.
 };
 
 /// An admitted request, from its arrival to its final answer.
@@ -213,6 +217,8 @@
       RequesterIncarnations; // Of entry hosts that sent placement requests.
   std::vector<PendingRelease> Releases;
   std::map<UpstreamId, SpeedQuery> SpeedQueries;
+  std::map<UpstreamId, std::uint64_t>
+      EndQueries;            // Tickets of Confirming calls.
   PartQuarantine Quarantine; // Parts that crash engines, and own evidence.
   std::uint64_t ControlQuarantineDigest = 0;   // Of the active control host.
   std::map<AccountPart, TimePoint> Clearances; // To be reported.
--- a/packages/gateway/tests/GatewayStreamTest.cpp
+++ b/packages/gateway/tests/GatewayStreamTest.cpp
@@ -60,3 +60,140 @@
   BOOST_TEST(R.all<calls::SendReply>().empty());
   BOOST_TEST(R.S.Calls.empty());
 }
+
+namespace {
+
+/// Starts a stream whose answer has no length, and delivers its bytes.
+calls::OpenUpstream answerStream(GatewayFixture &R, const std::string &Bytes) {
+  R.stream();
+  calls::OpenUpstream Open = R.only<calls::OpenUpstream>();
+  R.sent(Open.Upstream);
+  R.head(Open.Upstream, 200);
+  if (!Bytes.empty())
+    R.event(UpstreamData{Open.Upstream, Bytes});
+  return Open;
+}
+
+/// The only request for a load report among the last effects.
+calls::OpenUpstream onlyQuery(const GatewayFixture &R) {
+  calls::OpenUpstream Open = R.only<calls::OpenUpstream>();
+  BOOST_TEST_REQUIRE(Open.Request.Target == "/-/report");
+  return Open;
+}
+
+} // namespace
+
+/// Guards against an engine that ends before its first event: its answer
+/// without a length reached the caller as a complete, empty stream.
+BOOST_AUTO_TEST_CASE(StreamWithoutLengthAndEventsIsNotComplete) {
+  GatewayFixture R;
+  calls::OpenUpstream Open = answerStream(R, "");
+  R.event(UpstreamEnd{Open.Upstream, false});
+  BOOST_TEST(R.all<calls::EndStream>().empty());
+  // It goes on at the other engine.
+  calls::OpenUpstream Next = R.only<calls::OpenUpstream>();
+  BOOST_TEST(Next.Request.Target == "/s/1");
+  BOOST_TEST(Next.Request.Address != Open.Request.Address);
+}
+
+/// Guards against an engine that ends between two events: without a length its
+/// answer looks complete. An engine that has ended answers no query.
+BOOST_AUTO_TEST_CASE(StreamWithoutLengthOfAnEndedEngineIsNotComplete) {
+  GatewayFixture R;
+  calls::OpenUpstream Open = answerStream(R, "id: 1\ndata: x\n\n");
+  R.event(UpstreamEnd{Open.Upstream, false});
+  BOOST_TEST(R.all<calls::EndStream>().empty());
+  calls::OpenUpstream Query = onlyQuery(R);
+  BOOST_TEST(Query.Request.Address == Open.Request.Address);
+  R.failUpstream(Query.Upstream, false);
+  calls::OpenUpstream Next = R.only<calls::OpenUpstream>();
+  BOOST_TEST(Next.Request.Target == "/s/1");
+  BOOST_TEST(valueOf(Next, "Last-Event-Id") == "1");
+}
+
+BOOST_AUTO_TEST_CASE(StreamWithoutLengthOfASilentEngineIsNotComplete) {
+  GatewayFixture R;
+  calls::OpenUpstream Open = answerStream(R, "id: 1\ndata: x\n\n");
+  R.event(UpstreamEnd{Open.Upstream, false});
+  onlyQuery(R);
+  R.advance(milliseconds(600));
+  BOOST_TEST(R.all<calls::EndStream>().empty());
+  std::size_t Resumed = 0;
+  for (const calls::OpenUpstream &Next : R.all<calls::OpenUpstream>())
+    Resumed += Next.Request.Target == "/s/1" ? 1 : 0;
+  BOOST_TEST(Resumed == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(StreamWithoutLengthOfALivingEngineIsComplete) {
+  GatewayFixture R;
+  calls::OpenUpstream Open = answerStream(R, "id: 1\ndata: x\n\n");
+  R.event(UpstreamEnd{Open.Upstream, false});
+  calls::OpenUpstream Query = onlyQuery(R);
+  R.event(UpstreamHead{Query.Upstream, 200, {}});
+  BOOST_TEST(R.only<calls::EndStream>().Whole);
+  BOOST_TEST(R.S.Calls.empty());
+  BOOST_TEST(R.S.ByUpstream.empty());
+}
+
+/// Guards against work that goes on for a caller that left while the end of its
+/// stream is confirmed.
+BOOST_AUTO_TEST_CASE(CallerMayLeaveWhileTheEndIsConfirmed) {
+  GatewayFixture R;
+  ExchangeId Caller{R.NextExchange};
+  calls::OpenUpstream Open = answerStream(R, "id: 1\ndata: x\n\n");
+  R.event(UpstreamEnd{Open.Upstream, false});
+  calls::OpenUpstream Query = onlyQuery(R);
+  R.event(ExchangeLeft{Caller});
+  BOOST_TEST((R.only<calls::AbortUpstream>().Upstream == Query.Upstream));
+  BOOST_TEST(R.S.Calls.empty());
+  R.event(UpstreamHead{Query.Upstream, 200, {}});
+  BOOST_TEST(R.LastEffects.empty());
+}
+
+/// Guards against answers without end: an event that never ends was forwarded
+/// until the caller left.
+BOOST_AUTO_TEST_CASE(EventWithoutEndIsBrokenOff) {
+  GatewayFixture R;
+  calls::OpenUpstream Open = answerStream(R, "id: 1\ndata: x\n\n");
+  std::size_t Forwarded = 0;
+  bool Aborted = false;
+  for (int I = 0; I < 64 && !Aborted; ++I) {
+    R.event(UpstreamData{Open.Upstream, std::string(64U << 10U, 'x')});
+    for (const calls::StreamBytes &Bytes : R.all<calls::StreamBytes>())
+      Forwarded += Bytes.Bytes.size();
+    Aborted = !R.all<calls::AbortUpstream>().empty();
+  }
+  BOOST_TEST(Aborted);
+  BOOST_TEST(Forwarded == 0U);
+}
+
+/// Guards against a stalled stream that a byte now and then keeps open: only
+/// complete events count.
+BOOST_AUTO_TEST_CASE(BytesWithinAnEventDoNotKeepAStalledStream) {
+  GatewayFixture R;
+  calls::OpenUpstream Open = answerStream(R, "id: 1\ndata: x\n\n");
+  Effects All;
+  for (int I = 0; I < 40; ++I) {
+    R.event(UpstreamData{Open.Upstream, "x"});
+    for (Effect &E : R.advance(milliseconds(100)))
+      All.push_back(std::move(E));
+  }
+  R.LastEffects = std::move(All);
+  BOOST_TEST(!R.all<calls::AbortUpstream>().empty());
+  BOOST_TEST(!R.all<calls::OpenUpstream>().empty());
+}
+
+/// Guards against slow but sound streams that are cut: events come late, but
+/// within the time that their callers wait.
+BOOST_AUTO_TEST_CASE(SlowStreamIsNotCut) {
+  GatewayFixture R;
+  calls::OpenUpstream Open = answerStream(R, "id: 1\ndata: x\n\n");
+  for (int I = 2; I <= 10; ++I) {
+    R.advance(milliseconds(900));
+    BOOST_TEST(R.all<calls::AbortUpstream>().empty());
+    BOOST_TEST(R.all<calls::EndStream>().empty());
+    R.event(UpstreamData{Open.Upstream,
+                         "id: " + std::to_string(I) + "\ndata: x\n\n"});
+    BOOST_TEST(R.all<calls::StreamBytes>().size() == 1U);
+  }
+}
