shell: a process writes its last answers before it exits

What could happen: in a planned stop the last request was answered, and the process exited 50 ms later whether or not the answer had left; a caller that read slowly got a part of it. Cause: the exit was delayed by a fixed time. Change: the process exits when nothing is left to write, at the latest after 0.5 s, which lies within the 0.9 s that a stop reserves for its last answers.

--- a/packages/shell/Process.cpp
+++ b/packages/shell/Process.cpp
@@ -30,6 +30,11 @@
 /// Minimum tick interval: the system's timers have no finer resolution, and
 /// each expiry has a cost.
 constexpr Duration MinTickInterval = milliseconds(1);
+/// Time between an Exit effect and the exit: the least, and the most while
+/// replies are still being written.
+constexpr Duration MinFlushTime = milliseconds(50);
+constexpr Duration MaxFlushTime = milliseconds(500);
+constexpr Duration FlushCheckInterval = milliseconds(10);
 /// Body limit of operators' requests, which carry small documents and queries.
 constexpr std::size_t OperatorBodyBytes = 4U << 20U;
 constexpr std::size_t OperatorConnections = 256;
@@ -77,6 +82,7 @@
     return OperatorServer.holds(Id) ? OperatorServer : CallerServer;
   }
   void dispatch(Event E);
+  void exitWhenWritten();
   void handle(const Event &E);
   void tick();
   void scheduleTick();
@@ -115,6 +121,8 @@
   std::deque<Event> EventQueue; // Events raised while another is being handled.
   bool Dispatching = false;
   int ExitStatus = 0;
+  Timer ExitTimer;     // Set after an Exit effect.
+  TimePoint ExitBy{};  // The process then exits although replies are unwritten.
   TimePoint TickDue{}; // Expiry of TickTimer; the epoch: not set.
 };
 
@@ -144,7 +152,8 @@
       Interrupt(evsignal_new(Base.get(), SIGINT, &Process::onSignal, this)),
       Hangup(evsignal_new(Base.get(), SIGHUP, &Process::onHangup, this)),
       SettingsTimer(Base.get(), [this] { watchSettings(); }),
-      SettingsChanged(changeTime(Program.SettingsFile)) {
+      SettingsChanged(changeTime(Program.SettingsFile)),
+      ExitTimer(Base.get(), [this] { exitWhenWritten(); }) {
   event_add(Terminate.get(), nullptr);
   event_add(Interrupt.get(), nullptr);
   event_add(Hangup.get(), nullptr);
@@ -489,10 +498,21 @@
 }
 
 void Process::operator()(const Exit &E) {
-  ExitStatus = E.Status;
-  // Leaves time to send replies that were written just before.
-  timeval Soon = toTimeval(milliseconds(50));
-  event_base_loopexit(Base.get(), &Soon);
+  ExitStatus = std::max(ExitStatus, E.Status);
+  if (ExitTimer.pending())
+    return;
+  ExitBy = steadyNow() + MaxFlushTime;
+  ExitTimer.start(MinFlushTime);
+}
+
+/// Ends the event loop once all replies are written to their sockets.
+void Process::exitWhenWritten() {
+  std::size_t Pending =
+      CallerServer.pendingBytes() + OperatorServer.pendingBytes();
+  if (Pending > 0 && steadyNow() < ExitBy)
+    ExitTimer.start(FlushCheckInterval);
+  else
+    event_base_loopexit(Base.get(), nullptr);
 }
 
 } // namespace
--- /dev/null
+++ b/packages/shell/tests/ProcessTest.cpp
@@ -0,0 +1,67 @@
+#include <boost/test/unit_test.hpp>
+
+#include "base/Problem.h"
+#include "shell/HostProgram.h"
+#include "shell/tests/Socket.h"
+
+#include <stdexcept>
+#include <thread>
+
+using namespace pimento;
+using namespace pimento::test;
+
+namespace {
+
+TimePoint steadyTime() {
+  return TimePoint(std::chrono::steady_clock::now().time_since_epoch());
+}
+
+Settings settings() {
+  Settings S;
+  S.Host.Name = HostId("h");
+  S.Host.CallerAddress = freeAddress();
+  S.Host.OperatorAddress = freeAddress();
+  S.Host.PeerAddress = freeAddress();
+  return S;
+}
+
+HostProgram program() {
+  HostProgram P;
+  P.Self = HostId("h");
+  P.Now = &steadyTime;
+  P.NextTick = [](TimePoint Now) { return Now + milliseconds(5); };
+  P.Gauges = [](TimePoint) { return std::vector<MetricSample>(); };
+  return P;
+}
+
+} // namespace
+
+/// Guards against a planned stop that cuts off an answer: the last answers
+/// leave only as fast as their callers read.
+BOOST_AUTO_TEST_CASE(AnswersAreWrittenBeforeTheProcessExits) {
+  constexpr std::size_t AnswerBytes = 12U << 20U; // More than sockets hold.
+  Settings S = settings();
+  HostProgram P = program();
+  P.Reduce = [&](const Event &E, TimePoint) -> Effects {
+    const auto *Request = std::get_if<CallerRequest>(&E);
+    if (Request == nullptr)
+      return {};
+    HttpReply Reply = jsonReply(200, std::string(AnswerBytes, 'x'));
+    return {calls::SendReply{Request->Exchange, Reply}, Exit{0}};
+  };
+  std::size_t Received = 0;
+  std::thread Caller([&] {
+    std::this_thread::sleep_for(milliseconds(200));
+    RawSocket Socket(S.Host.CallerAddress);
+    Socket.write("GET / HTTP/1.1\r\n\r\n");
+    // The caller is busy for a moment before it reads.
+    std::this_thread::sleep_for(milliseconds(200));
+    while (!Socket.readAvailable())
+      std::this_thread::sleep_for(milliseconds(1));
+    Received = Socket.Received.size();
+  });
+  DataFolder Folder;
+  BOOST_TEST(runProgram(S, Folder, 1, P) == 0);
+  Caller.join();
+  BOOST_TEST(Received >= AnswerBytes);
+}
