shell: an unexpected error in one event does not end an entry host

What could happen: an exception in a reducer ended the process with all its calls. Cause: nothing caught it between the event loop and the reducer. Change: the error is logged and counted (event_failed), and an entry host goes on without the event; a host with a replicated log ends and reads its disk again. Result: ErrorInOneEventDoesNotEndAnEntryHost ended the test program before and passes.

--- a/packages/control/ControlQuarantine.cpp
+++ b/packages/control/ControlQuarantine.cpp
@@ -51,6 +51,12 @@
   return Parts;
 }
 
+/// Replaces bytes that are no UTF-8: names of accounts also come from other
+/// hosts.
+std::string textOf(const Json &Value) {
+  return Value.dump(-1, ' ', false, Json::error_handler_t::replace) + "\n";
+}
+
 /// Whether this host judges: exactly one host does while a leader is known.
 bool judges(const ControlHost &S, TimePoint Now) {
   return isLeader(S, Now) || leader(S.Log).empty();
@@ -86,7 +92,7 @@
     if (Q.Active)
       Parts.push_back(describe(Scope, Q, T.Now));
   }
-  reply(T, Exchange, jsonReply(200, Json({{"parts", Parts}}).dump()));
+  reply(T, Exchange, jsonReply(200, textOf({{"parts", Parts}})));
 }
 
 /// Lifts the quarantines of the part named by the last segment of the path, for
@@ -114,7 +120,7 @@
     return;
   }
   T.S.UpdateDue = true;
-  reply(T, Exchange, jsonReply(200, Json({{"lifted", Lifted}}).dump()));
+  reply(T, Exchange, jsonReply(200, textOf({{"lifted", Lifted}})));
 }
 
 } // namespace
--- a/packages/shell/Process.cpp
+++ b/packages/shell/Process.cpp
@@ -82,6 +82,7 @@
     return OperatorServer.holds(Id) ? OperatorServer : CallerServer;
   }
   void dispatch(Event E);
+  void eventFailed(const char *Detail);
   void exitWhenWritten();
   void handle(const Event &E);
   void tick();
@@ -325,10 +326,28 @@
 }
 
 void Process::handle(const Event &E) {
-  for (const Effect &Effect : Program.Reduce(E, Program.Now()))
+  Effects Out;
+  try {
+    Out = Program.Reduce(E, Program.Now());
+  } catch (const std::exception &Error) {
+    eventFailed(Error.what());
+    return;
+  }
+  for (const Effect &Effect : Out)
     std::visit(*this, Effect);
 }
 
+/// Handles an unexpected error of the reducer. An entry host goes on without
+/// the event. A host with a replicated log ends, since its state in memory may
+/// differ from its disk; its next start reads the disk.
+void Process::eventFailed(const char *Detail) {
+  Log.write(LogLevel::Error, "event_failed", Detail);
+  MetricsStore.record(
+      {SampleKind::Counter, "pimento_events_failed_total", "", 1});
+  if (Data.Store)
+    (*this)(Exit{1});
+}
+
 void Process::tick() {
   TickDue = TimePoint();
   dispatch(Tick());
--- a/packages/shell/tests/ProcessTest.cpp
+++ b/packages/shell/tests/ProcessTest.cpp
@@ -36,6 +36,20 @@
 
 } // namespace
 
+/// Guards against one unexpected error that takes a whole process down.
+BOOST_AUTO_TEST_CASE(ErrorInOneEventDoesNotEndAnEntryHost) {
+  HostProgram P = program();
+  int Events = 0;
+  P.Reduce = [&](const Event &, TimePoint) -> Effects {
+    if (++Events == 1)
+      throw std::out_of_range("an id is not known");
+    return {Exit{0}};
+  };
+  DataFolder Folder;
+  BOOST_TEST(runProgram(settings(), Folder, 1, P) == 0);
+  BOOST_TEST(Events >= 2);
+}
+
 /// Guards against a planned stop that cuts off an answer: the last answers
 /// leave only as fast as their callers read.
 BOOST_AUTO_TEST_CASE(AnswersAreWrittenBeforeTheProcessExits) {
