--- a/packages/control/ControlQuarantine.cpp
+++ b/packages/control/ControlQuarantine.cpp
@@ -74,15 +74,15 @@
 Json describe(const QuarantineScope &Scope, const Quarantined &Q,
               TimePoint Now) {
   Json Entry = {{"part", partText(Scope.Part)},
-                {"allAccounts", Scope.AllAccounts},
-                {"sinceMs", toMilliseconds(Now - Q.Since)},
+                {"all_accounts", Scope.AllAccounts},
+                {"since_ms", toMilliseconds(Now - Q.Since)},
                 {"crashes", Q.Crashes},
                 {"requests", Q.Requests},
                 {"trials", Q.Trials}};
   if (!Scope.AllAccounts)
     Entry["account"] = Scope.Account.Value;
   if (Q.TrialAt != TimePoint::max())
-    Entry["nextTrialMs"] = toMilliseconds(Q.TrialAt - Now);
+    Entry["next_trial_ms"] = toMilliseconds(Q.TrialAt - Now);
   return Entry;
 }
 
--- a/packages/ctl/Command.cpp
+++ b/packages/ctl/Command.cpp
@@ -99,6 +99,10 @@
        "the hosts as one host sees them"},
       {CommandKind::Backends, "backends", "", "", 0, 0, false,
        "the backend servers that are known"},
+      {CommandKind::QuarantineList, "quarantine", "list", "", 0, 0, false,
+       "parts of prompts that are refused"},
+      {CommandKind::QuarantineLift, "quarantine", "lift", "PART", 1, 1, false,
+       "serves the part again, for all accounts"},
       {CommandKind::SettingsCheck, "settings", "check", "FILE...", 1,
        MaxFileArguments, true, "lists every fault; asks no host"},
   };
@@ -149,6 +153,8 @@
   C.Kind = Row->Kind;
   if (Row->TakesFiles)
     C.Files = std::move(Rest);
+  else if (C.Kind == CommandKind::QuarantineLift)
+    C.Part = Rest[0];
   else if (!Rest.empty())
     C.Service = ServiceId(Rest[0]);
   return true;
--- a/packages/ctl/Command.h
+++ b/packages/ctl/Command.h
@@ -67,11 +67,14 @@
   Hosts,
   Backends,
   SettingsCheck,
+  QuarantineList,
+  QuarantineLift,
 };
 
 struct Command {
   CommandKind Kind = CommandKind::Status;
-  ServiceId Service;              // Empty if the command takes no service.
+  ServiceId Service; // Empty if the command takes no service.
+  std::string Part;  // Part of prompts, in hexadecimal; empty if it takes none.
   std::vector<std::string> Files; // Input files; "-" is standard input.
 };
 
--- a/packages/ctl/Present.cpp
+++ b/packages/ctl/Present.cpp
@@ -209,6 +209,15 @@
                   {"id", "kind", "status", "address", "data_centre", "service",
                    "memory_tokens", "models"});
     return;
+  case CommandKind::QuarantineList:
+    O.Out = table(Body.value("parts", Json(nullptr)),
+                  {"part", "account", "all_accounts", "since_ms", "crashes",
+                   "requests", "trials", "next_trial_ms"});
+    return;
+  case CommandKind::QuarantineLift:
+    O.Out = "lifted " + cellText(Body.value("lifted", Json(nullptr))) +
+            " quarantines of " + printable(C.Part) + "\n";
+    return;
   default:
     O.Out = statusView(std::move(Body));
   }
--- a/packages/ctl/Run.cpp
+++ b/packages/ctl/Run.cpp
@@ -101,6 +101,10 @@
     return "/v1/hosts";
   case CommandKind::Backends:
     return "/v1/backends";
+  case CommandKind::QuarantineList:
+    return "/v1/quarantine";
+  case CommandKind::QuarantineLift:
+    return "/v1/quarantine/" + encodeSegment(C.Part);
   default:
     return Service + "/document";
   }
@@ -111,6 +115,8 @@
   UpstreamRequest R;
   R.Target = targetOf(C);
   R.Headers.push_back({"Authorization", "Bearer " + Token});
+  if (C.Kind == CommandKind::QuarantineLift)
+    R.Method = HttpMethod::Delete;
   if (C.Kind == CommandKind::DocumentPut) {
     R.Method = HttpMethod::Put;
     R.Headers.push_back({"Content-Type", "application/json"});
--- a/packages/ctl/tests/PresentTest.cpp
+++ b/packages/ctl/tests/PresentTest.cpp
@@ -164,10 +164,12 @@
   for (CommandKind Kind :
        {CommandKind::Status, CommandKind::Hosts, CommandKind::Backends,
         CommandKind::InForce, CommandKind::DocumentHistory,
-        CommandKind::DocumentPut}) {
+        CommandKind::DocumentPut, CommandKind::QuarantineList,
+        CommandKind::QuarantineLift}) {
     for (const char *Body :
          {"{}", R"({"hosts":3,"backends":3,"versions":3,"number":[]})",
           R"({"hosts":[3],"backends":[3],"versions":[3],"logs":[3]})",
+          R"({"parts":3,"lifted":[3]})", R"({"parts":[3],"lifted":{}})",
           R"({"logs":[{"members":[3]}],"orders":3,"documents":3,"fresh":3})",
           R"({"hosts":[{"host":{}}],"versions":[{"at_ms":9e99}]})"})
       BOOST_CHECK_NO_THROW(show(Kind, Body));
--- a/packages/ctl/tests/RunTest.cpp
+++ b/packages/ctl/tests/RunTest.cpp
@@ -135,11 +135,18 @@
   expect(ExitCode::Ok, {"status"});
   expect(ExitCode::Ok, {"hosts"});
   expect(ExitCode::Ok, {"backends"});
+  expect(ExitCode::Ok, {"quarantine", "list"});
+  expect(ExitCode::Ok, {"quarantine", "lift", "5c1e"});
   expect(ExitCode::UnknownService, {"in-force", "a b"});
   expect(ExitCode::UnknownService, {"document", "history", "a"});
-  const char *Targets[] = {"/v1/status", "/v1/hosts", "/v1/backends",
+  const char *Targets[] = {"/v1/status",
+                           "/v1/hosts",
+                           "/v1/backends",
+                           "/v1/quarantine",
+                           "/v1/quarantine/5c1e",
                            "/v1/services/a%20b/in-force",
                            "/v1/services/a/history"};
   for (std::size_t I = 0; I < std::size(Targets); ++I)
     BOOST_TEST(Fake.Sent.at(I).Target == Targets[I]);
+  BOOST_TEST((Fake.Sent.at(4).Method == HttpMethod::Delete));
 }
--- a/packages/gateway/tests/CrashingPartTest.cpp
+++ b/packages/gateway/tests/CrashingPartTest.cpp
@@ -211,3 +211,28 @@
   BOOST_TEST(Refused == 0U);
   BOOST_TEST(Site.lateSends() <= MaxLateSends);
 }
+
+/// Guards against a quarantine that operators can neither see nor end.
+BOOST_AUTO_TEST_CASE(OperatorsSeeAndLiftQuarantines) {
+  CrashSite Site(13);
+  Site.run(seconds(4));
+  Site.BadParts = {PartId{0xbad}};
+  Site.run(seconds(2)); // The first trial comes later.
+  Site.Cured = {PartId{0xbad}};
+  HostId Host = Site.Control.leader();
+  auto Call = [&](HttpMethod Method, const char *Path) {
+    ExchangeId Id = Site.Control.request(Host, Method, Path);
+    Site.run(milliseconds(100));
+    return Site.Control.Answers[Host].at(Id);
+  };
+  HttpReply List = Call(HttpMethod::Get, "/v1/quarantine");
+  BOOST_TEST(List.Body.find("\"part\":\"bad\"") != std::string::npos);
+  BOOST_TEST(Call(HttpMethod::Delete, "/v1/quarantine/xyz").Status == 400);
+  BOOST_TEST(Call(HttpMethod::Delete, "/v1/quarantine/123").Status == 404);
+  BOOST_TEST(Call(HttpMethod::Delete, "/v1/quarantine/bad").Status == 200);
+  TimePoint LiftedAt = Site.now();
+  Site.run(seconds(6));
+  BOOST_TEST(Site.soundShare(LiftedAt, Site.now() - seconds(1)) > 0.9);
+  BOOST_TEST(Call(HttpMethod::Get, "/v1/quarantine").Body ==
+             "{\"parts\":[]}\n");
+}
--- a/packages/shell/Process.cpp
+++ b/packages/shell/Process.cpp
@@ -82,7 +82,7 @@
     return OperatorServer.holds(Id) ? OperatorServer : CallerServer;
   }
   void dispatch(Event E);
-  void eventFailed(const char *Detail);
+  void eventFailed(const Event &E, const char *Detail);
   void exitWhenWritten();
   void handle(const Event &E);
   void tick();
@@ -330,21 +330,24 @@
   try {
     Out = Program.Reduce(E, Program.Now());
   } catch (const std::exception &Error) {
-    eventFailed(Error.what());
+    eventFailed(E, Error.what());
     return;
   }
   for (const Effect &Effect : Out)
     std::visit(*this, Effect);
 }
 
-/// Handles an unexpected error of the reducer. An entry host goes on without
-/// the event. A host with a replicated log ends, since its state in memory may
-/// differ from its disk; its next start reads the disk.
-void Process::eventFailed(const char *Detail) {
+/// Handles an unexpected error of the reducer: the host goes on without the
+/// event. A host with a replicated log ends, unless the event is a call from
+/// outside, since its state in memory may differ from its disk; its next start
+/// reads the disk.
+void Process::eventFailed(const Event &E, const char *Detail) {
   Log.write(LogLevel::Error, "event_failed", Detail);
   MetricsStore.record(
       {SampleKind::Counter, "pimento_events_failed_total", "", 1});
-  if (Data.Store)
+  bool IsCall = std::holds_alternative<CallerRequest>(E) ||
+                std::holds_alternative<OperatorRequest>(E);
+  if (Data.Store && !IsCall)
     (*this)(Exit{1});
 }
 
