gateway: a broken connection is a crash only if its engine is gone

Cause: a lost answer or a reset connection counted as the end of its engine. Each host also repeated what it knew of 64 accused parts for 3 s. Change: after a broken answer the engine is asked for its load report, once for all calls; it has crashed if it does not answer within 0.4 s. Known answers are reported once, of 16 accused parts at most.

--- a/packages/gateway/Answer.cpp
+++ b/packages/gateway/Answer.cpp
@@ -100,10 +100,14 @@
 }
 
 void streamCut(GatewayTurn &T, GatewayCall &C, const char *Reason) {
-  noteCrash(T, C);
   attemptFailed(T, C, true, Code::StreamCut, Reason);
 }
 
+void streamBroken(GatewayTurn &T, GatewayCall &C, const char *Reason) {
+  checkCrash(T, C);
+  streamCut(T, C, Reason);
+}
+
 void completeStream(GatewayTurn &T, GatewayCall &C) {
   closeAttempt(T, C, false);
   if (!C.Events.Partial.empty())
@@ -120,9 +124,10 @@
   if (Delimited)
     completeStream(T, C);
   else if (!C.Events.Partial.empty())
-    streamCut(T, C, "the backend server's stream ended within an event");
+    streamBroken(T, C, "the backend server's stream ended within an event");
   else if (!C.Attempt.HasEvents)
-    streamCut(T, C, "the backend server's stream ended before its first event");
+    streamBroken(T, C,
+                 "the backend server's stream ended before its first event");
   else if (C.OnEngine)
     confirmEnd(T, C);
   else
@@ -237,6 +242,7 @@
   if (std::holds_alternative<UpstreamFailed>(E)) {
     T.S.EndQueries.erase(Found);
     C.Attempt.EndQuery = UpstreamId{};
+    recordCrash(T, C);
     streamCut(T, C, "the engine ended with its stream");
   } else {
     completeStream(T, C);
@@ -253,6 +259,7 @@
 }
 
 void checkConfirming(GatewayTurn &T, GatewayCall &C) {
+  recordCrash(T, C);
   streamCut(T, C, "the engine is silent after the end of its stream");
 }
 
--- a/packages/gateway/Attempt.cpp
+++ b/packages/gateway/Attempt.cpp
@@ -239,7 +239,7 @@
     C.Sends += 1;
   }
   if (Why.BytesSent && !Why.TimedOut && !Why.Malformed)
-    noteCrash(T, C);
+    checkCrash(T, C);
   attemptFailed(T, C, Why.BytesSent,
                 Why.BytesSent ? Code::BackendFailed : Code::ConnectFailed,
                 Why.BytesSent ? "the connection broke"
--- a/packages/gateway/Gateway.cpp
+++ b/packages/gateway/Gateway.cpp
@@ -43,7 +43,7 @@
   /// caller's request; it is then processed.
   bool isOwnQuery() const {
     return reservationEvent(T, Original) || speedQueryEvent(T, Original) ||
-           confirmationEvent(T, Original);
+           confirmationEvent(T, Original) || crashCheckEvent(T, Original);
   }
 
   void operator()(const Tick &) const {
@@ -52,6 +52,7 @@
     tickReleases(T);
     tickPlacing(T);
     tickSpeeds(T);
+    tickCrashChecks(T);
     tickSite(T);
   }
   void operator()(const PeerMessage &E) const {
@@ -152,6 +153,8 @@
                 nextSpeedTick(S, Now)});
   for (const HeldRequest &Request : S.Held)
     Next = std::min(Next, Request.HoldUntil);
+  for (const auto &[Upstream, Check] : S.CrashChecks)
+    Next = std::min(Next, Check.ExpiresAt);
   for (const PendingRelease &Release : S.Releases)
     Next = std::min(Next, Release.NextAt);
   if (!S.Timers.empty())
--- a/packages/gateway/Gateway.h
+++ b/packages/gateway/Gateway.h
@@ -109,6 +109,14 @@
   TimePoint ExpiresAt{};
 };
 
+/// A query whether an engine still runs after it broke off answers. Without an
+/// answer it has crashed, and the requests are suspects.
+struct CrashCheck {
+  EngineCrash Crash; // Age is unused.
+  TimePoint CrashedAt{};
+  TimePoint ExpiresAt{};
+};
+
 /// One sending of a request to a backend server.
 struct CallAttempt {
   BackendId Server;
@@ -220,9 +228,10 @@
   std::map<UpstreamId, std::uint64_t>
       EndQueries;            // Tickets of Confirming calls.
   PartQuarantine Quarantine; // Parts that crash engines, and own evidence.
-  std::uint64_t ControlQuarantineDigest = 0;   // Of the active control host.
-  std::map<AccountPart, TimePoint> Clearances; // To be reported.
-  std::map<HostId, TimePoint> LostHosts;       // When a host's link was lost.
+  std::map<UpstreamId, CrashCheck> CrashChecks;
+  std::uint64_t ControlQuarantineDigest = 0; // Of the active control host.
+  std::set<AccountPart> Clearances;          // To be reported.
+  std::map<HostId, TimePoint> LostHosts;     // When a host's link was lost.
 
   bool Stopping = false;
   TimePoint RefuseAt{}; // During shutdown: new requests are refused from then.
--- a/packages/gateway/GatewayTurn.h
+++ b/packages/gateway/GatewayTurn.h
@@ -161,8 +161,15 @@
 /// Refuses the call if a part of its prompt is in quarantine, unless it is sent
 /// as a trial. Returns whether it was refused; \p C is then invalid.
 bool refuseQuarantined(GatewayTurn &T, GatewayCall &C);
-/// Records that an engine broke off its answer to the call.
-void noteCrash(GatewayTurn &T, const GatewayCall &C);
+/// An engine broke off its answer to the call: asks it whether it still runs.
+void checkCrash(GatewayTurn &T, const GatewayCall &C);
+/// Records that the call's engine has crashed.
+void recordCrash(GatewayTurn &T, const GatewayCall &C);
+/// Processes an event that belongs to a query whether an engine still runs.
+/// Returns false for any other event.
+bool crashCheckEvent(GatewayTurn &T, const Event &E);
+/// Records the crashes of engines that did not answer such a query in time.
+void tickCrashChecks(GatewayTurn &T);
 /// Records that an engine answered the call completely.
 void noteComplete(GatewayTurn &T, const GatewayCall &C);
 /// What a control host is to know of parts that crash engines.
--- a/packages/gateway/QuarantinePart.cpp
+++ b/packages/gateway/QuarantinePart.cpp
@@ -9,12 +9,15 @@
 
 namespace {
 
-/// Evidence is part of each message to control hosts for this time, so that it
+/// A crash is part of each message to control hosts for this time, so that it
 /// arrives although messages or control hosts are lost.
 constexpr Duration ReportTime = seconds(3);
 /// Delay of a report, so that one message carries all calls that an engine's
 /// crash broke off.
 constexpr Duration ReportDelay = milliseconds(10);
+/// Time in which an engine answers that it still runs. A connection may break
+/// although its engine runs.
+constexpr Duration CrashCheckTimeout = milliseconds(400);
 /// Parts of a prompt that are reported, the first ones.
 constexpr std::size_t MaxReportedParts = 32;
 /// A complete answer is reported if it is not older.
@@ -38,7 +41,39 @@
   std::optional<TimePoint> At =
       answeredAt(T.S.Quarantine.Answered, Part.Account, Part.Part);
   if (At && T.Now < *At + ProofRetention)
-    T.S.Clearances[Part] = T.Now;
+    T.S.Clearances.insert(Part);
+}
+
+CrashedRequest suspectOf(const GatewayCall &C) {
+  CrashedRequest Request;
+  Request.Account = C.Account;
+  Request.Request = std::hash<std::string>()(C.Info.ClientAttemptId);
+  Request.Parts = reportedParts(C);
+  return Request;
+}
+
+EngineCrash crashOf(const GatewayCall &C) {
+  EngineCrash Crash;
+  Crash.Server = C.Attempt.Server;
+  Crash.Incarnation = C.Attempt.ServerIncarnation;
+  Crash.Requests = {suspectOf(C)};
+  return Crash;
+}
+
+/// Reports a crash with what is known of its suspects.
+void reportCrash(GatewayTurn &T, const EngineCrash &Crash) {
+  addCrash(T.S.Quarantine, Crash, T.Now);
+  for (const CrashedRequest &Request : Crash.Requests) {
+    for (PartId Part : Request.Parts)
+      reportAnswered(T, {Request.Account, Part});
+  }
+  count(T, "pimento_engine_crashes_total");
+  reportSoon(T);
+}
+
+void crashConfirmed(GatewayTurn &T, CrashCheck &Check) {
+  Check.Crash.Age = T.Now - Check.CrashedAt;
+  reportCrash(T, Check.Crash);
 }
 
 bool isWatched(const GatewayTurn &T, const AccountPart &Part) {
@@ -114,22 +149,58 @@
   return true;
 }
 
-void noteCrash(GatewayTurn &T, const GatewayCall &C) {
+void checkCrash(GatewayTurn &T, const GatewayCall &C) {
   if (!C.OnEngine || C.Info.Parts.empty())
     return;
-  CrashedRequest Request;
-  Request.Account = C.Account;
-  Request.Request = std::hash<std::string>()(C.Info.ClientAttemptId);
-  Request.Parts = reportedParts(C);
-  EngineCrash Crash;
-  Crash.Server = C.Attempt.Server;
-  Crash.Incarnation = C.Attempt.ServerIncarnation;
-  Crash.Requests = {std::move(Request)};
-  addCrash(T.S.Quarantine, Crash, T.Now);
-  for (PartId Part : C.Info.Parts)
-    reportAnswered(T, {C.Account, Part});
-  count(T, "pimento_engine_crash_requests_total");
-  reportSoon(T);
+  for (auto &[Upstream, Check] : T.S.CrashChecks) {
+    bool IsSame = Check.Crash.Server == C.Attempt.Server &&
+                  Check.Crash.Incarnation == C.Attempt.ServerIncarnation;
+    if (!IsSame)
+      continue;
+    Check.Crash.Requests.push_back(suspectOf(C));
+    return;
+  }
+  UpstreamId Id{T.S.NextUpstream++};
+  CrashCheck Check;
+  Check.Crash = crashOf(C);
+  Check.CrashedAt = T.Now;
+  Check.ExpiresAt = T.Now + CrashCheckTimeout;
+  T.S.CrashChecks.emplace(Id, std::move(Check));
+  T.Out.push_back(calls::OpenUpstream{
+      Id, orderRequest(T.S, C.Attempt.Address, T.S.Platform.EncodeLoadQuery()),
+      std::nullopt});
+}
+
+void recordCrash(GatewayTurn &T, const GatewayCall &C) {
+  if (C.OnEngine && !C.Info.Parts.empty())
+    reportCrash(T, crashOf(C));
+}
+
+bool crashCheckEvent(GatewayTurn &T, const Event &E) {
+  auto Found = T.S.CrashChecks.find(upstreamOf(E));
+  if (Found == T.S.CrashChecks.end())
+    return false;
+  if (std::holds_alternative<UpstreamSent>(E))
+    return true;
+  if (std::holds_alternative<UpstreamFailed>(E))
+    crashConfirmed(T, Found->second);
+  else
+    T.Out.push_back(calls::AbortUpstream{Found->first});
+  T.S.CrashChecks.erase(Found);
+  return true;
+}
+
+void tickCrashChecks(GatewayTurn &T) {
+  auto &Checks = T.S.CrashChecks;
+  for (auto It = Checks.begin(); It != Checks.end();) {
+    if (T.Now < It->second.ExpiresAt) {
+      ++It;
+      continue;
+    }
+    T.Out.push_back(calls::AbortUpstream{It->first});
+    crashConfirmed(T, It->second);
+    It = Checks.erase(It);
+  }
 }
 
 void noteComplete(GatewayTurn &T, const GatewayCall &C) {
@@ -141,7 +212,7 @@
     addClearance(T.S.Quarantine, {Key, Duration::zero()}, T.Now);
     if (!Watched)
       continue;
-    T.S.Clearances[Key] = T.Now;
+    T.S.Clearances.insert(Key);
     reportSoon(T);
   }
 }
@@ -154,17 +225,14 @@
   if (M.Digest != S.ControlQuarantineDigest)
     M.Records = quarantineRecords(Q, T.Now);
   M.Crashes = crashesSince(Q, T.Now - ReportTime, T.Now);
-  for (auto It = S.Clearances.begin(); It != S.Clearances.end();) {
-    const auto &[Part, ReportedAt] = *It;
+  // Sent once: while a part is watched, later answers clear it as well.
+  for (const AccountPart &Part : S.Clearances) {
     std::optional<TimePoint> At =
         answeredAt(Q.Answered, Part.Account, Part.Part);
-    if (At && T.Now < ReportedAt + ReportTime) {
+    if (At)
       M.Clearances.push_back({Part, T.Now - *At});
-      ++It;
-    } else {
-      It = S.Clearances.erase(It);
-    }
   }
+  S.Clearances.clear();
   std::vector<AccountPart> Watched;
   for (const auto &[Part, Since] : Q.Watched)
     Watched.push_back(Part);
--- a/packages/gateway/tests/GatewayStreamTest.cpp
+++ b/packages/gateway/tests/GatewayStreamTest.cpp
@@ -197,3 +197,31 @@
     BOOST_TEST(R.all<calls::StreamBytes>().size() == 1U);
   }
 }
+
+/// Guards against connections that break, or answers that are lost, at engines
+/// that run on: they accused the parts of sound requests.
+BOOST_AUTO_TEST_CASE(BrokenConnectionIsACrashOnlyIfTheEngineIsGone) {
+  for (bool IsGone : {false, true}) {
+    GatewayFixture R;
+    R.call(HttpMethod::Post, "/s/1",
+           {{"X-Pimentoglade-Token-Count", "5000,1300"},
+            {"X-Pimentoglade-Prefix-Hash", "a1:40,b2:4000"}});
+    calls::OpenUpstream Open = R.only<calls::OpenUpstream>();
+    R.sent(Open.Upstream);
+    R.head(Open.Upstream, 200);
+    R.failUpstream(Open.Upstream, true);
+    std::vector<calls::OpenUpstream> Queries;
+    for (const calls::OpenUpstream &Next : R.all<calls::OpenUpstream>()) {
+      if (Next.Request.Target == "/-/report")
+        Queries.push_back(Next);
+    }
+    BOOST_TEST_REQUIRE(Queries.size() == 1U);
+    BOOST_TEST(Queries[0].Request.Address == Open.Request.Address);
+    if (IsGone)
+      R.failUpstream(Queries[0].Upstream, false);
+    else
+      R.event(UpstreamHead{Queries[0].Upstream, 200, {}});
+    BOOST_TEST(R.S.Quarantine.Crashes.size() == (IsGone ? 1U : 0U));
+    BOOST_TEST(R.S.CrashChecks.empty());
+  }
+}
--- a/packages/quarantine/QuarantineJudge.cpp
+++ b/packages/quarantine/QuarantineJudge.cpp
@@ -17,9 +17,10 @@
 constexpr Duration WatchTime = milliseconds(300);
 /// A complete answer within this time proves a part sound so far.
 constexpr Duration ProofRetention = std::chrono::minutes(10);
-/// Crashes that must accuse a part before its clearances are watched.
+/// Crashes and requests that must accuse a part before its clearances are
+/// watched.
 constexpr std::size_t WatchedCrashes = 2;
-constexpr std::size_t MaxWatched = 64;
+constexpr std::size_t MaxWatched = 16;
 /// Parts of a prompt that are judged, the first ones.
 constexpr std::size_t MaxJudgedParts = 32;
 
@@ -202,10 +203,10 @@
 void updateWatched(PartQuarantine &S, const Accusations &All, TimePoint Now) {
   std::vector<std::pair<std::size_t, AccountPart>> Accused;
   for (const auto &[Scope, A] : All) {
-    if (!Scope.AllAccounts || A.Crashes.count() < WatchedCrashes)
+    if (!Scope.AllAccounts || strength(A) < WatchedCrashes)
       continue;
     for (const AccountId &Account : A.Accounts)
-      Accused.emplace_back(A.Crashes.count(), AccountPart{Account, Scope.Part});
+      Accused.emplace_back(strength(A), AccountPart{Account, Scope.Part});
   }
   std::sort(Accused.begin(), Accused.end(),
             [](const auto &A, const auto &B) { return B < A; });
