gateway, base: one function each for the text of a part and for a load query

Change: toString(PartId) in base/Ids.h, queryLoad() beside the other orders; the end of a stream is one decision a step. Result: the tests of base, control, gateway and quarantine pass as before.

--- a/packages/base/Ids.cpp
+++ b/packages/base/Ids.cpp
@@ -23,6 +23,13 @@
 
 } // namespace
 
+std::string toString(PartId Id) {
+  char Text[HalfDigits + 1];
+  std::snprintf(Text, sizeof(Text), "%llx",
+                static_cast<unsigned long long>(Id));
+  return Text;
+}
+
 std::string toString(const RequestId &Id) {
   char Text[RequestIdDigits + 1];
   std::snprintf(Text, sizeof(Text), "%016llx%016llx",
--- a/packages/base/Ids.h
+++ b/packages/base/Ids.h
@@ -99,6 +99,8 @@
   }
 };
 
+/// Formats the id in lower-case hexadecimal digits.
+std::string toString(PartId Id);
 /// Formats the id as 32 lower-case hexadecimal digits.
 std::string toString(const RequestId &Id);
 /// Formats the id as the request's digits, a dash and the attempt number.
--- a/packages/control/ControlQuarantine.cpp
+++ b/packages/control/ControlQuarantine.cpp
@@ -22,19 +22,10 @@
 constexpr const char *QuarantinePath = "/v1/quarantine";
 constexpr int HexBase = 16;
 
-std::string partText(PartId Part) {
-  constexpr std::size_t MaxDigits = 16;
-  std::array<char, MaxDigits> Digits{};
-  char *End = std::to_chars(Digits.data(), Digits.data() + Digits.size(),
-                            static_cast<std::uint64_t>(Part), HexBase)
-                  .ptr;
-  return {Digits.data(), End};
-}
-
 DecisionRecord recordOf(const char *Kind, const char *Reason,
                         const QuarantineScope &Scope, const Quarantined &Q) {
   DecisionRecord Record{Kind, {}, Reason, {}};
-  Record.add("part", partText(Scope.Part));
+  Record.add("part", toString(Scope.Part));
   Record.add("account", Scope.Account.Value);
   Record.add("all_accounts", Scope.AllAccounts);
   Record.add("crashes", static_cast<std::int64_t>(Q.Crashes));
@@ -73,7 +64,7 @@
 
 Json describe(const QuarantineScope &Scope, const Quarantined &Q,
               TimePoint Now) {
-  Json Entry = {{"part", partText(Scope.Part)},
+  Json Entry = {{"part", toString(Scope.Part)},
                 {"all_accounts", Scope.AllAccounts},
                 {"since_ms", toMilliseconds(Now - Q.Since)},
                 {"crashes", Q.Crashes},
@@ -149,7 +140,7 @@
     Changed = true;
     DecisionRecord Record{
         "part_released", {}, "a request with the part was answered", {}};
-    Record.add("part", partText(Clearance.Part.Part));
+    Record.add("part", toString(Clearance.Part.Part));
     Record.add("account", Clearance.Part.Account.Value);
     Record.add("reporter", From.Value);
     log(T, std::move(Record));
--- a/packages/gateway/Answer.cpp
+++ b/packages/gateway/Answer.cpp
@@ -121,14 +121,20 @@
 /// Handles the end of a stream's connection, or of its length or chunks if it
 /// is \p Delimited.
 void endStream(GatewayTurn &T, GatewayCall &C, bool Delimited) {
-  if (Delimited)
+  if (Delimited) {
     completeStream(T, C);
-  else if (!C.Events.Partial.empty())
+    return;
+  }
+  if (!C.Events.Partial.empty()) {
     streamBroken(T, C, "the backend server's stream ended within an event");
-  else if (!C.Attempt.HasEvents)
+    return;
+  }
+  if (!C.Attempt.HasEvents) {
     streamBroken(T, C,
                  "the backend server's stream ended before its first event");
-  else if (C.OnEngine)
+    return;
+  }
+  if (C.OnEngine)
     confirmEnd(T, C);
   else
     completeStream(T, C);
--- a/packages/gateway/Gateway.cpp
+++ b/packages/gateway/Gateway.cpp
@@ -3,8 +3,6 @@
 #include "gateway/GatewayTurn.h"
 
 #include <algorithm>
-#include <array>
-#include <charconv>
 
 namespace pimento {
 
@@ -230,16 +228,9 @@
 
 std::string partsText(const std::vector<PartId> &Parts) {
   constexpr std::size_t MaxLogged = 8;
-  constexpr std::size_t MaxDigits = 16;
   std::string Text;
-  for (std::size_t I = 0; I < std::min(Parts.size(), MaxLogged); ++I) {
-    std::array<char, MaxDigits> Digits{};
-    auto Number = static_cast<std::uint64_t>(Parts[I]);
-    char *End = std::to_chars(Digits.data(), Digits.data() + Digits.size(),
-                              Number, /*base=*/16)
-                    .ptr;
-    Text += (I == 0 ? "" : " ") + std::string(Digits.data(), End);
-  }
+  for (std::size_t I = 0; I < std::min(Parts.size(), MaxLogged); ++I)
+    Text += (I == 0 ? "" : " ") + toString(Parts[I]);
   return Text;
 }
 
--- a/packages/gateway/QuarantinePart.cpp
+++ b/packages/gateway/QuarantinePart.cpp
@@ -94,7 +94,7 @@
                    const char *Reason, const QuarantineMatch &Match) {
   DecisionRecord Record = record(T, C, Kind, Reason);
   Record.add("account", C.Account.Value);
-  Record.add("part", partsText({Match.Scope.Part}));
+  Record.add("part", toString(Match.Scope.Part));
   Record.add("all_accounts", Match.Scope.AllAccounts);
   Record.add("since_ms", toMilliseconds(T.Now - Match.Part->Since));
   Record.add("crashes", static_cast<std::int64_t>(Match.Part->Crashes));
@@ -160,15 +160,11 @@
     Check.Crash.Requests.push_back(suspectOf(C));
     return;
   }
-  UpstreamId Id{T.S.NextUpstream++};
   CrashCheck Check;
   Check.Crash = crashOf(C);
   Check.CrashedAt = T.Now;
   Check.ExpiresAt = T.Now + CrashCheckTimeout;
-  T.S.CrashChecks.emplace(Id, std::move(Check));
-  T.Out.push_back(calls::OpenUpstream{
-      Id, orderRequest(T.S, C.Attempt.Address, T.S.Platform.EncodeLoadQuery()),
-      std::nullopt});
+  T.S.CrashChecks.emplace(queryLoad(T, C.Attempt.Address), std::move(Check));
 }
 
 void recordCrash(GatewayTurn &T, const GatewayCall &C) {
--- a/packages/gateway/ReservePart.cpp
+++ b/packages/gateway/ReservePart.cpp
@@ -127,6 +127,14 @@
   return Request;
 }
 
+UpstreamId queryLoad(GatewayTurn &T, const std::string &Address) {
+  UpstreamId Id{T.S.NextUpstream++};
+  T.Out.push_back(calls::OpenUpstream{
+      Id, orderRequest(T.S, Address, T.S.Platform.EncodeLoadQuery()),
+      std::nullopt});
+  return Id;
+}
+
 void reserve(GatewayTurn &T, GatewayCall &C) {
   for (const EnginePart &Part : C.Placement.Helpers) {
     const PlacerEngine *E = engineOf(T.S, Part.Engine);
--- a/packages/gateway/SpeedPart.cpp
+++ b/packages/gateway/SpeedPart.cpp
@@ -17,13 +17,8 @@
   SpeedQuery Query;
   Query.Engine = Id;
   Query.ExpiresAt = T.Now + QueryTimeout;
-  UpstreamId Upstream{S.NextUpstream++};
+  UpstreamId Upstream = queryLoad(T, S.Engines.Engines.at(Id).Address);
   S.SpeedQueries[Upstream] = std::move(Query);
-  T.Out.push_back(
-      calls::OpenUpstream{Upstream,
-                          orderRequest(S, S.Engines.Engines.at(Id).Address,
-                                       S.Platform.EncodeLoadQuery()),
-                          std::nullopt});
 }
 
 void recordAnswer(GatewayTurn &T, const SpeedQuery &Query) {
--- a/packages/gateway/tests/CrashSite.cpp
+++ b/packages/gateway/tests/CrashSite.cpp
@@ -1,7 +1,6 @@
 #include "gateway/tests/CrashSite.h"
 
 #include <algorithm>
-#include <charconv>
 
 namespace pimento::testing {
 
@@ -36,14 +35,6 @@
     R"("pairs_per_m":0.138}}],"tenants":[{"name":"a","apiKeys":["ka"]},)"
     R"({"name":"b","apiKeys":["kb"]},{"name":"c","apiKeys":["kc"]}]})";
 
-std::string digits(PartId Part) {
-  std::array<char, 16> Text{};
-  auto Number = static_cast<std::uint64_t>(Part);
-  char *End =
-      std::to_chars(Text.data(), Text.data() + Text.size(), Number, 16).ptr;
-  return {Text.data(), End};
-}
-
 std::vector<HttpHeader> answerHead(const std::string &Attempt) {
   return {{"X-Pimentoglade-Attempt-Id", Attempt},
           {"X-Pimentoglade-Replica-Stamp", "s"},
@@ -317,7 +308,7 @@
   View.SentAt = now();
   std::string List;
   for (PartId Part : Parts)
-    List += (List.empty() ? "" : ",") + digits(Part) + ":1000";
+    List += (List.empty() ? "" : ",") + toString(Part) + ":1000";
   HttpRequest R;
   R.Method = HttpMethod::Post;
   R.Path = R.Target = "/s/1";
