base: the new field of a failed call comes last

Cause: tests list the first three fields of UpstreamFailure; a bool between them took the text, which the compiler let pass and clang-tidy did not. Change: Malformed stands behind Detail. No program but those tests lists the fields.

--- a/packages/base/Http.h
+++ b/packages/base/Http.h
@@ -70,8 +70,8 @@
 struct UpstreamFailure {
   bool BytesSent = true; // False: certainly no byte left this host.
   bool TimedOut = false;
-  bool Malformed = false; // The server's bytes were no HTTP answer.
   std::string Detail;     // Text for logs.
+  bool Malformed = false; // The server's bytes were no HTTP answer.
 };
 
 /// Compares two header names, ignoring case.
