quarantine: a popular part no longer hides the bad one

Cause, from its logs: the storm began before anything was answered. The part that all requests share was in the same five crashes as the bad one, in seven requests against three, and was quarantined alone; its trial succeeded after 5 s, and the bad part crashed five more engines before it was found. Change: of parts in the same crashes none is stronger for its requests, so both are quarantined, and the trial of the sound one a second later tells them apart. A call whose end is being confirmed is not withdrawn.

--- a/packages/gateway/Answer.cpp
+++ b/packages/gateway/Answer.cpp
@@ -88,13 +88,10 @@
 /// nothing any more.
 void confirmEnd(GatewayTurn &T, GatewayCall &C) {
   closeAttempt(T, C, false);
-  UpstreamId Id{T.S.NextUpstream++};
+  UpstreamId Id = queryLoad(T, C.Attempt.Address);
   C.Stage = CallStage::Confirming;
   C.Attempt.EndQuery = Id;
   T.S.EndQueries[Id] = C.Ticket;
-  T.Out.push_back(calls::OpenUpstream{
-      Id, orderRequest(T.S, C.Attempt.Address, T.S.Platform.EncodeLoadQuery()),
-      std::nullopt});
   count(T, "pimento_end_queries_total");
   checkAt(T, C, std::min(C.Deadline, T.Now + ConfirmationTimeout));
 }
--- a/packages/gateway/QuarantinePart.cpp
+++ b/packages/gateway/QuarantinePart.cpp
@@ -107,7 +107,9 @@
 void withdrawCalls(GatewayTurn &T) {
   std::vector<std::uint64_t> Tickets;
   for (const auto &[Ticket, C] : T.S.Calls) {
-    if (C.OnEngine && !C.IsTrial && C.Stage != CallStage::Answering)
+    bool IsAnswered =
+        C.Stage == CallStage::Answering || C.Stage == CallStage::Confirming;
+    if (C.OnEngine && !C.IsTrial && !IsAnswered)
       Tickets.push_back(Ticket);
   }
   for (std::uint64_t Ticket : Tickets) {
--- a/packages/quarantine/QuarantineJudge.cpp
+++ b/packages/quarantine/QuarantineJudge.cpp
@@ -134,14 +134,15 @@
 
 enum class Comparison : std::uint8_t { Stronger, Tied, Weaker };
 
-/// Compares an accusation with another one of the same crashes.
+/// Compares an accusation with another one of the same crashes. The number of
+/// requests tells nothing here: a popular part is in more of them.
 Comparison compare(const Accusation &A, const Accusation &Other) {
   if (A.IsProven != Other.IsProven)
     return A.IsProven ? Comparison::Weaker : Comparison::Stronger;
-  if (strength(A) == strength(Other))
+  if (A.Crashes.count() == Other.Crashes.count())
     return Comparison::Tied;
-  return strength(A) > strength(Other) ? Comparison::Stronger
-                                       : Comparison::Weaker;
+  return A.Crashes.count() > Other.Crashes.count() ? Comparison::Stronger
+                                                   : Comparison::Weaker;
 }
 
 /// Whether no other part explains the same crashes better or, unless there are
@@ -150,12 +151,13 @@
                        const Accusations &All) {
   for (const auto &[Other, Rival] : All) {
     bool CoversAll = (Rival.Crashes & A.Crashes) == A.Crashes;
-    if (Other.Part == Scope.Part || !CoversAll)
+    bool IsLikely = Rival.Requests.size() > 1;
+    if (Other.Part == Scope.Part || !CoversAll || !IsLikely)
       continue;
     Comparison Result = compare(A, Rival);
     if (Result == Comparison::Weaker)
       return false;
-    if (Result == Comparison::Tied && strength(A) < AccusingCrashesOfTied)
+    if (Result == Comparison::Tied && A.Crashes.count() < AccusingCrashesOfTied)
       return false;
   }
   return true;
@@ -184,7 +186,7 @@
         !isBestExplanation(Scope, A, All))
       continue;
     auto Rank = [](const Accusations::value_type &E) {
-      return std::pair(strength(E.second), E.first.AllAccounts);
+      return std::pair(E.second.Crashes.count(), E.first.AllAccounts);
     };
     if (!Best.empty() && Rank(Entry) < Rank(Best.front()))
       continue;
--- a/packages/quarantine/tests/PartQuarantineTest.cpp
+++ b/packages/quarantine/tests/PartQuarantineTest.cpp
@@ -118,6 +118,24 @@
   BOOST_TEST(J.refuses("a", Bad));
 }
 
+/// Guards against a popular part that was quarantined in place of the bad one
+/// before anything was answered, since more requests with it had crashed.
+BOOST_AUTO_TEST_CASE(PopularPartDoesNotHideTheBadOne) {
+  Judge J;
+  CrashedRequest Culprit;
+  for (std::uint64_t I = 0; I < 6; ++I) {
+    if (I % 2 == 0) // Each bad request is sent to two engines.
+      Culprit = J.request("a", {Common, Bad, PartId{100 + I}});
+    J.crash({Culprit, J.request("a", {Common, PartId{200 + I}}),
+             J.request("a", {Common, PartId{300 + I}})});
+  }
+  J.pass(seconds(2));
+  BOOST_TEST(J.refuses("a", Bad));
+  J.answer("a", Common);
+  BOOST_TEST(!J.refuses("a", Common));
+  BOOST_TEST(J.refuses("a", Bad));
+}
+
 /// Guards against an account that has the part of another one quarantined by
 /// naming it in requests that crash engines for another reason.
 BOOST_AUTO_TEST_CASE(AccountCannotHaveAnothersPartQuarantined) {
