--- a/packages/quarantine/QuarantineJudge.cpp
+++ b/packages/quarantine/QuarantineJudge.cpp
@@ -15,6 +15,9 @@
 /// Time in which entry hosts report that they know complete answers with an
 /// accused part. It is not judged earlier.
 constexpr Duration WatchTime = milliseconds(300);
+/// Time in which all entry hosts report a crash. Earlier, its suspects are not
+/// complete, and it is not judged.
+constexpr Duration CrashReportTime = milliseconds(500);
 /// A complete answer within this time proves a part sound so far.
 constexpr Duration ProofRetention = std::chrono::minutes(10);
 /// Crashes and requests that must accuse a part before its clearances are
@@ -57,11 +60,17 @@
   }
 }
 
-/// Returns the unexplained crashes in the order of their times.
-std::vector<const KnownCrash *> openCrashes(const PartQuarantine &S) {
+bool isReported(const KnownCrash &Crash, TimePoint Now) {
+  return Now >= Crash.At + CrashReportTime;
+}
+
+/// Returns the unexplained crashes that all hosts have reported, in the order
+/// of their times.
+std::vector<const KnownCrash *> openCrashes(const PartQuarantine &S,
+                                            TimePoint Now) {
   std::vector<const KnownCrash *> Open;
   for (const auto &[Key, Crash] : S.Crashes) {
-    if (!Crash.Explained)
+    if (!Crash.Explained && isReported(Crash, Now))
       Open.push_back(&Crash);
   }
   std::sort(Open.begin(), Open.end(),
@@ -100,7 +109,7 @@
   Accusations All;
   std::size_t Coincidence = 0;
   TimePoint Begin = TimePoint::min();
-  for (const KnownCrash *Crash : openCrashes(S)) {
+  for (const KnownCrash *Crash : openCrashes(S, Now)) {
     if (Begin == TimePoint::min())
       Begin = Crash->At;
     if (Crash->At > Begin + CoincidenceTime) {
@@ -244,6 +253,10 @@
     explainCrashes(S);
     All = collectAccusations(S, Now);
   }
+  for (const auto &[Key, Crash] : S.Crashes) {
+    if (!Crash.Explained && !isReported(Crash, Now))
+      S.JudgeAt = std::min(S.JudgeAt, Crash.At + CrashReportTime);
+  }
   for (const auto &[Part, Since] : S.Watched) {
     if (Now < Since + WatchTime)
       S.JudgeAt = std::min(S.JudgeAt, Since + WatchTime);
--- a/packages/quarantine/tests/PartQuarantineTest.cpp
+++ b/packages/quarantine/tests/PartQuarantineTest.cpp
@@ -136,6 +136,26 @@
   BOOST_TEST(J.refuses("a", Bad));
 }
 
+/// Guards against a judgement before the report with the culprit has arrived:
+/// the host that sent it hears of the crash later than another one.
+BOOST_AUTO_TEST_CASE(LateReportOfACrashIsAwaited) {
+  Judge J;
+  for (std::uint64_t I = 0; I < 6; ++I) {
+    CrashedRequest Culprit = J.request("a", {Common, Bad, PartId{100 + I}});
+    EngineCrash C;
+    C.Server = BackendId("e" + std::to_string(I));
+    C.Requests = {J.request("a", {Common, PartId{200 + I}})};
+    addCrash(J.S, C, J.Now);
+    J.pass(milliseconds(400));
+    C.Requests = {Culprit};
+    C.Age = milliseconds(400);
+    addCrash(J.S, C, J.Now);
+    J.pass(milliseconds(100));
+  }
+  J.pass(seconds(1));
+  BOOST_TEST(J.refuses("a", Bad));
+}
+
 /// Guards against an account that has the part of another one quarantined by
 /// naming it in requests that crash engines for another reason.
 BOOST_AUTO_TEST_CASE(AccountCannotHaveAnothersPartQuarantined) {
