control: what a spread of a configuration costs and who lacks it at the answer

The spread moves into ControlRouting.cpp; what is sent and when is unchanged. controlTest and ctlTest pass.

--- a/packages/control/ControlHost.cpp
+++ b/packages/control/ControlHost.cpp
@@ -147,6 +147,9 @@
       Gauge("pimento_log_term", static_cast<double>(term(S.Log))),
       Gauge("pimento_routing_number",
             static_cast<double>(S.NewestRouting.Number)),
+      Gauge("pimento_routing_hosts_behind",
+            static_cast<double>(
+                hostsBehind(S, S.NewestRouting.Number, Now).size())),
       Gauge("pimento_servers", static_cast<double>(S.Servers.Servers.size())),
       Gauge("pimento_entry_hosts", static_cast<double>(S.Entries.size())),
       Gauge("pimento_quarantined_parts",
--- a/packages/control/ControlHost.h
+++ b/packages/control/ControlHost.h
@@ -18,8 +18,9 @@
 //   reduceControl()   the reducer
 //
 // Parts: ControlLog.cpp (replicated log, voters), ControlCalls.cpp (calls of
-// backend servers and operators), ControlSpread.cpp (heartbeats to control
-// hosts, updates to entry hosts).
+// backend servers and operators), ControlRouting.cpp (configurations on their
+// way to entry hosts), ControlSpread.cpp (heartbeats to control hosts, updates
+// to entry hosts).
 //
 //===----------------------------------------------------------------------===//
 #pragma once
@@ -80,6 +81,7 @@
   HostId Placer;                // Placer that the entry host uses; empty: none.
   Duration Uptime = {};         // Uptime reported in its last message.
   std::uint64_t Config = 0;     // Configuration in force at the entry host.
+  TimePoint ConfigSince{};      // When the host first reported it.
   std::uint64_t SentConfig = 0; // Newest configuration sent there.
   TimePoint SentAt{};           // When SentConfig was sent; the epoch: never.
   std::uint64_t SentRevision = 0; // Revision of Servers sent to it.
@@ -88,6 +90,16 @@
   std::uint64_t WatchDigest = 0;      // Of the watched parts known there.
 };
 
+/// Progress of the newest configuration towards the entry hosts.
+struct RoutingSpread {
+  std::uint64_t Number = 0; // Of the configuration; zero: none.
+  TimePoint BeganAt{};      // When this host learned that it is committed.
+  std::uint64_t Copies = 0; // Sent to entry hosts.
+  std::uint64_t Bytes = 0;  // Of these copies.
+  HostId LastHost;          // Host that reported it last.
+  bool IsComplete = false;  // In force at every entry host in contact.
+};
+
 /// An operator's configuration that is not acknowledged yet.
 struct PendingRouting {
   ExchangeId Exchange{};
@@ -121,6 +133,7 @@
   std::uint64_t StoredQuarantine = 0;          // Digest of those on the disk.
   std::map<HostId, ControlPeer> Controls;
   std::map<HostId, EntryPeer> Entries;
+  RoutingSpread Spread;
   std::vector<PendingRouting> PendingPuts;
   HostId Placer; // Placer chosen by this host as leader; empty: none.
   VoterTarget Voters;
--- a/packages/control/ControlLog.cpp
+++ b/packages/control/ControlLog.cpp
@@ -27,9 +27,6 @@
 /// Upper limit of the extended time: the time limit of an operator's call is
 /// four seconds or more.
 constexpr Duration MaxInForceTimeout = milliseconds(3000);
-/// Silence of an entry host after which the answer to an operator no longer
-/// waits for that host.
-constexpr Duration AwaitedEntryHostTimeout = milliseconds(1500);
 /// Time within which every running entry host has sent a new leader a message.
 constexpr Duration EntryReportTime = milliseconds(700);
 constexpr JsonLimits StoredLimits = {/*Bytes=*/16U << 20U, /*Depth=*/4,
@@ -66,6 +63,7 @@
   log(T, std::move(Record));
   T.S.NewestRouting = std::move(Stored);
   T.S.NewestCommittedAt = T.Now;
+  beginSpread(T);
 }
 
 void storeRoutingBytes(ControlTurn &T, std::string_view Bytes) {
@@ -176,12 +174,7 @@
 bool isInForce(const ControlTurn &T, std::uint64_t Number) {
   if (T.Now < T.S.LeadershipChangedAt + EntryReportTime)
     return false;
-  for (const auto &[Host, Entry] : T.S.Entries) {
-    if (T.Now < Entry.LastSeen + AwaitedEntryHostTimeout &&
-        Entry.Config < Number)
-      return false;
-  }
-  return true;
+  return hostsBehind(T.S, Number, T.Now).empty();
 }
 
 /// How long an operator waits for the entry hosts. A large configuration for
@@ -208,6 +201,25 @@
   return T.Now >= Put.RequestedAt + ProposalTimeout ? Unknown : 0;
 }
 
+void logAnswer(ControlTurn &T, const PendingRouting &Put, int Status) {
+  std::vector<HostId> Behind = hostsBehind(T.S, Put.Number, T.Now);
+  constexpr std::size_t MaxNamed = 8;
+  std::string Names;
+  for (std::size_t I = 0; I < std::min(Behind.size(), MaxNamed); ++I)
+    Names += (I == 0 ? "" : " ") + Behind[I].Value;
+  DecisionRecord Record{"routing_answered",
+                        {},
+                        Behind.empty() ? "in force at every host in contact"
+                                       : "hosts in contact have an older one",
+                        {}};
+  Record.add("number", static_cast<std::int64_t>(Put.Number));
+  Record.add("status", static_cast<std::int64_t>(Status));
+  Record.add("waited_ms", toMilliseconds(T.Now - Put.RequestedAt));
+  Record.add("hosts_behind", static_cast<std::int64_t>(Behind.size()));
+  Record.add("behind", Names);
+  log(T, std::move(Record));
+}
+
 } // namespace
 
 bool isLeader(const ControlHost &S, TimePoint Now) {
@@ -315,11 +327,7 @@
     int Status = putStatus(T, Put);
     if (Status == 0)
       return false;
-    DecisionRecord Record{"routing_answered", {}, "", {}};
-    Record.add("number", static_cast<std::int64_t>(Put.Number));
-    Record.add("status", static_cast<std::int64_t>(Status));
-    Record.add("waited_ms", toMilliseconds(T.Now - Put.RequestedAt));
-    log(T, std::move(Record));
+    logAnswer(T, Put, Status);
     constexpr int Accepted = 200;
     if (Status == Accepted)
       reply(T, Put.Exchange, jsonReply(Accepted, "{}"));
--- a/packages/control/ControlSpread.cpp
+++ b/packages/control/ControlSpread.cpp
@@ -22,13 +22,6 @@
 /// may keep failing at its start.
 constexpr Duration SettlingTime = seconds(5);
 constexpr std::size_t MaxWaitingReports = 8192;
-/// Time after which a configuration that is not in force at an entry host is
-/// sent again, in addition to its transfer time over a slow link.
-constexpr Duration ResendDelay = milliseconds(500);
-constexpr double SlowLinkBytesPerSecond = 200e3;
-/// Total size of the configurations in flight to entry hosts. More would delay
-/// the heartbeats of the replicated log on the leader's link.
-constexpr std::size_t MaxConfigBytesInFlight = std::size_t{4} << 20U;
 
 /// All hosts that may be control hosts: seeds, known hosts and members.
 std::vector<HostId> contacts(const ControlHost &S) {
@@ -177,29 +170,6 @@
   return Count;
 }
 
-bool isConfigInFlight(const ControlTurn &T, const EntryPeer &Entry) {
-  auto Bytes = static_cast<double>(T.S.NewestRouting.Text.Data.size());
-  Duration Transfer = fromSeconds(Bytes / SlowLinkBytesPerSecond);
-  return Entry.Config < Entry.SentConfig &&
-         T.Now < Entry.SentAt + ResendDelay + Transfer;
-}
-
-/// Whether the newest configuration may be sent to the entry host now. A large
-/// configuration for many hosts is sent to each of them once, and to a few at a
-/// time.
-bool maySendConfig(const ControlTurn &T, const EntryPeer &Entry) {
-  const ControlHost &S = T.S;
-  bool Lacks =
-      S.NewestRouting.Number > std::max(Entry.Config, Entry.SentConfig);
-  if (!Lacks || !isCurrent(S, T.Now))
-    return false;
-  std::size_t Bytes = 0;
-  for (const auto &[Host, Other] : S.Entries)
-    Bytes += isConfigInFlight(T, Other) ? S.NewestRouting.Text.Data.size() : 0;
-  return Bytes == 0 ||
-         Bytes + S.NewestRouting.Text.Data.size() <= MaxConfigBytesInFlight;
-}
-
 /// The state that \p Entry lacks; all servers if \p Whole.
 SiteState siteStateFor(ControlTurn &T, EntryPeer &Entry, bool Whole) {
   const ControlHost &S = T.S;
@@ -207,11 +177,7 @@
   State.Current = isCurrent(S, T.Now);
   State.Leader = leader(S.Log);
   State.Config = S.NewestRouting.Number;
-  if (maySendConfig(T, Entry)) {
-    State.Text = S.NewestRouting.Text;
-    Entry.SentConfig = S.NewestRouting.Number;
-    Entry.SentAt = T.Now;
-  }
+  addRouting(T, Entry, State);
   State.ControlIncarnation = S.Incarnation;
   State.Revision = S.Servers.Revision;
   State.Whole = Whole;
@@ -296,9 +262,7 @@
   Entry.Ready = M.Ready;
   Entry.Placer = M.Placer;
   Entry.Uptime = M.Uptime;
-  Entry.Config = M.Config;
-  if (!isConfigInFlight(T, Entry))
-    Entry.SentConfig = M.Config;
+  onConfigReported(T, From, Entry, M.Config);
   Entry.QuarantineDigest = M.Quarantine.Digest;
   Entry.WatchDigest = M.Quarantine.WatchDigest;
   onQuarantineUpdate(T, From, M.Quarantine);
--- a/packages/control/ControlTurn.h
+++ b/packages/control/ControlTurn.h
@@ -72,6 +72,24 @@
 /// other call.
 bool quarantineCall(ControlTurn &T, ExchangeId Exchange, const HttpRequest &R);
 
+// ControlRouting.cpp
+/// Records that the newest configuration begins to spread.
+void beginSpread(ControlTurn &T);
+/// Adds the newest configuration to a message for \p Entry, if the host lacks
+/// it and it may be sent now.
+void addRouting(ControlTurn &T, EntryPeer &Entry, SiteState &State);
+/// Whether addRouting() would add a configuration.
+bool maySendConfig(const ControlTurn &T, const EntryPeer &Entry);
+/// Records which configuration an entry host has in force.
+void onConfigReported(ControlTurn &T, const HostId &Host, EntryPeer &Entry,
+                      std::uint64_t Number);
+/// Entry hosts in contact that have an older configuration in force, or none.
+std::vector<HostId> hostsBehind(const ControlHost &S, std::uint64_t Number,
+                                TimePoint Now);
+/// Answers an operator's query which entry host has which configuration.
+/// Returns false for any other call.
+bool routingCall(ControlTurn &T, ExchangeId Exchange, const HttpRequest &R);
+
 // ControlSpread.cpp
 void tickSpread(ControlTurn &T);
 void onControlHeartbeat(ControlTurn &T, const HostId &From,
--- a/packages/ctl/Command.cpp
+++ b/packages/ctl/Command.cpp
@@ -103,6 +103,8 @@
        "parts of prompts that are refused"},
       {CommandKind::QuarantineLift, "quarantine", "lift", "PART", 1, 1, false,
        "serves the part again, for all accounts"},
+      {CommandKind::RoutingHosts, "routing", "hosts", "", 0, 0, false,
+       "the configuration at each entry host"},
       {CommandKind::SettingsCheck, "settings", "check", "FILE...", 1,
        MaxFileArguments, true, "lists every fault; asks no host"},
   };
--- a/packages/ctl/Command.h
+++ b/packages/ctl/Command.h
@@ -69,6 +69,7 @@
   SettingsCheck,
   QuarantineList,
   QuarantineLift,
+  RoutingHosts,
 };
 
 struct Command {
--- a/packages/ctl/Run.cpp
+++ b/packages/ctl/Run.cpp
@@ -105,6 +105,8 @@
     return "/v1/quarantine";
   case CommandKind::QuarantineLift:
     return "/v1/quarantine/" + encodeSegment(C.Part);
+  case CommandKind::RoutingHosts:
+    return "/v1/routing/hosts";
   default:
     return Service + "/document";
   }
