control, gateway: configurations spread as differences, acknowledged when in force

What callers saw: requests handled by a configuration from before one that had been acknowledged 2.5 s earlier and more, at the hosts last in the order of addresses.

Cause: each change was sent as the whole text to each entry host (542 KB to 76 of them, seven at a time), a newer version began with the first address again, and the operator was answered after 3 s whoever lacked it. Class: state whose cost of spreading grows with its size and not with the change, acknowledged by a clock.

Change: the leader sends the compressed difference to what a host has, with a digest of the result; a host without a known base gets the compressed text. One update is in flight to a host, the oldest configuration goes first. The log holds differences too. Hosts parse only routes whose text changed. An acknowledgement now means that every host in contact has it or refuses requests because it lacks it; where that is not so within 3 s the operator is told that the outcome is unknown.

LargeConfigurationsAreAcknowledgedOnceInForce asked for an acknowledgement by time while no host had the configuration, which was the fault; it now asks for 503 then and for 200 once all have it, which is stricter.

--- a/packages/control/ControlCalls.cpp
+++ b/packages/control/ControlCalls.cpp
@@ -43,7 +43,7 @@
     return;
   }
   RoutingConfig Config;
-  std::string Fault = S.Platform.DecodeRouting(Text, Config);
+  std::string Fault = S.Platform.DecodeRouting(Text, S.LastValid.get(), Config);
   if (Fault.empty())
     Fault = findConfigError(Config);
   if (!Fault.empty()) {
@@ -56,12 +56,14 @@
     reply(T, Exchange, std::move(Reply));
     return;
   }
-  if (Config.Number <= S.NewestRouting.Number) {
+  std::uint64_t Number = Config.Number;
+  S.LastValid = std::make_shared<const RoutingConfig>(std::move(Config));
+  if (Number <= S.NewestRouting.Number) {
     // A configuration that is stored already may not be in force at every entry
     // host yet, so the answer waits for that.
     PendingRouting Known;
     Known.Exchange = Exchange;
-    Known.Number = Config.Number;
+    Known.Number = Number;
     Known.RequestedAt = T.Now;
     Known.CommittedAt = T.Now;
     S.PendingPuts.push_back(Known);
@@ -69,7 +71,7 @@
     return;
   }
   for (const PendingRouting &Put : S.PendingPuts) {
-    if (Put.Number < Config.Number)
+    if (Put.Number < Number)
       continue;
     PendingRouting Same = Put; // Answered together with the pending one.
     Same.Exchange = Exchange;
@@ -77,7 +79,7 @@
     S.PendingPuts.push_back(Same);
     return;
   }
-  proposeRouting(T, Exchange, Config.Number, Text);
+  proposeRouting(T, Exchange, Number, Text);
 }
 
 void readRouting(ControlTurn &T, ExchangeId Exchange, const HttpRequest &R) {
@@ -93,7 +95,7 @@
            "this host does not know the newest configuration");
     return;
   }
-  reply(T, Exchange, jsonReply(200, S.NewestRouting.Text.Data));
+  reply(T, Exchange, jsonReply(200, S.NewestRouting.Text));
 }
 
 void logServer(ControlTurn &T, const BackendId &Id, const char *Reason) {
--- a/packages/control/ControlHost.h
+++ b/packages/control/ControlHost.h
@@ -31,9 +31,12 @@
 #include "quarantine/PartQuarantine.h"
 #include "replica/Replica.h"
 #include "routing/Adapter.h"
+#include "routing/RoutingUpdate.h"
 #include "routing/Servers.h"
 
+#include <deque>
 #include <map>
+#include <memory>
 #include <optional>
 #include <string>
 #include <vector>
@@ -52,17 +55,33 @@
   std::string KeptServers; // Servers stored by an earlier start; empty: none.
 };
 
-/// A routing configuration as stored in the log.
+/// A routing configuration as stored in the log and its snapshots.
 struct StoredRouting {
   std::uint64_t Number = 0; // Version number; zero: none.
-  Blob Text;                // Text as sent by the operator.
+  Blob Text;                // Written by earlier versions: the whole text.
+  RoutingUpdate Update; // Number zero: Text is used. In the log, its base is
+                        // the configuration with the highest number before.
 
   template <class Self, class Visitor>
   static void fields(Self &M, Visitor &&Visit) {
-    Visit(M.Number, M.Text);
+    Visit(M.Number, M.Text, M.Update);
   }
 };
 
+/// The newest configuration and what was prepared to send it.
+struct RoutingCopies {
+  std::deque<RoutingVersion> Earlier; // Configurations before the newest one,
+                                      // oldest first.
+  std::map<std::uint64_t, RoutingUpdate>
+      Updates; // To the newest one, by the base; zero: the whole text.
+};
+
+/// The newest configuration proposed in a term, which may not be committed yet.
+struct ProposedRouting {
+  std::uint64_t Term = 0;
+  RoutingVersion Newest;
+};
+
 /// State kept for another control host.
 struct ControlPeer {
   TimePoint LastSeen{}; // Time of the host's last heartbeat; the epoch: none.
@@ -78,12 +97,15 @@
   TimePoint LastSeen{};
   IncarnationNumber Incarnation = 0;
   bool Ready = false;
-  HostId Placer;                // Placer that the entry host uses; empty: none.
-  Duration Uptime = {};         // Uptime reported in its last message.
-  std::uint64_t Config = 0;     // Configuration in force at the entry host.
-  TimePoint ConfigSince{};      // When the host first reported it.
-  std::uint64_t SentConfig = 0; // Newest configuration sent there.
-  TimePoint SentAt{};           // When SentConfig was sent; the epoch: never.
+  HostId Placer;            // Placer that the entry host uses; empty: none.
+  Duration Uptime = {};     // Uptime reported in its last message.
+  std::uint64_t Config = 0; // Configuration in force at the entry host.
+  TimePoint ConfigSince{};  // When the host first reported it.
+  RoutingForm Form = RoutingForm::Plain; // Accepted there.
+  bool Stale = false; // It refuses requests, since it lacks a configuration.
+  std::uint64_t SentConfig = 0;   // Newest configuration sent there.
+  std::size_t SentBytes = 0;      // Size of the message with SentConfig.
+  TimePoint SentAt{};             // When SentConfig was sent; the epoch: never.
   std::uint64_t SentRevision = 0; // Revision of Servers sent to it.
   std::uint64_t SentSequence = 0; // Sequence of the last EntrySync answered.
   std::uint64_t QuarantineDigest = 0; // Of the quarantined parts known there.
@@ -94,8 +116,9 @@
 struct RoutingSpread {
   std::uint64_t Number = 0; // Of the configuration; zero: none.
   TimePoint BeganAt{};      // When this host learned that it is committed.
-  std::uint64_t Copies = 0; // Sent to entry hosts.
-  std::uint64_t Bytes = 0;  // Of these copies.
+  std::uint64_t Copies = 0; // Whole texts sent to entry hosts.
+  std::uint64_t Deltas = 0; // Differences sent to entry hosts.
+  std::uint64_t Bytes = 0;  // Of both.
   HostId LastHost;          // Host that reported it last.
   bool IsComplete = false;  // In force at every entry host in contact.
 };
@@ -120,12 +143,11 @@
   std::string CallerPort; // Port for callers; the same on every host.
 
   ReplicaState Log;
-  StoredRouting NewestRouting;
-  /// When this host learned that NewestRouting is committed; the epoch: before
-  /// this start of the process.
-  TimePoint NewestCommittedAt{};
+  RoutingVersion NewestRouting;
+  RoutingCopies Copies;
+  ProposedRouting Proposed;
+  std::shared_ptr<const RoutingConfig> LastValid; // Last one validated here.
   TimePoint LeadershipChangedAt{}; // When WasLeading last changed.
-  std::uint64_t HighestProposed = 0;
   ServerLimits Limits;
   ServerRegistry Servers;
   PartQuarantine Quarantine; // Parts of prompts that crash engines.
--- a/packages/control/ControlLog.cpp
+++ b/packages/control/ControlLog.cpp
@@ -17,16 +17,11 @@
 /// Time after which an operator is told that the outcome of an uncommitted
 /// proposal is unknown.
 constexpr Duration ProposalTimeout = milliseconds(3000);
-/// Time for the entry hosts to put a committed configuration in force; after it
-/// the operator is answered without them.
-constexpr Duration InForceTimeout = milliseconds(1000);
-/// Rate at which the link and processor of a small host send configurations.
-/// InForceTimeout is extended by the time that the copies for all entry hosts
-/// take at this rate.
-constexpr double SpreadBytesPerSecond = 12e6;
-/// Upper limit of the extended time: the time limit of an operator's call is
-/// four seconds or more.
-constexpr Duration MaxInForceTimeout = milliseconds(3000);
+/// Time for the entry hosts to put a committed configuration in force, or to
+/// stop serving without it; after it the operator is told that the outcome is
+/// unknown and asks again. The time limit of an operator's call is four seconds
+/// or more.
+constexpr Duration InForceTimeout = milliseconds(3000);
 /// Time within which every running entry host has sent a new leader a message.
 constexpr Duration EntryReportTime = milliseconds(700);
 constexpr JsonLimits StoredLimits = {/*Bytes=*/16U << 20U, /*Depth=*/4,
@@ -53,17 +48,34 @@
   return R;
 }
 
-void storeRouting(ControlTurn &T, StoredRouting Stored) {
-  if (Stored.Number <= T.S.NewestRouting.Number)
+/// Makes the text of a stored configuration. \p Routing is the newest one
+/// before and is replaced. Returns an error text; empty: done.
+std::string restoreText(StoredRouting Stored, RoutingVersion &Routing) {
+  if (Stored.Update.Number == 0) {
+    Routing = {Stored.Number, std::move(Stored.Text.Data)};
+    return "";
+  }
+  UpdateFault Fault = applyUpdate(Stored.Update, Routing);
+  return Fault == UpdateFault::None ? "" : toString(Fault);
+}
+
+void storeRouting(ControlTurn &T, StoredRouting Stored, std::size_t Bytes) {
+  std::uint64_t Before = T.S.NewestRouting.Number;
+  if (Stored.Number <= Before)
     return;
+  RoutingVersion Next = T.S.NewestRouting;
+  std::string Fault = restoreText(std::move(Stored), Next);
+  if (!Fault.empty()) {
+    log(T, {"routing_unreadable", {}, Fault, {}});
+    return;
+  }
   DecisionRecord Record{"routing_stored", {}, "committed by the log", {}};
-  Record.add("number", static_cast<std::int64_t>(Stored.Number));
-  Record.add("before", static_cast<std::int64_t>(T.S.NewestRouting.Number));
-  Record.add("bytes", static_cast<std::int64_t>(Stored.Text.Data.size()));
+  Record.add("number", static_cast<std::int64_t>(Next.Number));
+  Record.add("before", static_cast<std::int64_t>(Before));
+  Record.add("bytes", static_cast<std::int64_t>(Next.Text.size()));
+  Record.add("logged_bytes", static_cast<std::int64_t>(Bytes));
   log(T, std::move(Record));
-  T.S.NewestRouting = std::move(Stored);
-  T.S.NewestCommittedAt = T.Now;
-  beginSpread(T);
+  replaceNewest(T, std::move(Next));
 }
 
 void storeRoutingBytes(ControlTurn &T, std::string_view Bytes) {
@@ -73,7 +85,7 @@
       StoredRouting(), Why);
   if (!Why.Detail.empty())
     log(T, {"routing_unreadable", {}, Why.Detail, {}});
-  storeRouting(T, std::move(Stored));
+  storeRouting(T, std::move(Stored), Bytes.size());
 }
 
 void markPutsCommitted(ControlTurn &T, const LogEntry &Entry) {
@@ -117,8 +129,10 @@
   if (!E.WantSnapshot)
     return;
   ReplicaEffects More;
-  snapshotTaken(T.S.Log, T.S.Log.Applied, wire::toBytes(T.S.NewestRouting),
-                T.Now, More);
+  StoredRouting Whole;
+  Whole.Number = T.S.NewestRouting.Number;
+  Whole.Update = wholeUpdate(T.S.NewestRouting);
+  snapshotTaken(T.S.Log, T.S.Log.Applied, wire::toBytes(Whole), T.Now, More);
   executeReplicaEffects(T, std::move(More));
 }
 
@@ -169,34 +183,31 @@
   executeReplicaEffects(T, std::move(E));
 }
 
-/// Whether every reachable entry host has the configuration in force. False at
-/// a new leader, which has not received a message from all of them yet.
+/// The newest configuration when all entries of the log are committed; a
+/// proposal starts from it.
+const RoutingVersion &newestInLog(const ControlHost &S) {
+  bool IsAhead = S.Proposed.Term == term(S.Log) &&
+                 S.Proposed.Newest.Number > S.NewestRouting.Number;
+  return IsAhead ? S.Proposed.Newest : S.NewestRouting;
+}
+
+/// Whether every entry host in contact has the configuration in force or does
+/// not serve. False at a new leader, which has not received a message from all
+/// of them yet.
 bool isInForce(const ControlTurn &T, std::uint64_t Number) {
   if (T.Now < T.S.LeadershipChangedAt + EntryReportTime)
     return false;
   return hostsBehind(T.S, Number, T.Now).empty();
 }
 
-/// How long an operator waits for the entry hosts. A large configuration for
-/// many hosts occupies the leader's link for some time.
-Duration inForceTimeout(const ControlHost &S) {
-  auto Bytes = static_cast<double>(S.NewestRouting.Text.Data.size()) *
-               static_cast<double>(S.Entries.size());
-  return std::min(InForceTimeout + fromSeconds(Bytes / SpreadBytesPerSecond),
-                  MaxInForceTimeout);
-}
-
 /// The HTTP status of the answer; zero while the operator has to wait.
 int putStatus(const ControlTurn &T, const PendingRouting &Put) {
   constexpr int Accepted = 200;
   constexpr int Unknown = 503;
   if (Put.CommittedAt != TimePoint()) {
-    TimePoint Since =
-        Put.Number == T.S.NewestRouting.Number
-            ? std::max(T.S.NewestCommittedAt, T.S.LeadershipChangedAt)
-            : Put.CommittedAt;
-    bool Due = isInForce(T, Put.Number) || T.Now >= Since + inForceTimeout(T.S);
-    return Due ? Accepted : 0;
+    if (isInForce(T, Put.Number))
+      return Accepted;
+    return T.Now >= Put.CommittedAt + InForceTimeout ? Unknown : 0;
   }
   return T.Now >= Put.RequestedAt + ProposalTimeout ? Unknown : 0;
 }
@@ -242,9 +253,10 @@
   if (!Base)
     return;
   Failure Why;
-  S.NewestRouting = valueOr<StoredRouting>(
+  auto Stored = valueOr<StoredRouting>(
       [&] { return wire::fromBytes<StoredRouting>(*Base, StoredLimits); },
       StoredRouting(), Why);
+  restoreText(std::move(Stored), S.NewestRouting);
 }
 
 void tickLog(ControlTurn &T) {
@@ -298,15 +310,17 @@
 
 void proposeRouting(ControlTurn &T, ExchangeId Exchange, std::uint64_t Number,
                     const std::string &Text) {
+  RoutingVersion Next = {Number, Text};
   StoredRouting Stored;
   Stored.Number = Number;
-  Stored.Text.Data = Text;
+  Stored.Update = deltaUpdate(newestInLog(T.S), Next);
   std::optional<Proposal> At = propose(T.S.Log, Blob{wire::toBytes(Stored)});
   if (!At) {
     refuse(T, Exchange, Code::NoLeader, "the log did not accept the proposal");
     return;
   }
-  T.S.HighestProposed = std::max(T.S.HighestProposed, Number);
+  if (Number > newestInLog(T.S).Number)
+    T.S.Proposed = {At->Term, std::move(Next)};
   PendingRouting Put;
   Put.Exchange = Exchange;
   Put.Number = Number;
@@ -333,7 +347,9 @@
       reply(T, Put.Exchange, jsonReply(Accepted, "{}"));
     else
       refuse(T, Put.Exchange, Code::EditUnknown,
-             "the commit of the configuration was not confirmed in time");
+             Put.CommittedAt == TimePoint()
+                 ? "the commit of the configuration was not confirmed in time"
+                 : "committed, but not yet in force at every host in contact");
     return true;
   };
   auto &Puts = T.S.PendingPuts;
--- a/packages/control/ControlSpread.cpp
+++ b/packages/control/ControlSpread.cpp
@@ -15,8 +15,6 @@
 /// Silence after which a control host that is neither a seed nor a member is
 /// removed from the state.
 constexpr Duration ControlHostRetention = seconds(20);
-/// Silence after which an entry host counts as unreachable and is sent nothing.
-constexpr Duration ReachableEntryHostTimeout = milliseconds(1200);
 constexpr Duration EntryHostRetention = seconds(20);
 /// Uptime after which an entry host counts as settled rather than as one that
 /// may keep failing at its start.
@@ -94,10 +92,6 @@
   }
 }
 
-bool isReachable(const EntryPeer &Entry, TimePoint Now) {
-  return Now < Entry.LastSeen + ReachableEntryHostTimeout;
-}
-
 bool isPlacerCandidate(const ControlTurn &T, const HostId &Host) {
   auto Found = T.S.Entries.find(Host);
   return Found != T.S.Entries.end() && isReachable(Found->second, T.Now) &&
@@ -177,7 +171,6 @@
   State.Current = isCurrent(S, T.Now);
   State.Leader = leader(S.Log);
   State.Config = S.NewestRouting.Number;
-  addRouting(T, Entry, State);
   State.ControlIncarnation = S.Incarnation;
   State.Revision = S.Servers.Revision;
   State.Whole = Whole;
@@ -262,7 +255,7 @@
   Entry.Ready = M.Ready;
   Entry.Placer = M.Placer;
   Entry.Uptime = M.Uptime;
-  onConfigReported(T, From, Entry, M.Config);
+  onConfigReported(T, From, Entry, M);
   Entry.QuarantineDigest = M.Quarantine.Digest;
   Entry.WatchDigest = M.Quarantine.WatchDigest;
   onQuarantineUpdate(T, From, M.Quarantine);
@@ -299,9 +292,11 @@
     sendHeartbeats(T);
     S.UpdateDue = false;
   }
-  for (auto &[Host, Entry] : S.Entries) {
-    if (isReachable(Entry, T.Now) && maySendConfig(T, Entry))
-      send(T, Host, siteStateFor(T, Entry, false));
+  for (const HostId &Host : hostsToUpdate(T)) {
+    EntryPeer &Entry = S.Entries.at(Host);
+    SiteState State = siteStateFor(T, Entry, false);
+    addRouting(T, Entry, State);
+    send(T, Host, std::move(State));
   }
 }
 
--- a/packages/control/ControlTurn.h
+++ b/packages/control/ControlTurn.h
@@ -73,17 +73,21 @@
 bool quarantineCall(ControlTurn &T, ExchangeId Exchange, const HttpRequest &R);
 
 // ControlRouting.cpp
-/// Records that the newest configuration begins to spread.
-void beginSpread(ControlTurn &T);
-/// Adds the newest configuration to a message for \p Entry, if the host lacks
-/// it and it may be sent now.
+/// Replaces the newest configuration, which then begins to spread.
+void replaceNewest(ControlTurn &T, RoutingVersion Next);
+/// Entry hosts that are to be sent the newest configuration now: those that
+/// lack it and have none in flight, the one with the oldest configuration
+/// first, as many as may be sent at a time.
+std::vector<HostId> hostsToUpdate(ControlTurn &T);
+/// Adds the newest configuration to a message for \p Entry.
 void addRouting(ControlTurn &T, EntryPeer &Entry, SiteState &State);
-/// Whether addRouting() would add a configuration.
-bool maySendConfig(const ControlTurn &T, const EntryPeer &Entry);
-/// Records which configuration an entry host has in force.
+/// Whether the entry host sent a message lately; others are sent nothing.
+bool isReachable(const EntryPeer &Entry, TimePoint Now);
+/// Records which configuration an entry host has in force and takes next.
 void onConfigReported(ControlTurn &T, const HostId &Host, EntryPeer &Entry,
-                      std::uint64_t Number);
-/// Entry hosts in contact that have an older configuration in force, or none.
+                      const EntrySync &M);
+/// Entry hosts in contact that have an older configuration or none and do not
+/// refuse requests for that reason.
 std::vector<HostId> hostsBehind(const ControlHost &S, std::uint64_t Number,
                                 TimePoint Now);
 /// Answers an operator's query which entry host has which configuration.
--- a/packages/control/tests/ControlSite.h
+++ b/packages/control/tests/ControlSite.h
@@ -199,6 +199,14 @@
                 });
   }
 
+  /// Tells \p Host that its connection to \p Other is lost.
+  void loseLink(const HostId &Host, const HostId &Other) {
+    Net.perform(Host, Duration::zero(),
+                [this, Other](ControlNode &N, TimePoint Now) {
+                  run(N, PeerLost{Other}, Now);
+                });
+  }
+
   std::size_t voters(const HostId &Name) {
     std::size_t Count = 0;
     for (const Member &Who : members(Net.node(Name).State.Log).Members)
--- a/packages/control/tests/ControlTest.cpp
+++ b/packages/control/tests/ControlTest.cpp
@@ -264,8 +264,9 @@
   BOOST_TEST(Site.statusOf(Leader, Put) == 200);
 }
 
-/// A configuration is acknowledged once it is in force, which takes longer for
-/// a large one. A repeated call does not restart the wait.
+/// Guards against an acknowledgement by time. While hosts in contact lack a
+/// configuration, its operator is told that the outcome is unknown. A repeated
+/// call is acknowledged once the configuration is in force.
 BOOST_FIXTURE_TEST_CASE(LargeConfigurationsAreAcknowledgedOnceInForce,
                         Fixture) {
   constexpr std::size_t Hosts = 40;
@@ -292,10 +293,57 @@
     Site.Net.runFor(milliseconds(400));
     SyncAll(Round, 0);
   }
-  BOOST_TEST(Site.statusOf(Leader, First) == 200);
+  BOOST_TEST(Site.statusOf(Leader, First) == 503);
+  BOOST_TEST(Site.statusOf(Leader, Again) == 0);
+  Site.Net.runFor(milliseconds(50));
+  SyncAll(10, 5);
+  Site.Net.runFor(milliseconds(100));
   BOOST_TEST(Site.statusOf(Leader, Again) == 200);
 }
 
+/// The log holds the difference to the configuration before. Guards against a
+/// host that restores other text from it, and against a proposal whose base is
+/// not the one that other hosts have.
+BOOST_FIXTURE_TEST_CASE(ChangesOfALargeTableSurviveLossesOfPower, Fixture) {
+  std::string Route(200000, 'r');
+  for (std::uint64_t Number : {5, 7, 8, 12, 20}) {
+    Leader = Site.waitForLeader(seconds(5));
+    ExchangeId First = Site.put(Leader, Number, Route);
+    // A second operator's change follows before the first one is committed.
+    ExchangeId Second = Site.put(Leader, Number + 1, Route + "x");
+    Site.Net.runFor(milliseconds(Number == 8 ? 3 : 900));
+    if (Number == 8) {
+      for (const HostId &Name : Site.Seeds)
+        Site.losePower(Name);
+      for (const HostId &Name : Site.Seeds)
+        Site.start(Name, false);
+      continue;
+    }
+    BOOST_TEST(Site.statusOf(Leader, First) == 200);
+    BOOST_TEST(Site.statusOf(Leader, Second) == 200);
+  }
+  for (const HostId &Name : Site.Seeds)
+    Site.losePower(Name);
+  for (const HostId &Name : Site.Seeds)
+    Site.start(Name, false);
+  Leader = Site.waitForLeader(seconds(10));
+  std::optional<std::string> Text = Site.read(Leader);
+  BOOST_REQUIRE(Text.has_value());
+  BOOST_TEST((*Text == ControlSite::routing(21, Route + "x")));
+}
+
+/// Guards against a log whose size grows with the table for each small change.
+BOOST_FIXTURE_TEST_CASE(SmallChangeOfALargeTableIsASmallEntry, Fixture) {
+  std::string Route(200000, 'r');
+  Site.Net.SizeOf = [](const Message &M) { return encode(M).size(); };
+  Site.put(Leader, 5, Route);
+  Site.Net.runFor(seconds(1));
+  std::uint64_t Before = Site.Net.BytesSent;
+  Site.put(Leader, 7, Route + "x");
+  Site.Net.runFor(milliseconds(100));
+  BOOST_TEST(Site.Net.BytesSent - Before < 20000U);
+}
+
 /// In a rolling restart the host that started last is stopped last, so it is
 /// the best placer. A host that has just started may keep failing and is
 /// avoided.
--- a/packages/ctl/Present.cpp
+++ b/packages/ctl/Present.cpp
@@ -219,10 +219,10 @@
             " quarantines of " + printable(C.Part) + "\n";
     return;
   case CommandKind::RoutingHosts:
-    O.Out =
-        "newest " + cellText(Body.value("newest", Json(nullptr))) + "\n" +
-        table(Body.value("hosts", Json(nullptr)),
-              {"host", "number", "since_ms", "sent", "serving", "contact_ms"});
+    O.Out = "newest " + cellText(Body.value("newest", Json(nullptr))) + "\n" +
+            table(Body.value("hosts", Json(nullptr)),
+                  {"host", "number", "since_ms", "sent", "serving", "stale",
+                   "contact_ms"});
     return;
   default:
     O.Out = statusView(std::move(Body));
--- a/packages/document/SpreadItems.cpp
+++ b/packages/document/SpreadItems.cpp
@@ -1,7 +1,7 @@
 #include "document/SpreadParts.h"
 
-#include "document/Delta.h"
 #include "document/Document.h"
+#include "text/Delta.h"
 
 #include <algorithm>
 
--- a/packages/document/tests/SpreadTest.cpp
+++ b/packages/document/tests/SpreadTest.cpp
@@ -1,8 +1,8 @@
 #include <boost/test/unit_test.hpp>
 
 #include "base/Settings.h"
-#include "document/Delta.h"
 #include "document/tests/SpreadSite.h"
+#include "text/Delta.h"
 
 #include <cstdlib>
 
--- a/packages/document/tests/StoreTest.cpp
+++ b/packages/document/tests/StoreTest.cpp
@@ -1,8 +1,8 @@
 #include <boost/test/unit_test.hpp>
 
 #include "base/Random.h"
-#include "document/Delta.h"
 #include "document/Store.h"
+#include "text/Delta.h"
 
 #include <algorithm>
 
--- a/packages/gateway/Admission.cpp
+++ b/packages/gateway/Admission.cpp
@@ -24,6 +24,9 @@
 /// Retry-After for requests refused during shutdown; another host can serve the
 /// retry at once.
 constexpr Duration StopRetryAfter = milliseconds(20);
+/// Retry-After for requests refused while a newer configuration is missing;
+/// most other hosts have it.
+constexpr Duration StaleRetryAfter = milliseconds(100);
 /// Retry-After for requests refused because no backend server is available.
 constexpr Duration NoServerRetryAfter = milliseconds(300);
 
@@ -122,6 +125,12 @@
            "this host has no configuration yet", StartupRetryAfter);
     return;
   }
+  checkStale(T);
+  if (S.Stale) {
+    refuse(T, Exchange, Info, Code::HostNotFresh,
+           "this host lacks a newer configuration", StaleRetryAfter);
+    return;
+  }
   if (S.Stopping && T.Now >= S.RefuseAt) {
     refuse(T, Exchange, Info, Code::Draining, "this host is shutting down",
            StopRetryAfter);
--- a/packages/gateway/ControlLink.cpp
+++ b/packages/gateway/ControlLink.cpp
@@ -74,6 +74,8 @@
   M.DataCentre = Report.DataCentre;
   M.Placer = L.Placer;
   M.Uptime = Report.Uptime;
+  M.Form = Report.Form;
+  M.Stale = Report.Stale;
   return Outbound{L.ActiveControl, std::move(M)};
 }
 
--- a/packages/gateway/ControlLink.h
+++ b/packages/gateway/ControlLink.h
@@ -47,7 +47,9 @@
   std::uint64_t Config = 0;
   bool Ready = false;
   DataCentreId DataCentre;
-  Duration Uptime = {}; // Time since the entry host's start.
+  Duration Uptime = {};                  // Time since the entry host's start.
+  RoutingForm Form = RoutingForm::Delta; // In which a configuration is taken.
+  bool Stale = false;                    // New requests are refused.
 };
 
 /// Returns the next query if one is due. Switches to another control host if
--- a/packages/gateway/Gateway.cpp
+++ b/packages/gateway/Gateway.cpp
@@ -142,7 +142,8 @@
 }
 
 bool isReady(const Gateway &S) {
-  return S.Routes != nullptr && !S.Stopping && !S.Servers.Servers.empty();
+  return S.Routes != nullptr && !S.Stale && !S.Stopping &&
+         !S.Servers.Servers.empty();
 }
 
 TimePoint nextWakeup(const Gateway &S, TimePoint Now) {
@@ -172,6 +173,7 @@
   return {
       Gauge("pimento_ready", isReady(S) ? 1 : 0),
       Gauge("pimento_routing_number", static_cast<double>(Number)),
+      Gauge("pimento_routing_stale", S.Stale ? 1 : 0),
       Gauge("pimento_control_age_seconds", Age),
       Gauge("pimento_calls_open", static_cast<double>(S.Calls.size())),
       Gauge("pimento_calls_waiting",
--- a/packages/gateway/Gateway.h
+++ b/packages/gateway/Gateway.h
@@ -28,6 +28,7 @@
 // ReservePart.cpp memory reservations at helpers
 // SpeedPart.cpp   load reports of engines suspected of being slow
 // QuarantinePart.cpp parts of prompts that crash engines
+// RoutingPart.cpp configurations sent by control hosts
 // SitePart.cpp    control hosts, other entry hosts, shutdown
 //
 //===----------------------------------------------------------------------===//
@@ -44,8 +45,10 @@
 #include "quarantine/PartQuarantine.h"
 #include "routing/Adapter.h"
 #include "routing/Routing.h"
+#include "routing/RoutingUpdate.h"
 #include "routing/Servers.h"
 
+#include <deque>
 #include <map>
 #include <memory>
 #include <optional>
@@ -182,6 +185,12 @@
   TimePoint CheckAt{};           // Time of the call's entry in Gateway::Timers.
 };
 
+/// A configuration that this host knows of and lacks.
+struct MissingRouting {
+  std::uint64_t Number = 0;
+  TimePoint LearnedAt{}; // When this host learned that it is committed.
+};
+
 /// A request that arrived before the host's first configuration and waits for
 /// it.
 struct HeldRequest {
@@ -201,6 +210,11 @@
 
   std::shared_ptr<const RouteTable> Routes; // Null before the first
                                             // configuration.
+  RoutingVersion Routing;                // Text of the configuration in force.
+  RoutingForm Form = RoutingForm::Delta; // In which the next one is taken.
+  std::deque<MissingRouting> MissingRoutings; // In order of their numbers.
+  bool Stale = false; // Requests are refused, since a newer configuration has
+                      // been missing for too long.
   ServerRegistry Servers;
   std::map<ServiceId, std::vector<calls::PlainServer>> PlainServers;
   calls::HealthState Health;
--- a/packages/gateway/GatewayTurn.h
+++ b/packages/gateway/GatewayTurn.h
@@ -179,6 +179,13 @@
 /// Merges what a control host knows of parts that crash engines.
 void onQuarantineUpdate(GatewayTurn &T, const QuarantineUpdate &M);
 
+// RoutingPart.cpp
+/// Puts the configuration of a message in force. Returns whether it did.
+bool applyRouting(GatewayTurn &T, const SiteState &M);
+/// Refuses requests, or serves again, by how long a newer configuration has
+/// been missing.
+void checkStale(GatewayTurn &T);
+
 // SitePart.cpp
 /// Queries the control host, drops the placements of lost hosts and advances a
 /// shutdown.
--- a/packages/gateway/SitePart.cpp
+++ b/packages/gateway/SitePart.cpp
@@ -72,29 +72,6 @@
   return Changed;
 }
 
-bool applyRouting(GatewayTurn &T, const SiteState &M) {
-  Gateway &S = T.S;
-  std::uint64_t InForce = S.Routes ? S.Routes->Config.Number : 0;
-  if (M.Text.Data.empty() || M.Config <= InForce)
-    return false;
-  RoutingConfig Config;
-  std::string Fault = S.Platform.DecodeRouting(M.Text.Data, Config);
-  if (!Fault.empty()) {
-    log(T, {"routing_unreadable", {}, Fault, {}});
-    return false;
-  }
-  S.Routes = makeRouteTable(std::move(Config));
-  DecisionRecord Record{
-      "routing_in_force", {}, "a control host sent a newer configuration", {}};
-  Record.add("number", static_cast<std::int64_t>(M.Config));
-  Record.add("before", static_cast<std::int64_t>(InForce));
-  Record.add("routes",
-             static_cast<std::int64_t>(S.Routes->Config.Routes.size()));
-  log(T, std::move(Record));
-  syncSoon(S.Link, T.Now);
-  return true;
-}
-
 void tickLostHosts(GatewayTurn &T) {
   auto &Lost = T.S.LostHosts;
   for (auto It = Lost.begin(); It != Lost.end();) {
@@ -141,6 +118,8 @@
   Report.Ready = isReady(S);
   Report.DataCentre = S.Engines.Here;
   Report.Uptime = Now - S.Started;
+  Report.Form = S.Form;
+  Report.Stale = S.Stale;
   return Report;
 }
 
@@ -148,6 +127,7 @@
 
 void tickSite(GatewayTurn &T) {
   Gateway &S = T.S;
+  checkStale(T);
   std::optional<Outbound> Query =
       tickLink(S.Link, reportOf(S, T.Now), S.Rng, T.Now);
   if (Query) {
@@ -174,6 +154,7 @@
     refreshPlainServers(S);
   if (S.Routes && (ServersChanged || RoutesChanged))
     setEngines(S.Engines, *S.Routes, S.Servers);
+  checkStale(T);
   followPlacer(T);
   if (ActiveControl != S.Link.ActiveControl) {
     DecisionRecord Record{
--- a/packages/gateway/tests/GatewayTest.cpp
+++ b/packages/gateway/tests/GatewayTest.cpp
@@ -16,6 +16,41 @@
   BOOST_TEST(isReady(R.S));
 }
 
+/// Guards against requests that are handled by an old configuration long after
+/// a newer one was acknowledged, and against refusals where no control host
+/// could send the newer one.
+BOOST_AUTO_TEST_CASE(HostThatLacksANewerConfigurationRefusesRequests) {
+  for (bool InContact : {true, false}) {
+    GatewayFixture R;
+    SiteState Newer;
+    Newer.Current = true;
+    Newer.Leader = Control;
+    Newer.Config = 9;
+    R.event(PeerMessage{Control, 1, Newer});
+    R.call(HttpMethod::Get, "/r/1");
+    BOOST_TEST(R.all<calls::OpenUpstream>().size() == 1U);
+    for (int I = 0; I < 6; ++I) {
+      R.advance(milliseconds(400));
+      if (InContact)
+        R.event(PeerMessage{Control, 1, Newer});
+    }
+    BOOST_TEST(isReady(R.S) == !InContact);
+    R.call(HttpMethod::Get, "/r/1");
+    BOOST_TEST(R.all<calls::OpenUpstream>().size() == (InContact ? 0U : 1U));
+    if (!InContact)
+      continue;
+    calls::SendReply Reply = R.only<calls::SendReply>();
+    BOOST_TEST(Reply.Reply.Status == 503);
+    BOOST_TEST(!headerValue(Reply.Reply.Headers, "Retry-After").empty());
+    std::string Text = RoutingText;
+    Text.replace(Text.find("\"version\":3"), 11, "\"version\":9");
+    R.deliverSiteState(Text.c_str(), 9);
+    BOOST_TEST(isReady(R.S));
+    R.call(HttpMethod::Get, "/r/1");
+    BOOST_TEST(R.all<calls::OpenUpstream>().size() == 1U);
+  }
+}
+
 /// After a power loss all hosts start at once, and callers' requests arrive
 /// before the first configuration. A new host holds them instead of refusing.
 BOOST_AUTO_TEST_CASE(StartingHostHoldsRequestsForItsConfiguration) {
--- a/packages/gateway/tests/SpreadSite.cpp
+++ b/packages/gateway/tests/SpreadSite.cpp
@@ -87,9 +87,7 @@
   for (const HostId &Host : Control.Seeds) {
     if (!Control.Net.up(Host))
       continue;
-    Control.Net.perform(Host, LinkDelay, [Name](ControlNode &N, TimePoint Now) {
-      reduceControl(N.State, PeerLost{Name}, Now);
-    });
+    Control.loseLink(Host, Name);
   }
 }
 
--- a/packages/gateway/tests/SpreadTest.cpp
+++ b/packages/gateway/tests/SpreadTest.cpp
@@ -124,3 +124,114 @@
                       std::to_string(toMilliseconds(Site.LongestBacklog)) +
                           " ms wait for the leader's link");
 }
+
+namespace {
+
+/// Hosts that are up and whose text is not that of \p Table.
+std::size_t hostsWithOtherText(const SpreadSite &Site,
+                               const RoutingTable &Table) {
+  std::string Text = textOf(Table);
+  std::size_t Count = 0;
+  for (const auto &[Name, Entry] : Site.Entries)
+    Count += Entry.Up && Entry.State.Routing.Text != Text ? 1 : 0;
+  return Count;
+}
+
+constexpr std::size_t FewHosts = 20;
+
+} // namespace
+
+/// Guards against a new leader that holds other bases than the one before.
+BOOST_AUTO_TEST_CASE(SeriesGoesOnWhenTheLeaderIsLost) {
+  SpreadSite Site(6, FewHosts);
+  std::vector<RoutingTable> Tables = changesOfALargeTable();
+  for (const RoutingTable &Table : Tables) {
+    Site.put(Table);
+    Site.run(milliseconds(150));
+    if (Table.Number != 16)
+      continue;
+    HostId Leader = Site.Control.leader();
+    Site.Control.losePower(Leader);
+    Site.run(milliseconds(100));
+    Site.Control.start(Leader, false);
+    Site.run(seconds(3));
+    Site.put(Table);
+  }
+  std::uint64_t Last = Tables.back().Number;
+  Site.runUntil(seconds(6), [&] { return Site.hostsBelow(Last) == 0; });
+  BOOST_TEST(hostsWithOtherText(Site, Tables.back()) == 0U);
+}
+
+/// Guards against an update that is lost and never sent again.
+BOOST_AUTO_TEST_CASE(LostUpdatesAreSentAgain) {
+  SpreadSite Site(7, FewHosts);
+  Site.Loss = 0.3;
+  std::vector<RoutingTable> Tables = changesOfALargeTable();
+  for (const RoutingTable &Table : Tables) {
+    Site.put(Table);
+    Site.run(milliseconds(400));
+  }
+  std::uint64_t Last = Tables.back().Number;
+  Site.runUntil(seconds(20), [&] { return Site.hostsBelow(Last) == 0; });
+  BOOST_TEST(hostsWithOtherText(Site, Tables.back()) == 0U);
+}
+
+/// Guards against half a table in force at a host that returns, joins, or has
+/// another text than the control host believes.
+BOOST_AUTO_TEST_CASE(HostsWithoutTheBaseGetTheWholeTable) {
+  SpreadSite Site(8, FewHosts);
+  RoutingTable Table = {8, 1400};
+  Site.put(Table);
+  Site.run(seconds(2));
+  BOOST_TEST(Site.hostsBelow(8) == 0U);
+  HostId Returns = Site.Entries.begin()->first;
+  SpreadEntry &Wrong = Site.Entries.rbegin()->second;
+  Wrong.State.Routing.Text.replace(300, 3, "???");
+  Site.kill(Returns);
+  Table.Number = 9;
+  Table.ChangedRoute = 7;
+  Table.ChangedTimeout = 9000;
+  Site.put(Table);
+  Site.run(milliseconds(50));
+  Site.restart(Returns);
+  Site.addEntry();
+  Site.runUntil(seconds(3), [&] { return Site.hostsBelow(9) == 0; });
+  BOOST_TEST(hostsWithOtherText(Site, Table) == 0U);
+  BOOST_TEST(Site.Sent[9].Status == 200);
+}
+
+/// A base is kept for the last few changes only. Guards against a host that
+/// returns after more of them and can never be updated.
+BOOST_AUTO_TEST_CASE(HostThatMissedManyChangesGetsTheWholeTable) {
+  SpreadSite Site(9, 3);
+  RoutingTable Table = {8, 200};
+  Site.put(Table);
+  Site.run(seconds(1));
+  SpreadEntry &Slow = Site.Entries.begin()->second;
+  Slow.BusyUntil = Site.now() + seconds(5);
+  for (int I = 0; I < 25; ++I) {
+    Table.Number += 3;
+    Table.IdleTimeout += 1;
+    Site.put(Table);
+    Site.run(milliseconds(150));
+  }
+  Site.runUntil(seconds(8), [&] { return Site.hostsBelow(Table.Number) == 0; });
+  BOOST_TEST(hostsWithOtherText(Site, Table) == 0U);
+}
+
+/// One host that is far too slow must not keep operators from their
+/// acknowledgement, nor serve with the configuration from before it.
+BOOST_AUTO_TEST_CASE(SlowHostRefusesRequestsInsteadOfHoldingUpOperators) {
+  SpreadSite Site(10, FewHosts);
+  Site.put({8, 1400});
+  Site.run(seconds(2));
+  SpreadEntry &Slow = Site.Entries.begin()->second;
+  Slow.Slowness = 60;
+  Site.put({9, 2800});
+  Site.runUntil(seconds(4), [&] { return Site.Sent[9].Status != 0; });
+  BOOST_TEST(Site.Sent[9].Status == 200);
+  bool MayServeOld = SpreadSite::inForce(Slow) < 9 && !Slow.State.Stale;
+  BOOST_TEST(!MayServeOld);
+  Site.runUntil(seconds(30), [&] { return Site.hostsBelow(9) == 0; });
+  BOOST_TEST(!Slow.State.Stale);
+}
--- a/packages/routing/Adapter.h
+++ b/packages/routing/Adapter.h
@@ -121,8 +121,10 @@
 struct Adapter {
   PlatformCall (*DecodeCall)(const HttpRequest &R) = nullptr;
   /// Parses a configuration. Returns a description of the first error, or an
-  /// empty string on success.
+  /// empty string on success. Routes whose text is the same as in \p Before,
+  /// which may be null, are copied from there instead of parsed.
   std::string (*DecodeRouting)(std::string_view Text,
+                               const RoutingConfig *Before,
                                RoutingConfig &C) = nullptr;
   RequestInfo (*DecodeRequestInfo)(const HttpRequest &R) = nullptr;
   /// Returns all headers of a request to a backend server.
--- a/packages/routing/Routing.h
+++ b/packages/routing/Routing.h
@@ -66,6 +66,8 @@
   int Priority = 0;           // Zero: highest priority.
   bool Public = false;        // Requests need no API key.
   bool Resumable = false;     // A stream may resume at another backend server.
+  std::uint64_t TextDigest = 0; // Of the text that it was decoded from; zero:
+                                // not known.
 };
 
 /// Capacity and speed of a service's engines, from their data sheet. An engine
--- a/packages/document/Delta.cpp
+++ b/packages/text/Delta.cpp
@@ -1,4 +1,4 @@
-#include "document/Delta.h"
+#include "text/Delta.h"
 
 #include <xxhash.h>
 
--- a/packages/wire/SiteMessages.h
+++ b/packages/wire/SiteMessages.h
@@ -171,6 +171,28 @@
   }
 };
 
+/// A routing configuration, as a whole or as the difference to another one; see
+/// routing/RoutingUpdate.h.
+struct RoutingUpdate {
+  std::uint64_t Number = 0; // Of the configuration; zero: no update.
+  std::uint64_t Base = 0;   // Configuration that Packed starts from; zero:
+                            // Packed is the whole text.
+  std::uint64_t Digest = 0; // Of the whole text.
+  Blob Packed;              // Compressed.
+
+  template <class Self, class Visitor>
+  static void fields(Self &M, Visitor &&Visit) {
+    Visit(M.Number, M.Base, M.Digest, M.Packed);
+  }
+};
+
+/// In which form an entry host takes configurations.
+enum class RoutingForm : std::uint8_t {
+  Plain, // SiteState::Text: hosts of earlier versions.
+  Whole, // An update with the whole text, since a difference did not fit.
+  Delta, // A difference to the configuration in force, or the whole text.
+};
+
 /// Tells a control host which state an entry host has, so that the answer
 /// contains only what the entry host lacks.
 struct EntrySync {
@@ -186,11 +208,14 @@
   HostId Placer;        // Placer that the sender uses; empty: none.
   Duration Uptime = {}; // Time since the sender's start.
   QuarantineUpdate Quarantine;
+  RoutingForm Form = RoutingForm::Plain;
+  bool Stale = false; // The sender refuses new requests, since it has lacked a
+                      // newer configuration for too long.
 
   template <class Self, class Visitor>
   static void fields(Self &M, Visitor &&Visit) {
     Visit(M.Sequence, M.ControlIncarnation, M.Revision, M.Config, M.Ready,
-          M.DataCentre, M.Placer, M.Uptime, M.Quarantine);
+          M.DataCentre, M.Placer, M.Uptime, M.Quarantine, M.Form, M.Stale);
   }
 };
 
@@ -202,8 +227,8 @@
                         // is the newest.
   HostId Leader;        // Leader of the control hosts; empty: not known.
   std::uint64_t Config = 0; // Number of the newest configuration; zero: none.
-  Blob Text; // Text of that configuration; empty: the receiver has it, or a
-             // later message carries it.
+  Blob Text; // Text of that configuration, for hosts of earlier versions;
+             // empty: the receiver has it, or a later message carries it.
   IncarnationNumber ControlIncarnation = 0; // Incarnation of the sender.
   std::uint64_t Revision = 0; // Revision of the sender's server list.
   std::uint64_t Base = 0;     // Servers lists the changes after this revision.
@@ -213,12 +238,13 @@
   std::uint64_t Entries = 1;    // Entry hosts from which EntrySync came lately.
   HostId Placer; // Entry host that places requests on engines; empty: none.
   QuarantineUpdate Quarantine;
+  RoutingUpdate Routing; // Number zero: none with this message.
 
   template <class Self, class Visitor>
   static void fields(Self &M, Visitor &&Visit) {
     Visit(M.Sequence, M.Current, M.Leader, M.Config, M.Text,
           M.ControlIncarnation, M.Revision, M.Base, M.Whole, M.Servers,
-          M.Controls, M.Entries, M.Placer, M.Quarantine);
+          M.Controls, M.Entries, M.Placer, M.Quarantine, M.Routing);
   }
 };
 
