--- a/packages/gateway/tests/CrashSite.cpp
+++ b/packages/gateway/tests/CrashSite.cpp
@@ -17,6 +17,8 @@
 constexpr Duration EngineDownTime = milliseconds(2000);
 constexpr Duration ReportInterval = milliseconds(1200);
 constexpr int EngineCount = 10;
+constexpr int PlainCount = 4;
+constexpr Duration PlainTime = milliseconds(15);
 constexpr int EntryCount = 4;
 /// The pages' contactMs: a change is known to all hosts after this time.
 constexpr Duration ContactTime = seconds(3);
@@ -28,17 +30,26 @@
     R"({"version":3,"routes":[)"
     R"({"name":"stream","host":"h","pathPrefix":"/s/","routeType":"streaming",)"
     R"("timeoutMs":10000,"sloMs":300,"itlTargetMs":250,"service":"llm",)"
-    R"("maxAttempts":2,"resumable":true}],)"
-    R"("services":[{"name":"llm","maxConnections":374,"engine":{"slots":16,)"
+    R"("maxAttempts":2,"resumable":true},)"
+    R"({"name":"read","host":"h","pathPrefix":"/r/","routeType":"idempotent",)"
+    R"("timeoutMs":1000,"sloMs":150,"service":"plain","maxAttempts":2},)"
+    R"({"name":"sign","host":"h","pathPrefix":"/w/",)"
+    R"("routeType":"non_idempotent","timeoutMs":1000,"sloMs":150,)"
+    R"("service":"plain","maxAttempts":2}],)"
+    R"("services":[{"name":"plain","maxConnections":110},{"name":"llm","maxConnections":374,"engine":{"slots":16,)"
     R"("kvCapacity":232000,"stride":43,"chunk":2048,"step_ms":1.02,)"
     R"("per_seq_ms":0.00226,"context_per_k":0.00431,"read_per_s":206000.0,)"
     R"("pairs_per_m":0.138}}],"tenants":[{"name":"a","apiKeys":["ka"]},)"
     R"({"name":"b","apiKeys":["kb"]},{"name":"c","apiKeys":["kc"]}]})";
 
-std::vector<HttpHeader> answerHead(const std::string &Attempt) {
-  return {{"X-Pimentoglade-Attempt-Id", Attempt},
-          {"X-Pimentoglade-Replica-Stamp", "s"},
-          {"Content-Type", "text/event-stream"}};
+std::vector<HttpHeader> answerHead(const std::string &Attempt,
+                                   const CrashEngine &E) {
+  std::vector<HttpHeader> Headers = {{"X-Pimentoglade-Attempt-Id", Attempt},
+                                     {"X-Pimentoglade-Replica-Stamp", "s"}};
+  if (E.Service == "llm")
+    Headers.push_back({"Content-Type", "text/event-stream"});
+  Headers.insert(Headers.end(), E.ExtraHeaders.begin(), E.ExtraHeaders.end());
+  return Headers;
 }
 
 } // namespace
@@ -57,6 +68,14 @@
     E.Born = NextEngine;
     Engines.push_back(std::move(E));
   }
+  for (int I = 0; I < PlainCount; ++I) {
+    CrashEngine E;
+    E.Service = "plain";
+    E.Address = "10.0.3." + std::to_string(I + 1) + ":80";
+    E.Id = "p" + std::to_string(NextEngine++);
+    E.Born = NextEngine;
+    Engines.push_back(std::move(E));
+  }
   for (int I = 0; I < EntryCount; ++I)
     startEntry(HostId("10.0.1." + std::to_string(I + 1)));
   Control.request(Leader, HttpMethod::Post, "/-/config/replace", RoutingText);
@@ -129,7 +148,11 @@
   } else if (const auto *End = std::get_if<calls::EndStream>(&E)) {
     ViewOf(End->Exchange).Complete = End->Whole;
   } else if (const auto *Reply = std::get_if<calls::SendReply>(&E)) {
-    ViewOf(Reply->Exchange).Status = Reply->Reply.Status;
+    CallerView &View = ViewOf(Reply->Exchange);
+    View.Status = Reply->Reply.Status;
+    View.Complete = View.Complete || View.Status == 200;
+    std::string After(headerValue(Reply->Reply.Headers, "Retry-After"));
+    View.RetryAfter = After.empty() ? 0 : std::stod(After);
   }
 }
 
@@ -170,6 +193,7 @@
   }
   CallerView &View = Callers[Attempt];
   View.Sends += 1;
+  Engine->Received.push_back(now());
   if (View.Bad)
     BadSends.push_back(now());
   EngineRun Run;
@@ -177,7 +201,7 @@
   Run.Upstream = Open.Upstream;
   Run.Attempt = Attempt;
   Run.Bad = View.Bad;
-  Run.BeginsAt = now() + PrefillTime;
+  Run.BeginsAt = now() + (Engine->Service == "plain" ? PlainTime : PrefillTime);
   Engine->Runs.push_back(std::move(Run));
 }
 
@@ -202,7 +226,8 @@
 
 void CrashSite::report(CrashEngine &E) {
   E.ReportAt = now() + ReportInterval;
-  std::string Body = R"({"service":"llm","address":")" + E.Address +
+  std::string Body = R"({"service":")" + E.Service + R"(","address":")" +
+                     E.Address +
                      R"(","zone":"z","slots":16,"state":"ready","sequence":)" +
                      std::to_string(++E.Sequence) + R"(,"born":)" +
                      std::to_string(E.Born) + "}";
@@ -241,6 +266,13 @@
     auto Run = std::find_if(E.Runs.begin(), E.Runs.end(), Is);
     if (Run == E.Runs.end())
       continue;
+    if (E.Service == "plain") {
+      EngineRun Ended = *Run;
+      E.Runs.erase(std::remove_if(E.Runs.begin(), E.Runs.end(), Is),
+                   E.Runs.end());
+      answerPlain(E, Ended);
+      continue;
+    }
     EntryNode &N = Entries.at(Host);
     int Number = ++Run->Events;
     if (Run->Bad && Number > 1) {
@@ -250,7 +282,7 @@
     Run->NextEventAt = now() + (Run->Bad ? CrashDelay : EventInterval);
     bool IsBad = Run->Bad;
     if (Number == 1)
-      event(N, UpstreamHead{Upstream, 200, answerHead(Run->Attempt)});
+      event(N, UpstreamHead{Upstream, 200, answerHead(Run->Attempt, E)});
     if (IsBad)
       continue;
     event(N, UpstreamData{Upstream,
@@ -263,6 +295,12 @@
   }
 }
 
+void CrashSite::answerPlain(CrashEngine &E, const EngineRun &Run) {
+  EntryNode &N = Entries.at(Run.Host);
+  if (N.Up)
+    answerAtOnce(N, Run.Upstream, 200, answerHead(Run.Attempt, E), "done");
+}
+
 void CrashSite::stepEngines() {
   for (std::size_t I = 0; I < Engines.size(); ++I)
     stepEngine(I);
@@ -323,6 +361,25 @@
   return Attempt;
 }
 
+std::string CrashSite::callPlain(const HostId &Host, bool MayRepeat) {
+  std::string Attempt = "t" + std::to_string(NextAttempt++);
+  ExchangeId Exchange{NextExchange++};
+  Exchanges[{Host, Exchange}] = Attempt;
+  CallerView &View = Callers[Attempt];
+  View.Account = "a";
+  View.SentAt = now();
+  HttpRequest R;
+  R.Method = MayRepeat ? HttpMethod::Get : HttpMethod::Post;
+  R.Path = R.Target = MayRepeat ? "/r/1" : "/w/1";
+  R.Headers = {{"Host", "h"},
+               {"X-Pimentoglade-Attempt-Id", Attempt},
+               {"Authorization", "Token ka"}};
+  EntryNode &N = Entries.at(Host);
+  if (N.Up)
+    event(N, CallerRequest{Exchange, R});
+  return Attempt;
+}
+
 void CrashSite::stepCallers() {
   while (Load.SoundEvery != Duration::max() && now() >= SoundAt) {
     SoundAt += Load.SoundEvery;
--- a/packages/gateway/tests/CrashSite.h
+++ b/packages/gateway/tests/CrashSite.h
@@ -38,6 +38,9 @@
 
 struct CrashEngine {
   std::string Id;
+  std::string Service = "llm";
+  std::vector<HttpHeader> ExtraHeaders; // Of each answer to a request.
+  std::vector<TimePoint> Received;      // Requests that were accepted.
   std::string Address;
   std::uint64_t Born = 0;
   std::uint64_t Sequence = 0;
@@ -54,6 +57,7 @@
   TimePoint SentAt{};
   int Sends = 0; // Sends that reached an engine.
   bool Began = false;
+  double RetryAfter = 0; // Seconds; zero: none.
   bool Complete = false;
   int Status = 0; // Of a reply without a stream; zero: none.
 };
@@ -101,6 +105,11 @@
   std::string call(const HostId &Host, const std::string &Account,
                    const std::vector<PartId> &Parts, bool Bad);
 
+  /// Sends one request to the plain service; returns the id of its attempt.
+  std::string callPlain(const HostId &Host, bool MayRepeat = true);
+  /// An entry host that is ready; any if none is.
+  const HostId &anyEntry();
+
   /// Sends of bad requests later than three seconds after the fifth crash.
   std::size_t lateSends() const;
   /// Share of the sound requests sent between the times that were answered
@@ -138,7 +147,7 @@
   void stepCallers();
   void stepLetters();
   void report(CrashEngine &E);
-  const HostId &anyEntry();
+  void answerPlain(CrashEngine &E, const EngineRun &Run);
 };
 
 } // namespace pimento::testing
