gateway, control, routing: the limit that a backend server names is kept

What callers saw: a server in need got several times the requests a second that it had named, from hosts that had passed on its answers.

Cause: Server-Limit was read nowhere; each path to a server (the placer, hosts without it, plain services, repeats) knows only its own load. Class: a limit of a shared server without one owner of its budget.

Change: the header is decoded in platform/, observed with each answer, told to the placer at once and to all hosts through the control hosts (RequestLimits, merged by the time of the answer). The placer keeps one token bucket for a limited server, for engines as part of the choice and for plain servers by permits (PermitQueue); hosts without a placer share half of the limit. What cannot be in time is refused at once with the expected wait. Log lines server_limit and limit_use, gauges, and 'pimentogladectl limits'.

--- a/packages/control/ControlCalls.cpp
+++ b/packages/control/ControlCalls.cpp
@@ -181,7 +181,8 @@
 } // namespace
 
 void onPlatformCall(ControlTurn &T, ExchangeId Exchange, const HttpRequest &R) {
-  if (!quarantineCall(T, Exchange, R) && !routingCall(T, Exchange, R))
+  if (!quarantineCall(T, Exchange, R) && !routingCall(T, Exchange, R) &&
+      !limitCall(T, Exchange, R))
     std::visit(Answer{T, Exchange, R}, T.S.Platform.DecodeCall(R));
 }
 
--- a/packages/control/ControlHost.cpp
+++ b/packages/control/ControlHost.cpp
@@ -151,6 +151,8 @@
             static_cast<double>(
                 hostsBehind(S, S.NewestRouting.Number, Now).size())),
       Gauge("pimento_servers", static_cast<double>(S.Servers.Servers.size())),
+      Gauge("pimento_limited_servers",
+            static_cast<double>(limitedServers(S.NamedLimits))),
       Gauge("pimento_entry_hosts", static_cast<double>(S.Entries.size())),
       Gauge("pimento_quarantined_parts",
             static_cast<double>(activeQuarantines(S.Quarantine))),
--- a/packages/control/ControlHost.h
+++ b/packages/control/ControlHost.h
@@ -19,8 +19,8 @@
 //
 // Parts: ControlLog.cpp (replicated log, voters), ControlCalls.cpp (calls of
 // backend servers and operators), ControlRouting.cpp (configurations on their
-// way to entry hosts), ControlSpread.cpp (heartbeats to control hosts, updates
-// to entry hosts).
+// way to entry hosts), ControlLimits.cpp (limits that backend servers name),
+// ControlSpread.cpp (heartbeats to control hosts, updates to entry hosts).
 //
 //===----------------------------------------------------------------------===//
 #pragma once
@@ -31,6 +31,7 @@
 #include "quarantine/PartQuarantine.h"
 #include "replica/Replica.h"
 #include "routing/Adapter.h"
+#include "routing/RequestLimits.h"
 #include "routing/RoutingUpdate.h"
 #include "routing/Servers.h"
 
@@ -90,6 +91,7 @@
   std::vector<ServerReport> Reports;  // Reports not sent yet.
   std::vector<TimePoint> Since;       // Arrival time of each of Reports.
   std::uint64_t QuarantineDigest = 0; // Of the host's quarantined parts.
+  std::uint64_t LimitDigest = 0;      // Of the limits known there.
 };
 
 /// State kept for an entry host that synchronises with this host.
@@ -110,6 +112,7 @@
   std::uint64_t SentSequence = 0; // Sequence of the last EntrySync answered.
   std::uint64_t QuarantineDigest = 0; // Of the quarantined parts known there.
   std::uint64_t WatchDigest = 0;      // Of the watched parts known there.
+  std::uint64_t LimitDigest = 0;      // Of the limits known there.
 };
 
 /// Progress of the newest configuration towards the entry hosts.
@@ -150,6 +153,7 @@
   TimePoint LeadershipChangedAt{}; // When WasLeading last changed.
   ServerLimits Limits;
   ServerRegistry Servers;
+  RequestLimits NamedLimits; // Named by backend servers.
   PartQuarantine Quarantine; // Parts of prompts that crash engines.
   std::map<AccountPart, TimePoint> Clearances; // To be sent to control hosts.
   std::uint64_t StoredQuarantine = 0;          // Digest of those on the disk.
--- a/packages/control/ControlSpread.cpp
+++ b/packages/control/ControlSpread.cpp
@@ -66,6 +66,7 @@
     Heartbeat.Leaving = S.StopAt != TimePoint();
     Heartbeat.RequestsFullState = Peer.LastSeen == TimePoint();
     Heartbeat.Quarantine = quarantineUpdateFor(T, Peer);
+    Heartbeat.Limits = limitUpdateFor(T, Peer.LimitDigest);
     if (T.Now < Peer.LastSeen + ControlHostTimeout)
       Heartbeat.Reports = takePendingReports(T, Peer);
     else
@@ -185,6 +186,8 @@
       quarantineUpdateFor(T, Entry.QuarantineDigest, Entry.WatchDigest);
   Entry.QuarantineDigest = State.Quarantine.Digest;
   Entry.WatchDigest = State.Quarantine.WatchDigest;
+  State.Limits = limitUpdateFor(T, Entry.LimitDigest);
+  Entry.LimitDigest = State.Limits.Digest;
   return State;
 }
 
@@ -212,6 +215,7 @@
     return;
   sendHeartbeats(T);
   forgetHosts(T);
+  expireLimits(T.S.NamedLimits, T.S.Servers, T.Now);
   choosePlacer(T);
 }
 
@@ -242,6 +246,8 @@
   }
   Peer.QuarantineDigest = M.Quarantine.Digest;
   onQuarantineUpdate(T, From, M.Quarantine);
+  Peer.LimitDigest = M.Limits.Digest;
+  onLimitUpdate(T, M.Limits);
 }
 
 void onEntrySync(ControlTurn &T, const HostId &From,
@@ -259,6 +265,8 @@
   Entry.QuarantineDigest = M.Quarantine.Digest;
   Entry.WatchDigest = M.Quarantine.WatchDigest;
   onQuarantineUpdate(T, From, M.Quarantine);
+  Entry.LimitDigest = M.Limits.Digest;
+  onLimitUpdate(T, M.Limits);
   bool Whole = M.ControlIncarnation != T.S.Incarnation ||
                M.Revision > T.S.Servers.Revision;
   Entry.SentRevision = Whole ? 0 : M.Revision;
--- a/packages/control/ControlTurn.h
+++ b/packages/control/ControlTurn.h
@@ -94,6 +94,15 @@
 /// Returns false for any other call.
 bool routingCall(ControlTurn &T, ExchangeId Exchange, const HttpRequest &R);
 
+// ControlLimits.cpp
+/// Merges the limits that another host knows of.
+void onLimitUpdate(ControlTurn &T, const LimitUpdate &M);
+/// The limits for a host that knows those with the digest \p Known.
+LimitUpdate limitUpdateFor(const ControlTurn &T, std::uint64_t Known);
+/// Answers an operator's query which backend servers are limited. Returns false
+/// for any other call.
+bool limitCall(ControlTurn &T, ExchangeId Exchange, const HttpRequest &R);
+
 // ControlSpread.cpp
 void tickSpread(ControlTurn &T);
 void onControlHeartbeat(ControlTurn &T, const HostId &From,
--- a/packages/ctl/Command.cpp
+++ b/packages/ctl/Command.cpp
@@ -105,6 +105,8 @@
        "serves the part again, for all accounts"},
       {CommandKind::RoutingHosts, "routing", "hosts", "", 0, 0, false,
        "the configuration at each entry host"},
+      {CommandKind::Limits, "limits", "", "", 0, 0, false,
+       "backend servers that named a limit of requests"},
       {CommandKind::SettingsCheck, "settings", "check", "FILE...", 1,
        MaxFileArguments, true, "lists every fault; asks no host"},
   };
--- a/packages/ctl/Command.h
+++ b/packages/ctl/Command.h
@@ -70,6 +70,7 @@
   QuarantineList,
   QuarantineLift,
   RoutingHosts,
+  Limits,
 };
 
 struct Command {
--- a/packages/ctl/Present.cpp
+++ b/packages/ctl/Present.cpp
@@ -224,6 +224,10 @@
                   {"host", "number", "since_ms", "sent", "serving", "stale",
                    "contact_ms"});
     return;
+  case CommandKind::Limits:
+    O.Out = table(Body.value("limits", Json(nullptr)),
+                  {"server", "service", "per_second", "since_ms", "seen_ms"});
+    return;
   default:
     O.Out = statusView(std::move(Body));
   }
--- a/packages/ctl/Run.cpp
+++ b/packages/ctl/Run.cpp
@@ -107,6 +107,8 @@
     return "/v1/quarantine/" + encodeSegment(C.Part);
   case CommandKind::RoutingHosts:
     return "/v1/routing/hosts";
+  case CommandKind::Limits:
+    return "/v1/limits";
   default:
     return Service + "/document";
   }
--- a/packages/gateway/Admission.cpp
+++ b/packages/gateway/Admission.cpp
@@ -194,6 +194,7 @@
 void finish(GatewayTurn &T, GatewayCall &C, int Status, Code Result,
             const char *Reason) {
   closeAttempt(T, C, true);
+  withdrawPermit(T, C);
   freeReservations(T, C);
   if (C.Placed)
     reportStage(T, C, PlacementStage::Ended);
--- a/packages/gateway/Attempt.cpp
+++ b/packages/gateway/Attempt.cpp
@@ -67,11 +67,10 @@
          "no backend server of the service is available");
     return;
   }
-  C.Attempt.Server = Choice.Server->Backend;
-  C.Attempt.ServerIncarnation = Choice.Server->Incarnation;
-  C.Attempt.Address = Choice.Server->Address;
-  onCallStarted(T.S.Health, *Choice.Server, T.Now);
-  sendAttempt(T, C, {});
+  if (needsPermit(T.S, *Choice.Server))
+    askForPermit(T, C);
+  else
+    sendToPlain(T, C, *Choice.Server);
 }
 
 std::uint32_t connectionLimit(const Gateway &S, const GatewayCall &C) {
@@ -170,6 +169,15 @@
                                          T.S.Link.Entries, T.Now) >= 1;
 }
 
+void sendToPlain(GatewayTurn &T, GatewayCall &C,
+                 const calls::PlainServer &Server) {
+  C.Attempt.Server = Server.Backend;
+  C.Attempt.ServerIncarnation = Server.Incarnation;
+  C.Attempt.Address = Server.Address;
+  onCallStarted(T.S.Health, Server, T.Now);
+  sendAttempt(T, C, {});
+}
+
 void startAttempt(GatewayTurn &T, GatewayCall &C) {
   if (refuseQuarantined(T, C))
     return;
@@ -300,6 +308,10 @@
     checkPlacing(T, C);
     return;
   }
+  if (C.Stage == CallStage::AwaitingPermit) {
+    checkPermit(T, C);
+    return;
+  }
   if (C.Stage == CallStage::Reserving) {
     checkReserving(T, C);
     return;
--- a/packages/gateway/Gateway.cpp
+++ b/packages/gateway/Gateway.cpp
@@ -49,6 +49,7 @@
     tickCalls(T);
     tickReleases(T);
     tickPlacing(T);
+    tickLimits(T);
     tickSpeeds(T);
     tickCrashChecks(T);
     tickSite(T);
@@ -63,6 +64,12 @@
       onPlacementReply(T, E.From, *Reply);
     else if (const auto *Update = std::get_if<PlacementUpdate>(&E.Content))
       onPlacementUpdate(T, E.From, *Update);
+    else if (const auto *Notice = std::get_if<LimitNotice>(&E.Content))
+      onLimitRecords(T, {Notice->Limit});
+    else if (const auto *Ask = std::get_if<PermitRequest>(&E.Content))
+      onPermitRequest(T, E.From, *Ask);
+    else if (const auto *Permit = std::get_if<PermitReply>(&E.Content))
+      onPermitReply(T, E.From, *Permit);
     else
       count(T, "pimento_unexpected_messages_total");
   }
@@ -104,6 +111,8 @@
   switch (S) {
   case CallStage::Placing:
     return "placing";
+  case CallStage::AwaitingPermit:
+    return "awaiting_permit";
   case CallStage::Reserving:
     return "reserving";
   case CallStage::Sent:
@@ -149,7 +158,7 @@
 TimePoint nextWakeup(const Gateway &S, TimePoint Now) {
   TimePoint Next =
       std::min({nextLinkTick(S.Link), nextPlacerTick(S.Engines, Now),
-                nextSpeedTick(S, Now)});
+                nextSpeedTick(S, Now), nextPermitTick(S.Permits, Now)});
   for (const HeldRequest &Request : S.Held)
     Next = std::min(Next, Request.HoldUntil);
   for (const auto &[Upstream, Check] : S.CrashChecks)
@@ -183,6 +192,10 @@
       Gauge("pimento_entry_hosts", static_cast<double>(S.Link.Entries)),
       Gauge("pimento_quarantined_parts",
             static_cast<double>(activeQuarantines(S.Quarantine))),
+      Gauge("pimento_limited_servers",
+            static_cast<double>(limitedServers(S.NamedLimits))),
+      Gauge("pimento_permits_waiting",
+            static_cast<double>(S.Permits.Waiting.size())),
       Gauge("pimento_places_here", S.Placer == S.Self ? 1 : 0),
   };
 }
--- a/packages/gateway/Gateway.h
+++ b/packages/gateway/Gateway.h
@@ -28,6 +28,7 @@
 // ReservePart.cpp memory reservations at helpers
 // SpeedPart.cpp   load reports of engines suspected of being slow
 // QuarantinePart.cpp parts of prompts that crash engines
+// LimitPart.cpp   servers that named a limit of requests
 // RoutingPart.cpp configurations sent by control hosts
 // SitePart.cpp    control hosts, other entry hosts, shutdown
 //
@@ -39,11 +40,13 @@
 #include "calls/Health.h"
 #include "gateway/ControlLink.h"
 #include "gateway/EventSplitter.h"
+#include "gateway/PermitQueue.h"
 #include "gateway/Placer.h"
 #include "gateway/RepeatBudget.h"
 #include "node/Events.h"
 #include "quarantine/PartQuarantine.h"
 #include "routing/Adapter.h"
+#include "routing/RequestLimits.h"
 #include "routing/Routing.h"
 #include "routing/RoutingUpdate.h"
 #include "routing/Servers.h"
@@ -66,10 +69,11 @@
 };
 
 enum class CallStage : std::uint8_t {
-  Placing,    // Waits for the choice of engines.
-  Reserving,  // Waits for memory reservations at helpers.
-  Sent,       // Being sent to a backend server; no answer yet.
-  Answering,  // The head of the answer has arrived.
+  Placing,        // Waits for the choice of engines.
+  AwaitingPermit, // Waits for the permit to use a limited server.
+  Reserving,      // Waits for memory reservations at helpers.
+  Sent,           // Being sent to a backend server; no answer yet.
+  Answering,      // The head of the answer has arrived.
   Confirming, // The connection ended a stream that has no length; the engine is
               // asked whether it still runs.
   Pausing,    // Waits between two attempts.
@@ -191,6 +195,13 @@
   TimePoint LearnedAt{}; // When this host learned that it is committed.
 };
 
+/// By which rate this host uses the limits of backend servers.
+enum class LimitRole : std::uint8_t {
+  Follower, // The placer uses them for this host.
+  Placer,   // Uses them for all hosts.
+  Alone,    // Chooses servers by itself, while the placer is not reachable.
+};
+
 /// A request that arrived before the host's first configuration and waits for
 /// it.
 struct HeldRequest {
@@ -242,6 +253,11 @@
   std::map<UpstreamId, std::uint64_t>
       EndQueries;            // Tickets of Confirming calls.
   PartQuarantine Quarantine; // Parts that crash engines, and own evidence.
+  RequestLimits NamedLimits; // Named by backend servers.
+  std::uint64_t ControlLimitDigest = 0; // Of the active control host.
+  LimitRole RoleForLimits = LimitRole::Follower;
+  PermitQueue Permits; // Budgets of plain servers.
+  TimePoint NextLimitLog{};
   std::map<UpstreamId, CrashCheck> CrashChecks;
   std::uint64_t ControlQuarantineDigest = 0; // Of the active control host.
   std::set<AccountPart> Clearances;          // To be reported.
--- a/packages/gateway/GatewayTurn.h
+++ b/packages/gateway/GatewayTurn.h
@@ -60,6 +60,9 @@
 /// Starts an attempt: chooses a backend server, or requests a placement on
 /// engines. May end the call.
 void startAttempt(GatewayTurn &T, GatewayCall &C);
+/// Sends the call to a plain server.
+void sendToPlain(GatewayTurn &T, GatewayCall &C,
+                 const calls::PlainServer &Server);
 /// Sends the request to the backend server in C.Attempt.
 void sendAttempt(GatewayTurn &T, GatewayCall &C,
                  const std::vector<HelperInfo> &Helpers);
@@ -179,6 +182,33 @@
 /// Merges what a control host knows of parts that crash engines.
 void onQuarantineUpdate(GatewayTurn &T, const QuarantineUpdate &M);
 
+// LimitPart.cpp
+/// Whether the server named a limit, so that only the placer permits requests.
+bool needsPermit(const Gateway &S, const calls::PlainServer &Server);
+/// Brings the budgets in line with the limits that are known. \p IsReset: the
+/// budgets start anew, since this host has another role.
+void refreshLimits(GatewayTurn &T, bool IsReset);
+/// Starts the budgets anew if this host became the placer, or began or ceased
+/// to choose servers by itself.
+void updateLimitRole(GatewayTurn &T);
+/// Records whether the answer to the call's attempt names a limit.
+void observeAnswer(GatewayTurn &T, const GatewayCall &C);
+/// Merges limits that other hosts know of.
+void onLimitRecords(GatewayTurn &T, const std::vector<ServerLimit> &Records);
+/// What a control host is to know of limits.
+LimitUpdate limitReport(const GatewayTurn &T);
+/// Asks for the permit to send the call to a limited server. May end the call.
+void askForPermit(GatewayTurn &T, GatewayCall &C);
+void onPermitRequest(GatewayTurn &T, const HostId &From,
+                     const PermitRequest &M);
+void onPermitReply(GatewayTurn &T, const HostId &From, const PermitReply &M);
+/// Handles the timer of a call that waits for a permit.
+void checkPermit(GatewayTurn &T, GatewayCall &C);
+/// Ends the call's wait for a permit, if it waits.
+void withdrawPermit(GatewayTurn &T, const GatewayCall &C);
+/// Answers requests that wait for permits; logs the use of limits.
+void tickLimits(GatewayTurn &T);
+
 // RoutingPart.cpp
 /// Puts the configuration of a message in force. Returns whether it did.
 bool applyRouting(GatewayTurn &T, const SiteState &M);
--- /dev/null
+++ b/packages/gateway/LimitPart.cpp
@@ -0,0 +1,354 @@
+// Backend servers that named a limit of requests: what this host learns from
+// their answers and tells others, the budgets, and permits for plain servers.
+
+#include "gateway/GatewayTurn.h"
+
+#include <algorithm>
+
+namespace pimento::gateway {
+
+namespace {
+
+constexpr int ServiceUnavailable = 503;
+/// Share of a limit that all hosts which choose servers for themselves, without
+/// the placer, use together. The placer may use the whole limit meanwhile.
+constexpr double AloneShare = 0.5;
+/// Timeout of a permit request: the placer replies at once, also if the request
+/// waits. Shorter where another server can take the request.
+constexpr Duration PermitTimeout = milliseconds(120);
+constexpr Duration OptionalPermitTimeout = milliseconds(40);
+/// Interval at which a waiting request is sent again, in case the placer lost
+/// it.
+constexpr Duration PermitResendInterval = milliseconds(300);
+/// Time for which this host chooses by itself after the placer did not reply.
+constexpr Duration PlacerAvoidance = milliseconds(1000);
+/// Interval at which the placer logs how much of the limits is used.
+constexpr Duration UseLogInterval = seconds(5);
+
+bool isPlacer(const Gateway &S) { return S.Link.Placer == S.Self; }
+
+std::optional<double> limitOf(const Gateway &S, const BackendId &Server,
+                              IncarnationNumber Incarnation) {
+  return pimento::limitOf(S.NamedLimits, Server, Incarnation);
+}
+
+/// The rate that this host may use of a limit.
+double ownRate(const Gateway &S, double PerSecond) {
+  if (isPlacer(S))
+    return PerSecond;
+  return PerSecond * AloneShare /
+         static_cast<double>(std::max<std::uint64_t>(1, S.Link.Entries));
+}
+
+/// A bucket for a limit that is new to this host. The placer starts without
+/// tokens, since the server may just have got many requests. Hosts on their own
+/// start at random fill levels, so that they do not all send at the same time.
+LimitBucket newBucket(Gateway &S, double PerSecond, TimePoint Now) {
+  double Tokens = isPlacer(S) ? 0 : uniform(S.Rng);
+  LimitBucket B = makeBucket(PerSecond, Tokens, Now);
+  B.PerSecond = ownRate(S, B.PerSecond);
+  return B;
+}
+
+template <class Map>
+void refreshBucket(Gateway &S, Map &Buckets, const BackendId &Server,
+                   std::optional<double> Limit, bool IsReset, TimePoint Now) {
+  auto Found = Buckets.find(Server);
+  if (!Limit) {
+    if (Found != Buckets.end())
+      Buckets.erase(Found);
+    return;
+  }
+  if (Found == Buckets.end() || IsReset) {
+    Buckets[Server] = newBucket(S, *Limit, Now);
+    return;
+  }
+  LimitBucket &B = Found->second;
+  B.Tokens = tokensAt(B, Now);
+  B.FilledAt = Now;
+  B.PerSecond = ownRate(S, std::max(*Limit, MinPerSecond));
+}
+
+void logLimit(GatewayTurn &T, const ServerLimit &Limit, const char *Reason) {
+  constexpr double NoLimit = -1;
+  DecisionRecord Record{"server_limit", {}, Reason, {}};
+  Record.add("server", Limit.Server.Value);
+  Record.add("per_second", Limit.PerSecond.value_or(NoLimit));
+  Record.add("age_ms", toMilliseconds(Limit.Age));
+  log(T, std::move(Record));
+}
+
+/// Servers of the call's service that were not tried; all if all were.
+std::vector<calls::PlainServer> untriedServers(const Gateway &S,
+                                               const GatewayCall &C) {
+  auto Found = S.PlainServers.find(C.Service);
+  if (Found == S.PlainServers.end())
+    return {};
+  std::vector<calls::PlainServer> Untried;
+  for (const calls::PlainServer &Server : Found->second) {
+    if (std::find(C.TriedServers.begin(), C.TriedServers.end(),
+                  Server.Backend) == C.TriedServers.end())
+      Untried.push_back(Server);
+  }
+  return Untried.empty() ? Found->second : Untried;
+}
+
+bool isEjected(const Gateway &S, const BackendId &Server, TimePoint Now) {
+  auto Health = S.Health.Servers.find(Server);
+  return Health != S.Health.Servers.end() && Health->second.EjectedUntil > Now;
+}
+
+/// The servers that take the call without a permit and are healthy.
+std::vector<calls::PlainServer> openServers(const GatewayTurn &T,
+                                            const GatewayCall &C) {
+  std::vector<calls::PlainServer> Open = untriedServers(T.S, C);
+  auto IsClosed = [&](const calls::PlainServer &Server) {
+    return needsPermit(T.S, Server) || isEjected(T.S, Server.Backend, T.Now);
+  };
+  Open.erase(std::remove_if(Open.begin(), Open.end(), IsClosed), Open.end());
+  return Open;
+}
+
+PermitRequest makePermitRequest(const GatewayTurn &T, const GatewayCall &C,
+                                bool IsOptional) {
+  PermitRequest Spec;
+  Spec.Ticket = C.Ticket;
+  for (const calls::PlainServer &Server : untriedServers(T.S, C)) {
+    if (needsPermit(T.S, Server) && !isEjected(T.S, Server.Backend, T.Now))
+      Spec.Servers.push_back(Server.Backend);
+  }
+  Spec.Account = C.Account;
+  Spec.Priority = C.Priority;
+  if (!IsOptional)
+    Spec.TimeLeft = C.Deadline - T.Now;
+  return Spec;
+}
+
+void useOpenServer(GatewayTurn &T, GatewayCall &C, Duration RetryAfter) {
+  std::vector<calls::PlainServer> Open = openServers(T, C);
+  calls::ServerChoice Choice =
+      chooseServer(T.S.Health, Open, C.TriedServers, T.S.Rng, T.Now);
+  if (Choice.Server != nullptr) {
+    sendToPlain(T, C, *Choice.Server);
+    return;
+  }
+  fail(T, C, C.MayHaveRun ? Code::BackendFailed : Code::QueueFull,
+       "all backend servers of the service are at their limits", RetryAfter);
+}
+
+void usePermit(GatewayTurn &T, GatewayCall &C, const PermitReply &M) {
+  if (M.Result != Code::Ok) {
+    count(T, "pimento_permits_total", "result=\"refused\"");
+    useOpenServer(T, C, M.RetryAfter);
+    return;
+  }
+  count(T, "pimento_permits_total", "result=\"granted\"");
+  for (const calls::PlainServer &Server : untriedServers(T.S, C)) {
+    if (Server.Backend != M.Server)
+      continue;
+    sendToPlain(T, C, Server);
+    return;
+  }
+  useOpenServer(T, C, Duration::zero());
+}
+
+/// Asks this host's own queue, as the placer or on its own.
+void requestLocally(GatewayTurn &T, GatewayCall &C, bool IsOptional) {
+  C.IsRemotePlacement = false;
+  updateLimitRole(T);
+  PermitReply Reply = requestPermit(T.S.Permits, {T.S.Self, C.Ticket},
+                                    makePermitRequest(T, C, IsOptional), T.Now);
+  if (Reply.Result == Code::Ok && Reply.Server.empty())
+    checkAt(T, C, C.Deadline);
+  else
+    usePermit(T, C, Reply);
+}
+
+void requestRemotely(GatewayTurn &T, GatewayCall &C, bool IsOptional) {
+  C.IsRemotePlacement = true;
+  C.Acknowledged = false;
+  send(T, T.S.Link.Placer, makePermitRequest(T, C, IsOptional));
+  checkAt(T, C,
+          std::min(C.Deadline, T.Now + (IsOptional ? OptionalPermitTimeout
+                                                   : PermitTimeout)));
+}
+
+void logUse(GatewayTurn &T, const BackendId &Server, const LimitBucket &B) {
+  DecisionRecord Record{"limit_use", {}, "permits of the placer so far", {}};
+  Record.add("server", Server.Value);
+  Record.add("per_second", B.PerSecond);
+  Record.add("permits", static_cast<std::int64_t>(B.Taken));
+  log(T, std::move(Record));
+}
+
+} // namespace
+
+bool needsPermit(const Gateway &S, const calls::PlainServer &Server) {
+  return limitOf(S, Server.Backend, Server.Incarnation).has_value();
+}
+
+void refreshLimits(GatewayTurn &T, bool IsReset) {
+  Gateway &S = T.S;
+  std::map<BackendId, LimitBucket> &Plain = S.Permits.Buckets;
+  for (const auto &[Server, Known] : S.NamedLimits.Servers) {
+    std::optional<double> Limit;
+    auto Report = S.Servers.Servers.find(Server);
+    if (Report != S.Servers.Servers.end())
+      Limit = limitOf(S, Server, Report->second.Report.Incarnation);
+    bool IsEngine = S.Engines.Engines.count(Server) > 0;
+    refreshBucket(S, IsEngine ? S.Engines.Limits : Plain, Server, Limit,
+                  IsReset, T.Now);
+  }
+  for (auto *Buckets : {&Plain, &S.Engines.Limits}) {
+    for (auto It = Buckets->begin(); It != Buckets->end();)
+      It = S.NamedLimits.Servers.count(It->first) > 0 ? std::next(It)
+                                                      : Buckets->erase(It);
+  }
+}
+
+void updateLimitRole(GatewayTurn &T) {
+  Gateway &S = T.S;
+  LimitRole Role = LimitRole::Follower;
+  if (isPlacer(S))
+    Role = LimitRole::Placer;
+  else if (placesHere(S, T.Now))
+    Role = LimitRole::Alone;
+  if (Role == S.RoleForLimits)
+    return;
+  S.RoleForLimits = Role;
+  refreshLimits(T, /*IsReset=*/true);
+}
+
+void observeAnswer(GatewayTurn &T, const GatewayCall &C) {
+  const AnswerInfo &Answer = C.Attempt.Answer;
+  bool IsOwn = Answer.ClientAttemptId == C.Info.ClientAttemptId;
+  // Another server at the same address may refuse the request.
+  bool Counts = !Answer.NotRun ||
+                (Answer.RequestLimit && C.Attempt.Status == ServiceUnavailable);
+  if (!IsOwn || !Counts ||
+      !observeLimit(T.S.NamedLimits, C.Attempt.Server,
+                    C.Attempt.ServerIncarnation, Answer.RequestLimit, T.Now))
+    return;
+  ServerLimit Limit;
+  Limit.Server = C.Attempt.Server;
+  Limit.Incarnation = C.Attempt.ServerIncarnation;
+  Limit.PerSecond = Answer.RequestLimit;
+  logLimit(T, Limit,
+           Limit.PerSecond ? "an answer names a limit"
+                           : "an answer names no limit any more");
+  refreshLimits(T, /*IsReset=*/false);
+  syncSoon(T.S.Link, T.Now);
+  send(T, T.S.Link.Placer, LimitNotice{Limit});
+}
+
+void onLimitRecords(GatewayTurn &T, const std::vector<ServerLimit> &Records) {
+  bool Changed = false;
+  for (const ServerLimit &Record : Records) {
+    if (!applyLimit(T.S.NamedLimits, Record, T.Now))
+      continue;
+    Changed = true;
+    logLimit(T, Record, "another host reported a change");
+  }
+  if (Changed)
+    refreshLimits(T, /*IsReset=*/false);
+}
+
+LimitUpdate limitReport(const GatewayTurn &T) {
+  LimitUpdate M;
+  M.Digest = limitDigest(T.S.NamedLimits);
+  if (M.Digest != T.S.ControlLimitDigest)
+    M.Records = limitRecords(T.S.NamedLimits, T.Now);
+  return M;
+}
+
+void askForPermit(GatewayTurn &T, GatewayCall &C) {
+  bool IsOptional = !openServers(T, C).empty();
+  C.Stage = CallStage::AwaitingPermit;
+  C.PlacementRequestedAt = T.Now;
+  if (placesHere(T.S, T.Now))
+    requestLocally(T, C, IsOptional);
+  else
+    requestRemotely(T, C, IsOptional);
+}
+
+void onPermitRequest(GatewayTurn &T, const HostId &From,
+                     const PermitRequest &M) {
+  updateLimitRole(T);
+  send(T, From, requestPermit(T.S.Permits, {From, M.Ticket}, M, T.Now));
+}
+
+void onPermitReply(GatewayTurn &T, const HostId &From, const PermitReply &M) {
+  GatewayCall *C = findCall(T, M.Ticket);
+  bool Expected = C != nullptr && C->Stage == CallStage::AwaitingPermit &&
+                  C->IsRemotePlacement && From == T.S.Link.Placer;
+  if (!Expected)
+    return;
+  if (M.Result == Code::Ok && M.Server.empty()) {
+    C->Acknowledged = true;
+    checkAt(T, *C, std::min(C->Deadline, T.Now + PermitResendInterval));
+    return;
+  }
+  usePermit(T, *C, M);
+}
+
+void checkPermit(GatewayTurn &T, GatewayCall &C) {
+  bool IsOptional = !openServers(T, C).empty();
+  if (!C.IsRemotePlacement) {
+    checkAt(T, C, C.Deadline);
+    return;
+  }
+  if (C.Acknowledged && !placesHere(T.S, T.Now)) {
+    requestRemotely(T, C, IsOptional);
+    return;
+  }
+  if (!C.Acknowledged) {
+    DecisionRecord Record{
+        "placer_silent", {}, "no reply to a permit request in time", {}};
+    Record.add("placer", T.S.Link.Placer.Value);
+    Record.add("waited_ms", toMilliseconds(T.Now - C.PlacementRequestedAt));
+    log(T, std::move(Record));
+  }
+  if (IsOptional) {
+    useOpenServer(T, C, Duration::zero());
+    return;
+  }
+  T.S.PlacerAvoidedUntil = T.Now + PlacerAvoidance;
+  requestLocally(T, C, IsOptional);
+}
+
+void withdrawPermit(GatewayTurn &T, const GatewayCall &C) {
+  if (C.Stage != CallStage::AwaitingPermit)
+    return;
+  pimento::withdrawPermit(T.S.Permits, {T.S.Self, C.Ticket});
+  if (C.IsRemotePlacement)
+    send(T, T.S.Link.Placer,
+         PlacementUpdate{C.Ticket, PlacementStage::Ended, {}});
+}
+
+void tickLimits(GatewayTurn &T) {
+  Gateway &S = T.S;
+  updateLimitRole(T);
+  for (auto &[Key, Reply] : tickPermits(S.Permits, T.Now)) {
+    if (Key.first != S.Self) {
+      send(T, Key.first, std::move(Reply));
+      continue;
+    }
+    GatewayCall *C = findCall(T, Key.second);
+    bool Waits = C != nullptr && C->Stage == CallStage::AwaitingPermit &&
+                 !C->IsRemotePlacement;
+    if (Waits)
+      usePermit(T, *C, Reply);
+  }
+  if (T.Now < S.NextLimitLog)
+    return;
+  S.NextLimitLog = T.Now + UseLogInterval;
+  expireLimits(S.NamedLimits, S.Servers, T.Now);
+  if (S.RoleForLimits != LimitRole::Placer)
+    return;
+  for (const auto *Buckets : {&S.Permits.Buckets, &S.Engines.Limits}) {
+    for (const auto &[Server, B] : *Buckets)
+      logUse(T, Server, B);
+  }
+}
+
+} // namespace pimento::gateway
--- a/packages/gateway/PlacePart.cpp
+++ b/packages/gateway/PlacePart.cpp
@@ -142,6 +142,7 @@
 
 void placeLocally(GatewayTurn &T, GatewayCall &C) {
   C.IsRemotePlacement = false;
+  updateLimitRole(T);
   setIndependentPlacement(T.S.Engines, T.S.Self, T.S.Link.Placer != T.S.Self);
   PlacementOutcome Outcome = placeRequest(T.S.Engines, {T.S.Self, C.Ticket},
                                           makePlacementRequest(T, C), T.Now);
@@ -237,9 +238,11 @@
   if (Known->second != Incarnation) {
     // The host restarted and sends no updates about its earlier requests.
     dropHost(T.S.Engines, From);
+    dropPermits(T.S.Permits, From);
     Known->second = Incarnation;
   }
   setIndependentPlacement(T.S.Engines, T.S.Self, false);
+  updateLimitRole(T);
   PlacementOutcome Outcome =
       placeRequest(T.S.Engines, {From, M.Ticket}, M, T.Now);
   if (!M.RunningOn.empty())
@@ -253,6 +256,7 @@
 void onPlacementUpdate(GatewayTurn &T, const HostId &From,
                        const PlacementUpdate &M) {
   updateStage(T.S.Engines, {From, M.Ticket}, M.Stage, M.FaultyServer, T.Now);
+  pimento::withdrawPermit(T.S.Permits, {From, M.Ticket});
 }
 
 void reportStage(GatewayTurn &T, GatewayCall &C, PlacementStage Stage,
--- a/packages/gateway/Placer.cpp
+++ b/packages/gateway/Placer.cpp
@@ -218,6 +218,9 @@
   Request.Since = Now;
   Request.FirstEventForecast = Now + Found.Forecast;
   Request.Expires = Now + Spec.TimeLeft + ForgetAfter;
+  auto Limit = S.Limits.find(Request.Parts.front().Engine);
+  if (Limit != S.Limits.end())
+    takeToken(Limit->second, Now);
   bool IsSplit = Request.Parts.size() > 1;
   for (const PlacedPart &Part : Request.Parts)
     pushPrefill(S.Engines.at(Part.Engine).Prefills, Key, Part.PrefillTime,
--- a/packages/gateway/Placer.h
+++ b/packages/gateway/Placer.h
@@ -25,6 +25,7 @@
 #pragma once
 
 #include "base/Decision.h"
+#include "gateway/LimitBudget.h"
 #include "gateway/ReadQueue.h"
 #include "routing/Routing.h"
 #include "routing/Servers.h"
@@ -110,6 +111,7 @@
   std::map<ServiceId, EngineProfile> Profiles;
   std::map<BackendId, PlacerEngine> Engines;
   std::map<PlacementKey, PlacedRequest> Placed;
+  std::map<BackendId, LimitBucket> Limits; // Of engines that named a limit.
   std::deque<WaitingRequest> Queue; // Ordered by each tick; new ones follow.
   std::map<ServiceId, double>
       OnTimeRates; // Highest utility per second of prefill of the waiting
--- a/packages/gateway/PlacerQueue.cpp
+++ b/packages/gateway/PlacerQueue.cpp
@@ -21,6 +21,7 @@
 /// Bounds of the retry delay sent with a refusal.
 constexpr Duration MinRefusalRetryAfter = milliseconds(250);
 constexpr Duration MaxRefusalRetryAfter = seconds(2);
+constexpr Duration MaxLimitRetryAfter = seconds(30);
 /// Margin for forecast errors while a request waits.
 constexpr Duration WaitMargin = milliseconds(60);
 /// Largest penalty for other requests, as a share of the request's own utility:
@@ -162,6 +163,38 @@
   return Now + fromSeconds(toSeconds(Spec.Objective) * SearchShare);
 }
 
+/// Expected wait for an engine if all of the service named limits; nothing if
+/// one did not.
+std::optional<Duration> waitForLimits(const PlacerState &S,
+                                      const PlacementRequest &Spec,
+                                      TimePoint Now) {
+  double PerSecond = 0;
+  double Tokens = 0;
+  for (const auto &[Id, E] : S.Engines) {
+    if (E.Service != Spec.Service || !E.Ready)
+      continue;
+    auto Limit = S.Limits.find(Id);
+    if (Limit == S.Limits.end())
+      return std::nullopt;
+    PerSecond += Limit->second.PerSecond;
+    Tokens += std::max(0.0, tokensAt(Limit->second, Now));
+  }
+  auto GoesBefore = [&](const WaitingRequest &W) {
+    return W.Spec.Service == Spec.Service && W.Spec.Priority <= Spec.Priority;
+  };
+  auto Ahead = std::count_if(S.Queue.begin(), S.Queue.end(), GoesBefore);
+  double Missing = static_cast<double>(Ahead) + 1 - Tokens;
+  return fromSeconds(std::max(0.0, Missing) /
+                     std::max(PerSecond, MinPerSecond));
+}
+
+PlacementReply limitRefusal(const PlacerState &S, std::uint64_t Ticket,
+                            const ServiceId &Service, Duration Wait) {
+  PlacementReply Reply = refusal(S, Ticket, Service, Code::QueueFull);
+  Reply.RetryAfter = std::clamp(Wait, MinRefusalRetryAfter, MaxLimitRetryAfter);
+  return Reply;
+}
+
 } // namespace
 
 PlacementOutcome decide(PlacerState &S, const PlacementKey &Key,
@@ -176,6 +209,10 @@
   if (Spec.EventTimeLeft < Least)
     return {PlacementVerdict::Refused,
             refusal(S, Key.second, Spec.Service, Code::DeadlineUnreachable)};
+  std::optional<Duration> LimitWait = waitForLimits(S, Spec, Now);
+  if (LimitWait && Spec.EventTimeLeft < *LimitWait + Least)
+    return {PlacementVerdict::Refused,
+            limitRefusal(S, Key.second, Spec.Service, *LimitWait)};
   if (Now < S.PlacementPausedUntil)
     return {PlacementVerdict::Waiting, {}};
   std::optional<Plan> Found;
--- a/packages/gateway/PlacerSearch.cpp
+++ b/packages/gateway/PlacerSearch.cpp
@@ -33,6 +33,10 @@
 /// Share of an engine's memory that is used. The rest is a margin, because
 /// engines allocate memory in blocks and answers may be longer than expected.
 constexpr double UsableMemory = 0.97;
+/// Cost of an engine that named a limit; a gain if it got no request for
+/// LimitCheckInterval.
+constexpr double LimitedEngineCost = 200;
+constexpr Duration LimitCheckInterval = milliseconds(1000);
 /// Cost of an engine in another data centre.
 constexpr double CrossDataCentreCost = 2;
 
@@ -177,14 +181,31 @@
     auto Usable = static_cast<std::uint64_t>(
         UsableMemory * static_cast<double>(F.MemoryTokens));
     C.FreeTokens = Usable - std::min(E.MemoryTokens, Usable);
-    C.HasSlot = Active < F.Slots;
+    C.HasSlot = Active < F.Slots && hasTokenAt(Id);
     C.BaseCost = toSeconds(C.Backlog + overdue(E)) * UtilityPerSecond +
                  objectiveCost(E, Active) +
                  (E.DataCentre == Spec.DataCentre ? 0 : CrossDataCentreCost) +
-                 E.Bias;
+                 E.Bias + limitCost(Id);
     return C;
   }
 
+  /// Whether a request may be sent to the engine now. Parts of prompts that it
+  /// prefills for other engines are no requests.
+  bool hasTokenAt(const BackendId &Id) const {
+    auto Limit = S.Limits.find(Id);
+    return Limit == S.Limits.end() || hasToken(Limit->second, Now);
+  }
+
+  /// Work goes to engines without a limit first. A limited engine that got no
+  /// request for a while gets the next one, whose answer tells how it is.
+  double limitCost(const BackendId &Id) const {
+    auto Limit = S.Limits.find(Id);
+    if (Limit == S.Limits.end())
+      return 0;
+    bool IsDue = Now >= Limit->second.LastTaken + LimitCheckInterval;
+    return IsDue && isShort() ? -LimitedEngineCost : LimitedEngineCost;
+  }
+
   Option optionAt(const Candidate &C, Duration PrefillTime,
                   bool IsSplit) const {
     const PlacerEngine &E = *C.Engine;
--- a/packages/gateway/SitePart.cpp
+++ b/packages/gateway/SitePart.cpp
@@ -80,6 +80,7 @@
       continue;
     }
     dropHost(T.S.Engines, It->first);
+    dropPermits(T.S.Permits, It->first);
     It = Lost.erase(It);
   }
 }
@@ -123,6 +124,12 @@
   return Report;
 }
 
+/// Adds what this host learned of engines and servers to a query.
+void addReports(GatewayTurn &T, EntrySync &Sync) {
+  Sync.Quarantine = quarantineReport(T);
+  Sync.Limits = limitReport(T);
+}
+
 } // namespace
 
 void tickSite(GatewayTurn &T) {
@@ -132,7 +139,7 @@
       tickLink(S.Link, reportOf(S, T.Now), S.Rng, T.Now);
   if (Query) {
     if (auto *Sync = std::get_if<EntrySync>(&Query->Content))
-      Sync->Quarantine = quarantineReport(T);
+      addReports(T, *Sync);
     send(T, Query->To, std::move(Query->Content));
   }
   tickLostHosts(T);
@@ -146,6 +153,8 @@
   // Also from a control host that is not current: a quarantine holds while the
   // control hosts have no leader.
   onQuarantineUpdate(T, M.Quarantine);
+  onLimitRecords(T, M.Limits.Records);
+  S.ControlLimitDigest = M.Limits.Digest;
   if (!applySiteState(S.Link, From, M, T.Now))
     return;
   bool ServersChanged = applyServers(T, M);
@@ -154,6 +163,8 @@
     refreshPlainServers(S);
   if (S.Routes && (ServersChanged || RoutesChanged))
     setEngines(S.Engines, *S.Routes, S.Servers);
+  if (ServersChanged || RoutesChanged)
+    refreshLimits(T, /*IsReset=*/false);
   checkStale(T);
   followPlacer(T);
   if (ActiveControl != S.Link.ActiveControl) {
--- a/packages/gateway/tests/LimitTest.cpp
+++ b/packages/gateway/tests/LimitTest.cpp
@@ -144,3 +144,132 @@
   for (std::size_t I : {std::size_t{0}, std::size_t{1}, FirstPlain})
     L.expectKept(Case, I, 1.25);
 }
+
+/// Guards against a limit that is spent in one burst or not at all where
+/// callers wait: all plain servers are limited and more is asked than they
+/// take.
+BOOST_AUTO_TEST_CASE(LimitsOfAllPlainServersAreUsedEvenly) {
+  LimitSite L(34);
+  L.run(seconds(2));
+  for (std::size_t I = 0; I < 4; ++I)
+    L.name(FirstPlain + I, "2");
+  L.run(seconds(3));
+  TimePoint From = L.Site.now();
+  L.run(seconds(12));
+  for (std::size_t I = 0; I < 4; ++I) {
+    const CrashEngine &E = L.Site.Engines[FirstPlain + I];
+    L.expectKept("LimitsOfAllPlainServersAreUsedEvenly", FirstPlain + I, 2);
+    // Twelve seconds at 2 a second; a fifth is for the ways between hosts.
+    BOOST_TEST(receivedSince(E, From) >= 19U);
+    for (auto It = E.Received.begin(); It + 2 < E.Received.end(); ++It) {
+      bool IsBurst = *It > From && *(It + 2) - *It < milliseconds(250);
+      BOOST_TEST(!IsBurst);
+    }
+  }
+}
+
+/// Guards against requests that wait for a permit they cannot get until their
+/// time is over.
+BOOST_AUTO_TEST_CASE(WhatLimitsDoNotAllowIsRefusedAtOnce) {
+  LimitSite L(35);
+  L.run(seconds(2));
+  for (std::size_t I = 0; I < 4; ++I)
+    L.name(FirstPlain + I, "0.3");
+  L.run(seconds(4));
+  std::vector<std::string> Attempts;
+  L.PlainEvery = Duration::max();
+  for (int I = 0; I < 60; ++I)
+    Attempts.push_back(L.Site.callPlain(L.Site.anyEntry()));
+  L.run(milliseconds(100));
+  std::size_t Refused = 0;
+  for (const std::string &Attempt : Attempts) {
+    const CallerView &View = L.Site.Callers[Attempt];
+    Refused += View.Status == 503 && View.RetryAfter >= 0.1 ? 1 : 0;
+  }
+  // Four servers at 0.3 a second take few of them in the second that they have.
+  BOOST_TEST(Refused >= 50U);
+}
+
+/// The same for engines, whose requests wait longer.
+BOOST_AUTO_TEST_CASE(LimitsOfAllEnginesAreKeptAndUsed) {
+  LimitSite L(36);
+  L.PlainEvery = Duration::max();
+  L.run(seconds(2));
+  for (std::size_t I = 0; I < FirstPlain; ++I)
+    L.name(I, "1");
+  L.run(seconds(3));
+  TimePoint From = L.Site.now();
+  L.run(seconds(12));
+  std::size_t Sum = 0;
+  for (std::size_t I = 0; I < FirstPlain; ++I) {
+    L.expectKept("LimitsOfAllEnginesAreKeptAndUsed", I, 1);
+    Sum += receivedSince(L.Site.Engines[I], From);
+  }
+  BOOST_TEST(Sum >= 96U); // Of 120.
+}
+
+/// Guards against a limit that stays after the server has withdrawn it, is
+/// lowered or raised too late, or survives a restart.
+BOOST_AUTO_TEST_CASE(LimitHoldsForAsLongAsTheServerSaysSo) {
+  LimitSite L(37);
+  L.run(seconds(2));
+  L.name(0, "0.3");
+  L.name(FirstPlain, "0.3");
+  L.run(seconds(8));
+  L.expectKept("LimitHoldsForAsLongAsTheServerSaysSo", 0, 0.3);
+  L.expectKept("LimitHoldsForAsLongAsTheServerSaysSo", FirstPlain, 0.3);
+  L.name(FirstPlain, "5");
+  L.run(seconds(8));
+  TimePoint Raised = L.Site.now() - seconds(4);
+  BOOST_TEST(receivedSince(L.Site.Engines[FirstPlain], Raised) >= 12U);
+  L.Site.Engines[0].ExtraHeaders.clear();
+  L.Site.Engines[FirstPlain].ExtraHeaders.clear();
+  L.run(seconds(6));
+  for (const auto &[Name, N] : L.Site.Entries)
+    BOOST_TEST(limitedServers(N.State.NamedLimits) == 0U);
+  L.name(FirstPlain, "0.3");
+  L.run(seconds(3));
+  L.Site.Engines[FirstPlain].ExtraHeaders.clear();
+  L.Site.crash(FirstPlain); // Starts again under another id.
+  L.run(seconds(6));
+  TimePoint Back = L.Site.now() - seconds(2);
+  BOOST_TEST(receivedSince(L.Site.Engines[FirstPlain], Back) >= 10U);
+}
+
+/// Guards against hosts that exceed a limit together while no placer answers
+/// and no control host leads.
+BOOST_AUTO_TEST_CASE(LimitIsKeptByHostsOnTheirOwn) {
+  const char *Case = "LimitIsKeptByHostsOnTheirOwn";
+  LimitSite L(38);
+  L.run(seconds(2));
+  L.name(0, "1.25");
+  L.name(FirstPlain, "1.25");
+  L.run(seconds(3));
+  for (const HostId &Host : L.Site.Control.Seeds)
+    L.Site.Control.losePower(Host);
+  HostId Placer = L.Site.Entries.begin()->second.State.Link.Placer;
+  L.Site.killEntry(Placer, seconds(20));
+  L.run(seconds(12));
+  L.expectKept(Case, 0, 1.25);
+  L.expectKept(Case, FirstPlain, 1.25);
+}
+
+BOOST_AUTO_TEST_CASE(ValuesThatAreNoLimitsChangeNothing) {
+  LimitSite L(39);
+  L.run(seconds(1));
+  std::vector<std::string> Values = {
+      "",    "x",  "-1", "nan", "inf",   "1e3x",
+      "1,5", "+2", " ",  "0x2", "1e400", std::string(10000, '9')};
+  for (const std::string &Value : Values) {
+    L.name(FirstPlain, Value);
+    L.name(0, Value);
+    L.run(milliseconds(300));
+    for (const auto &[Name, N] : L.Site.Entries)
+      BOOST_TEST(limitedServers(N.State.NamedLimits) == 0U, Value);
+  }
+  L.Site.Engines[FirstPlain].ExtraHeaders = {{LimitHeader, "1"},
+                                             {LimitHeader, "1"}};
+  L.run(milliseconds(300));
+  for (const auto &[Name, N] : L.Site.Entries)
+    BOOST_TEST(limitedServers(N.State.NamedLimits) == 0U);
+}
--- a/packages/routing/Adapter.h
+++ b/packages/routing/Adapter.h
@@ -102,6 +102,8 @@
   bool NotRun = false;  // The server did not run the request and will not.
   std::string FaultyServer; // Address of another server that is at fault.
   bool Events = false;      // The body is a stream of events.
+  std::optional<double> RequestLimit; // Requests a second that the server takes
+                                      // from all hosts; empty: no limit.
 };
 
 /// An HTTP request to an engine that reserves or releases memory, or asks for
--- a/packages/wire/SiteMessages.h
+++ b/packages/wire/SiteMessages.h
@@ -11,6 +11,8 @@
 //                                  sent unrequested after a change
 //   entry host to placer           PlacementRequest, PlacementUpdate
 //   placer to entry host           PlacementReply
+//   entry host to placer           LimitNotice, PermitRequest
+//   placer to entry host           PermitReply
 //
 // Messages between entry hosts and control hosts also carry a QuarantineUpdate
 // about parts of prompts that crash engines; see quarantine/PartQuarantine.h.
@@ -155,6 +157,32 @@
   }
 };
 
+/// A limit of requests that a backend server named; see
+/// routing/RequestLimits.h.
+struct ServerLimit {
+  BackendId Server;
+  IncarnationNumber Incarnation = 0; // Of the server.
+  std::optional<double> PerSecond;   // Requests a second; empty: none any more.
+  Duration Age = {};  // Time since the latest answer that said so.
+  Duration Held = {}; // Time since the first one.
+
+  template <class Self, class Visitor>
+  static void fields(Self &M, Visitor &&Visit) {
+    Visit(M.Server, M.Incarnation, M.PerSecond, M.Age, M.Held);
+  }
+};
+
+/// Limits that a host knows of and the receiver may not.
+struct LimitUpdate {
+  std::uint64_t Digest = 0; // Of all records of the sender; zero: it has none.
+  std::vector<ServerLimit> Records; // Empty if the receiver has the same.
+
+  template <class Self, class Visitor>
+  static void fields(Self &M, Visitor &&Visit) {
+    Visit(M.Digest, M.Records);
+  }
+};
+
 /// Heartbeat between control hosts. Carries the reports of backend servers that
 /// the sender received since its previous heartbeat to the same host.
 struct ControlHeartbeat {
@@ -164,10 +192,12 @@
   bool RequestsFullState = false; // The sender just started; send all reports.
   bool Leaving = false;           // The sender is about to stop.
   QuarantineUpdate Quarantine;
+  LimitUpdate Limits;
 
   template <class Self, class Visitor>
   static void fields(Self &M, Visitor &&Visit) {
-    Visit(M.Known, M.Reports, M.RequestsFullState, M.Leaving, M.Quarantine);
+    Visit(M.Known, M.Reports, M.RequestsFullState, M.Leaving, M.Quarantine,
+          M.Limits);
   }
 };
 
@@ -211,11 +241,13 @@
   RoutingForm Form = RoutingForm::Plain;
   bool Stale = false; // The sender refuses new requests, since it has lacked a
                       // newer configuration for too long.
+  LimitUpdate Limits;
 
   template <class Self, class Visitor>
   static void fields(Self &M, Visitor &&Visit) {
     Visit(M.Sequence, M.ControlIncarnation, M.Revision, M.Config, M.Ready,
-          M.DataCentre, M.Placer, M.Uptime, M.Quarantine, M.Form, M.Stale);
+          M.DataCentre, M.Placer, M.Uptime, M.Quarantine, M.Form, M.Stale,
+          M.Limits);
   }
 };
 
@@ -239,12 +271,13 @@
   HostId Placer; // Entry host that places requests on engines; empty: none.
   QuarantineUpdate Quarantine;
   RoutingUpdate Routing; // Number zero: none with this message.
+  LimitUpdate Limits;
 
   template <class Self, class Visitor>
   static void fields(Self &M, Visitor &&Visit) {
     Visit(M.Sequence, M.Current, M.Leader, M.Config, M.Text,
           M.ControlIncarnation, M.Revision, M.Base, M.Whole, M.Servers,
-          M.Controls, M.Entries, M.Placer, M.Quarantine, M.Routing);
+          M.Controls, M.Entries, M.Placer, M.Quarantine, M.Routing, M.Limits);
   }
 };
 
@@ -352,8 +385,52 @@
   }
 };
 
+/// Tells the placer at once of a limit that a backend server named in an
+/// answer. Control hosts tell all others.
+struct LimitNotice {
+  static constexpr std::uint16_t WireType = 814;
+  ServerLimit Limit;
+
+  template <class Self, class Visitor>
+  static void fields(Self &M, Visitor &&Visit) {
+    Visit(M.Limit);
+  }
+};
+
+/// Asks the placer for the permit to send one request to a backend server that
+/// named a limit. Sent again while the request waits.
+struct PermitRequest {
+  static constexpr std::uint16_t WireType = 815;
+  std::uint64_t Ticket = 0; // Unique in the requesting host's incarnation.
+  std::vector<BackendId> Servers; // Servers that the request may be sent to.
+  AccountId Account;
+  int Priority = 0;       // Zero: highest.
+  Duration TimeLeft = {}; // Time for which the request may wait.
+
+  template <class Self, class Visitor>
+  static void fields(Self &M, Visitor &&Visit) {
+    Visit(M.Ticket, M.Servers, M.Account, M.Priority, M.TimeLeft);
+  }
+};
+
+/// The placer's answer. Without a server and with Result Ok it acknowledges
+/// that the request waits.
+struct PermitReply {
+  static constexpr std::uint16_t WireType = 816;
+  std::uint64_t Ticket = 0;
+  Code Result = Code::Ok;   // Other values: reason for the refusal.
+  BackendId Server;         // One request may be sent there, at once.
+  Duration RetryAfter = {}; // Time until a permit can be expected.
+
+  template <class Self, class Visitor>
+  static void fields(Self &M, Visitor &&Visit) {
+    Visit(M.Ticket, M.Result, M.Server, M.RetryAfter);
+  }
+};
+
 using SiteMessages =
     MessageList<ControlHeartbeat, EntrySync, SiteState, PlacementRequest,
-                PlacementReply, PlacementUpdate>;
+                PlacementReply, PlacementUpdate, LimitNotice, PermitRequest,
+                PermitReply>;
 
 } // namespace pimento
