routing, control: changed limits are told, not the whole table each time

Change: records go out by revision, changes are collected for 100 ms, and a limit within a tenth of the known one is the same one. The placer still learns a limit at once from the host that observes it. One function tells that the placer is silent, where two did.

--- a/packages/control/ControlHost.cpp
+++ b/packages/control/ControlHost.cpp
@@ -56,6 +56,7 @@
     tickLog(T);
     control::tickServers(T);
     tickQuarantine(T);
+    tickLimits(T);
     tickSpread(T);
     storeServers(T);
     answerPendingPuts(T);
@@ -125,7 +126,7 @@
 TimePoint nextWakeup(const ControlHost &S, TimePoint Now) {
   TimePoint Next =
       std::min({nextTick(S.Log), S.NextControlHeartbeat, S.NextServerTick});
-  Next = std::min(Next, S.Quarantine.JudgeAt);
+  Next = std::min({Next, S.Quarantine.JudgeAt, S.LimitsDueAt});
   if (!S.PendingPuts.empty())
     Next = std::min(Next, Now + milliseconds(100));
   if (S.StopAt != TimePoint())
--- a/packages/control/ControlHost.h
+++ b/packages/control/ControlHost.h
@@ -83,6 +83,13 @@
   RoutingVersion Newest;
 };
 
+/// What another host knows of the limits that backend servers name.
+struct LimitPeer {
+  std::uint64_t Digest = 0;       // Of the limits known there.
+  std::uint64_t SentDigest = 0;   // Of the limits after the last message to it.
+  std::uint64_t SentRevision = 0; // Revision of the limits sent to it.
+};
+
 /// State kept for another control host.
 struct ControlPeer {
   TimePoint LastSeen{}; // Time of the host's last heartbeat; the epoch: none.
@@ -91,7 +98,7 @@
   std::vector<ServerReport> Reports;  // Reports not sent yet.
   std::vector<TimePoint> Since;       // Arrival time of each of Reports.
   std::uint64_t QuarantineDigest = 0; // Of the host's quarantined parts.
-  std::uint64_t LimitDigest = 0;      // Of the limits known there.
+  LimitPeer Limits;                   // What it knows of limits.
 };
 
 /// State kept for an entry host that synchronises with this host.
@@ -112,7 +119,7 @@
   std::uint64_t SentSequence = 0; // Sequence of the last EntrySync answered.
   std::uint64_t QuarantineDigest = 0; // Of the quarantined parts known there.
   std::uint64_t WatchDigest = 0;      // Of the watched parts known there.
-  std::uint64_t LimitDigest = 0;      // Of the limits known there.
+  LimitPeer Limits;                   // What it knows of limits.
 };
 
 /// Progress of the newest configuration towards the entry hosts.
@@ -153,7 +160,8 @@
   TimePoint LeadershipChangedAt{}; // When WasLeading last changed.
   ServerLimits Limits;
   ServerRegistry Servers;
-  RequestLimits NamedLimits; // Named by backend servers.
+  RequestLimits NamedLimits;                // Named by backend servers.
+  TimePoint LimitsDueAt = TimePoint::max(); // Changed limits are sent then.
   PartQuarantine Quarantine; // Parts of prompts that crash engines.
   std::map<AccountPart, TimePoint> Clearances; // To be sent to control hosts.
   std::uint64_t StoredQuarantine = 0;          // Digest of those on the disk.
--- a/packages/control/ControlLimits.cpp
+++ b/packages/control/ControlLimits.cpp
@@ -6,10 +6,15 @@
 #include "base/Json.h"
 #include "base/Problem.h"
 
+#include <algorithm>
+
 namespace pimento::control {
 
 namespace {
 
+/// Time in which changes are collected before all hosts are told. The placer
+/// learns them at once from the hosts that observe them.
+constexpr Duration LimitSpreadDelay = milliseconds(100);
 constexpr const char *LimitsPath = "/v1/limits";
 
 void logLimit(ControlTurn &T, const ServerLimit &Limit) {
@@ -39,23 +44,37 @@
 
 } // namespace
 
-void onLimitUpdate(ControlTurn &T, const LimitUpdate &M) {
+void onLimitUpdate(ControlTurn &T, LimitPeer &Peer, const LimitUpdate &M) {
+  Peer.Digest = M.Digest;
+  if (M.Digest != Peer.SentDigest)
+    Peer.SentRevision = 0; // It may lack records that were sent to it.
   for (const ServerLimit &Record : M.Records) {
     if (!applyLimit(T.S.NamedLimits, Record, T.Now))
       continue;
     logLimit(T, Record);
-    T.S.UpdateDue = true;
+    T.S.LimitsDueAt = std::min(T.S.LimitsDueAt, T.Now + LimitSpreadDelay);
   }
 }
 
-LimitUpdate limitUpdateFor(const ControlTurn &T, std::uint64_t Known) {
+LimitUpdate limitUpdateFor(ControlTurn &T, LimitPeer &Peer) {
   LimitUpdate Update;
   Update.Digest = limitDigest(T.S.NamedLimits);
-  if (Update.Digest != Known)
-    Update.Records = limitRecords(T.S.NamedLimits, T.Now);
+  if (Update.Digest == Peer.Digest)
+    return Update;
+  Update.Records = limitRecords(T.S.NamedLimits, Peer.SentRevision, T.Now);
+  Peer.SentRevision = T.S.NamedLimits.Revision;
+  Peer.SentDigest = Update.Digest;
   return Update;
 }
 
+void tickLimits(ControlTurn &T) {
+  expireLimits(T.S.NamedLimits, T.S.Servers, T.Now);
+  if (T.Now < T.S.LimitsDueAt)
+    return;
+  T.S.LimitsDueAt = TimePoint::max();
+  T.S.UpdateDue = true;
+}
+
 bool limitCall(ControlTurn &T, ExchangeId Exchange, const HttpRequest &R) {
   if (R.Path != LimitsPath || R.Method != HttpMethod::Get)
     return false;
--- a/packages/control/ControlSpread.cpp
+++ b/packages/control/ControlSpread.cpp
@@ -66,7 +66,7 @@
     Heartbeat.Leaving = S.StopAt != TimePoint();
     Heartbeat.RequestsFullState = Peer.LastSeen == TimePoint();
     Heartbeat.Quarantine = quarantineUpdateFor(T, Peer);
-    Heartbeat.Limits = limitUpdateFor(T, Peer.LimitDigest);
+    Heartbeat.Limits = limitUpdateFor(T, Peer.Limits);
     if (T.Now < Peer.LastSeen + ControlHostTimeout)
       Heartbeat.Reports = takePendingReports(T, Peer);
     else
@@ -186,8 +186,7 @@
       quarantineUpdateFor(T, Entry.QuarantineDigest, Entry.WatchDigest);
   Entry.QuarantineDigest = State.Quarantine.Digest;
   Entry.WatchDigest = State.Quarantine.WatchDigest;
-  State.Limits = limitUpdateFor(T, Entry.LimitDigest);
-  Entry.LimitDigest = State.Limits.Digest;
+  State.Limits = limitUpdateFor(T, Entry.Limits);
   return State;
 }
 
@@ -215,7 +214,6 @@
     return;
   sendHeartbeats(T);
   forgetHosts(T);
-  expireLimits(T.S.NamedLimits, T.S.Servers, T.Now);
   choosePlacer(T);
 }
 
@@ -246,8 +244,7 @@
   }
   Peer.QuarantineDigest = M.Quarantine.Digest;
   onQuarantineUpdate(T, From, M.Quarantine);
-  Peer.LimitDigest = M.Limits.Digest;
-  onLimitUpdate(T, M.Limits);
+  onLimitUpdate(T, Peer.Limits, M.Limits);
 }
 
 void onEntrySync(ControlTurn &T, const HostId &From,
@@ -265,8 +262,7 @@
   Entry.QuarantineDigest = M.Quarantine.Digest;
   Entry.WatchDigest = M.Quarantine.WatchDigest;
   onQuarantineUpdate(T, From, M.Quarantine);
-  Entry.LimitDigest = M.Limits.Digest;
-  onLimitUpdate(T, M.Limits);
+  onLimitUpdate(T, Entry.Limits, M.Limits);
   bool Whole = M.ControlIncarnation != T.S.Incarnation ||
                M.Revision > T.S.Servers.Revision;
   Entry.SentRevision = Whole ? 0 : M.Revision;
--- a/packages/control/ControlTurn.h
+++ b/packages/control/ControlTurn.h
@@ -95,10 +95,12 @@
 bool routingCall(ControlTurn &T, ExchangeId Exchange, const HttpRequest &R);
 
 // ControlLimits.cpp
-/// Merges the limits that another host knows of.
-void onLimitUpdate(ControlTurn &T, const LimitUpdate &M);
-/// The limits for a host that knows those with the digest \p Known.
-LimitUpdate limitUpdateFor(const ControlTurn &T, std::uint64_t Known);
+/// Merges the limits of another host's message.
+void onLimitUpdate(ControlTurn &T, LimitPeer &Peer, const LimitUpdate &M);
+/// The limits that a host lacks.
+LimitUpdate limitUpdateFor(ControlTurn &T, LimitPeer &Peer);
+/// Has changed limits sent to all hosts when they are due.
+void tickLimits(ControlTurn &T);
 /// Answers an operator's query which backend servers are limited. Returns false
 /// for any other call.
 bool limitCall(ControlTurn &T, ExchangeId Exchange, const HttpRequest &R);
--- a/packages/gateway/GatewayTurn.h
+++ b/packages/gateway/GatewayTurn.h
@@ -102,6 +102,9 @@
 /// this host is the placer, no placer is known or the placer is avoided. May
 /// end the call.
 void requestPlacement(GatewayTurn &T, GatewayCall &C);
+/// The placer did not reply to the call's request: this host chooses servers by
+/// itself for a while.
+void avoidPlacer(GatewayTurn &T, const GatewayCall &C);
 void onPlacementReply(GatewayTurn &T, const HostId &From,
                       const PlacementReply &M);
 void onPlacementRequest(GatewayTurn &T, const HostId &From,
--- a/packages/gateway/LimitPart.cpp
+++ b/packages/gateway/LimitPart.cpp
@@ -20,8 +20,8 @@
 /// Interval at which a waiting request is sent again, in case the placer lost
 /// it.
 constexpr Duration PermitResendInterval = milliseconds(300);
-/// Time for which this host chooses by itself after the placer did not reply.
-constexpr Duration PlacerAvoidance = milliseconds(1000);
+/// Time in which limits are collected before the control host is told.
+constexpr Duration LimitReportDelay = milliseconds(50);
 /// Interval at which the placer logs how much of the limits is used.
 constexpr Duration UseLogInterval = seconds(5);
 
@@ -237,7 +237,7 @@
            Limit.PerSecond ? "an answer names a limit"
                            : "an answer names no limit any more");
   refreshLimits(T, /*IsReset=*/false);
-  syncSoon(T.S.Link, T.Now);
+  syncSoon(T.S.Link, T.Now + LimitReportDelay);
   send(T, T.S.Link.Placer, LimitNotice{Limit});
 }
 
@@ -257,7 +257,7 @@
   LimitUpdate M;
   M.Digest = limitDigest(T.S.NamedLimits);
   if (M.Digest != T.S.ControlLimitDigest)
-    M.Records = limitRecords(T.S.NamedLimits, T.Now);
+    M.Records = limitRecords(T.S.NamedLimits, 0, T.Now);
   return M;
 }
 
@@ -301,18 +301,12 @@
     requestRemotely(T, C, IsOptional);
     return;
   }
-  if (!C.Acknowledged) {
-    DecisionRecord Record{
-        "placer_silent", {}, "no reply to a permit request in time", {}};
-    Record.add("placer", T.S.Link.Placer.Value);
-    Record.add("waited_ms", toMilliseconds(T.Now - C.PlacementRequestedAt));
-    log(T, std::move(Record));
-  }
   if (IsOptional) {
     useOpenServer(T, C, Duration::zero());
     return;
   }
-  T.S.PlacerAvoidedUntil = T.Now + PlacerAvoidance;
+  if (!C.Acknowledged)
+    avoidPlacer(T, C);
   requestLocally(T, C, IsOptional);
 }
 
--- a/packages/gateway/PlacePart.cpp
+++ b/packages/gateway/PlacePart.cpp
@@ -199,6 +199,15 @@
          Now < S.PlacerAvoidedUntil;
 }
 
+void avoidPlacer(GatewayTurn &T, const GatewayCall &C) {
+  DecisionRecord Record{
+      "placer_silent", {}, "the placer did not reply in time", {}};
+  Record.add("placer", T.S.Link.Placer.Value);
+  Record.add("waited_ms", toMilliseconds(T.Now - C.PlacementRequestedAt));
+  log(T, std::move(Record));
+  T.S.PlacerAvoidedUntil = T.Now + PlacerAvoidance;
+}
+
 void requestPlacement(GatewayTurn &T, GatewayCall &C) {
   C.Stage = CallStage::Placing;
   C.PlacementRequestedAt = T.Now;
@@ -288,14 +297,8 @@
     placeRemotely(T, C);
     return;
   }
-  if (!C.Acknowledged) {
-    DecisionRecord Record{
-        "placer_silent", {}, "no reply to a placement request in time", {}};
-    Record.add("placer", T.S.Link.Placer.Value);
-    Record.add("waited_ms", toMilliseconds(T.Now - C.PlacementRequestedAt));
-    log(T, std::move(Record));
-    T.S.PlacerAvoidedUntil = T.Now + PlacerAvoidance;
-  }
+  if (!C.Acknowledged)
+    avoidPlacer(T, C);
   placeLocally(T, C);
 }
 
--- a/packages/gateway/tests/LimitTest.cpp
+++ b/packages/gateway/tests/LimitTest.cpp
@@ -177,6 +177,7 @@
     L.name(FirstPlain + I, "0.3");
   L.run(seconds(4));
   std::vector<std::string> Attempts;
+  Attempts.reserve(60);
   L.PlainEvery = Duration::max();
   for (int I = 0; I < 60; ++I)
     Attempts.push_back(L.Site.callPlain(L.Site.anyEntry()));
--- a/packages/routing/RequestLimits.cpp
+++ b/packages/routing/RequestLimits.cpp
@@ -3,6 +3,7 @@
 #include <xxhash.h>
 
 #include <algorithm>
+#include <cmath>
 
 namespace pimento {
 
@@ -11,6 +12,9 @@
 /// Time for which a record that limits nobody is kept, so that an older record
 /// of another host does not bring the limit back.
 constexpr Duration RecordRetention = seconds(30);
+/// Share by which a limit may differ from the known one and count as the same.
+/// A server may name another number in each answer; all hosts would be told.
+constexpr double NegligibleChange = 0.1;
 /// Limit of records, far above the servers of a site. Bounds the memory that
 /// records of other hosts can take.
 constexpr std::size_t MaxRecords = 16384;
@@ -22,12 +26,20 @@
          Found->second.Report.Incarnation <= Known.Incarnation;
 }
 
+/// Whether two limits differ by more than NegligibleChange.
+bool isOther(std::optional<double> A, std::optional<double> B) {
+  if (!A || !B)
+    return A.has_value() != B.has_value();
+  return std::abs(*A - *B) > NegligibleChange * std::max(*A, *B);
+}
+
 bool update(RequestLimits &Limits, const BackendId &Server, KnownLimit Next) {
   auto Found = Limits.Servers.find(Server);
   if (Found == Limits.Servers.end()) {
     if (!Next.PerSecond || Limits.Servers.size() >= MaxRecords)
       return false;
-    Limits.Servers.emplace(Server, std::move(Next));
+    Next.Revision = ++Limits.Revision;
+    Limits.Servers.emplace(Server, Next);
     return true;
   }
   KnownLimit &Known = Found->second;
@@ -37,11 +49,15 @@
   if (IsOlder)
     return false;
   bool Changed = Next.Incarnation != Known.Incarnation ||
-                 Next.PerSecond != Known.PerSecond;
-  if (!Changed)
-    Next.Since = std::min(Next.Since, Known.Since);
-  Known = std::move(Next);
-  return Changed;
+                 isOther(Next.PerSecond, Known.PerSecond);
+  if (!Changed) {
+    Known.ObservedAt = Next.ObservedAt;
+    Known.Since = std::min(Next.Since, Known.Since);
+    return false;
+  }
+  Next.Revision = ++Limits.Revision;
+  Known = Next;
+  return true;
 }
 
 } // namespace
@@ -49,7 +65,7 @@
 bool observeLimit(RequestLimits &Limits, const BackendId &Server,
                   IncarnationNumber Incarnation,
                   std::optional<double> PerSecond, TimePoint Now) {
-  return update(Limits, Server, {Incarnation, PerSecond, Now, Now});
+  return update(Limits, Server, {Incarnation, PerSecond, Now, Now, 0});
 }
 
 bool applyLimit(RequestLimits &Limits, const ServerLimit &Record,
@@ -60,7 +76,7 @@
     return false;
   return update(Limits, Record.Server,
                 {Record.Incarnation, Record.PerSecond, Now - Record.Held,
-                 Now - Record.Age});
+                 Now - Record.Age, 0});
 }
 
 void expireLimits(RequestLimits &Limits, const ServerRegistry &Servers,
@@ -82,11 +98,14 @@
 }
 
 std::vector<ServerLimit> limitRecords(const RequestLimits &Limits,
-                                      TimePoint Now) {
+                                      std::uint64_t Since, TimePoint Now) {
   std::vector<ServerLimit> Records;
-  for (const auto &[Server, Known] : Limits.Servers)
+  for (const auto &[Server, Known] : Limits.Servers) {
+    if (Known.Revision <= Since)
+      continue;
     Records.push_back({Server, Known.Incarnation, Known.PerSecond,
                        Now - Known.ObservedAt, Now - Known.Since});
+  }
   return Records;
 }
 
--- a/packages/routing/RequestLimits.h
+++ b/packages/routing/RequestLimits.h
@@ -30,10 +30,12 @@
                                      // more.
   TimePoint Since{};                 // First answer with this limit.
   TimePoint ObservedAt{};            // Latest answer.
+  std::uint64_t Revision = 0; // Revision of the table at the last change.
 };
 
 struct RequestLimits {
   std::map<BackendId, KnownLimit> Servers;
+  std::uint64_t Revision = 0; // Incremented by each change of a limit.
 };
 
 /// Records what an answer said. Returns true if the limit changed.
@@ -55,9 +57,10 @@
                               const BackendId &Server,
                               IncarnationNumber Incarnation);
 
-/// All records, to be sent to another host.
+/// The records that changed after revision \p Since, to be sent to another
+/// host.
 std::vector<ServerLimit> limitRecords(const RequestLimits &Limits,
-                                      TimePoint Now);
+                                      std::uint64_t Since, TimePoint Now);
 
 /// Equal for hosts that know the same limits; zero: none.
 std::uint64_t limitDigest(const RequestLimits &Limits);
--- a/packages/routing/tests/RequestLimitsTest.cpp
+++ b/packages/routing/tests/RequestLimitsTest.cpp
@@ -11,7 +11,7 @@
 
 /// Sends all that \p From knows to \p To.
 void tell(const RequestLimits &From, RequestLimits &To, TimePoint Now) {
-  for (const ServerLimit &Record : limitRecords(From, Now))
+  for (const ServerLimit &Record : limitRecords(From, 0, Now))
     applyLimit(To, Record, Now);
 }
 
@@ -47,6 +47,32 @@
   BOOST_TEST(limitDigest(A) == limitDigest(B));
 }
 
+/// Guards against a server that names another number in each answer, which all
+/// hosts would be told each time.
+BOOST_AUTO_TEST_CASE(SmallChangesAreNotTold) {
+  RequestLimits L;
+  observeLimit(L, Server, 1, 2.5, Start);
+  std::uint64_t Digest = limitDigest(L);
+  for (int I = 1; I < 20; ++I)
+    BOOST_TEST(
+        !observeLimit(L, Server, 1, 2.4 + 0.01 * I, Start + milliseconds(I)));
+  BOOST_TEST(limitDigest(L) == Digest);
+  BOOST_TEST(observeLimit(L, Server, 1, 2.0, Start + seconds(1)));
+  BOOST_TEST(observeLimit(L, Server, 1, 0.0, Start + seconds(2)));
+  BOOST_TEST(!observeLimit(L, Server, 1, 0.0, Start + seconds(3)));
+}
+
+BOOST_AUTO_TEST_CASE(OnlyChangedRecordsAreSent) {
+  RequestLimits L;
+  observeLimit(L, Server, 1, 2.5, Start);
+  std::uint64_t Before = L.Revision;
+  observeLimit(L, BackendId("i-2"), 1, 1.0, Start);
+  observeLimit(L, Server, 1, 2.5, Start + seconds(1));
+  std::vector<ServerLimit> Records = limitRecords(L, Before, Start);
+  BOOST_REQUIRE(Records.size() == 1U);
+  BOOST_TEST(Records[0].Server.Value == "i-2");
+}
+
 BOOST_AUTO_TEST_CASE(RestartedServerHasNoLimit) {
   RequestLimits L;
   observeLimit(L, Server, 1, 2.5, Start);
