wire, tests: names of site state and of the simulated site say what they hold

SiteState's Whole, Base, Entries and Current are ListsAllServers, BaseRevision, EntryHosts and IsCurrent; EndStream's Whole is IsComplete. The simulated site of the gateway's tests has plain servers and limits by now: CrashSite is ServerSite, its CrashEngine a SiteServer.

--- a/packages/calls/Effects.h
+++ b/packages/calls/Effects.h
@@ -39,7 +39,7 @@
 /// Ends a streamed reply after all its bytes are written.
 struct EndStream {
   ExchangeId Exchange{};
-  bool Whole = true; // False: close the connection without the last chunk.
+  bool IsComplete = true; // False: close the connection without the last chunk.
 };
 
 /// Closes the connection of a caller that stopped reading.
--- a/packages/calls/tests/GenerationTest.cpp
+++ b/packages/calls/tests/GenerationTest.cpp
@@ -54,7 +54,7 @@
   BOOST_TEST(R.none<StartStream>());
   R.data(G.Call, endLine(G.Attempt, 2));
   BOOST_TEST(isDone(R.one<StreamBytes>().Bytes));
-  BOOST_TEST(R.one<EndStream>().Whole);
+  BOOST_TEST(R.one<EndStream>().IsComplete);
   Release Report = R.one<SendRelease>().Content;
   BOOST_TEST((Report.End == AttemptEnd::Finished));
   BOOST_TEST(Report.OutputTokens == 2U);
@@ -76,7 +76,7 @@
   BOOST_TEST(G.token(0, "one").empty()); // A duplicate token.
   BOOST_TEST(!G.token(1, "two").empty());
   R.data(G.Call, endLine(G.Attempt, 2));
-  BOOST_TEST(R.one<EndStream>().Whole);
+  BOOST_TEST(R.one<EndStream>().IsComplete);
 }
 
 BOOST_AUTO_TEST_CASE(TruncatedAnswerIsResumedInsteadOfDelivered) {
@@ -142,7 +142,7 @@
   BOOST_TEST(!isDone(R.one<StreamBytes>().Bytes));
   BOOST_TEST(R.one<StreamBytes>().Bytes.find("\"code\":302") !=
              std::string::npos);
-  BOOST_TEST(!R.one<EndStream>().Whole);
+  BOOST_TEST(!R.one<EndStream>().IsComplete);
 }
 
 BOOST_AUTO_TEST_CASE(NotRunIsReportedOnlyWithProof) {
@@ -437,7 +437,7 @@
   R.Dir.RefuseNew = true;
   G.token(0, "one");
   R.data(G.Call, endLine(G.Attempt, 1));
-  BOOST_TEST(R.one<EndStream>().Whole);
+  BOOST_TEST(R.one<EndStream>().IsComplete);
   R.drained(G.Exchange);
   for (int I = 0; I < 19; ++I) {
     R.pass(seconds(1));
@@ -447,7 +447,7 @@
   R.pass(seconds(1));
   BOOST_TEST(R.one<StreamBytes>().Bytes.find("\"code\":306") !=
              std::string::npos);
-  BOOST_TEST(!R.one<EndStream>().Whole);
+  BOOST_TEST(!R.one<EndStream>().IsComplete);
   for (const OpenUpstream &Cancel : R.all<OpenUpstream>())
     R.head(Cancel.Upstream, 200);
   R.pass(seconds(1));
--- a/packages/calls/tests/World.cpp
+++ b/packages/calls/tests/World.cpp
@@ -204,7 +204,7 @@
     std::string Text = streamText(Call.Stream);
     Call.Outcome = Done ? "answered" : "failed";
     Call.IncompleteAnswer =
-        Done != End->Whole || (Done && Text != Call.Expected);
+        Done != End->IsComplete || (Done && Text != Call.Expected);
     Call.ForeignAnswer = Call.Expected.compare(0, Text.size(), Text) != 0;
   } else if (auto *Open = std::get_if<OpenUpstream>(&E)) {
     open(Host, *Open);
--- a/packages/control/ControlSpread.cpp
+++ b/packages/control/ControlSpread.cpp
@@ -169,18 +169,18 @@
 SiteState siteStateFor(ControlTurn &T, EntryPeer &Entry, bool Whole) {
   const ControlHost &S = T.S;
   SiteState State;
-  State.Current = isCurrent(S, T.Now);
+  State.IsCurrent = isCurrent(S, T.Now);
   State.Leader = leader(S.Log);
   State.Config = S.NewestRouting.Number;
   State.ControlIncarnation = S.Incarnation;
   State.Revision = S.Servers.Revision;
-  State.Whole = Whole;
-  State.Base = Whole ? 0 : Entry.SentRevision;
+  State.ListsAllServers = Whole;
+  State.BaseRevision = Whole ? 0 : Entry.SentRevision;
   State.Servers =
       changedServers(S.Servers, Whole ? 0 : Entry.SentRevision, T.Now);
   Entry.SentRevision = S.Servers.Revision;
   State.Controls = liveControlHosts(S, T.Now);
-  State.Entries = liveEntryHostCount(T);
+  State.EntryHosts = liveEntryHostCount(T);
   State.Placer = S.Placer;
   State.Quarantine =
       quarantineUpdateFor(T, Entry.QuarantineDigest, Entry.WatchDigest);
--- a/packages/control/tests/ControlTest.cpp
+++ b/packages/control/tests/ControlTest.cpp
@@ -433,7 +433,7 @@
   Site.Net.runFor(milliseconds(50));
   auto FullState =
       std::find_if(Site.States[Entry].begin(), Site.States[Entry].end(),
-                   [](const SiteState &M) { return M.Whole; });
+                   [](const SiteState &M) { return M.ListsAllServers; });
   BOOST_TEST_REQUIRE((FullState != Site.States[Entry].end()));
   BOOST_TEST_REQUIRE(FullState->Servers.size() == 1U);
   BOOST_TEST((FullState->Servers[0].Phase == ServerPhase::Ready));
--- a/packages/gateway/ControlLink.cpp
+++ b/packages/gateway/ControlLink.cpp
@@ -86,7 +86,7 @@
     L.Answered = M.Sequence;
     L.OldestPendingAt = Now;
   }
-  if (!M.Current) {
+  if (!M.IsCurrent) {
     if (FromActive) {
       abandonControl(L, NotCurrentAvoidance, Now);
       L.NextSyncAt = Now + NotCurrentSyncDelay;
@@ -104,7 +104,7 @@
     // A new leader names no placer at first; the previous placer is kept.
     if (!M.Placer.empty())
       L.Placer = M.Placer;
-    L.Entries = std::max<std::uint64_t>(1, M.Entries);
+    L.Entries = std::max<std::uint64_t>(1, M.EntryHosts);
   }
   if (FromActive && M.Leader != From && !M.Leader.empty() &&
       !isAvoided(L, M.Leader, Now)) {
@@ -114,8 +114,9 @@
   }
   // A partial server list applies only to a revision from the same incarnation
   // of the control host, with no changes missing in between.
-  bool Follows = M.Whole || (M.ControlIncarnation == L.ControlIncarnation &&
-                             M.Base <= L.Revision);
+  bool Follows =
+      M.ListsAllServers || (M.ControlIncarnation == L.ControlIncarnation &&
+                            M.BaseRevision <= L.Revision);
   if (Follows) {
     L.ControlIncarnation = M.ControlIncarnation;
     L.Revision = M.Revision;
--- a/packages/gateway/SitePart.cpp
+++ b/packages/gateway/SitePart.cpp
@@ -59,7 +59,7 @@
     Changed = true;
     logServer(T, R);
   }
-  if (!M.Whole)
+  if (!M.ListsAllServers)
     return Changed;
   for (auto It = S.Servers.Servers.begin(); It != S.Servers.Servers.end();) {
     auto Is = [&, Id = &It->first](const ServerReport &R) {
--- a/packages/gateway/tests/ControlLinkTest.cpp
+++ b/packages/gateway/tests/ControlLinkTest.cpp
@@ -22,7 +22,7 @@
   SiteState state(const char *Leader, bool Current = true) {
     SiteState M;
     M.Sequence = Link.Sequence;
-    M.Current = Current;
+    M.IsCurrent = Current;
     M.Leader = HostId(Leader);
     M.Controls = {HostId("a"), HostId("b"), HostId("c")};
     M.ControlIncarnation = 1;
@@ -70,16 +70,16 @@
 BOOST_FIXTURE_TEST_CASE(RevisionDoesNotSkipALostUpdate, Fixture) {
   HostId Queried = tick(Start)->To;
   SiteState Whole = state(Queried.Value.c_str());
-  Whole.Whole = true;
+  Whole.ListsAllServers = true;
   BOOST_TEST(applySiteState(Link, Queried, Whole, Start));
   BOOST_TEST(Link.Revision == 4U);
   SiteState Later = state(Queried.Value.c_str());
   Later.Sequence = 0;
-  Later.Base = 6; // The update from revision 4 to 6 was lost.
+  Later.BaseRevision = 6; // The update from revision 4 to 6 was lost.
   Later.Revision = 7;
   BOOST_TEST(applySiteState(Link, Queried, Later, Start));
   BOOST_TEST(Link.Revision == 4U);
-  Later.Base = 4;
+  Later.BaseRevision = 4;
   BOOST_TEST(applySiteState(Link, Queried, Later, Start));
   BOOST_TEST(Link.Revision == 7U);
 }
--- a/packages/gateway/tests/CrashingPartTest.cpp
+++ b/packages/gateway/tests/CrashingPartTest.cpp
@@ -1,6 +1,6 @@
 #include <boost/test/unit_test.hpp>
 
-#include "gateway/tests/CrashSite.h"
+#include "gateway/tests/ServerSite.h"
 #include "testing/KnownRed.h"
 
 using namespace pimento;
@@ -17,7 +17,7 @@
 constexpr Duration SettledAfter = seconds(6);
 
 /// Runs sound requests alone, then with bad ones, and checks both rules.
-void checkContainment(const char *Name, CrashSite &Site,
+void checkContainment(const char *Name, ServerSite &Site,
                       const std::function<void()> &Action = {}) {
   TimePoint Begin = Site.now();
   std::vector<PartId> Bad = Site.BadParts;
@@ -44,14 +44,14 @@
 /// Guards against BUDGET: requests with one part in their prompts crashed
 /// engine after engine, since nothing related the crashes to that part.
 BOOST_AUTO_TEST_CASE(PartThatCrashesEnginesIsContained) {
-  CrashSite Site(1);
+  ServerSite Site(1);
   Site.BadParts = {PartId{0xbad}};
   checkContainment("PartThatCrashesEnginesIsContained", Site);
 }
 
 /// Guards against BUDGET where the bad part comes first in the prompt.
 BOOST_AUTO_TEST_CASE(FirstPartThatCrashesEnginesIsContained) {
-  CrashSite Site(2);
+  ServerSite Site(2);
   Site.Load.BadIsFirst = true;
   Site.BadParts = {PartId{0xbad}};
   checkContainment("FirstPartThatCrashesEnginesIsContained", Site);
@@ -59,7 +59,7 @@
 
 /// Guards against BUDGET with two bad parts at once, whose crashes interleave.
 BOOST_AUTO_TEST_CASE(TwoPartsThatCrashEnginesAreContained) {
-  CrashSite Site(3);
+  ServerSite Site(3);
   Site.BadParts = {PartId{0xbad}, PartId{0xbad2}};
   checkContainment("TwoPartsThatCrashEnginesAreContained", Site);
 }
@@ -67,7 +67,7 @@
 /// Guards against BUDGET while engines also end for other reasons: their
 /// crashes must neither hide the part nor accuse others.
 BOOST_AUTO_TEST_CASE(PartIsContainedWhileEnginesCrashByThemselves) {
-  CrashSite Site(4);
+  ServerSite Site(4);
   Site.BadParts = {PartId{0xbad}};
   TimePoint NextAt = Site.now();
   std::size_t Engine = 0;
@@ -82,7 +82,7 @@
 /// Guards against BUDGET after the loss of hosts: entry hosts are killed one
 /// after the other, the placer among them, and start knowing nothing.
 BOOST_AUTO_TEST_CASE(PartStaysContainedWhileEntryHostsRestart) {
-  CrashSite Site(5);
+  ServerSite Site(5);
   Site.BadParts = {PartId{0xbad}};
   TimePoint NextAt = Site.now() + seconds(10);
   std::size_t Index = 0;
@@ -100,7 +100,7 @@
 /// Guards against BUDGET before any request was answered: the part that all
 /// requests share cannot be told from the bad one by crashes alone.
 BOOST_AUTO_TEST_CASE(PartIsContainedBeforeAnyAnswer) {
-  CrashSite Site(12);
+  ServerSite Site(12);
   Site.BadParts = {PartId{0xbad}};
   TimePoint From = Site.now();
   Site.run(seconds(25));
@@ -113,7 +113,7 @@
 /// once: the control hosts keep it on their disks, and hosts that start learn
 /// it.
 BOOST_AUTO_TEST_CASE(QuarantineOutlivesTheLossOfAllHosts) {
-  CrashSite Site(6);
+  ServerSite Site(6);
   Site.BadParts = {PartId{0xbad}};
   Site.run(seconds(10));
   for (const HostId &Host : Site.Control.Seeds)
@@ -133,7 +133,7 @@
 /// Guards against a quarantine that ends or starts late while the control hosts
 /// have no leader.
 BOOST_AUTO_TEST_CASE(QuarantineHoldsWithoutALeader) {
-  CrashSite Site(7);
+  ServerSite Site(7);
   Site.BadParts = {PartId{0xbad}};
   Site.run(seconds(8));
   HostId Leader = Site.Control.leader();
@@ -151,7 +151,7 @@
 /// Guards against engines that are crashed again and again to see whether the
 /// part still does so.
 BOOST_AUTO_TEST_CASE(TrialsOfABadPartAreFew) {
-  CrashSite Site(8);
+  ServerSite Site(8);
   Site.Load.SoundEvery = milliseconds(200);
   Site.BadParts = {PartId{0xbad}};
   Site.run(std::chrono::minutes(25));
@@ -161,7 +161,7 @@
 
 /// Guards against a part that stays refused although it is cured.
 BOOST_AUTO_TEST_CASE(CuredPartIsServedAgain) {
-  CrashSite Site(9);
+  ServerSite Site(9);
   Site.Load.SoundEvery = milliseconds(200);
   Site.BadParts = {PartId{0xbad}};
   Site.run(seconds(12));
@@ -177,7 +177,7 @@
 /// Guards against sound callers that pay for engines that end for other
 /// reasons: one by one, and many at once.
 BOOST_AUTO_TEST_CASE(CrashesForOtherReasonsRefuseNobody) {
-  CrashSite Site(10);
+  ServerSite Site(10);
   Site.run(seconds(2));
   TimePoint NextAt = Site.now();
   int Round = 0;
@@ -196,7 +196,7 @@
 /// Guards against an account that has the shared part of others quarantined by
 /// sending prompts that crash engines for another reason.
 BOOST_AUTO_TEST_CASE(BadRequestsOfOneAccountRefuseNoOther) {
-  CrashSite Site(11);
+  ServerSite Site(11);
   Site.run(seconds(4));
   Site.Load.OneBadAccount = true;
   // The part that all sound requests of account b share.
@@ -214,7 +214,7 @@
 
 /// Guards against a quarantine that operators can neither see nor end.
 BOOST_AUTO_TEST_CASE(OperatorsSeeAndLiftQuarantines) {
-  CrashSite Site(13);
+  ServerSite Site(13);
   Site.run(seconds(4));
   Site.BadParts = {PartId{0xbad}};
   Site.run(seconds(2)); // The first trial comes later.
@@ -240,7 +240,7 @@
 /// Guards against evidence that no single host has: each entry host sends one
 /// bad request and sees its crash, and the placer is lost right afterwards.
 BOOST_AUTO_TEST_CASE(CrashesSeenByDifferentHostsAreCompared) {
-  CrashSite Site(14);
+  ServerSite Site(14);
   Site.run(seconds(4));
   std::uint64_t Own = 0xf000;
   auto SendFromEach = [&] {
--- a/packages/gateway/tests/GatewayFixture.h
+++ b/packages/gateway/tests/GatewayFixture.h
@@ -96,11 +96,11 @@
                         std::uint64_t Number = 3) {
     SiteState M;
     M.Sequence = S.Link.Sequence;
-    M.Current = true;
+    M.IsCurrent = true;
     M.Leader = Control;
     M.Config = Number;
     M.Text.Data = Text;
-    M.Whole = true;
+    M.ListsAllServers = true;
     M.Servers = {server("e1", "llm", "10.0.1.1:80"),
                  server("e2", "llm", "10.0.1.2:80"),
                  server("p1", "plain", "10.0.2.1:80"),
@@ -112,7 +112,7 @@
   void namePlacer(const char *Placer) {
     SiteState M;
     M.Sequence = S.Link.Sequence;
-    M.Current = true;
+    M.IsCurrent = true;
     M.Leader = Control;
     M.Config = 3;
     M.Placer = HostId(Placer);
--- a/packages/gateway/tests/GatewayStreamTest.cpp
+++ b/packages/gateway/tests/GatewayStreamTest.cpp
@@ -22,7 +22,7 @@
   R.event(UpstreamData{Second.Upstream, "id: 2\ndata: b\n\n"});
   BOOST_TEST(R.only<calls::StreamBytes>().Bytes == "id: 2\ndata: b\n\n");
   R.event(UpstreamEnd{Second.Upstream, true});
-  BOOST_TEST(R.only<calls::EndStream>().Whole);
+  BOOST_TEST(R.only<calls::EndStream>().IsComplete);
   BOOST_TEST(R.S.Engines.Placed.empty());
 }
 
@@ -36,7 +36,7 @@
     R.event(UpstreamData{Open.Upstream, "id: 1\ndata: a\n\n"});
     R.failUpstream(Open.Upstream, true);
   }
-  BOOST_TEST(!R.only<calls::EndStream>().Whole);
+  BOOST_TEST(!R.only<calls::EndStream>().IsComplete);
   BOOST_TEST(R.S.Calls.empty());
 }
 
@@ -130,7 +130,7 @@
   R.event(UpstreamEnd{Open.Upstream, false});
   calls::OpenUpstream Query = onlyQuery(R);
   R.event(UpstreamHead{Query.Upstream, 200, {}});
-  BOOST_TEST(R.only<calls::EndStream>().Whole);
+  BOOST_TEST(R.only<calls::EndStream>().IsComplete);
   BOOST_TEST(R.S.Calls.empty());
   BOOST_TEST(R.S.ByUpstream.empty());
 }
--- a/packages/gateway/tests/GatewayTest.cpp
+++ b/packages/gateway/tests/GatewayTest.cpp
@@ -23,7 +23,7 @@
   for (bool InContact : {true, false}) {
     GatewayFixture R;
     SiteState Newer;
-    Newer.Current = true;
+    Newer.IsCurrent = true;
     Newer.Leader = Control;
     Newer.Config = 9;
     R.event(PeerMessage{Control, 1, Newer});
@@ -260,5 +260,5 @@
   BOOST_TEST(!headerValue(Reply.Reply.Headers, "Retry-After").empty());
   R.event(UpstreamData{Upstream, "id: 1\ndata: a\n\n"});
   R.event(UpstreamEnd{Upstream, true});
-  BOOST_TEST(R.only<calls::EndStream>().Whole);
+  BOOST_TEST(R.only<calls::EndStream>().IsComplete);
 }
--- a/packages/gateway/tests/LimitTest.cpp
+++ b/packages/gateway/tests/LimitTest.cpp
@@ -1,7 +1,7 @@
 // Backend servers that name a limit of requests a second. All hosts together
 // keep it, on every path to a server, and other servers take the work.
 
-#include "gateway/tests/CrashSite.h"
+#include "gateway/tests/ServerSite.h"
 #include "testing/KnownRed.h"
 
 #include <boost/test/unit_test.hpp>
@@ -25,7 +25,7 @@
 
 /// Most requests that the server got in a window that begins at or after
 /// \p From.
-std::size_t mostInWindow(const CrashEngine &E, TimePoint From) {
+std::size_t mostInWindow(const SiteServer &E, TimePoint From) {
   std::size_t Most = 0;
   for (auto It = E.Received.begin(); It != E.Received.end(); ++It) {
     if (*It < From)
@@ -36,7 +36,7 @@
   return Most;
 }
 
-std::size_t receivedSince(const CrashEngine &E, TimePoint From) {
+std::size_t receivedSince(const SiteServer &E, TimePoint From) {
   return static_cast<std::size_t>(
       E.Received.end() -
       std::lower_bound(E.Received.begin(), E.Received.end(), From));
@@ -50,7 +50,7 @@
 constexpr std::size_t FirstPlain = 10;
 
 struct LimitSite {
-  CrashSite Site;
+  ServerSite Site;
   TimePoint NamedAt{};
   Duration PlainEvery = CallInterval;
   TimePoint PlainAt{};
@@ -157,7 +157,7 @@
   TimePoint From = L.Site.now();
   L.run(seconds(12));
   for (std::size_t I = 0; I < 4; ++I) {
-    const CrashEngine &E = L.Site.Engines[FirstPlain + I];
+    const SiteServer &E = L.Site.Engines[FirstPlain + I];
     L.expectKept("LimitsOfAllPlainServersAreUsedEvenly", FirstPlain + I, 2);
     // Twelve seconds at 2 a second; a fifth is for the ways between hosts.
     BOOST_TEST(receivedSince(E, From) >= 19U);
--- a/packages/gateway/tests/CrashSite.cpp
+++ b/packages/gateway/tests/ServerSite.cpp
@@ -1,4 +1,4 @@
-#include "gateway/tests/CrashSite.h"
+#include "gateway/tests/ServerSite.h"
 
 #include <algorithm>
 
@@ -43,7 +43,7 @@
     R"({"name":"b","apiKeys":["kb"]},{"name":"c","apiKeys":["kc"]}]})";
 
 std::vector<HttpHeader> answerHead(const std::string &Attempt,
-                                   const CrashEngine &E) {
+                                   const SiteServer &E) {
   std::vector<HttpHeader> Headers = {{"X-Pimentoglade-Attempt-Id", Attempt},
                                      {"X-Pimentoglade-Replica-Stamp", "s"}};
   if (E.Service == "llm")
@@ -54,7 +54,7 @@
 
 } // namespace
 
-CrashSite::CrashSite(std::uint64_t Seed)
+ServerSite::ServerSite(std::uint64_t Seed)
     : Control(Seed, {"10.0.0.1", "10.0.0.2", "10.0.0.3"}), Rng(Seed) {
   Control.OnOtherHost = [this](const HostId &From, const SendPeer &Send) {
     Letters.push_back({now() + LinkDelay, From, Send.To, 1, Send.Content});
@@ -62,14 +62,14 @@
   Control.startAll(true);
   HostId Leader = Control.waitForLeader(seconds(5));
   for (int I = 0; I < EngineCount; ++I) {
-    CrashEngine E;
+    SiteServer E;
     E.Address = "10.0.2." + std::to_string(I + 1) + ":80";
     E.Id = "e" + std::to_string(NextEngine++);
     E.Born = NextEngine;
     Engines.push_back(std::move(E));
   }
   for (int I = 0; I < PlainCount; ++I) {
-    CrashEngine E;
+    SiteServer E;
     E.Service = "plain";
     E.Address = "10.0.3." + std::to_string(I + 1) + ":80";
     E.Id = "p" + std::to_string(NextEngine++);
@@ -87,7 +87,7 @@
   BadAt = now();
 }
 
-void CrashSite::startEntry(const HostId &Name) {
+void ServerSite::startEntry(const HostId &Name) {
   GatewayStart G;
   G.Config.Host.PeerAddress = Name.Value + ":7340";
   G.Config.Join.Role = "entry";
@@ -105,11 +105,11 @@
   N.Up = true;
 }
 
-void CrashSite::killEntry(const HostId &Name, Duration Down) {
+void ServerSite::killEntry(const HostId &Name, Duration Down) {
   EntryNode &N = Entries.at(Name);
   N.Up = false;
   N.BackAt = now() + Down;
-  for (CrashEngine &E : Engines) {
+  for (SiteServer &E : Engines) {
     auto Is = [&](const EngineRun &R) { return R.Host == Name; };
     E.Runs.erase(std::remove_if(E.Runs.begin(), E.Runs.end(), Is),
                  E.Runs.end());
@@ -120,12 +120,12 @@
   }
 }
 
-void CrashSite::event(EntryNode &N, const Event &E) {
+void ServerSite::event(EntryNode &N, const Event &E) {
   for (const Effect &Out : reduceGateway(N.State, E, now()))
     perform(N, Out);
 }
 
-void CrashSite::perform(EntryNode &N, const Effect &E) {
+void ServerSite::perform(EntryNode &N, const Effect &E) {
   auto ViewOf = [&](ExchangeId Exchange) -> CallerView & {
     return Callers[Exchanges[{N.Name, Exchange}]];
   };
@@ -135,7 +135,7 @@
   } else if (const auto *Open = std::get_if<calls::OpenUpstream>(&E)) {
     open(N, *Open);
   } else if (const auto *Abort = std::get_if<calls::AbortUpstream>(&E)) {
-    for (CrashEngine &Engine : Engines) {
+    for (SiteServer &Engine : Engines) {
       auto Is = [&](const EngineRun &R) {
         return R.Host == N.Name && R.Upstream == Abort->Upstream;
       };
@@ -146,7 +146,7 @@
   } else if (const auto *Bytes = std::get_if<calls::StreamBytes>(&E)) {
     ViewOf(Bytes->Exchange).Began = true;
   } else if (const auto *End = std::get_if<calls::EndStream>(&E)) {
-    ViewOf(End->Exchange).Complete = End->Whole;
+    ViewOf(End->Exchange).Complete = End->IsComplete;
   } else if (const auto *Reply = std::get_if<calls::SendReply>(&E)) {
     CallerView &View = ViewOf(Reply->Exchange);
     View.Status = Reply->Reply.Status;
@@ -156,17 +156,17 @@
   }
 }
 
-void CrashSite::answerAtOnce(EntryNode &N, UpstreamId Upstream, int Status,
-                             std::vector<HttpHeader> Headers,
-                             std::string Body) {
+void ServerSite::answerAtOnce(EntryNode &N, UpstreamId Upstream, int Status,
+                              std::vector<HttpHeader> Headers,
+                              std::string Body) {
   event(N, UpstreamHead{Upstream, Status, std::move(Headers)});
   if (!Body.empty())
     event(N, UpstreamData{Upstream, std::move(Body)});
   event(N, UpstreamEnd{Upstream, true});
 }
 
-void CrashSite::open(EntryNode &N, const calls::OpenUpstream &Open) {
-  auto Is = [&](const CrashEngine &E) {
+void ServerSite::open(EntryNode &N, const calls::OpenUpstream &Open) {
+  auto Is = [&](const SiteServer &E) {
     return E.Address == Open.Request.Address;
   };
   auto Engine = std::find_if(Engines.begin(), Engines.end(), Is);
@@ -205,8 +205,8 @@
   Engine->Runs.push_back(std::move(Run));
 }
 
-void CrashSite::crash(std::size_t Engine, bool ByRequest) {
-  CrashEngine &E = Engines.at(Engine);
+void ServerSite::crash(std::size_t Engine, bool ByRequest) {
+  SiteServer &E = Engines.at(Engine);
   if (!E.Up)
     return;
   E.Up = false;
@@ -224,7 +224,7 @@
   }
 }
 
-void CrashSite::report(CrashEngine &E) {
+void ServerSite::report(SiteServer &E) {
   E.ReportAt = now() + ReportInterval;
   std::string Body = R"({"service":")" + E.Service + R"(","address":")" +
                      E.Address +
@@ -241,8 +241,8 @@
     Control.request(To, HttpMethod::Post, Path.c_str(), Body);
 }
 
-void CrashSite::stepEngine(std::size_t Index) {
-  CrashEngine &E = Engines[Index];
+void ServerSite::stepEngine(std::size_t Index) {
+  SiteServer &E = Engines[Index];
   if (!E.Up && now() >= E.BackAt) {
     E.Up = true;
     E.Id = "e" + std::to_string(NextEngine++);
@@ -295,18 +295,18 @@
   }
 }
 
-void CrashSite::answerPlain(CrashEngine &E, const EngineRun &Run) {
+void ServerSite::answerPlain(SiteServer &E, const EngineRun &Run) {
   EntryNode &N = Entries.at(Run.Host);
   if (N.Up)
     answerAtOnce(N, Run.Upstream, 200, answerHead(Run.Attempt, E), "done");
 }
 
-void CrashSite::stepEngines() {
+void ServerSite::stepEngines() {
   for (std::size_t I = 0; I < Engines.size(); ++I)
     stepEngine(I);
 }
 
-void CrashSite::stepLetters() {
+void ServerSite::stepLetters() {
   std::deque<Letter> Now;
   std::swap(Now, Letters);
   for (Letter &L : Now) {
@@ -324,7 +324,7 @@
   }
 }
 
-const HostId &CrashSite::anyEntry() {
+const HostId &ServerSite::anyEntry() {
   std::vector<const HostId *> Ready;
   for (const auto &[Name, N] : Entries) {
     if (N.Up && isReady(N.State))
@@ -335,8 +335,8 @@
   return *Ready[below(Rng, Ready.size())];
 }
 
-std::string CrashSite::call(const HostId &Host, const std::string &Account,
-                            const std::vector<PartId> &Parts, bool Bad) {
+std::string ServerSite::call(const HostId &Host, const std::string &Account,
+                             const std::vector<PartId> &Parts, bool Bad) {
   std::string Attempt = "t" + std::to_string(NextAttempt++);
   ExchangeId Exchange{NextExchange++};
   Exchanges[{Host, Exchange}] = Attempt;
@@ -361,7 +361,7 @@
   return Attempt;
 }
 
-std::string CrashSite::callPlain(const HostId &Host, bool MayRepeat) {
+std::string ServerSite::callPlain(const HostId &Host, bool MayRepeat) {
   std::string Attempt = "t" + std::to_string(NextAttempt++);
   ExchangeId Exchange{NextExchange++};
   Exchanges[{Host, Exchange}] = Attempt;
@@ -380,7 +380,7 @@
   return Attempt;
 }
 
-void CrashSite::stepCallers() {
+void ServerSite::stepCallers() {
   while (Load.SoundEvery != Duration::max() && now() >= SoundAt) {
     SoundAt += Load.SoundEvery;
     const std::string &Account =
@@ -403,7 +403,7 @@
   }
 }
 
-void CrashSite::run(Duration Time, const std::function<void()> &Action) {
+void ServerSite::run(Duration Time, const std::function<void()> &Action) {
   BadAt = std::max(BadAt, now());
   for (TimePoint End = now() + Time; now() < End;) {
     Control.Net.runFor(Step);
@@ -421,7 +421,7 @@
   }
 }
 
-std::size_t CrashSite::lateSends() const {
+std::size_t ServerSite::lateSends() const {
   if (BadCrashes.size() < CrashesBeforeContainment)
     return 0;
   TimePoint From = BadCrashes[CrashesBeforeContainment - 1] + ContactTime;
@@ -430,7 +430,7 @@
                     [&](TimePoint At) { return At > From; }));
 }
 
-double CrashSite::soundShare(TimePoint From, TimePoint Until) const {
+double ServerSite::soundShare(TimePoint From, TimePoint Until) const {
   std::size_t All = 0;
   std::size_t Served = 0;
   for (const auto &[Attempt, View] : Callers) {
--- a/packages/gateway/tests/CrashSite.h
+++ b/packages/gateway/tests/ServerSite.h
@@ -1,14 +1,15 @@
-//===- CrashSite.h - A site whose engines crash on some prompts -*- C++ -*-===//
+//===- ServerSite.h - Hosts before engines and plain servers ----*- C++ -*-===//
 //
-//   CrashSite Site(Seed);
+//   ServerSite Site(Seed);
 //   Site.BadParts = {PartId{0xbad}};
 //   Site.run(seconds(8), {});
 //   Site.run(seconds(25), [&] { ... });        // The action runs each step.
 //   BOOST_TEST(Site.lateSends() <= 3);
 //
-// Control hosts, entry hosts and engines in virtual time. An engine that begins
-// to write the answer to a prompt with a bad part crashes, which breaks off all
-// its answers; it is back after some seconds under another id.
+// Control hosts, entry hosts, engines and plain servers in virtual time. An
+// engine that begins to write the answer to a prompt with a bad part crashes,
+// which breaks off all its answers; it is back after some seconds under another
+// id. A server may add headers to its answers, such as a limit of requests.
 //
 //===----------------------------------------------------------------------===//
 #pragma once
@@ -36,7 +37,8 @@
   int Events = 0;
 };
 
-struct CrashEngine {
+/// An engine or a plain server.
+struct SiteServer {
   std::string Id;
   std::string Service = "llm";
   std::vector<HttpHeader> ExtraHeaders; // Of each answer to a request.
@@ -78,11 +80,11 @@
   bool OneBadAccount = false; // All bad requests are of the first account.
 };
 
-class CrashSite {
+class ServerSite {
 public:
   ControlSite Control;
   std::map<HostId, EntryNode> Entries;
-  std::vector<CrashEngine> Engines;
+  std::vector<SiteServer> Engines;
   std::vector<PartId> BadParts; // Empty: no bad requests are sent.
   std::set<PartId> Cured;       // Bad parts that crash no engine any more.
   Traffic Load;
@@ -91,7 +93,7 @@
   std::vector<TimePoint>
       BadSends; // Sends of bad requests that reached engines.
 
-  explicit CrashSite(std::uint64_t Seed);
+  explicit ServerSite(std::uint64_t Seed);
 
   /// Runs the site with its traffic; calls \p Action, if set, in each step.
   void run(Duration Time, const std::function<void()> &Action = {});
@@ -146,8 +148,8 @@
   void stepEngine(std::size_t Index);
   void stepCallers();
   void stepLetters();
-  void report(CrashEngine &E);
-  void answerPlain(CrashEngine &E, const EngineRun &Run);
+  void report(SiteServer &E);
+  void answerPlain(SiteServer &E, const EngineRun &Run);
 };
 
 } // namespace pimento::testing
--- a/packages/node/tests/VirtualRecord.cpp
+++ b/packages/node/tests/VirtualRecord.cpp
@@ -101,7 +101,7 @@
   } else if (std::holds_alternative<calls::StartStream>(E)) {
     Text = "stream starts";
   } else if (const auto *End = std::get_if<calls::EndStream>(&E)) {
-    Text = End->Whole ? "stream ends whole" : "stream breaks off";
+    Text = End->IsComplete ? "stream ends whole" : "stream breaks off";
   } else if (const auto *Upstream = std::get_if<calls::OpenUpstream>(&E)) {
     if (Upstream->Request.Target != "/v1/memory")
       Text = std::string("open ") + toString(Upstream->Request.Method) + " " +
--- a/packages/node/tests/VirtualSite.cpp
+++ b/packages/node/tests/VirtualSite.cpp
@@ -269,7 +269,8 @@
                 dispatch(S, Name, ExchangeDrained{Exchange, 0}, Then);
               });
   } else if (auto *End = std::get_if<calls::EndStream>(&E)) {
-    finish(Name, End->Exchange, [&](Answer &A) { A.Complete = End->Whole; });
+    finish(Name, End->Exchange,
+           [&](Answer &A) { A.Complete = End->IsComplete; });
   } else if (auto *Close = std::get_if<calls::CloseExchange>(&E)) {
     finish(Name, Close->Exchange, [](Answer &) {});
   } else if (auto *Upstream = std::get_if<calls::OpenUpstream>(&E)) {
--- a/packages/shell/Process.cpp
+++ b/packages/shell/Process.cpp
@@ -449,7 +449,7 @@
 }
 
 void Process::operator()(const calls::EndStream &E) {
-  if (E.Whole)
+  if (E.IsComplete)
     serverOf(E.Exchange).endStream(E.Exchange);
   else
     serverOf(E.Exchange).breakStream(E.Exchange);
--- a/packages/wire/SiteMessages.h
+++ b/packages/wire/SiteMessages.h
@@ -255,19 +255,20 @@
 struct SiteState {
   static constexpr std::uint16_t WireType = 803;
   std::uint64_t Sequence = 0; // Of the EntrySync; zero: sent unrequested.
-  bool Current = false; // The sender recently confirmed that its configuration
-                        // is the newest.
-  HostId Leader;        // Leader of the control hosts; empty: not known.
-  std::uint64_t Config = 0; // Number of the newest configuration; zero: none.
+  bool IsCurrent = false;     // The sender recently confirmed that its
+                              // configuration is the newest.
+  HostId Leader;              // Leader of the control hosts; empty: not known.
+  std::uint64_t Config = 0;   // Number of the newest configuration; zero: none.
   Blob Text; // Text of that configuration, for hosts of earlier versions;
              // empty: the receiver has it, or a later message carries it.
   IncarnationNumber ControlIncarnation = 0; // Incarnation of the sender.
   std::uint64_t Revision = 0; // Revision of the sender's server list.
-  std::uint64_t Base = 0;     // Servers lists the changes after this revision.
-  bool Whole = false;         // Servers lists all backend servers.
+  std::uint64_t BaseRevision =
+      0; // Servers lists the changes after this revision.
+  bool ListsAllServers = false; // Servers lists all backend servers.
   std::vector<ServerReport> Servers;
   std::vector<HostId> Controls; // Control hosts that are alive.
-  std::uint64_t Entries = 1;    // Entry hosts from which EntrySync came lately.
+  std::uint64_t EntryHosts = 1; // Entry hosts from which EntrySync came lately.
   HostId Placer; // Entry host that places requests on engines; empty: none.
   QuarantineUpdate Quarantine;
   RoutingUpdate Routing; // Number zero: none with this message.
@@ -275,9 +276,10 @@
 
   template <class Self, class Visitor>
   static void fields(Self &M, Visitor &&Visit) {
-    Visit(M.Sequence, M.Current, M.Leader, M.Config, M.Text,
-          M.ControlIncarnation, M.Revision, M.Base, M.Whole, M.Servers,
-          M.Controls, M.Entries, M.Placer, M.Quarantine, M.Routing, M.Limits);
+    Visit(M.Sequence, M.IsCurrent, M.Leader, M.Config, M.Text,
+          M.ControlIncarnation, M.Revision, M.BaseRevision, M.ListsAllServers,
+          M.Servers, M.Controls, M.EntryHosts, M.Placer, M.Quarantine,
+          M.Routing, M.Limits);
   }
 };
 
