gateway: ejected servers are used within their limits where no other is left

What callers saw: nothing yet; found by reading. Cause: a permit was asked for the servers that are not ejected only, so with all of them ejected and limited every request was refused with a delay that nobody had computed. Change: ejected servers are asked for where no other is left, as without limits. Result: EjectedServersAreUsedWithinTheirLimits fails before with 10 requests of 40 asked for and passes; gatewayTest 119 cases pass.

--- a/packages/gateway/LimitPart.cpp
+++ b/packages/gateway/LimitPart.cpp
@@ -109,14 +109,25 @@
   return Open;
 }
 
+/// The servers that take the call with a permit only.
+std::vector<BackendId> limitedServers(const GatewayTurn &T,
+                                      const GatewayCall &C, bool MayBeEjected) {
+  std::vector<BackendId> Limited;
+  for (const calls::PlainServer &Server : untriedServers(T.S, C)) {
+    bool IsUsable = MayBeEjected || !isEjected(T.S, Server.Backend, T.Now);
+    if (needsPermit(T.S, Server) && IsUsable)
+      Limited.push_back(Server.Backend);
+  }
+  return Limited;
+}
+
 PermitRequest makePermitRequest(const GatewayTurn &T, const GatewayCall &C,
                                 bool IsOptional) {
   PermitRequest Spec;
   Spec.Ticket = C.Ticket;
-  for (const calls::PlainServer &Server : untriedServers(T.S, C)) {
-    if (needsPermit(T.S, Server) && !isEjected(T.S, Server.Backend, T.Now))
-      Spec.Servers.push_back(Server.Backend);
-  }
+  Spec.Servers = limitedServers(T, C, /*MayBeEjected=*/false);
+  if (Spec.Servers.empty())
+    Spec.Servers = limitedServers(T, C, /*MayBeEjected=*/true);
   Spec.Account = C.Account;
   Spec.Priority = C.Priority;
   if (!IsOptional)
--- a/packages/gateway/tests/LimitTest.cpp
+++ b/packages/gateway/tests/LimitTest.cpp
@@ -274,3 +274,24 @@
   for (const auto &[Name, N] : L.Site.Entries)
     BOOST_TEST(limitedServers(N.State.NamedLimits) == 0U);
 }
+
+/// Guards against requests refused for a limit though a server has permits
+/// left, since all servers of the service are ejected for failures.
+BOOST_AUTO_TEST_CASE(EjectedServersAreUsedWithinTheirLimits) {
+  LimitSite L(40);
+  L.run(seconds(2));
+  for (std::size_t I = 0; I < 4; ++I)
+    L.name(FirstPlain + I, "4");
+  L.run(seconds(2));
+  TimePoint From = L.Site.now();
+  L.run(seconds(4), [&] {
+    for (auto &[Name, N] : L.Site.Entries) {
+      for (auto &[Server, Health] : N.State.Health.Servers)
+        Health.EjectedUntil = L.Site.now() + seconds(1);
+    }
+  });
+  std::size_t Sum = 0;
+  for (std::size_t I = 0; I < 4; ++I)
+    Sum += receivedSince(L.Site.Engines[FirstPlain + I], From);
+  BOOST_TEST(Sum >= 40U); // Of 64.
+}
