quarantine: names that will hold for more than parts of prompts

PartQuarantine, PartHistory, PartClearance, AccountPart, EngineCrash and judgeParts become CrashQuarantine, AnswerHistory, SuspectClearance, Suspect, ServerCrash and judgeCrashes; MaxQuarantined moves to the header. No behaviour changes; names on the wire, in logs and on disks stay.

--- a/packages/control/ControlHost.h
+++ b/packages/control/ControlHost.h
@@ -28,7 +28,7 @@
 #include "base/Settings.h"
 #include "control/VoterPlan.h"
 #include "node/Events.h"
-#include "quarantine/PartQuarantine.h"
+#include "quarantine/CrashQuarantine.h"
 #include "replica/Replica.h"
 #include "routing/Adapter.h"
 #include "routing/RequestLimits.h"
@@ -162,9 +162,9 @@
   ServerRegistry Servers;
   RequestLimits NamedLimits;                // Named by backend servers.
   TimePoint LimitsDueAt = TimePoint::max(); // Changed limits are sent then.
-  PartQuarantine Quarantine; // Parts of prompts that crash engines.
-  std::map<AccountPart, TimePoint> Clearances; // To be sent to control hosts.
-  std::uint64_t StoredQuarantine = 0;          // Digest of those on the disk.
+  CrashQuarantine Quarantine; // Parts of prompts that crash engines.
+  std::map<Suspect, TimePoint> Clearances; // To be sent to control hosts.
+  std::uint64_t StoredQuarantine = 0;      // Digest of those on the disk.
   std::map<HostId, ControlPeer> Controls;
   std::map<HostId, EntryPeer> Entries;
   RoutingSpread Spread;
--- a/packages/control/ControlQuarantine.cpp
+++ b/packages/control/ControlQuarantine.cpp
@@ -35,8 +35,8 @@
   return Record;
 }
 
-std::vector<AccountPart> watchedParts(const PartQuarantine &S) {
-  std::vector<AccountPart> Parts;
+std::vector<Suspect> watchedParts(const CrashQuarantine &S) {
+  std::vector<Suspect> Parts;
   for (const auto &[Part, Since] : S.Watched)
     Parts.push_back(Part);
   return Parts;
@@ -53,7 +53,7 @@
   return isLeader(S, Now) || leader(S.Log).empty();
 }
 
-void rememberClearance(ControlHost &S, const PartClearance &Clearance,
+void rememberClearance(ControlHost &S, const SuspectClearance &Clearance,
                        TimePoint Now) {
   TimePoint Limit = Now - EvidenceRelayTime;
   for (auto It = S.Clearances.begin(); It != S.Clearances.end();)
@@ -79,7 +79,7 @@
 
 void listQuarantine(ControlTurn &T, ExchangeId Exchange) {
   Json Parts = Json::array();
-  for (const auto &[Scope, Q] : T.S.Quarantine.Parts) {
+  for (const auto &[Scope, Q] : T.S.Quarantine.Entries) {
     if (Q.Active)
       Parts.push_back(describe(Scope, Q, T.Now));
   }
@@ -98,7 +98,7 @@
     return;
   }
   std::int64_t Lifted = 0;
-  for (auto &[Scope, Q] : T.S.Quarantine.Parts) {
+  for (auto &[Scope, Q] : T.S.Quarantine.Entries) {
     if (Scope.Part != PartId{Number} ||
         !liftQuarantine(T.S.Quarantine, Scope, T.Now))
       continue;
@@ -118,11 +118,11 @@
 
 void onQuarantineUpdate(ControlTurn &T, const HostId &From,
                         const QuarantineUpdate &M) {
-  PartQuarantine &Q = T.S.Quarantine;
+  CrashQuarantine &Q = T.S.Quarantine;
   bool Changed = false;
   for (const QuarantineRecord &Record : M.Records)
     Changed = applyRecord(Q, Record, T.Now) || Changed;
-  for (const EngineCrash &Crash : M.Crashes) {
+  for (const ServerCrash &Crash : M.Crashes) {
     if (!addCrash(Q, Crash, T.Now))
       continue;
     DecisionRecord Record{
@@ -133,7 +133,7 @@
     Record.add("age_ms", toMilliseconds(Crash.Age));
     log(T, std::move(Record));
   }
-  for (const PartClearance &Clearance : M.Clearances) {
+  for (const SuspectClearance &Clearance : M.Clearances) {
     rememberClearance(T.S, Clearance, T.Now);
     if (!addClearance(Q, Clearance, T.Now))
       continue;
@@ -152,12 +152,12 @@
 QuarantineUpdate quarantineUpdateFor(const ControlTurn &T,
                                      std::uint64_t KnownDigest,
                                      std::uint64_t KnownWatchDigest) {
-  const PartQuarantine &Q = T.S.Quarantine;
+  const CrashQuarantine &Q = T.S.Quarantine;
   QuarantineUpdate M;
   M.Digest = quarantineDigest(Q);
   if (M.Digest != KnownDigest)
     M.Records = quarantineRecords(Q, T.Now);
-  std::vector<AccountPart> Watched = watchedParts(Q);
+  std::vector<Suspect> Watched = watchedParts(Q);
   M.WatchDigest = watchDigest(Watched);
   if (M.WatchDigest != KnownWatchDigest)
     M.Watched = std::move(Watched);
@@ -166,7 +166,7 @@
 
 QuarantineUpdate quarantineUpdateFor(const ControlTurn &T,
                                      const ControlPeer &Peer) {
-  const PartQuarantine &Q = T.S.Quarantine;
+  const CrashQuarantine &Q = T.S.Quarantine;
   QuarantineUpdate M;
   M.Digest = quarantineDigest(Q);
   if (M.Digest != Peer.QuarantineDigest)
@@ -182,7 +182,7 @@
 }
 
 void tickQuarantine(ControlTurn &T) {
-  PartQuarantine &Q = T.S.Quarantine;
+  CrashQuarantine &Q = T.S.Quarantine;
   if (T.Now < Q.JudgeAt)
     return;
   if (!judges(T.S, T.Now)) {
@@ -190,10 +190,10 @@
     return;
   }
   std::uint64_t WatchBefore = watchDigest(watchedParts(Q));
-  for (const QuarantineScope &Scope : judgeParts(Q, T.Now)) {
+  for (const QuarantineScope &Scope : judgeCrashes(Q, T.Now)) {
     log(T, recordOf("part_quarantined",
                     "crashes of engines have this part in common", Scope,
-                    Q.Parts.at(Scope)));
+                    Q.Entries.at(Scope)));
     count(T, "pimento_parts_quarantined_total");
     T.S.UpdateDue = true;
   }
--- a/packages/gateway/Gateway.h
+++ b/packages/gateway/Gateway.h
@@ -44,7 +44,7 @@
 #include "gateway/Placer.h"
 #include "gateway/RepeatBudget.h"
 #include "node/Events.h"
-#include "quarantine/PartQuarantine.h"
+#include "quarantine/CrashQuarantine.h"
 #include "routing/Adapter.h"
 #include "routing/RequestLimits.h"
 #include "routing/Routing.h"
@@ -119,7 +119,7 @@
 /// A query whether an engine still runs after it broke off answers. Without an
 /// answer it has crashed, and the requests are suspects.
 struct CrashCheck {
-  EngineCrash Crash; // Age is unused.
+  ServerCrash Crash; // Age is unused.
   TimePoint CrashedAt{};
   TimePoint ExpiresAt{};
 };
@@ -251,16 +251,16 @@
   std::vector<PendingRelease> Releases;
   std::map<UpstreamId, SpeedQuery> SpeedQueries;
   std::map<UpstreamId, std::uint64_t>
-      EndQueries;            // Tickets of Confirming calls.
-  PartQuarantine Quarantine; // Parts that crash engines, and own evidence.
-  RequestLimits NamedLimits; // Named by backend servers.
+      EndQueries;             // Tickets of Confirming calls.
+  CrashQuarantine Quarantine; // Parts that crash engines, and own evidence.
+  RequestLimits NamedLimits;  // Named by backend servers.
   std::uint64_t ControlLimitDigest = 0; // Of the active control host.
   LimitRole RoleForLimits = LimitRole::Follower;
   PermitQueue Permits; // Budgets of plain servers.
   TimePoint NextLimitLog{};
   std::map<UpstreamId, CrashCheck> CrashChecks;
   std::uint64_t ControlQuarantineDigest = 0; // Of the active control host.
-  std::set<AccountPart> Clearances;          // To be reported.
+  std::set<Suspect> Clearances;              // To be reported.
   std::map<HostId, TimePoint> LostHosts;     // When a host's link was lost.
 
   bool Stopping = false;
--- a/packages/gateway/QuarantinePart.cpp
+++ b/packages/gateway/QuarantinePart.cpp
@@ -37,7 +37,7 @@
 }
 
 /// Reports the latest complete answer with the part, if one is known.
-void reportAnswered(GatewayTurn &T, const AccountPart &Part) {
+void reportAnswered(GatewayTurn &T, const Suspect &Part) {
   std::optional<TimePoint> At =
       answeredAt(T.S.Quarantine.Answered, Part.Account, Part.Part);
   if (At && T.Now < *At + ProofRetention)
@@ -52,8 +52,8 @@
   return Request;
 }
 
-EngineCrash crashOf(const GatewayCall &C) {
-  EngineCrash Crash;
+ServerCrash crashOf(const GatewayCall &C) {
+  ServerCrash Crash;
   Crash.Server = C.Attempt.Server;
   Crash.Incarnation = C.Attempt.ServerIncarnation;
   Crash.Requests = {suspectOf(C)};
@@ -61,7 +61,7 @@
 }
 
 /// Reports a crash with what is known of its suspects.
-void reportCrash(GatewayTurn &T, const EngineCrash &Crash) {
+void reportCrash(GatewayTurn &T, const ServerCrash &Crash) {
   addCrash(T.S.Quarantine, Crash, T.Now);
   for (const CrashedRequest &Request : Crash.Requests) {
     for (PartId Part : Request.Parts)
@@ -76,8 +76,8 @@
   reportCrash(T, Check.Crash);
 }
 
-bool isWatched(const GatewayTurn &T, const AccountPart &Part) {
-  const PartQuarantine &Q = T.S.Quarantine;
+bool isWatched(const GatewayTurn &T, const Suspect &Part) {
+  const CrashQuarantine &Q = T.S.Quarantine;
   return Q.Watched.count(Part) > 0 ||
          findQuarantine(Q, Part.Account, {Part.Part}).Part != nullptr;
 }
@@ -205,7 +205,7 @@
   if (!C.OnEngine)
     return;
   for (PartId Part : reportedParts(C)) {
-    AccountPart Key{C.Account, Part};
+    Suspect Key{C.Account, Part};
     bool Watched = isWatched(T, Key);
     addClearance(T.S.Quarantine, {Key, Duration::zero()}, T.Now);
     if (!Watched)
@@ -217,21 +217,21 @@
 
 QuarantineUpdate quarantineReport(GatewayTurn &T) {
   Gateway &S = T.S;
-  const PartQuarantine &Q = S.Quarantine;
+  const CrashQuarantine &Q = S.Quarantine;
   QuarantineUpdate M;
   M.Digest = quarantineDigest(Q);
   if (M.Digest != S.ControlQuarantineDigest)
     M.Records = quarantineRecords(Q, T.Now);
   M.Crashes = crashesSince(Q, T.Now - ReportTime, T.Now);
   // Sent once: while a part is watched, later answers clear it as well.
-  for (const AccountPart &Part : S.Clearances) {
+  for (const Suspect &Part : S.Clearances) {
     std::optional<TimePoint> At =
         answeredAt(Q.Answered, Part.Account, Part.Part);
     if (At)
       M.Clearances.push_back({Part, T.Now - *At});
   }
   S.Clearances.clear();
-  std::vector<AccountPart> Watched;
+  std::vector<Suspect> Watched;
   for (const auto &[Part, Since] : Q.Watched)
     Watched.push_back(Part);
   M.WatchDigest = watchDigest(Watched);
@@ -239,7 +239,7 @@
 }
 
 void onQuarantineUpdate(GatewayTurn &T, const QuarantineUpdate &M) {
-  PartQuarantine &Q = T.S.Quarantine;
+  CrashQuarantine &Q = T.S.Quarantine;
   T.S.ControlQuarantineDigest = M.Digest;
   bool Changed = false;
   for (const QuarantineRecord &Record : M.Records)
@@ -256,7 +256,7 @@
   if (M.Watched.empty())
     return;
   Q.Watched.clear();
-  for (const AccountPart &Part : M.Watched) {
+  for (const Suspect &Part : M.Watched) {
     Q.Watched.emplace(Part, T.Now);
     reportAnswered(T, Part);
   }
--- a/packages/gateway/tests/CrashingPartTest.cpp
+++ b/packages/gateway/tests/CrashingPartTest.cpp
@@ -190,7 +190,7 @@
       Site.crash((static_cast<std::size_t>(Round) + I) % Site.Engines.size());
   });
   for (const auto &[Name, N] : Site.Entries)
-    BOOST_TEST(N.State.Quarantine.Parts.empty());
+    BOOST_TEST(N.State.Quarantine.Entries.empty());
 }
 
 /// Guards against an account that has the shared part of others quarantined by
--- a/packages/quarantine/PartHistory.cpp
+++ b/packages/quarantine/AnswerHistory.cpp
@@ -1,4 +1,4 @@
-#include "quarantine/PartHistory.h"
+#include "quarantine/AnswerHistory.h"
 
 #include <algorithm>
 
@@ -18,7 +18,7 @@
   return spread(Part) ^ (std::hash<AccountId>()(Account) * Odd + 1);
 }
 
-std::optional<TimePoint> find(const PartHistory &H, std::uint64_t Key) {
+std::optional<TimePoint> find(const AnswerHistory &H, std::uint64_t Key) {
   auto Recent = H.Recent.find(Key);
   if (Recent != H.Recent.end())
     return Recent->second;
@@ -28,7 +28,7 @@
   return std::nullopt;
 }
 
-void note(PartHistory &H, std::uint64_t Key, TimePoint At) {
+void note(AnswerHistory &H, std::uint64_t Key, TimePoint At) {
   if (H.Recent.size() >= MaxHistoryEntries) {
     H.Older = std::move(H.Recent);
     H.Recent.clear();
@@ -39,18 +39,18 @@
 
 } // namespace
 
-void noteAnswered(PartHistory &H, const AccountId &Account, PartId Part,
+void noteAnswered(AnswerHistory &H, const AccountId &Account, PartId Part,
                   TimePoint At) {
   note(H, keyOf(Account, Part), At);
   note(H, spread(Part), At);
 }
 
-std::optional<TimePoint> answeredAt(const PartHistory &H,
+std::optional<TimePoint> answeredAt(const AnswerHistory &H,
                                     const AccountId &Account, PartId Part) {
   return find(H, keyOf(Account, Part));
 }
 
-std::optional<TimePoint> answeredAt(const PartHistory &H, PartId Part) {
+std::optional<TimePoint> answeredAt(const AnswerHistory &H, PartId Part) {
   return find(H, spread(Part));
 }
 
--- a/packages/quarantine/PartHistory.h
+++ b/packages/quarantine/AnswerHistory.h
@@ -1,6 +1,7 @@
-//===- PartHistory.h - When parts of prompts were last answered -*- C++ -*-===//
+//===- AnswerHistory.h - When parts of prompts were last answered -*- C++
+//-*-===//
 //
-//   PartHistory H;
+//   AnswerHistory H;
 //   noteAnswered(H, Account, Part, Now);
 //   if (std::optional<TimePoint> At = answeredAt(H, Account, Part)) ...
 //
@@ -23,22 +24,22 @@
 /// Entries per generation; two generations are kept.
 constexpr std::size_t MaxHistoryEntries = 4096;
 
-struct PartHistory {
+struct AnswerHistory {
   /// By hash of account and part. When Recent is full, it replaces Older.
   std::unordered_map<std::uint64_t, TimePoint> Recent;
   std::unordered_map<std::uint64_t, TimePoint> Older;
 };
 
 /// Records a complete answer; an earlier time than the known one is ignored.
-void noteAnswered(PartHistory &H, const AccountId &Account, PartId Part,
+void noteAnswered(AnswerHistory &H, const AccountId &Account, PartId Part,
                   TimePoint At);
 
 /// Returns the time of the latest complete answer to a request of the account
 /// with the part; nothing if none is remembered.
-std::optional<TimePoint> answeredAt(const PartHistory &H,
+std::optional<TimePoint> answeredAt(const AnswerHistory &H,
                                     const AccountId &Account, PartId Part);
 
 /// The same for requests of any account.
-std::optional<TimePoint> answeredAt(const PartHistory &H, PartId Part);
+std::optional<TimePoint> answeredAt(const AnswerHistory &H, PartId Part);
 
 } // namespace pimento
--- a/packages/quarantine/PartQuarantine.cpp
+++ b/packages/quarantine/CrashQuarantine.cpp
@@ -1,4 +1,4 @@
-#include "quarantine/PartQuarantine.h"
+#include "quarantine/CrashQuarantine.h"
 
 #include <algorithm>
 
@@ -18,7 +18,6 @@
 /// may still hold the earlier version.
 constexpr Duration EndedRetention = std::chrono::minutes(10);
 constexpr std::size_t MaxCrashRequests = 64;
-constexpr std::size_t MaxQuarantined = 256;
 
 std::uint64_t mix(std::uint64_t Hash, std::uint64_t Value) {
   constexpr std::uint64_t Prime = 0x100000001B3ULL;
@@ -26,7 +25,7 @@
 }
 
 /// Hash that is equal on all hosts.
-std::uint64_t hashOf(const AccountPart &Part) {
+std::uint64_t hashOf(const Suspect &Part) {
   constexpr std::uint64_t Start = 0xCBF29CE484222325ULL;
   std::uint64_t Hash = mix(Start, static_cast<std::uint64_t>(Part.Part));
   for (char Letter : Part.Account.Value)
@@ -41,7 +40,7 @@
   return std::any_of(Crash.Requests.begin(), Crash.Requests.end(), Is);
 }
 
-void dropOldestCrash(PartQuarantine &S) {
+void dropOldestCrash(CrashQuarantine &S) {
   auto Older = [](const auto &A, const auto &B) {
     return A.second.At < B.second.At;
   };
@@ -50,17 +49,18 @@
 
 /// Drops records of ended quarantines after their retention, and the oldest
 /// ones beyond the limit.
-void pruneParts(PartQuarantine &S, TimePoint Now) {
-  for (auto It = S.Parts.begin(); It != S.Parts.end();) {
+void pruneParts(CrashQuarantine &S, TimePoint Now) {
+  for (auto It = S.Entries.begin(); It != S.Entries.end();) {
     bool IsOld = !It->second.Active && Now > It->second.Since + EndedRetention;
-    It = IsOld ? S.Parts.erase(It) : std::next(It);
+    It = IsOld ? S.Entries.erase(It) : std::next(It);
   }
   auto Older = [](const auto &A, const auto &B) {
     return std::tie(A.second.Active, A.second.Since) <
            std::tie(B.second.Active, B.second.Since);
   };
-  while (S.Parts.size() > MaxQuarantined)
-    S.Parts.erase(std::min_element(S.Parts.begin(), S.Parts.end(), Older));
+  while (S.Entries.size() > MaxQuarantined)
+    S.Entries.erase(
+        std::min_element(S.Entries.begin(), S.Entries.end(), Older));
 }
 
 void endQuarantine(Quarantined &Q, TimePoint Now) {
@@ -72,7 +72,7 @@
 
 } // namespace
 
-bool addCrash(PartQuarantine &S, const EngineCrash &Crash, TimePoint Now) {
+bool addCrash(CrashQuarantine &S, const ServerCrash &Crash, TimePoint Now) {
   TimePoint At = Now - Crash.Age;
   if (Crash.Requests.empty() || Crash.Age > EvidenceRetention)
     return false;
@@ -94,9 +94,9 @@
   return true;
 }
 
-bool addClearance(PartQuarantine &S, const PartClearance &Clearance,
+bool addClearance(CrashQuarantine &S, const SuspectClearance &Clearance,
                   TimePoint Now) {
-  const AccountPart &Part = Clearance.Part;
+  const Suspect &Part = Clearance.Part;
   TimePoint At = Now - Clearance.Age;
   noteAnswered(S.Answered, Part.Account, Part.Part, At);
   if (S.Watched.count(Part) > 0)
@@ -104,8 +104,8 @@
   bool Changed = false;
   for (bool AllAccounts : {false, true}) {
     QuarantineScope Scope = scopeOf(Part, AllAccounts);
-    auto Found = S.Parts.find(Scope);
-    if (Found == S.Parts.end() || !Found->second.Active ||
+    auto Found = S.Entries.find(Scope);
+    if (Found == S.Entries.end() || !Found->second.Active ||
         At <= Found->second.Since)
       continue;
     endQuarantine(Found->second, Now);
@@ -114,13 +114,12 @@
   return Changed;
 }
 
-bool applyRecord(PartQuarantine &S, const QuarantineRecord &R, TimePoint Now) {
+bool applyRecord(CrashQuarantine &S, const QuarantineRecord &R, TimePoint Now) {
   bool IsActive = R.Version % 2 == 1;
   if (R.Version == 0 || (!IsActive && R.Age > EndedRetention))
     return false;
-  QuarantineScope Scope =
-      scopeOf(AccountPart{R.Account, R.Part}, R.AllAccounts);
-  Quarantined &Q = S.Parts[Scope];
+  QuarantineScope Scope = scopeOf(Suspect{R.Account, R.Part}, R.AllAccounts);
+  Quarantined &Q = S.Entries[Scope];
   bool IsNewer = std::tie(R.Version, R.Trials) > std::tie(Q.Version, Q.Trials);
   if (!IsNewer)
     return false;
@@ -135,16 +134,16 @@
   return true;
 }
 
-std::size_t activeQuarantines(const PartQuarantine &S) {
+std::size_t activeQuarantines(const CrashQuarantine &S) {
   auto IsActive = [](const auto &Entry) { return Entry.second.Active; };
   return static_cast<std::size_t>(
-      std::count_if(S.Parts.begin(), S.Parts.end(), IsActive));
+      std::count_if(S.Entries.begin(), S.Entries.end(), IsActive));
 }
 
-std::vector<QuarantineRecord> quarantineRecords(const PartQuarantine &S,
+std::vector<QuarantineRecord> quarantineRecords(const CrashQuarantine &S,
                                                 TimePoint Now) {
   std::vector<QuarantineRecord> Records;
-  for (const auto &[Scope, Q] : S.Parts) {
+  for (const auto &[Scope, Q] : S.Entries) {
     QuarantineRecord R;
     R.Part = Scope.Part;
     R.Account = Scope.Account;
@@ -161,26 +160,26 @@
   return Records;
 }
 
-std::uint64_t quarantineDigest(const PartQuarantine &S) {
+std::uint64_t quarantineDigest(const CrashQuarantine &S) {
   std::uint64_t Digest = 0;
-  for (const auto &[Scope, Q] : S.Parts) {
-    std::uint64_t Hash = hashOf(AccountPart{Scope.Account, Scope.Part});
+  for (const auto &[Scope, Q] : S.Entries) {
+    std::uint64_t Hash = hashOf(Suspect{Scope.Account, Scope.Part});
     Hash = mix(mix(mix(Hash, Scope.AllAccounts ? 1 : 0), Q.Version), Q.Trials);
     Digest += Hash | 1U;
   }
   return Digest;
 }
 
-std::uint64_t watchDigest(const std::vector<AccountPart> &Watched) {
+std::uint64_t watchDigest(const std::vector<Suspect> &Watched) {
   std::uint64_t Digest = 0;
-  for (const AccountPart &Part : Watched)
+  for (const Suspect &Part : Watched)
     Digest += hashOf(Part) | 1U;
   return Digest;
 }
 
-std::vector<EngineCrash> crashesSince(const PartQuarantine &S, TimePoint Since,
+std::vector<ServerCrash> crashesSince(const CrashQuarantine &S, TimePoint Since,
                                       TimePoint Now) {
-  std::vector<EngineCrash> List;
+  std::vector<ServerCrash> List;
   for (const auto &[Key, Crash] : S.Crashes) {
     if (Crash.ChangedAt <= Since)
       continue;
@@ -189,17 +188,17 @@
   return List;
 }
 
-QuarantineMatch findQuarantine(const PartQuarantine &S,
+QuarantineMatch findQuarantine(const CrashQuarantine &S,
                                const AccountId &Account,
                                const std::vector<PartId> &Parts) {
   QuarantineMatch Match;
-  if (S.Parts.empty())
+  if (S.Entries.empty())
     return Match;
   for (PartId Part : Parts) {
     for (bool AllAccounts : {false, true}) {
       QuarantineScope Scope = scopeOf({Account, Part}, AllAccounts);
-      auto Found = S.Parts.find(Scope);
-      if (Found == S.Parts.end() || !Found->second.Active)
+      auto Found = S.Entries.find(Scope);
+      if (Found == S.Entries.end() || !Found->second.Active)
         continue;
       Match.Count += 1;
       if (Match.Part != nullptr && Found->second.TrialAt <= Match.Part->TrialAt)
@@ -211,10 +210,10 @@
   return Match;
 }
 
-void beginQuarantine(PartQuarantine &S, const QuarantineScope &Scope,
+void beginQuarantine(CrashQuarantine &S, const QuarantineScope &Scope,
                      std::size_t Crashes, std::size_t Requests, bool IsTied,
                      TimePoint Now) {
-  Quarantined &Q = S.Parts[Scope];
+  Quarantined &Q = S.Entries[Scope];
   Q.Version += Q.Active ? 2 : 1;
   Q.Active = true;
   Q.Since = Now;
@@ -224,7 +223,7 @@
   Q.TrialAt = Now + (IsTied ? FirstTrialOfTiedAfter : FirstTrialAfter);
   if (Scope.AllAccounts) {
     // The quarantines of single accounts would have trials of their own.
-    for (auto &[Other, Single] : S.Parts) {
+    for (auto &[Other, Single] : S.Entries) {
       if (Other.Part == Scope.Part && !Other.AllAccounts && Single.Active)
         endQuarantine(Single, Now);
     }
@@ -232,23 +231,23 @@
   pruneParts(S, Now);
 }
 
-void beginTrial(PartQuarantine &S, const QuarantineScope &Scope,
+void beginTrial(CrashQuarantine &S, const QuarantineScope &Scope,
                 TimePoint Now) {
-  Quarantined &Q = S.Parts.at(Scope);
+  Quarantined &Q = S.Entries.at(Scope);
   Q.Trials += 1;
   Q.TrialAt = Q.Trials < MaxTrials ? Now + NextTrialAfter : TimePoint::max();
 }
 
-bool liftQuarantine(PartQuarantine &S, const QuarantineScope &Scope,
+bool liftQuarantine(CrashQuarantine &S, const QuarantineScope &Scope,
                     TimePoint Now) {
-  auto Found = S.Parts.find(Scope);
-  if (Found == S.Parts.end() || !Found->second.Active)
+  auto Found = S.Entries.find(Scope);
+  if (Found == S.Entries.end() || !Found->second.Active)
     return false;
   endQuarantine(Found->second, Now);
   return true;
 }
 
-QuarantineScope scopeOf(const AccountPart &Part, bool AllAccounts) {
+QuarantineScope scopeOf(const Suspect &Part, bool AllAccounts) {
   return {Part.Part, AllAccounts ? AccountId() : Part.Account, AllAccounts};
 }
 
--- a/packages/quarantine/PartQuarantine.h
+++ b/packages/quarantine/CrashQuarantine.h
@@ -1,9 +1,10 @@
-//===- PartQuarantine.h - Parts of prompts that crash engines ---*- C++ -*-===//
+//===- CrashQuarantine.h - Parts of prompts that crash engines ---*- C++
+//-*-===//
 //
-//   PartQuarantine S;
+//   CrashQuarantine S;
 //   addCrash(S, Crash, Now);            // An engine broke off answers.
 //   addClearance(S, Clearance, Now);    // A request with the part was
-//   answered. if (judgeParts(S, Now)) ...         // The quarantined parts
+//   answered. if (judgeCrashes(S, Now)) ...         // The quarantined parts
 //   changed. if (const Quarantined *Q = findQuarantine(S, Account, Parts)) ...
 //
 // A part of a prompt may crash each engine that answers it. The crash cuts the
@@ -31,7 +32,7 @@
 //===----------------------------------------------------------------------===//
 #pragma once
 
-#include "quarantine/PartHistory.h"
+#include "quarantine/AnswerHistory.h"
 #include "wire/SiteMessages.h"
 
 #include <cstdint>
@@ -55,6 +56,8 @@
 constexpr Duration EvidenceRetention = std::chrono::minutes(10);
 /// Crashes that are remembered; the oldest are dropped first.
 constexpr std::size_t MaxCrashes = 64;
+/// Quarantines, active or ended, that are kept; the oldest are forgotten first.
+constexpr std::size_t MaxQuarantined = 256;
 /// Trials of a quarantined part, in all. Afterwards only an operator ends the
 /// quarantine.
 constexpr std::uint32_t MaxTrials = 2;
@@ -76,7 +79,7 @@
 };
 
 /// Returns the scope of a part for its account or for all.
-QuarantineScope scopeOf(const AccountPart &Part, bool AllAccounts);
+QuarantineScope scopeOf(const Suspect &Part, bool AllAccounts);
 
 /// A crash of one incarnation of an engine, merged from several entry hosts.
 struct KnownCrash {
@@ -97,45 +100,45 @@
   TimePoint TrialAt{};        // The next trial is due then.
 };
 
-struct PartQuarantine {
+struct CrashQuarantine {
   std::map<std::pair<BackendId, IncarnationNumber>, KnownCrash> Crashes;
-  PartHistory Answered;
-  std::map<QuarantineScope, Quarantined> Parts;
-  std::map<AccountPart, TimePoint> Watched; // Accused parts, and since when.
-  TimePoint JudgeAt = TimePoint::max();     // The next judgement is due then.
+  AnswerHistory Answered;
+  std::map<QuarantineScope, Quarantined> Entries;
+  std::map<Suspect, TimePoint> Watched; // Accused parts, and since when.
+  TimePoint JudgeAt = TimePoint::max(); // The next judgement is due then.
 };
 
 /// Adds the suspects of a crash. Returns true if any is new.
-bool addCrash(PartQuarantine &S, const EngineCrash &Crash, TimePoint Now);
+bool addCrash(CrashQuarantine &S, const ServerCrash &Crash, TimePoint Now);
 
 /// Records a complete answer. Ends a quarantine that the answer disproves.
 /// Returns true if the quarantined parts changed.
-bool addClearance(PartQuarantine &S, const PartClearance &Clearance,
+bool addClearance(CrashQuarantine &S, const SuspectClearance &Clearance,
                   TimePoint Now);
 
 /// Quarantines the parts that the evidence accuses, if a judgement is due.
 /// Returns the parts that are new in quarantine.
-std::vector<QuarantineScope> judgeParts(PartQuarantine &S, TimePoint Now);
+std::vector<QuarantineScope> judgeCrashes(CrashQuarantine &S, TimePoint Now);
 
 /// Merges the record of another host. Returns true if the quarantined parts
 /// changed.
-bool applyRecord(PartQuarantine &S, const QuarantineRecord &R, TimePoint Now);
+bool applyRecord(CrashQuarantine &S, const QuarantineRecord &R, TimePoint Now);
 
 /// Number of parts in quarantine.
-std::size_t activeQuarantines(const PartQuarantine &S);
+std::size_t activeQuarantines(const CrashQuarantine &S);
 
 /// Returns all parts that are or were in quarantine.
-std::vector<QuarantineRecord> quarantineRecords(const PartQuarantine &S,
+std::vector<QuarantineRecord> quarantineRecords(const CrashQuarantine &S,
                                                 TimePoint Now);
 
 /// A number that differs if the quarantined parts differ; zero: none.
-std::uint64_t quarantineDigest(const PartQuarantine &S);
+std::uint64_t quarantineDigest(const CrashQuarantine &S);
 
 /// A number that differs if the parts differ; zero: none.
-std::uint64_t watchDigest(const std::vector<AccountPart> &Watched);
+std::uint64_t watchDigest(const std::vector<Suspect> &Watched);
 
 /// Returns the crashes that got a request after \p Since.
-std::vector<EngineCrash> crashesSince(const PartQuarantine &S, TimePoint Since,
+std::vector<ServerCrash> crashesSince(const CrashQuarantine &S, TimePoint Since,
                                       TimePoint Now);
 
 /// A quarantine that applies to a request.
@@ -147,21 +150,22 @@
 
 /// Returns the active quarantine of one of the parts. If several apply, returns
 /// the one whose next trial is latest.
-QuarantineMatch findQuarantine(const PartQuarantine &S,
+QuarantineMatch findQuarantine(const CrashQuarantine &S,
                                const AccountId &Account,
                                const std::vector<PartId> &Parts);
 
 /// Begins a quarantine that the given evidence accuses. \p IsTied: other parts
 /// are quarantined for the same crashes.
-void beginQuarantine(PartQuarantine &S, const QuarantineScope &Scope,
+void beginQuarantine(CrashQuarantine &S, const QuarantineScope &Scope,
                      std::size_t Crashes, std::size_t Requests, bool IsTied,
                      TimePoint Now);
 
 /// Counts a trial of a part in quarantine and sets the time of the next one.
-void beginTrial(PartQuarantine &S, const QuarantineScope &Scope, TimePoint Now);
+void beginTrial(CrashQuarantine &S, const QuarantineScope &Scope,
+                TimePoint Now);
 
 /// Ends a quarantine. Returns false if the part is not in quarantine.
-bool liftQuarantine(PartQuarantine &S, const QuarantineScope &Scope,
+bool liftQuarantine(CrashQuarantine &S, const QuarantineScope &Scope,
                     TimePoint Now);
 
 } // namespace pimento
--- a/packages/quarantine/QuarantineJudge.cpp
+++ b/packages/quarantine/QuarantineJudge.cpp
@@ -1,6 +1,6 @@
 // Compares crashes to find the parts that caused them.
 
-#include "quarantine/PartQuarantine.h"
+#include "quarantine/CrashQuarantine.h"
 
 #include <algorithm>
 #include <bitset>
@@ -43,7 +43,7 @@
   return std::min(A.Crashes.count(), A.Requests.size());
 }
 
-void forgetCrashes(PartQuarantine &S, TimePoint Now) {
+void forgetCrashes(CrashQuarantine &S, TimePoint Now) {
   for (auto It = S.Crashes.begin(); It != S.Crashes.end();) {
     bool IsOld = Now > It->second.At + EvidenceRetention;
     It = IsOld ? S.Crashes.erase(It) : std::next(It);
@@ -51,7 +51,7 @@
 }
 
 /// Marks the crashes in which a quarantined part had a request.
-void explainCrashes(PartQuarantine &S) {
+void explainCrashes(CrashQuarantine &S) {
   for (auto &[Key, Crash] : S.Crashes) {
     for (const CrashedRequest &R : Crash.Requests) {
       if (findQuarantine(S, R.Account, R.Parts).Part != nullptr)
@@ -66,7 +66,7 @@
 
 /// Returns the unexplained crashes that all hosts have reported, in the order
 /// of their times.
-std::vector<const KnownCrash *> openCrashes(const PartQuarantine &S,
+std::vector<const KnownCrash *> openCrashes(const CrashQuarantine &S,
                                             TimePoint Now) {
   std::vector<const KnownCrash *> Open;
   for (const auto &[Key, Crash] : S.Crashes) {
@@ -78,20 +78,20 @@
   return Open;
 }
 
-std::optional<TimePoint> lastAnswer(const PartQuarantine &S,
+std::optional<TimePoint> lastAnswer(const CrashQuarantine &S,
                                     const QuarantineScope &Scope) {
   return Scope.AllAccounts ? answeredAt(S.Answered, Scope.Part)
                            : answeredAt(S.Answered, Scope.Account, Scope.Part);
 }
 
-void accuse(const PartQuarantine &S, const KnownCrash &Crash,
+void accuse(const CrashQuarantine &S, const KnownCrash &Crash,
             std::size_t Coincidence, Accusations &All, TimePoint Now) {
   for (const CrashedRequest &R : Crash.Requests) {
     std::size_t Judged = std::min(R.Parts.size(), MaxJudgedParts);
     for (std::size_t I = 0; I < Judged; ++I) {
       for (bool AllAccounts : {false, true}) {
         QuarantineScope Scope =
-            scopeOf(AccountPart{R.Account, R.Parts[I]}, AllAccounts);
+            scopeOf(Suspect{R.Account, R.Parts[I]}, AllAccounts);
         std::optional<TimePoint> Answer = lastAnswer(S, Scope);
         if (Answer && *Answer >= Crash.At)
           continue;
@@ -105,7 +105,7 @@
   }
 }
 
-Accusations collectAccusations(const PartQuarantine &S, TimePoint Now) {
+Accusations collectAccusations(const CrashQuarantine &S, TimePoint Now) {
   Accusations All;
   std::size_t Coincidence = 0;
   TimePoint Begin = TimePoint::min();
@@ -122,14 +122,15 @@
 }
 
 /// Whether the part is in quarantine for some account.
-bool isQuarantinedForOthers(const PartQuarantine &S, PartId Part) {
-  return std::any_of(S.Parts.begin(), S.Parts.end(), [&](const auto &Entry) {
-    return Entry.first.Part == Part && Entry.second.Active;
-  });
+bool isQuarantinedForOthers(const CrashQuarantine &S, PartId Part) {
+  return std::any_of(S.Entries.begin(), S.Entries.end(),
+                     [&](const auto &Entry) {
+                       return Entry.first.Part == Part && Entry.second.Active;
+                     });
 }
 
 /// Whether the accusation suffices if nothing else explains the crashes.
-bool isSufficient(const PartQuarantine &S, const QuarantineScope &Scope,
+bool isSufficient(const CrashQuarantine &S, const QuarantineScope &Scope,
                   const Accusation &A) {
   if (A.IsProven)
     return strength(A) >= AccusingCrashesOfProven &&
@@ -173,7 +174,7 @@
 }
 
 /// Whether the hosts had time to report complete answers with the part.
-bool wasWatched(const PartQuarantine &S, const QuarantineScope &Scope,
+bool wasWatched(const CrashQuarantine &S, const QuarantineScope &Scope,
                 TimePoint Now) {
   for (const auto &[Part, Since] : S.Watched) {
     bool Applies = Part.Part == Scope.Part &&
@@ -187,7 +188,7 @@
 /// Returns the strongest accusation to act on, with those that cannot be told
 /// from it. Prefers all accounts to one.
 std::vector<Accusations::value_type>
-chooseAccused(const PartQuarantine &S, const Accusations &All, TimePoint Now) {
+chooseAccused(const CrashQuarantine &S, const Accusations &All, TimePoint Now) {
   std::vector<Accusations::value_type> Best;
   for (const auto &Entry : All) {
     const auto &[Scope, A] = Entry;
@@ -211,18 +212,18 @@
 }
 
 /// Watches the parts that several crashes accuse.
-void updateWatched(PartQuarantine &S, const Accusations &All, TimePoint Now) {
-  std::vector<std::pair<std::size_t, AccountPart>> Accused;
+void updateWatched(CrashQuarantine &S, const Accusations &All, TimePoint Now) {
+  std::vector<std::pair<std::size_t, Suspect>> Accused;
   for (const auto &[Scope, A] : All) {
     if (!Scope.AllAccounts || strength(A) < WatchedCrashes)
       continue;
     for (const AccountId &Account : A.Accounts)
-      Accused.emplace_back(strength(A), AccountPart{Account, Scope.Part});
+      Accused.emplace_back(strength(A), Suspect{Account, Scope.Part});
   }
   std::sort(Accused.begin(), Accused.end(),
             [](const auto &A, const auto &B) { return B < A; });
   Accused.resize(std::min(Accused.size(), MaxWatched));
-  std::map<AccountPart, TimePoint> Next;
+  std::map<Suspect, TimePoint> Next;
   for (const auto &[Crashes, Part] : Accused) {
     auto Known = S.Watched.find(Part);
     Next[Part] = Known == S.Watched.end() ? Now : Known->second;
@@ -232,7 +233,7 @@
 
 } // namespace
 
-std::vector<QuarantineScope> judgeParts(PartQuarantine &S, TimePoint Now) {
+std::vector<QuarantineScope> judgeCrashes(CrashQuarantine &S, TimePoint Now) {
   std::vector<QuarantineScope> New;
   if (Now < S.JudgeAt)
     return New;
--- a/packages/quarantine/tests/PartHistoryTest.cpp
+++ b/packages/quarantine/tests/AnswerHistoryTest.cpp
@@ -1,7 +1,7 @@
 #define BOOST_TEST_MODULE quarantine
 #include <boost/test/unit_test.hpp>
 
-#include "quarantine/PartHistory.h"
+#include "quarantine/AnswerHistory.h"
 
 using namespace pimento;
 
@@ -10,7 +10,7 @@
 } // namespace
 
 BOOST_AUTO_TEST_CASE(LatestAnswerIsKnownByAccountAndByPart) {
-  PartHistory H;
+  AnswerHistory H;
   AccountId A("a");
   AccountId B("b");
   noteAnswered(H, A, PartId{1}, Start);
@@ -23,7 +23,7 @@
 
 /// Millions of parts take bounded memory, and a part in use is not forgotten.
 BOOST_AUTO_TEST_CASE(HistoryIsBounded) {
-  PartHistory H;
+  AnswerHistory H;
   AccountId A("a");
   for (std::uint64_t I = 0; I < 100000; ++I) {
     noteAnswered(H, A, PartId{I + 10}, Start);
--- a/packages/quarantine/tests/PartQuarantineTest.cpp
+++ b/packages/quarantine/tests/CrashQuarantineTest.cpp
@@ -1,6 +1,6 @@
 #include <boost/test/unit_test.hpp>
 
-#include "quarantine/PartQuarantine.h"
+#include "quarantine/CrashQuarantine.h"
 
 #include <algorithm>
 
@@ -13,7 +13,7 @@
 constexpr PartId Bad{0xbad};
 
 struct Judge {
-  PartQuarantine S;
+  CrashQuarantine S;
   TimePoint Now = Start;
   std::uint64_t NextEngine = 1;
   std::uint64_t NextRequest = 1;
@@ -24,7 +24,7 @@
   /// An engine crashes with these requests; time passes and is judged.
   void crash(std::vector<CrashedRequest> Requests,
              Duration After = milliseconds(400)) {
-    EngineCrash C;
+    ServerCrash C;
     C.Server = BackendId("e" + std::to_string(NextEngine++));
     C.Requests = std::move(Requests);
     addCrash(S, C, Now);
@@ -32,7 +32,7 @@
   }
   void pass(Duration Time) {
     for (TimePoint End = Now + Time; Now < End;) {
-      judgeParts(S, Now);
+      judgeCrashes(S, Now);
       Now += std::min<Duration>(End - Now, milliseconds(50));
     }
   }
@@ -142,7 +142,7 @@
   Judge J;
   for (std::uint64_t I = 0; I < 6; ++I) {
     CrashedRequest Culprit = J.request("a", {Common, Bad, PartId{100 + I}});
-    EngineCrash C;
+    ServerCrash C;
     C.Server = BackendId("e" + std::to_string(I));
     C.Requests = {J.request("a", {Common, PartId{200 + I}})};
     addCrash(J.S, C, J.Now);
@@ -191,7 +191,7 @@
 /// any number.
 BOOST_AUTO_TEST_CASE(RepeatedReportsCountOnce) {
   Judge J;
-  EngineCrash C;
+  ServerCrash C;
   C.Server = BackendId("e");
   C.Requests = {J.request("a", {Bad, PartId{100}})};
   for (int I = 0; I < 10; ++I) {
@@ -230,7 +230,7 @@
     J.crash({J.request("a", {Bad, PartId{J.NextRequest + 100}})});
   J.pass(seconds(1));
   std::vector<QuarantineRecord> Old = quarantineRecords(J.S, J.Now);
-  PartQuarantine Other;
+  CrashQuarantine Other;
   for (const QuarantineRecord &R : Old)
     BOOST_TEST(applyRecord(Other, R, J.Now));
   BOOST_TEST(quarantineDigest(Other) == quarantineDigest(J.S));
--- a/packages/wire/SiteMessages.h
+++ b/packages/wire/SiteMessages.h
@@ -15,7 +15,7 @@
 //   placer to entry host           PermitReply
 //
 // Messages between entry hosts and control hosts also carry a QuarantineUpdate
-// about parts of prompts that crash engines; see quarantine/PartQuarantine.h.
+// about parts of prompts that crash engines; see quarantine/CrashQuarantine.h.
 //
 // Fields travel in the order of fields(); the order is part of the format.
 //
@@ -64,14 +64,14 @@
 };
 
 /// A part of a prompt in requests of one client account.
-struct AccountPart {
+struct Suspect {
   AccountId Account;
   PartId Part{};
 
-  friend bool operator==(const AccountPart &A, const AccountPart &B) {
+  friend bool operator==(const Suspect &A, const Suspect &B) {
     return A.Part == B.Part && A.Account == B.Account;
   }
-  friend bool operator<(const AccountPart &A, const AccountPart &B) {
+  friend bool operator<(const Suspect &A, const Suspect &B) {
     return std::tie(A.Part, A.Account) < std::tie(B.Part, B.Account);
   }
 
@@ -94,7 +94,7 @@
 };
 
 /// An engine that broke off the answers to requests of an entry host.
-struct EngineCrash {
+struct ServerCrash {
   BackendId Server;
   IncarnationNumber Incarnation = 0; // Of the engine.
   Duration Age = {};                 // Time since the crash.
@@ -107,8 +107,8 @@
 };
 
 /// A request with the part was answered completely.
-struct PartClearance {
-  AccountPart Part;
+struct SuspectClearance {
+  Suspect Part;
   Duration Age = {}; // Time since the end of the answer.
 
   template <class Self, class Visitor>
@@ -142,13 +142,13 @@
 struct QuarantineUpdate {
   std::uint64_t Digest = 0; // Of all records of the sender; zero: it has none.
   std::vector<QuarantineRecord> Records; // Empty if the receiver has the same.
-  std::vector<EngineCrash> Crashes;      // Recent crashes.
-  std::vector<PartClearance> Clearances; // Of watched parts and suspects.
+  std::vector<ServerCrash> Crashes;      // Recent crashes.
+  std::vector<SuspectClearance> Clearances; // Of watched parts and suspects.
   std::uint64_t WatchDigest = 0; // Of the watched parts; zero: none. From entry
                                  // hosts: of those that they know.
-  std::vector<AccountPart> Watched; // From control hosts: parts whose next
-                                    // complete answer is to be reported; empty
-                                    // if the receiver knows them.
+  std::vector<Suspect> Watched;  // From control hosts: parts whose next
+                                 // complete answer is to be reported; empty
+                                 // if the receiver knows them.
 
   template <class Self, class Visitor>
   static void fields(Self &M, Visitor &&Visit) {
