--- a/packages/gateway/Admission.cpp
+++ b/packages/gateway/Admission.cpp
@@ -166,6 +166,7 @@
     C.Account = Account->Name;
     C.Priority = Account->Priority.value_or(Path->Priority);
   }
+  C.Digest = digestOf(C.Account, C.Target, C.Body);
   C.Arrived = Arrived;
   C.Deadline = Arrived + timeLimit(*Path, Info);
   C.Info = std::move(Info);
--- a/packages/gateway/Attempt.cpp
+++ b/packages/gateway/Attempt.cpp
@@ -131,13 +131,14 @@
   Record.add("sends", static_cast<std::int64_t>(C.Sends));
   Record.add("stage", std::string(toString(C.Stage)));
   Record.add("since_bytes_ms", toMilliseconds(T.Now - C.Attempt.LastBytes));
+  Record.add("account", C.Account.Value);
+  Record.add("request_digest", toString(C.Digest));
   if (C.OnEngine) {
     bool HasHead = C.Attempt.HeadAt != TimePoint();
     constexpr std::int64_t None = -1;
     Record.add("answering_ms",
                HasHead ? toMilliseconds(T.Now - C.Attempt.HeadAt) : None);
     Record.add("events", static_cast<std::int64_t>(C.Events.Events));
-    Record.add("account", C.Account.Value);
     Record.add("parts", partsText(C.Info.Parts));
   }
   log(T, std::move(Record));
--- a/packages/gateway/Gateway.h
+++ b/packages/gateway/Gateway.h
@@ -36,6 +36,7 @@
 #pragma once
 
 #include "base/Random.h"
+#include "base/RequestDigest.h"
 #include "base/Settings.h"
 #include "calls/Health.h"
 #include "gateway/ControlLink.h"
@@ -152,6 +153,7 @@
   HttpMethod Method = HttpMethod::Get;
   std::string Target;
   std::string Body;
+  RequestDigest Digest;                    // Of Account, Target and Body.
   std::shared_ptr<const RouteTable> Table; // Owns Path.
   const Route *Path = nullptr;
   ServiceId Service;
