gateway: failing tests of requests that end each server that runs them

The simulated site has bad requests known by target, account and body, on engines and plain servers, whole answers and streams, idempotent or not.

--- a/packages/gateway/tests/ServerSite.cpp
+++ b/packages/gateway/tests/ServerSite.cpp
@@ -23,6 +23,8 @@
 /// The pages' contactMs: a change is known to all hosts after this time.
 constexpr Duration ContactTime = seconds(3);
 constexpr std::size_t CrashesBeforeContainment = 5;
+/// The same for a whole request.
+constexpr std::size_t CrashesOfCall = 3;
 /// Part that all sound requests of a kind share.
 constexpr PartId CommonPart{0xa1};
 
@@ -31,27 +33,49 @@
     R"({"name":"stream","host":"h","pathPrefix":"/s/","routeType":"streaming",)"
     R"("timeoutMs":10000,"sloMs":300,"itlTargetMs":250,"service":"llm",)"
     R"("maxAttempts":2,"resumable":true},)"
+    R"({"name":"ask","host":"h","pathPrefix":"/a/","routeType":"idempotent",)"
+    R"("timeoutMs":10000,"sloMs":300,"service":"llm","maxAttempts":2},)"
+    R"({"name":"order","host":"h","pathPrefix":"/o/",)"
+    R"("routeType":"non_idempotent","timeoutMs":10000,"sloMs":300,)"
+    R"("service":"llm","maxAttempts":2},)"
+    R"({"name":"watch","host":"h","pathPrefix":"/t/","routeType":"streaming",)"
+    R"("timeoutMs":5000,"sloMs":300,"itlTargetMs":250,"service":"plain",)"
+    R"("maxAttempts":2,"resumable":true},)"
     R"({"name":"read","host":"h","pathPrefix":"/r/","routeType":"idempotent",)"
     R"("timeoutMs":1000,"sloMs":150,"service":"plain","maxAttempts":2},)"
     R"({"name":"sign","host":"h","pathPrefix":"/w/",)"
     R"("routeType":"non_idempotent","timeoutMs":1000,"sloMs":150,)"
     R"("service":"plain","maxAttempts":2}],)"
-    R"("services":[{"name":"plain","maxConnections":110},{"name":"llm","maxConnections":374,"engine":{"slots":16,)"
+    R"("services":[{"name":"plain","healthPath":"/healthz",)"
+    R"("maxConnections":110},{"name":"llm","healthPath":"/healthz",)"
+    R"("maxConnections":374,"engine":{"slots":16,)"
     R"("kvCapacity":232000,"stride":43,"chunk":2048,"step_ms":1.02,)"
     R"("per_seq_ms":0.00226,"context_per_k":0.00431,"read_per_s":206000.0,)"
     R"("pairs_per_m":0.138}}],"tenants":[{"name":"a","apiKeys":["ka"]},)"
     R"({"name":"b","apiKeys":["kb"]},{"name":"c","apiKeys":["kc"]}]})";
 
 std::vector<HttpHeader> answerHead(const std::string &Attempt,
-                                   const SiteServer &E) {
+                                   const SiteServer &E, bool Streams) {
   std::vector<HttpHeader> Headers = {{"X-Pimentoglade-Attempt-Id", Attempt},
                                      {"X-Pimentoglade-Replica-Stamp", "s"}};
-  if (E.Service == "llm")
+  if (Streams)
     Headers.push_back({"Content-Type", "text/event-stream"});
   Headers.insert(Headers.end(), E.ExtraHeaders.begin(), E.ExtraHeaders.end());
   return Headers;
 }
 
+/// Whether the route of the target has streams as answers.
+bool streams(const std::string &Target) {
+  std::string Prefix = Target.substr(0, 3);
+  return Prefix == "/s/" || Prefix == "/t/";
+}
+
+/// Whether the route of the target leads to engines.
+bool isForEngines(const std::string &Target) {
+  std::string Prefix = Target.substr(0, 3);
+  return Prefix == "/s/" || Prefix == "/a/" || Prefix == "/o/";
+}
+
 } // namespace
 
 ServerSite::ServerSite(std::uint64_t Seed)
@@ -85,6 +109,8 @@
   Load = Planned;
   SoundAt = now();
   BadAt = now();
+  PlainAt = now();
+  BadCallAt = now();
 }
 
 void ServerSite::startEntry(const HostId &Name) {
@@ -150,7 +176,7 @@
   } else if (const auto *Reply = std::get_if<calls::SendReply>(&E)) {
     CallerView &View = ViewOf(Reply->Exchange);
     View.Status = Reply->Reply.Status;
-    View.Complete = View.Complete || View.Status == 200;
+    View.Complete = View.Complete || (View.Status == 200 && !View.Streams);
     std::string After(headerValue(Reply->Reply.Headers, "Retry-After"));
     View.RetryAfter = After.empty() ? 0 : std::stod(After);
   }
@@ -179,6 +205,11 @@
     answerAtOnce(N, Open.Upstream, 200, {}, R"({"pace":1})");
     return;
   }
+  if (Open.Request.Target == "/healthz") {
+    answerAtOnce(N, Open.Upstream, 200,
+                 {{"X-Pimentoglade-Replica-Id", Engine->Id}}, "");
+    return;
+  }
   if (Open.Request.Target == "/-/order") {
     answerAtOnce(N, Open.Upstream, 200, {}, R"({"free":100000})");
     return;
@@ -201,6 +232,16 @@
   Run.Upstream = Open.Upstream;
   Run.Attempt = Attempt;
   Run.Bad = View.Bad;
+  Run.Streams = streams(Open.Request.Target);
+  BadCall Call = {
+      Open.Request.Target,
+      std::string(headerValue(Open.Request.Headers, "X-Pimentoglade-Tenant")),
+      Open.Request.Body};
+  auto Seen = BadViews.find(Call);
+  if (Seen != BadViews.end() && CuredCalls.count(Call) == 0) {
+    Seen->second.Sends.push_back(now());
+    Run.Call = Call;
+  }
   Run.BeginsAt = now() + (Engine->Service == "plain" ? PlainTime : PrefillTime);
   Engine->Runs.push_back(std::move(Run));
 }
@@ -213,6 +254,14 @@
   E.BackAt = now() + EngineDownTime;
   if (ByRequest)
     BadCrashes.push_back(now());
+  cutRuns(E);
+}
+
+void ServerSite::breakConnections(std::size_t Server) {
+  cutRuns(Engines.at(Server));
+}
+
+void ServerSite::cutRuns(SiteServer &E) {
   std::vector<EngineRun> Cut = std::move(E.Runs);
   E.Runs.clear();
   for (const EngineRun &Run : Cut) {
@@ -266,7 +315,12 @@
     auto Run = std::find_if(E.Runs.begin(), E.Runs.end(), Is);
     if (Run == E.Runs.end())
       continue;
-    if (E.Service == "plain") {
+    if (Run->Call && (Run->Events > 0 || !Run->Streams)) {
+      BadViews[*Run->Call].Crashes.push_back(now());
+      crash(Index);
+      return;
+    }
+    if (!Run->Streams) {
       EngineRun Ended = *Run;
       E.Runs.erase(std::remove_if(E.Runs.begin(), E.Runs.end(), Is),
                    E.Runs.end());
@@ -279,10 +333,10 @@
       crash(Index, /*ByRequest=*/true);
       return;
     }
-    Run->NextEventAt = now() + (Run->Bad ? CrashDelay : EventInterval);
-    bool IsBad = Run->Bad;
+    bool IsBad = Run->Bad || Run->Call.has_value();
+    Run->NextEventAt = now() + (IsBad ? CrashDelay : EventInterval);
     if (Number == 1)
-      event(N, UpstreamHead{Upstream, 200, answerHead(Run->Attempt, E)});
+      event(N, UpstreamHead{Upstream, 200, answerHead(Run->Attempt, E, true)});
     if (IsBad)
       continue;
     event(N, UpstreamData{Upstream,
@@ -298,7 +352,8 @@
 void ServerSite::answerPlain(SiteServer &E, const EngineRun &Run) {
   EntryNode &N = Entries.at(Run.Host);
   if (N.Up)
-    answerAtOnce(N, Run.Upstream, 200, answerHead(Run.Attempt, E), "done");
+    answerAtOnce(N, Run.Upstream, 200, answerHead(Run.Attempt, E, false),
+                 "done");
 }
 
 void ServerSite::stepEngines() {
@@ -335,48 +390,60 @@
   return *Ready[below(Rng, Ready.size())];
 }
 
-std::string ServerSite::call(const HostId &Host, const std::string &Account,
-                             const std::vector<PartId> &Parts, bool Bad) {
+std::string ServerSite::send(const HostId &Host, HttpRequest R,
+                             const std::string &Account, bool Bad) {
   std::string Attempt = "t" + std::to_string(NextAttempt++);
   ExchangeId Exchange{NextExchange++};
   Exchanges[{Host, Exchange}] = Attempt;
   CallerView &View = Callers[Attempt];
   View.Bad = Bad;
+  View.Streams = streams(R.Target);
   View.Account = Account;
   View.SentAt = now();
-  std::string List;
-  for (PartId Part : Parts)
-    List += (List.empty() ? "" : ",") + toString(Part) + ":1000";
-  HttpRequest R;
-  R.Method = HttpMethod::Post;
-  R.Path = R.Target = "/s/1";
-  R.Headers = {{"Host", "h"},
-               {"X-Pimentoglade-Attempt-Id", Attempt},
-               {"X-Pimentoglade-Token-Count", "5000,430"},
-               {"X-Pimentoglade-Prefix-Hash", List},
-               {"Authorization", "Token k" + Account}};
+  R.Path = R.Target;
+  R.Headers.push_back({"Host", "h"});
+  R.Headers.push_back({"X-Pimentoglade-Attempt-Id", Attempt});
+  R.Headers.push_back({"Authorization", "Token k" + Account});
   EntryNode &N = Entries.at(Host);
   if (N.Up)
     event(N, CallerRequest{Exchange, R});
   return Attempt;
 }
 
+std::string ServerSite::call(const HostId &Host, const std::string &Account,
+                             const std::vector<PartId> &Parts, bool Bad) {
+  HttpRequest R;
+  R.Method = HttpMethod::Post;
+  R.Target = "/s/1";
+  for (PartId Part : Parts)
+    R.Body += (R.Body.empty() ? "" : ",") + toString(Part) + ":1000";
+  R.Headers = {{"X-Pimentoglade-Token-Count", "5000,430"},
+               {"X-Pimentoglade-Prefix-Hash", R.Body}};
+  return send(Host, std::move(R), Account, Bad);
+}
+
 std::string ServerSite::callPlain(const HostId &Host, bool MayRepeat) {
-  std::string Attempt = "t" + std::to_string(NextAttempt++);
-  ExchangeId Exchange{NextExchange++};
-  Exchanges[{Host, Exchange}] = Attempt;
-  CallerView &View = Callers[Attempt];
-  View.Account = "a";
-  View.SentAt = now();
   HttpRequest R;
   R.Method = MayRepeat ? HttpMethod::Get : HttpMethod::Post;
-  R.Path = R.Target = MayRepeat ? "/r/1" : "/w/1";
-  R.Headers = {{"Host", "h"},
-               {"X-Pimentoglade-Attempt-Id", Attempt},
-               {"Authorization", "Token ka"}};
-  EntryNode &N = Entries.at(Host);
-  if (N.Up)
-    event(N, CallerRequest{Exchange, R});
+  R.Target = MayRepeat ? "/r/1" : "/w/1";
+  return send(Host, std::move(R), "a", false);
+}
+
+std::string ServerSite::callAs(const HostId &Host, const BadCall &Call) {
+  HttpRequest R;
+  R.Method = HttpMethod::Post;
+  R.Target = Call.Target;
+  R.Body = Call.Body;
+  if (isForEngines(Call.Target)) {
+    // The last part differs each time, as that of a session does.
+    std::string List = toString(CommonPart) + ":1000," +
+                       toString(PartId{NextPart++}) + ":1000";
+    R.Headers = {{"X-Pimentoglade-Token-Count", "5000,430"},
+                 {"X-Pimentoglade-Prefix-Hash", List}};
+  }
+  bool Bad = BadViews.count(Call) > 0 && CuredCalls.count(Call) == 0;
+  std::string Attempt = send(Host, std::move(R), Call.Account, false);
+  Callers[Attempt].Bad = Bad;
   return Attempt;
 }
 
@@ -401,10 +468,26 @@
       Parts = {Bad, PartId{NextPart++}};
     call(anyEntry(), Account, Parts, Cured.count(Bad) == 0);
   }
+  stepOtherCallers();
+}
+
+void ServerSite::stepOtherCallers() {
+  while (Load.PlainEvery != Duration::max() && now() >= PlainAt) {
+    PlainAt += Load.PlainEvery;
+    callPlain(anyEntry(), NextAttempt % 2 == 0);
+  }
+  while (!BadCalls.empty() && now() >= BadCallAt) {
+    BadCallAt += Load.BadCallEvery;
+    callAs(anyEntry(), BadCalls[NextBadCall++ % BadCalls.size()]);
+  }
 }
 
 void ServerSite::run(Duration Time, const std::function<void()> &Action) {
   BadAt = std::max(BadAt, now());
+  PlainAt = std::max(PlainAt, now());
+  BadCallAt = std::max(BadCallAt, now());
+  for (const BadCall &Call : BadCalls)
+    BadViews[Call];
   for (TimePoint End = now() + Time; now() < End;) {
     Control.Net.runFor(Step);
     stepLetters();
@@ -430,6 +513,16 @@
                     [&](TimePoint At) { return At > From; }));
 }
 
+std::size_t ServerSite::lateSends(const BadCall &Call) const {
+  const BadCallView &View = BadViews.at(Call);
+  if (View.Crashes.size() < CrashesOfCall)
+    return 0;
+  TimePoint From = View.Crashes[CrashesOfCall - 1] + ContactTime;
+  return static_cast<std::size_t>(
+      std::count_if(View.Sends.begin(), View.Sends.end(),
+                    [&](TimePoint At) { return At > From; }));
+}
+
 double ServerSite::soundShare(TimePoint From, TimePoint Until) const {
   std::size_t All = 0;
   std::size_t Served = 0;
--- a/packages/gateway/tests/ServerSite.h
+++ b/packages/gateway/tests/ServerSite.h
@@ -5,11 +5,14 @@
 //   Site.run(seconds(8), {});
 //   Site.run(seconds(25), [&] { ... });        // The action runs each step.
 //   BOOST_TEST(Site.lateSends() <= 3);
+//   Site.BadCalls = {{"/r/bad"}};              // A request that ends servers.
+//   BOOST_TEST(Site.lateSends(Site.BadCalls[0]) <= 3);
 //
 // Control hosts, entry hosts, engines and plain servers in virtual time. An
 // engine that begins to write the answer to a prompt with a bad part crashes,
-// which breaks off all its answers; it is back after some seconds under another
-// id. A server may add headers to its answers, such as a limit of requests.
+// which breaks off all its answers; so does any server that runs a bad request,
+// known by its target, account and body. It is back after some seconds under
+// another id. A server may add headers to its answers, such as a limit of requests.
 //
 //===----------------------------------------------------------------------===//
 #pragma once
@@ -20,18 +23,40 @@
 #include <deque>
 #include <functional>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
+#include <tuple>
 #include <vector>
 
 namespace pimento::testing {
 
-/// A request that an engine runs or has queued.
+/// A request that ends each server that runs it, and how it is sent again.
+struct BadCall {
+  std::string Target;
+  std::string Account = "a";
+  std::string Body = "bad";
+
+  friend bool operator<(const BadCall &A, const BadCall &B) {
+    return std::tie(A.Target, A.Account, A.Body) <
+           std::tie(B.Target, B.Account, B.Body);
+  }
+};
+
+/// What a bad request did so far.
+struct BadCallView {
+  std::vector<TimePoint> Sends; // That reached a server.
+  std::vector<TimePoint> Crashes;
+};
+
+/// A request that a server runs or has queued.
 struct EngineRun {
   HostId Host;
   UpstreamId Upstream{};
   std::string Attempt;
   bool Bad = false;
+  bool Streams = true;
+  std::optional<BadCall> Call; // It is this bad request.
   TimePoint BeginsAt{}; // The engine begins to write the answer.
   TimePoint NextEventAt{};
   int Events = 0;
@@ -55,6 +80,7 @@
 /// A caller's request, as the caller sees it.
 struct CallerView {
   bool Bad = false;
+  bool Streams = false; // Its answer is a stream.
   std::string Account;
   TimePoint SentAt{};
   int Sends = 0; // Sends that reached an engine.
@@ -75,6 +101,8 @@
 struct Traffic {
   Duration SoundEvery = milliseconds(40);
   Duration BadEvery = milliseconds(250);
+  Duration PlainEvery = Duration::max(); // Sound calls of the plain service.
+  Duration BadCallEvery = milliseconds(250);
   bool BadIsFirst = false; // The bad part is the first part of the prompt.
   std::vector<std::string> Accounts = {"a", "b", "c"};
   bool OneBadAccount = false; // All bad requests are of the first account.
@@ -91,7 +119,10 @@
   std::map<std::string, CallerView> Callers; // By the attempt's id.
   std::vector<TimePoint> BadCrashes;
   std::vector<TimePoint>
-      BadSends; // Sends of bad requests that reached engines.
+      BadSends; // Sends of requests with a bad part that reached engines.
+  std::vector<BadCall> BadCalls; // Sent in turn; empty: none.
+  std::map<BadCall, BadCallView> BadViews;
+  std::set<BadCall> CuredCalls; // End no server any more.
 
   explicit ServerSite(std::uint64_t Seed);
 
@@ -109,11 +140,18 @@
 
   /// Sends one request to the plain service; returns the id of its attempt.
   std::string callPlain(const HostId &Host, bool MayRepeat = true);
+  /// Sends a request with this target, account and body, which may be a bad
+  /// one; returns the id of its attempt.
+  std::string callAs(const HostId &Host, const BadCall &Call);
+  /// Breaks all connections of a server, which goes on running.
+  void breakConnections(std::size_t Server);
   /// An entry host that is ready; any if none is.
   const HostId &anyEntry();
 
   /// Sends of bad requests later than three seconds after the fifth crash.
   std::size_t lateSends() const;
+  /// Sends of a bad request later than three seconds after its third crash.
+  std::size_t lateSends(const BadCall &Call) const;
   /// Share of the sound requests sent between the times that were answered
   /// completely by the first engine; 1 if there were none.
   double soundShare(TimePoint From, TimePoint Until) const;
@@ -135,6 +173,9 @@
   std::uint64_t NextIncarnation = 100;
   TimePoint SoundAt{};
   TimePoint BadAt{};
+  TimePoint PlainAt{};
+  TimePoint BadCallAt{};
+  std::size_t NextBadCall = 0;
   std::deque<Letter> Letters;
   std::map<std::pair<HostId, ExchangeId>, std::string> Exchanges;
 
@@ -147,6 +188,10 @@
   void stepEngines();
   void stepEngine(std::size_t Index);
   void stepCallers();
+  void stepOtherCallers();
+  std::string send(const HostId &Host, HttpRequest R, const std::string &Account,
+                   bool Bad);
+  void cutRuns(SiteServer &E);
   void stepLetters();
   void report(SiteServer &E);
   void answerPlain(SiteServer &E, const EngineRun &Run);
