--- a/packages/control/ControlHost.cpp
+++ b/packages/control/ControlHost.cpp
@@ -156,7 +156,10 @@
             static_cast<double>(limitedServers(S.NamedLimits))),
       Gauge("pimento_entry_hosts", static_cast<double>(S.Entries.size())),
       Gauge("pimento_quarantined_parts",
-            static_cast<double>(activeQuarantines(S.Quarantine))),
+            static_cast<double>(activeQuarantines(S.Quarantine) -
+                                quarantinedRequests(S.Quarantine))),
+      Gauge("pimento_quarantined_requests",
+            static_cast<double>(quarantinedRequests(S.Quarantine))),
   };
 }
 
--- a/packages/control/ControlQuarantine.cpp
+++ b/packages/control/ControlQuarantine.cpp
@@ -1,5 +1,5 @@
-// Parts of prompts that crash engines: evidence of the entry hosts, judgement,
-// spread, and operators' calls.
+// Requests, and parts of prompts, that crash backend servers: evidence of the
+// entry hosts, judgement, spread, and operators' calls.
 
 #include "control/ControlTurn.h"
 
@@ -22,11 +22,21 @@
 constexpr const char *QuarantinePath = "/v1/quarantine";
 constexpr int HexBase = 16;
 
-DecisionRecord recordOf(const char *Kind, const char *Reason,
-                        const QuarantineScope &Scope, const Quarantined &Q) {
-  DecisionRecord Record{Kind, {}, Reason, {}};
-  Record.add("part", toString(Scope.Part));
-  Record.add("account", Scope.Account.Value);
+/// Starts a decision record about a suspect, which names what it is.
+DecisionRecord recordAbout(const Suspect &What, const char *PartKind,
+                           const char *RequestKind, const char *Reason) {
+  DecisionRecord Record{
+      What.isRequest() ? RequestKind : PartKind, {}, Reason, {}};
+  Record.add(What.isRequest() ? "request_digest" : "part", toString(What));
+  Record.add("account", What.Account.Value);
+  return Record;
+}
+
+DecisionRecord recordOf(const char *PartKind, const char *RequestKind,
+                        const char *Reason, const QuarantineScope &Scope,
+                        const Quarantined &Q) {
+  DecisionRecord Record =
+      recordAbout(Scope.What, PartKind, RequestKind, Reason);
   Record.add("all_accounts", Scope.AllAccounts);
   Record.add("crashes", static_cast<std::int64_t>(Q.Crashes));
   Record.add("requests", static_cast<std::int64_t>(Q.Requests));
@@ -35,11 +45,11 @@
   return Record;
 }
 
-std::vector<Suspect> watchedParts(const CrashQuarantine &S) {
-  std::vector<Suspect> Parts;
-  for (const auto &[Part, Since] : S.Watched)
-    Parts.push_back(Part);
-  return Parts;
+std::vector<Suspect> watchedSuspects(const CrashQuarantine &S) {
+  std::vector<Suspect> List;
+  for (const auto &[What, Since] : S.Watched)
+    List.push_back(What);
+  return List;
 }
 
 /// Replaces bytes that are no UTF-8: names of accounts also come from other
@@ -59,19 +69,20 @@
   for (auto It = S.Clearances.begin(); It != S.Clearances.end();)
     It = It->second < Limit ? S.Clearances.erase(It) : std::next(It);
   if (S.Clearances.size() < MaxClearances)
-    S.Clearances[Clearance.Part] = Now;
+    S.Clearances[Clearance.Cleared] = Now;
 }
 
 Json describe(const QuarantineScope &Scope, const Quarantined &Q,
               TimePoint Now) {
-  Json Entry = {{"part", toString(Scope.Part)},
+  const Suspect &What = Scope.What;
+  Json Entry = {{What.isRequest() ? "request" : "part", toString(What)},
                 {"all_accounts", Scope.AllAccounts},
                 {"since_ms", toMilliseconds(Now - Q.Since)},
                 {"crashes", Q.Crashes},
                 {"requests", Q.Requests},
                 {"trials", Q.Trials}};
   if (!Scope.AllAccounts)
-    Entry["account"] = Scope.Account.Value;
+    Entry["account"] = What.Account.Value;
   if (Q.TrialAt != TimePoint::max())
     Entry["next_trial_ms"] = toMilliseconds(Q.TrialAt - Now);
   return Entry;
@@ -86,28 +97,40 @@
   reply(T, Exchange, jsonReply(200, textOf({{"parts", Parts}})));
 }
 
-/// Lifts the quarantines of the part named by the last segment of the path, for
-/// all accounts.
-void liftPart(ControlTurn &T, ExchangeId Exchange, std::string_view Text) {
+/// Reads a part of prompts, or a request's digest with all its digits. Returns
+/// false for any other text.
+bool readSuspect(std::string_view Text, Suspect &What) {
+  if (parseRequestDigest(Text, What.Request))
+    return true;
   std::uint64_t Number = 0;
   const char *End = Text.data() + Text.size();
   auto [Last, Error] = std::from_chars(Text.data(), End, Number, HexBase);
-  if (Error != std::errc() || Last != End) {
+  What.Part = PartId{Number};
+  return Error == std::errc() && Last == End;
+}
+
+/// Lifts the quarantines of the part, for all accounts, or of the request that
+/// the last segment of the path names.
+void lift(ControlTurn &T, ExchangeId Exchange, std::string_view Text) {
+  Suspect Named;
+  if (!readSuspect(Text, Named)) {
     refuse(T, Exchange, Code::BadRequest,
-           "the path does not end with a part in hexadecimal");
+           "the path does not end with a part or a request in hexadecimal");
     return;
   }
   std::int64_t Lifted = 0;
   for (auto &[Scope, Q] : T.S.Quarantine.Entries) {
-    if (Scope.Part != PartId{Number} ||
-        !liftQuarantine(T.S.Quarantine, Scope, T.Now))
+    bool IsNamed =
+        Scope.What.Part == Named.Part && Scope.What.Request == Named.Request;
+    if (!IsNamed || !liftQuarantine(T.S.Quarantine, Scope, T.Now))
       continue;
     ++Lifted;
-    log(T, recordOf("part_released", "an operator lifted the quarantine", Scope,
-                    Q));
+    log(T, recordOf("part_released", "request_released",
+                    "an operator lifted the quarantine", Scope, Q));
   }
   if (Lifted == 0) {
-    refuse(T, Exchange, Code::NotFound, "the part is not in quarantine");
+    refuse(T, Exchange, Code::NotFound,
+           "no such part or request is in quarantine");
     return;
   }
   T.S.UpdateDue = true;
@@ -126,7 +149,7 @@
     if (!addCrash(Q, Crash, T.Now))
       continue;
     DecisionRecord Record{
-        "engine_crash", {}, "an engine broke off answers of a host", {}};
+        "engine_crash", {}, "a backend server broke off answers of a host", {}};
     Record.add("server", Crash.Server.Value);
     Record.add("reporter", From.Value);
     Record.add("requests", static_cast<std::int64_t>(Crash.Requests.size()));
@@ -138,10 +161,9 @@
     if (!addClearance(Q, Clearance, T.Now))
       continue;
     Changed = true;
-    DecisionRecord Record{
-        "part_released", {}, "a request with the part was answered", {}};
-    Record.add("part", toString(Clearance.Part.Part));
-    Record.add("account", Clearance.Part.Account.Value);
+    DecisionRecord Record =
+        recordAbout(Clearance.Cleared, "part_released", "request_released",
+                    "it was answered completely");
     Record.add("reporter", From.Value);
     log(T, std::move(Record));
   }
@@ -157,7 +179,7 @@
   M.Digest = quarantineDigest(Q);
   if (M.Digest != KnownDigest)
     M.Records = quarantineRecords(Q, T.Now);
-  std::vector<Suspect> Watched = watchedParts(Q);
+  std::vector<Suspect> Watched = watchedSuspects(Q);
   M.WatchDigest = watchDigest(Watched);
   if (M.WatchDigest != KnownWatchDigest)
     M.Watched = std::move(Watched);
@@ -172,11 +194,10 @@
   if (M.Digest != Peer.QuarantineDigest)
     M.Records = quarantineRecords(Q, T.Now);
   M.Crashes = crashesSince(Q, T.Now - EvidenceRelayTime, T.Now);
-  for (const auto &[Part, ReceivedAt] : T.S.Clearances) {
-    std::optional<TimePoint> At =
-        answeredAt(Q.Answered, Part.Account, Part.Part);
+  for (const auto &[What, ReceivedAt] : T.S.Clearances) {
+    std::optional<TimePoint> At = answeredAt(Q.Answered, What);
     if (At && T.Now < ReceivedAt + EvidenceRelayTime)
-      M.Clearances.push_back({Part, T.Now - *At});
+      M.Clearances.push_back({What, T.Now - *At});
   }
   return M;
 }
@@ -189,15 +210,16 @@
     Q.JudgeAt = T.Now + NotJudgingDelay;
     return;
   }
-  std::uint64_t WatchBefore = watchDigest(watchedParts(Q));
+  std::uint64_t WatchBefore = watchDigest(watchedSuspects(Q));
   for (const QuarantineScope &Scope : judgeCrashes(Q, T.Now)) {
-    log(T, recordOf("part_quarantined",
-                    "crashes of engines have this part in common", Scope,
+    log(T, recordOf("part_quarantined", "request_quarantined",
+                    "crashes of servers have this in common", Scope,
                     Q.Entries.at(Scope)));
-    count(T, "pimento_parts_quarantined_total");
+    count(T, Scope.What.isRequest() ? "pimento_requests_quarantined_total"
+                                    : "pimento_parts_quarantined_total");
     T.S.UpdateDue = true;
   }
-  if (watchDigest(watchedParts(Q)) != WatchBefore)
+  if (watchDigest(watchedSuspects(Q)) != WatchBefore)
     T.S.UpdateDue = true;
 }
 
@@ -212,7 +234,7 @@
                 Path.substr(0, Prefix.size()) == Prefix &&
                 Path[Prefix.size()] == '/';
   if (IsLift)
-    liftPart(T, Exchange, Path.substr(Prefix.size() + 1));
+    lift(T, Exchange, Path.substr(Prefix.size() + 1));
   return IsLift;
 }
 
--- a/packages/ctl/Command.h
+++ b/packages/ctl/Command.h
@@ -76,7 +76,8 @@
 struct Command {
   CommandKind Kind = CommandKind::Status;
   ServiceId Service; // Empty if the command takes no service.
-  std::string Part;  // Part of prompts, in hexadecimal; empty if it takes none.
+  std::string Part;  // Part of prompts or digest of a request, in hexadecimal;
+                     // empty if it takes none.
   std::vector<std::string> Files; // Input files; "-" is standard input.
 };
 
--- a/packages/ctl/Present.cpp
+++ b/packages/ctl/Present.cpp
@@ -211,8 +211,8 @@
     return;
   case CommandKind::QuarantineList:
     O.Out = table(Body.value("parts", Json(nullptr)),
-                  {"part", "account", "all_accounts", "since_ms", "crashes",
-                   "requests", "trials", "next_trial_ms"});
+                  {"part", "request", "account", "all_accounts", "since_ms",
+                   "crashes", "requests", "trials", "next_trial_ms"});
     return;
   case CommandKind::QuarantineLift:
     O.Out = "lifted " + cellText(Body.value("lifted", Json(nullptr))) +
--- a/packages/gateway/Attempt.cpp
+++ b/packages/gateway/Attempt.cpp
@@ -289,7 +289,7 @@
   C.MayHaveRun = C.MayHaveRun || Ran;
   C.TriedServers.push_back(std::move(FaultyServer));
   C.LastFailure = Number;
-  bool Allowed = !C.MayHaveRun || mayRunAgain(C);
+  bool Allowed = !C.MayHaveRun || (mayRunAgain(C) && !isSuspectOfCrashes(T, C));
   if (Allowed && maySendAgain(T, C)) {
     startAttempt(T, C);
     return;
--- /dev/null
+++ b/packages/gateway/CrashCheckPart.cpp
@@ -0,0 +1,163 @@
+// Backend servers that broke off answers: whether they have crashed, and with
+// which requests. A connection may break although its server runs.
+
+#include "gateway/GatewayTurn.h"
+
+#include <algorithm>
+
+namespace pimento::gateway {
+
+namespace {
+
+/// Time in which a server answers that it still runs.
+constexpr Duration CrashCheckTimeout = milliseconds(400);
+/// Parts of a prompt that are reported, the first ones.
+constexpr std::size_t MaxReportedParts = 32;
+
+CrashedRequest crashedRequest(const GatewayTurn &T, const GatewayCall &C) {
+  CrashedRequest Request;
+  Request.Account = C.Account;
+  Request.Request = C.Digest;
+  Request.RanFor = T.Now - C.Attempt.Began;
+  if (!C.OnEngine)
+    return Request;
+  const std::vector<PartId> &Parts = C.Info.Parts;
+  std::size_t Count = std::min(Parts.size(), MaxReportedParts);
+  Request.Parts.assign(Parts.begin(),
+                       Parts.begin() + static_cast<std::ptrdiff_t>(Count));
+  return Request;
+}
+
+ServerCrash crashOf(const GatewayTurn &T, const GatewayCall &C) {
+  ServerCrash Crash;
+  Crash.Server = C.Attempt.Server;
+  Crash.Incarnation = C.Attempt.ServerIncarnation;
+  Crash.Requests = {crashedRequest(T, C)};
+  return Crash;
+}
+
+void logCheck(GatewayTurn &T, const CrashCheck &Check, const char *Reason,
+              bool HasCrashed) {
+  DecisionRecord Record{"crash_check", {}, Reason, {}};
+  Record.add("server", Check.Crash.Server.Value);
+  Record.add("crashed", HasCrashed);
+  Record.add("requests",
+             static_cast<std::int64_t>(Check.Crash.Requests.size()));
+  Record.add("age_ms", toMilliseconds(T.Now - Check.CrashedAt));
+  log(T, std::move(Record));
+}
+
+void crashConfirmed(GatewayTurn &T, CrashCheck &Check, const char *Reason) {
+  logCheck(T, Check, Reason, /*HasCrashed=*/true);
+  Check.Crash.Age = T.Now - Check.CrashedAt;
+  count(T, Check.IsEngine ? "pimento_engine_crashes_total"
+                          : "pimento_plain_server_crashes_total");
+  reportCrash(T, Check.Crash);
+}
+
+/// Sends a health check over a new connection, since a kept one may have ended
+/// with the server that ran before at the address.
+UpstreamId queryHealth(GatewayTurn &T, const std::string &Address,
+                       const std::string &Path) {
+  EngineOrder Query;
+  Query.Method = HttpMethod::Get;
+  Query.Target = Path;
+  UpstreamRequest Request = orderRequest(T.S, Address, std::move(Query));
+  Request.MayReuse = false;
+  UpstreamId Id{T.S.NextUpstream++};
+  T.Out.push_back(calls::OpenUpstream{Id, std::move(Request), std::nullopt});
+  return Id;
+}
+
+/// Asks the call's server whether it runs. Returns zero if it cannot be asked.
+UpstreamId queryServer(GatewayTurn &T, const GatewayCall &C) {
+  if (C.OnEngine)
+    return queryLoad(T, C.Attempt.Address);
+  auto Service = C.Table->ByService.find(C.Service);
+  if (Service == C.Table->ByService.end() ||
+      Service->second->HealthPath.empty())
+    return UpstreamId{};
+  return queryHealth(T, C.Attempt.Address, Service->second->HealthPath);
+}
+
+/// Whether another server answers at the address, since the one that was asked
+/// has ended.
+bool isReplaced(const GatewayTurn &T, const CrashCheck &Check, const Event &E) {
+  const auto *Head = std::get_if<UpstreamHead>(&E);
+  if (Head == nullptr)
+    return false;
+  AnswerInfo Answer = T.S.Platform.DecodeAnswer(Head->Status, Head->Headers);
+  return !Answer.Server.empty() && Answer.Server != Check.Crash.Server;
+}
+
+/// A plain server that is slow may answer a health check late.
+bool isSilent(const CrashCheck &Check, const UpstreamFailed &E) {
+  return !Check.IsEngine && E.Why.TimedOut;
+}
+
+} // namespace
+
+void checkCrash(GatewayTurn &T, const GatewayCall &C) {
+  for (auto &[Upstream, Check] : T.S.CrashChecks) {
+    bool IsSame = Check.Crash.Server == C.Attempt.Server &&
+                  Check.Crash.Incarnation == C.Attempt.ServerIncarnation;
+    if (!IsSame)
+      continue;
+    Check.Crash.Requests.push_back(crashedRequest(T, C));
+    return;
+  }
+  UpstreamId Query = queryServer(T, C);
+  if (Query == UpstreamId{})
+    return;
+  CrashCheck Check;
+  Check.Crash = crashOf(T, C);
+  Check.IsEngine = C.OnEngine;
+  Check.CrashedAt = T.Now;
+  Check.ExpiresAt = T.Now + CrashCheckTimeout;
+  T.S.CrashChecks.emplace(Query, std::move(Check));
+}
+
+void recordCrash(GatewayTurn &T, const GatewayCall &C) {
+  count(T, "pimento_engine_crashes_total");
+  reportCrash(T, crashOf(T, C));
+}
+
+bool crashCheckEvent(GatewayTurn &T, const Event &E) {
+  auto Found = T.S.CrashChecks.find(upstreamOf(E));
+  if (Found == T.S.CrashChecks.end())
+    return false;
+  CrashCheck Check = std::move(Found->second);
+  UpstreamId Query = Found->first;
+  T.S.CrashChecks.erase(Found);
+  if (const auto *Failed = std::get_if<UpstreamFailed>(&E)) {
+    if (isSilent(Check, *Failed))
+      logCheck(T, Check, "no answer to the health check in time", false);
+    else
+      crashConfirmed(T, Check, "the server takes no connection any more");
+    return true;
+  }
+  T.Out.push_back(calls::AbortUpstream{Query});
+  if (isReplaced(T, Check, E))
+    crashConfirmed(T, Check, "another server answers at the address");
+  else
+    logCheck(T, Check, "the server still runs", false);
+  return true;
+}
+
+void tickCrashChecks(GatewayTurn &T) {
+  auto &Checks = T.S.CrashChecks;
+  for (auto It = Checks.begin(); It != Checks.end();) {
+    if (T.Now < It->second.ExpiresAt) {
+      ++It;
+      continue;
+    }
+    T.Out.push_back(calls::AbortUpstream{It->first});
+    if (It->second.IsEngine)
+      crashConfirmed(T, It->second, "no answer to the load query in time");
+    else
+      logCheck(T, It->second, "no answer to the health check in time", false);
+    It = Checks.erase(It);
+  }
+}
+
+} // namespace pimento::gateway
--- a/packages/gateway/Gateway.cpp
+++ b/packages/gateway/Gateway.cpp
@@ -191,7 +191,10 @@
             static_cast<double>(S.Engines.Placed.size())),
       Gauge("pimento_entry_hosts", static_cast<double>(S.Link.Entries)),
       Gauge("pimento_quarantined_parts",
-            static_cast<double>(activeQuarantines(S.Quarantine))),
+            static_cast<double>(activeQuarantines(S.Quarantine) -
+                                quarantinedRequests(S.Quarantine))),
+      Gauge("pimento_quarantined_requests",
+            static_cast<double>(quarantinedRequests(S.Quarantine))),
       Gauge("pimento_limited_servers",
             static_cast<double>(limitedServers(S.NamedLimits))),
       Gauge("pimento_permits_waiting",
--- a/packages/gateway/Gateway.h
+++ b/packages/gateway/Gateway.h
@@ -27,7 +27,8 @@
 // PlacePart.cpp   placement on engines
 // ReservePart.cpp memory reservations at helpers
 // SpeedPart.cpp   load reports of engines suspected of being slow
-// QuarantinePart.cpp parts of prompts that crash engines
+// QuarantinePart.cpp requests, and parts of prompts, that crash servers
+// CrashCheckPart.cpp servers that broke off answers: whether they still run
 // LimitPart.cpp   servers that named a limit of requests
 // RoutingPart.cpp configurations sent by control hosts
 // SitePart.cpp    control hosts, other entry hosts, shutdown
@@ -117,10 +118,11 @@
   TimePoint ExpiresAt{};
 };
 
-/// A query whether an engine still runs after it broke off answers. Without an
-/// answer it has crashed, and the requests are suspects.
+/// A query whether a backend server still runs after it broke off answers. If
+/// it has crashed, the requests are suspects.
 struct CrashCheck {
   ServerCrash Crash; // Age is unused.
+  bool IsEngine = false;
   TimePoint CrashedAt{};
   TimePoint ExpiresAt{};
 };
@@ -181,8 +183,8 @@
   std::vector<Reservation> Reserved;
   TimePoint RenewAt{}; // Next renewal of all reservations.
 
-  bool IsTrial = false;  // A part of its prompt is in quarantine; it is sent
-                         // once to see whether engines still crash.
+  bool IsTrial = false;  // It or a part of its prompt is in quarantine; it is
+                         // sent once to see whether servers still crash.
   bool Replying = false; // The head of an answer was sent to the caller.
   EventSplitter Events;  // State of the stream to the caller.
   TimePoint FirstEventAt{};
@@ -254,7 +256,7 @@
   std::map<UpstreamId, SpeedQuery> SpeedQueries;
   std::map<UpstreamId, std::uint64_t>
       EndQueries;             // Tickets of Confirming calls.
-  CrashQuarantine Quarantine; // Parts that crash engines, and own evidence.
+  CrashQuarantine Quarantine; // What crashes servers, and own evidence.
   RequestLimits NamedLimits;  // Named by backend servers.
   std::uint64_t ControlLimitDigest = 0; // Of the active control host.
   LimitRole RoleForLimits = LimitRole::Follower;
--- a/packages/gateway/GatewayTurn.h
+++ b/packages/gateway/GatewayTurn.h
@@ -166,24 +166,32 @@
 bool speedQueryEvent(GatewayTurn &T, const Event &E);
 
 // QuarantinePart.cpp
-/// Refuses the call if a part of its prompt is in quarantine, unless it is sent
-/// as a trial. Returns whether it was refused; \p C is then invalid.
+/// Refuses the call if it or a part of its prompt is in quarantine, unless it
+/// is sent as a trial. Returns whether it was refused; \p C is then invalid.
 bool refuseQuarantined(GatewayTurn &T, GatewayCall &C);
-/// An engine broke off its answer to the call: asks it whether it still runs.
+/// Whether the call is suspected of crashing servers by so many crashes that it
+/// is not sent to another one.
+bool isSuspectOfCrashes(const GatewayTurn &T, const GatewayCall &C);
+/// Reports a crash with what is known of its suspects.
+void reportCrash(GatewayTurn &T, const ServerCrash &Crash);
+/// Records that a backend server answered the call completely.
+void noteComplete(GatewayTurn &T, const GatewayCall &C);
+/// What a control host is to know of suspects of crashes.
+QuarantineUpdate quarantineReport(GatewayTurn &T);
+/// Merges what a control host knows of suspects of crashes.
+void onQuarantineUpdate(GatewayTurn &T, const QuarantineUpdate &M);
+
+// CrashCheckPart.cpp
+/// A backend server broke off its answer to the call: asks it whether it still
+/// runs.
 void checkCrash(GatewayTurn &T, const GatewayCall &C);
-/// Records that the call's engine has crashed.
+/// Records that the call's server has crashed.
 void recordCrash(GatewayTurn &T, const GatewayCall &C);
-/// Processes an event that belongs to a query whether an engine still runs.
+/// Processes an event that belongs to a query whether a server still runs.
 /// Returns false for any other event.
 bool crashCheckEvent(GatewayTurn &T, const Event &E);
-/// Records the crashes of engines that did not answer such a query in time.
+/// Ends the queries that were not answered in time.
 void tickCrashChecks(GatewayTurn &T);
-/// Records that an engine answered the call completely.
-void noteComplete(GatewayTurn &T, const GatewayCall &C);
-/// What a control host is to know of parts that crash engines.
-QuarantineUpdate quarantineReport(GatewayTurn &T);
-/// Merges what a control host knows of parts that crash engines.
-void onQuarantineUpdate(GatewayTurn &T, const QuarantineUpdate &M);
 
 // LimitPart.cpp
 /// Whether the server named a limit, so that only the placer permits requests.
--- a/packages/quarantine/CrashQuarantine.cpp
+++ b/packages/quarantine/CrashQuarantine.cpp
@@ -25,10 +25,11 @@
 }
 
 /// Hash that is equal on all hosts.
-std::uint64_t hashOf(const Suspect &Part) {
+std::uint64_t hashOf(const Suspect &What) {
   constexpr std::uint64_t Start = 0xCBF29CE484222325ULL;
-  std::uint64_t Hash = mix(Start, static_cast<std::uint64_t>(Part.Part));
-  for (char Letter : Part.Account.Value)
+  std::uint64_t Hash = mix(Start, static_cast<std::uint64_t>(What.Part));
+  Hash = mix(mix(Hash, What.Request.Hi), What.Request.Lo);
+  for (char Letter : What.Account.Value)
     Hash = mix(Hash, static_cast<unsigned char>(Letter));
   return Hash;
 }
@@ -40,16 +41,21 @@
   return std::any_of(Crash.Requests.begin(), Crash.Requests.end(), Is);
 }
 
+/// Drops an explained crash if there is one, since it accuses little else.
 void dropOldestCrash(CrashQuarantine &S) {
-  auto Older = [](const auto &A, const auto &B) {
-    return A.second.At < B.second.At;
+  auto Rank = [](const KnownCrash &Crash) {
+    bool IsOpen = !Crash.Explained && Crash.Culprits.empty();
+    return std::pair(IsOpen, Crash.At);
+  };
+  auto Older = [&](const auto &A, const auto &B) {
+    return Rank(A.second) < Rank(B.second);
   };
   S.Crashes.erase(std::min_element(S.Crashes.begin(), S.Crashes.end(), Older));
 }
 
 /// Drops records of ended quarantines after their retention, and the oldest
 /// ones beyond the limit.
-void pruneParts(CrashQuarantine &S, TimePoint Now) {
+void pruneEntries(CrashQuarantine &S, TimePoint Now) {
   for (auto It = S.Entries.begin(); It != S.Entries.end();) {
     bool IsOld = !It->second.Active && Now > It->second.Since + EndedRetention;
     It = IsOld ? S.Entries.erase(It) : std::next(It);
@@ -96,14 +102,14 @@
 
 bool addClearance(CrashQuarantine &S, const SuspectClearance &Clearance,
                   TimePoint Now) {
-  const Suspect &Part = Clearance.Part;
+  const Suspect &What = Clearance.Cleared;
   TimePoint At = Now - Clearance.Age;
-  noteAnswered(S.Answered, Part.Account, Part.Part, At);
-  if (S.Watched.count(Part) > 0)
+  noteAnswered(S.Answered, What, At);
+  if (S.Watched.count(What) > 0)
     S.JudgeAt = std::min(S.JudgeAt, Now + JudgeDelay);
   bool Changed = false;
   for (bool AllAccounts : {false, true}) {
-    QuarantineScope Scope = scopeOf(Part, AllAccounts);
+    QuarantineScope Scope = scopeOf(What, AllAccounts);
     auto Found = S.Entries.find(Scope);
     if (Found == S.Entries.end() || !Found->second.Active ||
         At <= Found->second.Since)
@@ -118,7 +124,8 @@
   bool IsActive = R.Version % 2 == 1;
   if (R.Version == 0 || (!IsActive && R.Age > EndedRetention))
     return false;
-  QuarantineScope Scope = scopeOf(Suspect{R.Account, R.Part}, R.AllAccounts);
+  QuarantineScope Scope =
+      scopeOf(Suspect{R.Account, R.Part, R.Request}, R.AllAccounts);
   Quarantined &Q = S.Entries[Scope];
   bool IsNewer = std::tie(R.Version, R.Trials) > std::tie(Q.Version, Q.Trials);
   if (!IsNewer)
@@ -130,7 +137,7 @@
   Q.Requests = R.Requests;
   Q.Trials = R.Trials;
   Q.TrialAt = R.TrialIn ? Now + *R.TrialIn : TimePoint::max();
-  pruneParts(S, Now);
+  pruneEntries(S, Now);
   return true;
 }
 
@@ -140,13 +147,22 @@
       std::count_if(S.Entries.begin(), S.Entries.end(), IsActive));
 }
 
+std::size_t quarantinedRequests(const CrashQuarantine &S) {
+  auto Is = [](const auto &Entry) {
+    return Entry.second.Active && Entry.first.What.isRequest();
+  };
+  return static_cast<std::size_t>(
+      std::count_if(S.Entries.begin(), S.Entries.end(), Is));
+}
+
 std::vector<QuarantineRecord> quarantineRecords(const CrashQuarantine &S,
                                                 TimePoint Now) {
   std::vector<QuarantineRecord> Records;
   for (const auto &[Scope, Q] : S.Entries) {
     QuarantineRecord R;
-    R.Part = Scope.Part;
-    R.Account = Scope.Account;
+    R.Part = Scope.What.Part;
+    R.Request = Scope.What.Request;
+    R.Account = Scope.What.Account;
     R.AllAccounts = Scope.AllAccounts;
     R.Version = Q.Version;
     R.Age = Now - Q.Since;
@@ -163,7 +179,7 @@
 std::uint64_t quarantineDigest(const CrashQuarantine &S) {
   std::uint64_t Digest = 0;
   for (const auto &[Scope, Q] : S.Entries) {
-    std::uint64_t Hash = hashOf(Suspect{Scope.Account, Scope.Part});
+    std::uint64_t Hash = hashOf(Scope.What);
     Hash = mix(mix(mix(Hash, Scope.AllAccounts ? 1 : 0), Q.Version), Q.Trials);
     Digest += Hash | 1U;
   }
@@ -172,8 +188,8 @@
 
 std::uint64_t watchDigest(const std::vector<Suspect> &Watched) {
   std::uint64_t Digest = 0;
-  for (const Suspect &Part : Watched)
-    Digest += hashOf(Part) | 1U;
+  for (const Suspect &What : Watched)
+    Digest += hashOf(What) | 1U;
   return Digest;
 }
 
@@ -188,24 +204,44 @@
   return List;
 }
 
+std::size_t unansweredCrashes(const CrashQuarantine &S,
+                              const Suspect &Request) {
+  std::optional<TimePoint> Answer = answeredAt(S.Answered, Request);
+  std::size_t Count = 0;
+  for (const auto &[Key, Crash] : S.Crashes) {
+    if (Answer && *Answer >= Crash.At)
+      continue;
+    auto Is = [&](const CrashedRequest &R) {
+      return R.Request == Request.Request && R.Account == Request.Account;
+    };
+    const std::vector<CrashedRequest> &All = Crash.Requests;
+    Count += std::any_of(All.begin(), All.end(), Is) ? 1 : 0;
+  }
+  return Count;
+}
+
 QuarantineMatch findQuarantine(const CrashQuarantine &S,
                                const AccountId &Account,
+                               const RequestDigest &Digest,
                                const std::vector<PartId> &Parts) {
   QuarantineMatch Match;
+  auto LookUp = [&](QuarantineScope Scope) {
+    auto Found = S.Entries.find(Scope);
+    if (Found == S.Entries.end() || !Found->second.Active)
+      return;
+    Match.Count += 1;
+    if (Match.Entry != nullptr && Found->second.TrialAt <= Match.Entry->TrialAt)
+      return;
+    Match.Scope = std::move(Scope);
+    Match.Entry = &Found->second;
+  };
   if (S.Entries.empty())
     return Match;
+  if (!Digest.empty())
+    LookUp(scopeOf(suspectOf(Account, Digest), false));
   for (PartId Part : Parts) {
-    for (bool AllAccounts : {false, true}) {
-      QuarantineScope Scope = scopeOf({Account, Part}, AllAccounts);
-      auto Found = S.Entries.find(Scope);
-      if (Found == S.Entries.end() || !Found->second.Active)
-        continue;
-      Match.Count += 1;
-      if (Match.Part != nullptr && Found->second.TrialAt <= Match.Part->TrialAt)
-        continue;
-      Match.Scope = std::move(Scope);
-      Match.Part = &Found->second;
-    }
+    for (bool AllAccounts : {false, true})
+      LookUp(scopeOf(suspectOf(Account, Part), AllAccounts));
   }
   return Match;
 }
@@ -224,11 +260,12 @@
   if (Scope.AllAccounts) {
     // The quarantines of single accounts would have trials of their own.
     for (auto &[Other, Single] : S.Entries) {
-      if (Other.Part == Scope.Part && !Other.AllAccounts && Single.Active)
+      if (Other.What.Part == Scope.What.Part && !Other.What.isRequest() &&
+          !Other.AllAccounts && Single.Active)
         endQuarantine(Single, Now);
     }
   }
-  pruneParts(S, Now);
+  pruneEntries(S, Now);
 }
 
 void beginTrial(CrashQuarantine &S, const QuarantineScope &Scope,
@@ -247,8 +284,23 @@
   return true;
 }
 
-QuarantineScope scopeOf(const Suspect &Part, bool AllAccounts) {
-  return {Part.Part, AllAccounts ? AccountId() : Part.Account, AllAccounts};
+QuarantineScope scopeOf(const Suspect &What, bool AllAccounts) {
+  QuarantineScope Scope{What, AllAccounts && !What.isRequest()};
+  if (Scope.AllAccounts)
+    Scope.What.Account = AccountId();
+  return Scope;
+}
+
+Suspect suspectOf(const AccountId &Account, const RequestDigest &Digest) {
+  return {Account, PartId{}, Digest};
+}
+
+Suspect suspectOf(const AccountId &Account, PartId Part) {
+  return {Account, Part, RequestDigest()};
+}
+
+std::string toString(const Suspect &What) {
+  return What.isRequest() ? toString(What.Request) : toString(What.Part);
 }
 
 } // namespace pimento
--- a/packages/quarantine/CrashQuarantine.h
+++ b/packages/quarantine/CrashQuarantine.h
@@ -1,33 +1,39 @@
-//===- CrashQuarantine.h - Parts of prompts that crash engines ---*- C++
-//-*-===//
+//===- CrashQuarantine.h - Requests that crash servers ----------*- C++ -*-===//
 //
 //   CrashQuarantine S;
-//   addCrash(S, Crash, Now);            // An engine broke off answers.
-//   addClearance(S, Clearance, Now);    // A request with the part was
-//   answered. if (judgeCrashes(S, Now)) ...         // The quarantined parts
-//   changed. if (const Quarantined *Q = findQuarantine(S, Account, Parts)) ...
+//   addCrash(S, Crash, Now);         // A backend server broke off answers.
+//   addClearance(S, Clearance, Now); // A request was answered completely.
+//   judgeCrashes(S, Now);            // Returns what is new in quarantine.
+//   QuarantineMatch M = findQuarantine(S, Account, Digest, Parts);
 //
-// A part of a prompt may crash each engine that answers it. The crash cuts the
-// whole batch, so every request there is suspected and most are not at fault.
-// The part at fault is told by comparing crashes:
-// * A part is accused by the crashes of engines that ran it since it was last
-//   part of a complete answer. A complete answer clears the parts of its
-//   request for its account.
-// * A part is quarantined if it is accused by several crashes and by several
-//   requests, and no other part explains the same crashes better. Crashes that
-//   a quarantined part explains accuse no other part.
-// * Engines that end at the same moment count as one crash, since they probably
-//   ended for a common reason.
+// A request may crash each backend server that runs it, whenever it is sent
+// again; a part of a prompt may crash each engine that answers a request with
+// it. The crash cuts everything that the server runs, so every request there is
+// suspected and most are not at fault. A suspect is a request or a part. The
+// one at fault is told by comparing crashes:
+// * A suspect is accused by the crashes of servers that ran it since it was
+// last
+//   answered completely. A complete answer clears the request and its parts,
+//   for its account.
+// * A request is quarantined if several crashes accuse it; a part, if several
+//   different requests do as well. No other suspect may explain the same
+//   crashes better. The parts of a request are no better explanation than the
+//   request itself, which others share.
+// * Crashes that a quarantined part explains accuse nothing else; those that a
+//   quarantined request explains accuse only its parts.
+// * Servers that end at the same moment count as one crash, since they probably
+//   ended for a common reason, unless a request ran at one after it had crashed
+//   the other.
 // * Evidence counts for the account that sent the request. A part is
 // quarantined
 //   for all accounts only if requests of several accounts accuse it, so that no
 //   account can have the part of another one quarantined by naming it.
-// * A quarantine ends when a request with the part is answered completely: one
-//   that was running, or one of a few trials, or by an operator's order.
+// * A quarantine ends when a request with the suspect is answered completely:
+//   one that was running, or one of a few trials, or by an operator's order.
 //
 // Entry hosts report crashes and clearances to the control hosts. Those judge,
-// keep the quarantined parts on their disks, and send them to all entry hosts.
-// Each record may arrive more than once and by several ways. Performs no I/O.
+// keep the quarantines on their disks, and send them to all entry hosts. Each
+// record may arrive more than once and by several ways. Performs no I/O.
 //
 //===----------------------------------------------------------------------===//
 #pragma once
@@ -37,17 +43,21 @@
 
 #include <cstdint>
 #include <map>
+#include <set>
+#include <string>
 #include <tuple>
 #include <utility>
 #include <vector>
 
 namespace pimento {
 
-/// Number of crashes, and of requests, that must accuse a part.
+/// Number of crashes that must accuse a suspect, and of different requests that
+/// must accuse a part.
 constexpr std::size_t AccusingCrashes = 3;
-/// The same for a part that was in complete answers lately.
+/// The same for a suspect that was answered completely lately.
 constexpr std::size_t AccusingCrashesOfProven = 8;
-/// The same for parts that the same crashes accuse, none of them more likely.
+/// The same for suspects that the same crashes accuse, none of them more
+/// likely.
 constexpr std::size_t AccusingCrashesOfTied = 5;
 /// Further accounts' crashes after which a part that is quarantined for one
 /// account is quarantined for all.
@@ -58,44 +68,51 @@
 constexpr std::size_t MaxCrashes = 64;
 /// Quarantines, active or ended, that are kept; the oldest are forgotten first.
 constexpr std::size_t MaxQuarantined = 256;
-/// Trials of a quarantined part, in all. Afterwards only an operator ends the
-/// quarantine.
+/// Trials of a quarantined suspect, in all. Afterwards only an operator ends
+/// the quarantine.
 constexpr std::uint32_t MaxTrials = 2;
 
 /// What a quarantine applies to.
 struct QuarantineScope {
-  PartId Part{};
-  AccountId Account;        // Unused if AllAccounts is set.
+  Suspect What;             // Without an account if AllAccounts is set.
   bool AllAccounts = false; // The quarantine applies to every account.
 
   friend bool operator==(const QuarantineScope &A, const QuarantineScope &B) {
-    return A.Part == B.Part && A.Account == B.Account &&
-           A.AllAccounts == B.AllAccounts;
+    return A.What == B.What && A.AllAccounts == B.AllAccounts;
   }
   friend bool operator<(const QuarantineScope &A, const QuarantineScope &B) {
-    return std::tie(A.Part, A.AllAccounts, A.Account) <
-           std::tie(B.Part, B.AllAccounts, B.Account);
+    return std::tie(A.What, A.AllAccounts) < std::tie(B.What, B.AllAccounts);
   }
 };
 
-/// Returns the scope of a part for its account or for all.
-QuarantineScope scopeOf(const Suspect &Part, bool AllAccounts);
+/// Returns the scope of a suspect for its account or, if it is a part, for all.
+QuarantineScope scopeOf(const Suspect &What, bool AllAccounts);
 
-/// A crash of one incarnation of an engine, merged from several entry hosts.
+/// Returns the suspect of a request with this digest.
+Suspect suspectOf(const AccountId &Account, const RequestDigest &Digest);
+/// Returns the suspect of a part in requests of the account.
+Suspect suspectOf(const AccountId &Account, PartId Part);
+
+/// Formats a part or a request in hexadecimal, as operators name it.
+std::string toString(const Suspect &What);
+
+/// A crash of one incarnation of a backend server, merged from several entry
+/// hosts.
 struct KnownCrash {
   TimePoint At{};
   TimePoint ChangedAt{}; // When a request was last added.
   std::vector<CrashedRequest> Requests;
   bool Explained = false; // A quarantined part was in one of its requests.
+  std::set<RequestDigest> Culprits; // Its requests that were in quarantine.
 };
 
-/// A part that is or was in quarantine.
+/// A suspect that is or was in quarantine.
 struct Quarantined {
   std::uint64_t Version = 0; // Incremented when the quarantine begins or ends.
   bool Active = false;
   TimePoint Since{};          // When Version was set.
-  std::uint64_t Crashes = 0;  // Crashes that accused the part.
-  std::uint64_t Requests = 0; // Requests that accused the part.
+  std::uint64_t Crashes = 0;  // Crashes that accused the suspect.
+  std::uint64_t Requests = 0; // Different requests that accused it.
   std::uint32_t Trials = 0;   // Trials begun so far.
   TimePoint TrialAt{};        // The next trial is due then.
 };
@@ -104,7 +121,7 @@
   std::map<std::pair<BackendId, IncarnationNumber>, KnownCrash> Crashes;
   AnswerHistory Answered;
   std::map<QuarantineScope, Quarantined> Entries;
-  std::map<Suspect, TimePoint> Watched; // Accused parts, and since when.
+  std::map<Suspect, TimePoint> Watched; // Accused ones, and since when.
   TimePoint JudgeAt = TimePoint::max(); // The next judgement is due then.
 };
 
@@ -112,59 +129,65 @@
 bool addCrash(CrashQuarantine &S, const ServerCrash &Crash, TimePoint Now);
 
 /// Records a complete answer. Ends a quarantine that the answer disproves.
-/// Returns true if the quarantined parts changed.
+/// Returns true if the quarantines changed.
 bool addClearance(CrashQuarantine &S, const SuspectClearance &Clearance,
                   TimePoint Now);
 
-/// Quarantines the parts that the evidence accuses, if a judgement is due.
-/// Returns the parts that are new in quarantine.
+/// Quarantines what the evidence accuses, if a judgement is due. Returns what
+/// is new in quarantine.
 std::vector<QuarantineScope> judgeCrashes(CrashQuarantine &S, TimePoint Now);
 
-/// Merges the record of another host. Returns true if the quarantined parts
-/// changed.
+/// Merges the record of another host. Returns true if the quarantines changed.
 bool applyRecord(CrashQuarantine &S, const QuarantineRecord &R, TimePoint Now);
 
-/// Number of parts in quarantine.
+/// Number of suspects in quarantine.
 std::size_t activeQuarantines(const CrashQuarantine &S);
+/// Number of those that are requests.
+std::size_t quarantinedRequests(const CrashQuarantine &S);
 
-/// Returns all parts that are or were in quarantine.
+/// Returns all that is or was in quarantine.
 std::vector<QuarantineRecord> quarantineRecords(const CrashQuarantine &S,
                                                 TimePoint Now);
 
-/// A number that differs if the quarantined parts differ; zero: none.
+/// A number that differs if the quarantines differ; zero: none.
 std::uint64_t quarantineDigest(const CrashQuarantine &S);
 
-/// A number that differs if the parts differ; zero: none.
+/// A number that differs if the suspects differ; zero: none.
 std::uint64_t watchDigest(const std::vector<Suspect> &Watched);
 
 /// Returns the crashes that got a request after \p Since.
 std::vector<ServerCrash> crashesSince(const CrashQuarantine &S, TimePoint Since,
                                       TimePoint Now);
 
+/// Number of crashes in which the request was cut off and that were not
+/// followed by a complete answer to it, as far as this host knows.
+std::size_t unansweredCrashes(const CrashQuarantine &S, const Suspect &Request);
+
 /// A quarantine that applies to a request.
 struct QuarantineMatch {
   QuarantineScope Scope;
-  const Quarantined *Part = nullptr; // Null: none applies.
-  std::size_t Count = 0;             // Quarantines that apply.
+  const Quarantined *Entry = nullptr; // Null: none applies.
+  std::size_t Count = 0;              // Quarantines that apply.
 };
 
-/// Returns the active quarantine of one of the parts. If several apply, returns
-/// the one whose next trial is latest.
+/// Returns the active quarantine of the request or of one of its parts. If
+/// several apply, returns the one whose next trial is latest.
 QuarantineMatch findQuarantine(const CrashQuarantine &S,
                                const AccountId &Account,
+                               const RequestDigest &Digest,
                                const std::vector<PartId> &Parts);
 
-/// Begins a quarantine that the given evidence accuses. \p IsTied: other parts
-/// are quarantined for the same crashes.
+/// Begins a quarantine that the given evidence accuses. \p IsTied: other
+/// suspects are quarantined for the same crashes.
 void beginQuarantine(CrashQuarantine &S, const QuarantineScope &Scope,
                      std::size_t Crashes, std::size_t Requests, bool IsTied,
                      TimePoint Now);
 
-/// Counts a trial of a part in quarantine and sets the time of the next one.
+/// Counts a trial of a suspect in quarantine and sets the time of the next one.
 void beginTrial(CrashQuarantine &S, const QuarantineScope &Scope,
                 TimePoint Now);
 
-/// Ends a quarantine. Returns false if the part is not in quarantine.
+/// Ends a quarantine. Returns false if the suspect is not in quarantine.
 bool liftQuarantine(CrashQuarantine &S, const QuarantineScope &Scope,
                     TimePoint Now);
 
--- a/packages/quarantine/QuarantineJudge.cpp
+++ b/packages/quarantine/QuarantineJudge.cpp
@@ -1,4 +1,4 @@
-// Compares crashes to find the parts that caused them.
+// Compares crashes to find the requests and parts that caused them.
 
 #include "quarantine/CrashQuarantine.h"
 
@@ -10,36 +10,41 @@
 
 namespace {
 
-/// Engines that end within this time probably ended for a common reason.
+/// Servers that end within this time probably ended for a common reason.
 constexpr Duration CoincidenceTime = milliseconds(100);
+/// Error of times that several hosts report.
+constexpr Duration ReportSkew = milliseconds(5);
 /// Time in which entry hosts report that they know complete answers with an
-/// accused part. It is not judged earlier.
+/// accused suspect. It is not judged earlier.
 constexpr Duration WatchTime = milliseconds(300);
 /// Time in which all entry hosts report a crash. Earlier, its suspects are not
 /// complete, and it is not judged.
 constexpr Duration CrashReportTime = milliseconds(500);
-/// A complete answer within this time proves a part sound so far.
+/// A complete answer within this time proves a suspect sound so far.
 constexpr Duration ProofRetention = std::chrono::minutes(10);
-/// Crashes and requests that must accuse a part before its clearances are
+/// Strength of the accusation from which the clearances of a suspect are
 /// watched.
 constexpr std::size_t WatchedCrashes = 2;
-constexpr std::size_t MaxWatched = 16;
+constexpr std::size_t MaxWatched = 32;
 /// Parts of a prompt that are judged, the first ones.
 constexpr std::size_t MaxJudgedParts = 32;
 
-/// What accuses a part in one scope.
+/// What accuses a suspect in one scope.
 struct Accusation {
   std::bitset<MaxCrashes> Crashes; // By number of the coincidence.
-  std::set<std::uint64_t> Requests;
+  std::set<RequestDigest> Requests;
   std::set<AccountId> Accounts;
   bool IsProven = false; // A complete answer is known.
 };
 
 using Accusations = std::map<QuarantineScope, Accusation>;
 
-/// Strength of an accusation. One request that was sent several times, or
-/// several in one crash, count once.
-std::size_t strength(const Accusation &A) {
+/// Strength of an accusation. Of a part it is also the number of different
+/// requests: one that is sent several times, or several in one crash, tell
+/// little of their parts.
+std::size_t strength(const QuarantineScope &Scope, const Accusation &A) {
+  if (Scope.What.isRequest())
+    return A.Crashes.count();
   return std::min(A.Crashes.count(), A.Requests.size());
 }
 
@@ -50,12 +55,14 @@
   }
 }
 
-/// Marks the crashes in which a quarantined part had a request.
+/// Marks the crashes in which something in quarantine took part.
 void explainCrashes(CrashQuarantine &S) {
   for (auto &[Key, Crash] : S.Crashes) {
     for (const CrashedRequest &R : Crash.Requests) {
-      if (findQuarantine(S, R.Account, R.Parts).Part != nullptr)
+      if (findQuarantine(S, R.Account, {}, R.Parts).Entry != nullptr)
         Crash.Explained = true;
+      if (findQuarantine(S, R.Account, R.Request, {}).Entry != nullptr)
+        Crash.Culprits.insert(R.Request);
     }
   }
 }
@@ -80,66 +87,110 @@
 
 std::optional<TimePoint> lastAnswer(const CrashQuarantine &S,
                                     const QuarantineScope &Scope) {
-  return Scope.AllAccounts ? answeredAt(S.Answered, Scope.Part)
-                           : answeredAt(S.Answered, Scope.Account, Scope.Part);
+  return Scope.AllAccounts ? answeredAt(S.Answered, Scope.What.Part)
+                           : answeredAt(S.Answered, Scope.What);
 }
 
+/// What collectAccusations() has found so far.
+struct Collection {
+  Accusations All;
+  std::size_t Coincidence = 0; // Number of the current one.
+  TimePoint Now{};
+};
+
 void accuse(const CrashQuarantine &S, const KnownCrash &Crash,
-            std::size_t Coincidence, Accusations &All, TimePoint Now) {
+            const CrashedRequest &R, const QuarantineScope &Scope,
+            Collection &Found) {
+  std::optional<TimePoint> Answer = lastAnswer(S, Scope);
+  if (Answer && *Answer >= Crash.At)
+    return;
+  Accusation &A = Found.All[Scope];
+  A.Crashes.set(Found.Coincidence);
+  A.Requests.insert(R.Request);
+  A.Accounts.insert(R.Account);
+  A.IsProven = Answer && Found.Now < *Answer + ProofRetention;
+}
+
+/// Accuses the suspects of a crash, or just the parts of the requests that
+/// explain it.
+void accuseAll(const CrashQuarantine &S, const KnownCrash &Crash,
+               Collection &Found) {
   for (const CrashedRequest &R : Crash.Requests) {
+    bool IsCulprit = Crash.Culprits.count(R.Request) > 0;
+    if (!Crash.Culprits.empty() && !IsCulprit)
+      continue;
+    if (!IsCulprit && !R.Request.empty())
+      accuse(S, Crash, R, scopeOf(suspectOf(R.Account, R.Request), false),
+             Found);
     std::size_t Judged = std::min(R.Parts.size(), MaxJudgedParts);
     for (std::size_t I = 0; I < Judged; ++I) {
-      for (bool AllAccounts : {false, true}) {
-        QuarantineScope Scope =
-            scopeOf(Suspect{R.Account, R.Parts[I]}, AllAccounts);
-        std::optional<TimePoint> Answer = lastAnswer(S, Scope);
-        if (Answer && *Answer >= Crash.At)
-          continue;
-        Accusation &A = All[Scope];
-        A.Crashes.set(Coincidence);
-        A.Requests.insert(R.Request);
-        A.Accounts.insert(R.Account);
-        A.IsProven = Answer && Now < *Answer + ProofRetention;
-      }
+      for (bool AllAccounts : {false, true})
+        accuse(S, Crash, R,
+               scopeOf(suspectOf(R.Account, R.Parts[I]), AllAccounts), Found);
     }
   }
 }
 
+/// Whether a request ran in both crashes and began the second time after the
+/// first crash. Then they have no common reason.
+bool isRepetition(const KnownCrash &Crash, const KnownCrash &Earlier) {
+  for (const CrashedRequest &R : Crash.Requests) {
+    if (Crash.At - R.RanFor + ReportSkew < Earlier.At || R.Request.empty())
+      continue;
+    for (const CrashedRequest &Before : Earlier.Requests) {
+      if (Before.Request == R.Request)
+        return true;
+    }
+  }
+  return false;
+}
+
+/// Whether the crash belongs to the coincidence of the others.
+bool isCoincident(const KnownCrash &Crash,
+                  const std::vector<const KnownCrash *> &Others) {
+  if (Others.empty() || Crash.At > Others.front()->At + CoincidenceTime)
+    return false;
+  return std::none_of(
+      Others.begin(), Others.end(),
+      [&](const KnownCrash *Other) { return isRepetition(Crash, *Other); });
+}
+
 Accusations collectAccusations(const CrashQuarantine &S, TimePoint Now) {
-  Accusations All;
-  std::size_t Coincidence = 0;
-  TimePoint Begin = TimePoint::min();
+  Collection Found;
+  Found.Now = Now;
+  std::vector<const KnownCrash *> Coincident;
   for (const KnownCrash *Crash : openCrashes(S, Now)) {
-    if (Begin == TimePoint::min())
-      Begin = Crash->At;
-    if (Crash->At > Begin + CoincidenceTime) {
-      Coincidence += 1;
-      Begin = Crash->At;
+    if (!Coincident.empty() && !isCoincident(*Crash, Coincident)) {
+      Found.Coincidence += 1;
+      Coincident.clear();
     }
-    accuse(S, *Crash, Coincidence, All, Now);
+    Coincident.push_back(Crash);
+    accuseAll(S, *Crash, Found);
   }
-  return All;
+  return std::move(Found.All);
 }
 
 /// Whether the part is in quarantine for some account.
 bool isQuarantinedForOthers(const CrashQuarantine &S, PartId Part) {
-  return std::any_of(S.Entries.begin(), S.Entries.end(),
-                     [&](const auto &Entry) {
-                       return Entry.first.Part == Part && Entry.second.Active;
-                     });
+  return std::any_of(
+      S.Entries.begin(), S.Entries.end(), [&](const auto &Entry) {
+        return Entry.first.What == suspectOf(Entry.first.What.Account, Part) &&
+               Entry.second.Active;
+      });
 }
 
 /// Whether the accusation suffices if nothing else explains the crashes.
 bool isSufficient(const CrashQuarantine &S, const QuarantineScope &Scope,
                   const Accusation &A) {
+  std::size_t Strength = strength(Scope, A);
   if (A.IsProven)
-    return strength(A) >= AccusingCrashesOfProven &&
+    return Strength >= AccusingCrashesOfProven &&
            (!Scope.AllAccounts || A.Accounts.size() > 1);
   if (!Scope.AllAccounts)
-    return strength(A) >= AccusingCrashes;
-  if (isQuarantinedForOthers(S, Scope.Part))
-    return strength(A) >= AccusingCrashesOfOthers;
-  return strength(A) >= AccusingCrashes && A.Accounts.size() > 1;
+    return Strength >= AccusingCrashes;
+  if (isQuarantinedForOthers(S, Scope.What.Part))
+    return Strength >= AccusingCrashesOfOthers;
+  return Strength >= AccusingCrashes && A.Accounts.size() > 1;
 }
 
 enum class Comparison : std::uint8_t { Stronger, Tied, Weaker };
@@ -155,14 +206,26 @@
                                                    : Comparison::Weaker;
 }
 
-/// Whether no other part explains the same crashes better or, unless there are
-/// many of them, as well.
+/// Whether the other suspect could explain the crashes of this one at all. A
+/// part of the same request is no better explanation than the request.
+bool isRival(const QuarantineScope &Scope, const QuarantineScope &Other,
+             const Accusation &Rival) {
+  if (Other.What.isRequest())
+    return !(Other.What == Scope.What);
+  bool IsSamePart =
+      !Scope.What.isRequest() && Other.What.Part == Scope.What.Part;
+  bool IsOwnPart =
+      Scope.What.isRequest() && Rival.Requests.count(Scope.What.Request) > 0;
+  return Rival.Requests.size() > 1 && !IsSamePart && !IsOwnPart;
+}
+
+/// Whether no other suspect explains the same crashes better or, unless there
+/// are many of them, as well.
 bool isBestExplanation(const QuarantineScope &Scope, const Accusation &A,
                        const Accusations &All) {
   for (const auto &[Other, Rival] : All) {
     bool CoversAll = (Rival.Crashes & A.Crashes) == A.Crashes;
-    bool IsLikely = Rival.Requests.size() > 1;
-    if (Other.Part == Scope.Part || !CoversAll || !IsLikely)
+    if (!CoversAll || !isRival(Scope, Other, Rival))
       continue;
     Comparison Result = compare(A, Rival);
     if (Result == Comparison::Weaker)
@@ -173,26 +236,27 @@
   return true;
 }
 
-/// Whether the hosts had time to report complete answers with the part.
-bool wasWatched(const CrashQuarantine &S, const QuarantineScope &Scope,
-                TimePoint Now) {
-  for (const auto &[Part, Since] : S.Watched) {
-    bool Applies = Part.Part == Scope.Part &&
-                   (Scope.AllAccounts || Part.Account == Scope.Account);
-    if (Applies && Now >= Since + WatchTime)
-      return true;
+/// Since when the hosts report complete answers with the suspect; nothing if
+/// they do not.
+std::optional<TimePoint> watchedSince(const CrashQuarantine &S,
+                                      const QuarantineScope &Scope) {
+  std::optional<TimePoint> First;
+  for (const auto &[What, Since] : S.Watched) {
+    if (scopeOf(What, Scope.AllAccounts) == Scope)
+      First = std::min(First.value_or(Since), Since);
   }
-  return false;
+  return First;
 }
 
 /// Returns the strongest accusation to act on, with those that cannot be told
-/// from it. Prefers all accounts to one.
+/// from it. Prefers all accounts to one. Returns nothing until the hosts had
+/// time to report complete answers with all of these.
 std::vector<Accusations::value_type>
 chooseAccused(const CrashQuarantine &S, const Accusations &All, TimePoint Now) {
   std::vector<Accusations::value_type> Best;
   for (const auto &Entry : All) {
     const auto &[Scope, A] = Entry;
-    if (!isSufficient(S, Scope, A) || !wasWatched(S, Scope, Now) ||
+    if (!isSufficient(S, Scope, A) || !watchedSince(S, Scope) ||
         !isBestExplanation(Scope, A, All))
       continue;
     auto Rank = [](const Accusations::value_type &E) {
@@ -208,25 +272,34 @@
       Best.clear();
     Best.push_back(Entry);
   }
+  for (const auto &[Scope, A] : Best) {
+    if (Now < *watchedSince(S, Scope) + WatchTime)
+      return {};
+  }
   return Best;
 }
 
-/// Watches the parts that several crashes accuse.
+/// Watches the suspects that several crashes accuse.
 void updateWatched(CrashQuarantine &S, const Accusations &All, TimePoint Now) {
   std::vector<std::pair<std::size_t, Suspect>> Accused;
   for (const auto &[Scope, A] : All) {
-    if (!Scope.AllAccounts || strength(A) < WatchedCrashes)
+    std::size_t Strength = strength(Scope, A);
+    bool IsPartOfOne = !Scope.AllAccounts && !Scope.What.isRequest();
+    if (IsPartOfOne || Strength < WatchedCrashes)
       continue;
-    for (const AccountId &Account : A.Accounts)
-      Accused.emplace_back(strength(A), Suspect{Account, Scope.Part});
+    for (const AccountId &Account : A.Accounts) {
+      Suspect What = Scope.What;
+      What.Account = Account;
+      Accused.emplace_back(Strength, std::move(What));
+    }
   }
   std::sort(Accused.begin(), Accused.end(),
             [](const auto &A, const auto &B) { return B < A; });
   Accused.resize(std::min(Accused.size(), MaxWatched));
   std::map<Suspect, TimePoint> Next;
-  for (const auto &[Crashes, Part] : Accused) {
-    auto Known = S.Watched.find(Part);
-    Next[Part] = Known == S.Watched.end() ? Now : Known->second;
+  for (const auto &[Strength, What] : Accused) {
+    auto Known = S.Watched.find(What);
+    Next[What] = Known == S.Watched.end() ? Now : Known->second;
   }
   S.Watched = std::move(Next);
 }
@@ -258,7 +331,7 @@
     if (!Crash.Explained && !isReported(Crash, Now))
       S.JudgeAt = std::min(S.JudgeAt, Crash.At + CrashReportTime);
   }
-  for (const auto &[Part, Since] : S.Watched) {
+  for (const auto &[What, Since] : S.Watched) {
     if (Now < Since + WatchTime)
       S.JudgeAt = std::min(S.JudgeAt, Since + WatchTime);
   }
--- a/packages/routing/Adapter.h
+++ b/packages/routing/Adapter.h
@@ -101,7 +101,9 @@
                         // to their answers.
   bool NotRun = false;  // The server did not run the request and will not.
   std::string FaultyServer; // Address of another server that is at fault.
-  bool Events = false;      // The body is a stream of events.
+  BackendId Server; // The answering server, in answers to health checks; empty:
+                    // not given.
+  bool Events = false;                // The body is a stream of events.
   std::optional<double> RequestLimit; // Requests a second that the server takes
                                       // from all hosts; empty: no limit.
 };
--- a/packages/routing/Routing.h
+++ b/packages/routing/Routing.h
@@ -95,6 +95,8 @@
   std::uint32_t Connections = 0; // Limit to one backend server, over all hosts;
                                  // zero: no limit.
   std::optional<EngineProfile> Engine; // Empty: the servers are no engines.
+  std::string HealthPath; // A server answers GET there while it runs; empty: no
+                          // such path.
 };
 
 /// A client account in the operator's configuration.
--- a/packages/wire/SiteMessages.h
+++ b/packages/wire/SiteMessages.h
@@ -15,7 +15,8 @@
 //   placer to entry host           PermitReply
 //
 // Messages between entry hosts and control hosts also carry a QuarantineUpdate
-// about parts of prompts that crash engines; see quarantine/CrashQuarantine.h.
+// about requests, and parts of prompts, that crash backend servers; see
+// quarantine/CrashQuarantine.h.
 //
 // Fields travel in the order of fields(); the order is part of the format.
 //
@@ -24,6 +25,7 @@
 
 #include "base/Codes.h"
 #include "base/Ids.h"
+#include "base/RequestDigest.h"
 #include "base/Time.h"
 #include "wire/Blob.h"
 #include "wire/MessageList.h"
@@ -63,40 +65,47 @@
   }
 };
 
-/// A part of a prompt in requests of one client account.
+/// What may crash the backend servers that run it, in requests of one client
+/// account: a part of a prompt, or a whole request that is sent again and
+/// again.
 struct Suspect {
   AccountId Account;
-  PartId Part{};
+  PartId Part{};         // Unused if Request is set.
+  RequestDigest Request; // Empty: the suspect is a part.
+
+  bool isRequest() const { return !Request.empty(); }
 
   friend bool operator==(const Suspect &A, const Suspect &B) {
-    return A.Part == B.Part && A.Account == B.Account;
+    return A.Part == B.Part && A.Request == B.Request && A.Account == B.Account;
   }
   friend bool operator<(const Suspect &A, const Suspect &B) {
-    return std::tie(A.Part, A.Account) < std::tie(B.Part, B.Account);
+    return std::tie(A.Part, A.Request, A.Account) <
+           std::tie(B.Part, B.Request, B.Account);
   }
 
   template <class Self, class Visitor>
   static void fields(Self &M, Visitor &&Visit) {
-    Visit(M.Account, M.Part);
+    Visit(M.Account, M.Part, M.Request.Hi, M.Request.Lo);
   }
 };
 
-/// A request whose answer an engine broke off.
+/// A request whose answer a backend server broke off.
 struct CrashedRequest {
   AccountId Account;
-  std::uint64_t Request = 0; // Hash of the caller's attempt id.
-  std::vector<PartId> Parts; // Parts of its prompt.
+  RequestDigest Request;     // Equal for all repeats of the request.
+  std::vector<PartId> Parts; // Parts of its prompt; empty: it has no prompt.
+  Duration RanFor = {};      // Time from its sending to the crash.
 
   template <class Self, class Visitor>
   static void fields(Self &M, Visitor &&Visit) {
-    Visit(M.Account, M.Request, M.Parts);
+    Visit(M.Account, M.Request.Hi, M.Parts, M.Request.Lo, M.RanFor);
   }
 };
 
-/// An engine that broke off the answers to requests of an entry host.
+/// A backend server that broke off the answers to requests of an entry host.
 struct ServerCrash {
   BackendId Server;
-  IncarnationNumber Incarnation = 0; // Of the engine.
+  IncarnationNumber Incarnation = 0; // Of the server.
   Duration Age = {};                 // Time since the crash.
   std::vector<CrashedRequest> Requests;
 
@@ -106,47 +115,48 @@
   }
 };
 
-/// A request with the part was answered completely.
+/// A request with the suspect was answered completely.
 struct SuspectClearance {
-  Suspect Part;
+  Suspect Cleared;
   Duration Age = {}; // Time since the end of the answer.
 
   template <class Self, class Visitor>
   static void fields(Self &M, Visitor &&Visit) {
-    Visit(M.Part, M.Age);
+    Visit(M.Cleared, M.Age);
   }
 };
 
-/// A part that is or was in quarantine: requests with it are refused, since it
-/// crashes engines.
+/// A suspect that is or was in quarantine: requests with it are refused, since
+/// it crashes backend servers.
 struct QuarantineRecord {
-  PartId Part{};
+  PartId Part{};              // Unused if Request is set.
   AccountId Account;          // Unused if AllAccounts is set.
   bool AllAccounts = false;   // The quarantine applies to every account.
   std::uint64_t Version = 0;  // Odd: in quarantine; even: no longer. The record
                               // with the highest version is valid.
   Duration Age = {};          // Time since the version was set.
-  std::uint64_t Crashes = 0;  // Crashes that accused the part.
-  std::uint64_t Requests = 0; // Requests that accused the part.
+  std::uint64_t Crashes = 0;  // Crashes that accused the suspect.
+  std::uint64_t Requests = 0; // Different requests that accused it.
   std::uint32_t Trials = 0;   // Trials begun so far.
   std::optional<Duration> TrialIn; // Time until the next trial; empty: none.
+  RequestDigest Request;           // Empty: the suspect is a part.
 
   template <class Self, class Visitor>
   static void fields(Self &M, Visitor &&Visit) {
     Visit(M.Part, M.Account, M.AllAccounts, M.Version, M.Age, M.Crashes,
-          M.Requests, M.Trials, M.TrialIn);
+          M.Requests, M.Trials, M.TrialIn, M.Request.Hi, M.Request.Lo);
   }
 };
 
-/// What a host knows of parts that crash engines and the receiver may not.
+/// What a host knows of suspects of crashes and the receiver may not.
 struct QuarantineUpdate {
   std::uint64_t Digest = 0; // Of all records of the sender; zero: it has none.
   std::vector<QuarantineRecord> Records; // Empty if the receiver has the same.
   std::vector<ServerCrash> Crashes;      // Recent crashes.
-  std::vector<SuspectClearance> Clearances; // Of watched parts and suspects.
+  std::vector<SuspectClearance> Clearances; // Of watched and other suspects.
   std::uint64_t WatchDigest = 0; // Of the watched parts; zero: none. From entry
                                  // hosts: of those that they know.
-  std::vector<Suspect> Watched;  // From control hosts: parts whose next
+  std::vector<Suspect> Watched;  // From control hosts: suspects whose next
                                  // complete answer is to be reported; empty
                                  // if the receiver knows them.
 
