--- a/bench/PlacerFleet.cpp
+++ b/bench/PlacerFleet.cpp
@@ -85,7 +85,7 @@
 
   explicit Fleet(const FleetRun &R) : Run(R), Rng(R.Seed) {
     RoutingConfig Config;
-    Config.Services = {{Service, 0, Run.Profile}};
+    Config.Services = {{Service, 0, Run.Profile, ""}};
     ServerRegistry Registry;
     for (std::size_t I = 0; I < Run.Engines; ++I) {
       ServerReport Report;
--- a/packages/control/ControlHost.h
+++ b/packages/control/ControlHost.h
@@ -97,7 +97,7 @@
   bool RequestsFullState = true;      // The next heartbeat carries all servers.
   std::vector<ServerReport> Reports;  // Reports not sent yet.
   std::vector<TimePoint> Since;       // Arrival time of each of Reports.
-  std::uint64_t QuarantineDigest = 0; // Of the host's quarantined parts.
+  std::uint64_t QuarantineDigest = 0; // Of the quarantines known there.
   LimitPeer Limits;                   // What it knows of limits.
 };
 
@@ -117,7 +117,7 @@
   TimePoint SentAt{};             // When SentConfig was sent; the epoch: never.
   std::uint64_t SentRevision = 0; // Revision of Servers sent to it.
   std::uint64_t SentSequence = 0; // Sequence of the last EntrySync answered.
-  std::uint64_t QuarantineDigest = 0; // Of the quarantined parts known there.
+  std::uint64_t QuarantineDigest = 0; // Of the quarantines known there.
   std::uint64_t WatchDigest = 0;      // Of the watched parts known there.
   LimitPeer Limits;                   // What it knows of limits.
 };
@@ -162,7 +162,7 @@
   ServerRegistry Servers;
   RequestLimits NamedLimits;                // Named by backend servers.
   TimePoint LimitsDueAt = TimePoint::max(); // Changed limits are sent then.
-  CrashQuarantine Quarantine; // Parts of prompts that crash engines.
+  CrashQuarantine Quarantine; // Requests and parts that crash servers.
   std::map<Suspect, TimePoint> Clearances; // To be sent to control hosts.
   std::uint64_t StoredQuarantine = 0;      // Digest of those on the disk.
   std::map<HostId, ControlPeer> Controls;
--- a/packages/gateway/QuarantinePart.cpp
+++ b/packages/gateway/QuarantinePart.cpp
@@ -209,7 +209,10 @@
   if (Changed) {
     DecisionRecord Record{
         "quarantine_changed", {}, "a control host reported a change", {}};
-    Record.add("parts", static_cast<std::int64_t>(activeQuarantines(Q)));
+    std::size_t Requests = quarantinedRequests(Q);
+    Record.add("parts",
+               static_cast<std::int64_t>(activeQuarantines(Q) - Requests));
+    Record.add("requests", static_cast<std::int64_t>(Requests));
     log(T, std::move(Record));
     withdrawCalls(T);
   }
--- a/packages/quarantine/tests/CrashQuarantineTest.cpp
+++ b/packages/quarantine/tests/CrashQuarantineTest.cpp
@@ -175,9 +175,8 @@
 /// Guards against requests of many kinds that are bad at a time.
 BOOST_AUTO_TEST_CASE(SeveralBadRequestsAreAllQuarantined) {
   Judge J;
-  std::vector<CrashedRequest> Bad;
-  for (int I = 0; I < 4; ++I)
-    Bad.push_back(J.request("a", {}));
+  std::vector<CrashedRequest> Bad = {J.request("a", {}), J.request("a", {}),
+                                     J.request("a", {}), J.request("a", {})};
   for (int I = 0; I < 12; ++I)
     J.crash({Bad[I % 4], J.request("b", {})}, milliseconds(150));
   J.pass(seconds(1));
--- a/packages/routing/tests/RoutingTest.cpp
+++ b/packages/routing/tests/RoutingTest.cpp
@@ -20,8 +20,8 @@
 RoutingConfig config() {
   RoutingConfig C;
   C.Number = 7;
-  C.Services = {{ServiceId("llm"), 10, std::nullopt},
-                {ServiceId("plain"), 10, std::nullopt}};
+  C.Services = {{ServiceId("llm"), 10, std::nullopt, ""},
+                {ServiceId("plain"), 10, std::nullopt, ""}};
   C.Routes = {route("short", "a.example", "/x/"),
               route("long", "a.example", "/x/y/", "plain"),
               route("other", "b.example", "/")};
