--- a/packages/gateway/tests/ServerSite.cpp
+++ b/packages/gateway/tests/ServerSite.cpp
@@ -222,6 +222,14 @@
                  "");
     return;
   }
+  Engine->Arrivals[N.Name].push_back(now());
+  if (!Engine->RetryAfter.empty()) {
+    std::vector<HttpHeader> Head = answerHead(Attempt, *Engine, false);
+    Head.push_back({"Retry-After", Engine->RetryAfter});
+    Head.push_back({"X-Pimentoglade-Not-Executed", "1"});
+    answerAtOnce(N, Open.Upstream, 503, std::move(Head), "");
+    return;
+  }
   CallerView &View = Callers[Attempt];
   View.Sends += 1;
   Engine->Received.push_back(now());
--- a/packages/gateway/tests/ServerSite.h
+++ b/packages/gateway/tests/ServerSite.h
@@ -69,6 +69,9 @@
   std::string Service = "llm";
   std::vector<HttpHeader> ExtraHeaders; // Of each answer to a request.
   std::vector<TimePoint> Received;      // Requests that were accepted.
+  std::string RetryAfter; // Refuses each request with 503 and this header;
+                          // empty: accepts requests.
+  std::map<HostId, std::vector<TimePoint>> Arrivals; // Refused ones, too.
   std::string Address;
   std::uint64_t Born = 0;
   std::uint64_t Sequence = 0;
--- a/packages/wire/SiteMessages.h
+++ b/packages/wire/SiteMessages.h
@@ -156,9 +156,9 @@
   std::vector<SuspectClearance> Clearances; // Of watched and other suspects.
   std::uint64_t WatchDigest = 0; // Of the watched suspects; zero: none. From
                                  // entry hosts: of those that they know.
-  std::vector<Suspect> Watched; // From control hosts: suspects whose next
-                                // complete answer is to be reported; empty
-                                // if the receiver knows them.
+  std::vector<Suspect> Watched;  // From control hosts: suspects whose next
+                                 // complete answer is to be reported; empty
+                                 // if the receiver knows them.
 
   template <class Self, class Visitor>
   static void fields(Self &M, Visitor &&Visit) {
