gateway: a backend server that announces in an answer that it leaves gets no request

Cause: the header was not read. Change: a host that sees it, in any answer to a request of its own or to a health check, marks that incarnation as draining at once and keeps to it whatever control hosts say later; it tells the control hosts with each message until they report the phase themselves, and they tell the others, as for a server that reports draining. A request for placement names such servers until then, so that the placer chooses others; a choice made before is not sent. Result: no late request, also without control hosts and with the placer lost; where all plain servers leave, callers get 503 at once.

--- a/packages/control/ControlCalls.cpp
+++ b/packages/control/ControlCalls.cpp
@@ -234,4 +234,15 @@
   T.Out.push_back(StoreServers{wire::toBytes(Stored)});
 }
 
+void onServersLeaving(ControlTurn &T,
+                      const std::vector<ServerReport> &Reports) {
+  for (const ServerReport &Report : Reports) {
+    if (!applyReport(T.S.Servers, Report, T.Now - Report.Age))
+      continue;
+    logServer(T, Report.Id, "an entry host reported that it is leaving");
+    relay(T, T.S.Servers.Servers.at(Report.Id).Report);
+    T.S.UpdateDue = true;
+  }
+}
+
 } // namespace pimento::control
--- a/packages/control/ControlSpread.cpp
+++ b/packages/control/ControlSpread.cpp
@@ -263,6 +263,7 @@
   Entry.WatchDigest = M.Quarantine.WatchDigest;
   onQuarantineUpdate(T, From, M.Quarantine);
   onLimitUpdate(T, Entry.Limits, M.Limits);
+  onServersLeaving(T, M.Leaving);
   bool Whole = M.ControlIncarnation != T.S.Incarnation ||
                M.Revision > T.S.Servers.Revision;
   Entry.SentRevision = Whole ? 0 : M.Revision;
--- a/packages/control/ControlTurn.h
+++ b/packages/control/ControlTurn.h
@@ -55,6 +55,10 @@
 /// silent.
 void restoreServers(ControlHost &S, const std::string &Bytes, TimePoint Now);
 
+// ControlCalls.cpp
+/// Merges reports of backend servers that announced in answers that they leave.
+void onServersLeaving(ControlTurn &T, const std::vector<ServerReport> &Reports);
+
 // ControlQuarantine.cpp
 /// Merges what another host knows of parts that crash engines.
 void onQuarantineUpdate(ControlTurn &T, const HostId &From,
--- a/packages/gateway/Answer.cpp
+++ b/packages/gateway/Answer.cpp
@@ -208,6 +208,7 @@
   C->Attempt.Answer = T.S.Platform.DecodeAnswer(E.Status, E.Headers);
   C->Stage = CallStage::Answering;
   observeAnswer(T, *C);
+  observeLeaving(T, *C);
   bool Streams = C->Path->Kind == CallKind::Stream && E.Status == StatusOk;
   if (Streams && matchesRequest(*C))
     beginStream(T, *C);
--- a/packages/gateway/Attempt.cpp
+++ b/packages/gateway/Attempt.cpp
@@ -195,6 +195,12 @@
 void sendAttempt(GatewayTurn &T, GatewayCall &C,
                  const std::vector<HelperInfo> &Helpers) {
   Gateway &S = T.S;
+  if (isLeaving(S, C.Attempt.Server, C.Attempt.ServerIncarnation)) {
+    C.AttemptCount += 1;
+    attemptFailed(T, C, false, Code::NoBackend,
+                  "the backend server is leaving since the choice was made");
+    return;
+  }
   ForwardInfo Forward;
   Forward.TimeLeft = C.Deadline - T.Now;
   Forward.Expected = C.Attempt.Server;
--- a/packages/gateway/CrashCheckPart.cpp
+++ b/packages/gateway/CrashCheckPart.cpp
@@ -90,6 +90,16 @@
   return !Answer.Server.empty() && Answer.Server != Check.Crash.Server;
 }
 
+/// The answer to a health check may announce that the server leaves.
+void observeHealth(GatewayTurn &T, const CrashCheck &Check, const Event &E) {
+  const auto *Head = std::get_if<UpstreamHead>(&E);
+  if (Head == nullptr)
+    return;
+  AnswerInfo Answer = T.S.Platform.DecodeAnswer(Head->Status, Head->Headers);
+  if (Answer.IsLeaving && Answer.Server == Check.Crash.Server)
+    serverLeaves(T, Check.Crash.Server, Check.Crash.Incarnation);
+}
+
 /// A plain server that is slow may answer a health check late.
 bool isSilent(const CrashCheck &Check, const UpstreamFailed &E) {
   return !Check.IsEngine && E.Why.TimedOut;
@@ -137,6 +147,7 @@
     return true;
   }
   T.Out.push_back(calls::AbortUpstream{Query});
+  observeHealth(T, Check, E);
   if (isReplaced(T, Check, E))
     crashConfirmed(T, Check, "another server answers at the address");
   else
--- a/packages/gateway/Gateway.h
+++ b/packages/gateway/Gateway.h
@@ -29,6 +29,7 @@
 // SpeedPart.cpp   load reports of engines suspected of being slow
 // QuarantinePart.cpp requests, and parts of prompts, that crash servers
 // CrashCheckPart.cpp servers that broke off answers: whether they still run
+// LeavingPart.cpp servers that announced in answers that they leave
 // LimitPart.cpp   servers that named a limit of requests
 // RoutingPart.cpp configurations sent by control hosts
 // SitePart.cpp    control hosts, other entry hosts, shutdown
@@ -127,6 +128,14 @@
   TimePoint ExpiresAt{};
 };
 
+/// An incarnation of a backend server that announced in an answer that it
+/// leaves.
+struct LeavingServer {
+  IncarnationNumber Incarnation = 0;
+  TimePoint Since{};
+  bool IsKnownByControl = false; // Control hosts report that it leaves.
+};
+
 /// One sending of a request to a backend server.
 struct CallAttempt {
   BackendId Server;
@@ -231,6 +240,7 @@
   bool Stale = false; // Requests are refused, since a newer configuration has
                       // been missing for too long.
   ServerRegistry Servers;
+  std::map<BackendId, LeavingServer> Leaving;
   std::map<ServiceId, std::vector<calls::PlainServer>> PlainServers;
   calls::HealthState Health;
   SiteRetryBudget Retries;
--- a/packages/gateway/GatewayTurn.h
+++ b/packages/gateway/GatewayTurn.h
@@ -193,6 +193,24 @@
 /// Ends the queries that were not answered in time.
 void tickCrashChecks(GatewayTurn &T);
 
+// LeavingPart.cpp
+/// Whether the incarnation announced in an answer to this host that it leaves.
+bool isLeaving(const Gateway &S, const BackendId &Server,
+               IncarnationNumber Incarnation);
+/// The incarnation announced that it leaves: sends it nothing from now on, and
+/// tells the control hosts.
+void serverLeaves(GatewayTurn &T, const BackendId &Server,
+                  IncarnationNumber Incarnation);
+/// Records whether the answer to the call's attempt announces that its server
+/// leaves.
+void observeLeaving(GatewayTurn &T, const GatewayCall &C);
+/// Returns the report of a control host with the phase that this host knows.
+ServerReport knownPhase(GatewayTurn &T, const ServerReport &R);
+/// What a control host is to know of servers that leave.
+std::vector<ServerReport> leavingReports(const GatewayTurn &T);
+/// Servers that leave, of which other hosts may not know.
+std::vector<BackendId> unreportedLeaving(const Gateway &S);
+
 // LimitPart.cpp
 /// Whether the server named a limit, so that only the placer permits requests.
 bool needsPermit(const Gateway &S, const calls::PlainServer &Server);
@@ -228,6 +246,8 @@
 void checkStale(GatewayTurn &T);
 
 // SitePart.cpp
+/// Follows a change of the list of backend servers.
+void serversChanged(GatewayTurn &T);
 /// Queries the control host, drops the placements of lost hosts and advances a
 /// shutdown.
 void tickSite(GatewayTurn &T);
--- a/packages/gateway/PlacePart.cpp
+++ b/packages/gateway/PlacePart.cpp
@@ -43,6 +43,8 @@
   Spec.Account = C.Account;
   Spec.DataCentre = T.S.Engines.Here;
   Spec.Avoid = C.TriedServers;
+  for (BackendId &Leaving : unreportedLeaving(T.S))
+    Spec.Avoid.push_back(std::move(Leaving));
   return Spec;
 }
 
@@ -125,6 +127,12 @@
                   "the placement names an engine unknown to this host");
     return;
   }
+  if (isLeaving(T.S, M.First.Engine, E->Incarnation)) {
+    C.AttemptCount += 1; // Bounds how often the placer is asked.
+    attemptFailed(T, C, false, Code::NoBackend,
+                  "the placement names an engine that is leaving");
+    return;
+  }
   C.Attempt.Address = E->Address;
   C.Attempt.ServerIncarnation = E->Incarnation;
   if (C.IsRemotePlacement)
--- a/packages/gateway/SitePart.cpp
+++ b/packages/gateway/SitePart.cpp
@@ -53,7 +53,8 @@
 bool applyServers(GatewayTurn &T, const SiteState &M) {
   Gateway &S = T.S;
   bool Changed = false;
-  for (const ServerReport &R : M.Servers) {
+  for (const ServerReport &Reported : M.Servers) {
+    ServerReport R = knownPhase(T, Reported);
     if (!applyReport(S.Servers, R, T.Now - R.Age))
       continue;
     Changed = true;
@@ -128,10 +129,18 @@
 void addReports(GatewayTurn &T, EntrySync &Sync) {
   Sync.Quarantine = quarantineReport(T);
   Sync.Limits = limitReport(T);
+  Sync.Leaving = leavingReports(T);
 }
 
 } // namespace
 
+void serversChanged(GatewayTurn &T) {
+  refreshPlainServers(T.S);
+  if (T.S.Routes)
+    setEngines(T.S.Engines, *T.S.Routes, T.S.Servers);
+  refreshLimits(T, /*IsReset=*/false);
+}
+
 void tickSite(GatewayTurn &T) {
   Gateway &S = T.S;
   checkStale(T);
@@ -159,12 +168,8 @@
     return;
   bool ServersChanged = applyServers(T, M);
   bool RoutesChanged = applyRouting(T, M);
-  if (ServersChanged)
-    refreshPlainServers(S);
-  if (S.Routes && (ServersChanged || RoutesChanged))
-    setEngines(S.Engines, *S.Routes, S.Servers);
   if (ServersChanged || RoutesChanged)
-    refreshLimits(T, /*IsReset=*/false);
+    serversChanged(T);
   checkStale(T);
   followPlacer(T);
   if (ActiveControl != S.Link.ActiveControl) {
--- a/packages/gateway/tests/LeavingServerTest.cpp
+++ b/packages/gateway/tests/LeavingServerTest.cpp
@@ -94,6 +94,83 @@
   checkLeaving("PlainServerThatLeavesByHeaderGetsNoRequest", 42, FirstPlain);
 }
 
+/// Guards against DRAIN while the control hosts are lost, and with them the way
+/// to other hosts: each host that got the announcement keeps to it.
+BOOST_AUTO_TEST_CASE(LeavingServerGetsNoRequestWithoutControlHosts) {
+  ServerSite Site = busySite(45);
+  Site.run(seconds(3));
+  for (const HostId &Host : Site.Control.Seeds)
+    Site.Control.losePower(Host);
+  for (std::size_t Server : {std::size_t(0), FirstPlain}) {
+    Site.Engines[Server].ExtraHeaders = {{"Server-Leaving", "1"}};
+    Site.Engines[Server].Arrivals.clear();
+  }
+  Site.run(seconds(4));
+  for (std::size_t Server : {std::size_t(0), FirstPlain}) {
+    for (const auto &[Host, Times] : Site.Engines[Server].Arrivals) {
+      TimePoint Allowed = Times.front() + DrainTime;
+      BOOST_TEST((Times.back() <= Allowed));
+    }
+  }
+}
+
+/// Guards against DRAIN after the placer is lost: the next one knows nothing of
+/// its own.
+BOOST_AUTO_TEST_CASE(LeavingEngineGetsNoRequestFromTheNextPlacer) {
+  ServerSite Site = busySite(46);
+  Site.run(seconds(3));
+  Site.Engines[0].ExtraHeaders = {{"Server-Leaving", "1"}};
+  Site.run(seconds(1));
+  HostId Placer = Site.Entries.begin()->second.State.Link.Placer;
+  BOOST_TEST_REQUIRE(Site.Entries.count(Placer) == 1U);
+  Site.killEntry(Placer, milliseconds(500));
+  TimePoint From = Site.now();
+  Site.run(seconds(8));
+  BOOST_TEST(arrivedSince(Site.Engines[0], From) == 0U);
+  BOOST_TEST(Site.soundShare(From + seconds(3), Site.now() - seconds(2)) > 0.9);
+}
+
+/// Guards against callers that wait until their time limit, or are sent to
+/// servers that leave, where no other is left.
+BOOST_AUTO_TEST_CASE(CallersAreRefusedAtOnceWhereAllServersLeave) {
+  ServerSite Site = busySite(47);
+  Site.run(seconds(3));
+  for (std::size_t I = 0; I < 4; ++I)
+    Site.Engines[FirstPlain + I].ExtraHeaders = {{"Server-Leaving", "1"}};
+  Site.run(seconds(3));
+  std::string Attempt = Site.callPlain(Site.anyEntry());
+  BOOST_TEST(Site.Callers[Attempt].Status == 503);
+  BOOST_TEST(Site.Callers[Attempt].Sends == 0);
+  BOOST_TEST(Site.Callers[Attempt].RetryAfter > 0.0);
+}
+
+/// Guards against a server that is avoided since the one before it at the same
+/// address has left.
+BOOST_AUTO_TEST_CASE(NextServerAtTheAddressGetsRequests) {
+  ServerSite Site = busySite(48);
+  Site.run(seconds(3));
+  Site.Engines[FirstPlain].ExtraHeaders = {{"Server-Leaving", "1"}};
+  Site.run(seconds(3));
+  Site.Engines[FirstPlain].ExtraHeaders.clear();
+  Site.crash(FirstPlain); // Starts again under another id.
+  Site.run(seconds(6));
+  BOOST_TEST(arrivedSince(Site.Engines[FirstPlain], Site.now() - seconds(2)) >
+             10U);
+}
+
+/// Guards against another server that is taken for the one that leaves, and
+/// against other values of the header.
+BOOST_AUTO_TEST_CASE(OnlyTheAnnouncementCounts) {
+  ServerSite Site = busySite(49);
+  Site.run(seconds(3));
+  for (const char *Value : {"0", "", "true", "11"}) {
+    Site.Engines[FirstPlain].ExtraHeaders = {{"Server-Leaving", Value}};
+    Site.run(seconds(1));
+  }
+  BOOST_TEST(arrivedSince(Site.Engines[FirstPlain], Site.now() - seconds(1)) >
+             5U);
+}
+
 /// Guards against BUDGET: all plain servers say when they want requests again,
 /// and a host goes on to send them some.
 BOOST_AUTO_TEST_CASE(PlainServersGetNothingUntilTheyWantRequests) {
--- a/packages/routing/Adapter.h
+++ b/packages/routing/Adapter.h
@@ -103,7 +103,9 @@
   std::string FaultyServer; // Address of another server that is at fault.
   BackendId Server; // The answering server, in answers to health checks; empty:
                     // not given.
-  bool Events = false;                // The body is a stream of events.
+  bool Misdirected = false; // Another server than the expected one answered.
+  bool IsLeaving = false;   // The server gets no new requests from now on.
+  bool Events = false;      // The body is a stream of events.
   std::optional<double> RequestLimit; // Requests a second that the server takes
                                       // from all hosts; empty: no limit.
 };
--- a/packages/wire/SiteMessages.h
+++ b/packages/wire/SiteMessages.h
@@ -252,12 +252,14 @@
   bool Stale = false; // The sender refuses new requests, since it has lacked a
                       // newer configuration for too long.
   LimitUpdate Limits;
+  std::vector<ServerReport> Leaving; // Servers that announced in answers that
+                                     // they leave; the receiver may not know.
 
   template <class Self, class Visitor>
   static void fields(Self &M, Visitor &&Visit) {
     Visit(M.Sequence, M.ControlIncarnation, M.Revision, M.Config, M.Ready,
           M.DataCentre, M.Placer, M.Uptime, M.Quarantine, M.Form, M.Stale,
-          M.Limits);
+          M.Limits, M.Leaving);
   }
 };
 
