gateway: a backend server that wants no requests for a time gets none from this host

A server that turned a request away with 503 and Retry-After went on to get up to 52 requests of the host in one span of 4 s in the simulated site (2 allowed). Cause: the header was not read; a refusal led to an ejection for other reasons at most. Change: a host keeps, for each incarnation, the latest time that it was told, and sends nothing before, on any path; then one request at a time until one is answered otherwise. Engines that may not be used are named in requests for placement. Where all servers of a service are paused, callers are refused at once with the time of the first one and a spread by chance. blockOf says why a server may not get a request. Open: one place for ejection, limits and quarantine as well, the command line, and the measured cost with 1,000 servers.

--- a/packages/gateway/Answer.cpp
+++ b/packages/gateway/Answer.cpp
@@ -209,6 +209,7 @@
   C->Stage = CallStage::Answering;
   observeAnswer(T, *C);
   observeLeaving(T, *C);
+  observePause(T, *C);
   bool Streams = C->Path->Kind == CallKind::Stream && E.Status == StatusOk;
   if (Streams && matchesRequest(*C))
     beginStream(T, *C);
--- a/packages/gateway/Attempt.cpp
+++ b/packages/gateway/Attempt.cpp
@@ -36,13 +36,20 @@
   return Found == S.PlainServers.end() ? None : Found->second;
 }
 
+bool isBlocked(const GatewayTurn &T, const GatewayCall &C,
+               const calls::PlainServer &Server) {
+  return blockOf(T.S, Server.Backend, Server.Incarnation, C.Ticket, T.Now) !=
+         SendBlock::None;
+}
+
 /// Returns the servers of this data centre that are healthy, little loaded and
 /// untried, or all servers if there are none.
 std::vector<calls::PlainServer> nearServers(const GatewayTurn &T,
                                             const GatewayCall &C) {
-  const auto &All = plainServers(T.S, C.Service);
   std::vector<calls::PlainServer> Near;
-  for (const calls::PlainServer &Server : All) {
+  for (const calls::PlainServer &Server : plainServers(T.S, C.Service)) {
+    if (isBlocked(T, C, Server))
+      continue;
     auto Health = T.S.Health.Servers.find(Server.Backend);
     bool Ejected =
         Health != T.S.Health.Servers.end() &&
@@ -55,10 +62,14 @@
         !Busy)
       Near.push_back(Server);
   }
-  return Near.empty() ? All : Near;
+  return Near.empty() ? usableServers(T, C) : Near;
 }
 
 void startPlain(GatewayTurn &T, GatewayCall &C) {
+  if (std::optional<Duration> Wait = pauseOfAll(T, C)) {
+    failPaused(T, C, *Wait);
+    return;
+  }
   std::vector<calls::PlainServer> Servers = nearServers(T, C);
   calls::ServerChoice Choice =
       chooseServer(T.S.Health, Servers, C.TriedServers, T.S.Rng, T.Now);
@@ -162,6 +173,21 @@
          (C.Path->Kind == CallKind::Stream && C.Path->Resumable);
 }
 
+std::vector<calls::PlainServer> usableServers(const GatewayTurn &T,
+                                              const GatewayCall &C) {
+  std::vector<calls::PlainServer> Servers;
+  for (const calls::PlainServer &Server : plainServers(T.S, C.Service)) {
+    if (!isBlocked(T, C, Server))
+      Servers.push_back(Server);
+  }
+  return Servers;
+}
+
+void failPaused(GatewayTurn &T, GatewayCall &C, Duration Wait) {
+  fail(T, C, C.MayHaveRun ? Code::BackendFailed : Code::QueueFull,
+       "all backend servers of the service want no requests for a time", Wait);
+}
+
 bool maySendAgain(GatewayTurn &T, const GatewayCall &C) {
   if (C.AttemptCount >= MaxServerAttempts || C.Sends >= C.Path->Attempts ||
       T.Now + MinTimeLeft > C.Deadline || C.Exchange == ExchangeId{})
@@ -195,12 +221,14 @@
 void sendAttempt(GatewayTurn &T, GatewayCall &C,
                  const std::vector<HelperInfo> &Helpers) {
   Gateway &S = T.S;
-  if (isLeaving(S, C.Attempt.Server, C.Attempt.ServerIncarnation)) {
-    C.AttemptCount += 1;
-    attemptFailed(T, C, false, Code::NoBackend,
-                  "the backend server is leaving since the choice was made");
+  SendBlock Block = blockOf(S, C.Attempt.Server, C.Attempt.ServerIncarnation,
+                            C.Ticket, T.Now);
+  if (Block != SendBlock::None) {
+    C.AttemptCount += 1; // Bounds how often another server is chosen.
+    attemptFailed(T, C, false, Code::NoBackend, toString(Block));
     return;
   }
+  noteProbe(T, C);
   ForwardInfo Forward;
   Forward.TimeLeft = C.Deadline - T.Now;
   Forward.Expected = C.Attempt.Server;
--- a/packages/gateway/Gateway.h
+++ b/packages/gateway/Gateway.h
@@ -30,6 +30,9 @@
 // QuarantinePart.cpp requests, and parts of prompts, that crash servers
 // CrashCheckPart.cpp servers that broke off answers: whether they still run
 // LeavingPart.cpp servers that announced in answers that they leave
+// PausePart.cpp   servers that want no requests for a time; whether a server
+// may
+//                 get a request
 // LimitPart.cpp   servers that named a limit of requests
 // RoutingPart.cpp configurations sent by control hosts
 // SitePart.cpp    control hosts, other entry hosts, shutdown
@@ -136,6 +139,24 @@
   bool IsKnownByControl = false; // Control hosts report that it leaves.
 };
 
+/// An incarnation of a backend server that turned a request of this host away
+/// and wants none until a time. Afterwards it gets one at a time until it takes
+/// one.
+struct PausedServer {
+  IncarnationNumber Incarnation = 0;
+  TimePoint Until{};
+  std::uint64_t Probe = 0; // Ticket of the latest request after Until.
+};
+
+/// Why a backend server may not get a request of this host now, besides what
+/// the lists of servers, ejection and limits say.
+enum class SendBlock : std::uint8_t {
+  None,
+  Leaving, // It announced that it leaves.
+  Paused,  // It wants no requests for a time.
+  Probed,  // One request is under way to see whether it takes requests again.
+};
+
 /// One sending of a request to a backend server.
 struct CallAttempt {
   BackendId Server;
@@ -241,6 +262,7 @@
                       // been missing for too long.
   ServerRegistry Servers;
   std::map<BackendId, LeavingServer> Leaving;
+  std::map<BackendId, PausedServer> Paused;
   std::map<ServiceId, std::vector<calls::PlainServer>> PlainServers;
   calls::HealthState Health;
   SiteRetryBudget Retries;
--- a/packages/gateway/GatewayTurn.h
+++ b/packages/gateway/GatewayTurn.h
@@ -66,6 +66,12 @@
 /// Sends the request to the backend server in C.Attempt.
 void sendAttempt(GatewayTurn &T, GatewayCall &C,
                  const std::vector<HelperInfo> &Helpers);
+/// The plain servers of the call's service that may get it now.
+std::vector<calls::PlainServer> usableServers(const GatewayTurn &T,
+                                              const GatewayCall &C);
+/// Ends a call for which no server wants requests now; its caller should come
+/// back after \p Wait.
+void failPaused(GatewayTurn &T, GatewayCall &C, Duration Wait);
 void upstreamSent(GatewayTurn &T, UpstreamId Upstream);
 void upstreamFailed(GatewayTurn &T, UpstreamId Upstream,
                     const UpstreamFailure &Why);
@@ -208,8 +214,25 @@
 ServerReport knownPhase(GatewayTurn &T, const ServerReport &R);
 /// What a control host is to know of servers that leave.
 std::vector<ServerReport> leavingReports(const GatewayTurn &T);
-/// Servers that leave, of which other hosts may not know.
-std::vector<BackendId> unreportedLeaving(const Gateway &S);
+
+// PausePart.cpp
+/// Why the server may not get the request with \p Ticket now.
+SendBlock blockOf(const Gateway &S, const BackendId &Server,
+                  IncarnationNumber Incarnation, std::uint64_t Ticket,
+                  TimePoint Now);
+/// Returns the block as a reason in logs.
+const char *toString(SendBlock Block);
+/// Records until when the server of the call's attempt wants no requests, or
+/// that it takes them again.
+void observePause(GatewayTurn &T, const GatewayCall &C);
+/// Records that the call is sent to its server, which may be paused no more.
+void noteProbe(GatewayTurn &T, const GatewayCall &C);
+/// Servers that this host may not use and other hosts may.
+std::vector<BackendId> blockedServers(const Gateway &S, std::uint64_t Ticket,
+                                      TimePoint Now);
+/// If no server of the call's service may get it now, and some want requests
+/// again later: the time after which its caller should come back.
+std::optional<Duration> pauseOfAll(GatewayTurn &T, const GatewayCall &C);
 
 // LimitPart.cpp
 /// Whether the server named a limit, so that only the placer permits requests.
--- a/packages/gateway/LeavingPart.cpp
+++ b/packages/gateway/LeavingPart.cpp
@@ -94,13 +94,4 @@
   return Reports;
 }
 
-std::vector<BackendId> unreportedLeaving(const Gateway &S) {
-  std::vector<BackendId> List;
-  for (const auto &[Id, Leaving] : S.Leaving) {
-    if (!Leaving.IsKnownByControl)
-      List.push_back(Id);
-  }
-  return List;
-}
-
 } // namespace pimento::gateway
--- a/packages/gateway/LimitPart.cpp
+++ b/packages/gateway/LimitPart.cpp
@@ -79,18 +79,16 @@
 }
 
 /// Servers of the call's service that were not tried; all if all were.
-std::vector<calls::PlainServer> untriedServers(const Gateway &S,
+std::vector<calls::PlainServer> untriedServers(const GatewayTurn &T,
                                                const GatewayCall &C) {
-  auto Found = S.PlainServers.find(C.Service);
-  if (Found == S.PlainServers.end())
-    return {};
+  std::vector<calls::PlainServer> All = usableServers(T, C);
   std::vector<calls::PlainServer> Untried;
-  for (const calls::PlainServer &Server : Found->second) {
+  for (const calls::PlainServer &Server : All) {
     if (std::find(C.TriedServers.begin(), C.TriedServers.end(),
                   Server.Backend) == C.TriedServers.end())
       Untried.push_back(Server);
   }
-  return Untried.empty() ? Found->second : Untried;
+  return Untried.empty() ? All : Untried;
 }
 
 bool isEjected(const Gateway &S, const BackendId &Server, TimePoint Now) {
@@ -101,7 +99,7 @@
 /// The servers that take the call without a permit and are healthy.
 std::vector<calls::PlainServer> openServers(const GatewayTurn &T,
                                             const GatewayCall &C) {
-  std::vector<calls::PlainServer> Open = untriedServers(T.S, C);
+  std::vector<calls::PlainServer> Open = untriedServers(T, C);
   auto IsClosed = [&](const calls::PlainServer &Server) {
     return needsPermit(T.S, Server) || isEjected(T.S, Server.Backend, T.Now);
   };
@@ -113,7 +111,7 @@
 std::vector<BackendId> limitedServers(const GatewayTurn &T,
                                       const GatewayCall &C, bool MayBeEjected) {
   std::vector<BackendId> Limited;
-  for (const calls::PlainServer &Server : untriedServers(T.S, C)) {
+  for (const calls::PlainServer &Server : untriedServers(T, C)) {
     bool IsUsable = MayBeEjected || !isEjected(T.S, Server.Backend, T.Now);
     if (needsPermit(T.S, Server) && IsUsable)
       Limited.push_back(Server.Backend);
@@ -154,7 +152,7 @@
     return;
   }
   count(T, "pimento_permits_total", "result=\"granted\"");
-  for (const calls::PlainServer &Server : untriedServers(T.S, C)) {
+  for (const calls::PlainServer &Server : untriedServers(T, C)) {
     if (Server.Backend != M.Server)
       continue;
     sendToPlain(T, C, Server);
--- a/packages/gateway/PlacePart.cpp
+++ b/packages/gateway/PlacePart.cpp
@@ -43,8 +43,8 @@
   Spec.Account = C.Account;
   Spec.DataCentre = T.S.Engines.Here;
   Spec.Avoid = C.TriedServers;
-  for (BackendId &Leaving : unreportedLeaving(T.S))
-    Spec.Avoid.push_back(std::move(Leaving));
+  for (BackendId &Blocked : blockedServers(T.S, C.Ticket, T.Now))
+    Spec.Avoid.push_back(std::move(Blocked));
   return Spec;
 }
 
@@ -127,12 +127,6 @@
                   "the placement names an engine unknown to this host");
     return;
   }
-  if (isLeaving(T.S, M.First.Engine, E->Incarnation)) {
-    C.AttemptCount += 1; // Bounds how often the placer is asked.
-    attemptFailed(T, C, false, Code::NoBackend,
-                  "the placement names an engine that is leaving");
-    return;
-  }
   C.Attempt.Address = E->Address;
   C.Attempt.ServerIncarnation = E->Incarnation;
   if (C.IsRemotePlacement)
@@ -219,6 +213,10 @@
 void requestPlacement(GatewayTurn &T, GatewayCall &C) {
   C.Stage = CallStage::Placing;
   C.PlacementRequestedAt = T.Now;
+  if (std::optional<Duration> Wait = pauseOfAll(T, C)) {
+    failPaused(T, C, *Wait);
+    return;
+  }
   if (placesHere(T.S, T.Now))
     placeLocally(T, C);
   else
--- a/packages/gateway/tests/LeavingServerTest.cpp
+++ b/packages/gateway/tests/LeavingServerTest.cpp
@@ -182,3 +182,63 @@
 BOOST_AUTO_TEST_CASE(EnginesGetNothingUntilTheyWantRequests) {
   checkUnwanted("EnginesGetNothingUntilTheyWantRequests", 44, 0, 10);
 }
+
+/// Guards against callers that wait, or come back too early or all at once,
+/// where all servers want no requests for a time.
+BOOST_AUTO_TEST_CASE(CallersLearnWhenServersWantRequestsAgain) {
+  ServerSite Site = busySite(50);
+  Site.run(seconds(3));
+  for (std::size_t I = 0; I < 4; ++I)
+    Site.Engines[FirstPlain + I].RetryAfter = "6";
+  Site.run(seconds(2));
+  std::set<double> Waits;
+  for (const auto &[Host, N] : Site.Entries) {
+    std::string Attempt = Site.callPlain(Host);
+    const CallerView &View = Site.Callers[Attempt];
+    BOOST_TEST(View.Status == 503);
+    BOOST_TEST(View.RetryAfter > 3.5);
+    BOOST_TEST(View.RetryAfter < 8.0);
+    Waits.insert(View.RetryAfter);
+  }
+  BOOST_TEST(Waits.size() == Site.Entries.size());
+}
+
+/// Guards against a server that is lost for good after a pause, and against all
+/// that waited being sent at its end.
+BOOST_AUTO_TEST_CASE(ServersAreProbedOneRequestAtATimeAfterAPause) {
+  ServerSite Site = busySite(51);
+  Site.run(seconds(3));
+  SiteServer &E = Site.Engines[FirstPlain];
+  E.Arrivals.clear();
+  E.RetryAfter = "0.8";
+  Site.run(seconds(8));
+  for (const auto &[Host, Times] : E.Arrivals) {
+    // One for each pause, and those that crossed the first refusal.
+    BOOST_TEST(Times.size() <= 8 / 0.8 + MaxUnwanted);
+  }
+  E.RetryAfter.clear();
+  Site.run(seconds(3));
+  BOOST_TEST(arrivedSince(E, Site.now() - seconds(1)) > 5U);
+}
+
+/// Guards against a server that is lost, and against a crash, for a header that
+/// is no time.
+BOOST_AUTO_TEST_CASE(RetryAfterThatIsNoTimeIsIgnored) {
+  ServerSite Site = busySite(52);
+  Site.run(seconds(3));
+  SiteServer &E = Site.Engines[FirstPlain];
+  const std::string Values[] = {"-3",
+                                "inf",
+                                "nan",
+                                "soon",
+                                "1e3",
+                                "0",
+                                "Wed, 21 Oct 2026 07:28:00 GMT",
+                                std::string(10000, '9')};
+  for (const std::string &Value : Values) {
+    E.RetryAfter = Value;
+    Site.run(milliseconds(500));
+  }
+  for (const auto &[Host, N] : Site.Entries)
+    BOOST_TEST(N.State.Paused.empty());
+}
--- a/packages/routing/Adapter.h
+++ b/packages/routing/Adapter.h
@@ -106,6 +106,8 @@
   bool Misdirected = false; // Another server than the expected one answered.
   bool IsLeaving = false;   // The server gets no new requests from now on.
   bool Events = false;      // The body is a stream of events.
+  std::optional<Duration> RetryAfter; // The server wants no request from this
+                                      // host for so long; empty: not given.
   std::optional<double> RequestLimit; // Requests a second that the server takes
                                       // from all hosts; empty: no limit.
 };
