shell, gateway: logs and metrics tell how a connection to a backend server failed

Change: the client tells whether a call used a kept connection and whether it was tried at all; try_failed has try_ms, kept_connection and connection; pimento_connections_failed_total counts by kind.

--- a/packages/base/Http.h
+++ b/packages/base/Http.h
@@ -72,6 +72,9 @@
   bool TimedOut = false;
   std::string Detail;     // Text for logs.
   bool Malformed = false; // The server's bytes were no HTTP answer.
+  bool IsKept = false;    // The connection had been used before.
+  bool IsLocal = false;   // This host did not try to connect, for example since
+                          // it holds as many connections as it may.
 };
 
 /// Compares two header names, ignoring case.
--- a/packages/ctl/HttpNetwork.cpp
+++ b/packages/ctl/HttpNetwork.cpp
@@ -34,7 +34,7 @@
 private:
   HttpClientHooks hooks() {
     HttpClientHooks H;
-    H.Sent = [this](UpstreamId) { Sent = true; };
+    H.Sent = [this](UpstreamId, bool) { Sent = true; };
     H.Head = [this](UpstreamId, int Status, std::vector<HttpHeader> Headers) {
       Result.Reply.Status = Status;
       Result.Reply.Headers = std::move(Headers);
--- a/packages/gateway/Attempt.cpp
+++ b/packages/gateway/Attempt.cpp
@@ -142,6 +142,9 @@
   Record.add("sends", static_cast<std::int64_t>(C.Sends));
   Record.add("stage", std::string(toString(C.Stage)));
   Record.add("since_bytes_ms", toMilliseconds(T.Now - C.Attempt.LastBytes));
+  Record.add("try_ms", toMilliseconds(T.Now - C.Attempt.Began));
+  Record.add("kept_connection", C.Attempt.IsKept);
+  Record.add("connection", C.Attempt.Failure);
   Record.add("account", C.Account.Value);
   Record.add("request_digest", toString(C.Digest));
   if (C.OnEngine) {
@@ -155,6 +158,20 @@
   log(T, std::move(Record));
 }
 
+/// Counts the ways in which connections to backend servers fail.
+void countFailedConnection(GatewayTurn &T, const UpstreamFailure &Why) {
+  const char *How = "refused";
+  if (Why.IsLocal)
+    How = "not_tried";
+  else if (Why.TimedOut)
+    How = "timed_out";
+  else if (Why.BytesSent)
+    How = "broke";
+  count(T, "pimento_connections_failed_total",
+        std::string("how=\"") + How + "\",kept=\"" + (Why.IsKept ? "1" : "0") +
+            "\"");
+}
+
 /// Result code of a request that gets no further attempt. \p Number is the code
 /// of its last failure.
 Code finalCode(const GatewayCall &C, Code Number) {
@@ -258,14 +275,15 @@
   scheduleCheck(T, C);
 }
 
-void upstreamSent(GatewayTurn &T, UpstreamId Upstream) {
-  auto Found = T.S.ByUpstream.find(Upstream);
+void upstreamSent(GatewayTurn &T, const UpstreamSent &E) {
+  auto Found = T.S.ByUpstream.find(E.Call);
   if (Found == T.S.ByUpstream.end())
     return;
   GatewayCall &C = *findCall(T, Found->second);
-  if (C.Attempt.Upstream != Upstream || C.Attempt.BytesSent)
+  if (C.Attempt.Upstream != E.Call || C.Attempt.BytesSent)
     return;
   C.Attempt.BytesSent = true;
+  C.Attempt.IsKept = E.IsKept;
   C.Sends += 1;
 }
 
@@ -277,6 +295,9 @@
   GatewayCall &C = *findCall(T, Found->second);
   T.S.ByUpstream.erase(Found);
   C.Attempt.Upstream = UpstreamId{};
+  C.Attempt.IsKept = Why.IsKept;
+  C.Attempt.Failure = Why.Detail;
+  countFailedConnection(T, Why);
   if (Why.BytesSent && !C.Attempt.BytesSent) {
     C.Attempt.BytesSent = true;
     C.Sends += 1;
--- a/packages/gateway/Gateway.cpp
+++ b/packages/gateway/Gateway.cpp
@@ -83,7 +83,7 @@
     operatorCall(T, E.Exchange, E.Request);
   }
   void operator()(const ExchangeLeft &E) const { callerLeft(T, E.Exchange); }
-  void operator()(const UpstreamSent &E) const { upstreamSent(T, E.Call); }
+  void operator()(const UpstreamSent &E) const { upstreamSent(T, E); }
   void operator()(const UpstreamHead &E) const {
     if (!isOwnQuery())
       upstreamHead(T, E);
--- a/packages/gateway/Gateway.h
+++ b/packages/gateway/Gateway.h
@@ -169,7 +169,9 @@
   TimePoint LastBytes{};  // Last receipt of answer bytes; Began if none came.
   Duration Forecast = {}; // Forecast time to the first event; zero: none.
   bool BytesSent = false;
-  int Status = 0; // HTTP status; zero: no head yet.
+  bool IsKept = false; // On a connection that had been used before.
+  std::string Failure; // Of the connection, for logs; empty: none.
+  int Status = 0;      // HTTP status; zero: no head yet.
   std::vector<HttpHeader> Headers;
   AnswerInfo Answer;
   std::string Body;         // Body of an answer that is buffered.
--- a/packages/gateway/GatewayTurn.h
+++ b/packages/gateway/GatewayTurn.h
@@ -72,7 +72,7 @@
 /// Ends a call for which no server wants requests now; its caller should come
 /// back after \p Wait.
 void failPaused(GatewayTurn &T, GatewayCall &C, Duration Wait);
-void upstreamSent(GatewayTurn &T, UpstreamId Upstream);
+void upstreamSent(GatewayTurn &T, const UpstreamSent &E);
 void upstreamFailed(GatewayTurn &T, UpstreamId Upstream,
                     const UpstreamFailure &Why);
 /// Ends a failed attempt, and retries or ends the call. \p Ran: the server may
--- a/packages/load/Run.cpp
+++ b/packages/load/Run.cpp
@@ -86,7 +86,7 @@
 
   HttpClientHooks hooks() {
     HttpClientHooks H;
-    H.Sent = [](UpstreamId) {};
+    H.Sent = [](UpstreamId, bool) {};
     H.Head = [this](UpstreamId Id, int Status,
                     const std::vector<HttpHeader> &Headers) {
       readHead(Open.at(Id).Reader, Status, Headers);
--- a/packages/node/Events.h
+++ b/packages/node/Events.h
@@ -66,9 +66,11 @@
   std::size_t PendingBytes = 0; // Bytes still buffered in the host.
 };
 
-/// The request of an upstream call was sent.
+/// The first bytes of an upstream call's request were sent.
 struct UpstreamSent {
   UpstreamId Call{};
+  bool IsKept = false; // On a connection that had been used before; otherwise a
+                       // new connection was made.
 };
 /// The status and headers of an upstream response arrived.
 struct UpstreamHead {
--- a/packages/shell/HttpClient.cpp
+++ b/packages/shell/HttpClient.cpp
@@ -103,6 +103,7 @@
     std::unique_ptr<Timer> ConnectTimer;
     std::unique_ptr<AnswerParser> Parser;
     bool Sent = false;
+    bool IsKept = false;     // Used for an earlier call.
     bool Mismatched = false; // The answer being read belongs to another
                              // request, or is a 1xx answer.
     bool Reusable = false;
@@ -166,6 +167,7 @@
 
 void HttpClient::Impl::fail(Connection &C, UpstreamFailure Why) {
   Why.BytesSent = C.Sent;
+  Why.IsKept = C.IsKept;
   UpstreamId Id = C.Call;
   discard(C);
   if (Id == UpstreamId{})
@@ -181,7 +183,7 @@
   if (Info->n_deleted == 0 || C.Sent || C.Dead || C.Call == UpstreamId{})
     return;
   C.Sent = true;
-  C.Client->Hooks.Sent(C.Call);
+  C.Client->Hooks.Sent(C.Call, C.IsKept);
 }
 
 void HttpClient::Impl::onEvent(bufferevent *, short What, void *Self) {
@@ -443,6 +445,7 @@
     if (Full && Data->discardIdle(Request.Address))
       Full = false;
     Data->Counters.Refused += Full ? 1 : 0;
+    Why.IsLocal = Full;
     Why.Detail = Full ? "the connection limit of the address is reached"
                       : "no connection";
     C = Full ? nullptr : Data->connect(Request);
@@ -452,6 +455,7 @@
     return;
   }
   C->Call = Id;
+  C->IsKept = Reused;
   C->Request = Request;
   Data->Calls[static_cast<std::uint64_t>(Id)] = C;
   Data->start(*C);
--- a/packages/shell/HttpClient.h
+++ b/packages/shell/HttpClient.h
@@ -23,7 +23,9 @@
 /// Callbacks of a call, in the order Sent, Head, Data, End; Failed can come at
 /// any point. No hook is called after End, Failed or abort().
 struct HttpClientHooks {
-  std::function<void(UpstreamId)> Sent; // The first request byte was sent.
+  /// The first request byte was sent. IsKept: on a connection that had been
+  /// used before.
+  std::function<void(UpstreamId, bool IsKept)> Sent;
   std::function<void(UpstreamId, int, std::vector<HttpHeader>)> Head;
   std::function<void(UpstreamId, std::string)> Data;
   /// The answer is complete. Delimited: a length or a chunked encoding confirms
--- a/packages/shell/Process.cpp
+++ b/packages/shell/Process.cpp
@@ -217,7 +217,9 @@
 
 HttpClientHooks Process::clientHooks() {
   HttpClientHooks Hooks;
-  Hooks.Sent = [this](UpstreamId Id) { dispatch(UpstreamSent{Id}); };
+  Hooks.Sent = [this](UpstreamId Id, bool IsKept) {
+    dispatch(UpstreamSent{Id, IsKept});
+  };
   Hooks.Head = [this](UpstreamId Id, int Status,
                       std::vector<HttpHeader> Headers) {
     dispatch(UpstreamHead{Id, Status, std::move(Headers)});
@@ -476,6 +478,7 @@
   UpstreamFailure Why;
   Why.BytesSent = false;
   Why.TimedOut = true;
+  Why.IsLocal = true;
   Why.Detail = "the send permit expired";
   dispatch(UpstreamFailed{E.Upstream, Why});
 }
--- a/packages/shell/tests/ClientTest.cpp
+++ b/packages/shell/tests/ClientTest.cpp
@@ -89,6 +89,7 @@
   int Status = 0;
   std::string Body;
   bool Sent = false;
+  bool IsKept = false;
   bool Ended = false;
   bool Delimited = false;
   bool Failed = false;
@@ -105,7 +106,10 @@
 
   HttpClientHooks hooks() {
     HttpClientHooks H;
-    H.Sent = [this](UpstreamId Id) { Calls[Id].Sent = true; };
+    H.Sent = [this](UpstreamId Id, bool IsKept) {
+      Calls[Id].Sent = true;
+      Calls[Id].IsKept = IsKept;
+    };
     H.Head = [this](UpstreamId Id, int Status,
                     const std::vector<HttpHeader> &) {
       Calls[Id].Status = Status;
@@ -178,6 +182,34 @@
   BOOST_TEST(Client.counters().Reused == 1U);
 }
 
+/// Guards against a failure on a kept connection that is taken for one of a new
+/// connection, which says more of the path to the server.
+BOOST_FIXTURE_TEST_CASE(KeptConnectionsAreTold, Fixture) {
+  CallOutcome &First = open(1);
+  connection(0).write(answer("1"));
+  BOOST_TEST(until([&] { return First.Ended; }));
+  BOOST_TEST(!First.IsKept);
+  CallOutcome &Second = open(2);
+  BOOST_TEST(until([&] { return Second.Sent; }));
+  BOOST_TEST(Second.IsKept);
+  bufferevent_free(connection(0).Stream);
+  connection(0).Stream = nullptr;
+  BOOST_TEST(until([&] { return Second.Failed; }));
+  BOOST_TEST(Second.Why.IsKept);
+  BOOST_TEST(!Second.Why.IsLocal);
+}
+
+/// Guards against a host that holds as many connections as it may and takes
+/// that for a lost path.
+BOOST_FIXTURE_TEST_CASE(CallBeyondTheConnectionLimitIsALocalFailure, Fixture) {
+  open(1, "", /*Limit=*/1);
+  connection(0);
+  CallOutcome &Second = open(2, "", /*Limit=*/1);
+  BOOST_TEST(Second.Failed);
+  BOOST_TEST(Second.Why.IsLocal);
+  BOOST_TEST(!Second.Why.BytesSent);
+}
+
 // A server may send an extra answer after the call has ended. The next call
 // must not receive it.
 BOOST_FIXTURE_TEST_CASE(AnswerOnIdleConnectionIsDropped, Fixture) {
--- a/packages/shell/tests/HttpTest.cpp
+++ b/packages/shell/tests/HttpTest.cpp
@@ -66,7 +66,7 @@
   }
   HttpClientHooks clientHooks() {
     HttpClientHooks H;
-    H.Sent = [this](UpstreamId) { Sent = true; };
+    H.Sent = [this](UpstreamId, bool) { Sent = true; };
     H.Head = [this](UpstreamId, int S, const std::vector<HttpHeader> &) {
       Status = S;
     };
