wire, shell: links of their own for requests that one host hands to another

Change: messages 821 to 831, whose bytes flow by credit and with offsets; a link has a lane, named in its Hello and by the message's type; relay links are closed after 10 s without a message, and their loss is an event of its own. Older hosts never see the messages: only hosts that report to know them will be named as relays. Result: two new cases of links (own link for bodies, proof of the token) pass; nothing sends the messages yet.

--- a/packages/base/Http.h
+++ b/packages/base/Http.h
@@ -30,6 +30,11 @@
 struct HttpHeader {
   std::string Name; // Case-insensitive.
   std::string Value;
+
+  template <class Self, class Visitor>
+  static void fields(Self &M, Visitor &&Visit) {
+    Visit(M.Name, M.Value);
+  }
 };
 
 struct HttpRequest {
--- a/packages/node/Events.h
+++ b/packages/node/Events.h
@@ -38,11 +38,17 @@
   Message Content;
 };
 
-/// The last connection to a peer broke.
+/// The last site link to a peer broke.
 struct PeerLost {
   HostId Host;
 };
 
+/// The last link to a peer that carries relayed requests broke, or was closed
+/// since it was idle.
+struct RelayLinkLost {
+  HostId Host;
+};
+
 /// A caller or backend server sent a complete request to the caller port.
 struct CallerRequest {
   ExchangeId Exchange{};
@@ -119,7 +125,7 @@
     std::variant<Tick, PeerMessage, PeerLost, CallerRequest, OperatorRequest,
                  ExchangeLeft, ExchangeDrained, UpstreamSent, UpstreamHead,
                  UpstreamData, UpstreamEnd, UpstreamFailed, DiskWritten,
-                 DiskFailed, StopRequested, SettingsRead>;
+                 DiskFailed, StopRequested, SettingsRead, RelayLinkLost>;
 
 //===----------------------------------------------------------------------===//
 // Effects, besides those of calls/Effects.h
--- a/packages/node/Node.cpp
+++ b/packages/node/Node.cpp
@@ -80,6 +80,7 @@
     handleMessage(T, E.From, E.Content);
   }
   void operator()(const PeerLost &E) const { peerLost(T, E.Host); }
+  void operator()(const RelayLinkLost &) const {} // Hosts here relay nothing.
   void operator()(const CallerRequest &E) const { callerRequest(T, E); }
   void operator()(const OperatorRequest &E) const { operatorRequest(T, E); }
   void operator()(const ExchangeLeft &E) const {
--- a/packages/shell/PeerLinks.cpp
+++ b/packages/shell/PeerLinks.cpp
@@ -28,6 +28,8 @@
 /// answer.
 constexpr Duration MaxRedialDelay = milliseconds(800);
 constexpr std::size_t MaxLinks = 4096;
+/// A link for relayed requests is closed after this time without a message.
+constexpr Duration RelayIdleTime = seconds(10);
 
 std::string makeNonce() {
   std::array<unsigned char, 16> Bytes{};
@@ -49,9 +51,10 @@
   /// message of the other side was verified.
   struct Link {
     std::unique_ptr<WebSocket> Socket;
-    std::unique_ptr<Timer> Deadline; // Handshake timeout.
-    std::string Nonce;               // Challenge sent to the other side.
-    HostId DialledHost;              // Target host; empty on an accepted link.
+    std::unique_ptr<Timer> Deadline; // Handshake timeout, later idle timeout.
+    LinkLane Lane = LinkLane::Site;
+    std::string Nonce;  // Challenge sent to the other side.
+    HostId DialledHost; // Target host; empty on an accepted link.
     HostId Host;
     IncarnationNumber Incarnation = 0;
     bool Dead = false;
@@ -59,14 +62,23 @@
     bool ready() const { return !Dead && !Host.empty(); }
   };
 
-  struct Peer {
-    std::string Address;
-    std::deque<std::string> Queue; // Frames queued until a link is ready.
+  /// Frames for a host that wait for a link, and when the next one is dialled.
+  struct Outbox {
+    std::deque<std::string> Queue;
     std::size_t QueuedBytes = 0;
     TimePoint NextDial;
     Duration RedialDelay = MinRedialDelay;
   };
 
+  struct Peer {
+    std::string Address;
+    std::array<Outbox, LinkLanes> Lanes;
+
+    Outbox &outbox(LinkLane Lane) {
+      return Lanes[static_cast<std::size_t>(Lane)];
+    }
+  };
+
   event_base *Base;
   HostId Self;
   IncarnationNumber Incarnation;
@@ -93,23 +105,37 @@
   Peer *findPeer(const HostId &Host);
   void drop(Link &L, Code Number, std::string Detail);
   void markDead(Link &L);
-  void dial(const HostId &To, Peer &P);
+  void onDeadline(Link &L);
+  void restartIdleTime(Link &L);
+  void dial(const HostId &To, Peer &P, LinkLane Lane);
   bool sendOn(Link &L, const std::string &Frame);
-  Link *readyLink(const HostId &To);
-  void flush(const HostId &To);
+  Link *readyLink(const HostId &To, LinkLane Lane);
+  void flush(const HostId &To, LinkLane Lane);
 };
 
 PeerLinks::Impl::Link &PeerLinks::Impl::addLink() {
   Link &L = Links.emplace_back();
   L.Nonce = makeNonce();
-  L.Deadline = std::make_unique<Timer>(Base, [this, &L] {
-    if (!L.ready())
-      drop(L, Code::PeerUnauthorized, "the link handshake timed out");
-  });
+  L.Deadline = std::make_unique<Timer>(Base, [this, &L] { onDeadline(L); });
   L.Deadline->start(HandshakeTimeout);
   return L;
 }
 
+void PeerLinks::Impl::onDeadline(Link &L) {
+  if (!L.ready()) {
+    drop(L, Code::PeerUnauthorized, "the link handshake timed out");
+    return;
+  }
+  L.Socket->close();
+  markDead(L);
+}
+
+/// A host keeps its site links open, and relay links only while it uses them.
+void PeerLinks::Impl::restartIdleTime(Link &L) {
+  if (L.Lane == LinkLane::Relay)
+    L.Deadline->start(RelayIdleTime);
+}
+
 WebSocketHooks PeerLinks::Impl::hooksOf(Link &L) {
   WebSocketHooks Result;
   Result.Open = [this, &L] { sendChallenge(L); };
@@ -131,8 +157,8 @@
   L.Dead = true;
   L.Deadline->stop();
   Reaper->start(Duration::zero());
-  if (WasReady && !readyLink(L.Host))
-    Hooks.Lost(L.Host);
+  if (WasReady && !readyLink(L.Host, L.Lane))
+    Hooks.Lost(L.Host, L.Lane);
 }
 
 void PeerLinks::Impl::drop(Link &L, Code Number, std::string Detail) {
@@ -167,9 +193,10 @@
     onChallenge(L, *C);
   else if (const auto *H = std::get_if<Hello>(&M))
     onHello(L, *H);
-  else if (L.ready())
+  else if (L.ready()) {
+    restartIdleTime(L);
     Hooks.Received(L.Host, L.Incarnation, std::move(M));
-  else
+  } else
     drop(L, Code::PeerUnauthorized, "received a message before the Hello");
 }
 
@@ -178,6 +205,7 @@
   H.Host = Self;
   H.Incarnation = Incarnation;
   H.Proof = linkProof(Token, C.Nonce, Self, Incarnation);
+  H.Lane = L.Lane;
   L.Socket->send(encode(H));
 }
 
@@ -209,9 +237,13 @@
   }
   L.Host = H.Host;
   L.Incarnation = H.Incarnation;
-  Peers[H.Host].RedialDelay = MinRedialDelay;
+  bool IsAccepted = L.DialledHost.empty();
+  if (IsAccepted && H.Lane == LinkLane::Relay)
+    L.Lane = LinkLane::Relay;
+  Peers[H.Host].outbox(L.Lane).RedialDelay = MinRedialDelay;
   L.Deadline->stop();
-  flush(L.Host);
+  restartIdleTime(L);
+  flush(L.Host, L.Lane);
 }
 
 void PeerLinks::Impl::onAccept(evconnlistener *, evutil_socket_t Socket,
@@ -225,27 +257,30 @@
   L.Socket = WebSocket::accepted(Data.Base, Socket, Data.hooksOf(L));
 }
 
-void PeerLinks::Impl::dial(const HostId &To, Peer &P) {
+void PeerLinks::Impl::dial(const HostId &To, Peer &P, LinkLane Lane) {
   TimePoint Now = std::chrono::steady_clock::now();
   for (const Link &L : Links) {
-    if (!L.Dead && L.DialledHost == To)
+    if (!L.Dead && L.DialledHost == To && L.Lane == Lane)
       return;
   }
-  if (Now < P.NextDial)
+  Outbox &Box = P.outbox(Lane);
+  if (Now < Box.NextDial)
     return;
-  P.NextDial = Now + P.RedialDelay;
-  P.RedialDelay = std::min(2 * P.RedialDelay, MaxRedialDelay);
+  Box.NextDial = Now + Box.RedialDelay;
+  Box.RedialDelay = std::min(2 * Box.RedialDelay, MaxRedialDelay);
   Link &L = addLink();
   L.DialledHost = To;
+  L.Lane = Lane;
   L.Socket = WebSocket::dial(Base, P.Address, hooksOf(L));
   if (!L.Socket)
     markDead(L);
 }
 
-PeerLinks::Impl::Link *PeerLinks::Impl::readyLink(const HostId &To) {
+PeerLinks::Impl::Link *PeerLinks::Impl::readyLink(const HostId &To,
+                                                  LinkLane Lane) {
   Link *Found = nullptr;
   for (Link &L : Links) {
-    if (L.ready() && L.Host == To)
+    if (L.ready() && L.Host == To && L.Lane == Lane)
       Found = &L;
   }
   return Found;
@@ -258,16 +293,17 @@
   }
   ++Counters.MessagesSent;
   Counters.BytesSent += Frame.size();
+  restartIdleTime(L);
   return true;
 }
 
-void PeerLinks::Impl::flush(const HostId &To) {
-  Peer &P = Peers[To];
-  Link *L = readyLink(To);
-  while (L && !P.Queue.empty()) {
-    sendOn(*L, P.Queue.front());
-    P.QueuedBytes -= P.Queue.front().size();
-    P.Queue.pop_front();
+void PeerLinks::Impl::flush(const HostId &To, LinkLane Lane) {
+  Outbox &Box = Peers[To].outbox(Lane);
+  Link *L = readyLink(To, Lane);
+  while (L && !Box.Queue.empty()) {
+    sendOn(*L, Box.Queue.front());
+    Box.QueuedBytes -= Box.Queue.front().size();
+    Box.Queue.pop_front();
   }
 }
 
@@ -312,21 +348,22 @@
   Impl::Peer *Found = Data->findPeer(To);
   if (Found == nullptr)
     return;
-  Impl::Peer &P = *Found;
+  LinkLane Lane = laneOf(M);
   std::string Frame = encode(M);
-  if (Impl::Link *L = Data->readyLink(To)) {
+  if (Impl::Link *L = Data->readyLink(To, Lane)) {
     Data->sendOn(*L, Frame);
     return;
   }
-  P.QueuedBytes += Frame.size();
-  P.Queue.push_back(std::move(Frame));
-  while (P.Queue.size() > MaxQueuedMessages ||
-         (P.QueuedBytes > MaxQueuedBytes && P.Queue.size() > 1)) {
-    P.QueuedBytes -= P.Queue.front().size();
-    P.Queue.pop_front();
+  Impl::Outbox &Box = Found->outbox(Lane);
+  Box.QueuedBytes += Frame.size();
+  Box.Queue.push_back(std::move(Frame));
+  while (Box.Queue.size() > MaxQueuedMessages ||
+         (Box.QueuedBytes > MaxQueuedBytes && Box.Queue.size() > 1)) {
+    Box.QueuedBytes -= Box.Queue.front().size();
+    Box.Queue.pop_front();
     ++Data->Counters.MessagesDropped;
   }
-  Data->dial(To, P);
+  Data->dial(To, *Found, Lane);
 }
 
 const LinkCounters &PeerLinks::counters() const { return Data->Counters; }
--- a/packages/shell/PeerLinks.h
+++ b/packages/shell/PeerLinks.h
@@ -3,7 +3,9 @@
 // Sends and receives messages over WebSocket links, authenticated by a shared
 // token. Connects to a host when there is a message to send, queues a bounded
 // number of messages while the link is being set up, and drops messages beyond
-// that bound: every protocol between hosts tolerates message loss.
+// that bound: every protocol between hosts tolerates message loss. Messages of
+// different lanes (laneOf()) use different links, so that none waits for the
+// other's bytes. A link for relayed requests is closed when it is idle.
 //
 //===----------------------------------------------------------------------===//
 #pragma once
@@ -24,8 +26,8 @@
 struct PeerLinksHooks {
   std::function<void(HostId From, IncarnationNumber Incarnation, Message)>
       Received;
-  /// The last working link to a host was closed.
-  std::function<void(HostId)> Lost;
+  /// The last working link of the lane to a host was closed.
+  std::function<void(HostId, LinkLane)> Lost;
   /// A link was refused or closed because of an error. Detail is for logs.
   std::function<void(Code, std::string Detail)> Refused;
 };
--- a/packages/shell/Process.cpp
+++ b/packages/shell/Process.cpp
@@ -242,7 +242,12 @@
                           Message Content) {
     dispatch(PeerMessage{From, PeerIncarnation, std::move(Content)});
   };
-  Hooks.Lost = [this](const HostId &Host) { dispatch(PeerLost{Host}); };
+  Hooks.Lost = [this](const HostId &Host, LinkLane Lane) {
+    if (Lane == LinkLane::Site)
+      dispatch(PeerLost{Host});
+    else
+      dispatch(RelayLinkLost{Host});
+  };
   Hooks.Refused = [this](Code Number, std::string Detail) {
     DecisionRecord Record;
     Record.Kind = "link_refused";
--- a/packages/shell/tests/LinksTest.cpp
+++ b/packages/shell/tests/LinksTest.cpp
@@ -17,6 +17,7 @@
   std::vector<std::pair<HostId, Message>> Received;
   std::vector<Code> Refused;
   std::vector<HostId> Lost;
+  std::vector<HostId> LostRelays;
   std::unique_ptr<PeerLinks> Links;
 
   void start(event_base *Base, IncarnationNumber Incarnation,
@@ -25,7 +26,9 @@
     Hooks.Received = [this](const HostId &From, IncarnationNumber, Message M) {
       Received.emplace_back(From, std::move(M));
     };
-    Hooks.Lost = [this](const HostId &Peer) { Lost.push_back(Peer); };
+    Hooks.Lost = [this](const HostId &Peer, LinkLane Lane) {
+      (Lane == LinkLane::Site ? Lost : LostRelays).push_back(Peer);
+    };
     Hooks.Refused = [this](Code C, const std::string &) {
       Refused.push_back(C);
     };
@@ -40,8 +43,8 @@
 
 struct HostPair {
   EventBasePtr Base = makeEventBase();
-  Host A{HostId("a"), {}, {}, {}, nullptr};
-  Host B{HostId("b"), {}, {}, {}, nullptr};
+  Host A{HostId("a"), {}, {}, {}, {}, nullptr};
+  Host B{HostId("b"), {}, {}, {}, {}, nullptr};
   std::vector<PeerSettings> Peers = {
       {HostId("a"), DataCentreId("x"), freeAddress(), true},
       {HostId("b"), DataCentreId("x"), freeAddress(), true}};
@@ -103,3 +106,35 @@
   BOOST_TEST(until([&] { return Silent.readAvailable(); }));
   BOOST_TEST(A.Received.empty());
 }
+
+/// Guards against heartbeats that wait behind the body of a relayed request, or
+/// are lost with its link.
+BOOST_FIXTURE_TEST_CASE(RelayedRequestsUseALinkOfTheirOwn, HostPair) {
+  A.start(Base.get(), 1, "secret", Peers);
+  B.start(Base.get(), 2, "secret", Peers);
+  A.Links->send(B.Name, numbered(1));
+  RelayBody Body;
+  Body.Bytes.Data.assign(1U << 20U, 'x');
+  A.Links->send(B.Name, Body);
+  BOOST_TEST(until([&] { return B.Received.size() == 2; }));
+  B.Links->send(A.Name, RelayCredit());
+  BOOST_TEST(until([&] { return A.Received.size() == 1; }));
+  BOOST_TEST(B.Received[0].first == A.Name);
+  BOOST_TEST(B.Received[1].first == A.Name);
+  BOOST_TEST(A.Lost.empty());
+  B.Links.reset();
+  BOOST_TEST(until([&] { return !A.Lost.empty() && !A.LostRelays.empty(); }));
+  BOOST_TEST(A.Lost.size() == 1U);
+  BOOST_TEST(A.LostRelays.size() == 1U);
+}
+
+/// Guards against a caller, or another process, that hands over requests as a
+/// host of the site.
+BOOST_FIXTURE_TEST_CASE(RelayedRequestNeedsTheProofOfAHost, HostPair) {
+  A.start(Base.get(), 1, "secret", Peers);
+  B.start(Base.get(), 2, "another", Peers);
+  A.Links->send(B.Name, RelayRequest());
+  BOOST_TEST(until([&] { return !B.Refused.empty(); }));
+  BOOST_TEST(B.Refused[0] == Code::PeerUnauthorized);
+  BOOST_TEST(B.Received.empty());
+}
--- a/packages/wire/LinkMessages.h
+++ b/packages/wire/LinkMessages.h
@@ -11,11 +11,20 @@
 #include "base/Ids.h"
 #include "wire/MessageList.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <string>
 
 namespace pimento {
 
+/// Messages of different lanes between two hosts travel on links of their own.
+enum class LinkLane : std::uint8_t {
+  Site,  // Heartbeats, placement and all else that is short.
+  Relay, // Requests that are handed over, with their bodies and answers.
+};
+
+constexpr std::size_t LinkLanes = 2;
+
 struct Challenge {
   static constexpr std::uint16_t WireType = 1;
   std::string Nonce; // Random; a new one for each link.
@@ -31,10 +40,11 @@
   HostId Host;
   IncarnationNumber Incarnation = 0; // Incarnation of the sender's process.
   std::string Proof;                 // linkProof() over the receiver's nonce.
+  LinkLane Lane = LinkLane::Site; // What the link is for; its opener says it.
 
   template <class Self, class Visitor>
   static void fields(Self &M, Visitor &&Visit) {
-    Visit(M.Host, M.Incarnation, M.Proof);
+    Visit(M.Host, M.Incarnation, M.Proof, M.Lane);
   }
 };
 
--- a/packages/wire/Messages.cpp
+++ b/packages/wire/Messages.cpp
@@ -31,6 +31,25 @@
 Message &Message::operator=(Message &&Other) noexcept = default;
 Message::~Message() = default;
 
+namespace {
+
+template <class Type, class List> struct Contains;
+template <class Type, class... Types>
+struct Contains<Type, MessageList<Types...>>
+    : std::disjunction<std::is_same<Type, Types>...> {};
+
+} // namespace
+
+LinkLane laneOf(const Message &M) {
+  return std::visit(
+      [](const auto &Content) {
+        using Type = std::decay_t<decltype(Content)>;
+        return Contains<Type, RelayMessages>::value ? LinkLane::Relay
+                                                    : LinkLane::Site;
+      },
+      static_cast<const MessageVariant &>(M));
+}
+
 std::string encode(const Message &M) {
   Json Frame = std::visit(
       [](const auto &Content) {
--- a/packages/wire/Messages.h
+++ b/packages/wire/Messages.h
@@ -19,6 +19,7 @@
 #include "wire/MessageList.h"
 #include "wire/OperatorMessages.h"
 #include "wire/OrderMessages.h"
+#include "wire/RelayMessages.h"
 #include "wire/ReplicaMessages.h"
 #include "wire/ScheduleMessages.h"
 #include "wire/SiteMessages.h"
@@ -34,7 +35,7 @@
     JoinedMessages<LinkMessages, ForwardMessages, ReplicaMessages,
                    MembershipMessages, ScheduleMessages, CallMessages,
                    DocumentMessages, OperatorMessages, OrderMessages,
-                   SiteMessages>::Variant;
+                   SiteMessages, RelayMessages>::Variant;
 
 /// A message of any type. This is a class rather than an alias so that the code
 /// that copies, moves and destroys the variant is compiled once, in
@@ -55,6 +56,9 @@
   Message Content;
 };
 
+/// The kind of link between two hosts that carries the message.
+LinkLane laneOf(const Message &M);
+
 /// Version of the frame format. Increased when older hosts can no longer read
 /// the frames; a host rejects every other version.
 constexpr std::uint64_t WireVersion = 1;
--- a/packages/wire/SiteMessages.h
+++ b/packages/wire/SiteMessages.h
@@ -254,12 +254,27 @@
   LimitUpdate Limits;
   std::vector<ServerReport> Leaving; // Servers that announced in answers that
                                      // they leave; the receiver may not know.
+  std::vector<ServiceId> Unreached;  // Services of which the sender reaches no
+                                     // server, or too few.
+  bool IsCutOff = false; // Other hosts reach servers of one of these services.
+  bool WantsRelays = false; // The answer is to name entry hosts.
 
   template <class Self, class Visitor>
   static void fields(Self &M, Visitor &&Visit) {
     Visit(M.Sequence, M.ControlIncarnation, M.Revision, M.Config, M.Ready,
           M.DataCentre, M.Placer, M.Uptime, M.Quarantine, M.Form, M.Stale,
-          M.Limits, M.Leaving);
+          M.Limits, M.Leaving, M.Unreached, M.IsCutOff, M.WantsRelays);
+  }
+};
+
+/// An entry host that may relay requests of others; see RelayMessages.h.
+struct RelayCandidate {
+  HostId Host;
+  DataCentreId DataCentre;
+
+  template <class Self, class Visitor>
+  static void fields(Self &M, Visitor &&Visit) {
+    Visit(M.Host, M.DataCentre);
   }
 };
 
@@ -285,13 +300,16 @@
   QuarantineUpdate Quarantine;
   RoutingUpdate Routing; // Number zero: none with this message.
   LimitUpdate Limits;
+  std::vector<RelayCandidate>
+      Relays; // Some entry hosts that reach the backend servers; empty: none,
+              // or the receiver did not ask for them.
 
   template <class Self, class Visitor>
   static void fields(Self &M, Visitor &&Visit) {
     Visit(M.Sequence, M.IsCurrent, M.Leader, M.Config, M.Text,
           M.ControlIncarnation, M.Revision, M.BaseRevision, M.ListsAllServers,
           M.Servers, M.Controls, M.EntryHosts, M.Placer, M.Quarantine,
-          M.Routing, M.Limits);
+          M.Routing, M.Limits, M.Relays);
   }
 };
 
