shell: the address from which connections to backend servers are made

Change: [host] source_address; a host that cannot connect from it does not start. Result: ConnectionsComeFromTheSourceAddress, shellTest passes.

--- a/packages/base/SettingTable.cpp
+++ b/packages/base/SettingTable.cpp
@@ -27,6 +27,10 @@
       {"host", "metrics_address", SettingType::Address,
        PIMENTO_FIELD(std::string, Host.MetricsAddress), 0, 0, false,
        "Further listener that serves nothing but /metrics"},
+      {"host", "source_address", SettingType::Text,
+       PIMENTO_FIELD(std::string, Host.SourceAddress), 0, 0, false,
+       "IP address from which connections to backend servers are made; empty: "
+       "the system chooses"},
 
       {"join", "role", SettingType::Role, PIMENTO_FIELD(std::string, Join.Role),
        0, 0, false,
--- a/packages/base/Settings.h
+++ b/packages/base/Settings.h
@@ -44,6 +44,8 @@
   std::string PeerAddress;     // ip:port for other hosts.
   std::string DataFolder;      // Empty: no disk and no replicated log.
   std::string MetricsAddress; // ip:port that serves only /metrics; empty: none.
+  std::string SourceAddress;  // IP address of connections to backend servers;
+                              // empty: the system chooses.
 };
 
 /// [join]: discovery of the site's hosts through seeds, a few control hosts
--- a/packages/shell/HttpClient.cpp
+++ b/packages/shell/HttpClient.cpp
@@ -117,6 +117,7 @@
 
   event_base *Base;
   HttpClientHooks Hooks;
+  std::string SourceIp; // Empty: the system chooses.
   HttpClientCounters Counters;
   std::unordered_map<Connection *, std::unique_ptr<Connection>> Connections;
   std::unordered_map<std::uint64_t, Connection *> Calls;
@@ -384,7 +385,10 @@
   C.Client = this;
   C.Address = Request.Address;
   C.Pool = poolOf(Request);
-  C.Stream = bufferevent_socket_new(Base, -1, BEV_OPT_CLOSE_ON_FREE);
+  evutil_socket_t Socket =
+      SourceIp.empty() ? -1
+                       : socketBoundTo(SourceIp); // -1: made on connecting.
+  C.Stream = bufferevent_socket_new(Base, Socket, BEV_OPT_CLOSE_ON_FREE);
   Connections.emplace(&C, std::move(Owned));
   ++OpenCounts[C.Address];
   ++Counters.Opened;
@@ -416,10 +420,12 @@
   evbuffer_add(Output, C.Request.Body.data(), C.Request.Body.size());
 }
 
-HttpClient::HttpClient(event_base *Base, HttpClientHooks Hooks)
+HttpClient::HttpClient(event_base *Base, HttpClientHooks Hooks,
+                       std::string SourceIp)
     : Data(std::make_unique<Impl>()) {
   Data->Base = Base;
   Data->Hooks = std::move(Hooks);
+  Data->SourceIp = std::move(SourceIp);
   Data->Reaper = std::make_unique<Timer>(Base, [this] {
     for (auto It = Data->Connections.begin(); It != Data->Connections.end();)
       It = It->second->Dead ? Data->Connections.erase(It) : std::next(It);
--- a/packages/shell/HttpClient.h
+++ b/packages/shell/HttpClient.h
@@ -44,7 +44,10 @@
 
 class HttpClient {
 public:
-  HttpClient(event_base *Base, HttpClientHooks Hooks);
+  /// \p SourceIp: IP address from which connections are made; empty: the system
+  /// chooses.
+  HttpClient(event_base *Base, HttpClientHooks Hooks,
+             std::string SourceIp = "");
   ~HttpClient();
   HttpClient(const HttpClient &) = delete;
   HttpClient &operator=(const HttpClient &) = delete;
--- a/packages/shell/Process.cpp
+++ b/packages/shell/Process.cpp
@@ -1,8 +1,6 @@
 #include "shell/Process.h"
 
 #include "base/Problem.h"
-#include "base/Random.h"
-#include "node/Node.h"
 #include "shell/DataFolder.h"
 #include "shell/EventLoop.h"
 #include "shell/HostProgram.h"
@@ -11,6 +9,7 @@
 #include "shell/Logger.h"
 #include "shell/Metrics.h"
 #include "shell/PeerLinks.h"
+#include "shell/SocketOptions.h"
 
 #include <event2/event.h>
 
@@ -19,7 +18,6 @@
 #include <csignal>
 #include <deque>
 #include <memory>
-#include <random>
 
 namespace pimento {
 
@@ -127,6 +125,17 @@
   TimePoint TickDue{}; // Expiry of TickTimer; the epoch: not set.
 };
 
+/// Whether connections can be made from the address; true if it is empty.
+bool canConnectFrom(const std::string &Ip) {
+  if (Ip.empty())
+    return true;
+  evutil_socket_t Socket = socketBoundTo(Ip);
+  if (Socket < 0)
+    return false;
+  evutil_closesocket(Socket);
+  return true;
+}
+
 timespec changeTime(const std::string &Path) {
   struct stat Status {};
   if (Path.empty() || stat(Path.c_str(), &Status) != 0)
@@ -144,7 +153,7 @@
                      NextExchange),
       MetricsServer(Base.get(), operatorLimits(), metricsServerHooks(),
                     NextExchange),
-      Client(Base.get(), clientHooks()),
+      Client(Base.get(), clientHooks(), S.Host.SourceAddress),
       Links(Base.get(), Program.Self, Incarnation, S.Security.PeerToken,
             S.Peers, linkHooks()),
       TickTimer(Base.get(), [this] { tick(); }),
@@ -275,6 +284,11 @@
   if (!H.MetricsAddress.empty() && !MetricsServer.listen(H.MetricsAddress))
     Log.write(LogLevel::Warning, "metrics_not_served",
               "cannot listen on " + H.MetricsAddress);
+  if (!canConnectFrom(H.SourceAddress)) {
+    AllBound = false;
+    Log.write(LogLevel::Error, "start_failed",
+              "cannot connect from [host] source_address " + H.SourceAddress);
+  }
   for (const Port &P : Ports) {
     if (P.Bound)
       continue;
@@ -547,19 +561,6 @@
 
 } // namespace
 
-std::uint64_t systemSeed() {
-  std::random_device Device;
-  return (static_cast<std::uint64_t>(Device()) << 32U) | Device();
-}
-
-/// Uses the wall clock, so that a later incarnation of a host always supersedes
-/// an earlier one.
-IncarnationNumber makeIncarnation() {
-  auto Wall = std::chrono::system_clock::now().time_since_epoch();
-  return static_cast<IncarnationNumber>(
-      std::chrono::duration_cast<microseconds>(Wall).count());
-}
-
 int runProgram(const Settings &S, DataFolder &Folder,
                IncarnationNumber Incarnation, HostProgram Program) {
   Process Host(S, Folder, Incarnation, std::move(Program));
@@ -568,41 +569,4 @@
   return Host.run();
 }
 
-int runHost(const Settings &S) {
-  std::signal(SIGPIPE, SIG_IGN);
-  DataFolder Folder;
-  if (!openDataFolderOrLog(S, Folder))
-    return 1;
-  NodeStart Start;
-  Start.Config = S;
-  Start.Incarnation = makeIncarnation();
-  Start.Seed = systemSeed();
-  Start.WallClock = std::chrono::system_clock::now().time_since_epoch();
-  if (Folder.Store) {
-    Start.DiskIncarnation = Folder.Store->Self.Incarnation;
-    Start.Start = Folder.Store->Self.Start;
-    Start.Found = std::move(Folder.RecoveredGroups);
-  }
-  auto Node = std::make_shared<NodeState>(makeNode(Start, steadyNow()));
-  HostProgram Program;
-  Program.Self = S.Host.Name;
-  Program.Now = &steadyNow;
-  Program.Reduce = [Node](const Event &E, TimePoint Now) {
-    return reduce(*Node, E, Now);
-  };
-  Program.NextTick = [Node](TimePoint) {
-    return Node->LastTick + NodeTickInterval;
-  };
-  Program.Gauges = [Node](TimePoint Now) { return nodeGauges(*Node, Now); };
-  return runProgram(S, Folder, Start.Incarnation, std::move(Program));
-}
-
-bool openDataFolderOrLog(const Settings &S, DataFolder &Folder) {
-  std::string Problem = openDataFolder(S, Folder);
-  if (Problem.empty())
-    return true;
-  Logger(S.Log, S.Host.Name).write(LogLevel::Error, "start_failed", Problem);
-  return false;
-}
-
 } // namespace pimento
--- a/packages/shell/SocketOptions.cpp
+++ b/packages/shell/SocketOptions.cpp
@@ -1,5 +1,6 @@
 #include "shell/SocketOptions.h"
 
+#include <arpa/inet.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
@@ -23,6 +24,23 @@
 
 } // namespace
 
+evutil_socket_t socketBoundTo(const std::string &Ip) {
+  sockaddr_in Address{};
+  Address.sin_family = AF_INET;
+  if (inet_pton(AF_INET, Ip.c_str(), &Address.sin_addr) != 1)
+    return -1;
+  evutil_socket_t Socket = socket(AF_INET, SOCK_STREAM, 0);
+  // The port is chosen on connecting, by both addresses.
+  set(Socket, IPPROTO_IP, IP_BIND_ADDRESS_NO_PORT, 1);
+  bool IsBound = bind(Socket, reinterpret_cast<sockaddr *>(&Address),
+                      sizeof(Address)) == 0 &&
+                 evutil_make_socket_nonblocking(Socket) == 0;
+  if (IsBound)
+    return Socket;
+  evutil_closesocket(Socket);
+  return -1;
+}
+
 void setSocketOptions(evutil_socket_t Socket, Duration Silence) {
   set(Socket, IPPROTO_TCP, TCP_NODELAY, 1);
   set(Socket, IPPROTO_TCP, TCP_USER_TIMEOUT,
--- a/packages/shell/SocketOptions.h
+++ b/packages/shell/SocketOptions.h
@@ -5,6 +5,8 @@
 
 #include <event2/util.h>
 
+#include <string>
+
 namespace pimento {
 
 /// How long the other side of a connection may be silent, as sent bytes stay
@@ -17,6 +19,10 @@
 /// found by other means (relay/PathWatch.h).
 constexpr Duration ServerSilence = seconds(3);
 
+/// Returns a socket that connects from \p Ip, or -1 if the address is invalid
+/// or not one of this host.
+evutil_socket_t socketBoundTo(const std::string &Ip);
+
 /// Sends small writes without delay, and closes the connection after \p
 /// Silence.
 void setSocketOptions(evutil_socket_t Socket, Duration Silence);
--- a/packages/shell/tests/ClientTest.cpp
+++ b/packages/shell/tests/ClientTest.cpp
@@ -9,6 +9,7 @@
 #include <event2/bufferevent.h>
 #include <event2/listener.h>
 
+#include <arpa/inet.h>
 #include <csignal>
 #include <cstdlib>
 #include <fcntl.h>
@@ -33,6 +34,7 @@
     bufferevent *Stream = nullptr;
     std::string Received;
     bool Closed = false;
+    std::string From; // IP address of the other side.
     ~Connection() {
       if (Stream)
         bufferevent_free(Stream);
@@ -60,10 +62,14 @@
   RawServer &operator=(const RawServer &) = delete;
 
 private:
-  static void onAccept(evconnlistener *, evutil_socket_t Socket, sockaddr *,
+  static void onAccept(evconnlistener *, evutil_socket_t Socket, sockaddr *From,
                        int, void *Self) {
     auto &Server = *static_cast<RawServer *>(Self);
     Connection &C = Server.Connections.emplace_back();
+    char Text[INET_ADDRSTRLEN] = "";
+    inet_ntop(AF_INET, &reinterpret_cast<sockaddr_in *>(From)->sin_addr, Text,
+              sizeof(Text));
+    C.From = Text;
     C.Stream =
         bufferevent_socket_new(Server.Base, Socket, BEV_OPT_CLOSE_ON_FREE);
     bufferevent_setcb(C.Stream, &RawServer::onRead, nullptr,
@@ -441,3 +447,15 @@
   BOOST_TEST(Lines <= 6U); // The limit of one second, or of two.
   std::remove(Path);
 }
+
+/// Guards against connections from another address of the host than the one
+/// that is set.
+BOOST_FIXTURE_TEST_CASE(ConnectionsComeFromTheSourceAddress, Fixture) {
+  HttpClient Bound(Base.get(), hooks(), "127.0.0.7");
+  UpstreamRequest R;
+  R.Address = Server.Address;
+  R.Target = "/x";
+  Bound.open(UpstreamId{1}, R);
+  BOOST_TEST(connection(0).From == "127.0.0.7");
+  BOOST_TEST(Calls[UpstreamId{1}].Sent);
+}
