gateway: a server's announcement that came by way of a relay holds at both hosts

Cause: the host that hands a request over passes the answer on to its caller, with Server-Leaving, but only the relay kept to it: back on its own path the host could have sent that server a request, until control hosts told it. Found in writing the soak's check by the sending host. Change: the head of a relayed answer names the server's incarnation, and both hosts note the announcement; times for which a server wants no requests and limits stay with the relay, which sends. Result: LeavingServerIsKnownToBothHosts.

--- a/packages/gateway/HandOverPart.cpp
+++ b/packages/gateway/HandOverPart.cpp
@@ -234,6 +234,7 @@
   if (C == nullptr)
     return;
   C->Attempt.Server = M.Server;
+  C->Attempt.ServerIncarnation = M.Incarnation;
   upstreamHead(T, UpstreamHead{UpstreamId{M.Id}, M.Status, M.Headers});
 }
 
--- a/packages/gateway/RelayPart.cpp
+++ b/packages/gateway/RelayPart.cpp
@@ -146,6 +146,11 @@
   eraseTaken(T, Exchange);
 }
 
+void noteServer(RelayedRequest &R, const GatewayCall &C) {
+  R.Server = C.Attempt.Server;
+  R.ServerIncarnation = C.Attempt.ServerIncarnation;
+}
+
 void sendHead(GatewayTurn &T, ExchangeId Exchange, RelayedRequest &R,
               const HttpReply &Head) {
   R.HasHead = true;
@@ -155,9 +160,9 @@
   M.Headers = Head.Headers;
   auto Ticket = T.S.ByExchange.find(Exchange);
   if (Ticket != T.S.ByExchange.end())
-    M.Server = findCall(T, Ticket->second)->Attempt.Server;
-  else
-    M.Server = R.Server;
+    noteServer(R, *findCall(T, Ticket->second));
+  M.Server = R.Server;
+  M.Incarnation = R.ServerIncarnation;
   send(T, R.From, std::move(M));
 }
 
@@ -234,7 +239,7 @@
   if (Found == T.S.Relays.Taken.end())
     return;
   Found->second.Sends = C.Sends;
-  Found->second.Server = C.Attempt.Server;
+  noteServer(Found->second, C);
 }
 
 void forwardRelayedAnswers(GatewayTurn &T) {
--- a/packages/gateway/RelayState.h
+++ b/packages/gateway/RelayState.h
@@ -70,7 +70,8 @@
   bool IsComplete = false; // The answer ended as a whole one.
   bool IsPaused = false;   // The server's answer is not read meanwhile.
   std::uint32_t Sends = 0; // Servers that the request was sent to.
-  BackendId Server;        // The one that answered, once the call has ended.
+  BackendId Server;        // The one that answers.
+  IncarnationNumber ServerIncarnation = 0;
 };
 
 /// Paths of a host and its part in relaying.
--- a/packages/gateway/tests/RelayTest.cpp
+++ b/packages/gateway/tests/RelayTest.cpp
@@ -157,7 +157,7 @@
   calls::OpenUpstream Open = B.only<calls::OpenUpstream>();
   std::string Body = text(200000);
   B.sent(Open.Upstream);
-  B.head(Open.Upstream, 201, {{"Server-Leaving", "1"}});
+  B.head(Open.Upstream, 201);
   pass();
   B.event(UpstreamData{Open.Upstream, Body});
   pass();
@@ -392,3 +392,17 @@
   BOOST_TEST(A.all<calls::SendReply>().empty());
   BOOST_TEST(A.S.Calls.size() == 1U);
 }
+
+/// Guards against a server that leaves, and later gets a request of the host
+/// that passed its announcement on to a caller.
+BOOST_FIXTURE_TEST_CASE(LeavingServerIsKnownToBothHosts, RelayPair) {
+  call(HttpMethod::Get, "/r/1");
+  pass();
+  calls::OpenUpstream Open = B.only<calls::OpenUpstream>();
+  B.sent(Open.Upstream);
+  B.head(Open.Upstream, 200, {{"Server-Leaving", "1"}});
+  B.event(UpstreamEnd{Open.Upstream, true});
+  pass();
+  BOOST_TEST(A.S.Leaving.size() == 1U);
+  BOOST_TEST(B.S.Leaving.size() == 1U);
+}
--- a/packages/wire/RelayMessages.h
+++ b/packages/wire/RelayMessages.h
@@ -139,11 +139,12 @@
   std::uint64_t Id = 0;
   int Status = 0; // HTTP status.
   std::vector<HttpHeader> Headers;
-  BackendId Server; // The server that answers, for logs.
+  BackendId Server;                  // The server that answers.
+  IncarnationNumber Incarnation = 0; // Of that server.
 
   template <class Self, class Visitor>
   static void fields(Self &M, Visitor &&Visit) {
-    Visit(M.Id, M.Status, M.Headers, M.Server);
+    Visit(M.Id, M.Status, M.Headers, M.Server, M.Incarnation);
   }
 };
 
