control, ctl: operators see which entry hosts do not reach backend servers

Cause: the states of paths stood in entry hosts' logs alone. Change: pimentogladectl paths asks a control host, which knows them from each host's messages; what control hosts do for cut hosts has a file of its own (ControlPaths.cpp).

--- a/packages/control/ControlCalls.cpp
+++ b/packages/control/ControlCalls.cpp
@@ -182,7 +182,7 @@
 
 void onPlatformCall(ControlTurn &T, ExchangeId Exchange, const HttpRequest &R) {
   if (!quarantineCall(T, Exchange, R) && !routingCall(T, Exchange, R) &&
-      !limitCall(T, Exchange, R))
+      !limitCall(T, Exchange, R) && !pathsCall(T, Exchange, R))
     std::visit(Answer{T, Exchange, R}, T.S.Platform.DecodeCall(R));
 }
 
--- a/packages/control/ControlHost.h
+++ b/packages/control/ControlHost.h
@@ -20,7 +20,8 @@
 // Parts: ControlLog.cpp (replicated log, voters), ControlCalls.cpp (calls of
 // backend servers and operators), ControlRouting.cpp (configurations on their
 // way to entry hosts), ControlLimits.cpp (limits that backend servers name),
-// ControlSpread.cpp (heartbeats to control hosts, updates to entry hosts).
+// ControlPaths.cpp (entry hosts without paths to servers), ControlSpread.cpp
+// (heartbeats to control hosts, updates to entry hosts).
 //
 //===----------------------------------------------------------------------===//
 #pragma once
--- a/packages/control/ControlSpread.cpp
+++ b/packages/control/ControlSpread.cpp
@@ -4,7 +4,6 @@
 #include "control/ControlTurn.h"
 
 #include <algorithm>
-#include <limits>
 
 namespace pimento::control {
 
@@ -21,8 +20,6 @@
 /// may keep failing at its start.
 constexpr Duration SettlingTime = seconds(5);
 constexpr std::size_t MaxWaitingReports = 8192;
-/// Entry hosts that are named to one that looks for relays.
-constexpr std::size_t MaxRelayCandidates = 12;
 
 /// All hosts that may be control hosts: seeds, known hosts and members.
 std::vector<HostId> contacts(const ControlHost &S) {
@@ -96,12 +93,6 @@
   }
 }
 
-bool isReadyEntry(const ControlTurn &T, const HostId &Host) {
-  auto Found = T.S.Entries.find(Host);
-  return Found != T.S.Entries.end() && isReachable(Found->second, T.Now) &&
-         Found->second.Ready;
-}
-
 /// Whether some ready entry host has not lost its paths to servers.
 bool hasUncutEntry(const ControlTurn &T) {
   auto IsUncut = [&](const auto &Known) {
@@ -117,17 +108,6 @@
   return !T.S.Entries.at(Host).IsCutOff || !hasUncutEntry(T);
 }
 
-/// The fewest services that a ready entry host does not reach; more than none
-/// if a service is down.
-std::size_t fewestUnreached(const ControlTurn &T) {
-  std::size_t Fewest = std::numeric_limits<std::size_t>::max();
-  for (const auto &[Host, Entry] : T.S.Entries) {
-    if (isReadyEntry(T, Host))
-      Fewest = std::min(Fewest, Entry.Unreached.size());
-  }
-  return Fewest;
-}
-
 /// The placer used by most entry hosts; empty if none is reachable and ready.
 HostId mostUsedPlacer(const ControlTurn &T) {
   std::map<HostId, std::size_t> Votes;
@@ -222,53 +202,6 @@
   return State;
 }
 
-/// Some entry hosts that reach the servers, half of them in the data centre of
-/// the asking host, drawn by lot so that relayed requests are spread.
-std::vector<RelayCandidate> relayCandidates(ControlTurn &T, const HostId &For,
-                                            const DataCentreId &Here) {
-  std::vector<RelayCandidate> Near;
-  std::vector<RelayCandidate> Far;
-  std::size_t Fewest = fewestUnreached(T);
-  for (const auto &[Host, Entry] : T.S.Entries) {
-    if (Host == For || !isReadyEntry(T, Host) ||
-        Entry.Unreached.size() > Fewest)
-      continue;
-    bool IsNear = Entry.DataCentre == Here;
-    (IsNear ? Near : Far).push_back({Host, Entry.DataCentre});
-  }
-  for (auto *List : {&Near, &Far}) {
-    for (std::size_t I = List->size(); I > 1; --I)
-      std::swap((*List)[I - 1], (*List)[below(T.S.Rng, I)]);
-  }
-  std::size_t NearCount = std::min(Near.size(), MaxRelayCandidates / 2);
-  std::size_t FarCount = std::min(Far.size(), MaxRelayCandidates - NearCount);
-  NearCount = std::min(Near.size(), MaxRelayCandidates - FarCount);
-  std::vector<RelayCandidate> List(Near.begin(), Near.begin() + NearCount);
-  List.insert(List.end(), Far.begin(), Far.begin() + FarCount);
-  return List;
-}
-
-/// Records from which services an entry host is cut off.
-void onUnreachedReported(ControlTurn &T, const HostId &Host, EntryPeer &Entry,
-                         const std::vector<ServiceId> &Unreached) {
-  if (Entry.Unreached == Unreached)
-    return;
-  Entry.Unreached = Unreached;
-  Entry.UnreachedSince = Unreached.empty() ? TimePoint() : T.Now;
-  DecisionRecord Record{"entry_host_path",
-                        {},
-                        Unreached.empty()
-                            ? "the entry host reaches the servers again"
-                            : "the entry host lost its path to servers",
-                        {}};
-  Record.add("entry_host", Host.Value);
-  std::string Services;
-  for (const ServiceId &Service : Unreached)
-    Services += (Services.empty() ? "" : " ") + Service.Value;
-  Record.add("services", std::move(Services));
-  log(T, std::move(Record));
-}
-
 void sendToEntryHosts(ControlTurn &T) {
   for (auto &[Host, Entry] : T.S.Entries) {
     if (isReachable(Entry, T.Now))
@@ -338,8 +271,7 @@
   Entry.Placer = M.Placer;
   Entry.Uptime = M.Uptime;
   Entry.DataCentre = M.DataCentre;
-  Entry.IsCutOff = M.IsCutOff;
-  onUnreachedReported(T, From, Entry, M.Unreached);
+  onPathsReported(T, From, Entry, M);
   onConfigReported(T, From, Entry, M);
   Entry.QuarantineDigest = M.Quarantine.Digest;
   Entry.WatchDigest = M.Quarantine.WatchDigest;
--- a/packages/control/ControlTurn.h
+++ b/packages/control/ControlTurn.h
@@ -109,6 +109,20 @@
 /// for any other call.
 bool limitCall(ControlTurn &T, ExchangeId Exchange, const HttpRequest &R);
 
+// ControlPaths.cpp
+/// Whether the entry host is in contact and takes callers' requests.
+bool isReadyEntry(const ControlTurn &T, const HostId &Host);
+/// Some entry hosts that reach the servers, half of them in the data centre of
+/// the asking host, drawn by lot so that relayed requests are spread.
+std::vector<RelayCandidate> relayCandidates(ControlTurn &T, const HostId &For,
+                                            const DataCentreId &Here);
+/// Records which services an entry host does not reach.
+void onPathsReported(ControlTurn &T, const HostId &Host, EntryPeer &Entry,
+                     const EntrySync &M);
+/// Answers an operator's query which entry host does not reach which services.
+/// Returns false for any other call.
+bool pathsCall(ControlTurn &T, ExchangeId Exchange, const HttpRequest &R);
+
 // ControlSpread.cpp
 void tickSpread(ControlTurn &T);
 void onControlHeartbeat(ControlTurn &T, const HostId &From,
--- a/packages/ctl/Command.cpp
+++ b/packages/ctl/Command.cpp
@@ -107,6 +107,8 @@
        "the configuration at each entry host"},
       {CommandKind::Limits, "limits", "", "", 0, 0, false,
        "backend servers that named a limit of requests"},
+      {CommandKind::Paths, "paths", "", "", 0, 0, false,
+       "entry hosts that do not reach backend servers"},
       {CommandKind::SettingsCheck, "settings", "check", "FILE...", 1,
        MaxFileArguments, true, "lists every fault; asks no host"},
   };
--- a/packages/ctl/Command.h
+++ b/packages/ctl/Command.h
@@ -71,6 +71,7 @@
   QuarantineLift,
   RoutingHosts,
   Limits,
+  Paths,
 };
 
 struct Command {
--- a/packages/ctl/Present.cpp
+++ b/packages/ctl/Present.cpp
@@ -228,6 +228,11 @@
     O.Out = table(Body.value("limits", Json(nullptr)),
                   {"server", "service", "per_second", "since_ms", "seen_ms"});
     return;
+  case CommandKind::Paths:
+    O.Out = table(Body.value("hosts", Json(nullptr)),
+                  {"host", "data_centre", "cut_off", "unreached", "since_ms",
+                   "contact_ms"});
+    return;
   default:
     O.Out = statusView(std::move(Body));
   }
--- a/packages/ctl/Run.cpp
+++ b/packages/ctl/Run.cpp
@@ -109,6 +109,8 @@
     return "/v1/routing/hosts";
   case CommandKind::Limits:
     return "/v1/limits";
+  case CommandKind::Paths:
+    return "/v1/paths";
   default:
     return Service + "/document";
   }
