--- a/packages/gateway/Attempt.cpp
+++ b/packages/gateway/Attempt.cpp
@@ -162,6 +162,11 @@
   Record.add("try_ms", toMilliseconds(T.Now - C.Attempt.Began));
   Record.add("kept_connection", C.Attempt.IsKept);
   Record.add("connection", C.Attempt.Failure);
+  constexpr std::int64_t NotGiven = -1;
+  const AnswerInfo &Answer = C.Attempt.Answer;
+  Record.add("answer_has_id", !Answer.ClientAttemptId.empty());
+  Record.add("retry_after_ms",
+             Answer.RetryAfter ? toMilliseconds(*Answer.RetryAfter) : NotGiven);
   Record.add("account", C.Account.Value);
   Record.add("request_digest", toString(C.Digest));
   if (C.OnEngine) {
