--- a/packages/gateway/tests/GatewayEngineTest.cpp
+++ b/packages/gateway/tests/GatewayEngineTest.cpp
@@ -1,4 +1,5 @@
 #include "gateway/tests/GatewayFixture.h"
+#include "testing/KnownRed.h"
 
 using namespace pimento;
 using namespace pimento::testing;
@@ -310,3 +311,49 @@
   R.advance(milliseconds(500));
   BOOST_TEST(R.SpeedQueries.empty());
 }
+
+/// Guards against DRAIN and BUDGET: an engine says in its answer to an order,
+/// or to a query, that it leaves or wants no requests for a time.
+BOOST_AUTO_TEST_CASE(AnswersToOrdersAndQueriesAreHeard) {
+  GatewayFixture R;
+  R.call(HttpMethod::Post, "/l/1",
+         {{"X-Pimentoglade-Token-Count", "300000,700"},
+          {"X-Pimentoglade-Deadline-Ms", "15000"}});
+  calls::OpenUpstream Reserve = R.only<calls::OpenUpstream>();
+  R.event(UpstreamHead{Reserve.Upstream, 503, {{"Retry-After", "4"}}});
+  R.event(UpstreamEnd{Reserve.Upstream, true});
+  checkUnlessKnownRed("AnswersToOrdersAndQueriesAreHeard",
+                      R.S.Paused.size() == 1U,
+                      "the order's answer was ignored");
+
+  GatewayFixture Q;
+  Q.namePlacer("10.0.0.1");
+  Q.stream();
+  Q.sent(Q.only<calls::OpenUpstream>().Upstream);
+  Q.advance(milliseconds(240));
+  calls::OpenUpstream Query = Q.onlySpeedQuery();
+  Q.event(UpstreamHead{Query.Upstream, 200, {{"Server-Leaving", "1"}}});
+  checkUnlessKnownRed("AnswersToOrdersAndQueriesAreHeard",
+                      Q.S.Leaving.size() == 1U,
+                      "the query's answer was ignored");
+}
+
+/// Guards against another server at the address that is taken for the one that
+/// was asked.
+BOOST_AUTO_TEST_CASE(WordsOfAnotherServerChangeNothing) {
+  const std::vector<HttpHeader> Words = {
+      {"Retry-After", "4"}, {"Server-Leaving", "1"}, {"Server-Limit", "1"}};
+  for (int Status : {421, 503}) {
+    GatewayFixture R;
+    R.call(HttpMethod::Post, "/w/1");
+    calls::OpenUpstream Open = R.only<calls::OpenUpstream>();
+    R.sent(Open.Upstream);
+    std::vector<HttpHeader> Head = Words;
+    Head.push_back({"X-Pimentoglade-Not-Executed", "1"});
+    Head.push_back({"At-Server", "10.9.9.9:80"});
+    R.event(UpstreamHead{Open.Upstream, Status, Head});
+    BOOST_TEST(R.S.Paused.empty());
+    BOOST_TEST(R.S.Leaving.empty());
+    BOOST_TEST(R.S.NamedLimits.Servers.empty());
+  }
+}
--- a/packages/gateway/tests/LeavingServerTest.cpp
+++ b/packages/gateway/tests/LeavingServerTest.cpp
@@ -66,12 +66,13 @@
 }
 
 void checkUnwanted(const char *Name, std::uint64_t Seed, std::size_t First,
-                   std::size_t Count) {
+                   std::size_t Count, bool RefusesWithoutId = false) {
   ServerSite Site = busySite(Seed);
   Site.run(seconds(3));
   for (std::size_t I = 0; I < Count; ++I) {
     Site.Engines[First + I].Arrivals.clear();
     Site.Engines[First + I].RetryAfter = "4";
+    Site.Engines[First + I].RefusesWithoutId = RefusesWithoutId;
   }
   Site.run(seconds(15));
   std::size_t Most = 0;
@@ -242,3 +243,56 @@
   for (const auto &[Host, N] : Site.Entries)
     BOOST_TEST(N.State.Paused.empty());
 }
+
+/// Guards against BUDGET: a plain server turns requests away without repeating
+/// their ids, and says when it wants some again.
+BOOST_AUTO_TEST_CASE(PausesArePartOfRefusalsWithoutAnId) {
+  checkUnwanted("PausesArePartOfRefusalsWithoutAnId", 53, FirstPlain, 4,
+                /*RefusesWithoutId=*/true);
+}
+
+/// Guards against BUDGET of engines that refuse without the request's id.
+BOOST_AUTO_TEST_CASE(PausesArePartOfEnginesRefusalsWithoutAnId) {
+  checkUnwanted("PausesArePartOfEnginesRefusalsWithoutAnId", 54, 0, 10,
+                /*RefusesWithoutId=*/true);
+}
+
+/// Guards against DRAIN: a server that turns requests away says that it leaves,
+/// in refusals that do not repeat the request's id.
+BOOST_AUTO_TEST_CASE(LeavingIsPartOfRefusalsWithoutAnId) {
+  ServerSite Site = busySite(55);
+  Site.run(seconds(3));
+  SiteServer &E = Site.Engines[FirstPlain];
+  E.ExtraHeaders = {{"Server-Leaving", "1"}};
+  E.RefusesWithoutId = true;
+  E.RetryAfter = "0.1";
+  TimePoint From = Site.now();
+  Site.run(seconds(8));
+  std::size_t Late = arrivedSince(E, From + DrainTime + seconds(1));
+  checkUnlessKnownRed("LeavingIsPartOfRefusalsWithoutAnId", Late == 0,
+                      std::to_string(Late) + " late requests");
+}
+
+/// Guards against BUDGET by queries of this host's own: a server that wants no
+/// requests is probed meanwhile, since another one is not reached.
+BOOST_AUTO_TEST_CASE(ServersThatWantNoRequestsAreNotProbed) {
+  ServerSite Site = busySite(56);
+  Site.run(seconds(3));
+  SiteServer &E = Site.Engines[FirstPlain];
+  E.RetryAfter = "4";
+  Site.run(seconds(1));
+  for (const auto &[Host, N] : Site.Entries)
+    BOOST_TEST(N.State.Paused.size() == 1U);
+  E.Queries.clear();
+  for (const auto &[Host, N] : Site.Entries)
+    Site.cutHost(Host, {CutKind::Reset,
+                        {Site.Engines[FirstPlain + 1].Address,
+                         Site.Engines[FirstPlain + 2].Address}});
+  Site.run(milliseconds(2500));
+  std::size_t Most = 0;
+  for (const auto &[Host, Times] : E.Queries)
+    Most = std::max(Most, Times.size());
+  checkUnlessKnownRed("ServersThatWantNoRequestsAreNotProbed",
+                      Most <= MaxUnwanted,
+                      std::to_string(Most) + " queries of one host");
+}
--- a/packages/gateway/tests/ServerSite.cpp
+++ b/packages/gateway/tests/ServerSite.cpp
@@ -238,12 +238,15 @@
                        const calls::OpenUpstream &Open) {
   SiteServer *Engine = &Server;
   if (Open.Request.Target == "/-/report") {
-    answerAtOnce(N, Open.Upstream, 200, {}, R"({"pace":1})");
+    Engine->Queries[N.Name].push_back(now());
+    answerAtOnce(N, Open.Upstream, 200, Engine->QueryHeaders, R"({"pace":1})");
     return;
   }
   if (Open.Request.Target == "/healthz") {
-    answerAtOnce(N, Open.Upstream, 200,
-                 {{"X-Pimentoglade-Replica-Id", Engine->Id}}, "");
+    Engine->Queries[N.Name].push_back(now());
+    std::vector<HttpHeader> Head = Engine->QueryHeaders;
+    Head.push_back({"X-Pimentoglade-Replica-Id", Engine->Id});
+    answerAtOnce(N, Open.Upstream, 200, std::move(Head), "");
     return;
   }
   if (Open.Request.Target == "/-/order") {
@@ -261,6 +264,8 @@
   Engine->Arrivals[N.Name].push_back(now());
   if (!Engine->RetryAfter.empty()) {
     std::vector<HttpHeader> Head = answerHead(Attempt, *Engine, false);
+    if (Engine->RefusesWithoutId)
+      Head = Engine->ExtraHeaders;
     Head.push_back({"Retry-After", Engine->RetryAfter});
     Head.push_back({"X-Pimentoglade-Not-Executed", "1"});
     answerAtOnce(N, Open.Upstream, 503, std::move(Head), "");
--- a/packages/gateway/tests/ServerSite.h
+++ b/packages/gateway/tests/ServerSite.h
@@ -74,7 +74,12 @@
   std::vector<TimePoint> Received;      // Requests that were accepted.
   std::string RetryAfter; // Refuses each request with 503 and this header;
                           // empty: accepts requests.
+  bool RefusesWithoutId = false; // Its refusals do not repeat the request's id.
+  std::vector<HttpHeader> QueryHeaders; // Of answers to load queries and health
+                                        // checks.
   std::map<HostId, std::vector<TimePoint>> Arrivals; // Refused ones, too.
+  std::map<HostId, std::vector<TimePoint>>
+      Queries; // Load queries and health checks that arrived.
   std::string Address;
   std::uint64_t Born = 0;
   std::uint64_t Sequence = 0;
