gateway: notices of servers are read from every answer, with or without the request's id

Cause: a server's words on itself (Server-Leaving, Retry-After, Server-Limit) counted only in answers to a request, and only if they repeated its id. A server that turns a request away before it has read it repeats none, so that the host went on sending; answers to orders and queries were not read at all.

Change: ServerNoticePart.cpp is the one place that reads notices, from answers to requests, orders, load queries, queries of earlier tries, health checks and probes of paths. An answer counts unless it names another id or another server, or says that the server is another one. A pause of an older incarnation does not replace that of a newer one. A server that leaves or wants no requests now is spared this host's own queries, too.

--- a/packages/gateway/Answer.cpp
+++ b/packages/gateway/Answer.cpp
@@ -206,12 +206,7 @@
   C->Attempt.Answer = T.S.Platform.DecodeAnswer(E.Status, E.Headers);
   C->Stage = CallStage::Answering;
   heardFrom(T, *C);
-  observeLeaving(T, *C);
-  // A relay keeps to limits and pauses, which hold for the host that sends.
-  if (C->Attempt.Relay.empty()) {
-    observeAnswer(T, *C);
-    observePause(T, *C);
-  }
+  noteAnswer(T, *C);
   bool Streams = C->Path->Kind == CallKind::Stream && E.Status == StatusOk;
   if (Streams && matchesRequest(*C))
     beginStream(T, *C);
--- a/packages/gateway/CrashCheckPart.cpp
+++ b/packages/gateway/CrashCheckPart.cpp
@@ -110,16 +110,6 @@
   return !Answer.Server.empty() && Answer.Server != Check.Crash.Server;
 }
 
-/// The answer to a health check may announce that the server leaves.
-void observeHealth(GatewayTurn &T, const CrashCheck &Check, const Event &E) {
-  const auto *Head = std::get_if<UpstreamHead>(&E);
-  if (Head == nullptr)
-    return;
-  AnswerInfo Answer = T.S.Platform.DecodeAnswer(Head->Status, Head->Headers);
-  if (Answer.IsLeaving && Answer.Server == Check.Crash.Server)
-    serverLeaves(T, Check.Crash.Server, Check.Crash.Incarnation);
-}
-
 /// A plain server that is slow may answer a health check late.
 bool isSilent(const CrashCheck &Check, const UpstreamFailed &E) {
   return !Check.IsEngine && E.Why.TimedOut;
@@ -130,6 +120,8 @@
 void checkCrash(GatewayTurn &T, const GatewayCall &C) {
   if (!C.Attempt.Relay.empty())
     return; // The relay checks it.
+  if (isToBeSpared(T.S, C.Attempt.Server, T.Now))
+    return;
   for (auto &[Upstream, Check] : T.S.CrashChecks) {
     bool IsSame = Check.Crash.Server == C.Attempt.Server &&
                   Check.Crash.Incarnation == C.Attempt.ServerIncarnation;
@@ -195,7 +187,6 @@
     return true;
   }
   T.Out.push_back(calls::AbortUpstream{Query});
-  observeHealth(T, Check, E);
   if (isReplaced(T, Check, E))
     checkConfirmed(T, Check, "another server answers at the address");
   else
--- a/packages/gateway/Gateway.cpp
+++ b/packages/gateway/Gateway.cpp
@@ -127,6 +127,7 @@
       upstreamSent(T, E);
   }
   void operator()(const UpstreamHead &E) const {
+    noteQueryAnswer(T, E);
     if (!isOwnQuery())
       upstreamHead(T, E);
   }
--- a/packages/gateway/Gateway.h
+++ b/packages/gateway/Gateway.h
@@ -29,6 +29,7 @@
 // SpeedPart.cpp   load reports of engines suspected of being slow
 // QuarantinePart.cpp requests, and parts of prompts, that crash servers
 // CrashCheckPart.cpp servers that broke off answers: whether they still run
+// ServerNoticePart.cpp what servers say of themselves in answers
 // LeavingPart.cpp servers that announced in answers that they leave
 // PausePart.cpp   servers that want no requests for a time; whether a server
 //                 may get a request
@@ -141,6 +142,16 @@
   TimePoint ExpiresAt{};
 };
 
+/// The server that gave an answer.
+struct AnsweringServer {
+  BackendId Server;
+  IncarnationNumber Incarnation = 0;
+  std::string Address;
+  std::string ClientAttemptId; // Of the request; empty: it had none.
+  bool IsRequest = false; // It answered a caller's request, and no order, query
+                          // or probe of this host's own.
+};
+
 /// An incarnation of a backend server that announced in an answer that it
 /// leaves.
 struct LeavingServer {
--- a/packages/gateway/GatewayTurn.h
+++ b/packages/gateway/GatewayTurn.h
@@ -218,6 +218,13 @@
 /// Ends the queries that were not answered in time.
 void tickCrashChecks(GatewayTurn &T);
 
+// ServerNoticePart.cpp
+/// Records what the server of the call's attempt says of itself in its answer.
+void noteAnswer(GatewayTurn &T, const GatewayCall &C);
+/// The same for the answer to an order, a query or a probe; does nothing for
+/// one to a request.
+void noteQueryAnswer(GatewayTurn &T, const UpstreamHead &E);
+
 // LeavingPart.cpp
 /// Whether the incarnation announced in an answer to this host that it leaves.
 bool isLeaving(const Gateway &S, const BackendId &Server,
@@ -226,9 +233,9 @@
 /// tells the control hosts.
 void serverLeaves(GatewayTurn &T, const BackendId &Server,
                   IncarnationNumber Incarnation);
-/// Records whether the answer to the call's attempt announces that its server
-/// leaves.
-void observeLeaving(GatewayTurn &T, const GatewayCall &C);
+/// Records whether the answer announces that its server leaves.
+void noteLeaving(GatewayTurn &T, const AnsweringServer &From,
+                 const AnswerInfo &Answer);
 /// Returns the report of a control host with the phase that this host knows.
 ServerReport knownPhase(GatewayTurn &T, const ServerReport &R);
 /// What a control host is to know of servers that leave.
@@ -241,9 +248,13 @@
                   TimePoint Now);
 /// Returns the block as a reason in logs.
 const char *toString(SendBlock Block);
-/// Records until when the server of the call's attempt wants no requests, or
-/// that it takes them again.
-void observePause(GatewayTurn &T, const GatewayCall &C);
+/// Records until when the server wants no requests, or that it takes them
+/// again.
+void notePause(GatewayTurn &T, const AnsweringServer &From, int Status,
+               const AnswerInfo &Answer);
+/// Whether the server leaves, or wants no requests now: it is spared this
+/// host's own queries as well.
+bool isToBeSpared(const Gateway &S, const BackendId &Server, TimePoint Now);
 /// Records that the call is sent to its server, which may be paused no more.
 void noteProbe(GatewayTurn &T, const GatewayCall &C);
 /// Servers that this host may not use and other hosts may.
@@ -360,8 +371,9 @@
 /// Starts the budgets anew if this host became the placer, or began or ceased
 /// to choose servers by itself.
 void updateLimitRole(GatewayTurn &T);
-/// Records whether the answer to the call's attempt names a limit.
-void observeAnswer(GatewayTurn &T, const GatewayCall &C);
+/// Records whether the answer names a limit.
+void noteLimit(GatewayTurn &T, const AnsweringServer &From, int Status,
+               const AnswerInfo &Answer);
 /// Merges limits that other hosts know of.
 void onLimitRecords(GatewayTurn &T, const std::vector<ServerLimit> &Records);
 /// What a control host is to know of limits.
--- a/packages/gateway/LeavingPart.cpp
+++ b/packages/gateway/LeavingPart.cpp
@@ -60,13 +60,10 @@
     serversChanged(T);
 }
 
-void observeLeaving(GatewayTurn &T, const GatewayCall &C) {
-  const AnswerInfo &Answer = C.Attempt.Answer;
-  // Another server may refuse the request, and a late answer to an earlier one
-  // may come from the server that had the address before.
-  bool IsOwn = Answer.ClientAttemptId == C.Info.ClientAttemptId;
-  if (Answer.IsLeaving && IsOwn && !Answer.Misdirected)
-    serverLeaves(T, C.Attempt.Server, C.Attempt.ServerIncarnation);
+void noteLeaving(GatewayTurn &T, const AnsweringServer &From,
+                 const AnswerInfo &Answer) {
+  if (Answer.IsLeaving)
+    serverLeaves(T, From.Server, From.Incarnation);
 }
 
 ServerReport knownPhase(GatewayTurn &T, const ServerReport &R) {
--- a/packages/gateway/LimitPart.cpp
+++ b/packages/gateway/LimitPart.cpp
@@ -228,19 +228,20 @@
   refreshLimits(T, /*IsReset=*/true);
 }
 
-void observeAnswer(GatewayTurn &T, const GatewayCall &C) {
-  const AnswerInfo &Answer = C.Attempt.Answer;
-  bool IsOwn = Answer.ClientAttemptId == C.Info.ClientAttemptId;
-  // Another server at the same address may refuse the request.
-  bool Counts = !Answer.NotRun ||
-                (Answer.RequestLimit && C.Attempt.Status == ServiceUnavailable);
-  if (!IsOwn || !Counts ||
-      !observeLimit(T.S.NamedLimits, C.Attempt.Server,
-                    C.Attempt.ServerIncarnation, Answer.RequestLimit, T.Now))
+void noteLimit(GatewayTurn &T, const AnsweringServer &From, int Status,
+               const AnswerInfo &Answer) {
+  // A refusal, or an answer to a query, may lack a limit that still holds.
+  bool IsWhole = From.IsRequest && !Answer.NotRun &&
+                 Answer.ClientAttemptId == From.ClientAttemptId;
+  bool NamesLimit =
+      Answer.RequestLimit && (!Answer.NotRun || Status == ServiceUnavailable);
+  if ((!IsWhole && !NamesLimit) ||
+      !observeLimit(T.S.NamedLimits, From.Server, From.Incarnation,
+                    Answer.RequestLimit, T.Now))
     return;
   ServerLimit Limit;
-  Limit.Server = C.Attempt.Server;
-  Limit.Incarnation = C.Attempt.ServerIncarnation;
+  Limit.Server = From.Server;
+  Limit.Incarnation = From.Incarnation;
   Limit.PerSecond = Answer.RequestLimit;
   logLimit(T, Limit,
            Limit.PerSecond ? "an answer names a limit"
--- a/packages/gateway/PathPart.cpp
+++ b/packages/gateway/PathPart.cpp
@@ -116,10 +116,22 @@
   }
 }
 
+/// Servers of the service that may be probed.
+std::vector<BackendId> serversToProbe(const GatewayTurn &T,
+                                      const ServiceId &Service) {
+  std::vector<BackendId> Servers = readyServers(T.S, Service);
+  auto IsSpared = [&](const BackendId &Server) {
+    return isToBeSpared(T.S, Server, T.Now);
+  };
+  Servers.erase(std::remove_if(Servers.begin(), Servers.end(), IsSpared),
+                Servers.end());
+  return Servers;
+}
+
 void updateService(GatewayTurn &T, const ServiceId &Service) {
   PathWatch &W = T.S.Relays.Paths;
   PathState Before = pathState(W, Service);
-  if (!updateState(W, Service, readyServers(T.S, Service), T.Now))
+  if (!updateState(W, Service, serversToProbe(T, Service), T.Now))
     return;
   logState(T, Service, Before);
   PathState State = pathState(W, Service);
@@ -221,7 +233,8 @@
 
 void probePath(GatewayTurn &T, const BackendId &Server, bool IsForOthers) {
   const ServerReport *R = reportOf(T.S, Server);
-  if (R == nullptr || !T.S.Routes || isProbed(T.S, Server))
+  if (R == nullptr || !T.S.Routes || isProbed(T.S, Server) ||
+      isToBeSpared(T.S, Server, T.Now))
     return;
   std::optional<EngineOrder> Query = probeQuery(T.S, *R);
   if (!Query)
@@ -310,7 +323,7 @@
   for (const auto &[Service, Path] : R.Paths.Services)
     Watched.push_back(Service);
   for (const ServiceId &Service : Watched) {
-    std::vector<BackendId> Ready = readyServers(T.S, Service);
+    std::vector<BackendId> Ready = serversToProbe(T, Service);
     for (const BackendId &Server : takeProbes(R.Paths, Service, Ready, T.Now))
       probePath(T, Server, /*IsForOthers=*/false);
     updateService(T, Service);
--- a/packages/gateway/PausePart.cpp
+++ b/packages/gateway/PausePart.cpp
@@ -35,25 +35,31 @@
          Call->second.Attempt.Upstream != UpstreamId{};
 }
 
-void logPause(GatewayTurn &T, const GatewayCall &C, const char *Reason,
+void logPause(GatewayTurn &T, const AnsweringServer &From, const char *Reason,
               Duration Time) {
-  DecisionRecord Record = record(T, C, "server_paused", Reason);
-  Record.add("server", C.Attempt.Server.Value);
+  DecisionRecord Record{"server_paused", {}, Reason, {}};
+  Record.add("try", From.ClientAttemptId);
+  Record.add("server", From.Server.Value);
   Record.add("for_ms", toMilliseconds(Time));
   log(T, std::move(Record));
 }
 
-void pauseServer(GatewayTurn &T, const GatewayCall &C, Duration Time) {
+void pauseServer(GatewayTurn &T, const AnsweringServer &From, Duration Time) {
   Gateway &S = T.S;
-  if (S.Paused.size() >= MaxPaused && S.Paused.count(C.Attempt.Server) == 0)
+  auto Known = S.Paused.find(From.Server);
+  bool IsOlder =
+      Known != S.Paused.end() && From.Incarnation < Known->second.Incarnation;
+  if (IsOlder)
+    return;
+  if (S.Paused.size() >= MaxPaused && Known == S.Paused.end())
     dropFirstToEnd(S);
-  PausedServer &Paused = S.Paused[C.Attempt.Server];
-  if (Paused.Incarnation != C.Attempt.ServerIncarnation)
-    Paused = PausedServer{C.Attempt.ServerIncarnation, {}, 0};
+  PausedServer &Paused = S.Paused[From.Server];
+  if (Paused.Incarnation != From.Incarnation)
+    Paused = PausedServer{From.Incarnation, {}, 0};
   Paused.Until = std::max(Paused.Until, T.Now + std::min(Time, MaxPause));
   Paused.Probe = 0;
   count(T, "pimento_servers_paused_total");
-  logPause(T, C, "the backend server wants no requests for a time", Time);
+  logPause(T, From, "the backend server wants no requests for a time", Time);
 }
 
 } // namespace
@@ -95,24 +101,34 @@
   return "unknown";
 }
 
-void observePause(GatewayTurn &T, const GatewayCall &C) {
-  const AnswerInfo &Answer = C.Attempt.Answer;
-  bool IsOwn = Answer.ClientAttemptId == C.Info.ClientAttemptId;
-  if (!IsOwn || Answer.Misdirected)
-    return;
-  bool IsTurnedAway =
-      C.Attempt.Status == ServiceUnavailable && Answer.RetryAfter;
+void notePause(GatewayTurn &T, const AnsweringServer &From, int Status,
+               const AnswerInfo &Answer) {
+  bool IsTurnedAway = Status == ServiceUnavailable && Answer.RetryAfter;
   if (IsTurnedAway && *Answer.RetryAfter > Duration::zero()) {
-    pauseServer(T, C, *Answer.RetryAfter);
+    pauseServer(T, From, *Answer.RetryAfter);
     return;
   }
-  auto Found = T.S.Paused.find(C.Attempt.Server);
-  if (Found == T.S.Paused.end() || T.Now < Found->second.Until)
+  auto Found = T.S.Paused.find(From.Server);
+  if (!From.IsRequest || Found == T.S.Paused.end() ||
+      T.Now < Found->second.Until)
     return;
-  logPause(T, C, "the backend server takes requests again", Duration::zero());
+  logPause(T, From, "the backend server takes requests again",
+           Duration::zero());
   T.S.Paused.erase(Found);
 }
 
+bool isToBeSpared(const Gateway &S, const BackendId &Server, TimePoint Now) {
+  auto Known = S.Servers.Servers.find(Server);
+  if (Known == S.Servers.Servers.end())
+    return false;
+  IncarnationNumber Incarnation = Known->second.Report.Incarnation;
+  auto Paused = S.Paused.find(Server);
+  bool IsPaused = Paused != S.Paused.end() &&
+                  Paused->second.Incarnation == Incarnation &&
+                  Now < Paused->second.Until;
+  return IsPaused || isLeaving(S, Server, Incarnation);
+}
+
 void noteProbe(GatewayTurn &T, const GatewayCall &C) {
   auto Found = T.S.Paused.find(C.Attempt.Server);
   if (Found != T.S.Paused.end())
--- a/packages/gateway/SpeedPart.cpp
+++ b/packages/gateway/SpeedPart.cpp
@@ -61,8 +61,10 @@
   }
   if (!placesHere(T.S, T.Now))
     return;
-  for (const BackendId &Id : takeSpeedQueries(T.S.Engines, T.Now))
-    sendQuery(T, Id);
+  for (const BackendId &Id : takeSpeedQueries(T.S.Engines, T.Now)) {
+    if (!isToBeSpared(T.S, Id, T.Now))
+      sendQuery(T, Id);
+  }
 }
 
 TimePoint nextSpeedTick(const Gateway &S, TimePoint Now) {
