gateway: one place decides whether a server gets a request, and why not

Cause: ejection, limits, leaving, pauses and lost paths were asked for in five files, and no operator could see why a host does not use a server.

Change: ServerUse.cpp holds blockOf() with all reasons; LeavingPart, PathPart, PausePart, LimitPart and calls/Health know one each. The blocked servers are listed once for a choice. Servers whose connections failed are kept as a set, services that are not watched cost nothing, and the health of servers is found in one walk instead of two searches for each. GET /v1/servers of an entry host and `pimentogladectl servers` name the block of each server, the gauges pimento_servers{block=...} count them. A pause of an earlier incarnation is no more named to the placer. explain tells of requests by way of other hosts.

--- a/packages/calls/Health.cpp
+++ b/packages/calls/Health.cpp
@@ -12,27 +12,27 @@
 
 /// Returns the health of a server; the default if only an earlier incarnation
 /// is known.
-ServerHealth healthOf(const HealthState &State, const PlainServer &Server) {
-  auto Found = State.Servers.find(Server.Backend);
-  if (Found == State.Servers.end() ||
-      Found->second.Incarnation != Server.Incarnation)
-    return {};
-  return Found->second;
+const ServerHealth &healthOf(HealthSearch &Search, const PlainServer &Server) {
+  static const ServerHealth Unknown;
+  const ServerHealth *Known = Search.find(Server.Backend);
+  return Known != nullptr && Known->Incarnation == Server.Incarnation ? *Known
+                                                                      : Unknown;
 }
 
 struct Candidate {
-  const PlainServer *Server = nullptr;
-  ServerHealth Health;
+  const PlainServer *Server;
+  const ServerHealth *Health;
 };
 
 std::vector<Candidate> candidates(const HealthState &State,
                                   const std::vector<PlainServer> &Servers,
                                   const std::vector<BackendId> &Avoid) {
   std::vector<Candidate> Found;
+  HealthSearch Search(State);
   for (const PlainServer &Server : Servers) {
     if (std::find(Avoid.begin(), Avoid.end(), Server.Backend) != Avoid.end())
       continue;
-    Found.push_back({&Server, healthOf(State, Server)});
+    Found.push_back({&Server, &healthOf(Search, Server)});
   }
   if (!Found.empty() || Avoid.empty())
     return Found;
@@ -43,8 +43,9 @@
                          const std::vector<PlainServer> &Servers,
                          TimePoint Now) {
   std::size_t Count = 0;
+  HealthSearch Search(State);
   for (const PlainServer &Server : Servers) {
-    if (isEjected(healthOf(State, Server), Now))
+    if (isEjected(healthOf(Search, Server), Now))
       ++Count;
   }
   return Count;
@@ -55,13 +56,13 @@
                                   Random &Rng) {
   const Candidate &A = Healthy[below(Rng, Healthy.size())];
   const Candidate &B = Healthy[below(Rng, Healthy.size())];
-  return A.Health.InFlight <= B.Health.InFlight ? A.Server : B.Server;
+  return A.Health->InFlight <= B.Health->InFlight ? A.Server : B.Server;
 }
 
 /// Returns the server whose ejection ends first.
 const PlainServer *leastEjected(const std::vector<Candidate> &All) {
   auto Sooner = [](const Candidate &A, const Candidate &B) {
-    return A.Health.EjectedUntil < B.Health.EjectedUntil;
+    return A.Health->EjectedUntil < B.Health->EjectedUntil;
   };
   return std::min_element(All.begin(), All.end(), Sooner)->Server;
 }
@@ -92,6 +93,17 @@
 
 } // namespace
 
+const ServerHealth *HealthSearch::find(const BackendId &Server) {
+  // One step at most; an entry that is further away is searched for.
+  if (Next == Servers.end() || Next->first != Server)
+    Next = Servers.lower_bound(Server);
+  if (Next == Servers.end() || Next->first != Server)
+    return nullptr;
+  const ServerHealth *Health = &Next->second;
+  ++Next;
+  return Health;
+}
+
 const char *toString(ChoiceReason Reason) {
   switch (Reason) {
   case ChoiceReason::LessLoaded:
@@ -120,11 +132,11 @@
   std::vector<Candidate> Healthy;
   const PlainServer *HalfOpen = nullptr;
   for (const Candidate &C : All) {
-    if (isEjected(C.Health, Now))
+    if (isEjected(*C.Health, Now))
       continue;
-    if (!C.Health.IsHalfOpen)
+    if (!C.Health->IsHalfOpen)
       Healthy.push_back(C);
-    else if (C.Health.InFlight == 0)
+    else if (C.Health->InFlight == 0)
       HalfOpen = C.Server;
   }
   Choice.Healthy = Healthy.size();
--- a/packages/calls/Health.h
+++ b/packages/calls/Health.h
@@ -43,6 +43,22 @@
   std::map<BackendId, ServerHealth> Servers;
 };
 
+/// Finds the health of one server after the other, at little cost where they
+/// come in the order of their ids.
+class HealthSearch {
+public:
+  explicit HealthSearch(const HealthState &State)
+      : Servers(State.Servers), Next(State.Servers.begin()) {}
+
+  /// Null if nothing is known of the server. The entry may be that of an
+  /// earlier incarnation.
+  const ServerHealth *find(const BackendId &Server);
+
+private:
+  const std::map<BackendId, ServerHealth> &Servers;
+  std::map<BackendId, ServerHealth>::const_iterator Next; // After the last one.
+};
+
 /// Why a server was chosen.
 enum class ChoiceReason : std::uint8_t {
   LessLoaded,    // Less loaded of two healthy servers drawn at random.
--- a/packages/calls/tests/PlainTest.cpp
+++ b/packages/calls/tests/PlainTest.cpp
@@ -28,6 +28,21 @@
 
 } // namespace
 
+BOOST_AUTO_TEST_CASE(HealthIsFoundInAnyOrder) {
+  HealthState State;
+  for (const char *Id : {"b", "d", "f"})
+    State.Servers[BackendId(Id)].InFlight = 1;
+  HealthSearch InOrder(State);
+  HealthSearch Mixed(State);
+  for (const char *Id : {"a", "b", "c", "d", "e", "f", "g"})
+    BOOST_TEST((InOrder.find(BackendId(Id)) != nullptr) ==
+               (State.Servers.count(BackendId(Id)) > 0));
+  for (const char *Id : {"f", "b", "g", "d", "d", "a", "b"})
+    BOOST_TEST((Mixed.find(BackendId(Id)) != nullptr) ==
+               (State.Servers.count(BackendId(Id)) > 0));
+  BOOST_TEST(Mixed.find(BackendId("d")) == &State.Servers.at(BackendId("d")));
+}
+
 BOOST_AUTO_TEST_CASE(SignOffIsClaimedSentOnceAndRecorded) {
   Rig R;
   SignOff S(R, "k1");
--- a/packages/ctl/Command.cpp
+++ b/packages/ctl/Command.cpp
@@ -109,6 +109,8 @@
        "backend servers that named a limit of requests"},
       {CommandKind::Paths, "paths", "", "", 0, 0, false,
        "entry hosts that do not reach backend servers"},
+      {CommandKind::Servers, "servers", "", "", 0, 0, false,
+       "which servers get no requests from one entry host, and why"},
       {CommandKind::SettingsCheck, "settings", "check", "FILE...", 1,
        MaxFileArguments, true, "lists every fault; asks no host"},
   };
--- a/packages/ctl/Command.h
+++ b/packages/ctl/Command.h
@@ -72,6 +72,7 @@
   RoutingHosts,
   Limits,
   Paths,
+  Servers,
 };
 
 struct Command {
--- a/packages/ctl/Present.cpp
+++ b/packages/ctl/Present.cpp
@@ -233,6 +233,10 @@
                   {"host", "data_centre", "cut_off", "unreached", "since_ms",
                    "contact_ms"});
     return;
+  case CommandKind::Servers:
+    O.Out = table(Body.value("servers", Json(nullptr)),
+                  {"server", "service", "phase", "block", "for_ms", "reason"});
+    return;
   default:
     O.Out = statusView(std::move(Body));
   }
--- a/packages/ctl/Run.cpp
+++ b/packages/ctl/Run.cpp
@@ -111,6 +111,8 @@
     return "/v1/limits";
   case CommandKind::Paths:
     return "/v1/paths";
+  case CommandKind::Servers:
+    return "/v1/servers";
   default:
     return Service + "/document";
   }
--- a/packages/ctl/tests/RunTest.cpp
+++ b/packages/ctl/tests/RunTest.cpp
@@ -140,6 +140,7 @@
   expect(ExitCode::Ok, {"routing", "hosts"});
   expect(ExitCode::Ok, {"limits"});
   expect(ExitCode::Ok, {"paths"});
+  expect(ExitCode::Ok, {"servers"});
   expect(ExitCode::UnknownService, {"in-force", "a b"});
   expect(ExitCode::UnknownService, {"document", "history", "a"});
   const char *Targets[] = {"/v1/status",
@@ -150,6 +151,7 @@
                            "/v1/routing/hosts",
                            "/v1/limits",
                            "/v1/paths",
+                           "/v1/servers",
                            "/v1/services/a%20b/in-force",
                            "/v1/services/a/history"};
   for (std::size_t I = 0; I < std::size(Targets); ++I)
--- a/packages/explain/Explain.cpp
+++ b/packages/explain/Explain.cpp
@@ -117,8 +117,11 @@
   if (Number != 0)
     return "ended with status " + text(L.Fields, "status") + " (" + Name +
            "): " + Reason + "; reached " + Sends + " server(s)";
-  std::string Text = "answered by " + text(L.Fields, "server") + " after " +
-                     text(L.Fields, "age_ms") + " ms";
+  std::string Relay = text(L.Fields, "relay");
+  std::string By = Relay.empty() ? text(L.Fields, "server")
+                                 : "a server by way of host " + Relay;
+  std::string Text =
+      "answered by " + By + " after " + text(L.Fields, "age_ms") + " ms";
   if (L.Fields.contains("first_event_ms"))
     Text += "; first event after " + text(L.Fields, "first_event_ms") +
             " ms, forecast " + text(L.Fields, "forecast_ms") + " ms";
@@ -133,7 +136,7 @@
 bool isStateKind(const std::string &Kind) {
   for (const char *StateKind :
        {"routing_in_force", "control_host", "placer", "placer_silent", "ready",
-        "stop_requested", "start", "reload", "lines_left_out"}) {
+        "path", "stop_requested", "start", "reload", "lines_left_out"}) {
     if (Kind == StateKind)
       return true;
   }
@@ -216,7 +219,10 @@
   if (RequestLines.empty())
     return;
   E.Found = true;
-  E.Text += "at " + Host + ":\n";
+  bool IsRelay = text(RequestLines.back().Fields, "relayed") == "true";
+  E.Text += "at " + Host +
+            (IsRelay ? ", for a host that had no path to the servers" : "") +
+            ":\n";
   for (const Line &L : RequestLines)
     E.Text += "  " + formatLine(L) + "\n";
   if (isFinalLine(RequestLines.back()))
--- a/packages/explain/tests/ExplainTest.cpp
+++ b/packages/explain/tests/ExplainTest.cpp
@@ -27,6 +27,14 @@
 {"host":"e3","kind":"placed","server":"i-1","helpers":"i-2 i-9","prompt_tokens":132151,"time":"2026-01-01T08:00:03.000Z","try":"dd"}
 )";
 
+const std::string RelayedLog =
+    R"({"host":"e1","kind":"path","service":"llm","state":"cut","time":"2026-01-01T09:00:00.000Z"}
+{"host":"e1","kind":"handed_over","relay":"e2","service":"llm","time":"2026-01-01T09:00:01.000Z","try":"ee"}
+{"age_ms":180,"code":0,"host":"e1","kind":"request","relay":"e2","relayed":false,"server":"","status":200,"time":"2026-01-01T09:00:01.200Z","try":"ee"}
+{"host":"e2","kind":"path","service":"llm","state":"direct","time":"2026-01-01T08:00:00.000Z"}
+{"age_ms":170,"code":0,"host":"e2","kind":"request","relay":"","relayed":true,"server":"i-7","status":200,"time":"2026-01-01T09:00:01.195Z","try":"ee"}
+)";
+
 bool has(const Explanation &E, const char *Text) {
   return E.Text.find(Text) != std::string::npos;
 }
@@ -52,6 +60,15 @@
   BOOST_TEST(has(E, "1 other prompts, the longest of 132151 tokens"));
 }
 
+BOOST_AUTO_TEST_CASE(RequestsByWayOfAnotherHostShowBothHosts) {
+  Explanation E = explain("ee", {{"log", RelayedLog}});
+  BOOST_TEST(has(E, "at e1:\n"));
+  BOOST_TEST(has(E, "answered by a server by way of host e2 after 180 ms"));
+  BOOST_TEST(has(E, "state=cut"));
+  BOOST_TEST(has(E, "at e2, for a host that had no path to the servers:\n"));
+  BOOST_TEST(has(E, "answered by i-7 after 170 ms"));
+}
+
 BOOST_AUTO_TEST_CASE(MalformedLinesAreCountedAndSkipped) {
   std::string Text =
       "what\n{\"host\":\n[1]\n{}\n" + RefusedLog + "{\"kind\":\"requ";
--- a/packages/gateway/Attempt.cpp
+++ b/packages/gateway/Attempt.cpp
@@ -30,41 +30,35 @@
 /// event would find no caller.
 constexpr double MaxStallShare = 0.6;
 
-bool isBlocked(const GatewayTurn &T, const GatewayCall &C,
-               const calls::PlainServer &Server) {
-  return blockOf(T.S, Server.Backend, Server.Incarnation, C.Ticket, T.Now) !=
-         SendBlock::None;
-}
-
 /// Returns the servers of this data centre that are healthy, little loaded and
 /// untried, or all servers if there are none.
 std::vector<calls::PlainServer> nearServers(const GatewayTurn &T,
                                             const GatewayCall &C) {
-  std::vector<calls::PlainServer> Near;
-  for (const calls::PlainServer &Server : plainServers(T.S, C.Service)) {
-    if (isBlocked(T, C, Server))
-      continue;
-    auto Health = T.S.Health.Servers.find(Server.Backend);
-    bool Ejected =
-        Health != T.S.Health.Servers.end() &&
-        (Health->second.EjectedUntil > T.Now || Health->second.IsHalfOpen);
-    bool Busy =
-        Health != T.S.Health.Servers.end() && Health->second.InFlight >= 2;
+  std::vector<calls::PlainServer> Near = usableServers(T, C);
+  calls::HealthSearch Search(T.S.Health);
+  auto IsUnfit = [&](const calls::PlainServer &Server) {
+    const calls::ServerHealth *Health = Search.find(Server.Backend);
+    bool Ejected = Health != nullptr &&
+                   (Health->EjectedUntil > T.Now || Health->IsHalfOpen);
+    bool Busy = Health != nullptr && Health->InFlight >= 2;
     bool AlreadyTried = std::find(C.TriedServers.begin(), C.TriedServers.end(),
                                   Server.Backend) != C.TriedServers.end();
-    if (Server.DataCentre == T.S.Engines.Here && !Ejected && !AlreadyTried &&
-        !Busy)
-      Near.push_back(Server);
-  }
+    return Server.DataCentre != T.S.Engines.Here || Ejected || AlreadyTried ||
+           Busy;
+  };
+  Near.erase(std::remove_if(Near.begin(), Near.end(), IsUnfit), Near.end());
   return Near.empty() ? usableServers(T, C) : Near;
 }
 
 void startPlain(GatewayTurn &T, GatewayCall &C) {
-  if (std::optional<Duration> Wait = pauseOfAll(T, C)) {
+  std::vector<calls::PlainServer> Servers = nearServers(T, C);
+  std::optional<Duration> Wait;
+  if (Servers.empty())
+    Wait = pauseOfAll(T, C);
+  if (Wait) {
     failPaused(T, C, *Wait);
     return;
   }
-  std::vector<calls::PlainServer> Servers = nearServers(T, C);
   calls::ServerChoice Choice =
       chooseServer(T.S.Health, Servers, C.TriedServers, T.S.Rng, T.Now);
   if (Choice.Server == nullptr) {
@@ -247,21 +241,6 @@
          (C.Path->Kind == CallKind::Stream && C.Path->Resumable);
 }
 
-std::vector<calls::PlainServer> usableServers(const GatewayTurn &T,
-                                              const GatewayCall &C) {
-  std::vector<calls::PlainServer> Servers;
-  for (const calls::PlainServer &Server : plainServers(T.S, C.Service)) {
-    if (!isBlocked(T, C, Server))
-      Servers.push_back(Server);
-  }
-  return Servers;
-}
-
-void failPaused(GatewayTurn &T, GatewayCall &C, Duration Wait) {
-  fail(T, C, C.MayHaveRun ? Code::BackendFailed : Code::QueueFull,
-       "all backend servers of the service want no requests for a time", Wait);
-}
-
 bool maySendAgain(GatewayTurn &T, const GatewayCall &C) {
   if (C.AttemptCount >= MaxServerAttempts || C.Sends >= C.MaxSends ||
       T.Now + MinTimeLeft > C.Deadline || C.Exchange == ExchangeId{})
--- a/packages/gateway/Gateway.cpp
+++ b/packages/gateway/Gateway.cpp
@@ -226,7 +226,7 @@
   std::uint64_t Number = S.Routes ? S.Routes->Config.Number : 0;
   double Age =
       S.Link.CurrentAt == TimePoint() ? -1 : toSeconds(Now - S.Link.CurrentAt);
-  return {
+  std::vector<MetricSample> Samples = {
       Gauge("pimento_ready", isReady(S) ? 1 : 0),
       Gauge("pimento_routing_number", static_cast<double>(Number)),
       Gauge("pimento_routing_stale", S.Stale ? 1 : 0),
@@ -254,6 +254,8 @@
       Gauge("pimento_relayed_requests",
             static_cast<double>(S.Relays.Taken.size())),
   };
+  gateway::addServerGauges(S, Now, Samples);
+  return Samples;
 }
 
 namespace gateway {
--- a/packages/gateway/Gateway.h
+++ b/packages/gateway/Gateway.h
@@ -31,8 +31,9 @@
 // CrashCheckPart.cpp servers that broke off answers: whether they still run
 // ServerNoticePart.cpp what servers say of themselves in answers
 // LeavingPart.cpp servers that announced in answers that they leave
-// PausePart.cpp   servers that want no requests for a time; whether a server
-//                 may get a request
+// PausePart.cpp   servers that want no requests for a time
+// ServerUse.cpp   whether a server may get a request now, and why not
+// ServerListPart.cpp the same for operators
 // LimitPart.cpp   servers that named a limit of requests
 // PathPart.cpp    paths of this host to the servers
 // PathQueryPart.cpp other hosts' findings on servers that this host does not
@@ -169,14 +170,16 @@
   std::uint64_t Probe = 0; // Ticket of the latest request after Until.
 };
 
-/// Why a backend server may not get a request of this host now, besides what
-/// the lists of servers, ejection and limits say.
+/// Why a backend server gets no request of this host now.
 enum class SendBlock : std::uint8_t {
   None,
-  Leaving, // It announced that it leaves.
-  Paused,  // It wants no requests for a time.
-  Probed,  // One request is under way to see whether it takes requests again.
-  NoPath,  // This host does not reach it, or is not sure to.
+  NotReady, // It is not up, or leaves, by what is reported of it.
+  Leaving,  // It announced that it leaves.
+  NoPath,   // This host does not reach it, or is not sure to.
+  Paused,   // It wants no requests for a time.
+  Probed,   // One request is under way to see whether it takes requests again.
+  Ejected,  // Requests to it failed; it gets one if there is no other server.
+  Limited,  // It named a limit; it gets requests by permit.
 };
 
 /// What is at fault if an attempt fails.
--- a/packages/gateway/GatewayTurn.h
+++ b/packages/gateway/GatewayTurn.h
@@ -71,12 +71,6 @@
 /// The plain servers of a service that accept requests, by what they report.
 const std::vector<calls::PlainServer> &plainServers(const Gateway &S,
                                                     const ServiceId &Service);
-/// The plain servers of the call's service that may get it now.
-std::vector<calls::PlainServer> usableServers(const GatewayTurn &T,
-                                              const GatewayCall &C);
-/// Ends a call for which no server wants requests now; its caller should come
-/// back after \p Wait.
-void failPaused(GatewayTurn &T, GatewayCall &C, Duration Wait);
 void upstreamSent(GatewayTurn &T, const UpstreamSent &E);
 void upstreamFailed(GatewayTurn &T, UpstreamId Upstream,
                     const UpstreamFailure &Why);
@@ -241,32 +235,67 @@
 /// What a control host is to know of servers that leave.
 std::vector<ServerReport> leavingReports(const GatewayTurn &T);
 
-// PausePart.cpp
-/// Why the server may not get the request with \p Ticket now.
+// ServerUse.cpp
+/// Why a request with \p Ticket may not be sent to the server now, whatever
+/// else is known; None if it may.
 SendBlock blockOf(const Gateway &S, const BackendId &Server,
                   IncarnationNumber Incarnation, std::uint64_t Ticket,
                   TimePoint Now);
+/// Why the server gets no request now, or fewer than others.
+SendBlock blockOf(const Gateway &S, const ServerReport &R, TimePoint Now);
+const std::vector<SendBlock> &allSendBlocks();
+/// Returns the block as a name in metrics and lists.
+const char *nameOf(SendBlock Block);
 /// Returns the block as a reason in logs.
 const char *toString(SendBlock Block);
-/// Records until when the server wants no requests, or that it takes them
-/// again.
-void notePause(GatewayTurn &T, const AnsweringServer &From, int Status,
-               const AnswerInfo &Answer);
+/// Servers to which blockOf() lets nothing be sent, in order; without those
+/// that accept no requests by what is reported of them.
+std::vector<BackendId> blockedServers(const Gateway &S, std::uint64_t Ticket,
+                                      TimePoint Now);
+/// The plain servers of the call's service that may get it now.
+std::vector<calls::PlainServer> usableServers(const GatewayTurn &T,
+                                              const GatewayCall &C);
+/// Whether requests to the server failed so often that others are preferred.
+bool isEjected(const Gateway &S, const BackendId &Server, TimePoint Now);
 /// Whether the server leaves, or wants no requests now: it is spared this
 /// host's own queries as well.
 bool isToBeSpared(const Gateway &S, const BackendId &Server, TimePoint Now);
-/// Records that the call is sent to its server, which may be paused no more.
-void noteProbe(GatewayTurn &T, const GatewayCall &C);
-/// Servers that this host may not use and other hosts may.
-std::vector<BackendId> blockedServers(const Gateway &S, std::uint64_t Ticket,
-                                      TimePoint Now);
 /// If no server of the call's service may get it now, and some want requests
 /// again later: the time after which its caller should come back.
 std::optional<Duration> pauseOfAll(GatewayTurn &T, const GatewayCall &C);
 
+// ServerListPart.cpp
+/// Answers operators' requests for the servers that this host knows. Returns
+/// false for any other request.
+bool serversCall(GatewayTurn &T, ExchangeId Exchange, const HttpRequest &R);
+/// Adds the numbers of servers by block.
+void addServerGauges(const Gateway &S, TimePoint Now,
+                     std::vector<MetricSample> &Samples);
+
+// PausePart.cpp
+/// Whether the server wants no requests now, or takes one at a time.
+SendBlock pauseOf(const Gateway &S, const BackendId &Server,
+                  IncarnationNumber Incarnation, std::uint64_t Ticket,
+                  TimePoint Now);
+SendBlock pauseOf(const Gateway &S, const BackendId &Server,
+                  const PausedServer &Paused, std::uint64_t Ticket,
+                  TimePoint Now);
+/// Records until when the server wants no requests, or that it takes them
+/// again.
+void notePause(GatewayTurn &T, const AnsweringServer &From, int Status,
+               const AnswerInfo &Answer);
+/// Records that the call is sent to its server, which may be paused no more.
+void noteProbe(GatewayTurn &T, const GatewayCall &C);
+/// Time after which a caller should come back for servers that want requests
+/// at \p Until. Callers are spread out.
+Duration untilReturn(GatewayTurn &T, TimePoint Until);
+/// Ends a call for which no server wants requests now; its caller should come
+/// back after \p Wait.
+void failPaused(GatewayTurn &T, GatewayCall &C, Duration Wait);
+
 // PathPart.cpp
-/// Servers of the service that accept requests, by what they report.
-std::vector<BackendId> readyServers(const Gateway &S, const ServiceId &Service);
+/// Number of servers of the service that accept requests, by what they report.
+std::size_t readyServers(const Gateway &S, const ServiceId &Service);
 /// Probes the server by a new connection, unless a probe is under way.
 /// \p IsForOthers: a failure is not counted as one of this host.
 void probePath(GatewayTurn &T, const BackendId &Server, bool IsForOthers);
@@ -293,6 +322,8 @@
 /// Whether the server should get no request, since this host may not reach it
 /// and reaches most others of its service.
 bool isPathBlocked(const Gateway &S, const BackendId &Server, TimePoint Now);
+/// All such servers.
+std::vector<BackendId> pathBlockedServers(const Gateway &S, TimePoint Now);
 /// Lets requests go on that wait for the state of the path.
 void wakeWaiting(GatewayTurn &T, const ServiceId &Service);
 
--- a/packages/gateway/HandOverPart.cpp
+++ b/packages/gateway/HandOverPart.cpp
@@ -39,7 +39,7 @@
 /// whether the path is at fault, instead of trying more servers.
 bool shouldWait(const GatewayTurn &T, const GatewayCall &C) {
   constexpr std::uint32_t TriesBeforeWait = 2;
-  std::size_t Ready = readyServers(T.S, C.Service).size();
+  std::size_t Ready = readyServers(T.S, C.Service);
   bool HasTried =
       C.LastFailure == Code::ConnectFailed &&
       C.AttemptCount >= std::min<std::size_t>(TriesBeforeWait, Ready);
--- a/packages/gateway/LimitPart.cpp
+++ b/packages/gateway/LimitPart.cpp
@@ -27,11 +27,6 @@
 
 bool isPlacer(const Gateway &S) { return S.Link.Placer == S.Self; }
 
-std::optional<double> limitOf(const Gateway &S, const BackendId &Server,
-                              IncarnationNumber Incarnation) {
-  return pimento::limitOf(S.NamedLimits, Server, Incarnation);
-}
-
 /// The rate that this host may use of a limit.
 double ownRate(const Gateway &S, double PerSecond) {
   if (isPlacer(S))
@@ -91,11 +86,6 @@
   return Untried.empty() ? All : Untried;
 }
 
-bool isEjected(const Gateway &S, const BackendId &Server, TimePoint Now) {
-  auto Health = S.Health.Servers.find(Server);
-  return Health != S.Health.Servers.end() && Health->second.EjectedUntil > Now;
-}
-
 /// The servers that take the call without a permit and are healthy.
 std::vector<calls::PlainServer> openServers(const GatewayTurn &T,
                                             const GatewayCall &C) {
@@ -193,7 +183,7 @@
 } // namespace
 
 bool needsPermit(const Gateway &S, const calls::PlainServer &Server) {
-  return limitOf(S, Server.Backend, Server.Incarnation).has_value();
+  return limitOf(S.NamedLimits, Server.Backend, Server.Incarnation).has_value();
 }
 
 void refreshLimits(GatewayTurn &T, bool IsReset) {
@@ -203,7 +193,7 @@
     std::optional<double> Limit;
     auto Report = S.Servers.Servers.find(Server);
     if (Report != S.Servers.Servers.end())
-      Limit = limitOf(S, Server, Report->second.Report.Incarnation);
+      Limit = limitOf(S.NamedLimits, Server, Report->second.Report.Incarnation);
     bool IsEngine = S.Engines.Engines.count(Server) > 0;
     refreshBucket(S, IsEngine ? S.Engines.Limits : Plain, Server, Limit,
                   IsReset, T.Now);
--- a/packages/gateway/PathPart.cpp
+++ b/packages/gateway/PathPart.cpp
@@ -116,21 +116,26 @@
   }
 }
 
+bool isReadyFor(const ServerReport &R, const ServiceId &Service) {
+  return R.Service == Service && R.Phase == ServerPhase::Ready;
+}
+
 /// Servers of the service that may be probed.
 std::vector<BackendId> serversToProbe(const GatewayTurn &T,
                                       const ServiceId &Service) {
-  std::vector<BackendId> Servers = readyServers(T.S, Service);
-  auto IsSpared = [&](const BackendId &Server) {
-    return isToBeSpared(T.S, Server, T.Now);
-  };
-  Servers.erase(std::remove_if(Servers.begin(), Servers.end(), IsSpared),
-                Servers.end());
+  std::vector<BackendId> Servers;
+  for (const auto &[Id, Known] : T.S.Servers.Servers) {
+    if (isReadyFor(Known.Report, Service) && !isToBeSpared(T.S, Id, T.Now))
+      Servers.push_back(Id);
+  }
   return Servers;
 }
 
 void updateService(GatewayTurn &T, const ServiceId &Service) {
   PathWatch &W = T.S.Relays.Paths;
   PathState Before = pathState(W, Service);
+  if (Before == PathState::Direct)
+    return;
   if (!updateState(W, Service, serversToProbe(T, Service), T.Now))
     return;
   logState(T, Service, Before);
@@ -211,6 +216,12 @@
     noteFailed(T.S.Relays.Paths, Probe.Service, Probe.Server, T.Now);
 }
 
+/// Whether most servers of the service are not among those whose paths are in
+/// doubt.
+bool areFew(const Gateway &S, const ServiceId &Service, std::size_t Doubted) {
+  return 2 * Doubted < readyServers(S, Service);
+}
+
 Duration answerDoubt(const GatewayCall &C) {
   const CallAttempt &A = C.Attempt;
   if (A.LastBytes != A.Began)
@@ -220,15 +231,12 @@
 
 } // namespace
 
-std::vector<BackendId> readyServers(const Gateway &S,
-                                    const ServiceId &Service) {
-  std::vector<BackendId> Ready;
-  for (const auto &[Id, Known] : S.Servers.Servers) {
-    if (Known.Report.Service == Service &&
-        Known.Report.Phase == ServerPhase::Ready)
-      Ready.push_back(Id);
-  }
-  return Ready;
+std::size_t readyServers(const Gateway &S, const ServiceId &Service) {
+  const auto &Servers = S.Servers.Servers;
+  auto IsReady = [&](const auto &Known) {
+    return isReadyFor(Known.second.Report, Service);
+  };
+  return std::count_if(Servers.begin(), Servers.end(), IsReady);
 }
 
 void probePath(GatewayTurn &T, const BackendId &Server, bool IsForOthers) {
@@ -319,10 +327,7 @@
     if (!IsReached)
       probeFailed(T, Probe);
   }
-  std::vector<ServiceId> Watched;
-  for (const auto &[Service, Path] : R.Paths.Services)
-    Watched.push_back(Service);
-  for (const ServiceId &Service : Watched) {
+  for (const ServiceId &Service : watchedServices(R.Paths)) {
     std::vector<BackendId> Ready = serversToProbe(T, Service);
     for (const BackendId &Server : takeProbes(R.Paths, Service, Ready, T.Now))
       probePath(T, Server, /*IsForOthers=*/false);
@@ -380,13 +385,30 @@
 
 bool isPathBlocked(const Gateway &S, const BackendId &Server, TimePoint Now) {
   const PathWatch &W = S.Relays.Paths;
-  if (!isPathDoubted(W, Server, Now))
+  if (W.Failed.count(Server) == 0 || !isPathDoubted(W, Server, Now))
     return false;
   const ServiceId &Service = W.Servers.at(Server).Service;
   std::size_t Doubted = 0;
-  for (const auto &[Id, Path] : W.Servers)
-    Doubted += Path.Service == Service && isPathDoubted(W, Id, Now) ? 1 : 0;
-  return 2 * Doubted < readyServers(S, Service).size();
+  for (const BackendId &Id : W.Failed) {
+    if (W.Servers.at(Id).Service == Service && isPathDoubted(W, Id, Now))
+      Doubted += 1;
+  }
+  return areFew(S, Service, Doubted);
+}
+
+std::vector<BackendId> pathBlockedServers(const Gateway &S, TimePoint Now) {
+  const PathWatch &W = S.Relays.Paths;
+  std::map<ServiceId, std::vector<BackendId>> Doubted;
+  for (const BackendId &Id : W.Failed) {
+    if (isPathDoubted(W, Id, Now))
+      Doubted[W.Servers.at(Id).Service].push_back(Id);
+  }
+  std::vector<BackendId> Blocked;
+  for (const auto &[Service, Servers] : Doubted) {
+    if (areFew(S, Service, Servers.size()))
+      Blocked.insert(Blocked.end(), Servers.begin(), Servers.end());
+  }
+  return Blocked;
 }
 
 bool isCutOff(const Gateway &S, const ServiceId &Service) {
--- a/packages/gateway/PausePart.cpp
+++ b/packages/gateway/PausePart.cpp
@@ -64,41 +64,24 @@
 
 } // namespace
 
-SendBlock blockOf(const Gateway &S, const BackendId &Server,
+SendBlock pauseOf(const Gateway &S, const BackendId &Server,
                   IncarnationNumber Incarnation, std::uint64_t Ticket,
                   TimePoint Now) {
-  bool HasFailures = S.Relays.Paths.FailedServers > 0;
-  if (S.Leaving.empty() && S.Paused.empty() && !HasFailures)
-    return SendBlock::None;
-  if (isLeaving(S, Server, Incarnation))
-    return SendBlock::Leaving;
-  if (HasFailures && isPathBlocked(S, Server, Now))
-    return SendBlock::NoPath;
   auto Found = S.Paused.find(Server);
-  if (Found == S.Paused.end() || Found->second.Incarnation != Incarnation)
-    return SendBlock::None;
-  if (Now < Found->second.Until)
-    return SendBlock::Paused;
-  bool IsOwnProbe = Found->second.Probe == Ticket;
-  return !IsOwnProbe && isProbed(S, Server, Found->second) ? SendBlock::Probed
-                                                           : SendBlock::None;
+  bool IsKnown =
+      Found != S.Paused.end() && Found->second.Incarnation == Incarnation;
+  return IsKnown ? pauseOf(S, Server, Found->second, Ticket, Now)
+                 : SendBlock::None;
 }
 
-const char *toString(SendBlock Block) {
-  switch (Block) {
-  case SendBlock::None:
-    return "the backend server may get the request";
-  case SendBlock::Leaving:
-    return "the backend server is leaving";
-  case SendBlock::Paused:
-    return "the backend server wants no requests for a time";
-  case SendBlock::Probed:
-    return "one request is under way to see whether the backend server takes "
-           "requests again";
-  case SendBlock::NoPath:
-    return "this host may not reach the backend server";
-  }
-  return "unknown";
+SendBlock pauseOf(const Gateway &S, const BackendId &Server,
+                  const PausedServer &Paused, std::uint64_t Ticket,
+                  TimePoint Now) {
+  if (Now < Paused.Until)
+    return SendBlock::Paused;
+  bool IsOwnProbe = Paused.Probe == Ticket;
+  return !IsOwnProbe && isProbed(S, Server, Paused) ? SendBlock::Probed
+                                                    : SendBlock::None;
 }
 
 void notePause(GatewayTurn &T, const AnsweringServer &From, int Status,
@@ -117,64 +100,22 @@
   T.S.Paused.erase(Found);
 }
 
-bool isToBeSpared(const Gateway &S, const BackendId &Server, TimePoint Now) {
-  auto Known = S.Servers.Servers.find(Server);
-  if (Known == S.Servers.Servers.end())
-    return false;
-  IncarnationNumber Incarnation = Known->second.Report.Incarnation;
-  auto Paused = S.Paused.find(Server);
-  bool IsPaused = Paused != S.Paused.end() &&
-                  Paused->second.Incarnation == Incarnation &&
-                  Now < Paused->second.Until;
-  return IsPaused || isLeaving(S, Server, Incarnation);
-}
-
 void noteProbe(GatewayTurn &T, const GatewayCall &C) {
   auto Found = T.S.Paused.find(C.Attempt.Server);
   if (Found != T.S.Paused.end())
     Found->second.Probe = C.Ticket;
 }
 
-std::vector<BackendId> blockedServers(const Gateway &S, std::uint64_t Ticket,
-                                      TimePoint Now) {
-  std::vector<BackendId> List;
-  for (const auto &[Id, Leaving] : S.Leaving) {
-    if (!Leaving.IsKnownByControl)
-      List.push_back(Id);
-  }
-  for (const auto &[Id, Paused] : S.Paused) {
-    if (blockOf(S, Id, Paused.Incarnation, Ticket, Now) != SendBlock::None)
-      List.push_back(Id);
-  }
-  for (const auto &[Id, Path] : S.Relays.Paths.Servers) {
-    if (Path.FailedAt != TimePoint() && isPathBlocked(S, Id, Now))
-      List.push_back(Id);
-  }
-  return List;
-}
-
-std::optional<Duration> pauseOfAll(GatewayTurn &T, const GatewayCall &C) {
-  Gateway &S = T.S;
-  if (S.Paused.empty())
-    return std::nullopt;
-  std::optional<TimePoint> First;
-  for (const auto &[Id, Known] : S.Servers.Servers) {
-    const ServerReport &R = Known.Report;
-    if (R.Service != C.Service || R.Phase != ServerPhase::Ready)
-      continue;
-    if (blockOf(S, Id, R.Incarnation, C.Ticket, T.Now) == SendBlock::None)
-      return std::nullopt;
-    auto Paused = S.Paused.find(Id);
-    if (Paused != S.Paused.end())
-      First =
-          std::min(First.value_or(Paused->second.Until), Paused->second.Until);
-  }
-  if (!First)
-    return std::nullopt;
-  Duration Wait = std::max(*First - T.Now, Duration::zero());
+Duration untilReturn(GatewayTurn &T, TimePoint Until) {
+  Duration Wait = std::max(Until - T.Now, Duration::zero());
   Duration Spread =
       std::max(MinReturnSpread, fromSeconds(toSeconds(Wait) * ReturnSpread));
-  return Wait + fromSeconds(toSeconds(Spread) * uniform(S.Rng));
+  return Wait + fromSeconds(toSeconds(Spread) * uniform(T.S.Rng));
+}
+
+void failPaused(GatewayTurn &T, GatewayCall &C, Duration Wait) {
+  fail(T, C, C.MayHaveRun ? Code::BackendFailed : Code::QueueFull,
+       "all backend servers of the service want no requests for a time", Wait);
 }
 
 } // namespace pimento::gateway
--- a/packages/gateway/SitePart.cpp
+++ b/packages/gateway/SitePart.cpp
@@ -213,6 +213,8 @@
 }
 
 void operatorCall(GatewayTurn &T, ExchangeId Exchange, const HttpRequest &R) {
+  if (serversCall(T, Exchange, R))
+    return;
   PlatformCall Call = T.S.Platform.DecodeCall(R);
   if (!std::holds_alternative<ReadyQuery>(Call)) {
     T.Out.push_back(calls::SendReply{
--- a/packages/relay/PathWatch.cpp
+++ b/packages/relay/PathWatch.cpp
@@ -14,6 +14,7 @@
 constexpr Duration EvidenceTime = seconds(2);
 /// A failure that was not repeated is forgotten after this time.
 constexpr Duration FailureRetention = seconds(3);
+constexpr Duration ForgetInterval = milliseconds(500);
 /// Servers of a service that are probed in turn, at least a few of each kind of
 /// path, and few enough that a round takes less than a second.
 constexpr std::size_t SampleSize = 8;
@@ -270,7 +271,7 @@
   ServerPath &P = W.Servers[Server];
   P.Service = Service;
   P.ReachedAt = Now;
-  W.FailedServers -= hasFailed(P) ? 1 : 0;
+  W.Failed.erase(Server);
   P.FailedAt = TimePoint();
   P.Finding = PathFinding::Unknown;
 }
@@ -281,7 +282,7 @@
   P.Service = Service;
   P.LastFailedAt = Now;
   if (!hasFailed(P)) {
-    W.FailedServers += 1;
+    W.Failed.insert(Server);
     P.FailedAt = Now;
     P.AskedAt = TimePoint();
     P.Finding = PathFinding::Unknown;
@@ -335,7 +336,8 @@
 std::vector<DoubtedServer> takeDoubts(PathWatch &W, std::size_t Max,
                                       TimePoint Now) {
   std::vector<std::pair<TimePoint, BackendId>> Due;
-  for (const auto &[Id, P] : W.Servers) {
+  for (const BackendId &Id : W.Failed) {
+    const ServerPath &P = W.Servers.at(Id);
     if (isToBeAsked(P, Now) && Now >= nextAsk(P))
       Due.emplace_back(P.AskedAt, Id);
   }
@@ -357,9 +359,9 @@
   std::vector<DoubtedServer> Lost;
   for (const ServiceId &Service : Services) {
     std::size_t Count = std::max<std::size_t>(1, Max / Services.size());
-    for (const auto &[Id, P] : W.Servers) {
-      if (P.Service != Service || !hasFailed(P) || Count == 0 ||
-          Lost.size() == Max)
+    for (const BackendId &Id : W.Failed) {
+      const ServerPath &P = W.Servers.at(Id);
+      if (P.Service != Service || Count == 0 || Lost.size() == Max)
         continue;
       Lost.push_back({Id, 0, Now - P.LastFailedAt});
       Count -= 1;
@@ -418,6 +420,15 @@
   return Probes;
 }
 
+std::vector<ServiceId> watchedServices(const PathWatch &W) {
+  std::vector<ServiceId> Services;
+  for (const auto &[Service, S] : W.Services) {
+    if (S.State != PathState::Direct)
+      Services.push_back(Service);
+  }
+  return Services;
+}
+
 std::vector<ServiceId> cutServices(const PathWatch &W) {
   std::vector<ServiceId> Services;
   for (const auto &[Service, S] : W.Services) {
@@ -447,7 +458,8 @@
 
 TimePoint nextDoubt(const PathWatch &W, TimePoint Now) {
   TimePoint Next = TimePoint::max();
-  for (const auto &[Id, P] : W.Servers) {
+  for (const BackendId &Id : W.Failed) {
+    const ServerPath &P = W.Servers.at(Id);
     if (isToBeAsked(P, Now))
       Next = std::min(Next, nextAsk(P));
   }
@@ -455,11 +467,15 @@
 }
 
 void forgetPaths(PathWatch &W, TimePoint Now) {
+  if (Now < W.ForgetAt)
+    return;
+  W.ForgetAt = Now + ForgetInterval;
   for (auto It = W.Servers.begin(); It != W.Servers.end();) {
     const ServerPath &P = It->second;
     TimePoint Latest = std::max(P.ReachedAt, P.LastFailedAt);
     bool IsOld = Now > Latest + FailureRetention;
-    W.FailedServers -= IsOld && hasFailed(P) ? 1 : 0;
+    if (IsOld)
+      W.Failed.erase(It->first);
     It = IsOld ? W.Servers.erase(It) : std::next(It);
   }
   for (auto It = W.Services.begin(); It != W.Services.end();) {
--- a/packages/relay/PathWatch.h
+++ b/packages/relay/PathWatch.h
@@ -26,6 +26,7 @@
 #include <cstddef>
 #include <map>
 #include <optional>
+#include <set>
 #include <vector>
 
 namespace pimento {
@@ -67,9 +68,9 @@
 struct PathWatch {
   std::map<BackendId, ServerPath> Servers;
   std::map<ServiceId, ServicePath> Services;
-  TimePoint AnyReachedAt{};      // Latest new connection to any server.
-  std::size_t FailedServers = 0; // Servers that failed and were not reached
-                                 // since.
+  TimePoint AnyReachedAt{};   // Latest new connection to any server.
+  std::set<BackendId> Failed; // Servers that failed and were not reached since.
+  TimePoint ForgetAt{};       // Next time at which forgetPaths() does anything.
 };
 
 /// What is known of a failure to connect.
@@ -119,6 +120,8 @@
                                   const std::vector<BackendId> &Ready,
                                   TimePoint Now);
 
+/// Services whose servers are probed.
+std::vector<ServiceId> watchedServices(const PathWatch &W);
 /// Services from which this host is cut off.
 std::vector<ServiceId> cutServices(const PathWatch &W);
 /// Services of which this host reaches no server, or too few: those from which
--- a/packages/relay/tests/PathWatchTest.cpp
+++ b/packages/relay/tests/PathWatchTest.cpp
@@ -241,7 +241,7 @@
   H.run(seconds(20));
   BOOST_TEST(H.W.Servers.empty());
   BOOST_TEST(H.W.Services.empty());
-  BOOST_TEST(H.W.FailedServers == 0U);
+  BOOST_TEST(H.W.Failed.empty());
   BOOST_TEST((nextProbe(H.W) == TimePoint::max()));
   BOOST_TEST((nextDoubt(H.W, H.Now) == TimePoint::max()));
   std::size_t Probes = H.Probes;
