gateway, control: logs join calls that ended early with the end of their server

A call that ended by its caller's leaving and the later end of its server had no line in common, and the end of a quarantine did not say what had accused it.

run_unfinished names server, incarnation, request and parts where a call or a try ends before its server has; crash_check and engine_crash name the incarnation; part_released and request_released the crashes.

--- a/packages/control/ControlQuarantine.cpp
+++ b/packages/control/ControlQuarantine.cpp
@@ -45,6 +45,18 @@
   return Record;
 }
 
+/// Adds the crashes that accused what is released.
+void addEvidence(DecisionRecord &Record, const CrashQuarantine &S,
+                 const Suspect &What) {
+  std::uint64_t Crashes = 0;
+  for (bool AllAccounts : {false, true}) {
+    auto Found = S.Entries.find(scopeOf(What, AllAccounts));
+    if (Found != S.Entries.end())
+      Crashes = std::max(Crashes, Found->second.Crashes);
+  }
+  Record.add("crashes", static_cast<std::int64_t>(Crashes));
+}
+
 std::vector<Suspect> watchedSuspects(const CrashQuarantine &S) {
   std::vector<Suspect> List;
   for (const auto &[What, Since] : S.Watched)
@@ -151,6 +163,7 @@
     DecisionRecord Record{
         "engine_crash", {}, "a backend server broke off answers of a host", {}};
     Record.add("server", Crash.Server.Value);
+    Record.add("incarnation", static_cast<std::int64_t>(Crash.Incarnation));
     Record.add("reporter", From.Value);
     Record.add("requests", static_cast<std::int64_t>(Crash.Requests.size()));
     Record.add("age_ms", toMilliseconds(Crash.Age));
@@ -165,6 +178,7 @@
         recordAbout(Clearance.Cleared, "part_released", "request_released",
                     "it was answered completely");
     Record.add("reporter", From.Value);
+    addEvidence(Record, Q, Clearance.Cleared);
     log(T, std::move(Record));
   }
   if (Changed)
--- a/packages/gateway/Attempt.cpp
+++ b/packages/gateway/Attempt.cpp
@@ -198,8 +198,28 @@
             "\"");
 }
 
+/// Logs that the call ends before its server has ended the work on it.
+void logUnfinishedRun(GatewayTurn &T, const GatewayCall &C) {
+  bool IsAtServer = C.Attempt.Upstream != UpstreamId{} ||
+                    C.Attempt.EndQuery != UpstreamId{};
+  if (!IsAtServer || !C.Attempt.BytesSent || !C.Attempt.Relay.empty())
+    return;
+  DecisionRecord Record =
+      record(T, C, "run_unfinished", "the server may still be at work on it");
+  Record.add("server", C.Attempt.Server.Value);
+  Record.add("incarnation",
+             static_cast<std::int64_t>(C.Attempt.ServerIncarnation));
+  Record.add("ran_ms", toMilliseconds(T.Now - C.Attempt.Began));
+  Record.add("account", C.Account.Value);
+  Record.add("request_digest", toString(C.Digest));
+  if (C.OnEngine)
+    Record.add("parts", partsText(C.Info.Parts));
+  log(T, std::move(Record));
+}
+
 /// Ends the exchange of a failed attempt, if it is still open.
 void abandonUpstream(GatewayTurn &T, GatewayCall &C) {
+  logUnfinishedRun(T, C);
   dropConfirmation(T, C);
   if (C.Attempt.Upstream == UpstreamId{})
     return;
@@ -360,6 +380,8 @@
 }
 
 void closeAttempt(GatewayTurn &T, GatewayCall &C, bool Abort) {
+  if (Abort)
+    logUnfinishedRun(T, C);
   dropConfirmation(T, C);
   if (C.Attempt.Upstream == UpstreamId{})
     return;
--- a/packages/gateway/CrashCheckPart.cpp
+++ b/packages/gateway/CrashCheckPart.cpp
@@ -40,6 +40,7 @@
               bool HasCrashed) {
   DecisionRecord Record{"crash_check", {}, Reason, {}};
   Record.add("server", Check.Crash.Server.Value);
+  Record.add("incarnation", static_cast<std::int64_t>(Check.Crash.Incarnation));
   Record.add("crashed", HasCrashed);
   Record.add("requests",
              static_cast<std::int64_t>(Check.Crash.Requests.size()));
