gateway: failing tests of requests that end servers after their callers left

The simulated site has callers that leave, servers that go on with work whose connection was closed, bad requests that are answered now and then, and hosts that get SIGTERM.

--- a/packages/gateway/tests/ServerSite.cpp
+++ b/packages/gateway/tests/ServerSite.cpp
@@ -1,6 +1,7 @@
 #include "gateway/tests/ServerSite.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace pimento::testing {
 
@@ -16,6 +17,8 @@
 constexpr Duration CrashDelay = milliseconds(30);
 constexpr Duration EngineDownTime = milliseconds(2000);
 constexpr Duration ReportInterval = milliseconds(1200);
+/// An entry host that was stopped starts again so much later.
+constexpr Duration RestartTime = milliseconds(500);
 constexpr int EngineCount = 10;
 constexpr int PlainCount = 4;
 constexpr Duration PlainTime = milliseconds(15);
@@ -117,11 +120,7 @@
   EntryNode &N = Entries.at(Name);
   N.Up = false;
   N.BackAt = now() + Down;
-  for (SiteServer &E : Engines) {
-    auto Is = [&](const EngineRun &R) { return R.Host == Name; };
-    E.Runs.erase(std::remove_if(E.Runs.begin(), E.Runs.end(), Is),
-                 E.Runs.end());
-  }
+  dropRuns([&](const EngineRun &R) { return R.Host == Name; });
   for (auto &[Other, Node] : Entries) {
     if (!Node.Up)
       continue;
@@ -130,10 +129,26 @@
   }
 }
 
+void ServerSite::dropRuns(const std::function<bool(const EngineRun &)> &Is) {
+  for (SiteServer &E : Engines) {
+    for (EngineRun &Run : E.Runs)
+      Run.IsLost = Run.IsLost || (WorksOn && Is(Run));
+    if (!WorksOn)
+      E.Runs.erase(std::remove_if(E.Runs.begin(), E.Runs.end(), Is),
+                   E.Runs.end());
+  }
+}
+
 void ServerSite::freezeEntry(const HostId &Name, Duration Time) {
   Entries.at(Name).FrozenUntil = now() + Time;
 }
 
+void ServerSite::stopEntry(const HostId &Name) {
+  EntryNode &N = Entries.at(Name);
+  if (N.Up)
+    event(N, StopRequested());
+}
+
 void ServerSite::event(EntryNode &N, const Event &E) {
   if (now() < N.FrozenUntil) {
     Late.push_back({N.FrozenUntil, N.Name, E});
@@ -154,15 +169,12 @@
                        Send->Content});
   } else if (const auto *Open = std::get_if<calls::OpenUpstream>(&E)) {
     open(N, *Open);
+  } else if (std::holds_alternative<Exit>(E)) {
+    Ended.insert(N.Name);
   } else if (const auto *Abort = std::get_if<calls::AbortUpstream>(&E)) {
-    for (SiteServer &Engine : Engines) {
-      auto Is = [&](const EngineRun &R) {
-        return R.Host == N.Name && R.Upstream == Abort->Upstream;
-      };
-      Engine.Runs.erase(
-          std::remove_if(Engine.Runs.begin(), Engine.Runs.end(), Is),
-          Engine.Runs.end());
-    }
+    dropRuns([&](const EngineRun &R) {
+      return R.Host == N.Name && R.Upstream == Abort->Upstream;
+    });
   } else if (const auto *Bytes = std::get_if<calls::StreamBytes>(&E)) {
     ViewOf(Bytes->Exchange).Began = true;
     ViewOf(Bytes->Exchange).Text += Bytes->Bytes;
@@ -293,6 +305,8 @@
     Seen->second.Sends.push_back(now());
     Run.Call = Call;
   }
+  Run.EndsServer = (Run.Bad || Run.Call.has_value()) &&
+                   (Load.BadShare >= 1 || uniform(Rng) < Load.BadShare);
   Run.BeginsAt = now() + (Engine->Service == "plain" ? PlainTime : PrefillTime);
   Engine->Runs.push_back(std::move(Run));
 }
@@ -421,7 +435,7 @@
     auto Run = std::find_if(E.Runs.begin(), E.Runs.end(), Is);
     if (Run == E.Runs.end())
       continue;
-    if (Run->Call && (Run->Events > 0 || !Run->Streams)) {
+    if (Run->Call && Run->EndsServer && (Run->Events > 0 || !Run->Streams)) {
       BadViews[*Run->Call].Crashes.push_back(now());
       crash(Index);
       return;
@@ -435,11 +449,11 @@
     }
     EntryNode &N = Entries.at(Host);
     int Number = ++Run->Events;
-    if (Run->Bad && Number > 1) {
+    if (Run->Bad && Run->EndsServer && Number > 1) {
       crash(Index, /*ByRequest=*/true);
       return;
     }
-    bool IsBad = Run->Bad || Run->Call.has_value();
+    bool IsBad = Run->EndsServer;
     Run->NextEventAt = now() + (IsBad ? CrashDelay : EventInterval);
     bool IsLost = Run->IsLost;
     int First = Run->First;
@@ -503,6 +517,8 @@
     endSilences();
     stepLetters();
     stepLateEvents();
+    for (const HostId &Name : std::exchange(Ended, {}))
+      killEntry(Name, RestartTime);
     for (auto &[Name, N] : Entries) {
       if (!N.Up && now() >= N.BackAt)
         startEntry(Name);
--- a/packages/gateway/tests/ServerSite.h
+++ b/packages/gateway/tests/ServerSite.h
@@ -13,7 +13,8 @@
 // which breaks off all its answers; so does any server that runs a bad request,
 // known by its target, account and body. It is back after some seconds under
 // another id. A server may add headers to its answers, such as a limit of
-// requests. Entry hosts may lose their paths to servers (cutHost()).
+// requests. Entry hosts may lose their paths to servers (cutHost()). Callers
+// may leave before they are answered, while servers work on (WorksOn).
 //
 //===----------------------------------------------------------------------===//
 #pragma once
@@ -59,6 +60,7 @@
   bool Bad = false;
   bool Streams = true;
   bool IsLost = false;         // Its connection to the host is lost.
+  bool EndsServer = false;     // The server ends under it.
   std::optional<BadCall> Call; // It is this bad request.
   TimePoint BeginsAt{};        // The engine begins to write the answer.
   TimePoint NextEventAt{};
@@ -96,11 +98,13 @@
   bool Streams = false; // Its answer is a stream.
   std::string Account;
   HostId Host; // Entry host that it was sent to.
+  ExchangeId Exchange{};
   TimePoint SentAt{};
   TimePoint AnsweredAt{}; // The end of the answer; the epoch: none yet.
   std::string Text;       // Body, or the events of a stream so far.
   int Sends = 0;          // Sends that reached an engine.
   bool Began = false;
+  bool HasLeft = false;  // It closed its connection before the end.
   double RetryAfter = 0; // Seconds; zero: none.
   bool Complete = false;
   int Status = 0; // Of a reply without a stream; zero: none.
@@ -129,6 +133,9 @@
   bool BadIsFirst = false; // The bad part is the first part of the prompt.
   std::vector<std::string> Accounts = {"a", "b", "c"};
   bool OneBadAccount = false; // All bad requests are of the first account.
+  Duration BadLeaveAfter = Duration::max();   // Callers of bad requests leave.
+  Duration SoundLeaveAfter = Duration::max(); // Some callers of others do.
+  double BadShare = 1; // Share of the bad requests under which servers end.
 };
 
 /// Whether the route of the target has streams as answers.
@@ -142,6 +149,7 @@
   std::vector<PartId> BadParts; // Empty: no bad requests are sent.
   std::set<PartId> Cured;       // Bad parts that crash no engine any more.
   Traffic Load;
+  bool WorksOn = false; // Servers go on with work whose connection was closed.
   std::map<std::string, CallerView> Callers; // By the attempt's id.
   std::vector<TimePoint> BadCrashes;
   std::vector<TimePoint>
@@ -171,11 +179,15 @@
   /// Sends a request with this target, account and body, which may be a bad
   /// one; returns the id of its attempt.
   std::string callAs(const HostId &Host, const BadCall &Call);
+  /// The caller of the attempt closes its connection.
+  void leave(const std::string &Attempt);
   /// Breaks all connections of a server, which goes on running.
   void breakConnections(std::size_t Server);
   /// An entry host stands still for a time; what happens meanwhile reaches it
   /// afterwards.
   void freezeEntry(const HostId &Name, Duration Time);
+  /// Sends SIGTERM to an entry host; it starts again after it has ended.
+  void stopEntry(const HostId &Name);
   /// Cuts an entry host off from backend servers; ends an earlier cut of it.
   void cutHost(const HostId &Name, HostCut Cut);
   /// Ends the host's cut. What was lost stays lost.
@@ -221,7 +233,9 @@
   TimePoint PlainAt{};
   TimePoint BadCallAt{};
   std::size_t NextBadCall = 0;
+  std::set<std::pair<TimePoint, std::string>> Leaving; // Attempts, by time.
   std::deque<Letter> Letters;
+  std::set<HostId> Ended; // Entry hosts whose process ended by itself.
   std::map<std::pair<HostId, ExchangeId>, std::string> Exchanges;
 
   void startEntry(const HostId &Name);
@@ -241,6 +255,9 @@
   void stepEngine(std::size_t Index);
   void stepCallers();
   void stepOtherCallers();
+  void stepLeavingCallers();
+  void planLeaving(const std::string &Attempt, bool IsBad);
+  void dropRuns(const std::function<bool(const EngineRun &)> &Is);
   std::string send(const HostId &Host, HttpRequest R,
                    const std::string &Account, bool Bad);
   void cutRuns(SiteServer &E);
--- a/packages/gateway/tests/ServerTraffic.cpp
+++ b/packages/gateway/tests/ServerTraffic.cpp
@@ -50,6 +50,7 @@
   View.Streams = hasStreams(R.Target);
   View.Account = Account;
   View.Host = Host;
+  View.Exchange = Exchange;
   View.SentAt = now();
   R.Path = R.Target;
   R.Headers.push_back({"Host", "h"});
@@ -98,6 +99,29 @@
   return Attempt;
 }
 
+void ServerSite::leave(const std::string &Attempt) {
+  CallerView &View = Callers.at(Attempt);
+  EntryNode &N = Entries.at(View.Host);
+  if (!N.Up || View.AnsweredAt != TimePoint())
+    return;
+  View.HasLeft = true;
+  event(N, ExchangeLeft{View.Exchange});
+}
+
+void ServerSite::planLeaving(const std::string &Attempt, bool IsBad) {
+  Duration After = IsBad ? Load.BadLeaveAfter : Load.SoundLeaveAfter;
+  if (After != Duration::max())
+    Leaving.emplace(now() + After, Attempt);
+}
+
+void ServerSite::stepLeavingCallers() {
+  while (!Leaving.empty() && now() >= Leaving.begin()->first) {
+    std::string Attempt = Leaving.begin()->second;
+    Leaving.erase(Leaving.begin());
+    leave(Attempt);
+  }
+}
+
 void ServerSite::stepCallers() {
   while (Load.SoundEvery != Duration::max() && now() >= SoundAt) {
     SoundAt += Load.SoundEvery;
@@ -106,7 +130,9 @@
     // Sound requests share their other parts with the bad ones.
     PartId Shared{0x500 + static_cast<std::uint64_t>(Account[0])};
     std::vector<PartId> Parts = {CommonPart, Shared, PartId{NextPart++}};
-    call(anyEntry(), Account, Parts, false);
+    std::string Attempt = call(anyEntry(), Account, Parts, false);
+    if (NextAttempt % 3 == 0)
+      planLeaving(Attempt, /*IsBad=*/false);
   }
   while (!BadParts.empty() && now() >= BadAt) {
     BadAt += Load.BadEvery;
@@ -117,9 +143,11 @@
     std::vector<PartId> Parts = {CommonPart, Bad, PartId{NextPart++}};
     if (Load.BadIsFirst)
       Parts = {Bad, PartId{NextPart++}};
-    call(anyEntry(), Account, Parts, Cured.count(Bad) == 0);
+    planLeaving(call(anyEntry(), Account, Parts, Cured.count(Bad) == 0),
+                /*IsBad=*/true);
   }
   stepOtherCallers();
+  stepLeavingCallers();
 }
 
 void ServerSite::stepOtherCallers() {
@@ -129,7 +157,8 @@
   }
   while (!BadCalls.empty() && now() >= BadCallAt) {
     BadCallAt += Load.BadCallEvery;
-    callAs(anyEntry(), BadCalls[NextBadCall++ % BadCalls.size()]);
+    planLeaving(callAs(anyEntry(), BadCalls[NextBadCall++ % BadCalls.size()]),
+                /*IsBad=*/true);
   }
 }
 
@@ -156,7 +185,7 @@
   std::size_t All = 0;
   std::size_t Served = 0;
   for (const auto &[Attempt, View] : Callers) {
-    if (View.Bad || View.SentAt < From || View.SentAt >= Until)
+    if (View.Bad || View.HasLeft || View.SentAt < From || View.SentAt >= Until)
       continue;
     All += 1;
     Served += View.Complete && View.Sends == 1 ? 1 : 0;
