quarantine: what a server ran is evidence although its calls have ended

Callers saw sound requests refused, and a part of prompts went on ending engines, when those who sent it left before the engine ended: the call was the only place that knew what the server ran, and ended with its caller. Likewise for tries ended by time limit, by another copy, by the confirmation of a stream's end, and for servers that are spared a check.

Control hosts tell all entry hosts of a server that ended, without requests; each adds what it knows. A host that finds a server gone without a call of its own there reports that, too: refused connections whose path is not at fault, and servers that are replaced without an announcement. A host that stops hands its runs over to a control host.

--- a/packages/control/ControlQuarantine.cpp
+++ b/packages/control/ControlQuarantine.cpp
@@ -19,6 +19,11 @@
 /// Delay of a judgement at a host that does not judge, since another one leads.
 constexpr Duration NotJudgingDelay = milliseconds(500);
 constexpr std::size_t MaxClearances = 256;
+/// Entry hosts are told of a crash for this time, so that they report what else
+/// its server may have been at work on.
+constexpr Duration CrashNoticeTime = milliseconds(1200);
+/// Longest time for which the server of a handed over run may be at work.
+constexpr Duration MaxRunTime = std::chrono::minutes(10);
 constexpr const char *QuarantinePath = "/v1/quarantine";
 constexpr int HexBase = 16;
 
@@ -84,6 +89,17 @@
     S.Clearances[Clearance.Cleared] = Now;
 }
 
+/// A run that an entry host handed over before it stopped.
+UnfinishedRun runOf(const ServerRun &M, TimePoint Now) {
+  UnfinishedRun Run;
+  Run.Server = M.Server;
+  Run.Incarnation = M.Incarnation;
+  Run.Request = M.Request;
+  Run.Began = Now - M.Request.RanFor;
+  Run.Until = Now + std::min(M.TimeLeft, MaxRunTime);
+  return Run;
+}
+
 Json describe(const QuarantineScope &Scope, const Quarantined &Q,
               TimePoint Now) {
   const Suspect &What = Scope.What;
@@ -157,9 +173,14 @@
   bool Changed = false;
   for (const QuarantineRecord &Record : M.Records)
     Changed = applyRecord(Q, Record, T.Now) || Changed;
+  for (const ServerRun &Run : M.Unfinished)
+    addRun(Q, runOf(Run, T.Now), T.Now);
   for (const ServerCrash &Crash : M.Crashes) {
+    bool IsNew = Q.Crashes.count({Crash.Server, Crash.Incarnation}) == 0;
     if (!addCrash(Q, Crash, T.Now))
       continue;
+    if (IsNew)
+      T.S.UpdateDue = true;
     DecisionRecord Record{
         "engine_crash", {}, "a backend server broke off answers of a host", {}};
     Record.add("server", Crash.Server.Value);
@@ -193,6 +214,7 @@
   M.Digest = quarantineDigest(Q);
   if (M.Digest != KnownDigest)
     M.Records = quarantineRecords(Q, T.Now);
+  M.Crashes = endedServers(Q, T.Now - CrashNoticeTime, T.Now);
   std::vector<Suspect> Watched = watchedSuspects(Q);
   M.WatchDigest = watchDigest(Watched);
   if (M.WatchDigest != KnownWatchDigest)
--- a/packages/gateway/Attempt.cpp
+++ b/packages/gateway/Attempt.cpp
@@ -135,6 +135,8 @@
   FaultReport A;
   A.What = C.OnEngine ? FaultReport::Kind::Engine : FaultReport::Kind::Plain;
   A.Server = FaultyServer;
+  A.IsUnreached = !C.Attempt.BytesSent && FaultyServer == C.Attempt.Server;
+  A.Crash.Incarnation = C.Attempt.ServerIncarnation;
   holdFaultReport(T, std::move(A));
   // Without a connection the server has just been found not to be reached.
   if (C.Attempt.BytesSent)
@@ -198,28 +200,17 @@
             "\"");
 }
 
-/// Logs that the call ends before its server has ended the work on it.
-void logUnfinishedRun(GatewayTurn &T, const GatewayCall &C) {
-  bool IsAtServer = C.Attempt.Upstream != UpstreamId{} ||
-                    C.Attempt.EndQuery != UpstreamId{};
-  if (!IsAtServer || !C.Attempt.BytesSent || !C.Attempt.Relay.empty())
-    return;
-  DecisionRecord Record =
-      record(T, C, "run_unfinished", "the server may still be at work on it");
-  Record.add("server", C.Attempt.Server.Value);
-  Record.add("incarnation",
-             static_cast<std::int64_t>(C.Attempt.ServerIncarnation));
-  Record.add("ran_ms", toMilliseconds(T.Now - C.Attempt.Began));
-  Record.add("account", C.Account.Value);
-  Record.add("request_digest", toString(C.Digest));
-  if (C.OnEngine)
-    Record.add("parts", partsText(C.Info.Parts));
-  log(T, std::move(Record));
+/// Whether a server is at work on the call's current try, or is being asked
+/// whether it was to the end.
+bool isAtServer(const GatewayCall &C) {
+  return C.Attempt.Upstream != UpstreamId{} ||
+         C.Attempt.EndQuery != UpstreamId{};
 }
 
 /// Ends the exchange of a failed attempt, if it is still open.
 void abandonUpstream(GatewayTurn &T, GatewayCall &C) {
-  logUnfinishedRun(T, C);
+  if (isAtServer(C))
+    noteUnfinished(T, C);
   dropConfirmation(T, C);
   if (C.Attempt.Upstream == UpstreamId{})
     return;
@@ -373,6 +364,8 @@
     pathFailed(T, C.Attempt.Server);
   if (Why.BytesSent && !Why.TimedOut && !Why.Malformed)
     checkCrash(T, C);
+  else if (Why.BytesSent)
+    noteUnfinished(T, C);
   attemptFailed(T, C, Why.BytesSent,
                 Why.BytesSent ? Code::BackendFailed : Code::ConnectFailed,
                 Why.BytesSent ? "the connection broke"
@@ -380,8 +373,8 @@
 }
 
 void closeAttempt(GatewayTurn &T, GatewayCall &C, bool Abort) {
-  if (Abort)
-    logUnfinishedRun(T, C);
+  if (Abort && isAtServer(C))
+    noteUnfinished(T, C);
   dropConfirmation(T, C);
   if (C.Attempt.Upstream == UpstreamId{})
     return;
--- a/packages/gateway/CrashCheckPart.cpp
+++ b/packages/gateway/CrashCheckPart.cpp
@@ -11,20 +11,13 @@
 
 /// Time in which a server answers that it still runs.
 constexpr Duration CrashCheckTimeout = milliseconds(400);
-/// Parts of a prompt that are reported, the first ones.
-constexpr std::size_t MaxReportedParts = 32;
 
 CrashedRequest crashedRequest(const GatewayTurn &T, const GatewayCall &C) {
   CrashedRequest Request;
   Request.Account = C.Account;
   Request.Request = C.Digest;
   Request.RanFor = T.Now - C.Attempt.Began;
-  if (!C.OnEngine)
-    return Request;
-  const std::vector<PartId> &Parts = C.Info.Parts;
-  std::size_t Count = std::min(Parts.size(), MaxReportedParts);
-  Request.Parts.assign(Parts.begin(),
-                       Parts.begin() + static_cast<std::ptrdiff_t>(Count));
+  Request.Parts = reportedParts(C);
   return Request;
 }
 
@@ -121,6 +114,8 @@
 void checkCrash(GatewayTurn &T, const GatewayCall &C) {
   if (!C.Attempt.Relay.empty())
     return; // The relay checks it.
+  // It may go on although the connection broke, and end later.
+  noteUnfinished(T, C);
   if (isToBeSpared(T.S, C.Attempt.Server, T.Now))
     return;
   for (auto &[Upstream, Check] : T.S.CrashChecks) {
--- a/packages/gateway/FaultReportPart.cpp
+++ b/packages/gateway/FaultReportPart.cpp
@@ -39,7 +39,18 @@
         std::string("holds=\"") + (Holds ? "1" : "0") + "\"");
 }
 
+/// Whether the server was to take requests, by what is reported of it.
+bool wasUp(const Gateway &S, const BackendId &Server) {
+  auto Known = S.Servers.Servers.find(Server);
+  if (Known == S.Servers.Servers.end())
+    return false;
+  ServerPhase Phase = Known->second.Report.Phase;
+  return Phase == ServerPhase::Ready || Phase == ServerPhase::Silent;
+}
+
 void execute(GatewayTurn &T, FaultReport &R) {
+  if (R.IsUnreached && wasUp(T.S, R.Server))
+    serverEnded(T, R.Server, R.Crash.Incarnation);
   switch (R.What) {
   case FaultReport::Kind::Engine:
     reportEngineFault(T, R.Server);
--- a/packages/gateway/Gateway.h
+++ b/packages/gateway/Gateway.h
@@ -29,6 +29,7 @@
 // SpeedPart.cpp   load reports of engines suspected of being slow
 // QuarantinePart.cpp requests, and parts of prompts, that crash servers
 // CrashCheckPart.cpp servers that broke off answers: whether they still run
+// RunPart.cpp     what servers may be at work on after their calls have ended
 // ServerNoticePart.cpp what servers say of themselves in answers
 // LeavingPart.cpp servers that announced in answers that they leave
 // PausePart.cpp   servers that want no requests for a time
@@ -346,6 +347,10 @@
   TimePoint RefuseAt{}; // During shutdown: new requests are refused from then.
   TimePoint StopListeningAt{};
   TimePoint StopAt{};
+  bool HandsOver = false; // All calls have ended; what servers may still be at
+                          // work on is told to a control host.
+  std::uint64_t HandOverSequence = 0; // Of the message that tells it.
+  TimePoint HandOverUntil{};          // No answer is awaited any longer.
 };
 
 /// Returns the initial state of an entry host.
--- a/packages/gateway/GatewayTurn.h
+++ b/packages/gateway/GatewayTurn.h
@@ -185,6 +185,8 @@
 /// Whether the call is suspected of crashing servers by so many crashes that it
 /// is not sent to another one.
 bool isSuspectOfCrashes(const GatewayTurn &T, const GatewayCall &C);
+/// Reports to a control host without the usual delay between reports.
+void reportEvidenceSoon(GatewayTurn &T);
 /// Reports a crash with what is known of its suspects.
 void reportCrash(GatewayTurn &T, const ServerCrash &Crash);
 /// Records that a backend server answered the call completely.
@@ -194,6 +196,25 @@
 /// Merges what a control host knows of suspects of crashes.
 void onQuarantineUpdate(GatewayTurn &T, const QuarantineUpdate &M);
 
+// RunPart.cpp
+/// The parts of the call's prompt that are reported with a crash.
+std::vector<PartId> reportedParts(const GatewayCall &C);
+/// The call, or its current try, ends before its server has: remembers that the
+/// server may still be at work on it. Does nothing if no server is.
+void noteUnfinished(GatewayTurn &T, const GatewayCall &C);
+/// A server has ended as far as this host knows: reports what it may have been
+/// at work on.
+void serverEnded(GatewayTurn &T, const BackendId &Server,
+                 IncarnationNumber Incarnation);
+/// The same for a server that is reported to have been replaced, or to be gone
+/// without an announcement.
+void noteReplaced(GatewayTurn &T, const ServerReport &R);
+/// What this host hands over to a control host as it stops.
+std::vector<ServerRun> unfinishedRuns(const Gateway &S, TimePoint Now);
+/// Whether this host, which has no calls left, may end: what servers may be at
+/// work on is known to a control host, or there was no answer in time.
+bool hasHandedOver(GatewayTurn &T);
+
 // CrashCheckPart.cpp
 /// A backend server broke off its answer to the call: asks it whether it still
 /// runs.
--- a/packages/gateway/QuarantinePart.cpp
+++ b/packages/gateway/QuarantinePart.cpp
@@ -25,10 +25,6 @@
 constexpr Duration UntilOperatorActs = std::chrono::hours(1);
 constexpr Duration MinRetryAfter = seconds(1);
 
-void reportSoon(GatewayTurn &T) {
-  T.S.Link.NextSyncAt = std::min(T.S.Link.NextSyncAt, T.Now + ReportDelay);
-}
-
 /// The suspects of a crash that cut the request off.
 std::vector<Suspect> suspectsOf(const AccountId &Account,
                                 const RequestDigest &Digest,
@@ -127,6 +123,10 @@
 
 } // namespace
 
+void reportEvidenceSoon(GatewayTurn &T) {
+  T.S.Link.NextSyncAt = std::min(T.S.Link.NextSyncAt, T.Now + ReportDelay);
+}
+
 bool refuseQuarantined(GatewayTurn &T, GatewayCall &C) {
   QuarantineMatch Match = findQuarantine(T, C);
   if (Match.Entry == nullptr)
@@ -136,7 +136,7 @@
     beginTrial(T.S.Quarantine, Match.Scope, T.Now);
     logQuarantine(T, C, "part_trial", "request_trial",
                   "sent once to see whether servers still crash", Match);
-    reportSoon(T);
+    reportEvidenceSoon(T);
     return false;
   }
   const char *Reason = Match.Scope.What.isRequest()
@@ -165,7 +165,7 @@
     for (const Suspect &What : suspectsOf(R.Account, R.Request, R.Parts))
       reportAnswered(T, What);
   }
-  reportSoon(T);
+  reportEvidenceSoon(T);
 }
 
 void noteComplete(GatewayTurn &T, const GatewayCall &C) {
@@ -177,7 +177,7 @@
     if (!Watched)
       continue;
     T.S.Clearances.insert(What);
-    reportSoon(T);
+    reportEvidenceSoon(T);
   }
 }
 
@@ -199,6 +199,8 @@
   for (const auto &[What, Since] : Q.Watched)
     Watched.push_back(What);
   M.WatchDigest = watchDigest(Watched);
+  if (S.HandsOver)
+    M.Unfinished = unfinishedRuns(S, T.Now);
   return M;
 }
 
@@ -218,6 +220,12 @@
     log(T, std::move(Record));
     withdrawCalls(T);
   }
+  // What this host knows of the servers' work is asked for.
+  for (const ServerCrash &Crash : M.Crashes) {
+    if (addCrash(Q, Crash, T.Now) &&
+        hasRuns(Q.Unfinished, Crash.Server, Crash.Incarnation))
+      reportEvidenceSoon(T);
+  }
   if (M.WatchDigest == 0)
     Q.Watched.clear();
   if (M.Watched.empty())
@@ -228,7 +236,7 @@
     reportAnswered(T, What);
   }
   if (!T.S.Clearances.empty())
-    reportSoon(T);
+    reportEvidenceSoon(T);
 }
 
 } // namespace pimento::gateway
--- a/packages/gateway/RelayState.h
+++ b/packages/gateway/RelayState.h
@@ -42,7 +42,8 @@
   BackendId Server;
   ServiceId Service;
   TimePoint At{};
-  ServerCrash Crash; // Of Kind::Crash.
+  bool IsUnreached = false; // No connection to the server could be made.
+  ServerCrash Crash;        // Of Kind::Crash; of others only the incarnation.
 };
 
 /// Another host's query whether this host reaches servers, until probes tell.
--- a/packages/gateway/SitePart.cpp
+++ b/packages/gateway/SitePart.cpp
@@ -55,6 +55,7 @@
   bool Changed = false;
   for (const ServerReport &Reported : M.Servers) {
     ServerReport R = knownPhase(T, Reported);
+    noteReplaced(T, R);
     if (!applyReport(S.Servers, R, T.Now - R.Age))
       continue;
     Changed = true;
@@ -109,7 +110,7 @@
   bool LimitPassed = T.Now >= S.StopAt;
   if (LimitPassed)
     failOpenCalls(T);
-  if (S.Calls.empty() && S.Relays.Taken.empty())
+  if (S.Calls.empty() && S.Relays.Taken.empty() && hasHandedOver(T))
     T.Out.push_back(Exit{LimitPassed ? 1 : 0});
   S.StopListeningAt = T.Now + milliseconds(50);
 }
--- a/packages/quarantine/CrashQuarantine.cpp
+++ b/packages/quarantine/CrashQuarantine.cpp
@@ -41,10 +41,25 @@
   return std::any_of(Crash.Requests.begin(), Crash.Requests.end(), Is);
 }
 
-/// Drops an explained crash if there is one, since it accuses little else.
+/// Adds a suspect of a crash. Returns true if it is new.
+bool addRequest(KnownCrash &Known, const CrashedRequest &R) {
+  if (Known.Requests.size() >= MaxCrashRequests || isKnownRequest(Known, R))
+    return false;
+  Known.Requests.push_back(R);
+  return true;
+}
+
+/// The crash is to be judged with what is new.
+void crashChanged(CrashQuarantine &S, KnownCrash &Known, TimePoint Now) {
+  Known.ChangedAt = Now;
+  S.JudgeAt = std::min(S.JudgeAt, Now + JudgeDelay);
+}
+
+/// Drops a crash that accuses little or nothing if there is one.
 void dropOldestCrash(CrashQuarantine &S) {
   auto Rank = [](const KnownCrash &Crash) {
-    bool IsOpen = !Crash.Explained && Crash.Culprits.empty();
+    bool IsOpen =
+        !Crash.Requests.empty() && !Crash.Explained && Crash.Culprits.empty();
     return std::pair(IsOpen, Crash.At);
   };
   auto Older = [&](const auto &A, const auto &B) {
@@ -80,26 +95,38 @@
 
 bool addCrash(CrashQuarantine &S, const ServerCrash &Crash, TimePoint Now) {
   TimePoint At = Now - Crash.Age;
-  if (Crash.Requests.empty() || Crash.Age > EvidenceRetention)
+  if (Crash.Age > EvidenceRetention)
     return false;
-  KnownCrash &Known = S.Crashes[{Crash.Server, Crash.Incarnation}];
-  Known.At = Known.Requests.empty() ? At : std::min(Known.At, At);
-  bool Changed = false;
-  for (const CrashedRequest &R : Crash.Requests) {
-    if (Known.Requests.size() >= MaxCrashRequests || isKnownRequest(Known, R))
-      continue;
-    Known.Requests.push_back(R);
-    Changed = true;
-  }
+  auto [It, Changed] =
+      S.Crashes.try_emplace({Crash.Server, Crash.Incarnation}, KnownCrash());
+  KnownCrash &Known = It->second;
+  if (Changed)
+    Known.KnownSince = Now;
+  Known.At = Changed ? At : std::min(Known.At, At);
+  for (const CrashedRequest &R : Crash.Requests)
+    Changed = addRequest(Known, R) || Changed;
+  for (const CrashedRequest &R :
+       runsAt(S.Unfinished, Crash.Server, Crash.Incarnation, Known.At))
+    Changed = addRequest(Known, R) || Changed;
   if (!Changed)
     return false;
-  Known.ChangedAt = Now;
-  S.JudgeAt = std::min(S.JudgeAt, Now + JudgeDelay);
+  crashChanged(S, Known, Now);
   if (S.Crashes.size() > MaxCrashes)
     dropOldestCrash(S);
   return true;
 }
 
+bool addRun(CrashQuarantine &S, UnfinishedRun Run, TimePoint Now) {
+  auto Found = S.Crashes.find({Run.Server, Run.Incarnation});
+  bool IsEnded = Found != S.Crashes.end() &&
+                 mayHaveRun(Run, Found->second.At) &&
+                 addRequest(Found->second, crashedBy(Run, Found->second.At));
+  if (IsEnded)
+    crashChanged(S, Found->second, Now);
+  noteRun(S.Unfinished, std::move(Run), Now);
+  return IsEnded;
+}
+
 bool addClearance(CrashQuarantine &S, const SuspectClearance &Clearance,
                   TimePoint Now) {
   const Suspect &What = Clearance.Cleared;
@@ -204,6 +231,16 @@
   return List;
 }
 
+std::vector<ServerCrash> endedServers(const CrashQuarantine &S, TimePoint Since,
+                                      TimePoint Now) {
+  std::vector<ServerCrash> List;
+  for (const auto &[Key, Crash] : S.Crashes) {
+    if (Crash.KnownSince > Since)
+      List.push_back({Key.first, Key.second, Now - Crash.At, {}});
+  }
+  return List;
+}
+
 std::size_t unansweredCrashes(const CrashQuarantine &S,
                               const Suspect &Request) {
   std::optional<TimePoint> Answer = answeredAt(S.Answered, Request);
--- a/packages/quarantine/CrashQuarantine.h
+++ b/packages/quarantine/CrashQuarantine.h
@@ -1,7 +1,8 @@
 //===- CrashQuarantine.h - Requests that crash servers ----------*- C++ -*-===//
 //
 //   CrashQuarantine S;
-//   addCrash(S, Crash, Now);         // A backend server broke off answers.
+//   addCrash(S, Crash, Now);         // A backend server ended.
+//   addRun(S, Run, Now);             // A call ended before its server.
 //   addClearance(S, Clearance, Now); // A request was answered completely.
 //   judgeCrashes(S, Now);            // Returns what is new in quarantine.
 //   QuarantineMatch M = findQuarantine(S, Account, Digest, Parts);
@@ -39,6 +40,7 @@
 #pragma once
 
 #include "quarantine/AnswerHistory.h"
+#include "quarantine/RunHistory.h"
 #include "wire/SiteMessages.h"
 
 #include <cstdint>
@@ -100,7 +102,8 @@
 /// hosts.
 struct KnownCrash {
   TimePoint At{};
-  TimePoint ChangedAt{}; // When a request was last added.
+  TimePoint KnownSince{}; // When this host learned of it.
+  TimePoint ChangedAt{};  // When a request was last added.
   std::vector<CrashedRequest> Requests;
   bool Explained = false; // A quarantined part was in one of its requests.
   std::set<RequestDigest> Culprits; // Its requests that were in quarantine.
@@ -119,15 +122,21 @@
 
 struct CrashQuarantine {
   std::map<std::pair<BackendId, IncarnationNumber>, KnownCrash> Crashes;
+  RunHistory Unfinished; // Of this host, or handed over to it.
   AnswerHistory Answered;
   std::map<QuarantineScope, Quarantined> Entries;
   std::map<Suspect, TimePoint> Watched; // Accused ones, and since when.
   TimePoint JudgeAt = TimePoint::max(); // The next judgement is due then.
 };
 
-/// Adds the suspects of a crash. Returns true if any is new.
+/// Adds a crash and its suspects, with those that the server may have been at
+/// work on by what this host remembers. Returns true if anything is new.
 bool addCrash(CrashQuarantine &S, const ServerCrash &Crash, TimePoint Now);
 
+/// Remembers that a server may still be at work on a request. Returns true if
+/// the server is known to have crashed meanwhile.
+bool addRun(CrashQuarantine &S, UnfinishedRun Run, TimePoint Now);
+
 /// Records a complete answer. Ends a quarantine that the answer disproves.
 /// Returns true if the quarantines changed.
 bool addClearance(CrashQuarantine &S, const SuspectClearance &Clearance,
@@ -159,6 +168,11 @@
 std::vector<ServerCrash> crashesSince(const CrashQuarantine &S, TimePoint Since,
                                       TimePoint Now);
 
+/// Returns the crashes that this host has learned of after \p Since, without
+/// their requests.
+std::vector<ServerCrash> endedServers(const CrashQuarantine &S, TimePoint Since,
+                                      TimePoint Now);
+
 /// Number of crashes in which the request was cut off and that were not
 /// followed by a complete answer to it, as far as this host knows.
 std::size_t unansweredCrashes(const CrashQuarantine &S, const Suspect &Request);
--- a/packages/quarantine/QuarantineJudge.cpp
+++ b/packages/quarantine/QuarantineJudge.cpp
@@ -17,9 +17,10 @@
 /// Time in which entry hosts report that they know complete answers with an
 /// accused suspect. It is not judged earlier.
 constexpr Duration WatchTime = milliseconds(300);
-/// Time in which all entry hosts report a crash. Earlier, its suspects are not
-/// complete, and it is not judged.
+/// Time in which all entry hosts report a crash, from the crash and from when
+/// it is known. Earlier, its suspects are not complete, and it is not judged.
 constexpr Duration CrashReportTime = milliseconds(500);
+constexpr Duration LateReportTime = milliseconds(300);
 /// A complete answer within this time proves a suspect sound so far.
 constexpr Duration ProofRetention = std::chrono::minutes(10);
 /// Strength of the accusation from which the clearances of a suspect are
@@ -67,8 +68,13 @@
   }
 }
 
+TimePoint reportedAt(const KnownCrash &Crash) {
+  return std::max(Crash.At + CrashReportTime,
+                  Crash.KnownSince + LateReportTime);
+}
+
 bool isReported(const KnownCrash &Crash, TimePoint Now) {
-  return Now >= Crash.At + CrashReportTime;
+  return Now >= reportedAt(Crash);
 }
 
 /// Returns the unexplained crashes that all hosts have reported, in the order
@@ -77,7 +83,8 @@
                                             TimePoint Now) {
   std::vector<const KnownCrash *> Open;
   for (const auto &[Key, Crash] : S.Crashes) {
-    if (!Crash.Explained && isReported(Crash, Now))
+    bool AccusesAny = !Crash.Explained && !Crash.Requests.empty();
+    if (AccusesAny && isReported(Crash, Now))
       Open.push_back(&Crash);
   }
   std::sort(Open.begin(), Open.end(),
@@ -329,7 +336,7 @@
   }
   for (const auto &[Key, Crash] : S.Crashes) {
     if (!Crash.Explained && !isReported(Crash, Now))
-      S.JudgeAt = std::min(S.JudgeAt, Crash.At + CrashReportTime);
+      S.JudgeAt = std::min(S.JudgeAt, reportedAt(Crash));
   }
   for (const auto &[What, Since] : S.Watched) {
     if (Now < Since + WatchTime)
--- a/packages/wire/SiteMessages.h
+++ b/packages/wire/SiteMessages.h
@@ -102,7 +102,7 @@
   }
 };
 
-/// A backend server that broke off the answers to requests of an entry host.
+/// A backend server that ended, and what it was at work on for an entry host.
 struct ServerCrash {
   BackendId Server;
   IncarnationNumber Incarnation = 0; // Of the server.
@@ -115,6 +115,20 @@
   }
 };
 
+/// A request that a backend server may still be at work on, although no call
+/// waits for it any more.
+struct ServerRun {
+  BackendId Server;
+  IncarnationNumber Incarnation = 0; // Of the server.
+  CrashedRequest Request;            // RanFor: time since its sending.
+  Duration TimeLeft = {};            // Negative: its time has been up so long.
+
+  template <class Self, class Visitor>
+  static void fields(Self &M, Visitor &&Visit) {
+    Visit(M.Server, M.Incarnation, M.Request, M.TimeLeft);
+  }
+};
+
 /// A request with the suspect was answered completely.
 struct SuspectClearance {
   Suspect Cleared;
@@ -152,18 +166,21 @@
 struct QuarantineUpdate {
   std::uint64_t Digest = 0; // Of all records of the sender; zero: it has none.
   std::vector<QuarantineRecord> Records; // Empty if the receiver has the same.
-  std::vector<ServerCrash> Crashes;      // Recent crashes.
+  std::vector<ServerCrash> Crashes; // Recent crashes. From control hosts to
+                                    // entry hosts: without requests, to
+                                    // ask for those that they know of.
   std::vector<SuspectClearance> Clearances; // Of watched and other suspects.
   std::uint64_t WatchDigest = 0; // Of the watched suspects; zero: none. From
                                  // entry hosts: of those that they know.
   std::vector<Suspect> Watched;  // From control hosts: suspects whose next
                                  // complete answer is to be reported; empty
                                  // if the receiver knows them.
+  std::vector<ServerRun> Unfinished; // From an entry host that stops.
 
   template <class Self, class Visitor>
   static void fields(Self &M, Visitor &&Visit) {
     Visit(M.Digest, M.Records, M.Crashes, M.Clearances, M.WatchDigest,
-          M.Watched);
+          M.Watched, M.Unfinished);
   }
 };
 
