quarantine: answers are weighed against crashes instead of clearing them

A part that ended its engine in one of two cases, or of four, was never held; one that had been sound needed eight crashes.

Entry hosts count complete answers (by spans of two seconds, 16 s back) and report the numbers for watched suspects, those in two crashes within a minute. An accusation has a weight: how much better its crashes and other runs are explained by a suspect that ends servers than by one that is cut off as often as any other; the suspect of most weight is the better explanation. A suspect that was answered within ten minutes is held after five crashes if most of its latest runs ended servers, or a sixth of all that are known, a second after the fifth. Such a quarantine ends by many answers or the last trial; one that ended begins again only after another crash, with all evidence. Operators' orders forgive what was before.

Old and new hosts: an answer without a number clears, as before; the end of a quarantine that an entry host of an earlier version reports is contested by the control hosts while their evidence denies it.

--- a/packages/control/ControlQuarantine.cpp
+++ b/packages/control/ControlQuarantine.cpp
@@ -44,6 +44,7 @@
       recordAbout(Scope.What, PartKind, RequestKind, Reason);
   Record.add("all_accounts", Scope.AllAccounts);
   Record.add("crashes", static_cast<std::int64_t>(Q.Crashes));
+  Record.add("answers", static_cast<std::int64_t>(Q.Answers));
   Record.add("requests", static_cast<std::int64_t>(Q.Requests));
   Record.add("trials", static_cast<std::int64_t>(Q.Trials));
   Record.add("version", static_cast<std::int64_t>(Q.Version));
@@ -107,6 +108,7 @@
                 {"all_accounts", Scope.AllAccounts},
                 {"since_ms", toMilliseconds(Now - Q.Since)},
                 {"crashes", Q.Crashes},
+                {"answers", Q.Answers},
                 {"requests", Q.Requests},
                 {"trials", Q.Trials}};
   if (!Scope.AllAccounts)
@@ -167,12 +169,10 @@
 
 } // namespace
 
-void onQuarantineUpdate(ControlTurn &T, const HostId &From,
+void onQuarantineUpdate(ControlTurn &T, const HostId &From, SenderRole Role,
                         const QuarantineUpdate &M) {
   CrashQuarantine &Q = T.S.Quarantine;
   bool Changed = false;
-  for (const QuarantineRecord &Record : M.Records)
-    Changed = applyRecord(Q, Record, T.Now) || Changed;
   for (const ServerRun &Run : M.Unfinished)
     addRun(Q, runOf(Run, T.Now), T.Now);
   for (const ServerCrash &Crash : M.Crashes) {
@@ -202,6 +202,11 @@
     addEvidence(Record, Q, Clearance.Cleared);
     log(T, std::move(Record));
   }
+  // After the answers, which may end a quarantine here as well.
+  for (const QuarantineRecord &Record : M.Records) {
+    bool IsContested = Role == SenderRole::EntryHost && contestEnd(Q, Record);
+    Changed = IsContested || applyRecord(Q, Record, T.Now) || Changed;
+  }
   if (Changed)
     T.S.UpdateDue = true;
 }
@@ -233,7 +238,7 @@
   for (const auto &[What, ReceivedAt] : T.S.Clearances) {
     std::optional<TimePoint> At = answeredAt(Q.Answered, What);
     if (At && T.Now < ReceivedAt + EvidenceRelayTime)
-      M.Clearances.push_back({What, T.Now - *At});
+      M.Clearances.push_back({What, T.Now - *At, std::uint64_t(0)});
   }
   return M;
 }
--- a/packages/control/ControlSpread.cpp
+++ b/packages/control/ControlSpread.cpp
@@ -255,7 +255,7 @@
       S.UpdateDue = true;
   }
   Peer.QuarantineDigest = M.Quarantine.Digest;
-  onQuarantineUpdate(T, From, M.Quarantine);
+  onQuarantineUpdate(T, From, SenderRole::ControlHost, M.Quarantine);
   onLimitUpdate(T, Peer.Limits, M.Limits);
 }
 
@@ -275,7 +275,7 @@
   onConfigReported(T, From, Entry, M);
   Entry.QuarantineDigest = M.Quarantine.Digest;
   Entry.WatchDigest = M.Quarantine.WatchDigest;
-  onQuarantineUpdate(T, From, M.Quarantine);
+  onQuarantineUpdate(T, From, SenderRole::EntryHost, M.Quarantine);
   onLimitUpdate(T, Entry.Limits, M.Limits);
   onServersLeaving(T, M.Leaving);
   bool Whole = M.ControlIncarnation != T.S.Incarnation ||
--- a/packages/control/ControlTurn.h
+++ b/packages/control/ControlTurn.h
@@ -60,8 +60,9 @@
 void onServersLeaving(ControlTurn &T, const std::vector<ServerReport> &Reports);
 
 // ControlQuarantine.cpp
-/// Merges what another host knows of parts that crash engines.
-void onQuarantineUpdate(ControlTurn &T, const HostId &From,
+enum class SenderRole : std::uint8_t { ControlHost, EntryHost };
+/// Merges what another host knows of requests and parts that crash servers.
+void onQuarantineUpdate(ControlTurn &T, const HostId &From, SenderRole Role,
                         const QuarantineUpdate &M);
 /// What a host with the given digests lacks.
 QuarantineUpdate quarantineUpdateFor(const ControlTurn &T,
--- a/packages/gateway/Gateway.h
+++ b/packages/gateway/Gateway.h
@@ -339,8 +339,11 @@
   TimePoint NextLimitLog{};
   std::map<UpstreamId, CrashCheck> CrashChecks;
   std::uint64_t ControlQuarantineDigest = 0; // Of the active control host.
-  std::set<Suspect> Clearances;              // To be reported.
-  std::map<HostId, TimePoint> LostHosts;     // When a host's link was lost.
+  std::map<Suspect, std::uint64_t>
+      Clearances; // To be reported: complete answers since the last report.
+  std::set<Suspect> NewlyWatched; // Whose latest answers are to be reported.
+  HostId WatchSource;             // Control host that named the watched ones.
+  std::map<HostId, TimePoint> LostHosts; // When a host's link was lost.
   RelayState Relays; // Paths to servers, and requests by way of other hosts.
 
   bool Stopping = false;
--- a/packages/gateway/GatewayTurn.h
+++ b/packages/gateway/GatewayTurn.h
@@ -194,7 +194,8 @@
 /// What a control host is to know of suspects of crashes.
 QuarantineUpdate quarantineReport(GatewayTurn &T);
 /// Merges what a control host knows of suspects of crashes.
-void onQuarantineUpdate(GatewayTurn &T, const QuarantineUpdate &M);
+void onQuarantineUpdate(GatewayTurn &T, const HostId &From,
+                        const QuarantineUpdate &M);
 
 // RunPart.cpp
 /// The parts of the call's prompt that are reported with a crash.
--- a/packages/gateway/QuarantinePart.cpp
+++ b/packages/gateway/QuarantinePart.cpp
@@ -15,6 +15,11 @@
 /// Delay of a report, so that one message carries all calls that an engine's
 /// crash broke off.
 constexpr Duration ReportDelay = milliseconds(10);
+/// Delay of a report of answers to watched suspects.
+constexpr Duration WatchReportDelay = milliseconds(200);
+/// A request that was answered within this time is no suspect because it is
+/// watched.
+constexpr Duration SoundTime = seconds(60);
 /// Parts of a prompt whose answers are recorded, the first ones.
 constexpr std::size_t MaxRecordedParts = 32;
 /// Crashes after which a request is sent to no other server by itself.
@@ -49,21 +54,72 @@
                                  partsOf(C));
 }
 
-/// Reports the latest complete answer with the suspect, if one is known.
-void reportAnswered(GatewayTurn &T, const Suspect &What) {
+/// When the suspect was last answered completely, if that is known and proves
+/// anything yet.
+std::optional<TimePoint> provenAt(const GatewayTurn &T, const Suspect &What) {
   std::optional<TimePoint> At = answeredAt(T.S.Quarantine.Answered, What);
-  if (At && T.Now < *At + ProofRetention)
-    T.S.Clearances.insert(What);
+  return At && T.Now < *At + ProofRetention ? At : std::nullopt;
 }
 
-bool isWatched(const GatewayTurn &T, const Suspect &What) {
-  const CrashQuarantine &Q = T.S.Quarantine;
+bool isInQuarantine(const GatewayTurn &T, const Suspect &What) {
   std::vector<PartId> Parts;
   if (!What.isRequest())
     Parts = {What.Part};
-  return Q.Watched.count(What) > 0 ||
-         pimento::findQuarantine(Q, What.Account, What.Request, Parts).Entry !=
-             nullptr;
+  return pimento::findQuarantine(T.S.Quarantine, What.Account, What.Request,
+                                 Parts)
+             .Entry != nullptr;
+}
+
+/// Records that a request with the suspect was answered completely.
+void noteAnswer(GatewayTurn &T, const Suspect &What) {
+  bool IsWatched = T.S.Quarantine.Watched.count(What) > 0;
+  bool IsQuarantined = isInQuarantine(T, What);
+  addClearance(T.S.Quarantine, {What, Duration::zero(), 1}, T.Now);
+  if (!IsWatched && !IsQuarantined)
+    return;
+  T.S.Clearances[What] += 1;
+  Duration Delay = IsQuarantined ? ReportDelay : WatchReportDelay;
+  T.S.Link.NextSyncAt = std::min(T.S.Link.NextSyncAt, T.Now + Delay);
+}
+
+/// Adds the latest answers to suspects that a control host has begun to watch,
+/// and those to others since the last report.
+void addClearances(GatewayTurn &T, QuarantineUpdate &M) {
+  const AnswerHistory &H = T.S.Quarantine.Answered;
+  auto Add = [&](const Suspect &What, TimePoint At, std::uint64_t Count) {
+    M.Clearances.push_back({What, T.Now - At, Count});
+  };
+  for (const Suspect &What : T.S.NewlyWatched) {
+    T.S.Clearances.erase(What); // Counted here.
+    if (std::optional<TimePoint> At = provenAt(T, What))
+      Add(What, *At, 0);
+    for (const CountedAnswers &Answers : recentAnswers(H, What))
+      Add(What, Answers.Latest, Answers.Count);
+  }
+  for (const auto &[What, Count] : T.S.Clearances) {
+    if (std::optional<TimePoint> At = answeredAt(H, What))
+      Add(What, *At, Count);
+  }
+  T.S.NewlyWatched.clear();
+  T.S.Clearances.clear();
+}
+
+/// Takes over which suspects a control host watches.
+void watch(GatewayTurn &T, const HostId &From,
+           const std::vector<Suspect> &Watched) {
+  CrashQuarantine &Q = T.S.Quarantine;
+  std::map<Suspect, TimePoint> Before = std::move(Q.Watched);
+  Q.Watched.clear();
+  if (From != T.S.WatchSource)
+    Before.clear(); // What another control host was told is not known here.
+  T.S.WatchSource = From;
+  for (const Suspect &What : Watched) {
+    Q.Watched.emplace(What, T.Now);
+    if (Before.count(What) == 0)
+      T.S.NewlyWatched.insert(What);
+  }
+  if (!T.S.NewlyWatched.empty())
+    reportEvidenceSoon(T);
 }
 
 /// Whether this host may send a trial: only the placer does, so that there is
@@ -155,15 +211,19 @@
 
 bool isSuspectOfCrashes(const GatewayTurn &T, const GatewayCall &C) {
   Suspect Request = suspectOf(C.Account, C.Digest);
-  return T.S.Quarantine.Watched.count(Request) > 0 ||
+  std::optional<TimePoint> At = answeredAt(T.S.Quarantine.Answered, Request);
+  bool IsSound = At && T.Now < *At + SoundTime;
+  return (T.S.Quarantine.Watched.count(Request) > 0 && !IsSound) ||
          unansweredCrashes(T.S.Quarantine, Request) >= CrashesUntilSuspect;
 }
 
 void reportCrash(GatewayTurn &T, const ServerCrash &Crash) {
   addCrash(T.S.Quarantine, Crash, T.Now);
   for (const CrashedRequest &R : Crash.Requests) {
-    for (const Suspect &What : suspectsOf(R.Account, R.Request, R.Parts))
-      reportAnswered(T, What);
+    for (const Suspect &What : suspectsOf(R.Account, R.Request, R.Parts)) {
+      if (provenAt(T, What))
+        T.S.Clearances.emplace(What, 0);
+    }
   }
   reportEvidenceSoon(T);
 }
@@ -171,14 +231,8 @@
 void noteComplete(GatewayTurn &T, const GatewayCall &C) {
   if (!C.Attempt.Relay.empty())
     return; // The relay notes it.
-  for (const Suspect &What : suspectsOf(C.Account, C.Digest, partsOf(C))) {
-    bool Watched = isWatched(T, What);
-    addClearance(T.S.Quarantine, {What, Duration::zero()}, T.Now);
-    if (!Watched)
-      continue;
-    T.S.Clearances.insert(What);
-    reportEvidenceSoon(T);
-  }
+  for (const Suspect &What : suspectsOf(C.Account, C.Digest, partsOf(C)))
+    noteAnswer(T, What);
 }
 
 QuarantineUpdate quarantineReport(GatewayTurn &T) {
@@ -189,22 +243,20 @@
   if (M.Digest != S.ControlQuarantineDigest)
     M.Records = quarantineRecords(Q, T.Now);
   M.Crashes = crashesSince(Q, T.Now - ReportTime, T.Now);
-  // Sent once: while a suspect is watched, later answers clear it as well.
-  for (const Suspect &What : S.Clearances) {
-    if (std::optional<TimePoint> At = answeredAt(Q.Answered, What))
-      M.Clearances.push_back({What, T.Now - *At});
-  }
-  S.Clearances.clear();
+  addClearances(T, M);
   std::vector<Suspect> Watched;
   for (const auto &[What, Since] : Q.Watched)
     Watched.push_back(What);
-  M.WatchDigest = watchDigest(Watched);
+  // A control host that has not named them has no answers to them yet.
+  if (S.Link.ActiveControl == S.WatchSource)
+    M.WatchDigest = watchDigest(Watched);
   if (S.HandsOver)
     M.Unfinished = unfinishedRuns(S, T.Now);
   return M;
 }
 
-void onQuarantineUpdate(GatewayTurn &T, const QuarantineUpdate &M) {
+void onQuarantineUpdate(GatewayTurn &T, const HostId &From,
+                        const QuarantineUpdate &M) {
   CrashQuarantine &Q = T.S.Quarantine;
   T.S.ControlQuarantineDigest = M.Digest;
   bool Changed = false;
@@ -228,15 +280,8 @@
   }
   if (M.WatchDigest == 0)
     Q.Watched.clear();
-  if (M.Watched.empty())
-    return;
-  Q.Watched.clear();
-  for (const Suspect &What : M.Watched) {
-    Q.Watched.emplace(What, T.Now);
-    reportAnswered(T, What);
-  }
-  if (!T.S.Clearances.empty())
-    reportEvidenceSoon(T);
+  if (!M.Watched.empty())
+    watch(T, From, M.Watched);
 }
 
 } // namespace pimento::gateway
--- a/packages/gateway/SitePart.cpp
+++ b/packages/gateway/SitePart.cpp
@@ -165,7 +165,7 @@
   HostId ActiveControl = S.Link.ActiveControl;
   // Also from a control host that is not current: a quarantine holds while the
   // control hosts have no leader.
-  onQuarantineUpdate(T, M.Quarantine);
+  onQuarantineUpdate(T, From, M.Quarantine);
   onLimitRecords(T, M.Limits.Records);
   S.ControlLimitDigest = M.Limits.Digest;
   if (!applySiteState(S.Link, From, M, T.Now))
--- a/packages/quarantine/AnswerHistory.h
+++ b/packages/quarantine/AnswerHistory.h
@@ -1,12 +1,13 @@
 //===- AnswerHistory.h - When suspects were last answered -------*- C++ -*-===//
 //
 //   AnswerHistory H;
-//   noteAnswered(H, What, Now);
+//   noteAnswered(H, What, Now, 1);
 //   if (std::optional<TimePoint> At = answeredAt(H, What)) ...
+//   for (const CountedAnswers &A : recentAnswers(H, What)) ...
 //
 // Remembers the latest complete answer to a request, and to requests with a
-// part, by account and by part alone. Takes bounded memory: what was not
-// answered for longest is forgotten first.
+// part, by account and by part alone, and how many there were lately. Takes
+// bounded memory: what was not answered for longest is forgotten first.
 //
 //===----------------------------------------------------------------------===//
 #pragma once
@@ -14,14 +15,21 @@
 #include "base/Time.h"
 #include "wire/SiteMessages.h"
 
+#include <array>
 #include <cstdint>
 #include <optional>
 #include <unordered_map>
+#include <vector>
 
 namespace pimento {
 
 /// Entries per generation; two generations are kept.
 constexpr std::size_t MaxHistoryEntries = 4096;
+/// Answers are counted by spans of this length, the latest ones.
+constexpr Duration AnswerSpan = seconds(2);
+constexpr std::size_t AnswerSpans = 8;
+/// Time for which all answers are counted.
+constexpr Duration CountedTime = (AnswerSpans - 1) * AnswerSpan;
 
 struct HistoryKey {
   std::uint64_t Hi = 0; // Hash of account and part, or the request's digest.
@@ -36,14 +44,28 @@
   std::size_t operator()(const HistoryKey &Key) const { return Key.Hi; }
 };
 
+/// Complete answers to one suspect.
+struct AnswerTimes {
+  TimePoint Latest{};
+  std::int64_t Span = 0; // Number of the latest span with an answer.
+  std::array<std::uint16_t, AnswerSpans> Counts{}; // By span, in turn.
+};
+
+/// Complete answers within a span.
+struct CountedAnswers {
+  TimePoint Latest{};
+  std::uint64_t Count = 0;
+};
+
 struct AnswerHistory {
-  using Answers = std::unordered_map<HistoryKey, TimePoint, HashHistoryKey>;
+  using Answers = std::unordered_map<HistoryKey, AnswerTimes, HashHistoryKey>;
   Answers Recent; // When it is full, it replaces Older.
   Answers Older;
 };
 
-/// Records a complete answer; an earlier time than the known one is ignored.
-void noteAnswered(AnswerHistory &H, const Suspect &What, TimePoint At);
+/// Records complete answers, the latest of them at \p At.
+void noteAnswered(AnswerHistory &H, const Suspect &What, TimePoint At,
+                  std::uint64_t Count);
 
 /// Returns the time of the latest complete answer to a request of the account
 /// with the suspect; nothing if none is remembered.
@@ -53,4 +75,8 @@
 /// The same for requests of any account with the part.
 std::optional<TimePoint> answeredAt(const AnswerHistory &H, PartId Part);
 
+/// Returns the counted answers of the latest spans, the oldest first.
+std::vector<CountedAnswers> recentAnswers(const AnswerHistory &H,
+                                          const Suspect &What);
+
 } // namespace pimento
--- a/packages/quarantine/CrashQuarantine.cpp
+++ b/packages/quarantine/CrashQuarantine.cpp
@@ -18,6 +18,10 @@
 /// may still hold the earlier version.
 constexpr Duration EndedRetention = std::chrono::minutes(10);
 constexpr std::size_t MaxCrashRequests = 64;
+/// Counts of one suspect's answers that are kept, and the time within which
+/// answers are counted together.
+constexpr std::size_t MaxCounts = 256;
+constexpr Duration CountTime = milliseconds(100);
 
 std::uint64_t mix(std::uint64_t Hash, std::uint64_t Value) {
   constexpr std::uint64_t Prime = 0x100000001B3ULL;
@@ -91,6 +95,32 @@
   Q.TrialAt = TimePoint::max();
 }
 
+void countAnswers(AnswerSeries &List, TimePoint At, std::uint64_t Count) {
+  auto Later = std::upper_bound(
+      List.begin(), List.end(), At,
+      [](TimePoint Time, const auto &Known) { return Time < Known.Latest; });
+  if (Later != List.begin() && At - std::prev(Later)->Latest < CountTime)
+    std::prev(Later)->Count += Count;
+  else
+    List.insert(Later, {At, Count});
+  if (List.size() <= MaxCounts)
+    return;
+  List[1].Count += List[0].Count;
+  List.erase(List.begin());
+}
+
+/// Weighs answers to a suspect in quarantine. Returns whether they end it.
+bool isDisproved(Quarantined &Q, const SuspectClearance &Clearance) {
+  bool WasNeverAnswered = Q.Answers == 0;
+  if (WasNeverAnswered)
+    return true;
+  std::uint64_t Count = Clearance.Count.value_or(1);
+  Q.Answers += Count;
+  auto Runs = static_cast<double>(Q.Crashes + Q.Answers);
+  bool WasLastTrial = Q.Trials >= MaxTrials && Count > 0;
+  return WasLastTrial || static_cast<double>(Q.Crashes) < MinCrashShare * Runs;
+}
+
 } // namespace
 
 bool addCrash(CrashQuarantine &S, const ServerCrash &Crash, TimePoint Now) {
@@ -131,15 +161,20 @@
                   TimePoint Now) {
   const Suspect &What = Clearance.Cleared;
   TimePoint At = Now - Clearance.Age;
-  noteAnswered(S.Answered, What, At);
-  if (S.Watched.count(What) > 0)
+  noteAnswered(S.Answered, What, At, Clearance.Count.value_or(1));
+  if (!Clearance.Count)
+    noteAnswered(S.AnsweredUncounted, What, At, 1);
+  if (S.Watched.count(What) > 0) {
     S.JudgeAt = std::min(S.JudgeAt, Now + JudgeDelay);
+    if (Clearance.Count.value_or(0) > 0)
+      countAnswers(S.Weighed[What], At, *Clearance.Count);
+  }
   bool Changed = false;
   for (bool AllAccounts : {false, true}) {
     QuarantineScope Scope = scopeOf(What, AllAccounts);
     auto Found = S.Entries.find(Scope);
     if (Found == S.Entries.end() || !Found->second.Active ||
-        At <= Found->second.Since)
+        At <= Found->second.Since || !isDisproved(Found->second, Clearance))
       continue;
     endQuarantine(Found->second, Now);
     Changed = true;
@@ -147,6 +182,17 @@
   return Changed;
 }
 
+bool contestEnd(CrashQuarantine &S, const QuarantineRecord &R) {
+  auto Found = S.Entries.find(
+      scopeOf(Suspect{R.Account, R.Part, R.Request}, R.AllAccounts));
+  bool IsEnd = R.Version % 2 == 0;
+  if (!IsEnd || Found == S.Entries.end() || !Found->second.Active ||
+      Found->second.Version >= R.Version)
+    return false;
+  Found->second.Version = R.Version + 1;
+  return true;
+}
+
 bool applyRecord(CrashQuarantine &S, const QuarantineRecord &R, TimePoint Now) {
   bool IsActive = R.Version % 2 == 1;
   if (R.Version == 0 || (!IsActive && R.Age > EndedRetention))
@@ -162,6 +208,7 @@
   Q.Since = Now - R.Age;
   Q.Crashes = R.Crashes;
   Q.Requests = R.Requests;
+  Q.Answers = R.Answers;
   Q.Trials = R.Trials;
   Q.TrialAt = R.TrialIn ? Now + *R.TrialIn : TimePoint::max();
   pruneEntries(S, Now);
@@ -195,6 +242,7 @@
     R.Age = Now - Q.Since;
     R.Crashes = Q.Crashes;
     R.Requests = Q.Requests;
+    R.Answers = Q.Answers;
     R.Trials = Q.Trials;
     if (Q.TrialAt != TimePoint::max())
       R.TrialIn = Q.TrialAt - Now;
@@ -284,16 +332,16 @@
 }
 
 void beginQuarantine(CrashQuarantine &S, const QuarantineScope &Scope,
-                     std::size_t Crashes, std::size_t Requests, bool IsTied,
-                     TimePoint Now) {
+                     const QuarantineEvidence &Evidence, TimePoint Now) {
   Quarantined &Q = S.Entries[Scope];
   Q.Version += Q.Active ? 2 : 1;
   Q.Active = true;
   Q.Since = Now;
-  Q.Crashes = Crashes;
-  Q.Requests = Requests;
+  Q.Crashes = Evidence.Crashes;
+  Q.Requests = Evidence.Requests;
+  Q.Answers = Evidence.Answers;
   Q.Trials = 0;
-  Q.TrialAt = Now + (IsTied ? FirstTrialOfTiedAfter : FirstTrialAfter);
+  Q.TrialAt = Now + (Evidence.IsTied ? FirstTrialOfTiedAfter : FirstTrialAfter);
   if (Scope.AllAccounts) {
     // The quarantines of single accounts would have trials of their own.
     for (auto &[Other, Single] : S.Entries) {
@@ -318,6 +366,7 @@
   if (Found == S.Entries.end() || !Found->second.Active)
     return false;
   endQuarantine(Found->second, Now);
+  Found->second.EvidenceFrom = Now;
   return true;
 }
 
--- a/packages/quarantine/CrashQuarantine.h
+++ b/packages/quarantine/CrashQuarantine.h
@@ -12,10 +12,9 @@
 // it. The crash cuts everything that the server runs, so every request there is
 // suspected and most are not at fault. A suspect is a request or a part. The
 // one at fault is told by comparing crashes:
-// * A suspect is accused by the crashes of servers that ran it since it was
-// last
-//   answered completely. A complete answer clears the request and its parts,
-//   for its account.
+// * A suspect is accused by the crashes of servers that ran it. Its complete
+//   answers, for its account, are weighed against them: by how much better the
+//   suspect explains the crashes than chance does (Accusation.h).
 // * A request is quarantined if several crashes accuse it; a part, if several
 //   different requests do as well. No other suspect may explain the same
 //   crashes better. The parts of a request are no better explanation than the
@@ -30,7 +29,9 @@
 //   for all accounts only if requests of several accounts accuse it, so that no
 //   account can have the part of another one quarantined by naming it.
 // * A quarantine ends when a request with the suspect is answered completely:
-//   one that was running, or one of a few trials, or by an operator's order.
+//   one that was running, or one of a few trials; if the suspect was answered
+//   beside its crashes, only by many answers or by the last trial. Or by an
+//   operator's order. It begins again only after another crash.
 //
 // Entry hosts report crashes and clearances to the control hosts. Those judge,
 // keep the quarantines on their disks, and send them to all entry hosts. Each
@@ -57,7 +58,9 @@
 /// must accuse a part.
 constexpr std::size_t AccusingCrashes = 3;
 /// The same for a suspect that was answered completely lately.
-constexpr std::size_t AccusingCrashesOfProven = 8;
+constexpr std::size_t AccusingCrashesOfProven = 5;
+/// Share of the runs of such a suspect that must have ended in a crash.
+constexpr double MinCrashShare = 1.0 / 6;
 /// The same for suspects that the same crashes accuse, none of them more
 /// likely.
 constexpr std::size_t AccusingCrashesOfTied = 5;
@@ -107,6 +110,7 @@
   std::vector<CrashedRequest> Requests;
   bool Explained = false; // A quarantined part was in one of its requests.
   std::set<RequestDigest> Culprits; // Its requests that were in quarantine.
+  std::set<QuarantineScope> Causes; // What was in quarantine and ran there.
 };
 
 /// A suspect that is or was in quarantine.
@@ -116,17 +120,26 @@
   TimePoint Since{};          // When Version was set.
   std::uint64_t Crashes = 0;  // Crashes that accused the suspect.
   std::uint64_t Requests = 0; // Different requests that accused it.
+  std::uint64_t Answers = 0;  // Complete answers beside the crashes; zero: it
+                              // was never answered before.
+  TimePoint EvidenceFrom{};   // Earlier crashes accuse it no more.
   std::uint32_t Trials = 0;   // Trials begun so far.
   TimePoint TrialAt{};        // The next trial is due then.
 };
 
+/// Complete answers to a suspect, by time.
+using AnswerSeries = std::vector<CountedAnswers>;
+
 struct CrashQuarantine {
   std::map<std::pair<BackendId, IncarnationNumber>, KnownCrash> Crashes;
   RunHistory Unfinished; // Of this host, or handed over to it.
   AnswerHistory Answered;
+  AnswerHistory AnsweredUncounted; // Reported without a number: each clears its
+                                   // suspect of all crashes before.
   std::map<QuarantineScope, Quarantined> Entries;
-  std::map<Suspect, TimePoint> Watched; // Accused ones, and since when.
-  TimePoint JudgeAt = TimePoint::max(); // The next judgement is due then.
+  std::map<Suspect, TimePoint> Watched;    // Accused ones, and since when.
+  std::map<Suspect, AnswerSeries> Weighed; // Answers to those.
+  TimePoint JudgeAt = TimePoint::max();    // The next judgement is due then.
 };
 
 /// Adds a crash and its suspects, with those that the server may have been at
@@ -137,7 +150,7 @@
 /// the server is known to have crashed meanwhile.
 bool addRun(CrashQuarantine &S, UnfinishedRun Run, TimePoint Now);
 
-/// Records a complete answer. Ends a quarantine that the answer disproves.
+/// Records complete answers. Ends a quarantine that they disprove.
 /// Returns true if the quarantines changed.
 bool addClearance(CrashQuarantine &S, const SuspectClearance &Clearance,
                   TimePoint Now);
@@ -146,6 +159,10 @@
 /// is new in quarantine.
 std::vector<QuarantineScope> judgeCrashes(CrashQuarantine &S, TimePoint Now);
 
+/// Replaces the end of a quarantine that an entry host has reported, while by
+/// this host's evidence the quarantine goes on. Returns whether it did.
+bool contestEnd(CrashQuarantine &S, const QuarantineRecord &R);
+
 /// Merges the record of another host. Returns true if the quarantines changed.
 bool applyRecord(CrashQuarantine &S, const QuarantineRecord &R, TimePoint Now);
 
@@ -191,11 +208,17 @@
                                const RequestDigest &Digest,
                                const std::vector<PartId> &Parts);
 
-/// Begins a quarantine that the given evidence accuses. \p IsTied: other
-/// suspects are quarantined for the same crashes.
+/// What accuses a suspect that enters quarantine.
+struct QuarantineEvidence {
+  std::uint64_t Crashes = 0;
+  std::uint64_t Requests = 0;
+  std::uint64_t Answers = 0;
+  bool IsTied = false; // Others are quarantined for the same crashes.
+};
+
+/// Begins a quarantine.
 void beginQuarantine(CrashQuarantine &S, const QuarantineScope &Scope,
-                     std::size_t Crashes, std::size_t Requests, bool IsTied,
-                     TimePoint Now);
+                     const QuarantineEvidence &Evidence, TimePoint Now);
 
 /// Counts a trial of a suspect in quarantine and sets the time of the next one.
 void beginTrial(CrashQuarantine &S, const QuarantineScope &Scope,
--- a/packages/quarantine/tests/AnswerHistoryTest.cpp
+++ b/packages/quarantine/tests/AnswerHistoryTest.cpp
@@ -17,9 +17,9 @@
   AnswerHistory H;
   AccountId A("a");
   AccountId B("b");
-  noteAnswered(H, part(A, PartId{1}), Start);
-  noteAnswered(H, part(A, PartId{1}), Start - seconds(1));
-  noteAnswered(H, part(B, PartId{1}), Start + seconds(2));
+  noteAnswered(H, part(A, PartId{1}), Start, 1);
+  noteAnswered(H, part(A, PartId{1}), Start - seconds(1), 1);
+  noteAnswered(H, part(B, PartId{1}), Start + seconds(2), 1);
   BOOST_TEST((answeredAt(H, part(A, PartId{1})) == Start));
   BOOST_TEST((answeredAt(H, PartId{1}) == Start + seconds(2)));
   BOOST_TEST(!answeredAt(H, part(A, PartId{2})).has_value());
@@ -30,8 +30,8 @@
   AnswerHistory H;
   AccountId A("a");
   for (std::uint64_t I = 0; I < 100000; ++I) {
-    noteAnswered(H, part(A, PartId{I + 10}), Start);
-    noteAnswered(H, part(A, PartId{1}), Start);
+    noteAnswered(H, part(A, PartId{I + 10}), Start, 1);
+    noteAnswered(H, part(A, PartId{1}), Start, 1);
   }
   BOOST_TEST(H.Recent.size() <= MaxHistoryEntries);
   BOOST_TEST(H.Older.size() <= MaxHistoryEntries);
@@ -44,11 +44,11 @@
 BOOST_AUTO_TEST_CASE(AnswersToPartsAndRequestsAreKeptApart) {
   AnswerHistory H;
   Suspect Request{AccountId("a"), PartId{}, RequestDigest{7, 9}};
-  noteAnswered(H, Request, Start);
+  noteAnswered(H, Request, Start, 1);
   BOOST_TEST((answeredAt(H, Request) == Start));
   Suspect Other{AccountId("a"), PartId{}, RequestDigest{7, 8}};
   BOOST_TEST(!answeredAt(H, Other).has_value());
   for (std::uint64_t I = 0; I < 1000; ++I)
-    noteAnswered(H, part(AccountId("a"), PartId{I}), Start + seconds(1));
+    noteAnswered(H, part(AccountId("a"), PartId{I}), Start + seconds(1), 1);
   BOOST_TEST((answeredAt(H, Request) == Start));
 }
--- a/packages/quarantine/tests/CrashQuarantineTest.cpp
+++ b/packages/quarantine/tests/CrashQuarantineTest.cpp
@@ -38,10 +38,19 @@
     }
   }
   void answer(const char *Account, PartId Part) {
-    addClearance(S, {suspectOf(AccountId(Account), Part), {}}, Now);
+    addClearance(S, {suspectOf(AccountId(Account), Part), {}, {}}, Now);
+  }
+  /// So many answers, as entry hosts report them.
+  void answers(const char *Account, PartId Part, std::uint64_t Count) {
+    addClearance(S, {suspectOf(AccountId(Account), Part), {}, Count}, Now);
+  }
+  /// A bad request ends an engine beside a popular one.
+  void crashOfBad() {
+    crash({request("a", {Common, Bad, PartId{NextRequest + 100}}),
+           request("a", {Common, PartId{NextRequest + 100}})});
   }
   void answer(const CrashedRequest &R) {
-    addClearance(S, {suspectOf(R.Account, R.Request), {}}, Now);
+    addClearance(S, {suspectOf(R.Account, R.Request), {}, {}}, Now);
   }
   bool refuses(const CrashedRequest &R) const {
     return findQuarantine(S, R.Account, R.Request, {}).Entry != nullptr;
@@ -370,3 +379,124 @@
   J.crash({J.request("a", {PartId{1}})});
   BOOST_TEST(J.S.Crashes.size() == 1U);
 }
+
+/// Guards against a part that one answer in two, or in four, clears of all
+/// crashes, and against a popular part that pays for it.
+BOOST_AUTO_TEST_CASE(AnswersAreWeighedAgainstCrashes) {
+  for (std::uint64_t Answers : {1, 3}) {
+    Judge J;
+    J.answers("a", Common, 20);
+    std::size_t Crashes = 0;
+    for (; Crashes < 7 && !J.refuses("a", Bad); ++Crashes) {
+      J.crashOfBad();
+      J.answers("a", Bad, Answers);
+      J.answers("a", Common, 25);
+      J.pass(seconds(1));
+    }
+    BOOST_TEST(J.refuses("a", Bad));
+    BOOST_TEST(Crashes <= 6U);
+    BOOST_TEST(!J.refuses("a", Common));
+    // Nor does one answer end the quarantine.
+    J.answers("a", Bad, 1);
+    J.pass(seconds(1));
+    BOOST_TEST(J.refuses("a", Bad));
+  }
+}
+
+/// Guards against a part that is held since servers end every now and then,
+/// while nearly all requests with it are answered.
+BOOST_AUTO_TEST_CASE(PopularPartIsNotHeldForCrashesOfServers) {
+  Judge J;
+  for (int I = 0; I < 50; ++I) {
+    J.crash({J.request("a", {Common, PartId{100U + I}}),
+             J.request("a", {Common, PartId{400U + I}})});
+    J.answers("a", Common, 30);
+    J.pass(seconds(1));
+  }
+  BOOST_TEST(activeQuarantines(J.S) == 0U);
+}
+
+/// Guards against a popular part that is held since servers ended in series for
+/// another reason: answers before and after speak for it.
+BOOST_AUTO_TEST_CASE(PopularPartOutlivesASeriesOfCrashes) {
+  Judge J;
+  // What entry hosts report as soon as the part is watched.
+  J.crash({J.request("a", {Common})});
+  J.crash({J.request("a", {Common})}, seconds(1));
+  SuspectClearance History = {suspectOf(AccountId("a"), Common), seconds(5),
+                              100};
+  addClearance(J.S, History, J.Now);
+  for (int Series = 0; Series < 4; ++Series) {
+    for (int I = 0; I < 8; ++I) {
+      J.crash({J.request("a", {Common, PartId{J.NextRequest + 100}}),
+               J.request("a", {Common, PartId{J.NextRequest + 100}})},
+              milliseconds(120));
+      J.answers("a", Common, 3);
+    }
+    for (int I = 0; I < 10; ++I) {
+      J.answers("a", Common, 20);
+      J.pass(seconds(1));
+      BOOST_TEST(!J.refuses("a", Common));
+    }
+  }
+}
+
+/// Guards against a part that was sound and is held only after eight crashes.
+BOOST_AUTO_TEST_CASE(SuspectThatWasSoundIsHeldAfterFiveCrashes) {
+  Judge J;
+  J.answer("a", Common);
+  J.answer("a", Bad);
+  J.pass(seconds(2));
+  for (std::size_t I = 0; I < AccusingCrashesOfProven; ++I) {
+    BOOST_TEST(!J.refuses("a", Bad));
+    J.crashOfBad();
+    J.answers("a", Common, 5);
+  }
+  J.pass(seconds(2));
+  BOOST_TEST(J.refuses("a", Bad));
+  BOOST_TEST(!J.refuses("a", Common));
+}
+
+/// Guards against a cured suspect that is held again for its old crashes, and
+/// against one that goes on and has to earn all of them anew.
+BOOST_AUTO_TEST_CASE(EndedQuarantineBeginsAgainOnlyAfterAnotherCrash) {
+  Judge J;
+  J.answers("a", Common, 20);
+  for (int I = 0; I < 5; ++I)
+    J.crashOfBad();
+  J.pass(seconds(2));
+  BOOST_TEST(J.refuses("a", Bad));
+  J.answers("a", Bad, 1);
+  BOOST_TEST(!J.refuses("a", Bad));
+  J.pass(seconds(5));
+  BOOST_TEST(!J.refuses("a", Bad));
+  J.crashOfBad();
+  J.pass(seconds(2));
+  BOOST_TEST(J.refuses("a", Bad));
+  QuarantineScope Scope = scopeOf(suspectOf(AccountId("a"), Bad), false);
+  BOOST_TEST(liftQuarantine(J.S, Scope, J.Now));
+  J.crashOfBad(); // An operator's order forgives what was before.
+  J.pass(seconds(2));
+  BOOST_TEST(!J.refuses("a", Bad));
+}
+
+/// Guards against an entry host of an earlier version, which ends a quarantine
+/// with the first answer, for all hosts.
+BOOST_AUTO_TEST_CASE(EndThatTheEvidenceDeniesIsContested) {
+  Judge J;
+  J.answers("a", Common, 20);
+  for (int I = 0; I < 6; ++I) {
+    J.crashOfBad();
+    J.answers("a", Bad, 1);
+    J.answers("a", Common, 20);
+    J.pass(seconds(1));
+  }
+  BOOST_TEST_REQUIRE(J.refuses("a", Bad));
+  for (QuarantineRecord R : quarantineRecords(J.S, J.Now)) {
+    R.Version += 1;
+    BOOST_TEST(contestEnd(J.S, R));
+    BOOST_TEST(!applyRecord(J.S, R, J.Now));
+    BOOST_TEST(!contestEnd(J.S, R));
+  }
+  BOOST_TEST(J.refuses("a", Bad));
+}
--- a/packages/wire/SiteMessages.h
+++ b/packages/wire/SiteMessages.h
@@ -129,14 +129,17 @@
   }
 };
 
-/// A request with the suspect was answered completely.
+/// Requests with the suspect were answered completely.
 struct SuspectClearance {
   Suspect Cleared;
-  Duration Age = {}; // Time since the end of the answer.
+  Duration Age = {}; // Time since the end of the latest answer.
+  std::optional<std::uint64_t> Count; // Answers that were not reported before;
+                                      // zero: only the time is. Empty: an
+                                      // unknown number.
 
   template <class Self, class Visitor>
   static void fields(Self &M, Visitor &&Visit) {
-    Visit(M.Cleared, M.Age);
+    Visit(M.Cleared, M.Age, M.Count);
   }
 };
 
@@ -154,11 +157,14 @@
   std::uint32_t Trials = 0;   // Trials begun so far.
   std::optional<Duration> TrialIn; // Time until the next trial; empty: none.
   RequestDigest Request;           // Empty: the suspect is a part.
+  std::uint64_t Answers = 0; // Complete answers beside the crashes; zero: it
+                             // was never answered.
 
   template <class Self, class Visitor>
   static void fields(Self &M, Visitor &&Visit) {
     Visit(M.Part, M.Account, M.AllAccounts, M.Version, M.Age, M.Crashes,
-          M.Requests, M.Trials, M.TrialIn, M.Request.Hi, M.Request.Lo);
+          M.Requests, M.Trials, M.TrialIn, M.Request.Hi, M.Request.Lo,
+          M.Answers);
   }
 };
 
@@ -172,9 +178,9 @@
   std::vector<SuspectClearance> Clearances; // Of watched and other suspects.
   std::uint64_t WatchDigest = 0; // Of the watched suspects; zero: none. From
                                  // entry hosts: of those that they know.
-  std::vector<Suspect> Watched;  // From control hosts: suspects whose next
-                                 // complete answer is to be reported; empty
-                                 // if the receiver knows them.
+  std::vector<Suspect> Watched;  // From control hosts: suspects whose complete
+                                 // answers are to be reported; empty if the
+                                 // receiver knows them.
   std::vector<ServerRun> Unfinished; // From an entry host that stops.
 
   template <class Self, class Visitor>
