gateway: a resumed stream goes on after its last event, or not at all

Any 200 was appended, and bytes that are no event ended the stream as complete.

A resumed answer must be of the stream's kind, and its first event must have an id after the last one that was forwarded; else the try has failed, what was sent stays, and the stream does not look complete.

--- a/packages/gateway/Answer.cpp
+++ b/packages/gateway/Answer.cpp
@@ -58,10 +58,17 @@
   if (C.Replying)
     return;
   C.Replying = true;
+  C.IsEventStream = C.Attempt.Answer.Events;
   T.Out.push_back(calls::StartStream{C.Exchange, headFor(T, C.Attempt)});
 }
 
 void forwardEvents(GatewayTurn &T, GatewayCall &C, std::string_view Bytes) {
+  if (!C.Attempt.HasEvents && goesOn(C.Events, Bytes) == false) {
+    C.Attempt.Fault = FaultSide::Server;
+    attemptFailed(T, C, true, Code::BackendFailed,
+                  "the stream does not go on after the last event");
+    return;
+  }
   std::string Events = takeEvents(C.Events, Bytes);
   if (isOverlong(C.Events)) {
     attemptFailed(T, C, true, Code::StreamCut,
@@ -119,6 +126,11 @@
 /// Handles the end of a stream's connection, or of its length or chunks if it
 /// is \p Delimited.
 void endStream(GatewayTurn &T, GatewayCall &C, bool Delimited) {
+  bool IsRest = !C.Events.LastId.empty() && !C.Attempt.HasEvents;
+  if (IsRest && !C.Events.Partial.empty()) {
+    streamCut(T, C, "the stream does not go on with an event");
+    return;
+  }
   if (Delimited) {
     completeStream(T, C);
     return;
@@ -208,7 +220,9 @@
   heardFrom(T, *C);
   noteAnswer(T, *C);
   bool Streams = C->Path->Kind == CallKind::Stream && E.Status == StatusOk;
-  if (Streams && matchesRequest(*C))
+  // Another kind of answer is no continuation of the stream that was begun.
+  bool GoesOn = !C->Replying || C->Attempt.Answer.Events == C->IsEventStream;
+  if (Streams && GoesOn && matchesRequest(*C))
     beginStream(T, *C);
 }
 
--- a/packages/gateway/EventSplitter.cpp
+++ b/packages/gateway/EventSplitter.cpp
@@ -1,6 +1,7 @@
 #include "gateway/EventSplitter.h"
 
 #include <algorithm>
+#include <charconv>
 
 namespace pimento {
 
@@ -20,7 +21,9 @@
   return Carriage + CarriageSize;
 }
 
-void updateLastId(EventSplitter &S, std::string_view Event) {
+/// Returns the id of an event; nothing if it has none.
+std::optional<std::string> idOf(std::string_view Event) {
+  std::optional<std::string> Id;
   constexpr std::string_view Field = "id:";
   while (!Event.empty()) {
     std::size_t End = std::min(Event.find('\n'), Event.size());
@@ -31,10 +34,26 @@
       Line.remove_prefix(Field.size());
       if (!Line.empty() && Line.front() == ' ')
         Line.remove_prefix(1);
-      S.LastId = Line;
+      Id = Line;
     }
     Event.remove_prefix(std::min(End + 1, Event.size()));
   }
+  return Id;
+}
+
+std::optional<std::uint64_t> numberOf(std::string_view Text) {
+  std::uint64_t Number = 0;
+  const char *Last = Text.data() + Text.size();
+  auto [End, Error] = std::from_chars(Text.data(), Last, Number);
+  if (Error != std::errc() || End != Last)
+    return std::nullopt;
+  return Number;
+}
+
+bool isAfter(const std::string &Id, const std::string &LastId) {
+  std::optional<std::uint64_t> Number = numberOf(Id);
+  std::optional<std::uint64_t> Last = numberOf(LastId);
+  return Number && Last ? *Number > *Last : Id != LastId;
 }
 
 } // namespace
@@ -46,7 +65,9 @@
     std::size_t End = eventEnd(S.Partial, Begin);
     if (End == std::string::npos)
       break;
-    updateLastId(S, std::string_view(S.Partial).substr(Begin, End - Begin));
+    std::string_view Event =
+        std::string_view(S.Partial).substr(Begin, End - Begin);
+    S.LastId = idOf(Event).value_or(S.LastId);
     ++S.Events;
     Begin = End;
   }
@@ -55,6 +76,17 @@
   return Complete;
 }
 
+std::optional<bool> goesOn(const EventSplitter &S, std::string_view Bytes) {
+  if (S.LastId.empty())
+    return true;
+  std::string Text = S.Partial + std::string(Bytes);
+  std::size_t End = eventEnd(Text, 0);
+  if (End == std::string::npos)
+    return std::nullopt;
+  std::optional<std::string> Id = idOf(std::string_view(Text).substr(0, End));
+  return Id && isAfter(*Id, S.LastId);
+}
+
 bool isOverlong(const EventSplitter &S) {
   return S.Partial.size() > MaxEventBytes;
 }
--- a/packages/gateway/EventSplitter.h
+++ b/packages/gateway/EventSplitter.h
@@ -12,6 +12,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -29,6 +30,11 @@
 /// Adds \p Bytes and returns all events that are now complete.
 std::string takeEvents(EventSplitter &S, std::string_view Bytes);
 
+/// Whether the first event of \p Bytes, after what is buffered, goes on after
+/// LastId; nothing if it is not complete yet. Ids that are numbers must
+/// increase, others differ. True if LastId is empty.
+std::optional<bool> goesOn(const EventSplitter &S, std::string_view Bytes);
+
 /// Whether the incomplete event exceeds MaxEventBytes. The stream is then no
 /// sound answer, and may have no end.
 bool isOverlong(const EventSplitter &S);
--- a/packages/gateway/Gateway.h
+++ b/packages/gateway/Gateway.h
@@ -258,7 +258,8 @@
   bool IsTrial = false;  // It or a part of its prompt is in quarantine; it is
                          // sent once to see whether servers still crash.
   bool Replying = false; // The head of an answer was sent to the caller.
-  EventSplitter Events;  // State of the stream to the caller.
+  bool IsEventStream = false; // By the head that was sent.
+  EventSplitter Events;       // State of the stream to the caller.
   TimePoint FirstEventAt{};
   TimePoint LastEventAt{};
   Duration LongestEventGap = {}; // Longest time between two events.
