gateway: a refusal without the request's id on a kept connection is no promise

Requests that may run once never use a connection again, so they can not be told 'not run' for it, and no such request runs twice: shown by the test. A request that may repeat took the stray refusal for its own.

There a refusal without the request's id counts as an answer that may have run. RefusalWithoutIdOnAKeptConnectionIsNoPromise failed before (503 where 502 is due).

--- a/packages/gateway/Answer.cpp
+++ b/packages/gateway/Answer.cpp
@@ -185,14 +185,18 @@
 }
 
 void endBufferedAnswer(GatewayTurn &T, GatewayCall &C) {
-  if (C.Attempt.Answer.NotRun) {
+  // On a kept connection a refusal without the request's id may belong to an
+  // earlier request.
+  bool IsOwnRefusal =
+      !C.Attempt.IsKept || !C.Attempt.Answer.ClientAttemptId.empty();
+  if (C.Attempt.Answer.NotRun && IsOwnRefusal) {
     findFaultyServer(T, C);
     closeAttempt(T, C, false);
     attemptFailed(T, C, false, Code::RefusedByBackend,
                   "the backend server refused the request without running it");
     return;
   }
-  bool Matches = matchesRequest(C);
+  bool Matches = matchesRequest(C) && !C.Attempt.Answer.NotRun;
   bool Failed = C.Attempt.Status >= FirstServerErrorStatus;
   bool MayRetry = mayRunAgain(C) && maySendAgain(T, C);
   if (!Matches || (Failed && MayRetry) || C.Replying) {
--- a/packages/gateway/tests/GatewayTest.cpp
+++ b/packages/gateway/tests/GatewayTest.cpp
@@ -262,3 +262,28 @@
   R.event(UpstreamEnd{Upstream, true});
   BOOST_TEST(R.only<calls::EndStream>().IsComplete);
 }
+
+/// Guards against REFUSED and TWICE: a server writes an earlier refusal once
+/// more on a kept connection. Requests that may run once use none; for others a
+/// refusal without the request's id is no promise there.
+BOOST_AUTO_TEST_CASE(RefusalWithoutIdOnAKeptConnectionIsNoPromise) {
+  const std::vector<HttpHeader> Refusal = {
+      {"X-Pimentoglade-Not-Executed", "1"}};
+  for (bool IsKept : {false, true}) {
+    GatewayFixture R;
+    R.call(HttpMethod::Post, "/w/1");
+    BOOST_TEST(!R.only<calls::OpenUpstream>().Request.MayReuse);
+    ExchangeId Id = R.call(HttpMethod::Get, "/r/1");
+    for (int Send = 0; Send < 2; ++Send) {
+      calls::OpenUpstream Open = R.only<calls::OpenUpstream>();
+      BOOST_TEST(Open.Request.MayReuse);
+      R.event(UpstreamSent{Open.Upstream, IsKept});
+      R.event(UpstreamHead{Open.Upstream, 503, Refusal});
+      R.event(UpstreamEnd{Open.Upstream, true});
+    }
+    // The caller is told that it did not run only if both refusals were sure.
+    calls::SendReply Reply = R.only<calls::SendReply>();
+    BOOST_TEST((Reply.Exchange == Id));
+    BOOST_TEST(Reply.Reply.Status == (IsKept ? 502 : 503));
+  }
+}
