platform, routing: one odd entry of a server neither ends nor misleads a host

Taken were a port of 70000, any text as address, no service, sequence numbers and starts up to 2^64 - 1, any pace; an entry under a live id with a late start made its true reports old until it was forgotten after 60 s.

Reports of an earlier incarnation that go on while the later one is silent hold again.

Open: an entry under another id at the address of a live server with a later start can not be told from an address that is used again.

--- a/packages/routing/Servers.cpp
+++ b/packages/routing/Servers.cpp
@@ -83,7 +83,12 @@
     bool StartsLeaving = Report.Incarnation == Known.Report.Incarnation &&
                          isLeaving(Report.Phase) &&
                          !isLeaving(Known.Report.Phase);
-    if (isNewer(Known.Report, Report) && !StartsLeaving)
+    // Reports go on that are older than those of an incarnation which sends
+    // none: that one never was, or has ended.
+    bool IsRevived = Known.Report.Phase == ServerPhase::Silent &&
+                     Report.Incarnation < Known.Report.Incarnation &&
+                     SeenAt > Known.LastSeen;
+    if (isNewer(Known.Report, Report) && !StartsLeaving && !IsRevived)
       return false;
   }
   bool Superseded = findSuccessor(Registry, Report) != nullptr;
--- a/packages/routing/tests/ServersTest.cpp
+++ b/packages/routing/tests/ServersTest.cpp
@@ -107,3 +107,26 @@
   BOOST_TEST((Changed[0].Age == seconds(2)));
   BOOST_TEST(changedServers(Registry, 0, Start).size() == 2U);
 }
+
+/// Guards against one odd entry under the id of a live server, with a start far
+/// in the future, that makes all true reports old for good.
+BOOST_AUTO_TEST_CASE(OddEntryUnderALiveIdIsOutlived) {
+  ServerRegistry Registry;
+  ServerLimits Limits;
+  TimePoint Now = Start;
+  std::uint64_t Sequence = 0;
+  auto Pass = [&](Duration Time) {
+    for (TimePoint End = Now + Time; Now < End; Now += seconds(1)) {
+      applyReport(Registry, report("a", 5, ++Sequence), Now);
+      tickServers(Registry, Limits, Now);
+    }
+  };
+  Pass(seconds(3));
+  applyReport(Registry,
+              report("a", 1ULL << 53U, 1, ServerPhase::Ready, "10.9.9.9:9"),
+              Now);
+  Pass(Limits.SilentAfter + seconds(3));
+  BOOST_TEST((phaseOf(Registry, "a") == ServerPhase::Ready));
+  BOOST_TEST(Registry.Servers.at(BackendId("a")).Report.Address ==
+             "10.0.0.1:80");
+}
