gateway: a request at a dead engine that keeps its connection is given up

Bytes of other servers of the service put off the doubt of this one.

A request at an engine that has sent nothing for 1.5 s probes that engine each half second, whatever others send; it is given up once the engine has taken no connection for a second. A silence of a second and a half ends nothing.

RequestAtADarkEngineIsGivenUpWithinThreeSeconds failed without the check.

--- a/packages/gateway/Attempt.cpp
+++ b/packages/gateway/Attempt.cpp
@@ -26,6 +26,11 @@
 /// objective without an event.
 constexpr int StallIntervals = 4;
 constexpr Duration MinStallTime = milliseconds(1000);
+/// A sound engine may be silent for this time. Afterwards it is probed, and it
+/// is dead if it has taken no connection for DeadTime.
+constexpr Duration EngineSilence = milliseconds(1500);
+constexpr Duration SilenceProbeInterval = milliseconds(500);
+constexpr Duration DeadTime = seconds(1);
 /// Share of the callers' event timeout that limits the stall time. A later
 /// event would find no caller.
 constexpr double MaxStallShare = 0.6;
@@ -110,6 +115,27 @@
          Factor * std::max(MinOverdueTime, OverdueObjectives * R.Objective);
 }
 
+/// Time of the next probe whether the call's engine, which sends nothing, is
+/// dead. While it is, memory that others reserved for the call is of no use.
+TimePoint silenceCheckAt(const GatewayCall &C) {
+  const CallAttempt &A = C.Attempt;
+  bool MayBeDead = C.OnEngine && A.Relay.empty() && A.BytesSent &&
+                   mayRunAgain(C) && C.UnreadBytes < FlowWindowBytes / 2;
+  if (!MayBeDead)
+    return TimePoint::max();
+  return std::max(A.LastBytes + EngineSilence,
+                  A.SilenceProbeAt + SilenceProbeInterval);
+}
+
+/// Whether the call's engine has been silent and took no connection for long
+/// enough to be dead.
+bool isDead(const GatewayTurn &T, const GatewayCall &C) {
+  const PathWatch &W = T.S.Relays.Paths;
+  auto Path = W.Servers.find(C.Attempt.Server);
+  return W.Failed.count(C.Attempt.Server) > 0 && Path != W.Servers.end() &&
+         T.Now >= Path->second.FailedAt + DeadTime;
+}
+
 bool isAtPlainServer(const GatewayCall &C) {
   return !C.OnEngine && !C.Attempt.Server.empty() && C.Attempt.Relay.empty();
 }
@@ -241,7 +267,7 @@
 }
 
 void scheduleCheck(GatewayTurn &T, GatewayCall &C) {
-  TimePoint At = std::min(C.Deadline, doubtAt(T, C));
+  TimePoint At = std::min({C.Deadline, doubtAt(T, C), silenceCheckAt(C)});
   if (mayRunAgain(C))
     At = std::min(At, overdueAt(C));
   checkAt(T, C, std::max(At, T.Now + milliseconds(1)));
@@ -447,6 +473,16 @@
   }
   if (T.Now >= doubtAt(T, C))
     doubtPath(T, C);
+  if (T.Now >= silenceCheckAt(C)) {
+    if (isDead(T, C)) {
+      C.Attempt.Fault = FaultSide::Path;
+      attemptFailed(T, C, true, Code::BackendFailed,
+                    "the engine is silent and takes no connection");
+      return;
+    }
+    C.Attempt.SilenceProbeAt = T.Now;
+    probePath(T, C.Attempt.Server, /*IsForOthers=*/false);
+  }
   if (!mayRunAgain(C) || T.Now < overdueAt(C)) {
     scheduleCheck(T, C);
     return;
--- a/packages/gateway/Gateway.h
+++ b/packages/gateway/Gateway.h
@@ -205,7 +205,8 @@
   bool IsKept = false; // On a connection that had been used before.
   std::string Failure; // Of the connection, for logs; empty: none.
   FaultSide Fault = FaultSide::Server; // What a failure says.
-  bool IsDoubted = false; // The path was probed, since nothing came.
+  bool IsDoubted = false;     // The path was probed, since nothing came.
+  TimePoint SilenceProbeAt{}; // The silent engine was last probed.
   HostId Relay;   // Host that the request was handed over to; empty: none.
   ByteSink Taken; // Bytes of the relay's answer.
   int Status = 0; // HTTP status; zero: no head yet.
--- a/packages/gateway/tests/CutHostTest.cpp
+++ b/packages/gateway/tests/CutHostTest.cpp
@@ -510,3 +510,32 @@
              MinShareOfOthers);
   BOOST_TEST(C.ranTwice() == 0U);
 }
+
+/// Guards against LEAK: an engine went dark without closing its connections,
+/// and its callers' requests waited for as long as it was expected to take,
+/// while memory stayed reserved for them at other engines. Dead engines are
+/// given up within 3.5 s; a silence of a second and a half is none.
+BOOST_AUTO_TEST_CASE(RequestsAtADarkEngineAreGivenUp) {
+  for (Duration Silence :
+       {Duration(seconds(20)), Duration(milliseconds(1400))}) {
+    ServerSite Site(71);
+    Site.run(seconds(2));
+    TimePoint DarkAt = Site.now();
+    Site.silence(0, Silence);
+    Site.run(milliseconds(3500));
+    std::size_t Waiting = 0;
+    for (const auto &[Attempt, View] : Site.Callers) {
+      bool IsOld = View.SentAt <= DarkAt;
+      Waiting += IsOld && View.AnsweredAt == TimePoint() ? 1 : 0;
+    }
+    BOOST_TEST(Waiting == 0U);
+    std::size_t GivenUp = 0;
+    for (const LogLine &Line : Site.Logs) {
+      bool IsIt =
+          Line.Record.Reason == "the engine is silent and takes no connection";
+      GivenUp += Line.At >= DarkAt && IsIt ? 1 : 0;
+    }
+    if (Silence < seconds(2))
+      BOOST_TEST(GivenUp == 0U);
+  }
+}
--- a/packages/gateway/tests/GatewayEngineTest.cpp
+++ b/packages/gateway/tests/GatewayEngineTest.cpp
@@ -357,3 +357,23 @@
     BOOST_TEST(R.S.NamedLimits.Servers.empty());
   }
 }
+
+/// Guards against LEAK: an engine went dark without closing its connections,
+/// and a request whose events may be far apart waited for it for four seconds
+/// and its forecast, while memory stayed reserved at its helpers.
+BOOST_AUTO_TEST_CASE(RequestAtADarkEngineIsGivenUpWithinThreeSeconds) {
+  for (bool IsDark : {true, false}) {
+    GatewayFixture R;
+    R.call(HttpMethod::Post, "/l/1",
+           {{"X-Pimentoglade-Token-Count", "5000,1300"}});
+    calls::OpenUpstream Open = R.onlySend();
+    R.sent(Open.Upstream);
+    if (IsDark)
+      R.Gone = {BackendId(Open.Request.Address == "10.0.1.1:80" ? "e1" : "e2")};
+    R.advance(seconds(3));
+    std::vector<UpstreamId> Aborted = R.aborted();
+    bool IsGivenUp = std::find(Aborted.begin(), Aborted.end(), Open.Upstream) !=
+                     Aborted.end();
+    BOOST_TEST(IsGivenUp == IsDark);
+  }
+}
