--- a/packages/routing/Servers.h
+++ b/packages/routing/Servers.h
@@ -9,8 +9,8 @@
 // has died. Incarnations are ordered by the server's start time, and reports of
 // one incarnation by their sequence number. An incarnation that has announced
 // its departure never becomes ready again. An earlier incarnation that goes on
-// reporting replaces a later one that has fallen silent. If several servers report the same
-// address, it belongs to the one that started last.
+// reporting replaces a later one that has fallen silent. If several servers
+// report the same address, it belongs to the one that started last.
 //
 //===----------------------------------------------------------------------===//
 #pragma once
