gateway: a host that lost its path gives up no request on an open connection

An engine is dead only if the host is not cut off from its service and the verdict on its path says that the server is at fault.

--- a/packages/gateway/Attempt.cpp
+++ b/packages/gateway/Attempt.cpp
@@ -128,12 +128,16 @@
 }
 
 /// Whether the call's engine has been silent and took no connection for long
-/// enough to be dead.
+/// enough to be dead. A host that lost its path may still have an open one.
 bool isDead(const GatewayTurn &T, const GatewayCall &C) {
   const PathWatch &W = T.S.Relays.Paths;
-  auto Path = W.Servers.find(C.Attempt.Server);
-  return W.Failed.count(C.Attempt.Server) > 0 && Path != W.Servers.end() &&
-         T.Now >= Path->second.FailedAt + DeadTime;
+  const BackendId &Server = C.Attempt.Server;
+  auto Path = W.Servers.find(Server);
+  if (W.Failed.count(Server) == 0 || Path == W.Servers.end() ||
+      T.Now < Path->second.FailedAt + DeadTime || isCutOff(T.S, C.Service))
+    return false;
+  return verdictOf(W, Server, Path->second.FailedAt, T.Now) ==
+         FailureVerdict::ServerAtFault;
 }
 
 bool isAtPlainServer(const GatewayCall &C) {
