base, calls: texts of settings, commands of claims and the hosts of World have own files

Change: parsing of durations, sizes, counts and addresses is SettingText; the commands that a claim leader proposes are made by functions of ClaimCommands.cpp; the log, its leader, crashes and restarts of the simulated calls are WorldHosts.cpp. Includes follow.

--- a/apps/pimentogladectl.cpp
+++ b/apps/pimentogladectl.cpp
@@ -1,5 +1,6 @@
 //===- pimentogladectl.cpp - Command line tool for operators --------------===//
 
+#include "base/SettingText.h"
 #include "base/Settings.h"
 #include "ctl/HttpNetwork.h"
 #include "ctl/Run.h"
--- a/bench/PathCost/PathCostMain.cpp
+++ b/bench/PathCost/PathCostMain.cpp
@@ -9,6 +9,8 @@
 // failed, an answer was wrong or a target was missed.
 
 #include "bench/PathCost/PathCost.h"
+
+#include "base/SettingText.h"
 #include "bench/PathCost/Quantiles.h"
 
 #include <gflags/gflags.h>
--- a/packages/calls/ClaimLeader.cpp
+++ b/packages/calls/ClaimLeader.cpp
@@ -94,11 +94,7 @@
   if (Waiter.Proposed)
     return;
   Waiter.Proposed = true;
-  ClaimCommand Command;
-  Command.Kind = ClaimCommandKind::Turn;
-  Command.Request = Waiter.Last.Request;
-  Command.Key = Key;
-  C.L.Pending.push_back(std::move(Command));
+  C.L.Pending.push_back(turnCommand(Key, Waiter.Last.Request));
 }
 
 void proposeClaim(LeaderContext &C, const ClaimKey &Key, ClaimWaiter &Waiter) {
@@ -107,27 +103,14 @@
   if (Waiter.Proposed || C.L.Pending.size() >= C.L.Settings.PendingCommands)
     return;
   Waiter.Proposed = true;
-  ClaimCommand Command;
-  Command.Kind = ClaimCommandKind::Claim;
-  Command.Request = Waiter.Last.Request;
-  Command.Key = Key;
-  Command.Host = Waiter.Host;
-  Command.Incarnation = Waiter.Last.Incarnation;
-  Command.BodySha256 = Waiter.Last.BodySha256;
-  Command.TimeLeft = Waiter.Last.TimeLeft;
-  Command.Retention = Waiter.Last.Retention;
-  C.L.Pending.push_back(std::move(Command));
+  C.L.Pending.push_back(claimCommand(Key, Waiter.Host, Waiter.Last));
 }
 
 void proposeLost(LeaderContext &C, const ClaimKey &Key,
                  const ClaimRecord &Record, const char *Why) {
   if (!C.L.ProposedLost.insert(Record.Owner).second)
     return;
-  ClaimCommand Command;
-  Command.Kind = ClaimCommandKind::Lost;
-  Command.Request = Record.Owner;
-  Command.Key = Key;
-  C.L.Pending.push_back(std::move(Command));
+  C.L.Pending.push_back(lostCommand(Key, Record.Owner));
   decide(C, Record.Owner, Why, Record.Host);
 }
 
@@ -535,16 +518,7 @@
   }
   if (!Leader.Acks.emplace(Ended.Request, From).second)
     return; // A Finish for this outcome is already pending.
-  ClaimCommand Command;
-  Command.Kind = ClaimCommandKind::Finish;
-  Command.Request = Ended.Request;
-  Command.Key = Ended.Key;
-  Command.End = Ended.End;
-  Command.Status = Ended.Status;
-  Command.ContentType = Ended.ContentType;
-  Command.Body = Ended.Body;
-  Command.Truncated = Ended.Truncated;
-  Leader.Pending.push_back(std::move(Command));
+  Leader.Pending.push_back(finishCommand(Ended));
   flush(C);
 }
 
--- a/packages/calls/Generation.cpp
+++ b/packages/calls/Generation.cpp
@@ -1,5 +1,7 @@
 #include "calls/CallsInternal.h"
 
+#include "base/SettingText.h"
+
 #include "engine/Adapter.h"
 #include "engine/Replies.h"
 
--- a/packages/control/ControlHost.cpp
+++ b/packages/control/ControlHost.cpp
@@ -1,6 +1,7 @@
 #include "control/ControlHost.h"
 
 #include "base/Problem.h"
+#include "base/SettingText.h"
 #include "control/ControlTurn.h"
 
 #include <algorithm>
--- a/packages/ctl/Command.cpp
+++ b/packages/ctl/Command.cpp
@@ -1,5 +1,6 @@
 #include "ctl/Command.h"
 
+#include "base/SettingText.h"
 #include "base/Settings.h"
 #include "document/Store.h"
 #include "explain/Explain.h"
--- a/packages/gateway/Gateway.cpp
+++ b/packages/gateway/Gateway.cpp
@@ -1,5 +1,7 @@
 #include "gateway/Gateway.h"
 
+#include "base/SettingText.h"
+
 #include "gateway/GatewayTurn.h"
 
 #include <algorithm>
--- a/packages/gateway/PathPart.cpp
+++ b/packages/gateway/PathPart.cpp
@@ -3,6 +3,8 @@
 
 #include "gateway/GatewayTurn.h"
 
+#include "base/SettingText.h"
+
 #include <algorithm>
 
 namespace pimento::gateway {
--- a/packages/gateway/SitePart.cpp
+++ b/packages/gateway/SitePart.cpp
@@ -4,6 +4,7 @@
 #include "gateway/GatewayTurn.h"
 
 #include "base/Problem.h"
+#include "base/SettingText.h"
 
 #include <algorithm>
 
--- a/packages/load/Options.cpp
+++ b/packages/load/Options.cpp
@@ -1,6 +1,7 @@
 #include "load/Options.h"
 
 #include "base/Json.h"
+#include "base/SettingText.h"
 #include "base/Settings.h"
 
 #include <algorithm>
--- a/packages/membership/Announcement.cpp
+++ b/packages/membership/Announcement.cpp
@@ -1,6 +1,7 @@
 #include "membership/Announcement.h"
 
 #include "base/Json.h"
+#include "base/SettingText.h"
 #include "base/Settings.h"
 
 #include <algorithm>
--- a/packages/shell/Address.cpp
+++ b/packages/shell/Address.cpp
@@ -1,5 +1,6 @@
 #include "shell/Address.h"
 
+#include "base/SettingText.h"
 #include "base/Settings.h"
 
 namespace pimento {
--- a/packages/shell/SiteProcess.cpp
+++ b/packages/shell/SiteProcess.cpp
@@ -1,5 +1,7 @@
 #include "shell/SiteProcess.h"
 
+#include "base/SettingText.h"
+
 #include "control/ControlHost.h"
 #include "gateway/Gateway.h"
 #include "shell/DataFolder.h"
