gateway: one try is one unfinished run, and replaced servers are found by the runs

Cause, found in reading: a stream that broke off was remembered twice, by the check of its server and by the end of its try, with two log lines; and each reported server was compared with each remembered run, 1,000 servers with up to 1,024 runs for a whole list. Change: a run that is remembered is not noted again; a list is compared with the servers of which runs are remembered.

--- a/packages/gateway/GatewayTurn.h
+++ b/packages/gateway/GatewayTurn.h
@@ -207,9 +207,9 @@
 /// at work on.
 void serverEnded(GatewayTurn &T, const BackendId &Server,
                  IncarnationNumber Incarnation);
-/// The same for a server that is reported to have been replaced, or to be gone
-/// without an announcement.
-void noteReplaced(GatewayTurn &T, const ServerReport &R);
+/// The same for servers that, by these reports, have been replaced, or are gone
+/// without an announcement. To be called before the reports are applied.
+void noteReplaced(GatewayTurn &T, const std::vector<ServerReport> &Reports);
 /// What this host hands over to a control host as it stops.
 std::vector<ServerRun> unfinishedRuns(const Gateway &S, TimePoint Now);
 /// Whether this host, which has no calls left, may end: what servers may be at
--- a/packages/gateway/RunPart.cpp
+++ b/packages/gateway/RunPart.cpp
@@ -5,7 +5,6 @@
 
 #include <algorithm>
 #include <optional>
-#include <set>
 
 namespace pimento::gateway {
 
@@ -73,13 +72,15 @@
   const CallAttempt &A = C.Attempt;
   if (!A.BytesSent || !A.Relay.empty() || A.Server.empty())
     return;
-  logRun(T, C);
   UnfinishedRun Run;
   Run.Server = A.Server;
   Run.Incarnation = A.ServerIncarnation;
   Run.Request = {C.Account, C.Digest, reportedParts(C), Duration::zero()};
   Run.Began = A.Began;
   Run.Until = C.Deadline;
+  if (isNoted(T.S.Quarantine.Unfinished, Run))
+    return;
+  logRun(T, C);
   if (addRun(T.S.Quarantine, std::move(Run), T.Now))
     reportEvidenceSoon(T);
 }
@@ -95,17 +96,23 @@
   reportCrash(T, Crash);
 }
 
-void noteReplaced(GatewayTurn &T, const ServerReport &R) {
-  std::set<BackendId> Ended;
-  for (const UnfinishedRun &Run : T.S.Quarantine.Unfinished.Runs) {
-    auto Known = T.S.Servers.Servers.find(Run.Server);
-    if (Known != T.S.Servers.Servers.end() &&
-        Known->second.Report.Incarnation == Run.Incarnation &&
-        isReplacedBy(T.S, Known->second.Report, R))
-      Ended.insert(Run.Server);
+void noteReplaced(GatewayTurn &T, const std::vector<ServerReport> &Reports) {
+  if (Reports.empty())
+    return;
+  for (const auto &[Server, Incarnation] :
+       serversAtWork(T.S.Quarantine.Unfinished)) {
+    auto Known = T.S.Servers.Servers.find(Server);
+    if (Known == T.S.Servers.Servers.end() ||
+        Known->second.Report.Incarnation != Incarnation)
+      continue;
+    const ServerReport &Before = Known->second.Report;
+    bool IsReplaced =
+        std::any_of(Reports.begin(), Reports.end(), [&](const ServerReport &R) {
+          return isReplacedBy(T.S, Before, R);
+        });
+    if (IsReplaced)
+      serverEnded(T, Server, Incarnation);
   }
-  for (const BackendId &Server : Ended)
-    serverEnded(T, Server, T.S.Servers.Servers.at(Server).Report.Incarnation);
 }
 
 std::vector<ServerRun> unfinishedRuns(const Gateway &S, TimePoint Now) {
--- a/packages/gateway/SitePart.cpp
+++ b/packages/gateway/SitePart.cpp
@@ -54,9 +54,9 @@
 bool applyServers(GatewayTurn &T, const SiteState &M) {
   Gateway &S = T.S;
   bool Changed = false;
+  noteReplaced(T, M.Servers);
   for (const ServerReport &Reported : M.Servers) {
     ServerReport R = knownPhase(T, Reported);
-    noteReplaced(T, R);
     if (!applyReport(S.Servers, R, T.Now - R.Age))
       continue;
     Changed = true;
--- a/packages/quarantine/RunHistory.cpp
+++ b/packages/quarantine/RunHistory.cpp
@@ -28,11 +28,29 @@
   H.Runs.push_back(std::move(Run));
 }
 
+bool isNoted(const RunHistory &H, const UnfinishedRun &Run) {
+  return std::any_of(H.Runs.begin(), H.Runs.end(), [&](const auto &Known) {
+    return isOf(Known, Run.Server, Run.Incarnation) &&
+           Known.Began == Run.Began &&
+           Known.Request.Request == Run.Request.Request &&
+           Known.Request.Account == Run.Request.Account;
+  });
+}
+
 bool mayHaveRun(const UnfinishedRun &Run, TimePoint EndedAt) {
   return Run.Began <= EndedAt + ReportSkew &&
          EndedAt <= Run.Until + EndNoticeTime;
 }
 
+std::map<BackendId, IncarnationNumber> serversAtWork(const RunHistory &H) {
+  std::map<BackendId, IncarnationNumber> Servers;
+  for (const UnfinishedRun &Run : H.Runs) {
+    IncarnationNumber &Latest = Servers[Run.Server];
+    Latest = std::max(Latest, Run.Incarnation);
+  }
+  return Servers;
+}
+
 bool hasRuns(const RunHistory &H, const BackendId &Server,
              IncarnationNumber Incarnation) {
   return std::any_of(H.Runs.begin(), H.Runs.end(), [&](const auto &Run) {
--- a/packages/quarantine/RunHistory.h
+++ b/packages/quarantine/RunHistory.h
@@ -18,6 +18,7 @@
 
 #include <cstddef>
 #include <deque>
+#include <map>
 #include <vector>
 
 namespace pimento {
@@ -41,10 +42,16 @@
 /// Remembers a run; forgets those whose servers can be at work no more.
 void noteRun(RunHistory &H, UnfinishedRun Run, TimePoint Now);
 
+/// Whether the run is remembered.
+bool isNoted(const RunHistory &H, const UnfinishedRun &Run);
+
 /// Whether the server may have been at work on the run when it ended, which was
 /// noticed at \p EndedAt.
 bool mayHaveRun(const UnfinishedRun &Run, TimePoint EndedAt);
 
+/// Servers of which runs are remembered, with the incarnation that began last.
+std::map<BackendId, IncarnationNumber> serversAtWork(const RunHistory &H);
+
 /// Whether a run of the incarnation is remembered.
 bool hasRuns(const RunHistory &H, const BackendId &Server,
              IncarnationNumber Incarnation);
--- a/packages/quarantine/tests/RunHistoryTest.cpp
+++ b/packages/quarantine/tests/RunHistoryTest.cpp
@@ -74,3 +74,18 @@
   noteRun(H, run("e1", 0, Start + seconds(60)), Start + seconds(60));
   BOOST_TEST(H.Runs.size() == 1U);
 }
+
+/// Guards against a run that is counted twice, as its stream breaks off and its
+/// call ends: one try is one run, and a further try another.
+BOOST_AUTO_TEST_CASE(OneTryIsOneRun) {
+  RunHistory H;
+  noteRun(H, run("e1", 1, Start), Start);
+  BOOST_TEST(isNoted(H, run("e1", 1, Start)));
+  BOOST_TEST(!isNoted(H, run("e1", 1, Start + milliseconds(1))));
+  BOOST_TEST(!isNoted(H, run("e2", 1, Start)));
+  BOOST_TEST(!isNoted(H, run("e1", 2, Start)));
+  noteRun(H, run("e2", 2, Start), Start);
+  std::map<BackendId, IncarnationNumber> Servers = serversAtWork(H);
+  BOOST_TEST(Servers.size() == 2U);
+  BOOST_TEST(Servers.at(BackendId("e1")) == 1U);
+}
