gateway: tests of stray answers to orders and of stray refusals of relays

Orders: whatever is answered, with any body, memory is released, and an answer that names a request is none of theirs. Relays: a refusal with an earlier id, or of another host, changes nothing.

--- a/packages/gateway/tests/GatewayEngineTest.cpp
+++ b/packages/gateway/tests/GatewayEngineTest.cpp
@@ -377,3 +377,30 @@
     BOOST_TEST(IsGivenUp == IsDark);
   }
 }
+
+/// Guards against memory that stays set aside since an engine wrote an earlier
+/// refusal once more in answer to an order that it carried out, and against odd
+/// answers to orders that end the host.
+BOOST_AUTO_TEST_CASE(MemoryIsReleasedAfterAnyAnswerToItsOrder) {
+  const std::string Nested(100000, '[');
+  for (int Status : {409, 503, 204, 999}) {
+    GatewayFixture R;
+    R.call(HttpMethod::Post, "/l/1",
+           {{"X-Pimentoglade-Token-Count", "300000,700"},
+            {"X-Pimentoglade-Deadline-Ms", "15000"}});
+    calls::OpenUpstream Reserve = R.only<calls::OpenUpstream>();
+    // An answer that names a request belongs to none of this host's orders.
+    BOOST_TEST(Reserve.Request.EchoHeader.Name == "X-Pimentoglade-Attempt-Id");
+    BOOST_TEST(Reserve.Request.EchoHeader.Value == "");
+    R.event(UpstreamHead{Reserve.Upstream, Status, {}});
+    R.event(UpstreamData{Reserve.Upstream, Nested});
+    R.event(UpstreamEnd{Reserve.Upstream, true});
+    std::vector<calls::OpenUpstream> Opened = R.all<calls::OpenUpstream>();
+    bool IsReleased = std::any_of(
+        Opened.begin(), Opened.end(), [&](const calls::OpenUpstream &Open) {
+          return Open.Request.Address == Reserve.Request.Address &&
+                 Open.Request.Body.find("release") != std::string::npos;
+        });
+    BOOST_TEST(IsReleased);
+  }
+}
--- a/packages/gateway/tests/RelayTest.cpp
+++ b/packages/gateway/tests/RelayTest.cpp
@@ -406,3 +406,41 @@
   BOOST_TEST(A.S.Leaving.size() == 1U);
   BOOST_TEST(B.S.Leaving.size() == 1U);
 }
+
+/// Guards against REFUSED and TWICE: a relay's refusal of an earlier request
+/// that arrives once more, or one of another host, is taken for the answer to
+/// the request that is under way.
+BOOST_FIXTURE_TEST_CASE(StrayRefusalOfARelayChangesNothing, RelayPair) {
+  call(HttpMethod::Get, "/r/1");
+  pass();
+  calls::OpenUpstream First = B.only<calls::OpenUpstream>();
+  B.sent(First.Upstream);
+  B.head(First.Upstream, 200);
+  B.event(UpstreamEnd{First.Upstream, true});
+  pass();
+  reaches(B.S.Self);
+  ToRelay.clear();
+  ExchangeId Caller = call(HttpMethod::Post, "/w/1");
+  pass();
+  calls::OpenUpstream Second = B.only<calls::OpenUpstream>();
+  B.sent(Second.Upstream);
+  RelayRefusal Stray;
+  Stray.Number = Code::ConnectFailed;
+  Stray.Reason = "stray";
+  std::uint64_t Own = std::get<RelayRequest>(ToRelay.front().Content).Id;
+  for (std::uint64_t Id : {Own - 1, Own - 2, std::uint64_t(0)}) {
+    Stray.Id = Id;
+    A.event(PeerMessage{B.S.Self, Incarnation, Stray});
+    BOOST_TEST(A.all<calls::SendReply>().empty());
+  }
+  Stray.Id = Own;
+  A.event(PeerMessage{Other, Incarnation, Stray});
+  BOOST_TEST(A.all<calls::SendReply>().empty());
+  BOOST_TEST(A.S.Calls.size() == 1U);
+  B.head(Second.Upstream, 200);
+  B.event(UpstreamEnd{Second.Upstream, true});
+  pass();
+  calls::SendReply Reply = A.only<calls::SendReply>();
+  BOOST_TEST((Reply.Exchange == Caller));
+  BOOST_TEST(Reply.Reply.Status == 200);
+}
