quarantine: a server that two bad requests ended accuses both

Cause: a crash in which a request in quarantine ran accused no other request.

Change: such a crash counts for a request that two crashes accuse which nothing in quarantine explains. A neighbour of a bad request has none of those, or one by chance.

Result: CrashOfTwoBadRequestsAccusesBoth failed without it; NeighbourOfABadRequestIsNotAccused holds the other side.

--- a/packages/quarantine/Accusation.cpp
+++ b/packages/quarantine/Accusation.cpp
@@ -21,6 +21,9 @@
 constexpr Duration WatchRetention = seconds(60);
 /// Parts of a prompt that are judged, the first ones.
 constexpr std::size_t MaxJudgedParts = 32;
+/// Crashes that nothing in quarantine explains, with which a request is accused
+/// by the others as well.
+constexpr std::size_t OwnCrashes = 2;
 /// Share of its runs that a sound suspect may lose with servers that end.
 constexpr double SoundCrashShare = 1.0 / 16;
 
@@ -83,6 +86,14 @@
          findQuarantine(S, R.Account, R.Request, R.Parts).Entry == nullptr;
 }
 
+/// Whether a request in quarantine explains the crash, which may have had two
+/// such requests.
+bool isShared(const KnownCrash &Crash, const CrashedRequest &R,
+              const QuarantineScope &Scope) {
+  return Scope.What.isRequest() && !Crash.Explained &&
+         !Crash.Culprits.empty() && Crash.Culprits.count(R.Request) == 0;
+}
+
 /// Whether the crash accuses the suspect, by what has explained it so far.
 bool isOpenFor(const CrashQuarantine &S, const KnownCrash &Crash,
                const CrashedRequest &R, const QuarantineScope &Scope) {
@@ -98,7 +109,8 @@
 
 void accuse(Collection &C, const KnownCrash &Crash, const CrashedRequest &R,
             const QuarantineScope &Scope) {
-  if (!isOpenFor(C.S, Crash, R, Scope))
+  bool IsShared = isShared(Crash, R, Scope);
+  if (!IsShared && !isOpenFor(C.S, Crash, R, Scope))
     return;
   bool IsPartOfOne = !Scope.AllAccounts && !Scope.What.isRequest();
   if (C.Now < Crash.At + WatchRetention && !IsPartOfOne) {
@@ -109,7 +121,7 @@
   if (clearedUntil(C.S, Scope) >= Crash.At)
     return;
   C.Found.All[Scope].Strikes.push_back(
-      {C.Coincidence, Crash.At, R.Request, R.Account});
+      {C.Coincidence, Crash.At, R.Request, R.Account, IsShared});
 }
 
 void accuseAll(Collection &C, const KnownCrash &Crash) {
@@ -225,6 +237,21 @@
   return First;
 }
 
+/// Drops the strikes that something in quarantine explains as well, unless
+/// enough others accuse the suspect.
+void dropShared(std::vector<Strike> &Strikes) {
+  std::set<CoincidenceNumber> Own;
+  for (const Strike &Each : Strikes) {
+    if (!Each.IsShared)
+      Own.insert(Each.Coincidence);
+  }
+  if (Own.size() >= OwnCrashes)
+    return;
+  auto Is = [](const Strike &Each) { return Each.IsShared; };
+  Strikes.erase(std::remove_if(Strikes.begin(), Strikes.end(), Is),
+                Strikes.end());
+}
+
 void addStrike(Accusation &A, const Strike &Each) {
   A.Crashes.set(Each.Coincidence);
   A.Requests.insert(Each.Request);
@@ -246,6 +273,9 @@
 
 void weigh(const CrashQuarantine &S, const QuarantineScope &Scope,
            Accusation &A, TimePoint Now) {
+  dropShared(A.Strikes);
+  if (A.Strikes.empty())
+    return;
   A.MixedEnoughAt = reachedAt(Scope, A.Strikes, AccusingCrashesOfMixed);
   std::size_t First = firstThatCounts(S, Scope, A);
   A.Strikes.erase(A.Strikes.begin(),
--- a/packages/quarantine/Accusation.h
+++ b/packages/quarantine/Accusation.h
@@ -32,6 +32,7 @@
   TimePoint At{};
   RequestDigest Request;
   AccountId Account;
+  bool IsShared = false; // Another request, in quarantine, explains it as well.
 };
 
 /// Crashes that must accuse a suspect that was answered now and then meanwhile.
--- a/packages/quarantine/QuarantineJudge.cpp
+++ b/packages/quarantine/QuarantineJudge.cpp
@@ -79,7 +79,7 @@
 /// Whether the accusation suffices if nothing else explains the crashes.
 bool isSufficient(const CrashQuarantine &S, const QuarantineScope &Scope,
                   const Accusation &A, TimePoint Now) {
-  if (!hasNewCrash(S, Scope, A))
+  if (A.Strikes.empty() || !hasNewCrash(S, Scope, A))
     return false;
   if (A.IsProven)
     return isSufficientForProven(Scope, A, Now);
--- a/packages/quarantine/tests/CrashQuarantineTest.cpp
+++ b/packages/quarantine/tests/CrashQuarantineTest.cpp
@@ -500,3 +500,36 @@
   }
   BOOST_TEST(J.refuses("a", Bad));
 }
+
+/// Guards against BUDGET: two bad requests ended one server together, and the
+/// one that was held first took that crash from the other.
+BOOST_AUTO_TEST_CASE(CrashOfTwoBadRequestsAccusesBoth) {
+  Judge J;
+  CrashedRequest First = J.request("a", {});
+  CrashedRequest Second = J.request("a", {});
+  J.crash({Second});
+  J.crash({First, Second});
+  for (int I = 0; I < 2; ++I)
+    J.crash({First});
+  J.pass(seconds(1));
+  BOOST_TEST(J.refuses(First));
+  BOOST_TEST(!J.refuses(Second));
+  J.crash({Second});
+  J.pass(seconds(1));
+  BOOST_TEST(J.refuses(Second));
+}
+
+/// Guards against a sound request that is held since it ran beside a bad one,
+/// and once where a server ended by itself.
+BOOST_AUTO_TEST_CASE(NeighbourOfABadRequestIsNotAccused) {
+  Judge J;
+  CrashedRequest Bad = J.request("a", {});
+  CrashedRequest Sound = J.request("a", {});
+  for (int I = 0; I < 4; ++I)
+    J.crash({Bad, Sound});
+  J.crash({Bad, J.request("a", {})});
+  J.crash({Sound});
+  J.pass(seconds(2));
+  BOOST_TEST(J.refuses(Bad));
+  BOOST_TEST(!J.refuses(Sound));
+}
