quarantine: answered trials end the quarantine of a suspect that was answered before

Cause: a suspect that was answered beside its crashes was held until its second trial, ten minutes later, or an operator's order, since one answer tells little of it.

Change: an answered first trial is followed by a second one five seconds later; the quarantine ends once its trials would all be answered in five of a hundred cases if the suspect ended servers as often as it seemed to, or with the third trial. Three at most.

--- a/packages/quarantine/CrashQuarantine.cpp
+++ b/packages/quarantine/CrashQuarantine.cpp
@@ -1,6 +1,7 @@
 #include "quarantine/CrashQuarantine.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace pimento {
 
@@ -109,16 +110,34 @@
   List.erase(List.begin());
 }
 
+/// Counts an answered trial of a suspect that was answered beside its crashes,
+/// and sets the time of the next one. Returns whether it ends the quarantine.
+bool trialAnswered(Quarantined &Q, TimePoint Now) {
+  Q.Answered += 1;
+  auto Crashes = static_cast<double>(Q.Crashes);
+  double CrashShare =
+      Crashes / (Crashes + static_cast<double>(Q.AnswersBefore));
+  double Luck = std::pow(1 - CrashShare, Q.Answered);
+  if (Luck <= MaxTrialLuck || Q.Trials >= MaxMixedTrials)
+    return true;
+  if (Q.Trials == 1 && Q.Answered == 1)
+    Q.TrialAt = Now + FirstTrialAfter;
+  return false;
+}
+
 /// Weighs answers to a suspect in quarantine. Returns whether they end it.
-bool isDisproved(Quarantined &Q, const SuspectClearance &Clearance) {
+bool isDisproved(Quarantined &Q, const SuspectClearance &Clearance,
+                 TimePoint Now) {
   bool WasNeverAnswered = Q.Answers == 0;
   if (WasNeverAnswered)
     return true;
   std::uint64_t Count = Clearance.Count.value_or(1);
   Q.Answers += Count;
   auto Runs = static_cast<double>(Q.Crashes + Q.Answers);
-  bool WasLastTrial = Q.Trials >= MaxTrials && Count > 0;
-  return WasLastTrial || static_cast<double>(Q.Crashes) < MinCrashShare * Runs;
+  if (static_cast<double>(Q.Crashes) < MinCrashShare * Runs)
+    return true;
+  bool IsOfTrial = Count > 0 && Q.Trials > Q.Answered;
+  return IsOfTrial && trialAnswered(Q, Now);
 }
 
 } // namespace
@@ -174,7 +193,8 @@
     QuarantineScope Scope = scopeOf(What, AllAccounts);
     auto Found = S.Entries.find(Scope);
     if (Found == S.Entries.end() || !Found->second.Active ||
-        At <= Found->second.Since || !isDisproved(Found->second, Clearance))
+        At <= Found->second.Since ||
+        !isDisproved(Found->second, Clearance, Now))
       continue;
     endQuarantine(Found->second, Now);
     Changed = true;
@@ -203,12 +223,15 @@
   bool IsNewer = std::tie(R.Version, R.Trials) > std::tie(Q.Version, Q.Trials);
   if (!IsNewer)
     return false;
+  bool IsOther = Q.Version != R.Version;
   Q.Version = R.Version;
   Q.Active = IsActive;
   Q.Since = Now - R.Age;
   Q.Crashes = R.Crashes;
   Q.Requests = R.Requests;
   Q.Answers = R.Answers;
+  Q.AnswersBefore = IsOther ? R.Answers : Q.AnswersBefore;
+  Q.Answered = IsOther ? 0 : Q.Answered;
   Q.Trials = R.Trials;
   Q.TrialAt = R.TrialIn ? Now + *R.TrialIn : TimePoint::max();
   pruneEntries(S, Now);
@@ -341,6 +364,8 @@
   Q.Requests = Evidence.Requests;
   Q.Answers = Evidence.Answers;
   Q.Trials = 0;
+  Q.Answered = 0;
+  Q.AnswersBefore = Evidence.Answers;
   Q.TrialAt = Now + (Evidence.IsTied ? FirstTrialOfTiedAfter : FirstTrialAfter);
   if (Scope.AllAccounts) {
     // The quarantines of single accounts would have trials of their own.
@@ -357,7 +382,8 @@
                 TimePoint Now) {
   Quarantined &Q = S.Entries.at(Scope);
   Q.Trials += 1;
-  Q.TrialAt = Q.Trials < MaxTrials ? Now + NextTrialAfter : TimePoint::max();
+  std::uint32_t Most = Q.Answers > 0 ? MaxMixedTrials : MaxTrials;
+  Q.TrialAt = Q.Trials < Most ? Now + NextTrialAfter : TimePoint::max();
 }
 
 bool liftQuarantine(CrashQuarantine &S, const QuarantineScope &Scope,
--- a/packages/quarantine/CrashQuarantine.h
+++ b/packages/quarantine/CrashQuarantine.h
@@ -30,7 +30,8 @@
 //   account can have the part of another one quarantined by naming it.
 // * A quarantine ends when a request with the suspect is answered completely:
 //   one that was running, or one of a few trials; if the suspect was answered
-//   beside its crashes, only by many answers or by the last trial. Or by an
+//   beside its crashes, only by many answers, by trials that are answered so
+//   often as chance would hardly have it, or by the last one. Or by an
 //   operator's order. It begins again only after another crash.
 //
 // Entry hosts report crashes and clearances to the control hosts. Those judge,
@@ -76,6 +77,12 @@
 /// Trials of a quarantined suspect, in all. Afterwards only an operator ends
 /// the quarantine.
 constexpr std::uint32_t MaxTrials = 2;
+/// The same for a suspect that was answered beside its crashes. One answer
+/// tells little of it.
+constexpr std::uint32_t MaxMixedTrials = 3;
+/// Such a quarantine ends once its trials would all be answered so rarely if
+/// the suspect ended servers as often as it seemed to.
+constexpr double MaxTrialLuck = 0.05;
 
 /// What a quarantine applies to.
 struct QuarantineScope {
@@ -124,7 +131,9 @@
                               // was never answered before.
   TimePoint EvidenceFrom{};   // Earlier crashes accuse it no more.
   std::uint32_t Trials = 0;   // Trials begun so far.
-  TimePoint TrialAt{};        // The next trial is due then.
+  std::uint32_t Answered = 0; // Trials that were answered.
+  std::uint64_t AnswersBefore = 0; // Answers when this host learned of it.
+  TimePoint TrialAt{};             // The next trial is due then.
 };
 
 /// Complete answers to a suspect, by time.
--- a/packages/quarantine/tests/CrashQuarantineTest.cpp
+++ b/packages/quarantine/tests/CrashQuarantineTest.cpp
@@ -533,3 +533,34 @@
   BOOST_TEST(J.refuses(Bad));
   BOOST_TEST(!J.refuses(Sound));
 }
+
+/// Guards against a sound part that stays refused for ten minutes, since it was
+/// in seven crashes beside few answers: two answered trials end that. A part
+/// that ends servers in half of the cases has three trials at most.
+BOOST_AUTO_TEST_CASE(AnsweredTrialsEndAMixedQuarantine) {
+  for (std::uint64_t AnswersPerCrash : {0, 1}) {
+    Judge J;
+    J.answers("a", Common, 20);
+    J.answer("a", Bad);
+    for (int I = 0; I < 8; ++I) {
+      J.crashOfBad();
+      J.answers("a", Common, 20);
+      if (AnswersPerCrash > 0)
+        J.answers("a", Bad, AnswersPerCrash);
+      J.pass(seconds(1));
+    }
+    BOOST_TEST_REQUIRE(J.refuses("a", Bad));
+    std::uint32_t Trials = 0;
+    for (int Second = 0; Second < 3000 && J.refuses("a", Bad); ++Second) {
+      J.pass(seconds(1));
+      QuarantineMatch Match = findQuarantine(J.S, AccountId("a"), {}, {Bad});
+      if (Match.Entry == nullptr || J.Now < Match.Entry->TrialAt)
+        continue;
+      beginTrial(J.S, Match.Scope, J.Now);
+      ++Trials;
+      J.answers("a", Bad, 1);
+    }
+    BOOST_TEST(!J.refuses("a", Bad));
+    BOOST_TEST(Trials == (AnswersPerCrash == 0 ? 2U : MaxMixedTrials));
+  }
+}
