--- a/review/1/run.py
+++ b/review/1/run.py
@@ -103,4 +103,4 @@
 
 
 if __name__ == "__main__":
-    sys.exit(main())
+    lib.play(main)
--- a/review/5/run.py
+++ b/review/5/run.py
@@ -95,4 +95,4 @@
 
 
 if __name__ == "__main__":
-    sys.exit(main())
+    lib.play(main)
--- a/review/standins/site_of_review.py
+++ b/review/standins/site_of_review.py
@@ -9,10 +9,12 @@
 import http.client
 import json
 import pathlib
+import signal
 import sys
 import tempfile
 import threading
 import time
+import traceback
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
 sys.path.insert(0, str(ROOT / "platform" / "soak"))
@@ -39,6 +41,18 @@
             self.file.flush()
 
 
+def play(main):
+    """Ends the script with the result of main(); with CANNOT_RUN if it fails or
+    is told to end, after the processes it started."""
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(CANNOT_RUN))
+    try:
+        result = main()
+    except Exception:  # Not a result of the case.
+        traceback.print_exc()
+        result = CANNOT_RUN
+    sys.exit(result)
+
+
 def call(address, method, path, body=None, timeout=2.0):
     """Returns status and body of one call; status 0 if no answer came. Follows
     a redirect twice."""
