--- a/review/1/run.py
+++ b/review/1/run.py
@@ -16,7 +16,7 @@
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 REPLICAS = 3            # One of them is faulty: a share of 0.33.
-BREAK_OFF_EACH = 50     # x = 0.02
+BREAK_OFF_EACH = 61     # x = 0.0164
 EVENTS, GAP_S = 6, 0.02
 CALLERS, TROUBLE_S = 12, 6.0
 
--- a/review/standins/site_of_review.py
+++ b/review/standins/site_of_review.py
@@ -6,9 +6,11 @@
 observer writes record.txt.
 """
 
+import atexit
 import http.client
 import json
 import pathlib
+import shutil
 import signal
 import sys
 import tempfile
@@ -75,6 +77,7 @@
 def start_site(entries):
     """Returns a running site, a context manager (soaksite.Site)."""
     folder = pathlib.Path(tempfile.mkdtemp(prefix="review-"))
+    atexit.register(shutil.rmtree, folder, ignore_errors=True)
     program = ROOT / "target" / "bin" / "pimentoglade"
     if not program.exists():
         raise RuntimeError(f"{program} is missing: run the build first")
