Settings: numbers of a deployment may be fractions, zero or absent

Cause: the template's numbers were read as counts and whole units. An allowance of zero was rendered as nothing and read as the default of 30.

Change: a type "number"; durations, sizes and shares take a fraction; an empty value of a number is its default, so that the template needs no section for it, and zero stays zero.

--- a/packages/base/SettingTable.h
+++ b/packages/base/SettingTable.h
@@ -32,7 +32,8 @@
   Time,
   Count,
   Bytes,
-  Share
+  Share,
+  Number // A fraction is allowed.
 };
 
 struct SettingRow {
--- a/packages/base/SettingText.cpp
+++ b/packages/base/SettingText.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <cctype>
 #include <charconv>
+#include <cmath>
+#include <iterator>
 
 namespace pimento {
 
@@ -20,23 +22,52 @@
   return true;
 }
 
-/// Parses the fractional part of a duration in seconds, such as ".25s", with at
-/// most three digits.
-bool parseDecimals(std::string_view Text, Duration &Part) {
-  std::uint64_t Digits = 0;
-  std::string_view Unit;
-  constexpr std::size_t MaxDigits = 3;
-  if (!splitUnit(Text.substr(1), Digits, Unit) || Unit != "s")
+/// The same for a number that may have a decimal fraction, such as "1.5s".
+bool splitDecimalUnit(std::string_view Text, double &Number,
+                      std::string_view &Unit) {
+  if (Text.empty() || std::isdigit(static_cast<unsigned char>(Text[0])) == 0)
     return false;
-  std::size_t Count = Text.size() - 1 - Unit.size();
-  if (Count > MaxDigits)
+  const char *Last = Text.data() + Text.size();
+  auto [End, Error] =
+      std::from_chars(Text.data(), Last, Number, std::chars_format::fixed);
+  if (Error != std::errc() || *std::prev(End) == '.')
     return false;
-  for (; Count < MaxDigits; ++Count)
-    Digits *= 10;
-  Part = milliseconds(static_cast<std::int64_t>(Digits));
+  Unit = std::string_view(End, static_cast<std::size_t>(Last - End));
   return true;
 }
 
+/// Returns the unit of a duration in seconds; zero if there is no such unit.
+double secondsOf(std::string_view Unit) {
+  constexpr double SecondsPerMillisecond = 1e-3;
+  constexpr double SecondsPerMinute = 60;
+  constexpr double SecondsPerHour = 3600;
+  if (Unit == "ms")
+    return SecondsPerMillisecond;
+  if (Unit == "s")
+    return 1;
+  if (Unit == "m")
+    return SecondsPerMinute;
+  if (Unit == "h")
+    return SecondsPerHour;
+  return 0;
+}
+
+/// Returns the unit of a size in bytes; zero if there is no such unit.
+double bytesOf(std::string_view Unit) {
+  constexpr double BytesPerKiB = 1U << 10U;
+  constexpr double BytesPerMiB = 1U << 20U;
+  constexpr double BytesPerGiB = 1U << 30U;
+  if (Unit == "B")
+    return 1;
+  if (Unit == "KiB")
+    return BytesPerKiB;
+  if (Unit == "MiB")
+    return BytesPerMiB;
+  if (Unit == "GiB")
+    return BytesPerGiB;
+  return 0;
+}
+
 } // namespace
 
 bool parseCount(std::string_view Text, std::uint64_t &Value) {
@@ -69,49 +100,42 @@
   return List;
 }
 
+bool parseNumber(std::string_view Text, double &Value) {
+  double Number = 0;
+  std::string_view Unit;
+  if (!splitDecimalUnit(Text, Number, Unit) || !Unit.empty())
+    return false;
+  Value = Number;
+  return true;
+}
+
 bool parseDuration(std::string_view Text, Duration &D) {
-  std::uint64_t Number = 0;
+  double Number = 0;
   std::string_view Unit;
-  constexpr std::uint64_t MaxNumber = 1000000000;
-  if (!splitUnit(Text, Number, Unit) || Number > MaxNumber)
+  constexpr double MaxNumber = 1e9;
+  constexpr double MaxSeconds = 1e9; // 31 years.
+  if (!splitDecimalUnit(Text, Number, Unit) || Number > MaxNumber)
     return false;
-  auto Count = static_cast<std::int64_t>(Number);
-  Duration Part = Duration::zero();
-  if (!Unit.empty() && Unit.front() == '.') {
-    if (!parseDecimals(Unit, Part))
-      return false;
-    D = seconds(Count) + Part;
-    return true;
-  }
-  if (Unit == "ms")
-    D = milliseconds(Count);
-  else if (Unit == "s")
-    D = seconds(Count);
-  else if (Unit == "m")
-    D = minutes(std::min<std::int64_t>(Count, 1000000));
-  else if (Unit == "h")
-    D = hours(std::min<std::int64_t>(Count, 100000));
-  else
+  double UnitSeconds = secondsOf(Unit);
+  if (UnitSeconds == 0)
     return false;
+  constexpr double NanosecondsPerSecond = 1e9;
+  double Seconds = std::min(Number * UnitSeconds, MaxSeconds);
+  D = Duration(std::llround(Seconds * NanosecondsPerSecond));
   return true;
 }
 
 bool parseBytes(std::string_view Text, std::uint64_t &Bytes) {
-  std::uint64_t Number = 0;
+  double Number = 0;
   std::string_view Unit;
-  constexpr std::uint64_t MaxNumber = 1ULL << 40U;
-  if (!splitUnit(Text, Number, Unit) || Number > MaxNumber)
+  constexpr double MaxNumber = 1ULL << 40U;
+  constexpr double MaxBytes = 1ULL << 50U;
+  if (!splitDecimalUnit(Text, Number, Unit) || Number > MaxNumber)
     return false;
-  if (Unit == "B")
-    Bytes = Number;
-  else if (Unit == "KiB")
-    Bytes = Number << 10U;
-  else if (Unit == "MiB")
-    Bytes = Number << 20U;
-  else if (Unit == "GiB")
-    Bytes = std::min<std::uint64_t>(Number, 1U << 20U) << 30U;
-  else
+  double UnitBytes = bytesOf(Unit);
+  if (UnitBytes == 0)
     return false;
+  Bytes = static_cast<std::uint64_t>(std::min(Number * UnitBytes, MaxBytes));
   return true;
 }
 
--- a/packages/base/SettingText.h
+++ b/packages/base/SettingText.h
@@ -18,14 +18,17 @@
 /// Parses a number of decimal digits only. Returns false for any other text; \p
 /// Value may be changed all the same.
 bool parseCount(std::string_view Text, std::uint64_t &Value);
+/// Parses a number of decimal digits, with a fraction or without. Returns
+/// false, and leaves \p Value as it is, for any other text.
+bool parseNumber(std::string_view Text, double &Value);
 /// Parses a duration such as "250ms", "2s", "1.5s", "5m" or "1h"; the unit is
 /// required. Returns false, and leaves \p D as it is, for any other text and
-/// for numbers above 10^9. Values above 10^6 minutes or 10^5 hours are reduced
-/// to that bound.
+/// for numbers above 10^9. Values above 10^9 seconds are reduced to that bound.
 bool parseDuration(std::string_view Text, Duration &D);
 /// Parses a size such as "100B", "64KiB", "16MiB" or "4GiB"; the unit is
-/// required. Returns false, and leaves \p Bytes as it is, for any other text
-/// and for numbers above 2^40. Values above 2^20 GiB are reduced to that bound.
+/// required. A fraction of a byte is dropped. Returns false, and leaves
+/// \p Bytes as it is, for any other text and for numbers above 2^40. Values
+/// above 2^20 GiB are reduced to that bound.
 bool parseBytes(std::string_view Text, std::uint64_t &Bytes);
 /// Return the parts of an address before and after its last colon.
 std::string ipOf(std::string_view Address);
--- a/packages/base/Settings.cpp
+++ b/packages/base/Settings.cpp
@@ -41,6 +41,8 @@
     return "bytes";
   case SettingType::Share:
     return "share";
+  case SettingType::Number:
+    return "number";
   }
   return "text";
 }
@@ -86,7 +88,8 @@
 
 bool isNumeric(SettingType Kind) {
   return Kind == SettingType::Time || Kind == SettingType::Count ||
-         Kind == SettingType::Bytes || Kind == SettingType::Share;
+         Kind == SettingType::Bytes || Kind == SettingType::Share ||
+         Kind == SettingType::Number;
 }
 
 std::string rangeText(const SettingRow &R) {
@@ -175,12 +178,6 @@
   }
 }
 
-bool parseShare(const std::string &Text, double &Value) {
-  std::istringstream IS(Text);
-  IS.imbue(std::locale::classic());
-  return static_cast<bool>(IS >> Value) && IS.eof();
-}
-
 /// Visitor of SettingField: parses Text and stores it in the row's field.
 /// Returns false if Text does not have the row's type or is out of range; the
 /// field may be changed all the same.
@@ -213,7 +210,7 @@
     return Parsed && inRange(static_cast<double>(F(S)));
   }
   bool operator()(SettingOf<double> F) const {
-    return parseShare(Text, F(S)) && inRange(F(S));
+    return parseNumber(Text, F(S)) && inRange(F(S));
   }
 };
 
@@ -257,6 +254,12 @@
   }
 };
 
+/// Whether an empty value of the row stands for its default, as a template
+/// gives it where the platform has no such number.
+bool allowsEmpty(const SettingRow &R) {
+  return isNumeric(R.Kind) && !R.Required;
+}
+
 const SettingRow *findRow(const IniEntry &Entry) {
   for (const SettingRow &R : settingRows()) {
     if (Entry.Section == R.Section && Entry.Key == R.Key)
@@ -292,6 +295,8 @@
                   "a key listed in docs/SETTINGS.md");
     return;
   }
+  if (Entry.Value.empty() && allowsEmpty(*R))
+    return;
   if (std::visit(ValueParser{*R, Entry.Value, In.S}, R->Target))
     return;
   if (isSecret(Entry))
@@ -405,6 +410,16 @@
 
 } // namespace
 
+std::uint64_t bufferBytes(const LimitSettings &L) {
+  // The rest is for the process itself, for copies of what is being sent, and
+  // for memory that is free but not returned to the system.
+  constexpr std::uint64_t Numerator = 2;
+  constexpr std::uint64_t Denominator = 5;
+  if (L.MemoryBytes == 0)
+    return L.TotalBufferBytes;
+  return std::min(L.TotalBufferBytes, L.MemoryBytes / Denominator * Numerator);
+}
+
 std::vector<SettingInfo> settingTable() {
   // Owns the range texts that the returned rows point to.
   static const std::vector<std::string> Ranges = [] {
--- a/packages/base/Settings.h
+++ b/packages/base/Settings.h
@@ -108,6 +108,8 @@
   std::uint64_t StreamBufferBytes = 256U << 10U;
   // All buffered bodies and answers.
   std::uint64_t TotalBufferBytes = 512U << 20U;
+  // Memory that this process may use; 0: unknown. See bufferBytes().
+  std::uint64_t MemoryBytes = 0;
   Duration ReadTimeout = seconds(30); // Time to receive one whole request.
   // Time limit of a request if neither its caller nor its document sets one.
   Duration DefaultTimeLimit = seconds(60);
@@ -115,6 +117,10 @@
   Duration MaxTimeLimit = minutes(30);
 };
 
+/// Bytes that a host may hold of bodies and answers, all together: the total
+/// buffer, or a part of the process's memory if that is less.
+std::uint64_t bufferBytes(const LimitSettings &L);
+
 /// [schedule]: queues and grants of the cells. A cell is a group of engines of
 /// one model with one scheduler; a grant assigns engines of it to a request.
 struct ScheduleSettings {
@@ -153,7 +159,7 @@
   Duration BackoffBase = milliseconds(20);
   // Longest wait between two attempts.
   Duration BackoffLimit = milliseconds(500);
-  std::uint64_t BudgetAllowance = 30;  // Retries per window beyond the share.
+  double BudgetAllowance = 30;         // Retries per window beyond the share.
   Duration BudgetWindow = seconds(10); // Sliding window of the retry budget.
 };
 
--- a/packages/gateway/RepeatBudget.cpp
+++ b/packages/gateway/RepeatBudget.cpp
@@ -35,9 +35,8 @@
                        TimePoint Now) {
   const SiteRetryCounts &Counts = countsOf(Budget, Service, Limits, Now);
   auto Sharers = static_cast<double>(std::max<std::uint64_t>(1, Hosts));
-  double Allowed =
-      Limits.Share * static_cast<double>(Counts.Requests.size()) +
-      AllowanceShare * static_cast<double>(Limits.Allowance) / Sharers;
+  double Allowed = Limits.Share * static_cast<double>(Counts.Requests.size()) +
+                   AllowanceShare * Limits.Allowance / Sharers;
   return Allowed - static_cast<double>(Counts.Retries.size());
 }
 
--- a/packages/gateway/RepeatBudget.h
+++ b/packages/gateway/RepeatBudget.h
@@ -18,8 +18,8 @@
 namespace pimento {
 
 struct SiteRetryLimits {
-  double Share = 0.1;           // Retries per request in a window.
-  std::uint64_t Allowance = 30; // Further retries in a window, whole site.
+  double Share = 0.1;    // Retries per request in a window.
+  double Allowance = 30; // Further retries in a window, whole site.
   Duration Window = seconds(10);
 };
 
