--- a/scripts/site.py
+++ b/scripts/site.py
@@ -353,7 +353,7 @@
             succeeded = run_demonstration(site)
             print("quickstart: " + ("everything answered" if succeeded
                                     else "something failed, see above"))
-            return 0 if good else 1
+            return 0 if succeeded else 1
         wait_for_interrupt(site)
     return 0
 
