--- a/packages/answer/EventSplitter.cpp
+++ b/packages/answer/EventSplitter.cpp
@@ -1,4 +1,4 @@
-#include "gateway/EventSplitter.h"
+#include "answer/EventSplitter.h"
 
 #include <algorithm>
 #include <charconv>
@@ -87,6 +87,10 @@
   return Id && isAfter(*Id, S.LastId);
 }
 
+bool isWithinEvent(const EventSplitter &S) {
+  return S.Partial.find_first_not_of("\r\n") != std::string::npos;
+}
+
 bool isOverlong(const EventSplitter &S) {
   return S.Partial.size() > MaxEventBytes;
 }
--- a/packages/answer/EventSplitter.h
+++ b/packages/answer/EventSplitter.h
@@ -35,6 +35,10 @@
 /// increase, others differ. True if LastId is empty.
 std::optional<bool> goesOn(const EventSplitter &S, std::string_view Bytes);
 
+/// Whether bytes of an event have arrived and its end has not. Line ends
+/// between events are no event.
+bool isWithinEvent(const EventSplitter &S);
+
 /// Whether the incomplete event exceeds MaxEventBytes. The stream is then no
 /// sound answer, and may have no end.
 bool isOverlong(const EventSplitter &S);
--- a/packages/answer/tests/EventSplitterTest.cpp
+++ b/packages/answer/tests/EventSplitterTest.cpp
@@ -1,9 +1,17 @@
 #include <boost/test/unit_test.hpp>
 
-#include "gateway/EventSplitter.h"
+#include "answer/EventSplitter.h"
 
 using namespace pimento;
 
+BOOST_AUTO_TEST_CASE(LineEndsBetweenEventsAreNoEvent) {
+  EventSplitter S;
+  takeEvents(S, "id: 1\ndata: x\n\n\n");
+  BOOST_TEST(!isWithinEvent(S));
+  takeEvents(S, "i");
+  BOOST_TEST(isWithinEvent(S));
+}
+
 BOOST_AUTO_TEST_CASE(OnlyCompleteEventsAreForwarded) {
   EventSplitter S;
   BOOST_TEST(takeEvents(S, "id: 1\nda").empty());
--- a/packages/gateway/Answer.cpp
+++ b/packages/gateway/Answer.cpp
@@ -2,6 +2,8 @@
 
 #include "gateway/GatewayTurn.h"
 
+#include "answer/AnswerEnd.h"
+
 #include <algorithm>
 
 namespace pimento::gateway {
@@ -13,6 +15,7 @@
 constexpr int FirstServerErrorStatus = 500;
 /// Time in which an engine answers that it still runs.
 constexpr Duration ConfirmationTimeout = milliseconds(400);
+constexpr std::size_t MaxReportBytes = 64U << 10U;
 
 GatewayCall *callOf(GatewayTurn &T, UpstreamId Upstream) {
   auto Found = T.S.ByUpstream.find(Upstream);
@@ -91,15 +94,15 @@
   T.Out.push_back(calls::StreamBytes{C.Exchange, std::move(Events)});
 }
 
-/// Asks the engine for its load report. An engine that crashed between two
-/// events closes its connections as one that has finished does, but answers
-/// nothing any more.
+/// Asks the engine that gave the stream for its load report. An engine that
+/// crashed between two events closes its connections as one that has finished
+/// does, but answers nothing any more; another one may answer at its address.
 void confirmEnd(GatewayTurn &T, GatewayCall &C) {
   closeAttempt(T, C, false);
-  UpstreamId Id = queryLoad(T, C.Attempt.Address);
+  UpstreamId Id = queryLoad(T, C.Attempt.Address, C.Attempt.Server);
   C.Stage = CallStage::Confirming;
   C.Attempt.EndQuery = Id;
-  T.S.EndQueries[Id] = C.Ticket;
+  T.S.EndQueries[Id].Ticket = C.Ticket;
   count(T, "pimento_end_queries_total");
   checkAt(T, C, std::min(C.Deadline, T.Now + ConfirmationTimeout));
 }
@@ -113,6 +116,31 @@
   streamCut(T, C, Reason);
 }
 
+/// The engine that gave the call's stream has ended, so that the stream may
+/// have been broken off.
+void engineEnded(GatewayTurn &T, GatewayCall &C, bool IsUnreached) {
+  recordCrash(T, C, IsUnreached);
+  streamCut(T, C, "the engine ended with its stream");
+}
+
+/// Whether the answer to a load query is a load report of the engine that was
+/// asked, as far as its head tells.
+bool isFromEngine(const GatewayTurn &T, const GatewayCall &C,
+                  const UpstreamHead &E) {
+  AnswerInfo Answer = T.S.Platform.DecodeAnswer(E.Status, E.Headers);
+  bool IsOther = !Answer.Server.empty() && Answer.Server != C.Attempt.Server;
+  return E.Status == StatusOk && !IsOther;
+}
+
+/// The same as far as the report tells. An engine may start again with its id.
+bool isReportOf(const GatewayTurn &T, const GatewayCall &C,
+                const std::string &Report) {
+  IncarnationNumber Incarnation = T.S.Platform.DecodeReportIncarnation(Report);
+  constexpr IncarnationNumber NotGiven = 0;
+  return Incarnation == NotGiven || C.Attempt.ServerIncarnation == NotGiven ||
+         Incarnation == C.Attempt.ServerIncarnation;
+}
+
 void completeStream(GatewayTurn &T, GatewayCall &C) {
   closeAttempt(T, C, false);
   if (!C.Events.Partial.empty())
@@ -123,31 +151,40 @@
   finish(T, C, StatusOk, Code::Ok, "");
 }
 
-/// Handles the end of a stream's connection, or of its length or chunks if it
-/// is \p Delimited.
-void endStream(GatewayTurn &T, GatewayCall &C, bool Delimited) {
-  bool IsRest = !C.Events.LastId.empty() && !C.Attempt.HasEvents;
-  if (IsRest && !C.Events.Partial.empty()) {
-    streamCut(T, C, "the stream does not go on with an event");
-    return;
-  }
-  if (Delimited) {
+bool isEventStream(const GatewayCall &C) {
+  return C.Attempt.Answer.Events || C.OnEngine || C.Events.Events > 0 ||
+         !C.Events.LastId.empty();
+}
+
+EndedAnswer endedAnswer(const GatewayCall &C, bool IsDelimited) {
+  EndedAnswer A;
+  A.IsDelimited = IsDelimited;
+  A.IsEvents = C.Attempt.IsForwarded && isEventStream(C);
+  A.IsWithinEvent = isWithinEvent(C.Events);
+  A.HasEvents = C.Attempt.HasEvents;
+  A.IsRest = !C.Events.LastId.empty() && !C.Attempt.HasEvents;
+  A.IsEngine = C.OnEngine;
+  return A;
+}
+
+/// Handles a stream of which no more bytes will come. The connection of a
+/// server that crashes ends as well, but none that crashes marks the end.
+void endStream(GatewayTurn &T, GatewayCall &C, bool IsDelimited) {
+  const char *Reason = "the backend server's stream ended too early";
+  switch (judgeEnd(endedAnswer(C, IsDelimited))) {
+  case AnswerEnd::Complete:
     completeStream(T, C);
     return;
-  }
-  if (!C.Events.Partial.empty()) {
-    streamBroken(T, C, "the backend server's stream ended within an event");
+  case AnswerEnd::Unconfirmed:
+    confirmEnd(T, C);
     return;
-  }
-  if (!C.Attempt.HasEvents) {
-    streamBroken(T, C,
-                 "the backend server's stream ended before its first event");
+  case AnswerEnd::BrokenOff:
+    if (IsDelimited)
+      streamCut(T, C, Reason);
+    else
+      streamBroken(T, C, Reason);
     return;
   }
-  if (C.OnEngine)
-    confirmEnd(T, C);
-  else
-    completeStream(T, C);
 }
 
 void recordCallSuccess(GatewayTurn &T, GatewayCall &C) {
@@ -261,14 +298,26 @@
   auto Found = T.S.EndQueries.find(upstreamOf(E));
   if (Found == T.S.EndQueries.end())
     return false;
-  GatewayCall &C = *findCall(T, Found->second);
+  EndQuery &Query = Found->second;
+  GatewayCall &C = *findCall(T, Query.Ticket);
   if (const auto *Failed = std::get_if<UpstreamFailed>(&E)) {
     T.S.EndQueries.erase(Found);
     C.Attempt.EndQuery = UpstreamId{};
-    recordCrash(T, C, /*IsUnreached=*/!Failed->Why.BytesSent);
-    streamCut(T, C, "the engine ended with its stream");
-  } else {
-    completeStream(T, C);
+    engineEnded(T, C, /*IsUnreached=*/!Failed->Why.BytesSent);
+  } else if (const auto *Head = std::get_if<UpstreamHead>(&E)) {
+    if (!isFromEngine(T, C, *Head))
+      engineEnded(T, C, /*IsUnreached=*/false);
+  } else if (const auto *Data = std::get_if<UpstreamData>(&E)) {
+    if (Query.Report.size() + Data->Bytes.size() <= MaxReportBytes)
+      Query.Report += Data->Bytes;
+  } else if (std::holds_alternative<UpstreamEnd>(E)) {
+    std::string Report = std::move(Query.Report);
+    T.S.EndQueries.erase(Found);
+    C.Attempt.EndQuery = UpstreamId{};
+    if (isReportOf(T, C, Report))
+      completeStream(T, C);
+    else
+      engineEnded(T, C, /*IsUnreached=*/false);
   }
   return true;
 }
--- a/packages/gateway/CrashCheckPart.cpp
+++ b/packages/gateway/CrashCheckPart.cpp
@@ -79,14 +79,15 @@
   return sendQuery(T, Address, std::move(Query));
 }
 
-UpstreamId queryEngine(GatewayTurn &T, const std::string &Address) {
-  return sendQuery(T, Address, T.S.Platform.EncodeLoadQuery());
+UpstreamId queryEngine(GatewayTurn &T, const std::string &Address,
+                       const BackendId &Engine) {
+  return sendQuery(T, Address, T.S.Platform.EncodeLoadQuery(Engine));
 }
 
 /// Asks the call's server whether it runs. Returns zero if it cannot be asked.
 UpstreamId queryServer(GatewayTurn &T, const GatewayCall &C) {
   if (C.OnEngine)
-    return queryEngine(T, C.Attempt.Address);
+    return queryEngine(T, C.Attempt.Address, C.Attempt.Server);
   auto Service = C.Table->ByService.find(C.Service);
   if (Service == C.Table->ByService.end() ||
       Service->second->HealthPath.empty())
@@ -101,7 +102,8 @@
   if (Head == nullptr)
     return false;
   AnswerInfo Answer = T.S.Platform.DecodeAnswer(Head->Status, Head->Headers);
-  return !Answer.Server.empty() && Answer.Server != Check.Crash.Server;
+  bool IsOther = !Answer.Server.empty() && Answer.Server != Check.Crash.Server;
+  return IsOther || Answer.Misdirected;
 }
 
 /// A plain server that is slow may answer a health check late.
--- a/packages/gateway/Gateway.h
+++ b/packages/gateway/Gateway.h
@@ -48,12 +48,12 @@
 //===----------------------------------------------------------------------===//
 #pragma once
 
+#include "answer/EventSplitter.h"
 #include "base/Random.h"
 #include "base/RequestDigest.h"
 #include "base/Settings.h"
 #include "calls/Health.h"
 #include "gateway/ControlLink.h"
-#include "gateway/EventSplitter.h"
 #include "gateway/PermitQueue.h"
 #include "gateway/Placer.h"
 #include "gateway/RelayState.h"
@@ -134,6 +134,12 @@
   TimePoint ExpiresAt{};
 };
 
+/// A query that confirms the end of a call's stream.
+struct EndQuery {
+  std::uint64_t Ticket = 0; // Of the call, which is Confirming.
+  std::string Report;       // The engine's load report as far as it arrived.
+};
+
 /// A query whether a backend server still runs after it broke off answers. If
 /// it has crashed, the requests are suspects.
 struct CrashCheck {
@@ -331,8 +337,7 @@
       RequesterIncarnations; // Of entry hosts that sent placement requests.
   std::vector<PendingRelease> Releases;
   std::map<UpstreamId, SpeedQuery> SpeedQueries;
-  std::map<UpstreamId, std::uint64_t>
-      EndQueries;             // Tickets of Confirming calls.
+  std::map<UpstreamId, EndQuery> EndQueries;
   CrashQuarantine Quarantine; // What crashes servers, and own evidence.
   RequestLimits NamedLimits;  // Named by backend servers.
   std::uint64_t ControlLimitDigest = 0; // Of the active control host.
--- a/packages/gateway/GatewayTurn.h
+++ b/packages/gateway/GatewayTurn.h
@@ -147,8 +147,10 @@
 /// Returns an HTTP request that carries an order or a query to an engine.
 UpstreamRequest orderRequest(const Gateway &S, const std::string &Address,
                              EngineOrder Order);
-/// Asks an engine for its load report; returns the id of the query.
-UpstreamId queryLoad(GatewayTurn &T, const std::string &Address);
+/// Asks an engine for its load report; returns the id of the query. Another
+/// engine at the address refuses it.
+UpstreamId queryLoad(GatewayTurn &T, const std::string &Address,
+                     const BackendId &Engine);
 /// Sends orders that reserve memory at the helpers of the call's placement.
 void reserve(GatewayTurn &T, GatewayCall &C);
 /// Schedules checkReserving() for the time at which unanswered orders fail.
--- a/packages/gateway/PathPart.cpp
+++ b/packages/gateway/PathPart.cpp
@@ -44,7 +44,7 @@
 /// The query for a server; empty if none is known.
 std::optional<EngineOrder> probeQuery(const Gateway &S, const ServerReport &R) {
   if (S.Engines.Engines.count(R.Id) > 0)
-    return S.Platform.EncodeLoadQuery();
+    return S.Platform.EncodeLoadQuery(BackendId());
   auto Service = S.Routes->ByService.find(R.Service);
   if (Service == S.Routes->ByService.end() ||
       Service->second->HealthPath.empty())
--- a/packages/gateway/ReservePart.cpp
+++ b/packages/gateway/ReservePart.cpp
@@ -130,10 +130,11 @@
   return Request;
 }
 
-UpstreamId queryLoad(GatewayTurn &T, const std::string &Address) {
+UpstreamId queryLoad(GatewayTurn &T, const std::string &Address,
+                     const BackendId &Engine) {
   UpstreamId Id{T.S.NextUpstream++};
   T.Out.push_back(calls::OpenUpstream{
-      Id, orderRequest(T.S, Address, T.S.Platform.EncodeLoadQuery()),
+      Id, orderRequest(T.S, Address, T.S.Platform.EncodeLoadQuery(Engine)),
       std::nullopt});
   return Id;
 }
--- a/packages/gateway/ServerNoticePart.cpp
+++ b/packages/gateway/ServerNoticePart.cpp
@@ -48,7 +48,7 @@
       Probe != S.Relays.Probes.end())
     return Probe->second.Server;
   if (auto Query = S.EndQueries.find(Upstream); Query != S.EndQueries.end())
-    return findCall(T, Query->second)->Attempt.Server;
+    return findCall(T, Query->second.Ticket)->Attempt.Server;
   return serverOfOrder(T, Upstream);
 }
 
--- a/packages/gateway/SpeedPart.cpp
+++ b/packages/gateway/SpeedPart.cpp
@@ -17,7 +17,7 @@
   SpeedQuery Query;
   Query.Engine = Id;
   Query.ExpiresAt = T.Now + QueryTimeout;
-  UpstreamId Upstream = queryLoad(T, S.Engines.Engines.at(Id).Address);
+  UpstreamId Upstream = queryLoad(T, S.Engines.Engines.at(Id).Address, Id);
   S.SpeedQueries[Upstream] = std::move(Query);
 }
 
--- a/packages/gateway/tests/GatewayStreamTest.cpp
+++ b/packages/gateway/tests/GatewayStreamTest.cpp
@@ -130,10 +130,78 @@
   calls::OpenUpstream Open = answerStream(R, "id: 1\ndata: x\n\n");
   R.event(UpstreamEnd{Open.Upstream, false});
   calls::OpenUpstream Query = onlyQuery(R);
+  BOOST_TEST(!Query.Request.Headers.empty());
+  BOOST_TEST(valueOf(Query, "X-Pimentoglade-Expected-Replica") ==
+             R.S.Calls.begin()->second.Attempt.Server.Value);
   R.event(UpstreamHead{Query.Upstream, 200, {}});
+  // The engine's report tells whether it is the one that gave the stream.
+  BOOST_TEST(R.all<calls::EndStream>().empty());
+  R.event(UpstreamData{Query.Upstream, R"({"pace":1,"born":1})"});
+  R.event(UpstreamEnd{Query.Upstream, true});
   BOOST_TEST(R.only<calls::EndStream>().IsComplete);
   BOOST_TEST(R.S.Calls.empty());
   BOOST_TEST(R.S.ByUpstream.empty());
+  BOOST_TEST(R.S.EndQueries.empty());
+}
+
+/// Guards against an engine that crashes between two events while this host
+/// stands still, and has started again by the time it is asked: the cut stream
+/// reached its caller as complete.
+BOOST_AUTO_TEST_CASE(StreamWithoutLengthOfAReplacedEngineIsNotComplete) {
+  struct Answer {
+    int Status;
+    std::vector<HttpHeader> Headers;
+    const char *Report;
+  };
+  for (const Answer &A :
+       {Answer{421, {}, ""}, Answer{404, {}, ""},
+        Answer{200, {{"X-Pimentoglade-Replica-Id", "other"}}, ""},
+        Answer{200, {}, R"({"pace":1,"born":2})"}}) {
+    GatewayFixture R;
+    calls::OpenUpstream Open = answerStream(R, "id: 1\ndata: x\n\n");
+    R.event(UpstreamEnd{Open.Upstream, false});
+    UpstreamId Query = onlyQuery(R).Upstream;
+    R.event(UpstreamHead{Query, A.Status, A.Headers});
+    if (R.all<calls::OpenUpstream>().empty()) {
+      R.event(UpstreamData{Query, A.Report});
+      R.event(UpstreamEnd{Query, true});
+    }
+    BOOST_TEST(R.all<calls::EndStream>().empty());
+    calls::OpenUpstream Next = R.onlySend();
+    BOOST_TEST(Next.Request.Address != Open.Request.Address);
+    BOOST_TEST(valueOf(Next, "Last-Event-Id") == "1");
+    BOOST_TEST(R.S.EndQueries.empty());
+  }
+}
+
+/// Guards against a stream that its server breaks off within an event and ends
+/// properly, by its last chunk or its length: the half event reached the caller
+/// in a complete answer.
+BOOST_AUTO_TEST_CASE(DelimitedStreamThatEndsWithinAnEventGoesOnElsewhere) {
+  GatewayFixture R;
+  calls::OpenUpstream Open = answerStream(R, "id: 1\ndata: x\n\nid: 2\nda");
+  BOOST_TEST(R.only<calls::StreamBytes>().Bytes == "id: 1\ndata: x\n\n");
+  R.event(UpstreamEnd{Open.Upstream, true});
+  BOOST_TEST(R.all<calls::EndStream>().empty());
+  BOOST_TEST(R.all<calls::StreamBytes>().empty());
+  calls::OpenUpstream Next = R.onlySend();
+  BOOST_TEST(Next.Request.Address != Open.Request.Address);
+  BOOST_TEST(valueOf(Next, "Last-Event-Id") == "1");
+  // A second one that does so leaves a stream that is visibly cut.
+  R.sent(Next.Upstream);
+  R.head(Next.Upstream, 200);
+  R.event(UpstreamData{Next.Upstream, "id: 2\ndata: y\n\nid"});
+  R.event(UpstreamEnd{Next.Upstream, true});
+  BOOST_TEST(!R.only<calls::EndStream>().IsComplete);
+}
+
+/// Guards against a stream without events that is framed as a whole answer.
+BOOST_AUTO_TEST_CASE(DelimitedStreamWithoutEventsGoesOnElsewhere) {
+  GatewayFixture R;
+  calls::OpenUpstream Open = answerStream(R, "");
+  R.event(UpstreamEnd{Open.Upstream, true});
+  BOOST_TEST(R.all<calls::EndStream>().empty());
+  BOOST_TEST(R.onlySend().Request.Address != Open.Request.Address);
 }
 
 /// Guards against work that goes on for a caller that left while the end of its
--- a/packages/routing/Adapter.h
+++ b/packages/routing/Adapter.h
@@ -134,11 +134,15 @@
   EngineOrder (*EncodeReserve)(const std::string &Ticket, std::uint64_t Tokens,
                                Duration Hold) = nullptr;
   EngineOrder (*EncodeRelease)(const std::string &Ticket) = nullptr;
-  /// Returns the request for an engine's load report.
-  EngineOrder (*EncodeLoadQuery)() = nullptr;
+  /// Returns the request for an engine's load report. Another engine than
+  /// \p Expected refuses it; empty: any answers.
+  EngineOrder (*EncodeLoadQuery)(const BackendId &Expected) = nullptr;
   /// Parses a load report; empty if it is malformed.
   std::optional<EngineLoad> (*DecodeLoadReport)(std::string_view Body) =
       nullptr;
+  /// Returns the incarnation of the engine that wrote a load report; 0: the
+  /// report does not tell.
+  IncarnationNumber (*DecodeReportIncarnation)(std::string_view Body) = nullptr;
   /// Returns the body that acknowledges a backend server's report.
   /// \p NextAddress is the address for its next report, or empty.
   std::string (*EncodeReportReply)(const std::string &NextAddress) = nullptr;
--- a/packages/shell/tests/ClientTest.cpp
+++ b/packages/shell/tests/ClientTest.cpp
@@ -353,6 +353,33 @@
   }
 }
 
+/// Guards against a server that stops within its answer's head and closes: its
+/// caller got a status of 200 and an empty or short body, framed as whole.
+BOOST_FIXTURE_TEST_CASE(AnswerWithoutAWholeHeadFails, Fixture) {
+  for (const char *Framing :
+       {"Content-Length: 2\r\n", "Transfer-Encoding: chunked\r\n", ""}) {
+    const std::string Head = std::string("HTTP/1.1 200 OK\r\nEcho: 1\r\n"
+                                         "Stamp: 3e1b\r\n") +
+                             Framing + "\r\n";
+    for (std::size_t Cut = 1; Cut < Head.size(); ++Cut) {
+      Calls.clear();
+      std::size_t Before = Server.Connections.size();
+      CallOutcome &Call = open(1);
+      RawServer::Connection &C = connection(Before);
+      C.write(Head.substr(0, Cut));
+      until([&] {
+        return evbuffer_get_length(bufferevent_get_output(C.Stream)) == 0;
+      });
+      bufferevent_free(C.Stream);
+      C.Stream = nullptr;
+      BOOST_TEST_REQUIRE(until([&] { return Call.Failed || Call.Ended; }));
+      BOOST_TEST(Call.Failed, Framing << " cut at " << Cut);
+      BOOST_TEST(Call.Status == 0);
+      BOOST_TEST(Call.Body.empty());
+    }
+  }
+}
+
 BOOST_FIXTURE_TEST_CASE(AnswerWithoutLengthEndsWhenConnectionCloses, Fixture) {
   CallOutcome &Call = open(1);
   RawServer::Connection &C = connection(0);
