--- a/packages/gateway/Admission.cpp
+++ b/packages/gateway/Admission.cpp
@@ -21,9 +21,6 @@
 constexpr Duration MaxHoldTime = milliseconds(1000);
 constexpr int HoldTimeDivisor = 5;
 constexpr std::size_t MaxHeldRequests = 512;
-/// Retry-After for requests refused during shutdown; another host can serve the
-/// retry at once.
-constexpr Duration StopRetryAfter = milliseconds(20);
 /// Retry-After for requests refused while a newer configuration is missing;
 /// most other hosts have it.
 constexpr Duration StaleRetryAfter = milliseconds(100);
--- a/packages/gateway/Attempt.cpp
+++ b/packages/gateway/Attempt.cpp
@@ -321,6 +321,10 @@
 void sendAttempt(GatewayTurn &T, GatewayCall &C,
                  const std::vector<HelperInfo> &Helpers) {
   Gateway &S = T.S;
+  if (isTooLateToSend(T, C)) {
+    refuseLate(T, C);
+    return;
+  }
   SendBlock Block = blockOf(S, C.Attempt.Server, C.Attempt.ServerIncarnation,
                             C.Ticket, T.Now);
   if (Block != SendBlock::None) {
--- a/packages/gateway/Gateway.h
+++ b/packages/gateway/Gateway.h
@@ -356,7 +356,8 @@
   bool Stopping = false;
   TimePoint RefuseAt{}; // During shutdown: new requests are refused from then.
   TimePoint StopListeningAt{};
-  TimePoint StopAt{};
+  TimePoint StopAt{};     // Calls that are still open are ended then.
+  TimePoint ExitBy{};     // The process ends then, whatever is unwritten.
   bool HandsOver = false; // All calls have ended; what servers may still be at
                           // work on is told to a control host.
   std::uint64_t HandOverSequence = 0; // Of the message that tells it.
--- a/packages/gateway/GatewayTurn.h
+++ b/packages/gateway/GatewayTurn.h
@@ -16,6 +16,10 @@
   Effects Out;
 };
 
+/// Retry-After for requests refused during shutdown; another host can serve the
+/// retry at once.
+constexpr Duration StopRetryAfter = milliseconds(20);
+
 // Gateway.cpp
 /// Returns the open call with \p Ticket, or null.
 GatewayCall *findCall(GatewayTurn &T, std::uint64_t Ticket);
@@ -110,6 +114,17 @@
 /// Handles the timer of a call whose end is not confirmed in time.
 void checkConfirming(GatewayTurn &T, GatewayCall &C);
 
+// StopPart.cpp
+/// Begins the shutdown: unready first, then refusing, then gone.
+void stopRequested(GatewayTurn &T);
+/// Proceeds with the shutdown, if one has begun.
+void tickStop(GatewayTurn &T);
+/// Whether the call, which no server has got, could not be finished before this
+/// host stops. It is then told so, and another host can serve it at once.
+bool isTooLateToSend(const GatewayTurn &T, const GatewayCall &C);
+/// Refuses a call that is too late to send. Invalidates \p C.
+void refuseLate(GatewayTurn &T, GatewayCall &C);
+
 // PlacePart.cpp
 /// Requests engines for the call from the placer. Places the call locally if
 /// this host is the placer, no placer is known or the placer is avoided. May
@@ -128,6 +143,8 @@
 /// Reports the call's new stage to the placer.
 void reportStage(GatewayTurn &T, GatewayCall &C, PlacementStage Stage,
                  const BackendId &FaultyServer = BackendId());
+/// A call that waits for engines needs none any more.
+void withdrawPlacement(GatewayTurn &T, const GatewayCall &C);
 /// Handles the timer of a call that waits for engines.
 void checkPlacing(GatewayTurn &T, GatewayCall &C);
 /// Answers waiting placement requests.
@@ -459,9 +476,6 @@
 /// shutdown.
 void tickSite(GatewayTurn &T);
 void onSiteState(GatewayTurn &T, const HostId &From, const SiteState &M);
-/// Starts a shutdown: the host becomes unready, later refuses new requests, and
-/// exits once all calls have ended or the limit has passed.
-void stopRequested(GatewayTurn &T);
 /// Answers the load balancer's readiness query; refuses any other call.
 void operatorCall(GatewayTurn &T, ExchangeId Exchange, const HttpRequest &R);
 
--- a/packages/gateway/PlacePart.cpp
+++ b/packages/gateway/PlacePart.cpp
@@ -283,14 +283,18 @@
     C.Placed = false;
 }
 
+void withdrawPlacement(GatewayTurn &T, const GatewayCall &C) {
+  if (C.IsRemotePlacement)
+    send(T, T.S.Link.Placer,
+         PlacementUpdate{C.Ticket, PlacementStage::Ended, {}});
+  updateStage(T.S.Engines, {T.S.Self, C.Ticket}, PlacementStage::Ended, {},
+              T.Now);
+}
+
 void checkPlacing(GatewayTurn &T, GatewayCall &C) {
   PlacementRequest Spec = makePlacementRequest(T, C);
   if (Spec.EventTimeLeft <= Duration::zero()) {
-    if (C.IsRemotePlacement)
-      send(T, T.S.Link.Placer,
-           PlacementUpdate{C.Ticket, PlacementStage::Ended, {}});
-    updateStage(T.S.Engines, {T.S.Self, C.Ticket}, PlacementStage::Ended, {},
-                T.Now);
+    withdrawPlacement(T, C);
     fail(T, C, C.MayHaveRun ? Code::BackendFailed : Code::DeadlineUnreachable,
          "no engine was free in time");
     return;
--- a/packages/gateway/SitePart.cpp
+++ b/packages/gateway/SitePart.cpp
@@ -1,5 +1,5 @@
-// Messages of control hosts, loss of other entry hosts, readiness for the load
-// balancer, and shutdown.
+// Messages of control hosts, loss of other entry hosts, and readiness for the
+// load balancer.
 
 #include "gateway/GatewayTurn.h"
 
@@ -15,12 +15,6 @@
 /// Time after which a host without a link counts as stopped; before that it may
 /// only have lost the link.
 constexpr Duration LostHostGracePeriod = milliseconds(1500);
-/// Time between becoming unready and refusing requests. The load balancer
-/// probes once a second and stops sending callers after two failed probes.
-constexpr Duration UnreadyTime = milliseconds(3000);
-/// Time reserved before the shutdown limit to send the last answers.
-constexpr Duration StopReserve = milliseconds(900);
-
 /// Rebuilds the list of each service's backend servers that accept new
 /// requests.
 void refreshPlainServers(Gateway &S) {
@@ -88,34 +82,6 @@
   }
 }
 
-/// Ends all open calls with an error answer.
-void failOpenCalls(GatewayTurn &T) {
-  std::vector<std::uint64_t> Tickets;
-  for (const auto &[Ticket, C] : T.S.Calls)
-    Tickets.push_back(Ticket);
-  for (std::uint64_t Ticket : Tickets) {
-    GatewayCall *C = findCall(T, Ticket);
-    bool Ran = C->MayHaveRun || C->Attempt.BytesSent;
-    Code Number = Ran ? Code::StreamCut : Code::Draining;
-    if (Ran && C->Path->Kind == CallKind::Once)
-      Number = Code::OutcomeUnknown;
-    fail(T, *C, Number, "this host is shutting down");
-  }
-}
-
-void tickStop(GatewayTurn &T) {
-  Gateway &S = T.S;
-  if (!S.Stopping || T.Now < S.StopListeningAt)
-    return;
-  T.Out.push_back(StopAcceptingCallers{});
-  bool LimitPassed = T.Now >= S.StopAt;
-  if (LimitPassed)
-    failOpenCalls(T);
-  if (S.Calls.empty() && S.Relays.Taken.empty() && hasHandedOver(T))
-    T.Out.push_back(Exit{LimitPassed ? 1 : 0});
-  S.StopListeningAt = T.Now + milliseconds(50);
-}
-
 LinkReport reportOf(const Gateway &S, TimePoint Now) {
   LinkReport Report;
   Report.Config = S.Routes ? S.Routes->Config.Number : 0;
@@ -197,23 +163,6 @@
   }
 }
 
-void stopRequested(GatewayTurn &T) {
-  Gateway &S = T.S;
-  if (S.Stopping)
-    return;
-  S.Stopping = true;
-  Duration Limit = S.Config.Drain.Limit;
-  S.RefuseAt = T.Now + std::min(UnreadyTime, Limit / 2);
-  S.StopListeningAt = S.RefuseAt;
-  S.StopAt = T.Now + std::max(Limit - StopReserve, Limit / 2);
-  syncSoon(S.Link, T.Now);
-  DecisionRecord Record{
-      "stop_requested", {}, "this host is not ready from now on", {}};
-  Record.add("calls", static_cast<std::int64_t>(S.Calls.size()));
-  Record.add("limit_ms", toMilliseconds(Limit));
-  log(T, std::move(Record));
-}
-
 void operatorCall(GatewayTurn &T, ExchangeId Exchange, const HttpRequest &R) {
   if (serversCall(T, Exchange, R))
     return;
--- /dev/null
+++ b/packages/gateway/tests/StopTest.cpp
@@ -0,0 +1,158 @@
+// Load: requests that arrive at any time of a planned stop, among them such
+// that may run only once. Each is answered, or told truly that it did not run.
+
+#include "gateway/tests/GatewayFixture.h"
+
+using namespace pimento;
+using namespace pimento::testing;
+
+namespace {
+
+constexpr Duration Grace = seconds(8); // As the fixture's settings say.
+
+/// The configuration with routes on which callers wait longer than the grace.
+std::string patientRouting() {
+  std::string Text = RoutingText;
+  const std::string Short = R"("timeoutMs":600)";
+  for (std::size_t At = Text.find(Short); At != std::string::npos;
+       At = Text.find(Short, At))
+    Text.replace(At, Short.size(), R"("timeoutMs":20000)");
+  Text.replace(Text.find(R"("version":3)"), 11, R"("version":4)");
+  return Text;
+}
+
+struct StopFixture : GatewayFixture {
+  Effects All; // Since the stop was requested.
+  TimePoint StopRequestedAt{};
+
+  StopFixture() { deliverSiteState(patientRouting().c_str(), 4); }
+
+  void stop() {
+    StopRequestedAt = Now;
+    event(StopRequested());
+  }
+  void runUntil(Duration AfterStop) {
+    while (Now < StopRequestedAt + AfterStop) {
+      tick(milliseconds(10));
+      keep();
+    }
+  }
+  void keep() { All.insert(All.end(), LastEffects.begin(), LastEffects.end()); }
+  template <class T> std::vector<T> seen() const {
+    std::vector<T> Found;
+    for (const Effect &E : All) {
+      if (const auto *Is = std::get_if<T>(&E))
+        Found.push_back(*Is);
+    }
+    return Found;
+  }
+};
+
+} // namespace
+
+/// Guards against requests that come late in the grace, are passed on, and are
+/// cut without an answer at its end.
+BOOST_AUTO_TEST_CASE(RequestsAtAnyTimeOfAStopAreAnsweredOrNotSent) {
+  constexpr Duration ServerTime = milliseconds(3000);
+  for (int Tenth = 0; Tenth < 10; ++Tenth) {
+    for (const char *Target : {"/w/1", "/r/1"}) {
+      StopFixture R;
+      R.stop();
+      R.runUntil(Tenth * Grace / 10);
+      ExchangeId Id = R.call(HttpMethod::Post, Target);
+      std::vector<calls::OpenUpstream> Opened = R.all<calls::OpenUpstream>();
+      R.keep();
+      if (!Opened.empty()) {
+        R.sent(Opened[0].Upstream);
+        R.runUntil(R.Now + ServerTime - R.StopRequestedAt);
+        // An idempotent call may have been sent again meanwhile.
+        for (const auto &[Ticket, C] : R.S.Calls) {
+          if (C.Exchange == Id)
+            Opened[0].Upstream = C.Attempt.Upstream;
+        }
+        R.sent(Opened[0].Upstream);
+        R.head(Opened[0].Upstream, 200);
+        R.event(UpstreamEnd{Opened[0].Upstream, true});
+        R.keep();
+      }
+      R.runUntil(Grace);
+      std::vector<calls::SendReply> Replies = R.seen<calls::SendReply>();
+      BOOST_TEST_REQUIRE(Replies.size() == 1U);
+      BOOST_TEST(Replies[0].Reply.Status == (Opened.empty() ? 503 : 200),
+                 Target << " at tenth " << Tenth);
+      BOOST_TEST_REQUIRE(!R.seen<Exit>().empty());
+      BOOST_TEST(R.seen<Exit>().front().Status == 0);
+    }
+  }
+}
+
+/// Guards against requests that are taken early in the grace, wait for an
+/// engine, and are passed on when they can no longer be finished.
+BOOST_AUTO_TEST_CASE(RequestThatGetsItsEngineTooLateIsRefusedUnsent) {
+  StopFixture R;
+  HostId Placer("10.0.0.2");
+  R.S.Link.Placer = Placer;
+  R.stream();
+  auto Requested = std::get<PlacementRequest>(R.only<SendPeer>().Content);
+  PlacementReply Waits;
+  Waits.Ticket = Requested.Ticket;
+  R.stop();
+  while (R.Now < R.StopRequestedAt + Grace &&
+         R.seen<calls::SendReply>().empty()) {
+    R.event(PeerMessage{Placer, 1, Waits});
+    R.tick(milliseconds(100));
+    R.keep();
+  }
+  std::vector<calls::SendReply> Replies = R.seen<calls::SendReply>();
+  BOOST_TEST_REQUIRE(Replies.size() == 1U);
+  BOOST_TEST(Replies[0].Reply.Status == 503);
+  BOOST_TEST(R.seen<calls::OpenUpstream>().empty());
+  // The caller learns it while another host can still serve it.
+  BOOST_TEST((R.Now < R.StopRequestedAt + milliseconds(6500)));
+  // The placer keeps no engine for it.
+  bool IsWithdrawn = false;
+  for (const SendPeer &Send : R.seen<SendPeer>()) {
+    const auto *Update = std::get_if<PlacementUpdate>(&Send.Content);
+    IsWithdrawn = IsWithdrawn ||
+                  (Update != nullptr && Update->Stage == PlacementStage::Ended);
+  }
+  BOOST_TEST(IsWithdrawn);
+}
+
+/// Guards against an engine that is named late: the request is not sent then.
+BOOST_AUTO_TEST_CASE(OnceOnlyCallIsNotSentAfterTheHostRefuses) {
+  StopFixture R;
+  HostId Placer("10.0.0.2");
+  R.S.Link.Placer = Placer;
+  R.stream();
+  auto Requested = std::get<PlacementRequest>(R.only<SendPeer>().Content);
+  PlacementReply Reply;
+  Reply.Ticket = Requested.Ticket;
+  R.stop();
+  while (R.Now < R.StopRequestedAt + milliseconds(5900)) {
+    R.event(PeerMessage{Placer, 1, Reply});
+    R.tick(milliseconds(100));
+    R.keep();
+  }
+  BOOST_TEST_REQUIRE(R.seen<calls::SendReply>().empty());
+  Reply.First.Engine = BackendId("e2");
+  Reply.Forecast = milliseconds(700);
+  R.event(PeerMessage{Placer, 1, Reply});
+  BOOST_TEST(R.all<calls::OpenUpstream>().empty());
+  BOOST_TEST(R.only<calls::SendReply>().Reply.Status == 503);
+  BOOST_TEST(R.S.Engines.Placed.empty());
+}
+
+/// Guards against answers that are cut while their callers read them: the
+/// process has the rest of the grace to write them.
+BOOST_AUTO_TEST_CASE(AnswersAreWrittenUntilTheEndOfTheGrace) {
+  StopFixture R;
+  R.stop();
+  R.runUntil(Grace / 2);
+  std::vector<Exit> Exits = R.seen<Exit>();
+  BOOST_TEST_REQUIRE(!Exits.empty());
+  for (const Exit &E : Exits)
+    BOOST_TEST((E.FlushTime > seconds(3)));
+  TimePoint FirstExit = R.StopRequestedAt + milliseconds(2900);
+  BOOST_TEST((FirstExit + Exits[0].FlushTime <= R.StopRequestedAt + Grace));
+}
--- a/packages/node/Events.h
+++ b/packages/node/Events.h
@@ -157,9 +157,11 @@
 /// Stops accepting connections from callers.
 struct StopAcceptingCallers {};
 
-/// Ends the process.
+/// Ends the process, once all replies are written to their callers.
 struct Exit {
   int Status = 0;
+  Duration FlushTime = milliseconds(500); // The process ends after this time,
+                                          // although replies are unwritten.
 };
 
 using Effect =
--- a/packages/shell/Process.cpp
+++ b/packages/shell/Process.cpp
@@ -28,10 +28,8 @@
 /// Minimum tick interval: the system's timers have no finer resolution, and
 /// each expiry has a cost.
 constexpr Duration MinTickInterval = milliseconds(1);
-/// Time between an Exit effect and the exit: the least, and the most while
-/// replies are still being written.
+/// Least time between an Exit effect and the exit.
 constexpr Duration MinFlushTime = milliseconds(50);
-constexpr Duration MaxFlushTime = milliseconds(500);
 constexpr Duration FlushCheckInterval = milliseconds(10);
 /// Body limit of operators' requests, which carry small documents and queries.
 constexpr std::size_t OperatorBodyBytes = 4U << 20U;
@@ -545,7 +543,7 @@
   ExitStatus = std::max(ExitStatus, E.Status);
   if (ExitTimer.pending())
     return;
-  ExitBy = steadyNow() + MaxFlushTime;
+  ExitBy = steadyNow() + E.FlushTime;
   ExitTimer.start(MinFlushTime);
 }
 
--- a/packages/shell/tests/ProcessTest.cpp
+++ b/packages/shell/tests/ProcessTest.cpp
@@ -79,3 +79,36 @@
   Caller.join();
   BOOST_TEST(Received >= AnswerBytes);
 }
+
+/// Guards against a planned stop that cuts off the answers of callers who read
+/// steadily but slowly: the program says how long it may take.
+BOOST_AUTO_TEST_CASE(SlowCallersGetTheirAnswersBeforeTheProcessExits) {
+  constexpr std::size_t AnswerBytes = 12U << 20U;
+  Settings S = settings();
+  HostProgram P = program();
+  P.Reduce = [&](const Event &E, TimePoint) -> Effects {
+    const auto *Request = std::get_if<CallerRequest>(&E);
+    if (Request == nullptr)
+      return {};
+    HttpReply Reply = jsonReply(200, std::string(AnswerBytes, 'x'));
+    return {calls::SendReply{Request->Exchange, Reply}, Exit{0, seconds(20)}};
+  };
+  std::size_t Received = 0;
+  TimePoint Began = steadyTime();
+  std::thread Caller([&] {
+    std::this_thread::sleep_for(milliseconds(200));
+    RawSocket Socket(S.Host.CallerAddress);
+    Socket.write("GET / HTTP/1.1\r\n\r\n");
+    // It reads nothing for longer than a process waits by default.
+    std::this_thread::sleep_for(milliseconds(1500));
+    while (!Socket.readAvailable())
+      std::this_thread::sleep_for(milliseconds(1));
+    Received = Socket.Received.size();
+  });
+  DataFolder Folder;
+  BOOST_TEST(runProgram(S, Folder, 1, P) == 0);
+  Caller.join();
+  BOOST_TEST(Received >= AnswerBytes);
+  // It ends once the answer is written, and not after the whole time.
+  BOOST_TEST((steadyTime() < Began + seconds(10)));
+}
