--- a/packages/shell/Process.cpp
+++ b/packages/shell/Process.cpp
@@ -189,14 +189,16 @@
 
 HttpServerHooks Process::serverHooks(bool ForOperators) {
   HttpServerHooks Hooks;
-  Hooks.Request = [this, ForOperators](ExchangeId Id, HttpRequest Request) {
-    if (serveMetrics(ForOperators ? OperatorServer : CallerServer, Id, Request))
-      return;
-    if (ForOperators)
-      dispatch(OperatorRequest{Id, std::move(Request)});
-    else
+  if (ForOperators) {
+    Hooks.Request = [this](ExchangeId Id, HttpRequest Request) {
+      if (!serveMetrics(OperatorServer, Id, Request))
+        dispatch(OperatorRequest{Id, std::move(Request)});
+    };
+  } else {
+    Hooks.Request = [this](ExchangeId Id, HttpRequest Request) {
       dispatch(CallerRequest{Id, std::move(Request)});
-  };
+    };
+  }
   Hooks.Left = [this](ExchangeId Id) { dispatch(ExchangeLeft{Id}); };
   Hooks.Drained = [this](ExchangeId Id, std::size_t Pending) {
     dispatch(ExchangeDrained{Id, Pending});
--- a/packages/shell/tests/ProcessTest.cpp
+++ b/packages/shell/tests/ProcessTest.cpp
@@ -112,3 +112,34 @@
   // It ends once the answer is written, and not after the whole time.
   BOOST_TEST((steadyTime() < Began + seconds(10)));
 }
+
+/// Guards against a caller's path that the host answers itself: a route may
+/// have it, and the host's figures are nobody else's.
+BOOST_AUTO_TEST_CASE(PathsOfCallersAreNotTheHostsOwn) {
+  Settings S = settings();
+  HostProgram P = program();
+  std::string Target;
+  P.Reduce = [&](const Event &E, TimePoint) -> Effects {
+    const auto *Request = std::get_if<CallerRequest>(&E);
+    if (Request == nullptr)
+      return {};
+    Target = Request->Request.Target;
+    return {calls::SendReply{Request->Exchange, jsonReply(200, "\"server\"")},
+            Exit{0}};
+  };
+  std::string Received;
+  std::thread Caller([&] {
+    std::this_thread::sleep_for(milliseconds(200));
+    RawSocket Socket(S.Host.CallerAddress);
+    Socket.write("GET /metrics?crew=7 HTTP/1.1\r\n\r\n");
+    while (!Socket.readAvailable() &&
+           Socket.Received.find("server") == std::string::npos)
+      std::this_thread::sleep_for(milliseconds(1));
+    Received = Socket.Received;
+  });
+  DataFolder Folder;
+  BOOST_TEST(runProgram(S, Folder, 1, P) == 0);
+  Caller.join();
+  BOOST_TEST(Target == "/metrics?crew=7");
+  BOOST_TEST(Received.find("pimento_") == std::string::npos);
+}
