--- a/bench/CallsBenchRetries.cpp
+++ b/bench/CallsBenchRetries.cpp
@@ -111,9 +111,9 @@
     onUpstreamHead(S, Open.Upstream, Fails ? 500 : 200, Headers, Dir, Now, Out);
     std::string Body = "found";
     if (R.Method == HttpMethod::Post && !Fails) {
-      std::string Attempt = R.Body.substr(R.Body.find(':') + 1, 0);
-      std::size_t At = R.Body.find("\"attempt\":\"") + 11;
-      Attempt = R.Body.substr(At, R.Body.find('"', At) - At);
+      const std::string &Text = R.Body.text();
+      std::size_t At = Text.find("\"attempt\":\"") + 11;
+      std::string Attempt = Text.substr(At, Text.find('"', At) - At);
       Body = "data: {\"attempt\":\"" + Attempt +
              "\",\"end\":true,\"finish\":\"stop\",\"prompt_tokens\":1,"
              "\"cached_tokens\":0,\"output_tokens\":0}\n\n";
--- a/packages/base/Http.h
+++ b/packages/base/Http.h
@@ -9,6 +9,7 @@
 //===----------------------------------------------------------------------===//
 #pragma once
 
+#include "base/SharedText.h"
 #include "base/Time.h"
 
 #include <cstdint>
@@ -59,7 +60,7 @@
   HttpMethod Method = HttpMethod::Get;
   std::string Target; // Encoded path and query.
   std::vector<HttpHeader> Headers;
-  std::string Body;
+  SharedText Body;
   bool MayReuse = false; // Whether an idle connection may be used.
   /// An answer whose header of this name has another value belongs to another
   /// request: it is skipped, and the next answer on the connection is read. An
--- a/packages/gateway/Admission.cpp
+++ b/packages/gateway/Admission.cpp
@@ -21,6 +21,9 @@
 constexpr Duration MaxHoldTime = milliseconds(1000);
 constexpr int HoldTimeDivisor = 5;
 constexpr std::size_t MaxHeldRequests = 512;
+/// Retry-After for requests refused for their size while this host holds many
+/// bytes. Another host may have room.
+constexpr Duration NoRoomRetryAfter = milliseconds(300);
 /// Retry-After for requests refused while a newer configuration is missing;
 /// most other hosts have it.
 constexpr Duration StaleRetryAfter = milliseconds(100);
@@ -157,6 +160,12 @@
            TimePoint Arrived) {
   Gateway &S = T.S;
   RequestInfo Info = S.Platform.DecodeRequestInfo(R);
+  if (!hasRoomFor(S, R.Body.size())) {
+    refuse(T, Exchange, Info, Code::Overloaded,
+           "the host holds too many bytes of requests and answers",
+           NoRoomRetryAfter);
+    return;
+  }
   if (!S.Routes && hold(T, Exchange, R, Info))
     return;
   if (!S.Routes) {
--- a/packages/gateway/Answer.cpp
+++ b/packages/gateway/Answer.cpp
@@ -92,6 +92,8 @@
   C.Attempt.LastBytes = T.Now;
   C.UnreadBytes += Events.size();
   T.Out.push_back(calls::StreamBytes{C.Exchange, std::move(Events)});
+  if (!isRelayed(C.Exchange))
+    followReader(T, C);
 }
 
 /// Asks the engine that gave the stream for its load report. An engine that
@@ -282,6 +284,8 @@
   if (C->Attempt.Body.size() > T.S.Config.Limits.AnswerBytes)
     attemptFailed(T, *C, true, Code::AnswerTooLarge,
                   "the answer exceeds the size limit");
+  else
+    boundAnswers(T, C->Attempt.Body.size(), E.Bytes.size());
 }
 
 void upstreamEnd(GatewayTurn &T, const UpstreamEnd &E) {
--- a/packages/gateway/Gateway.cpp
+++ b/packages/gateway/Gateway.cpp
@@ -77,7 +77,8 @@
     return true;
   }
 
-  void operator()(const Tick &) const {
+  void operator()(const Tick &E) const {
+    T.S.CallerBytes = E.CallerBytes;
     tickHeld(T);
     tickCalls(T);
     tickReleases(T);
@@ -118,6 +119,7 @@
     callerRead(T, E.Exchange, E.PendingBytes);
   }
   void operator()(const CallerRequest &E) const {
+    T.S.CallerBytes = E.CallerBytes;
     admit(T, E.Exchange, E.Request, T.Now);
   }
   void operator()(const OperatorRequest &E) const {
@@ -255,6 +257,8 @@
             static_cast<double>(cutServices(S.Relays.Paths).size())),
       Gauge("pimento_relayed_requests",
             static_cast<double>(S.Relays.Taken.size())),
+      Gauge("pimento_held_bytes",
+            static_cast<double>(heldBytes(S) + S.CallerBytes)),
   };
   gateway::addServerGauges(S, Now, Samples);
   return Samples;
--- a/packages/gateway/Gateway.h
+++ b/packages/gateway/Gateway.h
@@ -221,6 +221,7 @@
   std::string Body;         // Body of an answer that is buffered.
   bool IsForwarded = false; // Events are forwarded as they arrive.
   bool HasEvents = false;   // A complete event has arrived.
+  bool IsPaused = false;    // The answer is not read, since its caller is slow.
 };
 
 /// An admitted request, from its arrival to its final answer.
@@ -230,7 +231,7 @@
   RequestInfo Info;
   HttpMethod Method = HttpMethod::Get;
   std::string Target;
-  std::string Body;
+  SharedText Body;
   RequestDigest Digest;                    // Of Account, Target and Body.
   std::shared_ptr<const RouteTable> Table; // Owns Path.
   const Route *Path = nullptr;
@@ -353,6 +354,8 @@
   std::map<HostId, TimePoint> LostHosts; // When a host's link was lost.
   RelayState Relays; // Paths to servers, and requests by way of other hosts.
 
+  std::size_t CallerBytes = 0; // As told by the process; see CallerRequest.
+
   bool Stopping = false;
   TimePoint RefuseAt{}; // During shutdown: new requests are refused from then.
   TimePoint StopListeningAt{};
@@ -376,6 +379,10 @@
 /// Returns the time by which the next Tick event is needed.
 TimePoint nextWakeup(const Gateway &S, TimePoint Now);
 
+/// Bytes that the state holds of callers' and other hosts' requests, and of
+/// answers to them that are not handed to the process yet.
+std::size_t heldBytes(const Gateway &S);
+
 /// Returns the current values of the gauges in the metrics.
 std::vector<MetricSample> gatewayGauges(const Gateway &S, TimePoint Now);
 
--- a/packages/gateway/GatewayTurn.h
+++ b/packages/gateway/GatewayTurn.h
@@ -114,6 +114,17 @@
 /// Handles the timer of a call whose end is not confirmed in time.
 void checkConfirming(GatewayTurn &T, GatewayCall &C);
 
+// HeldBytes.cpp
+/// Whether a request with a body of this size may be taken in, by the bytes
+/// that this host holds.
+bool hasRoomFor(const Gateway &S, std::size_t BodyBytes);
+/// An answer of \p Size bytes has grown by \p Added: fails the attempts with
+/// the longest answers while this host holds too many bytes. May end calls.
+void boundAnswers(GatewayTurn &T, std::size_t Size, std::size_t Added);
+/// Stops reading the stream's answer while its caller lags behind, and reads on
+/// once it does not.
+void followReader(GatewayTurn &T, GatewayCall &C);
+
 // StopPart.cpp
 /// Begins the shutdown: unready first, then refusing, then gone.
 void stopRequested(GatewayTurn &T);
--- a/packages/gateway/HandOverPart.cpp
+++ b/packages/gateway/HandOverPart.cpp
@@ -59,7 +59,7 @@
   M.Info.LastEvent = C.Events.LastId;
   M.Method = static_cast<std::uint8_t>(C.Method);
   M.Target = C.Target;
-  M.Body.Data = C.Body.substr(0, FirstBodyBytes);
+  M.Body.Data = C.Body.text().substr(0, FirstBodyBytes);
   M.BodySize = C.Body.size();
   M.TimeLeft = C.Deadline - T.Now;
   M.Waited = T.Now - C.Arrived;
@@ -317,6 +317,8 @@
   C.UnreadBytes = std::min(C.UnreadBytes, PendingBytes);
   if (!C.Attempt.Relay.empty() && C.Attempt.Upstream != UpstreamId{})
     grantAnswer(T, C);
+  else
+    followReader(T, C);
 }
 
 } // namespace pimento::gateway
--- a/packages/gateway/RelayPart.cpp
+++ b/packages/gateway/RelayPart.cpp
@@ -77,7 +77,7 @@
   if (M.BodySize > S.Config.Limits.BodyBytes || M.Body.Data.size() > M.BodySize)
     return Code::BodyTooLarge;
   if (S.Relays.Taken.size() >= MaxTaken ||
-      takenBytes(S) + M.BodySize > MaxTakenBytes)
+      takenBytes(S) + M.BodySize > MaxTakenBytes || !hasRoomFor(S, M.BodySize))
     return Code::Overloaded;
   return Code::Ok;
 }
--- a/packages/gateway/tests/GatewayEngineTest.cpp
+++ b/packages/gateway/tests/GatewayEngineTest.cpp
@@ -12,7 +12,7 @@
                          {{"X-Pimentoglade-Token-Count", "300000,700"},
                           {"X-Pimentoglade-Deadline-Ms", "15000"}});
   calls::OpenUpstream Reserve = R.only<calls::OpenUpstream>();
-  BOOST_TEST(Reserve.Request.Body.find("reserve") != std::string::npos);
+  BOOST_TEST(Reserve.Request.Body.text().find("reserve") != std::string::npos);
   R.event(UpstreamHead{Reserve.Upstream, 200, {}});
   R.event(UpstreamEnd{Reserve.Upstream, true});
   calls::OpenUpstream Open = R.only<calls::OpenUpstream>();
@@ -27,11 +27,11 @@
   R.event(UpstreamEnd{Renewals[0].Upstream, true});
   R.event(ExchangeLeft{Id});
   calls::OpenUpstream Release = R.only<calls::OpenUpstream>();
-  BOOST_TEST(Release.Request.Body.find("release") != std::string::npos);
+  BOOST_TEST(Release.Request.Body.text().find("release") != std::string::npos);
   R.failUpstream(Release.Upstream, true); // The answer to the release is lost.
   R.advance(milliseconds(300));
   Release = R.only<calls::OpenUpstream>();
-  BOOST_TEST(Release.Request.Body.find("release") != std::string::npos);
+  BOOST_TEST(Release.Request.Body.text().find("release") != std::string::npos);
   R.event(UpstreamHead{Release.Upstream, 200, {}});
   R.event(UpstreamEnd{Release.Upstream, true});
   R.advance(seconds(4));
@@ -55,7 +55,7 @@
   std::size_t Releases = 0;
   for (int Second = 0; Second < 16; ++Second) {
     for (const calls::OpenUpstream &Open : R.all<calls::OpenUpstream>()) {
-      if (Open.Request.Body.find("release") == std::string::npos)
+      if (Open.Request.Body.text().find("release") == std::string::npos)
         continue;
       ++Releases;
       R.event(UpstreamHead{Open.Upstream, 200, {}});
@@ -85,7 +85,7 @@
   First.event(UpstreamHead{Order.Upstream, 409, {}});
   First.event(UpstreamEnd{Order.Upstream, true});
   for (const calls::OpenUpstream &Open : First.all<calls::OpenUpstream>()) {
-    bool Reserves = Open.Request.Body.find("reserve") != std::string::npos;
+    bool Reserves = Open.Request.Body.text().find("reserve") != std::string::npos;
     BOOST_TEST((!Reserves || Open.Request.Body != Order.Request.Body));
   }
 }
@@ -399,7 +399,7 @@
     bool IsReleased = std::any_of(
         Opened.begin(), Opened.end(), [&](const calls::OpenUpstream &Open) {
           return Open.Request.Address == Reserve.Request.Address &&
-                 Open.Request.Body.find("release") != std::string::npos;
+                 Open.Request.Body.text().find("release") != std::string::npos;
         });
     BOOST_TEST(IsReleased);
   }
--- a/packages/gateway/tests/GatewayStreamTest.cpp
+++ b/packages/gateway/tests/GatewayStreamTest.cpp
@@ -204,6 +204,34 @@
   BOOST_TEST(R.onlySend().Request.Address != Open.Request.Address);
 }
 
+/// Guards against a caller that reads slowly, or not at all, while its stream
+/// grows: its bytes pile up in this host.
+BOOST_AUTO_TEST_CASE(StreamIsNotReadWhileItsCallerLagsBehind) {
+  GatewayFixture R;
+  ExchangeId Caller{R.NextExchange};
+  calls::OpenUpstream Open = answerStream(R, "id: 1\ndata: x\n\n");
+  int Id = 1;
+  std::vector<calls::PauseUpstream> Pauses;
+  while (Pauses.empty() && Id < 100) {
+    R.event(UpstreamData{Open.Upstream,
+                         "id: " + std::to_string(++Id) +
+                             "\ndata: " + std::string(4000, 'x') + "\n\n"});
+    Pauses = R.all<calls::PauseUpstream>();
+  }
+  BOOST_TEST(Id < 25);
+  BOOST_TEST_REQUIRE(Pauses.size() == 1U);
+  BOOST_TEST(Pauses[0].Paused);
+  // The server that is not read is not taken for silent.
+  R.advance(seconds(4));
+  BOOST_TEST(R.aborted().empty());
+  R.event(ExchangeDrained{Caller, 0});
+  BOOST_TEST(!R.only<calls::PauseUpstream>().Paused);
+  R.event(UpstreamData{Open.Upstream,
+                       "id: " + std::to_string(++Id) + "\ndata: x\n\n"});
+  R.event(UpstreamEnd{Open.Upstream, true});
+  BOOST_TEST(R.only<calls::EndStream>().IsComplete);
+}
+
 /// Guards against work that goes on for a caller that left while the end of its
 /// stream is confirmed.
 BOOST_AUTO_TEST_CASE(CallerMayLeaveWhileTheEndIsConfirmed) {
--- a/packages/node/Events.h
+++ b/packages/node/Events.h
@@ -29,7 +29,9 @@
 //===----------------------------------------------------------------------===//
 
 /// Timer event; occurs at least every NodeTickInterval.
-struct Tick {};
+struct Tick {
+  std::size_t CallerBytes = 0; // See CallerRequest.
+};
 
 /// An authenticated peer sent a message.
 struct PeerMessage {
@@ -53,6 +55,8 @@
 struct CallerRequest {
   ExchangeId Exchange{};
   HttpRequest Request;
+  std::size_t CallerBytes = 0; // Of other requests that are being read, and of
+                               // replies that are being written.
 };
 
 /// An operator sent a complete request to the operator port.
--- a/packages/shell/AnswerParser.cpp
+++ b/packages/shell/AnswerParser.cpp
@@ -13,6 +13,8 @@
 using boost::beast::string_view;
 
 constexpr std::uint32_t MaxHeaderBytes = 64U << 10U;
+/// Bytes that may wait for the end of a line, such as that of a chunk's length.
+constexpr std::size_t MaxUnparsedBytes = MaxHeaderBytes;
 
 class Parser : public http::basic_parser<false> {
 public:
@@ -96,6 +98,7 @@
   if (Data->Reader.is_done())
     return Used > Before ? Used - Before : 0;
   Data->Unparsed = Joined.substr(Used);
+  Data->Failed = Data->Unparsed.size() > MaxUnparsedBytes;
   return Bytes.size();
 }
 
--- a/packages/shell/AnswerParser.h
+++ b/packages/shell/AnswerParser.h
@@ -33,8 +33,9 @@
   AnswerParser &operator=(const AnswerParser &) = delete;
 
   /// Parses the next bytes and calls the hooks. Returns how many of them belong
-  /// to the answer. On a syntax error, all bytes count as consumed and failed()
-  /// holds afterwards. Calls after the end of the answer or a failure return 0.
+  /// to the answer. On a syntax error, or where a head or a line has no end,
+  /// all bytes count as consumed and failed() holds afterwards. Calls after the
+  /// end of the answer or a failure return 0.
   std::size_t feed(std::string_view Bytes);
   /// Reports that the server closed the connection. Completes an answer without
   /// a length; any other unfinished answer fails.
--- a/packages/shell/HostProgram.h
+++ b/packages/shell/HostProgram.h
@@ -25,6 +25,9 @@
   std::function<Effects(const Event &, TimePoint)> Reduce;
   std::function<TimePoint(TimePoint)> NextTick; // Time of the next Tick event.
   std::function<std::vector<MetricSample>(TimePoint)> Gauges;
+  /// Bytes of callers' requests and of their answers in the state; empty: not
+  /// counted.
+  std::function<std::size_t()> HeldBytes;
 };
 
 /// Returns a random seed from the system's entropy source.
--- a/packages/shell/HttpClient.cpp
+++ b/packages/shell/HttpClient.cpp
@@ -72,6 +72,23 @@
   return Why;
 }
 
+void releaseBody(const void *, std::size_t, void *Owner) {
+  delete static_cast<SharedText *>(Owner);
+}
+
+/// Adds a body to the output; the bytes of a long one are not copied.
+void addBody(evbuffer *Output, const SharedText &Body) {
+  constexpr std::size_t MinSharedBytes = 16U << 10U;
+  if (Body.size() < MinSharedBytes) {
+    evbuffer_add(Output, Body.data(), Body.size());
+    return;
+  }
+  auto Owner = std::make_unique<SharedText>(Body);
+  if (evbuffer_add_reference(Output, Body.data(), Body.size(), &releaseBody,
+                             Owner.get()) == 0)
+    static_cast<void>(Owner.release());
+}
+
 std::string formatHead(const UpstreamRequest &R) {
   std::string Text =
       std::string(toString(R.Method)) + " " + R.Target + " HTTP/1.1\r\n";
@@ -417,7 +434,7 @@
   std::string Head = formatHead(C.Request);
   evbuffer *Output = bufferevent_get_output(C.Stream);
   evbuffer_add(Output, Head.data(), Head.size());
-  evbuffer_add(Output, C.Request.Body.data(), C.Request.Body.size());
+  addBody(Output, C.Request.Body);
 }
 
 HttpClient::HttpClient(event_base *Base, HttpClientHooks Hooks,
--- a/packages/shell/HttpServer.cpp
+++ b/packages/shell/HttpServer.cpp
@@ -11,6 +11,7 @@
 
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <unordered_map>
 
 namespace pimento {
@@ -18,6 +19,11 @@
 namespace {
 
 constexpr Duration SweepInterval = milliseconds(100);
+/// A request of which fewer bytes were read is not refused for the memory that
+/// it takes.
+constexpr std::size_t MinShedBytes = 64U << 10U;
+/// Retry-After of requests that are refused for lack of room.
+constexpr const char *OverloadedRetryAfter = "Retry-After: 1\r\n";
 /// evhttp's own timeouts would interrupt a long answer; this server enforces
 /// its own timeouts instead.
 constexpr Duration NoTimeout = hours(24 * 365);
@@ -97,6 +103,8 @@
                      toString(Number) + "\r\nConnection: close\r\n" +
                      "Content-Length: " + std::to_string(Reply.Body.size()) +
                      "\r\n";
+  if (Number == Code::Overloaded)
+    Text += OverloadedRetryAfter;
   for (const HttpHeader &Header : Reply.Headers)
     Text += Header.Name + ": " + Header.Value + "\r\n";
   return Text + "\r\n" + Reply.Body;
@@ -141,6 +149,8 @@
   evhttp_bound_socket *Listener = nullptr;
   std::unordered_map<bufferevent *, std::unique_ptr<Connection>> Connections;
   std::unordered_map<std::uint64_t, Exchange> Exchanges;
+  std::size_t ReadingBytes = 0; // Sum of ReadBytes.
+  std::size_t OutputBytes = 0;  // In the output buffers of all connections.
   std::unique_ptr<Timer> Sweep;
 
   Impl(event_base *TheBase, HttpServerLimits TheLimits,
@@ -160,6 +170,9 @@
   static void replaceErrorPage(evutil_socket_t, short, void *Link);
 
   void sweep();
+  void shedReaders();
+  static void countRead(Connection &Link, std::size_t Bytes);
+  static void dropRead(Connection &Link);
   void reportProgress(Connection &Link, Exchange &E, Duration Now);
   bool expire(Connection &Link, Duration Now);
   void refuseConnection(Connection &Link, Code Number, const char *Detail);
@@ -167,6 +180,7 @@
   Exchange *findOpen(ExchangeId Id);
   void forget(ExchangeId Id);
   void closeConnection(ExchangeId Id);
+  void reply(ExchangeId Id, const HttpReply &Reply);
   Connection *connectionOf(evhttp_connection *Link);
   static void finish(Exchange &E);
 };
@@ -198,14 +212,25 @@
   auto &Link = *static_cast<Connection *>(Self);
   bool Begins = Info->n_added > 0 && Link.CurrentExchange == ExchangeId{} &&
                 Link.ReadingSince == Duration::zero();
-  Link.ReadBytes += Info->n_added;
+  if (Begins)
+    dropRead(Link);
+  countRead(Link, Info->n_added);
   if (!Begins)
     return;
   Link.ReadingSince = steadyNow();
-  Link.ReadBytes = Info->n_added;
   Link.Replying = false;
 }
 
+void HttpServer::Impl::countRead(Connection &Link, std::size_t Bytes) {
+  Link.ReadBytes += Bytes;
+  Link.Server->ReadingBytes += Bytes;
+}
+
+void HttpServer::Impl::dropRead(Connection &Link) {
+  Link.Server->ReadingBytes -= Link.ReadBytes;
+  Link.ReadBytes = 0;
+}
+
 /// Called when a reply is fully written. Part of the next request may have
 /// arrived already.
 void HttpServer::Impl::onReplied(evhttp_request *, void *Self) {
@@ -223,6 +248,8 @@
 void HttpServer::Impl::onOutput(evbuffer *, const evbuffer_cb_info *Info,
                                 void *Self) {
   auto &Link = *static_cast<Connection *>(Self);
+  Link.Server->OutputBytes += Info->n_added;
+  Link.Server->OutputBytes -= Info->n_deleted;
   if (Info->n_added > 0 && !Link.Replying && !Link.Closing)
     event_active(Link.ErrorPageEvent.get(), 0, 0);
 }
@@ -271,6 +298,7 @@
   if (!Link)
     return;
   Link->ReadingSince = Duration::zero();
+  dropRead(*Link);
   if (!Link->OptionsSet)
     setSocketOptions(bufferevent_getfd(Link->Stream), CallerSilence);
   Link->OptionsSet = true;
@@ -371,6 +399,27 @@
   return false;
 }
 
+/// Refuses the long requests that began last, as long as the process holds too
+/// many bytes: those that began first are the next to be whole, and served.
+void HttpServer::Impl::shedReaders() {
+  std::size_t Other = Hooks.OtherHeldBytes ? Hooks.OtherHeldBytes() : 0;
+  while (ReadingBytes + OutputBytes + Other > Limits.HeldBytes) {
+    Connection *Last = nullptr;
+    for (const auto &[Stream, Link] : Connections) {
+      if (Link->Closing || Link->ReadingSince == Duration::zero() ||
+          Link->ReadBytes < MinShedBytes)
+        continue;
+      if (Last == nullptr || Link->ReadingSince > Last->ReadingSince)
+        Last = Link.get();
+    }
+    if (Last == nullptr)
+      return;
+    refuseConnection(*Last, Code::Overloaded,
+                     "the host holds too many bytes of requests and answers");
+    dropRead(*Last);
+  }
+}
+
 void HttpServer::Impl::sweep() {
   Duration Now = steadyNow();
   for (auto It = Connections.begin(); It != Connections.end();) {
@@ -379,6 +428,8 @@
       continue;
     }
     Connection &Link = *It->second;
+    dropRead(Link);
+    OutputBytes -= evbuffer_get_length(bufferevent_get_output(Link.Stream));
     evbuffer_remove_cb(bufferevent_get_input(Link.Stream), &Impl::onInput,
                        &Link);
     evbuffer_remove_cb(bufferevent_get_output(Link.Stream), &Impl::onOutput,
@@ -386,6 +437,7 @@
     bufferevent_decref(Link.Stream);
     It = Connections.erase(It);
   }
+  shedReaders();
   Sweep->start(SweepInterval);
 }
 
@@ -491,16 +543,20 @@
 
 } // namespace
 
-void HttpServer::reply(ExchangeId Id, const HttpReply &Reply) {
-  Impl::Exchange *Exchange = Data->findOpen(Id);
-  if (!Exchange || Exchange->Streaming)
+void HttpServer::Impl::reply(ExchangeId Id, const HttpReply &Reply) {
+  Exchange *Open = findOpen(Id);
+  if (!Open || Open->Streaming)
     return;
-  evhttp_request *Request = Exchange->Request;
-  Impl::finish(*Exchange);
+  evhttp_request *Request = Open->Request;
+  finish(*Open);
   addHeaders(Request, Reply.Headers);
   evhttp_send_reply(Request, Reply.Status, nullptr, bufferOf(Reply.Body).get());
 }
 
+void HttpServer::reply(ExchangeId Id, const HttpReply &Reply) {
+  Data->reply(Id, Reply);
+}
+
 void HttpServer::startStream(ExchangeId Id, int Status,
                              const std::vector<HttpHeader> &Headers) {
   Impl::Exchange *Exchange = Data->findOpen(Id);
@@ -549,11 +605,10 @@
 
 std::size_t HttpServer::exchanges() const { return Data->Exchanges.size(); }
 
-std::size_t HttpServer::pendingBytes() const {
-  std::size_t Sum = 0;
-  for (const auto &[Stream, Link] : Data->Connections)
-    Sum += evbuffer_get_length(bufferevent_get_output(Stream));
-  return Sum;
+std::size_t HttpServer::pendingBytes() const { return Data->OutputBytes; }
+
+std::size_t HttpServer::heldBytes() const {
+  return Data->ReadingBytes + Data->OutputBytes;
 }
 
 } // namespace pimento
--- a/packages/shell/HttpServer.h
+++ b/packages/shell/HttpServer.h
@@ -17,6 +17,7 @@
 #include "shell/EventLoop.h"
 
 #include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
@@ -30,6 +31,9 @@
   std::size_t Connections = 1024;
   Duration ReadTimeout = seconds(30); // First byte to complete request.
   Duration IdleTimeout = minutes(2);  // For a connection between requests.
+  /// Bytes of all requests and replies that the process holds. While there are
+  /// more, the long requests that began last are refused unread.
+  std::size_t HeldBytes = SIZE_MAX;
 };
 
 struct HttpServerHooks {
@@ -43,6 +47,9 @@
   std::function<void(ExchangeId, std::size_t)> Drained;
   /// A request was refused before it got an exchange id.
   std::function<void(Code)> Refused;
+  /// Bytes of requests and replies that the process holds besides those of
+  /// heldBytes(). Empty: none.
+  std::function<std::size_t()> OtherHeldBytes;
 };
 
 class HttpServer {
@@ -82,6 +89,9 @@
   std::size_t exchanges() const;
   /// Unsent bytes in the output buffers of all connections.
   std::size_t pendingBytes() const;
+  /// Bytes of requests that are being read and of replies that are being
+  /// written.
+  std::size_t heldBytes() const;
 
 private:
   struct Impl;
--- a/packages/shell/Process.cpp
+++ b/packages/shell/Process.cpp
@@ -177,12 +177,14 @@
   L.HeaderBytes = Config.Limits.HeaderBytes;
   L.Connections = Config.Limits.Connections;
   L.ReadTimeout = Config.Limits.ReadTimeout;
+  L.HeldBytes = bufferBytes(Config.Limits);
   return L;
 }
 
 HttpServerLimits Process::operatorLimits() const {
   HttpServerLimits L = callerLimits();
   L.BodyBytes = OperatorBodyBytes;
+  L.HeldBytes = SIZE_MAX;
   L.Connections = OperatorConnections;
   return L;
 }
@@ -196,8 +198,9 @@
     };
   } else {
     Hooks.Request = [this](ExchangeId Id, HttpRequest Request) {
-      dispatch(CallerRequest{Id, std::move(Request)});
+      dispatch(CallerRequest{Id, std::move(Request), CallerServer.heldBytes()});
     };
+    Hooks.OtherHeldBytes = Program.HeldBytes;
   }
   Hooks.Left = [this](ExchangeId Id) { dispatch(ExchangeLeft{Id}); };
   Hooks.Drained = [this](ExchangeId Id, std::size_t Pending) {
@@ -374,7 +377,7 @@
 
 void Process::tick() {
   TickDue = TimePoint();
-  dispatch(Tick());
+  dispatch(Tick{CallerServer.heldBytes()});
 }
 
 void Process::scheduleTick() {
--- a/packages/shell/SiteProcess.cpp
+++ b/packages/shell/SiteProcess.cpp
@@ -34,11 +34,11 @@
 
 /// Builds the program of a host from its initial state and its reducer.
 template <class Host>
-HostProgram
-makeProgram(const Settings &S, const std::string &File, Host Initial,
-            Effects (*Reduce)(Host &, const Event &, TimePoint),
-            std::vector<MetricSample> (*Gauges)(const Host &, TimePoint)) {
-  auto State = std::make_shared<Host>(std::move(Initial));
+HostProgram makeProgram(const Settings &S, const std::string &File,
+                        const std::shared_ptr<Host> &State,
+                        Effects (*Reduce)(Host &, const Event &, TimePoint),
+                        std::vector<MetricSample> (*Gauges)(const Host &,
+                                                            TimePoint)) {
   HostProgram Program = makeCommonProgram(S, File);
   Program.Self = State->Self;
   Program.Reduce = [State, Reduce](const Event &E, TimePoint Now) {
@@ -70,18 +70,22 @@
     Start.Start = Folder.Store->Self.Start;
     Start.Found = std::move(Folder.RecoveredGroups);
     Start.KeptServers = loadServers(Folder);
-    return runProgram(S, Folder, Incarnation,
-                      makeProgram(S, File, makeControlHost(Start, bootNow()),
-                                  &reduceControl, &controlGauges));
+    auto State =
+        std::make_shared<ControlHost>(makeControlHost(Start, bootNow()));
+    return runProgram(
+        S, Folder, Incarnation,
+        makeProgram(S, File, State, &reduceControl, &controlGauges));
   }
   GatewayStart Start;
   Start.Config = S;
   Start.Platform = Platform;
   Start.Incarnation = Incarnation;
   Start.Seed = systemSeed();
-  return runProgram(S, Folder, Incarnation,
-                    makeProgram(S, File, makeGateway(Start, bootNow()),
-                                &reduceGateway, &gatewayGauges));
+  auto State = std::make_shared<Gateway>(makeGateway(Start, bootNow()));
+  HostProgram Program =
+      makeProgram(S, File, State, &reduceGateway, &gatewayGauges);
+  Program.HeldBytes = [State] { return heldBytes(*State); };
+  return runProgram(S, Folder, Incarnation, std::move(Program));
 }
 
 } // namespace pimento
--- a/packages/shell/tests/ClientTest.cpp
+++ b/packages/shell/tests/ClientTest.cpp
@@ -271,17 +271,22 @@
 }
 
 /// Guards against bytes without end that are no answer to the request: in a
-/// head, as answers to other requests, and as interim answers.
+/// head, as answers to other requests, as interim answers, and in the length of
+/// a chunk, its extension or the lines after the last one.
 BOOST_FIXTURE_TEST_CASE(BytesWithoutEndAreBrokenOff, Fixture) {
   const std::string OtherHead = "HTTP/1.1 200 OK\r\nEcho: 6\r\n\r\n";
   const std::string Interim = "HTTP/1.1 100 Continue\r\n\r\n";
+  const std::string ChunkedHead =
+      "HTTP/1.1 200 OK\r\nEcho: 7\r\nTransfer-Encoding: chunked\r\n\r\n";
   struct Case {
     std::string Head;
     std::string Repeated;
   };
   for (const Case &Endless :
        {Case{"", "x"}, Case{"HTTP/1.1 200 OK\r\n", "A: b\r\n"},
-        Case{OtherHead, "x"}, Case{"", Interim}}) {
+        Case{OtherHead, "x"}, Case{"", Interim}, Case{ChunkedHead, "0"},
+        Case{ChunkedHead + "5;", "x"},
+        Case{ChunkedHead + "0\r\n", "A: b\r\n"}}) {
     Calls.clear();
     std::size_t Before = Server.Connections.size();
     CallOutcome &Call = open(7);
--- a/packages/shell/tests/HttpTest.cpp
+++ b/packages/shell/tests/HttpTest.cpp
@@ -301,6 +301,101 @@
   BOOST_TEST(Requests.empty());
 }
 
+namespace {
+
+/// A server of long requests that holds few bytes.
+struct SmallServer {
+  EventBasePtr Base = makeEventBase();
+  std::uint64_t NextExchange = 1;
+  std::vector<std::pair<ExchangeId, HttpRequest>> Requests;
+  std::vector<Code> Refused;
+  std::size_t OtherBytes = 0;
+  std::size_t MostHeld = 0;
+  std::string Address = freeAddress();
+  HttpServer Server{Base.get(), limits(), hooks(), NextExchange};
+
+  SmallServer() { BOOST_TEST_REQUIRE(Server.listen(Address)); }
+
+  static HttpServerLimits limits() {
+    HttpServerLimits L;
+    L.BodyBytes = 4U << 20U;
+    L.HeldBytes = 8U << 20U;
+    return L;
+  }
+  HttpServerHooks hooks() {
+    HttpServerHooks H;
+    H.Request = [this](ExchangeId Id, HttpRequest R) {
+      Requests.emplace_back(Id, std::move(R));
+    };
+    H.Left = [](ExchangeId) {};
+    H.Drained = [](ExchangeId, std::size_t) {};
+    H.Refused = [this](Code C) { Refused.push_back(C); };
+    H.OtherHeldBytes = [this] { return OtherBytes; };
+    return H;
+  }
+};
+
+} // namespace
+
+/// Guards against bodies that are being read beyond the memory of the process:
+/// those that began first are read to their end, the others are told that they
+/// were not.
+BOOST_FIXTURE_TEST_CASE(LongRequestsBeyondTheMemoryAreRefusedUnread,
+                        SmallServer) {
+  constexpr int Callers = 20;
+  constexpr std::size_t BodyBytes = 1U << 20U;
+  const std::string Head =
+      "POST / HTTP/1.1\r\nContent-Length: " + std::to_string(BodyBytes) +
+      "\r\n\r\n";
+  const std::string Piece(BodyBytes / 16, 'x');
+  std::vector<std::unique_ptr<RawSocket>> Sockets;
+  for (int I = 0; I < Callers; ++I) {
+    Sockets.push_back(std::make_unique<RawSocket>(Address));
+    Sockets.back()->write(Head);
+    runUntil(Base.get(), milliseconds(4), [] { return false; });
+  }
+  for (int Round = 0; Round < 16; ++Round) {
+    for (const auto &Socket : Sockets)
+      Socket->write(Piece);
+    runUntil(Base.get(), milliseconds(150), [&] {
+      MostHeld = std::max(MostHeld, Server.heldBytes());
+      return false;
+    });
+  }
+  BOOST_TEST(Requests.size() >= 6U);
+  BOOST_TEST(Requests.size() + Refused.size() == std::size_t(Callers));
+  for (Code Number : Refused)
+    BOOST_TEST((Number == Code::Overloaded));
+  BOOST_TEST(MostHeld <= (10U << 20U));
+  runUntil(Base.get(), milliseconds(300), [] { return false; });
+  BOOST_TEST(Server.heldBytes() == 0U);
+}
+
+/// Guards against an account of the bytes that loses some with each connection.
+BOOST_FIXTURE_TEST_CASE(HeldBytesReturnToZero, SmallServer) {
+  for (int Round = 0; Round < 10; ++Round) {
+    RawSocket Cut(Address);
+    Cut.write("POST / HTTP/1.1\r\nContent-Length: 9000\r\n\r\nabc");
+    RawSocket Whole(Address);
+    Whole.write("POST / HTTP/1.1\r\nContent-Length: 3\r\n\r\nabc");
+    std::size_t Before = Requests.size();
+    BOOST_TEST_REQUIRE(runUntil(Base.get(), MaxWait, [&] {
+      return Requests.size() > Before && Server.heldBytes() > 0;
+    }));
+    Server.reply(Requests.back().first,
+                 jsonReply(200, std::string(1U << 20U, 'x')));
+    if (Round % 2 == 0)
+      continue; // The caller leaves before it has read its reply.
+    runUntil(Base.get(), milliseconds(100), [&] {
+      Whole.readAvailable();
+      return false;
+    });
+  }
+  BOOST_TEST(runUntil(Base.get(), MaxWait, [&] {
+    return Server.connections() == 0 && Server.heldBytes() == 0;
+  }));
+}
+
 BOOST_FIXTURE_TEST_CASE(SlowRequestsGetProblemReply, Fixture) {
   expectProblem(rawExchange("POST / HTTP/1.1\r\nContent-Length: 50\r\n\r\nab"),
                 Code::RequestTimeout);
