Callers: a header name that ends with a blank is refused

Cause: "X-Account : other" was passed on as it came.

Change: 400 before the request reaches a route.

--- a/packages/shell/HttpServer.cpp
+++ b/packages/shell/HttpServer.cpp
@@ -78,6 +78,15 @@
   return Result;
 }
 
+/// Whether a header's name ends with a blank. A server may drop the blank, and
+/// take the header for one that only this host may set.
+bool hasBlankName(const HttpRequest &R) {
+  auto EndsBlank = [](const HttpHeader &H) {
+    return !H.Name.empty() && (H.Name.back() == ' ' || H.Name.back() == '\t');
+  };
+  return std::any_of(R.Headers.begin(), R.Headers.end(), EndsBlank);
+}
+
 /// Maps the HTTP status of a refusal by evhttp to a result code.
 Code codeFromStatus(int Status) {
   switch (Status) {
@@ -310,7 +319,16 @@
   Link->CloseEvent.reset(event_new(Server.Base, bufferevent_getfd(Link->Stream),
                                    EV_CLOSED, &Impl::onCallerClosed, Link));
   event_add(Link->CloseEvent.get(), nullptr);
-  Server.Hooks.Request(Id, convert(Request));
+  HttpRequest Read = convert(Request);
+  if (hasBlankName(Read)) {
+    Server.Hooks.Refused(Code::BadRequest);
+    Server.reply(
+        Id,
+        problemReply(
+            {Code::BadRequest, "a header's name ends with a blank", {}, {}}));
+    return;
+  }
+  Server.Hooks.Request(Id, std::move(Read));
 }
 
 /// Called when the caller closes the connection. evhttp does not read while a
--- a/packages/shell/tests/HttpTest.cpp
+++ b/packages/shell/tests/HttpTest.cpp
@@ -301,6 +301,19 @@
   BOOST_TEST(Requests.empty());
 }
 
+/// Guards against a header whose name ends with a blank: a server may take it
+/// for one that only the host may set.
+BOOST_FIXTURE_TEST_CASE(HeaderNamesThatEndWithABlankAreRefused, Fixture) {
+  RawSocket Socket(Address);
+  Socket.write("GET / HTTP/1.1\r\nX-Account : other\r\n\r\n");
+  BOOST_TEST(until([&] {
+    Socket.readAvailable();
+    return !Socket.Received.empty();
+  }));
+  expectProblem(Socket.Received, Code::BadRequest);
+  BOOST_TEST(Requests.empty());
+}
+
 namespace {
 
 /// A server of long requests that holds few bytes.
