Entry hosts back off while control hosts are short of time

Cause: an entry host that heard "not current" asked another control host after 60 ms, and one that got no answer for 0.6 s went to another and was sent everything anew. With 191 hosts that is 3,000 queries a second just while there is no leader: a load that comes faster because answers are slow, and does not end by itself.

Change: the delay after "not current" doubles with each such answer in a row, up to 0.8 s, and varies by a quarter; the time for an answer doubles from the third control host in a row that gives none, up to 4 s. The first current answer ends both.

Tests: HostsBackOffWhileNoControlHostIsCurrent (20 queries in 10 s at most, where 60 ms allow 166), TimeForAnAnswerGrowsWhileNoneComes. gatewayTest passes. The delay draws one only while no control host is current.

--- a/packages/gateway/ControlLink.cpp
+++ b/packages/gateway/ControlLink.cpp
@@ -8,13 +8,40 @@
 
 constexpr Duration SyncInterval = milliseconds(500);
 constexpr Duration AnswerTimeout = milliseconds(600);
+/// The time for an answer doubles with each control host in a row that gave
+/// none, after the first ones, up to this limit: control hosts that are short
+/// of time are not asked more often for it.
+constexpr Duration MaxAnswerTimeout = milliseconds(4000);
+constexpr unsigned FreeMisses = 2;
 /// Time without queries to a control host that did not answer.
 constexpr Duration SilentAvoidance = milliseconds(1500);
 /// Time without queries to a control host that is not current. Short, since the
 /// control host may be current soon.
 constexpr Duration NotCurrentAvoidance = milliseconds(200);
 /// Delay before the next query after a site state whose sender is not current.
+/// Doubles with each such state in a row, up to a limit.
 constexpr Duration NotCurrentSyncDelay = milliseconds(60);
+constexpr Duration MaxNotCurrentSyncDelay = milliseconds(800);
+/// Delays vary by this share, so that hosts which were told the same at the
+/// same time do not come back together.
+constexpr double Jitter = 0.25;
+
+/// Returns \p First doubled \p Times times, at most \p Most.
+Duration doubled(Duration First, unsigned Times, Duration Most) {
+  constexpr unsigned MaxTimes = 16;
+  return std::min(Most, First * (std::int64_t{1} << std::min(Times, MaxTimes)));
+}
+
+Duration answerTimeout(const ControlLink &L) {
+  unsigned Times = L.Misses < FreeMisses ? 0 : L.Misses - FreeMisses + 1;
+  return doubled(AnswerTimeout, Times, MaxAnswerTimeout);
+}
+
+Duration notCurrentDelay(const ControlLink &L) {
+  Duration Delay =
+      doubled(NotCurrentSyncDelay, L.NotCurrent, MaxNotCurrentSyncDelay);
+  return fromSeconds(toSeconds(Delay) * (1 + Jitter * L.Variation));
+}
 
 bool isAvoided(const ControlLink &L, const HostId &Host, TimePoint Now) {
   auto Found = L.AvoidUntil.find(Host);
@@ -54,8 +81,10 @@
 std::optional<Outbound> tickLink(ControlLink &L, const LinkReport &Report,
                                  Random &Rng, TimePoint Now) {
   bool IsPending = L.Answered < L.Sequence;
-  if (IsPending && Now >= L.OldestPendingAt + AnswerTimeout)
+  if (IsPending && Now >= L.OldestPendingAt + answerTimeout(L)) {
+    L.Misses += 1;
     abandonControl(L, SilentAvoidance, Now);
+  }
   if (Now < L.NextSyncAt)
     return std::nullopt;
   if (L.ActiveControl.empty())
@@ -65,6 +94,8 @@
   if (L.Answered == L.Sequence)
     L.OldestPendingAt = Now;
   L.NextSyncAt = Now + SyncInterval;
+  if (L.NotCurrent > 0)
+    L.Variation = 2 * uniform(Rng) - 1;
   EntrySync M;
   M.Sequence = ++L.Sequence;
   M.ControlIncarnation = L.ControlIncarnation;
@@ -89,7 +120,8 @@
   if (!M.IsCurrent) {
     if (FromActive) {
       abandonControl(L, NotCurrentAvoidance, Now);
-      L.NextSyncAt = Now + NotCurrentSyncDelay;
+      L.NextSyncAt = Now + notCurrentDelay(L);
+      L.NotCurrent += 1;
     }
     if (!M.Leader.empty() && !isAvoided(L, M.Leader, Now) &&
         L.ActiveControl.empty())
@@ -97,6 +129,8 @@
     return false;
   }
   L.CurrentAt = Now;
+  L.Misses = 0;
+  L.NotCurrent = 0;
   if (!M.Controls.empty())
     L.Known = M.Controls;
   L.Leader = M.Leader;
@@ -114,9 +148,8 @@
   }
   // A partial server list applies only to a revision from the same incarnation
   // of the control host, with no changes missing in between.
-  bool Follows =
-      M.ListsAllServers || (M.ControlIncarnation == L.ControlIncarnation &&
-                            M.BaseRevision <= L.Revision);
+  bool Follows = M.ListsAllServers || (M.ControlIncarnation == L.ControlIncarnation &&
+                  M.BaseRevision <= L.Revision);
   if (Follows) {
     L.ControlIncarnation = M.ControlIncarnation;
     L.Revision = M.Revision;
@@ -130,7 +163,7 @@
 
 TimePoint nextLinkTick(const ControlLink &L) {
   if (L.Answered < L.Sequence)
-    return std::min(L.NextSyncAt, L.OldestPendingAt + AnswerTimeout);
+    return std::min(L.NextSyncAt, L.OldestPendingAt + answerTimeout(L));
   return L.NextSyncAt;
 }
 
--- a/packages/gateway/ControlLink.h
+++ b/packages/gateway/ControlLink.h
@@ -34,6 +34,9 @@
   TimePoint CurrentAt{}; // Receipt of the last state whose sender was current;
                          // the epoch: none so far.
   std::map<HostId, TimePoint> AvoidUntil;
+  unsigned Misses = 0;     // Control hosts in a row that did not answer.
+  unsigned NotCurrent = 0; // Site states in a row whose sender was not current.
+  double Variation = 0;    // Random, from -1 to 1, for the next delay.
 
   IncarnationNumber ControlIncarnation = 0; // Of the host that set Revision.
   std::uint64_t Revision = 0;
--- a/packages/gateway/tests/ControlLinkTest.cpp
+++ b/packages/gateway/tests/ControlLinkTest.cpp
@@ -67,6 +67,44 @@
   BOOST_TEST(Next->To != Queried);
 }
 
+/// Guards against control hosts that are asked the more the less time they
+/// have: hundreds of hosts that hear "not current" came back every 60 ms.
+BOOST_FIXTURE_TEST_CASE(HostsBackOffWhileNoControlHostIsCurrent, Fixture) {
+  int Queries = 0;
+  for (TimePoint Now = Start; Now < Start + seconds(10);
+       Now += milliseconds(5)) {
+    auto M = tick(Now);
+    if (!M)
+      continue;
+    Queries += 1;
+    applySiteState(Link, M->To, state("", false), Now);
+  }
+  BOOST_TEST(Queries <= 20);
+  // The first current state ends it.
+  std::optional<Outbound> Next;
+  TimePoint Now = Start + seconds(10);
+  for (; !Next; Now += milliseconds(5))
+    Next = tick(Now);
+  BOOST_TEST(
+      applySiteState(Link, Next->To, state(Next->To.Value.c_str()), Now));
+  BOOST_TEST(Link.NotCurrent == 0U);
+  BOOST_TEST(Link.Misses == 0U);
+}
+
+/// Guards against the same where control hosts answer late: the time for an
+/// answer grows, so that a late one is still taken.
+BOOST_FIXTURE_TEST_CASE(TimeForAnAnswerGrowsWhileNoneComes, Fixture) {
+  int Queries = 0;
+  for (TimePoint Now = Start; Now < Start + seconds(20);
+       Now += milliseconds(20)) {
+    HostId Before = Link.ActiveControl;
+    if (tick(Now) && Link.ActiveControl != Before)
+      Queries += 1;
+  }
+  BOOST_TEST(Queries >= 4); // It looks for another control host all the same.
+  BOOST_TEST(Queries <= 9);
+}
+
 BOOST_FIXTURE_TEST_CASE(RevisionDoesNotSkipALostUpdate, Fixture) {
   HostId Queried = tick(Start)->To;
   SiteState Whole = state(Queried.Value.c_str());
