Control hosts: work that grows with changes and hosts, not with hosts x servers

Leaders lost their lease 0.4 to 0.7 s after their election.

Change: changes are found by revision; the search for a successor is made only for a new incarnation or address; updates to all hosts are at least 1 ms apart for each host, and leave out those that have them by their last answer; states that are not current carry no servers; a report that changes nothing travels between control hosts in 16 bytes, a whole one every sixteenth time (packages/routing/AliveServers.h; hosts of earlier versions get whole ones); an entry host tells the digest of its servers to a new control host, which then sends none if its own is equal. Fields are appended to the messages only.

--- a/packages/control/ControlCalls.cpp
+++ b/packages/control/ControlCalls.cpp
@@ -3,6 +3,7 @@
 #include "control/ControlTurn.h"
 
 #include "base/Problem.h"
+#include "routing/AliveServers.h"
 #include "wire/Fields.h"
 
 #include <algorithm>
@@ -121,11 +122,15 @@
            "this host is not up to date with the leader or is stopping");
     return;
   }
-  if (applyReport(T.S.Servers, Report, T.Now)) {
+  bool HasChanged = applyReport(T.S.Servers, Report, T.Now);
+  if (HasChanged) {
     logServer(T, Report.Id, "the backend server reported a change");
-    T.S.UpdateDue = true;
+    updateHosts(T);
   }
-  relay(T, Report);
+  if (!HasChanged && isAliveOnly(Report))
+    relayAlive(T, Report);
+  else
+    relay(T, Report);
   reply(T, Exchange, jsonReply(200, T.S.Platform.EncodeReportReply("")));
 }
 
@@ -139,7 +144,7 @@
   if (deregisterServer(T.S.Servers, Call.Id, Call.Incarnation, T.Now)) {
     logServer(T, Call.Id, "the backend server deregistered");
     relay(T, T.S.Servers.Servers.at(Call.Id).Report);
-    T.S.UpdateDue = true;
+    updateHosts(T);
   }
   reply(T, Exchange, jsonReply(200, "{}"));
 }
@@ -194,7 +199,7 @@
       if (Known.Revision == T.S.Servers.Revision)
         logServer(T, Id, "the backend server has sent no report for too long");
     }
-    T.S.UpdateDue = true;
+    updateHosts(T);
   }
   T.S.NextServerTick = nextServerTick(T.S.Servers, T.S.Limits, T.Now);
 }
@@ -241,7 +246,7 @@
       continue;
     logServer(T, Report.Id, "an entry host reported that it is leaving");
     relay(T, T.S.Servers.Servers.at(Report.Id).Report);
-    T.S.UpdateDue = true;
+    updateHosts(T);
   }
 }
 
--- a/packages/control/ControlHost.cpp
+++ b/packages/control/ControlHost.cpp
@@ -46,7 +46,7 @@
   if (T.S.StopAt != TimePoint())
     return;
   T.S.StopAt = T.Now + StopDelay;
-  T.S.UpdateDue = true;
+  updateHosts(T);
   transferLogLeadership(T);
 }
 
@@ -129,6 +129,8 @@
   TimePoint Next =
       std::min({nextTick(S.Log), S.NextControlHeartbeat, S.NextServerTick});
   Next = std::min({Next, S.Quarantine.JudgeAt, S.LimitsDueAt});
+  if (S.UpdateDue)
+    Next = std::min(Next, S.NextUpdateAt);
   if (!S.PendingPuts.empty())
     Next = std::min(Next, Now + milliseconds(100));
   if (S.StopAt != TimePoint())
--- a/packages/control/ControlHost.h
+++ b/packages/control/ControlHost.h
@@ -96,9 +96,14 @@
 struct ControlPeer {
   TimePoint LastSeen{}; // Time of the host's last heartbeat; the epoch: none.
   bool Leaving = false; // The host announced that it is stopping.
-  bool RequestsFullState = true;      // The next heartbeat carries all servers.
-  std::vector<ServerReport> Reports;  // Reports not sent yet.
-  std::vector<TimePoint> Since;       // Arrival time of each of Reports.
+  bool RequestsFullState = true;     // The next heartbeat carries all servers.
+  std::vector<ServerReport> Reports; // Reports not sent yet.
+  std::vector<TimePoint> Since;      // Arrival time of each of Reports.
+  std::string Alive; // Reports without a change that were not sent yet, packed.
+  TimePoint AliveSince{};   // Arrival time of the first of them.
+  bool TakesAlive = false;  // It reads such reports.
+  bool KnowsOthers = false; // It told of a server that this host does not
+                            // know; it is asked for all servers.
   std::uint64_t QuarantineDigest = 0; // Of the quarantines known there.
   LimitPeer Limits;                   // What it knows of limits.
 };
@@ -118,6 +123,8 @@
   std::size_t SentBytes = 0;      // Size of the message with SentConfig.
   TimePoint SentAt{};             // When SentConfig was sent; the epoch: never.
   std::uint64_t SentRevision = 0; // Revision of Servers sent to it.
+  std::uint64_t SentChanges = 0;  // ControlHost::Changes when it was last sent
+                                  // a state.
   std::uint64_t SentSequence = 0; // Sequence of the last EntrySync answered.
   std::uint64_t QuarantineDigest = 0; // Of the quarantines known there.
   std::uint64_t WatchDigest = 0;      // Of the watched parts known there.
@@ -128,6 +135,12 @@
   TimePoint UnreachedSince{};       // The epoch: it reaches all services.
 };
 
+/// A digest of the servers, kept until they change.
+struct KnownDigest {
+  std::uint64_t Revision = 0; // Of the servers.
+  std::uint64_t Digest = 0;
+};
+
 /// Progress of the newest configuration towards the entry hosts.
 struct RoutingSpread {
   std::uint64_t Number = 0; // Of the configuration; zero: none.
@@ -167,6 +180,7 @@
   TimePoint LeadershipChangedAt{}; // When WasLeading last changed.
   ServerLimits Limits;
   ServerRegistry Servers;
+  KnownDigest ServersDigest;
   RequestLimits NamedLimits;                // Named by backend servers.
   TimePoint LimitsDueAt = TimePoint::max(); // Changed limits are sent then.
   CrashQuarantine Quarantine; // Requests and parts that crash servers.
@@ -183,10 +197,12 @@
   TimePoint NextServerTick{};
   TimePoint NextServersWrite{};
   std::uint64_t StoredRevision = 0; // Revision of Servers on the disk.
-  TimePoint StopAt{};       // When the process exits; the epoch: not stopping.
-  TimePoint DiskFailedAt{}; // When a write failed; the epoch: never.
-  bool UpdateDue = false;   // A change has to be sent to other hosts at once.
-  bool WasLeading = false;  // Result of isLeader() after the last event.
+  TimePoint StopAt{};        // When the process exits; the epoch: not stopping.
+  TimePoint DiskFailedAt{};  // When a write failed; the epoch: never.
+  bool UpdateDue = false;    // A change has to be sent to other hosts.
+  TimePoint NextUpdateAt{};  // It is not sent before.
+  std::uint64_t Changes = 0; // Number of changes that hosts are to be sent.
+  bool WasLeading = false;   // Result of isLeader() after the last event.
 };
 
 /// Returns the state after a start.
--- a/packages/control/ControlLimits.cpp
+++ b/packages/control/ControlLimits.cpp
@@ -72,7 +72,7 @@
   if (T.Now < T.S.LimitsDueAt)
     return;
   T.S.LimitsDueAt = TimePoint::max();
-  T.S.UpdateDue = true;
+  updateHosts(T);
 }
 
 bool limitCall(ControlTurn &T, ExchangeId Exchange, const HttpRequest &R) {
--- a/packages/control/ControlLog.cpp
+++ b/packages/control/ControlLog.cpp
@@ -301,7 +301,7 @@
     return;
   T.S.WasLeading = Leads;
   T.S.LeadershipChangedAt = T.Now;
-  T.S.UpdateDue = true;
+  updateHosts(T);
   DecisionRecord Record{Leads ? "leads" : "leads_no_more", {}, "", {}};
   Record.add("term", static_cast<std::int64_t>(term(T.S.Log)));
   Record.add("leader", leader(T.S.Log).Value);
--- a/packages/control/ControlQuarantine.cpp
+++ b/packages/control/ControlQuarantine.cpp
@@ -163,7 +163,7 @@
            "no such part or request is in quarantine");
     return;
   }
-  T.S.UpdateDue = true;
+  updateHosts(T);
   reply(T, Exchange, jsonReply(200, textOf({{"lifted", Lifted}})));
 }
 
@@ -180,7 +180,7 @@
     if (!addCrash(Q, Crash, T.Now))
       continue;
     if (IsNew)
-      T.S.UpdateDue = true;
+      updateHosts(T);
     DecisionRecord Record{
         "engine_crash", {}, "a backend server broke off answers of a host", {}};
     Record.add("server", Crash.Server.Value);
@@ -208,7 +208,7 @@
     Changed = IsContested || applyRecord(Q, Record, T.Now) || Changed;
   }
   if (Changed)
-    T.S.UpdateDue = true;
+    updateHosts(T);
 }
 
 QuarantineUpdate quarantineUpdateFor(const ControlTurn &T,
@@ -258,10 +258,10 @@
                     Q.Entries.at(Scope)));
     count(T, Scope.What.isRequest() ? "pimento_requests_quarantined_total"
                                     : "pimento_parts_quarantined_total");
-    T.S.UpdateDue = true;
+    updateHosts(T);
   }
   if (watchDigest(watchedSuspects(Q)) != WatchBefore)
-    T.S.UpdateDue = true;
+    updateHosts(T);
 }
 
 bool quarantineCall(ControlTurn &T, ExchangeId Exchange, const HttpRequest &R) {
--- a/packages/control/ControlRouting.cpp
+++ b/packages/control/ControlRouting.cpp
@@ -128,7 +128,7 @@
   S.Spread.Number = S.NewestRouting.Number;
   S.Spread.BeganAt = T.Now;
   // All entry hosts learn the number at once and the configuration in turn.
-  S.UpdateDue = true;
+  updateHosts(T);
 }
 
 std::vector<HostId> hostsToUpdate(ControlTurn &T) {
--- a/packages/control/ControlSpread.cpp
+++ b/packages/control/ControlSpread.cpp
@@ -3,6 +3,8 @@
 
 #include "control/ControlTurn.h"
 
+#include "routing/AliveServers.h"
+
 #include <algorithm>
 
 namespace pimento::control {
@@ -20,6 +22,11 @@
 /// may keep failing at its start.
 constexpr Duration SettlingTime = seconds(5);
 constexpr std::size_t MaxWaitingReports = 8192;
+constexpr std::size_t MaxWaitingAliveBytes = std::size_t{256} << 10U;
+/// Time between two updates to all entry hosts, for each of them. Changes that
+/// come in series, as when all servers start, are sent together; a host that
+/// asks meanwhile gets them with its answer.
+constexpr Duration UpdateSpacingPerHost = milliseconds(1);
 
 /// All hosts that may be control hosts: seeds, known hosts and members.
 std::vector<HostId> contacts(const ControlHost &S) {
@@ -40,6 +47,7 @@
     Peer.RequestsFullState = false;
     Peer.Reports.clear();
     Peer.Since.clear();
+    Peer.Alive.clear();
     std::vector<ServerReport> All = changedServers(T.S.Servers, 0, T.Now);
     auto IsSilent = [](const ServerReport &R) {
       // Each control host detects silence itself.
@@ -56,6 +64,15 @@
   return Reports;
 }
 
+void relay(ControlTurn &T, ControlPeer &Peer, const ServerReport &Report) {
+  if (Peer.RequestsFullState || Peer.Reports.size() >= MaxWaitingReports) {
+    Peer.RequestsFullState = true;
+    return;
+  }
+  Peer.Reports.push_back(Report);
+  Peer.Since.push_back(T.Now);
+}
+
 void sendHeartbeats(ControlTurn &T) {
   ControlHost &S = T.S;
   std::vector<HostId> LiveHosts = liveControlHosts(S, T.Now);
@@ -64,13 +81,20 @@
     ControlHeartbeat Heartbeat;
     Heartbeat.Known = LiveHosts;
     Heartbeat.Leaving = S.StopAt != TimePoint();
-    Heartbeat.RequestsFullState = Peer.LastSeen == TimePoint();
+    Heartbeat.RequestsFullState =
+        Peer.LastSeen == TimePoint() || Peer.KnowsOthers;
+    Heartbeat.TakesAlive = true;
+    Peer.KnowsOthers = false;
     Heartbeat.Quarantine = quarantineUpdateFor(T, Peer);
     Heartbeat.Limits = limitUpdateFor(T, Peer.Limits);
-    if (T.Now < Peer.LastSeen + ControlHostTimeout)
+    if (T.Now < Peer.LastSeen + ControlHostTimeout) {
       Heartbeat.Reports = takePendingReports(T, Peer);
-    else
+      Heartbeat.Alive.Data = std::move(Peer.Alive);
+      Heartbeat.AliveAge = T.Now - Peer.AliveSince;
+      Peer.Alive.clear();
+    } else {
       Peer.RequestsFullState = true;
+    }
     send(T, Host, std::move(Heartbeat));
   }
   S.NextControlHeartbeat = T.Now + ControlHeartbeatInterval;
@@ -167,7 +191,7 @@
   Record.add("placer", S.Placer.Value);
   Record.add("before", Before.Value);
   log(T, std::move(Record));
-  S.UpdateDue = true;
+  updateHosts(T);
 }
 
 std::uint64_t liveEntryHostCount(const ControlTurn &T) {
@@ -177,6 +201,14 @@
   return Count;
 }
 
+/// The digest of this host's servers, computed once for each of their
+/// revisions.
+std::uint64_t ownServersDigest(ControlHost &S) {
+  if (S.ServersDigest.Revision != S.Servers.Revision)
+    S.ServersDigest = {S.Servers.Revision, serversDigest(S.Servers)};
+  return S.ServersDigest.Digest;
+}
+
 /// The state that \p Entry lacks; all servers if \p Whole.
 SiteState siteStateFor(ControlTurn &T, EntryPeer &Entry, bool Whole) {
   const ControlHost &S = T.S;
@@ -184,6 +216,15 @@
   State.IsCurrent = isCurrent(S, T.Now);
   State.Leader = leader(S.Log);
   State.Config = S.NewestRouting.Number;
+  State.Quarantine =
+      quarantineUpdateFor(T, Entry.QuarantineDigest, Entry.WatchDigest);
+  Entry.QuarantineDigest = State.Quarantine.Digest;
+  Entry.WatchDigest = State.Quarantine.WatchDigest;
+  State.Limits = limitUpdateFor(T, Entry.Limits);
+  // The receiver uses no more of a state that may be out of date.
+  if (!State.IsCurrent)
+    return State;
+  Entry.SentChanges = S.Changes;
   State.ControlIncarnation = S.Incarnation;
   State.Revision = S.Servers.Revision;
   State.ListsAllServers = Whole;
@@ -194,23 +235,24 @@
   State.Controls = liveControlHosts(S, T.Now);
   State.EntryHosts = liveEntryHostCount(T);
   State.Placer = S.Placer;
-  State.Quarantine =
-      quarantineUpdateFor(T, Entry.QuarantineDigest, Entry.WatchDigest);
-  Entry.QuarantineDigest = State.Quarantine.Digest;
-  Entry.WatchDigest = State.Quarantine.WatchDigest;
-  State.Limits = limitUpdateFor(T, Entry.Limits);
   return State;
 }
 
 void sendToEntryHosts(ControlTurn &T) {
   for (auto &[Host, Entry] : T.S.Entries) {
-    if (isReachable(Entry, T.Now))
+    bool HasAll = Entry.SentChanges == T.S.Changes;
+    if (isReachable(Entry, T.Now) && !HasAll)
       send(T, Host, siteStateFor(T, Entry, false));
   }
 }
 
 } // namespace
 
+void updateHosts(ControlTurn &T) {
+  T.S.UpdateDue = true;
+  T.S.Changes += 1;
+}
+
 std::vector<HostId> liveControlHosts(const ControlHost &S, TimePoint Now) {
   std::vector<HostId> LiveHosts = {S.Self};
   for (const auto &[Host, Peer] : S.Controls) {
@@ -250,9 +292,16 @@
     if (Host != S.Self)
       S.Controls[Host]; // Sends that host a heartbeat next time.
   }
+  Peer.TakesAlive = M.TakesAlive;
   for (const ServerReport &Report : M.Reports) {
     if (applyReport(S.Servers, Report, T.Now - Report.Age))
-      S.UpdateDue = true;
+      updateHosts(T);
+  }
+  for (const AliveServer &Alive : aliveServers(M.Alive.Data)) {
+    AliveResult Result = applyAlive(S.Servers, Alive, T.Now - M.AliveAge);
+    Peer.KnowsOthers = Peer.KnowsOthers || Result == AliveResult::Unknown;
+    if (Result == AliveResult::Changed)
+      updateHosts(T);
   }
   Peer.QuarantineDigest = M.Quarantine.Digest;
   onQuarantineUpdate(T, From, SenderRole::ControlHost, M.Quarantine);
@@ -280,10 +329,19 @@
   onServersLeaving(T, M.Leaving);
   bool Whole = M.ControlIncarnation != T.S.Incarnation ||
                M.Revision > T.S.Servers.Revision;
-  Entry.SentRevision = Whole ? 0 : M.Revision;
+  // After a change of the leader, hosts have its servers under the numbers of
+  // another control host. A list of all for each host would keep it busy.
+  bool HasSame =
+      Whole && M.ServersDigest != 0 && M.ServersDigest == ownServersDigest(T.S);
+  Whole = Whole && !HasSame;
+  if (HasSame)
+    Entry.SentRevision = T.S.Servers.Revision;
+  else
+    Entry.SentRevision = Whole ? 0 : M.Revision;
   choosePlacer(T);
   SiteState State = siteStateFor(T, Entry, Whole);
   State.Sequence = M.Sequence;
+  State.HasSameServers = HasSame;
   if (M.WantsRelays)
     State.Relays = relayCandidates(T, From, M.DataCentre);
   send(T, From, std::move(State));
@@ -296,22 +354,34 @@
 }
 
 void relay(ControlTurn &T, const ServerReport &Report) {
+  for (auto &[Host, Peer] : T.S.Controls)
+    relay(T, Peer, Report);
+}
+
+void relayAlive(ControlTurn &T, const ServerReport &Report) {
   for (auto &[Host, Peer] : T.S.Controls) {
-    if (Peer.RequestsFullState || Peer.Reports.size() >= MaxWaitingReports) {
-      Peer.RequestsFullState = true;
+    if (!Peer.TakesAlive) {
+      relay(T, Peer, Report);
       continue;
     }
-    Peer.Reports.push_back(Report);
-    Peer.Since.push_back(T.Now);
+    if (Peer.Alive.size() >= MaxWaitingAliveBytes)
+      Peer.RequestsFullState = true;
+    if (Peer.RequestsFullState)
+      continue;
+    if (Peer.Alive.empty())
+      Peer.AliveSince = T.Now;
+    addAlive(Peer.Alive, Report);
   }
 }
 
 void spreadChanges(ControlTurn &T) {
   ControlHost &S = T.S;
-  if (S.UpdateDue) {
+  if (S.UpdateDue && T.Now >= S.NextUpdateAt) {
     sendToEntryHosts(T);
     sendHeartbeats(T);
     S.UpdateDue = false;
+    S.NextUpdateAt = T.Now + static_cast<std::int64_t>(S.Entries.size()) *
+                                 UpdateSpacingPerHost;
   }
   for (const HostId &Host : hostsToUpdate(T)) {
     EntryPeer &Entry = S.Entries.at(Host);
--- a/packages/control/ControlTurn.h
+++ b/packages/control/ControlTurn.h
@@ -125,7 +125,11 @@
 bool pathsCall(ControlTurn &T, ExchangeId Exchange, const HttpRequest &R);
 
 // ControlSpread.cpp
+/// Something has changed that other hosts are to be sent soon.
+void updateHosts(ControlTurn &T);
 void tickSpread(ControlTurn &T);
+/// Tells the other control hosts of a report that changed nothing here.
+void relayAlive(ControlTurn &T, const ServerReport &Report);
 void onControlHeartbeat(ControlTurn &T, const HostId &From,
                         const ControlHeartbeat &M);
 void onEntrySync(ControlTurn &T, const HostId &From,
--- a/packages/gateway/ControlLink.cpp
+++ b/packages/gateway/ControlLink.cpp
@@ -148,11 +148,13 @@
   }
   // A partial server list applies only to a revision from the same incarnation
   // of the control host, with no changes missing in between.
-  bool Follows = M.ListsAllServers || (M.ControlIncarnation == L.ControlIncarnation &&
+  bool Follows = M.ListsAllServers || M.HasSameServers ||
+                 (M.ControlIncarnation == L.ControlIncarnation &&
                   M.BaseRevision <= L.Revision);
   if (Follows) {
     L.ControlIncarnation = M.ControlIncarnation;
     L.Revision = M.Revision;
+    L.RevisionFrom = From;
   }
   return true;
 }
--- a/packages/gateway/ControlLink.h
+++ b/packages/gateway/ControlLink.h
@@ -40,6 +40,7 @@
 
   IncarnationNumber ControlIncarnation = 0; // Of the host that set Revision.
   std::uint64_t Revision = 0;
+  HostId RevisionFrom; // The host that set Revision.
   HostId Leader;
   HostId Placer;             // Empty: none.
   std::uint64_t Entries = 1; // Number of entry hosts.
--- a/packages/gateway/SitePart.cpp
+++ b/packages/gateway/SitePart.cpp
@@ -7,6 +7,7 @@
 #include "base/SettingText.h"
 
 #include <algorithm>
+#include <set>
 
 namespace pimento::gateway {
 
@@ -58,11 +59,11 @@
   }
   if (!M.ListsAllServers)
     return Changed;
+  std::set<BackendId> Ids;
+  for (const ServerReport &R : M.Servers)
+    Ids.insert(R.Id);
   for (auto It = S.Servers.Servers.begin(); It != S.Servers.Servers.end();) {
-    auto Is = [&, Id = &It->first](const ServerReport &R) {
-      return R.Id == *Id;
-    };
-    bool Listed = std::any_of(M.Servers.begin(), M.Servers.end(), Is);
+    bool Listed = Ids.count(It->first) > 0;
     Changed = Changed || !Listed;
     It = Listed ? std::next(It) : S.Servers.Servers.erase(It);
   }
@@ -118,8 +119,11 @@
   std::optional<Outbound> Query =
       tickLink(S.Link, reportOf(S, T.Now), S.Rng, T.Now);
   if (Query) {
-    if (auto *Sync = std::get_if<EntrySync>(&Query->Content))
+    if (auto *Sync = std::get_if<EntrySync>(&Query->Content)) {
       addReports(T, *Sync);
+      if (Query->To != S.Link.RevisionFrom)
+        Sync->ServersDigest = serversDigest(S.Servers);
+    }
     send(T, Query->To, std::move(Query->Content));
   }
   tickLostHosts(T);
--- a/packages/routing/Servers.cpp
+++ b/packages/routing/Servers.cpp
@@ -1,5 +1,7 @@
 #include "routing/Servers.h"
 
+#include <xxhash.h>
+
 #include <algorithm>
 
 namespace pimento {
@@ -23,7 +25,9 @@
 }
 
 void markChanged(ServerRegistry &Registry, KnownServer &Server) {
+  Registry.ByRevision.erase(Server.Revision);
   Server.Revision = ++Registry.Revision;
+  Registry.ByRevision[Server.Revision] = Server.Report.Id;
 }
 
 /// Returns another server with the same address and a higher incarnation, or
@@ -59,8 +63,34 @@
   return std::max(Old.Phase, New.Phase);
 }
 
+std::uint64_t hashOf(std::string_view Text, std::uint64_t Seed) {
+  return XXH3_64bits_withSeed(Text.data(), Text.size(), Seed);
+}
+
 } // namespace
 
+ServerKey serverKey(const ServerReport &Report) {
+  return hashOf(Report.Id.Value, Report.Incarnation);
+}
+
+std::uint64_t serversDigest(const ServerRegistry &Registry) {
+  std::uint64_t Digest = 0;
+  for (const auto &[Id, Known] : Registry.Servers) {
+    const ServerReport &R = Known.Report;
+    if (R.Phase == ServerPhase::Gone)
+      continue;
+    std::uint64_t One = serverKey(R);
+    One = hashOf(R.Service.Value, One);
+    One = hashOf(R.Address, One);
+    One = hashOf(R.DataCentre.Value, One);
+    constexpr unsigned PhaseBits = 8;
+    std::uint64_t Rest = std::uint64_t{R.Slots} << PhaseBits |
+                         static_cast<std::uint64_t>(R.Phase);
+    Digest += XXH3_64bits_withSeed(&Rest, sizeof(Rest), One);
+  }
+  return Digest;
+}
+
 const char *toString(ServerPhase P) {
   switch (P) {
   case ServerPhase::Ready:
@@ -91,7 +121,12 @@
     if (isNewer(Known.Report, Report) && !StartsLeaving && !IsRevived)
       return false;
   }
-  bool Superseded = findSuccessor(Registry, Report) != nullptr;
+  // A successor that came later has marked this one as gone already; a search
+  // for each report would cost as much as there are servers.
+  bool IsSameServer = Found != Registry.Servers.end() &&
+                      Found->second.Report.Incarnation == Report.Incarnation &&
+                      Found->second.Report.Address == Report.Address;
+  bool Superseded = !IsSameServer && findSuccessor(Registry, Report) != nullptr;
   KnownServer &Known = Registry.Servers[Report.Id];
   bool IsNew = Known.Revision == 0;
   ServerReport Next = Report;
@@ -105,6 +140,7 @@
   Known.LastSeen = std::max(Known.LastSeen, SeenAt);
   if (!Changed)
     return false;
+  Registry.ByKey[serverKey(Known.Report)] = Known.Report.Id;
   markChanged(Registry, Known);
   if (Known.Report.Phase != ServerPhase::Gone)
     dropPredecessors(Registry, Known.Report);
@@ -135,6 +171,8 @@
     KnownServer &Known = It->second;
     Duration Silence = Now - Known.LastSeen;
     if (Silence > Limits.ForgetAfter) {
+      Registry.ByRevision.erase(Known.Revision);
+      Registry.ByKey.erase(serverKey(Known.Report));
       It = Registry.Servers.erase(It);
       continue;
     }
@@ -163,11 +201,13 @@
                                          std::uint64_t Revision,
                                          TimePoint Now) {
   std::vector<ServerReport> List;
-  for (const auto &[Id, Known] : Registry.Servers) {
-    if (Known.Revision <= Revision)
+  for (auto It = Registry.ByRevision.upper_bound(Revision);
+       It != Registry.ByRevision.end(); ++It) {
+    auto Found = Registry.Servers.find(It->second);
+    if (Found == Registry.Servers.end() || Found->second.Revision != It->first)
       continue;
-    List.push_back(Known.Report);
-    List.back().Age = Now - Known.LastSeen;
+    List.push_back(Found->second.Report);
+    List.back().Age = Now - Found->second.LastSeen;
   }
   return List;
 }
--- a/packages/routing/Servers.h
+++ b/packages/routing/Servers.h
@@ -22,10 +22,17 @@
 #include <cstdint>
 #include <map>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 namespace pimento {
 
+/// Identifies an incarnation of a backend server in few bytes; the same at all
+/// hosts.
+using ServerKey = std::uint64_t;
+
+ServerKey serverKey(const ServerReport &Report);
+
 /// A backend server's entry in the registry.
 struct KnownServer {
   ServerReport Report;        // Age is unused.
@@ -46,6 +53,11 @@
 struct ServerRegistry {
   std::map<BackendId, KnownServer> Servers;
   std::uint64_t Revision = 0; // Incremented by each change of an entry.
+  std::map<std::uint64_t, BackendId>
+      ByRevision; // Of each entry's last change. An entry that was removed may
+                  // still be listed.
+  std::unordered_map<ServerKey, BackendId>
+      ByKey; // Of each entry. One that was removed may still be listed.
 };
 
 /// Merges a report that was received at \p SeenAt. Returns true if the server's
@@ -69,11 +81,17 @@
 TimePoint nextServerTick(const ServerRegistry &Registry,
                          const ServerLimits &Limits, TimePoint Now);
 
-/// Returns the reports of the servers that changed after \p Revision, with the
-/// reports' ages at \p Now.
+/// Returns the reports of the servers that changed after \p Revision, in the
+/// order of their changes, with the reports' ages at \p Now. Costs as much as
+/// there are changes.
 std::vector<ServerReport> changedServers(const ServerRegistry &Registry,
                                          std::uint64_t Revision, TimePoint Now);
 
+/// Returns a digest of the servers that are not gone and where they are. Equal
+/// digests: two hosts know the same servers in the same phases, whatever the
+/// revisions of their registries.
+std::uint64_t serversDigest(const ServerRegistry &Registry);
+
 /// Returns the phase's name in logs.
 const char *toString(ServerPhase P);
 
--- a/packages/routing/tests/ServersTest.cpp
+++ b/packages/routing/tests/ServersTest.cpp
@@ -37,6 +37,38 @@
   BOOST_TEST(Registry.Revision == 1U);
 }
 
+/// Guards against work that grows with the servers for each host that asks: the
+/// changes after a revision are found without a look at the others.
+BOOST_AUTO_TEST_CASE(ChangesAfterARevisionAreListedOnce) {
+  ServerRegistry Registry;
+  constexpr int Servers = 3000;
+  auto Name = [](int I) { return "s" + std::to_string(I); };
+  auto Address = [](int I) {
+    return "10.0." + std::to_string(I / 250) + "." + std::to_string(I % 250) +
+           ":80";
+  };
+  for (int I = 0; I < Servers; ++I)
+    applyReport(
+        Registry,
+        report(Name(I).c_str(), 5, 1, ServerPhase::Ready, Address(I).c_str()),
+        Start);
+  BOOST_TEST(Registry.ByRevision.size() == std::size_t(Servers));
+  std::uint64_t Revision = Registry.Revision;
+  BOOST_TEST(changedServers(Registry, 0, Start).size() == std::size_t(Servers));
+  BOOST_TEST(changedServers(Registry, Revision, Start).empty());
+  // The same server changes twice: it is listed once, as it is now.
+  applyReport(Registry,
+              report("s7", 5, 2, ServerPhase::Draining, Address(7).c_str()),
+              Start);
+  deregisterServer(Registry, BackendId("s7"), 5, Start);
+  std::vector<ServerReport> Changed =
+      changedServers(Registry, Revision, Start + seconds(1));
+  BOOST_TEST_REQUIRE(Changed.size() == 1U);
+  BOOST_TEST((Changed[0].Phase == ServerPhase::Gone));
+  BOOST_TEST((Changed[0].Age == seconds(1)));
+  BOOST_TEST(Registry.ByRevision.size() == std::size_t(Servers));
+}
+
 BOOST_AUTO_TEST_CASE(OlderReportsOfAnIncarnationAreIgnored) {
   ServerRegistry Registry;
   applyReport(Registry, report("a", 5, 1), Start);
--- a/packages/wire/SiteMessages.h
+++ b/packages/wire/SiteMessages.h
@@ -226,11 +226,16 @@
   bool Leaving = false;           // The sender is about to stop.
   QuarantineUpdate Quarantine;
   LimitUpdate Limits;
+  Blob Alive; // Further reports, of servers that report no change; see
+              // routing/AliveServers.h.
+  Duration AliveAge = {};  // Age of the oldest of them.
+  bool TakesAlive = false; // The sender reads Alive; hosts of earlier versions
+                           // do not.
 
   template <class Self, class Visitor>
   static void fields(Self &M, Visitor &&Visit) {
     Visit(M.Known, M.Reports, M.RequestsFullState, M.Leaving, M.Quarantine,
-          M.Limits);
+          M.Limits, M.Alive, M.AliveAge, M.TakesAlive);
   }
 };
 
@@ -281,12 +286,16 @@
                                      // server, or too few.
   bool IsCutOff = false; // Other hosts reach servers of one of these services.
   bool WantsRelays = false; // The answer is to name entry hosts.
+  std::uint64_t ServersDigest =
+      0; // Of the sender's servers, if another control host assigned Revision;
+         // zero: not given. See serversDigest().
 
   template <class Self, class Visitor>
   static void fields(Self &M, Visitor &&Visit) {
     Visit(M.Sequence, M.ControlIncarnation, M.Revision, M.Config, M.Ready,
           M.DataCentre, M.Placer, M.Uptime, M.Quarantine, M.Form, M.Stale,
-          M.Limits, M.Leaving, M.Unreached, M.IsCutOff, M.WantsRelays);
+          M.Limits, M.Leaving, M.Unreached, M.IsCutOff, M.WantsRelays,
+          M.ServersDigest);
   }
 };
 
@@ -326,13 +335,15 @@
   std::vector<RelayCandidate>
       Relays; // Some entry hosts that reach the backend servers; empty: none,
               // or the receiver did not ask for them.
+  bool HasSameServers = false; // The receiver had the servers of BaseRevision,
+                               // by its digest.
 
   template <class Self, class Visitor>
   static void fields(Self &M, Visitor &&Visit) {
     Visit(M.Sequence, M.IsCurrent, M.Leader, M.Config, M.Text,
           M.ControlIncarnation, M.Revision, M.BaseRevision, M.ListsAllServers,
           M.Servers, M.Controls, M.EntryHosts, M.Placer, M.Quarantine,
-          M.Routing, M.Limits, M.Relays);
+          M.Routing, M.Limits, M.Relays, M.HasSameServers);
   }
 };
 
