Control hosts: bounded work in a turn, and queries that thin out with the hosts

A control host that is short of time counts as silent now and then, and each time it was sent all servers: 1.4 MB a second at 1,002 servers.

Change: a change goes to 16 entry hosts in a turn, with 60 ms between, those first that were not sent one lately; a configuration to 8 in a turn. An entry host asks every 6 ms for each entry host that there is, at least every 0.5 s (sites of 83 and fewer are as before) and at most every 1.6 s, and says so in its query, from which the leader takes when it is silent or out of contact; the placer asks every 0.5 s. All servers are listed for a control host at most every 5 s, unless it asks; reports are kept for it meanwhile.

Check that changed: HostsWithoutTheBaseGetTheWholeTable looked for the operator's answer in the step in which the last host has the configuration in force, but the leader learns it by that host's next message; it now waits for both within the same 3 s.

Tests: controlTest and gatewayTest pass.

--- a/packages/control/ControlHost.cpp
+++ b/packages/control/ControlHost.cpp
@@ -131,6 +131,8 @@
   Next = std::min({Next, S.Quarantine.JudgeAt, S.LimitsDueAt});
   if (S.UpdateDue)
     Next = std::min(Next, S.NextUpdateAt);
+  if (S.RoutingDue)
+    Next = Now;
   if (!S.PendingPuts.empty())
     Next = std::min(Next, Now + milliseconds(100));
   if (S.StopAt != TimePoint())
--- a/packages/control/ControlHost.h
+++ b/packages/control/ControlHost.h
@@ -96,14 +96,16 @@
 struct ControlPeer {
   TimePoint LastSeen{}; // Time of the host's last heartbeat; the epoch: none.
   bool Leaving = false; // The host announced that it is stopping.
-  bool RequestsFullState = true;     // The next heartbeat carries all servers.
+  bool RequestsFullState = true;     // A heartbeat is to carry all servers.
+  TimePoint NextFullStateAt{};       // It carries them then at the earliest.
   std::vector<ServerReport> Reports; // Reports not sent yet.
   std::vector<TimePoint> Since;      // Arrival time of each of Reports.
   std::string Alive; // Reports without a change that were not sent yet, packed.
   TimePoint AliveSince{};   // Arrival time of the first of them.
   bool TakesAlive = false;  // It reads such reports.
-  bool KnowsOthers = false; // It told of a server that this host does not
-                            // know; it is asked for all servers.
+  bool KnowsOthers = false; // It told of a server that this host does not know;
+                            // it is asked for all servers.
+  TimePoint NextAskAt{};    // It is asked then at the earliest.
   std::uint64_t QuarantineDigest = 0; // Of the quarantines known there.
   LimitPeer Limits;                   // What it knows of limits.
 };
@@ -111,6 +113,7 @@
 /// State kept for an entry host that synchronises with this host.
 struct EntryPeer {
   TimePoint LastSeen{};
+  Duration SyncInterval = milliseconds(500); // Between its queries.
   IncarnationNumber Incarnation = 0;
   bool Ready = false;
   HostId Placer;            // Placer that the entry host uses; empty: none.
@@ -197,10 +200,13 @@
   TimePoint NextServerTick{};
   TimePoint NextServersWrite{};
   std::uint64_t StoredRevision = 0; // Revision of Servers on the disk.
-  TimePoint StopAt{};        // When the process exits; the epoch: not stopping.
-  TimePoint DiskFailedAt{};  // When a write failed; the epoch: never.
-  bool UpdateDue = false;    // A change has to be sent to other hosts.
-  TimePoint NextUpdateAt{};  // It is not sent before.
+  TimePoint StopAt{};       // When the process exits; the epoch: not stopping.
+  TimePoint DiskFailedAt{}; // When a write failed; the epoch: never.
+  bool UpdateDue = false;   // A change has to be sent to other hosts.
+  TimePoint NextUpdateAt{}; // No more entry hosts are sent it before.
+  HostId LastUpdated;       // Entry host that was sent one last; others follow.
+  bool RoutingDue = false;  // More hosts are to be sent the configuration.
+  std::uint64_t HeartbeatChanges = 0; // Changes at the last heartbeats.
   std::uint64_t Changes = 0; // Number of changes that hosts are to be sent.
   bool WasLeading = false;   // Result of isLeader() after the last event.
 };
--- a/packages/control/ControlRouting.cpp
+++ b/packages/control/ControlRouting.cpp
@@ -24,11 +24,15 @@
 /// differences. A host with an older one gets the whole text.
 constexpr std::size_t MaxEarlier = 16;
 constexpr std::size_t MaxEarlierBytes = std::size_t{16} << 20U;
-/// Silence after which an entry host counts as unreachable and is sent nothing.
-constexpr Duration ReachableEntryHostTimeout = milliseconds(1200);
-/// Silence of an entry host after which it is no longer in contact: answers to
-/// operators do not wait for it.
-constexpr Duration ContactTimeout = milliseconds(1500);
+/// Silence after which an entry host counts as unreachable and is sent nothing,
+/// in intervals of its queries.
+constexpr double ReachableIntervals = 2.4;
+/// Silence of an entry host after which it is no longer in contact, in
+/// intervals of its queries: answers to operators do not wait for it.
+constexpr int ContactIntervals = 3;
+/// Updates with a configuration that are sent in one turn. Each takes time in
+/// which the host does nothing else, such as keep its lease.
+constexpr std::size_t MaxUpdatesPerTurn = 8;
 constexpr const char *RoutingHostsPath = "/v1/routing/hosts";
 
 bool isInFlight(const EntryPeer &Entry, TimePoint Now) {
@@ -114,7 +118,8 @@
 } // namespace
 
 bool isReachable(const EntryPeer &Entry, TimePoint Now) {
-  return Now < Entry.LastSeen + ReachableEntryHostTimeout;
+  return Now < Entry.LastSeen + fromSeconds(ReachableIntervals *
+                                            toSeconds(Entry.SyncInterval));
 }
 
 void replaceNewest(ControlTurn &T, RoutingVersion Next) {
@@ -152,7 +157,8 @@
   std::vector<HostId> Chosen;
   for (const auto &[Host, Entry] : Behind) {
     std::size_t Next = bytesFor(S, *Entry);
-    if (Bytes > 0 && Bytes + Next > MaxBytesInFlight)
+    bool IsFull = Bytes > 0 && Bytes + Next > MaxBytesInFlight;
+    if (IsFull || Chosen.size() == MaxUpdatesPerTurn)
       break;
     Bytes += Next;
     Chosen.push_back(*Host);
@@ -196,7 +202,8 @@
                                 TimePoint Now) {
   std::vector<HostId> Behind;
   for (const auto &[Host, Entry] : S.Entries) {
-    bool InContact = Now < Entry.LastSeen + ContactTimeout;
+    bool InContact =
+        Now < Entry.LastSeen + ContactIntervals * Entry.SyncInterval;
     if (InContact && !Entry.Stale && Entry.Config < Number)
       Behind.push_back(Host);
   }
--- a/packages/control/ControlSpread.cpp
+++ b/packages/control/ControlSpread.cpp
@@ -22,11 +22,18 @@
 /// may keep failing at its start.
 constexpr Duration SettlingTime = seconds(5);
 constexpr std::size_t MaxWaitingReports = 8192;
+/// Time between two lists of all servers for the same control host. One that is
+/// short of time seems to be silent now and then; lists would take more of it.
+constexpr Duration FullStateInterval = seconds(5);
+/// Bounds of the intervals of entry hosts' queries that are believed.
+constexpr Duration MinSyncInterval = milliseconds(100);
+constexpr Duration MaxSyncInterval = seconds(5);
 constexpr std::size_t MaxWaitingAliveBytes = std::size_t{256} << 10U;
-/// Time between two updates to all entry hosts, for each of them. Changes that
-/// come in series, as when all servers start, are sent together; a host that
-/// asks meanwhile gets them with its answer.
-constexpr Duration UpdateSpacingPerHost = milliseconds(1);
+/// Entry hosts that are sent a change in one turn, and the time between two
+/// such turns. All of them in one turn would take longer than the leader's
+/// lease.
+constexpr std::size_t MaxUpdatesPerTurn = 16;
+constexpr Duration UpdatePause = milliseconds(60);
 
 /// All hosts that may be control hosts: seeds, known hosts and members.
 std::vector<HostId> contacts(const ControlHost &S) {
@@ -43,8 +50,9 @@
 
 std::vector<ServerReport> takePendingReports(ControlTurn &T,
                                              ControlPeer &Peer) {
-  if (Peer.RequestsFullState) {
+  if (Peer.RequestsFullState && T.Now >= Peer.NextFullStateAt) {
     Peer.RequestsFullState = false;
+    Peer.NextFullStateAt = T.Now + FullStateInterval;
     Peer.Reports.clear();
     Peer.Since.clear();
     Peer.Alive.clear();
@@ -65,7 +73,7 @@
 }
 
 void relay(ControlTurn &T, ControlPeer &Peer, const ServerReport &Report) {
-  if (Peer.RequestsFullState || Peer.Reports.size() >= MaxWaitingReports) {
+  if (Peer.Reports.size() >= MaxWaitingReports) {
     Peer.RequestsFullState = true;
     return;
   }
@@ -81,10 +89,13 @@
     ControlHeartbeat Heartbeat;
     Heartbeat.Known = LiveHosts;
     Heartbeat.Leaving = S.StopAt != TimePoint();
-    Heartbeat.RequestsFullState =
-        Peer.LastSeen == TimePoint() || Peer.KnowsOthers;
+    bool Asks = Peer.KnowsOthers && T.Now >= Peer.NextAskAt;
+    Heartbeat.RequestsFullState = Peer.LastSeen == TimePoint() || Asks;
     Heartbeat.TakesAlive = true;
-    Peer.KnowsOthers = false;
+    if (Asks) {
+      Peer.KnowsOthers = false;
+      Peer.NextAskAt = T.Now + FullStateInterval;
+    }
     Heartbeat.Quarantine = quarantineUpdateFor(T, Peer);
     Heartbeat.Limits = limitUpdateFor(T, Peer.Limits);
     if (T.Now < Peer.LastSeen + ControlHostTimeout) {
@@ -238,12 +249,26 @@
   return State;
 }
 
-void sendToEntryHosts(ControlTurn &T) {
-  for (auto &[Host, Entry] : T.S.Entries) {
+/// Sends the next hosts in turn what has changed. Hosts that asked since have
+/// it by their answers. Returns whether there are more.
+bool updateEntryHosts(ControlTurn &T) {
+  auto &Entries = T.S.Entries;
+  std::size_t Sent = 0;
+  auto It = Entries.upper_bound(T.S.LastUpdated);
+  for (std::size_t Left = Entries.size(); Left > 0; --Left, ++It) {
+    if (It == Entries.end())
+      It = Entries.begin();
+    auto &[Host, Entry] = *It;
     bool HasAll = Entry.SentChanges == T.S.Changes;
-    if (isReachable(Entry, T.Now) && !HasAll)
-      send(T, Host, siteStateFor(T, Entry, false));
+    if (HasAll || !isReachable(Entry, T.Now))
+      continue;
+    if (Sent == MaxUpdatesPerTurn)
+      return true;
+    send(T, Host, siteStateFor(T, Entry, false));
+    T.S.LastUpdated = Host;
+    Sent += 1;
   }
+  return false;
 }
 
 } // namespace
@@ -287,7 +312,10 @@
   }
   Peer.LastSeen = T.Now;
   Peer.Leaving = M.Leaving;
-  Peer.RequestsFullState = Peer.RequestsFullState || M.RequestsFullState;
+  if (M.RequestsFullState) {
+    Peer.RequestsFullState = true;
+    Peer.NextFullStateAt = T.Now;
+  }
   for (const HostId &Host : M.Known) {
     if (Host != S.Self)
       S.Controls[Host]; // Sends that host a heartbeat next time.
@@ -316,6 +344,7 @@
     Entry.Incarnation = Incarnation;
   }
   Entry.LastSeen = T.Now;
+  Entry.SyncInterval = std::clamp(M.Interval, MinSyncInterval, MaxSyncInterval);
   Entry.Ready = M.Ready;
   Entry.Placer = M.Placer;
   Entry.Uptime = M.Uptime;
@@ -364,10 +393,10 @@
       relay(T, Peer, Report);
       continue;
     }
-    if (Peer.Alive.size() >= MaxWaitingAliveBytes)
+    if (Peer.Alive.size() >= MaxWaitingAliveBytes) {
       Peer.RequestsFullState = true;
-    if (Peer.RequestsFullState)
       continue;
+    }
     if (Peer.Alive.empty())
       Peer.AliveSince = T.Now;
     addAlive(Peer.Alive, Report);
@@ -377,13 +406,15 @@
 void spreadChanges(ControlTurn &T) {
   ControlHost &S = T.S;
   if (S.UpdateDue && T.Now >= S.NextUpdateAt) {
-    sendToEntryHosts(T);
-    sendHeartbeats(T);
-    S.UpdateDue = false;
-    S.NextUpdateAt = T.Now + static_cast<std::int64_t>(S.Entries.size()) *
-                                 UpdateSpacingPerHost;
+    S.UpdateDue = updateEntryHosts(T);
+    if (S.HeartbeatChanges != S.Changes)
+      sendHeartbeats(T);
+    S.HeartbeatChanges = S.Changes;
+    S.NextUpdateAt = T.Now + UpdatePause;
   }
-  for (const HostId &Host : hostsToUpdate(T)) {
+  std::vector<HostId> Behind = hostsToUpdate(T);
+  S.RoutingDue = !Behind.empty();
+  for (const HostId &Host : Behind) {
     EntryPeer &Entry = S.Entries.at(Host);
     SiteState State = siteStateFor(T, Entry, false);
     addRouting(T, Entry, State);
--- a/packages/gateway/ControlLink.cpp
+++ b/packages/gateway/ControlLink.cpp
@@ -6,7 +6,9 @@
 
 namespace {
 
-constexpr Duration SyncInterval = milliseconds(500);
+constexpr Duration MinSyncInterval = milliseconds(500);
+constexpr Duration MaxSyncInterval = milliseconds(1600);
+constexpr Duration SyncIntervalPerHost = milliseconds(6);
 constexpr Duration AnswerTimeout = milliseconds(600);
 /// The time for an answer doubles with each control host in a row that gave
 /// none, after the first ones, up to this limit: control hosts that are short
@@ -78,6 +80,14 @@
 
 } // namespace
 
+Duration syncInterval(const ControlLink &L, bool IsPlacer) {
+  if (IsPlacer)
+    return MinSyncInterval;
+  constexpr std::uint64_t MaxHosts = MaxSyncInterval / SyncIntervalPerHost;
+  auto Hosts = static_cast<std::int64_t>(std::min(L.Entries, MaxHosts));
+  return std::max(MinSyncInterval, Hosts * SyncIntervalPerHost);
+}
+
 std::optional<Outbound> tickLink(ControlLink &L, const LinkReport &Report,
                                  Random &Rng, TimePoint Now) {
   bool IsPending = L.Answered < L.Sequence;
@@ -93,7 +103,8 @@
     return std::nullopt;
   if (L.Answered == L.Sequence)
     L.OldestPendingAt = Now;
-  L.NextSyncAt = Now + SyncInterval;
+  Duration Interval = syncInterval(L, Report.IsPlacer);
+  L.NextSyncAt = Now + Interval;
   if (L.NotCurrent > 0)
     L.Variation = 2 * uniform(Rng) - 1;
   EntrySync M;
@@ -107,6 +118,7 @@
   M.Uptime = Report.Uptime;
   M.Form = Report.Form;
   M.Stale = Report.Stale;
+  M.Interval = Interval;
   return Outbound{L.ActiveControl, std::move(M)};
 }
 
--- a/packages/gateway/ControlLink.h
+++ b/packages/gateway/ControlLink.h
@@ -54,6 +54,7 @@
   Duration Uptime = {};                  // Time since the entry host's start.
   RoutingForm Form = RoutingForm::Delta; // In which a configuration is taken.
   bool Stale = false;                    // New requests are refused.
+  bool IsPlacer = false;                 // The leader named this host.
 };
 
 /// Returns the next query if one is due. Switches to another control host if
@@ -66,6 +67,11 @@
 bool applySiteState(ControlLink &L, const HostId &From, const SiteState &M,
                     TimePoint Now);
 
+/// Time between two queries that no change calls for. Grows with the number of
+/// entry hosts, so that the leader has the same number of queries a second to
+/// answer; the placer, which is to be replaced soon if it is lost, asks often.
+Duration syncInterval(const ControlLink &L, bool IsPlacer);
+
 /// Sends a query at the next tick, for example after a local state change.
 void syncSoon(ControlLink &L, TimePoint Now);
 
--- a/packages/gateway/RoutingPart.cpp
+++ b/packages/gateway/RoutingPart.cpp
@@ -11,8 +11,9 @@
 /// refuses requests. An operator may have been told that it is in force.
 constexpr Duration StaleAfter = milliseconds(2000);
 /// Age of the last message from a control host up to which this host is in
-/// contact. Without contact it serves with the configuration that it has.
-constexpr Duration ContactTimeout = milliseconds(1500);
+/// contact, in intervals of its queries. Without contact it serves with the
+/// configuration that it has.
+constexpr int ContactIntervals = 3;
 /// Limit of the configurations that this host knows of and lacks. Further ones
 /// count as the last one.
 constexpr std::size_t MaxMissing = 64;
@@ -79,7 +80,8 @@
   auto &Missing = S.MissingRoutings;
   while (!Missing.empty() && Missing.front().Number <= S.Routing.Number)
     Missing.pop_front();
-  bool InContact = T.Now < S.Link.CurrentAt + ContactTimeout;
+  Duration Interval = syncInterval(S.Link, S.Link.Placer == S.Self);
+  bool InContact = T.Now < S.Link.CurrentAt + ContactIntervals * Interval;
   bool Stale = S.Routes != nullptr && InContact && !Missing.empty() &&
                T.Now >= Missing.front().LearnedAt + StaleAfter;
   if (Stale == S.Stale)
--- a/packages/gateway/SitePart.cpp
+++ b/packages/gateway/SitePart.cpp
@@ -91,6 +91,7 @@
   Report.Uptime = Now - S.Started;
   Report.Form = S.Form;
   Report.Stale = S.Stale;
+  Report.IsPlacer = S.Link.Placer == S.Self;
   return Report;
 }
 
--- a/packages/gateway/tests/SpreadTest.cpp
+++ b/packages/gateway/tests/SpreadTest.cpp
@@ -195,7 +195,11 @@
   Site.run(milliseconds(50));
   Site.restart(Returns);
   Site.addEntry();
-  Site.runUntil(seconds(3), [&] { return Site.hostsBelow(9) == 0; });
+  // The leader learns by the last host's next message that all have it.
+  Site.runUntil(seconds(3), [&] {
+    return Site.hostsBelow(9) == 0 && Site.Sent[9].Status != 0;
+  });
+  BOOST_TEST(Site.hostsBelow(9) == 0U);
   BOOST_TEST(hostsWithOtherText(Site, Table) == 0U);
   BOOST_TEST(Site.Sent[9].Status == 200);
 }
--- a/packages/wire/SiteMessages.h
+++ b/packages/wire/SiteMessages.h
@@ -289,13 +289,14 @@
   std::uint64_t ServersDigest =
       0; // Of the sender's servers, if another control host assigned Revision;
          // zero: not given. See serversDigest().
+  Duration Interval = milliseconds(500); // Time until the next query at most.
 
   template <class Self, class Visitor>
   static void fields(Self &M, Visitor &&Visit) {
     Visit(M.Sequence, M.ControlIncarnation, M.Revision, M.Config, M.Ready,
           M.DataCentre, M.Placer, M.Uptime, M.Quarantine, M.Form, M.Stale,
           M.Limits, M.Leaving, M.Unreached, M.IsCutOff, M.WantsRelays,
-          M.ServersDigest);
+          M.ServersDigest, M.Interval);
   }
 };
 
