Tests: bodies of requests are shared texts

Three tests of other packages (engine, calls, node) read the body of a request to a server as a string; they take its text now. What they check is as before.

--- a/packages/calls/tests/GenerationTest.cpp
+++ b/packages/calls/tests/GenerationTest.cpp
@@ -322,7 +322,7 @@
   OpenUpstream Generate = R.one<OpenUpstream>();
   BOOST_TEST(Generate.Request.Target == "/v1/generate");
   BOOST_TEST(Generate.Request.Address == "e:1");
-  BOOST_TEST(Generate.Request.Body.find("[\"e1:1\",\"e2:1\"]") !=
+  BOOST_TEST(Generate.Request.Body.text().find("[\"e1:1\",\"e2:1\"]") !=
              std::string::npos);
   R.head(Generate.Upstream, 200);
   // Reservations are renewed while the attempt runs.
--- a/packages/engine/tests/AdapterTest.cpp
+++ b/packages/engine/tests/AdapterTest.cpp
@@ -71,7 +71,7 @@
   BOOST_TEST(orderRequest("a", {4, OrderKind::Load, "m"}).Body ==
              "{\"fence\":4,\"name\":\"m\",\"order\":\"load\"}");
   UpstreamRequest R = reserveRequest("a", Attempt, 5, seconds(2));
-  BOOST_TEST(R.Body.find("\"lease_ms\":2000") != std::string::npos);
+  BOOST_TEST(R.Body.text().find("\"lease_ms\":2000") != std::string::npos);
 }
 
 BOOST_AUTO_TEST_CASE(OnlyTheHeaderProvesThatNothingRan) {
--- a/packages/node/tests/VirtualBackends.cpp
+++ b/packages/node/tests/VirtualBackends.cpp
@@ -169,7 +169,7 @@
   } else if (R.Target == "/v1/memory") {
     memory(Key, Now);
   } else if (R.Target == "/v1/reservations") {
-    Json J = Json::parse(R.Body);
+    Json J = Json::parse(R.Body.text());
     auto Lease = milliseconds(J["lease_ms"].get<std::int64_t>());
     bool Reserved = fakes::reserve(*Model, J["attempt"], J["tokens"], Lease,
                                    Now) == fakes::Refusal::None;
