--- a/packages/gateway/tests/GatewayEngineTest.cpp
+++ b/packages/gateway/tests/GatewayEngineTest.cpp
@@ -85,7 +85,8 @@
   First.event(UpstreamHead{Order.Upstream, 409, {}});
   First.event(UpstreamEnd{Order.Upstream, true});
   for (const calls::OpenUpstream &Open : First.all<calls::OpenUpstream>()) {
-    bool Reserves = Open.Request.Body.text().find("reserve") != std::string::npos;
+    bool Reserves =
+        Open.Request.Body.text().find("reserve") != std::string::npos;
     BOOST_TEST((!Reserves || Open.Request.Body != Order.Request.Body));
   }
 }
