Tests: a case of planned stops has the name of what it checks

OnceOnlyCallIsNotSentAfterTheHostRefuses sends a stream whose forecast leaves no time for its answer; it is RequestWhoseAnswerWouldComeTooLateIsNotSent now. Once-only calls are in RequestsAtAnyTimeOfAStopAreAnsweredOrNotSent. The checks are as before; the cases pass.

--- a/packages/gateway/tests/StopTest.cpp
+++ b/packages/gateway/tests/StopTest.cpp
@@ -119,8 +119,9 @@
   BOOST_TEST(IsWithdrawn);
 }
 
-/// Guards against an engine that is named late: the request is not sent then.
-BOOST_AUTO_TEST_CASE(OnceOnlyCallIsNotSentAfterTheHostRefuses) {
+/// Guards against an engine that is named late, with a forecast that leaves no
+/// time for the answer: the request was passed on and cut.
+BOOST_AUTO_TEST_CASE(RequestWhoseAnswerWouldComeTooLateIsNotSent) {
   StopFixture R;
   HostId Placer("10.0.0.2");
   R.S.Link.Placer = Placer;
