--- a/packages/gateway/Attempt.cpp
+++ b/packages/gateway/Attempt.cpp
@@ -127,9 +127,24 @@
                   A.SilenceProbeAt + SilenceProbeInterval);
 }
 
-/// Whether the call's engine has been silent and took no connection for long
-/// enough to be dead. A host that lost its path may still have an open one.
+/// Whether a later server reports the address of the call's server, which has
+/// ended then. Connections to the address are taken all the same.
+bool isAddressTaken(const Gateway &S, const CallAttempt &A) {
+  auto IsLater = [&](const auto &Known) {
+    const ServerReport &R = Known.second.Report;
+    return R.Address == A.Address && R.Phase != ServerPhase::Gone &&
+           R.Incarnation > A.ServerIncarnation;
+  };
+  const auto &Servers = S.Servers.Servers;
+  return std::any_of(Servers.begin(), Servers.end(), IsLater);
+}
+
+/// Whether the call's engine, which is silent, has lost its address to another
+/// one, or took no connection for long enough to be dead. A host that lost its
+/// path may still have an open one.
 bool isDead(const GatewayTurn &T, const GatewayCall &C) {
+  if (isAddressTaken(T.S, C.Attempt))
+    return true;
   const PathWatch &W = T.S.Relays.Paths;
   const BackendId &Server = C.Attempt.Server;
   auto Path = W.Servers.find(Server);
--- a/packages/gateway/tests/GatewayEngineTest.cpp
+++ b/packages/gateway/tests/GatewayEngineTest.cpp
@@ -379,6 +379,31 @@
   }
 }
 
+/// Guards against memory at helpers that is renewed for an engine which went
+/// dark, and whose address another server has by now: probes of it find a
+/// server.
+BOOST_AUTO_TEST_CASE(RequestAtAnEngineThatLostItsAddressIsGivenUp) {
+  GatewayFixture R;
+  R.call(HttpMethod::Post, "/l/1",
+         {{"X-Pimentoglade-Token-Count", "5000,1300"}});
+  calls::OpenUpstream Open = R.onlySend();
+  R.sent(Open.Upstream);
+  SiteState M;
+  M.Sequence = R.S.Link.Sequence;
+  M.IsCurrent = true;
+  M.Leader = Control;
+  M.Config = 3;
+  ServerReport Next = server("later", "llm", Open.Request.Address.c_str());
+  Next.Incarnation = 2;
+  M.Servers = {Next};
+  R.event(PeerMessage{Control, 1, M});
+  // Probes of the address reach the server that has it now.
+  R.advance(seconds(2));
+  std::vector<UpstreamId> Aborted = R.aborted();
+  BOOST_TEST((std::find(Aborted.begin(), Aborted.end(), Open.Upstream) !=
+              Aborted.end()));
+}
+
 /// Guards against memory that stays set aside since an engine wrote an earlier
 /// refusal once more in answer to an order that it carried out, and against odd
 /// answers to orders that end the host.
