--- a/packages/answer/tests/AnswerEndTest.cpp
+++ b/packages/answer/tests/AnswerEndTest.cpp
@@ -53,6 +53,8 @@
   BOOST_TEST((judgeEnd(A) == AnswerEnd::BrokenOff));
 }
 
+/// Guards against an engine that crashes between two events: its connection
+/// ends as that of one that has finished.
 BOOST_AUTO_TEST_CASE(EndOfAConnectionIsConfirmedByTheEngine) {
   BOOST_TEST((judgeEnd(eventStream(true)) == AnswerEnd::Complete));
   BOOST_TEST((judgeEnd(eventStream(false)) == AnswerEnd::Unconfirmed));
--- a/packages/base/tests/TemplateTest.cpp
+++ b/packages/base/tests/TemplateTest.cpp
@@ -100,6 +100,7 @@
 
 } // namespace
 
+/// Guards against a template that names a key which the settings do not have.
 BOOST_AUTO_TEST_CASE(TemplatesGiveUsableSettings) {
   Settings Entry = settingsFrom("entry.ini", commonValues());
   BOOST_TEST(Entry.Retries.BudgetAllowance == 452);
--- a/packages/routing/tests/AliveServersTest.cpp
+++ b/packages/routing/tests/AliveServersTest.cpp
@@ -31,6 +31,7 @@
 
 } // namespace
 
+/// Guards against packed reports that another machine reads as other servers.
 BOOST_AUTO_TEST_CASE(PackedReportsAreReadAsTheyWereAdded) {
   std::string Packed;
   for (std::uint64_t I = 1; I <= 300; ++I)
@@ -63,6 +64,8 @@
   BOOST_TEST((known(Registry, "a").LastSeen == Start + seconds(14)));
 }
 
+/// Guards against a server that stays silent at a control host although it
+/// reports to others again.
 BOOST_AUTO_TEST_CASE(SilentServerThatIsAliveIsReadyAgain) {
   ServerRegistry Registry;
   ServerLimits Limits;
@@ -95,6 +98,8 @@
                          Later + seconds(3)) == AliveResult::Unknown));
 }
 
+/// Guards against a server that a control host does not know and never asks
+/// for.
 BOOST_AUTO_TEST_CASE(UnknownServersAreTold) {
   ServerRegistry Registry;
   BOOST_TEST((applyAlive(Registry, alive(report("a", 5, 3)), Start) ==
