--- a/packages/shell/SocketOptions.h
+++ b/packages/shell/SocketOptions.h
@@ -14,7 +14,9 @@
 /// decides when probes give up, whatever their number: an idle connection
 /// survives a silence that is one probe interval shorter.
 constexpr Duration HostSilence = milliseconds(1500);
-constexpr Duration CallerSilence = milliseconds(1500);
+/// A caller that pauses while it reads is silent, too: its window stays closed,
+/// and Linux counts that time although it acknowledges each probe.
+constexpr Duration CallerSilence = seconds(15);
 /// A sound backend server may be silent for a second or so; a lost path is
 /// found by other means (relay/PathWatch.h).
 constexpr Duration ServerSilence = seconds(3);
--- a/packages/shell/tests/HttpTest.cpp
+++ b/packages/shell/tests/HttpTest.cpp
@@ -16,6 +16,7 @@
 
 constexpr Duration MaxWait = seconds(10);
 constexpr std::size_t NoBytes = 0;
+constexpr int SmallReceiveBytes = 64 << 10;
 
 /// Server and client on one event loop.
 struct Fixture {
@@ -86,6 +87,10 @@
     return runUntil(Base.get(), MaxWait, Done);
   }
 
+  void wait(Duration Time) {
+    runUntil(Base.get(), Time, [] { return false; });
+  }
+
   /// Sends raw bytes and returns all bytes received until the server closes.
   std::string rawExchange(const std::string &Bytes) {
     RawSocket Socket(Address);
@@ -455,3 +460,20 @@
   }
   BOOST_TEST(until([&] { return Server.connections() == 0; }));
 }
+
+/// Guards against a caller that pauses while it reads and loses its answer: it
+/// is alive, but its window stays closed for longer than TCP_USER_TIMEOUT.
+BOOST_FIXTURE_TEST_CASE(CallerThatPausesWhileItReadsGetsItsAnswer, Fixture) {
+  constexpr std::size_t AnswerBytes = 12U << 20U; // More than sockets hold.
+  RawSocket Socket(Address, SmallReceiveBytes);
+  Socket.write("GET /a HTTP/1.1\r\nHost: h\r\n\r\n");
+  BOOST_TEST_REQUIRE(until([&] { return !Requests.empty(); }));
+  Server.reply(Requests.front().first,
+               jsonReply(200, std::string(AnswerBytes, 'x')));
+  wait(seconds(4));
+  until([&] {
+    return Socket.readAvailable() || Socket.Received.size() > AnswerBytes;
+  });
+  BOOST_TEST(Socket.Received.size() > AnswerBytes);
+  BOOST_TEST(Left.empty());
+}
--- a/packages/shell/tests/Socket.h
+++ b/packages/shell/tests/Socket.h
@@ -50,8 +50,12 @@
 /// Blocking TCP connection with non-blocking reads.
 class RawSocket {
 public:
-  explicit RawSocket(const std::string &Address)
+  /// \p ReceiveBytes is the size of the receive buffer; 0: the system's.
+  explicit RawSocket(const std::string &Address, int ReceiveBytes = 0)
       : Socket(::socket(AF_INET, SOCK_STREAM, 0)) {
+    if (ReceiveBytes > 0)
+      ::setsockopt(Socket, SOL_SOCKET, SO_RCVBUF, &ReceiveBytes,
+                   sizeof(ReceiveBytes));
     auto Port = static_cast<std::uint16_t>(
         std::stoul(Address.substr(Address.rfind(':') + 1)));
     sockaddr_in Target = loopback(Port);
