--- a/packages/shell/HttpServer.cpp
+++ b/packages/shell/HttpServer.cpp
@@ -2,6 +2,7 @@
 
 #include "base/Problem.h"
 #include "shell/Address.h"
+#include "shell/EvhttpMessages.h"
 #include "shell/SocketOptions.h"
 
 #include <event2/buffer.h>
@@ -22,8 +23,6 @@
 /// A request of which fewer bytes were read is not refused for the memory that
 /// it takes.
 constexpr std::size_t MinShedBytes = 64U << 10U;
-/// Retry-After of requests that are refused for lack of room.
-constexpr const char *OverloadedRetryAfter = "Retry-After: 1\r\n";
 /// evhttp's own timeouts would interrupt a long answer; this server enforces
 /// its own timeouts instead.
 constexpr Duration NoTimeout = hours(24 * 365);
@@ -32,93 +31,6 @@
   return std::chrono::steady_clock::now().time_since_epoch();
 }
 
-HttpMethod methodOf(evhttp_cmd_type Type) {
-  switch (Type) {
-  case EVHTTP_REQ_GET:
-    return HttpMethod::Get;
-  case EVHTTP_REQ_POST:
-    return HttpMethod::Post;
-  case EVHTTP_REQ_PUT:
-    return HttpMethod::Put;
-  case EVHTTP_REQ_DELETE:
-    return HttpMethod::Delete;
-  case EVHTTP_REQ_PATCH:
-    return HttpMethod::Patch;
-  default:
-    return HttpMethod::Other;
-  }
-}
-
-std::string drainBuffer(evbuffer *Buffer) {
-  std::string Bytes(evbuffer_get_length(Buffer), '\0');
-  evbuffer_remove(Buffer, Bytes.data(), Bytes.size());
-  return Bytes;
-}
-
-HttpRequest convert(evhttp_request *Request) {
-  HttpRequest Result;
-  Result.Method = methodOf(evhttp_request_get_command(Request));
-  const evhttp_uri *Uri = evhttp_request_get_evhttp_uri(Request);
-  if (const char *Path = Uri ? evhttp_uri_get_path(Uri) : nullptr) {
-    std::size_t Size = 0;
-    char *Decoded = evhttp_uridecode(Path, 0, &Size);
-    if (Decoded)
-      Result.Path.assign(Decoded, Size);
-    std::free(Decoded);
-  }
-  if (const char *Query = Uri ? evhttp_uri_get_query(Uri) : nullptr)
-    Result.Query = Query;
-  if (const char *Target = evhttp_request_get_uri(Request))
-    Result.Target = Target;
-  const evkeyvalq *Headers = evhttp_request_get_input_headers(Request);
-  for (const evkeyval *Entry = Headers->tqh_first; Entry;
-       Entry = Entry->next.tqe_next)
-    Result.Headers.push_back({Entry->key, Entry->value});
-  Result.Body = drainBuffer(evhttp_request_get_input_buffer(Request));
-  return Result;
-}
-
-/// Whether a header's name ends with a blank. A server may drop the blank, and
-/// take the header for one that only this host may set.
-bool hasBlankName(const HttpRequest &R) {
-  auto EndsBlank = [](const HttpHeader &H) {
-    return !H.Name.empty() && (H.Name.back() == ' ' || H.Name.back() == '\t');
-  };
-  return std::any_of(R.Headers.begin(), R.Headers.end(), EndsBlank);
-}
-
-/// Maps the HTTP status of a refusal by evhttp to a result code.
-Code codeFromStatus(int Status) {
-  switch (Status) {
-  case 413:
-    return Code::BodyTooLarge;
-  case 404:
-    return Code::NotFound;
-  case 405:
-  case 501:
-    return Code::MethodNotAllowed;
-  default:
-    return Code::BadRequest;
-  }
-}
-
-/// Formats a complete HTTP/1.1 problem reply that closes the connection.
-std::string formatProblemReply(Code Number, std::string Detail) {
-  Problem P;
-  P.Number = Number;
-  P.Detail = std::move(Detail);
-  HttpReply Reply = problemReply(P);
-  std::string Text = "HTTP/1.1 " + std::to_string(Reply.Status) + " " +
-                     toString(Number) + "\r\nConnection: close\r\n" +
-                     "Content-Length: " + std::to_string(Reply.Body.size()) +
-                     "\r\n";
-  if (Number == Code::Overloaded)
-    Text += OverloadedRetryAfter;
-  for (const HttpHeader &Header : Reply.Headers)
-    Text += Header.Name + ": " + Header.Value + "\r\n";
-  return Text + "\r\n" + Reply.Body;
-}
-
 } // namespace
 
 struct HttpServer::Impl {
