--- a/packages/shell/HttpServer.cpp
+++ b/packages/shell/HttpServer.cpp
@@ -4,6 +4,7 @@
 #include "shell/Address.h"
 #include "shell/EvhttpMessages.h"
 #include "shell/SocketOptions.h"
+#include "shell/SocketState.h"
 
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
@@ -95,6 +96,7 @@
   static void countRead(Connection &Link, std::size_t Bytes);
   static void dropRead(Connection &Link);
   void reportProgress(Connection &Link, Exchange &E, Duration Now);
+  static bool hasMoreRequests(const Connection &Link);
   bool expire(Connection &Link, Duration Now);
   void refuseConnection(Connection &Link, Code Number, const char *Detail);
   Exchange *find(ExchangeId Id);
@@ -305,6 +307,12 @@
   Hooks.Drained(Link.CurrentExchange, Pending);
 }
 
+/// Whether the caller sent more behind the request that is being answered.
+bool HttpServer::Impl::hasMoreRequests(const Connection &Link) {
+  return evbuffer_get_length(bufferevent_get_input(Link.Stream)) > 0 ||
+         hasUnreadBytes(bufferevent_getfd(Link.Stream));
+}
+
 /// Enforces timeouts and the connection limit. Returns true once evhttp has
 /// released the connection.
 bool HttpServer::Impl::expire(Connection &Link, Duration Now) {
@@ -453,11 +461,16 @@
 
 namespace {
 
-void addHeaders(evhttp_request *Request,
-                const std::vector<HttpHeader> &Headers) {
+/// Adds the headers of a reply. The connection stays open, whatever they say,
+/// if \p HasMore requests follow on it: the reply to the last one closes it.
+void addHeaders(evhttp_request *Request, const std::vector<HttpHeader> &Headers,
+                bool HasMore) {
   evkeyvalq *Output = evhttp_request_get_output_headers(Request);
-  for (const HttpHeader &Header : Headers)
+  for (const HttpHeader &Header : Headers) {
+    if (HasMore && sameHeaderName(Header.Name, "Connection"))
+      continue;
     evhttp_add_header(Output, Header.Name.c_str(), Header.Value.c_str());
+  }
 }
 
 struct BufferDeleter {
@@ -479,7 +492,7 @@
     return;
   evhttp_request *Request = Open->Request;
   finish(*Open);
-  addHeaders(Request, Reply.Headers);
+  addHeaders(Request, Reply.Headers, hasMoreRequests(*Open->Link));
   evhttp_send_reply(Request, Reply.Status, nullptr, bufferOf(Reply.Body).get());
 }
 
@@ -493,7 +506,8 @@
   if (!Exchange || Exchange->Streaming)
     return;
   Exchange->Streaming = true;
-  addHeaders(Exchange->Request, Headers);
+  addHeaders(Exchange->Request, Headers,
+             Impl::hasMoreRequests(*Exchange->Link));
   evhttp_send_reply_start(Exchange->Request, Status, nullptr);
 }
 
--- /dev/null
+++ b/packages/shell/SocketState.cpp
@@ -0,0 +1,46 @@
+#include "shell/SocketState.h"
+
+#include <linux/sockios.h>
+#include <sys/ioctl.h>
+#include <sys/socket.h>
+
+#include <cerrno>
+
+namespace pimento {
+
+namespace {
+
+/// Bytes dropped in one call, so that a fast sender does not hold up the loop.
+constexpr std::size_t MaxDiscardedBytes = 1U << 20U;
+constexpr std::size_t ChunkBytes = 16U << 10U;
+
+std::size_t queued(evutil_socket_t Socket, unsigned long Query) {
+  int Bytes = 0;
+  if (Socket < 0 || ::ioctl(Socket, Query, &Bytes) != 0 || Bytes < 0)
+    return 0;
+  return static_cast<std::size_t>(Bytes);
+}
+
+} // namespace
+
+bool hasUnreadBytes(evutil_socket_t Socket) {
+  return queued(Socket, SIOCINQ) > 0;
+}
+
+std::size_t unacknowledgedBytes(evutil_socket_t Socket) {
+  return queued(Socket, SIOCOUTQ);
+}
+
+bool discardInput(evutil_socket_t Socket) {
+  char Chunk[ChunkBytes];
+  for (std::size_t Read = 0; Read < MaxDiscardedBytes; Read += ChunkBytes) {
+    ssize_t Size = ::recv(Socket, Chunk, sizeof(Chunk), MSG_DONTWAIT);
+    if (Size == 0)
+      return false;
+    if (Size < 0)
+      return errno == EAGAIN || errno == EINTR;
+  }
+  return true;
+}
+
+} // namespace pimento
--- /dev/null
+++ b/packages/shell/SocketState.h
@@ -0,0 +1,26 @@
+//===- SocketState.h - What a socket's own buffers hold ---------*- C++ -*-===//
+//
+// A socket that is closed while its input holds unread bytes resets the
+// connection, and the output that the other side has not read yet is lost.
+//
+//===----------------------------------------------------------------------===//
+#pragma once
+
+#include <event2/util.h>
+
+#include <cstddef>
+
+namespace pimento {
+
+/// Whether the socket has received bytes that were not read.
+bool hasUnreadBytes(evutil_socket_t Socket);
+
+/// Bytes of the output that the other side has not acknowledged. Those of a
+/// connection that was reset never are.
+std::size_t unacknowledgedBytes(evutil_socket_t Socket);
+
+/// Reads and drops what the socket has received. Returns whether the other side
+/// may send more: it has neither closed the connection nor reset it.
+bool discardInput(evutil_socket_t Socket);
+
+} // namespace pimento
--- a/packages/shell/tests/HttpTest.cpp
+++ b/packages/shell/tests/HttpTest.cpp
@@ -461,6 +461,32 @@
   BOOST_TEST(until([&] { return Server.connections() == 0; }));
 }
 
+/// Guards against requests that a caller sent behind another one, in one go,
+/// and that end with the connection because the first answer closes it: a host
+/// that stops closes with each answer.
+BOOST_FIXTURE_TEST_CASE(RequestsSentTogetherAreAllAnswered, Fixture) {
+  HttpReply Closing = jsonReply(200, "\"closing\"");
+  Closing.Headers.push_back({"Connection", "close"});
+  RawSocket Socket(Address);
+  std::string Request = "GET /a HTTP/1.1\r\nHost: h\r\n\r\n";
+  Socket.write(Request + Request + Request);
+  std::size_t Answered = 0;
+  bool HasEnded = until([&] {
+    for (; Answered < Requests.size(); ++Answered)
+      Server.reply(Requests[Answered].first, Closing);
+    return Socket.readAvailable();
+  });
+  BOOST_TEST(HasEnded);
+  BOOST_TEST(Answered == 3);
+  std::size_t Bodies = 0, At = 0;
+  while ((At = Socket.Received.find("\"closing\"", At)) != std::string::npos)
+    ++Bodies, ++At;
+  BOOST_TEST(Bodies == 3);
+  // Only the last answer says that the connection ends.
+  BOOST_TEST(Socket.Received.find("Connection: close") >
+             Socket.Received.rfind("HTTP/1.1 200"));
+}
+
 /// Guards against a caller that pauses while it reads and loses its answer: it
 /// is alive, but its window stays closed for longer than TCP_USER_TIMEOUT.
 BOOST_FIXTURE_TEST_CASE(CallerThatPausesWhileItReadsGetsItsAnswer, Fixture) {
