--- a/packages/shell/HttpServer.cpp
+++ b/packages/shell/HttpServer.cpp
@@ -57,10 +57,12 @@
     ExchangeId CurrentExchange{}; // Exchange in progress; zero: none.
     Duration ReadingSince = Duration::zero(); // Zero: no request is being read.
     Duration IdleSince = Duration::zero();
-    std::size_t ReadBytes = 0; // Bytes read of the current request.
-    bool OptionsSet = false;   // The socket options are set.
+    std::size_t ReadBytes = 0;      // Bytes read of the current request.
+    std::size_t Unacknowledged = 0; // Of a released connection's output.
+    bool OptionsSet = false;        // The socket options are set.
     bool Replying = false; // Output comes from this server, not from evhttp.
     bool Closing = false;
+    bool Released = false; // By evhttp; its buffers are empty.
   };
 
   event_base *Base;
@@ -96,6 +98,9 @@
   static void countRead(Connection &Link, std::size_t Bytes);
   static void dropRead(Connection &Link);
   void reportProgress(Connection &Link, Exchange &E, Duration Now);
+  static bool isReleased(Connection &Link);
+  static void release(Connection &Link);
+  static bool canClose(Connection &Link, Duration Now);
   static bool hasMoreRequests(const Connection &Link);
   bool expire(Connection &Link, Duration Now);
   void refuseConnection(Connection &Link, Code Number, const char *Detail);
@@ -307,20 +312,58 @@
   Hooks.Drained(Link.CurrentExchange, Pending);
 }
 
+/// Whether evhttp has released the connection. Its buffers are emptied then.
+bool HttpServer::Impl::isReleased(Connection &Link) {
+  // evhttp keeps this callback set while it uses the connection.
+  bufferevent_event_cb Callback = nullptr;
+  bufferevent_getcb(Link.Stream, nullptr, nullptr, &Callback, nullptr);
+  if (Callback)
+    return false;
+  if (!Link.Released)
+    release(Link);
+  return true;
+}
+
+void HttpServer::Impl::release(Connection &Link) {
+  Link.Released = true;
+  Link.ReadingSince = Duration::zero();
+  dropRead(Link);
+  evbuffer *Input = bufferevent_get_input(Link.Stream);
+  evbuffer *Output = bufferevent_get_output(Link.Stream);
+  Link.Server->OutputBytes -= evbuffer_get_length(Output);
+  evbuffer_remove_cb(Input, &Impl::onInput, &Link);
+  evbuffer_remove_cb(Output, &Impl::onOutput, &Link);
+  evbuffer_unfreeze(Output, 1);
+  evbuffer_drain(Output, evbuffer_get_length(Output));
+  evbuffer_drain(Input, evbuffer_get_length(Input));
+}
+
+/// Whether a connection that evhttp has released can be closed: the caller has
+/// all its output, takes no more of it, or sends no more itself. What it still
+/// sends is dropped, since bytes that come to a closed socket reset the
+/// connection, and the rest of the output is lost.
+bool HttpServer::Impl::canClose(Connection &Link, Duration Now) {
+  evutil_socket_t Socket = bufferevent_getfd(Link.Stream);
+  if (!discardInput(Socket))
+    return true;
+  std::size_t Bytes = unacknowledgedBytes(Socket);
+  if (Bytes != Link.Unacknowledged)
+    Link.IdleSince = Now;
+  Link.Unacknowledged = Bytes;
+  return Bytes == 0 || Now - Link.IdleSince > CallerSilence;
+}
+
 /// Whether the caller sent more behind the request that is being answered.
 bool HttpServer::Impl::hasMoreRequests(const Connection &Link) {
   return evbuffer_get_length(bufferevent_get_input(Link.Stream)) > 0 ||
          hasUnreadBytes(bufferevent_getfd(Link.Stream));
 }
 
-/// Enforces timeouts and the connection limit. Returns true once evhttp has
-/// released the connection.
+/// Enforces timeouts and the connection limit. Returns true once the connection
+/// can be closed.
 bool HttpServer::Impl::expire(Connection &Link, Duration Now) {
-  // evhttp keeps this callback set while it uses the connection.
-  bufferevent_event_cb Callback = nullptr;
-  bufferevent_getcb(Link.Stream, nullptr, nullptr, &Callback, nullptr);
-  if (!Callback)
-    return true;
+  if (isReleased(Link))
+    return canClose(Link, Now);
   Exchange *Open = find(Link.CurrentExchange);
   if (Link.Closing || (Open && !Open->Ended))
     return false;
@@ -365,14 +408,7 @@
       ++It;
       continue;
     }
-    Connection &Link = *It->second;
-    dropRead(Link);
-    OutputBytes -= evbuffer_get_length(bufferevent_get_output(Link.Stream));
-    evbuffer_remove_cb(bufferevent_get_input(Link.Stream), &Impl::onInput,
-                       &Link);
-    evbuffer_remove_cb(bufferevent_get_output(Link.Stream), &Impl::onOutput,
-                       &Link);
-    bufferevent_decref(Link.Stream);
+    bufferevent_decref(It->second->Stream);
     It = Connections.erase(It);
   }
   shedReaders();
@@ -551,6 +587,16 @@
 
 std::size_t HttpServer::pendingBytes() const { return Data->OutputBytes; }
 
+bool HttpServer::isBusy() const {
+  auto IsBusy = [](const auto &Entry) {
+    const Impl::Connection &Link = *Entry.second;
+    return Link.ReadingSince != Duration::zero() ||
+           unacknowledgedBytes(bufferevent_getfd(Link.Stream)) > 0;
+  };
+  return Data->OutputBytes > 0 || std::any_of(Data->Connections.begin(),
+                                              Data->Connections.end(), IsBusy);
+}
+
 std::size_t HttpServer::heldBytes() const {
   return Data->ReadingBytes + Data->OutputBytes;
 }
--- a/packages/shell/HttpServer.h
+++ b/packages/shell/HttpServer.h
@@ -87,6 +87,9 @@
 
   std::size_t connections() const;
   std::size_t exchanges() const;
+  /// Whether a request is being read, or a caller has not acknowledged the
+  /// whole of its reply yet.
+  bool isBusy() const;
   /// Unsent bytes in the output buffers of all connections.
   std::size_t pendingBytes() const;
   /// Bytes of requests that are being read and of replies that are being
--- a/packages/shell/Process.cpp
+++ b/packages/shell/Process.cpp
@@ -552,11 +552,11 @@
   ExitTimer.start(MinFlushTime);
 }
 
-/// Ends the event loop once all replies are written to their sockets.
+/// Ends the event loop once callers have all replies, also to the requests that
+/// are still being read.
 void Process::exitWhenWritten() {
-  std::size_t Pending =
-      CallerServer.pendingBytes() + OperatorServer.pendingBytes();
-  if (Pending > 0 && steadyNow() < ExitBy)
+  bool IsBusy = CallerServer.isBusy() || OperatorServer.isBusy();
+  if (IsBusy && steadyNow() < ExitBy)
     ExitTimer.start(FlushCheckInterval);
   else
     event_base_loopexit(Base.get(), nullptr);
--- a/packages/shell/tests/HttpTest.cpp
+++ b/packages/shell/tests/HttpTest.cpp
@@ -487,6 +487,26 @@
              Socket.Received.rfind("HTTP/1.1 200"));
 }
 
+/// Guards against an answer that loses its end, because the connection is
+/// closed over bytes that its caller sent meanwhile: that resets it, and what
+/// the caller has not read yet is gone.
+BOOST_FIXTURE_TEST_CASE(AnswerIsWholeThoughItsCallerSendsMore, Fixture) {
+  constexpr std::size_t AnswerBytes = 1U << 20U; // Fits into the socket.
+  RawSocket Socket(Address, SmallReceiveBytes);
+  Socket.write("GET /a HTTP/1.1\r\nHost: h\r\n\r\n");
+  BOOST_TEST_REQUIRE(until([&] { return !Requests.empty(); }));
+  HttpReply Closing = jsonReply(200, std::string(AnswerBytes, 'x'));
+  Closing.Headers.push_back({"Connection", "close"});
+  Server.reply(Requests.front().first, Closing);
+  // The caller reads nothing yet; the rest waits in the server's socket.
+  BOOST_TEST_REQUIRE(until([&] { return Server.pendingBytes() == 0; }));
+  wait(milliseconds(300));
+  Socket.write("GET /b HTTP/1.1\r\n");
+  wait(milliseconds(100));
+  until([&] { return Socket.readAvailable(); });
+  BOOST_TEST(Socket.Received.size() > AnswerBytes);
+}
+
 /// Guards against a caller that pauses while it reads and loses its answer: it
 /// is alive, but its window stays closed for longer than TCP_USER_TIMEOUT.
 BOOST_FIXTURE_TEST_CASE(CallerThatPausesWhileItReadsGetsItsAnswer, Fixture) {
--- a/packages/shell/tests/ProcessTest.cpp
+++ b/packages/shell/tests/ProcessTest.cpp
@@ -113,6 +113,38 @@
   BOOST_TEST((steadyTime() < Began + seconds(10)));
 }
 
+/// Guards against a planned stop that resets a connection: its caller has sent
+/// part of a further request, and not yet read the end of its answer.
+BOOST_AUTO_TEST_CASE(AnswersAreWholeThoughCallersSendMoreAsTheProcessExits) {
+  constexpr std::size_t AnswerBytes = 1U << 20U; // Fits into the socket.
+  constexpr int ReceiveBytes = 64 << 10;
+  Settings S = settings();
+  HostProgram P = program();
+  P.Reduce = [&](const Event &E, TimePoint) -> Effects {
+    const auto *Request = std::get_if<CallerRequest>(&E);
+    if (Request == nullptr)
+      return {};
+    HttpReply Reply = jsonReply(200, std::string(AnswerBytes, 'x'));
+    return {calls::SendReply{Request->Exchange, Reply}, Exit{0, seconds(5)}};
+  };
+  std::size_t Received = 0;
+  std::thread Caller([&] {
+    std::this_thread::sleep_for(milliseconds(200));
+    RawSocket Socket(S.Host.CallerAddress, ReceiveBytes);
+    Socket.write("GET / HTTP/1.1\r\n\r\n");
+    std::this_thread::sleep_for(milliseconds(100));
+    Socket.write("GET /b HTTP/1.1\r\n");
+    std::this_thread::sleep_for(milliseconds(100));
+    while (!Socket.readAvailable())
+      std::this_thread::sleep_for(milliseconds(20));
+    Received = Socket.Received.size();
+  });
+  DataFolder Folder;
+  BOOST_TEST(runProgram(S, Folder, 1, P) == 0);
+  Caller.join();
+  BOOST_TEST(Received >= AnswerBytes);
+}
+
 /// Guards against a caller's path that the host answers itself: a route may
 /// have it, and the host's figures are nobody else's.
 BOOST_AUTO_TEST_CASE(PathsOfCallersAreNotTheHostsOwn) {
