Tests: the case of callers' paths ends by itself where the fault is present

Cause: at PathsOfCallersAreNotTheHostsOwn does not fail but never ends: the host answers the request itself, so that nothing ends the process.

Change: it gives up after 5 s and checks the same.

--- a/packages/shell/tests/ProcessTest.cpp
+++ b/packages/shell/tests/ProcessTest.cpp
@@ -151,10 +151,11 @@
   Settings S = settings();
   HostProgram P = program();
   std::string Target;
-  P.Reduce = [&](const Event &E, TimePoint) -> Effects {
+  TimePoint GivesUp = steadyTime() + seconds(5);
+  P.Reduce = [&](const Event &E, TimePoint Now) -> Effects {
     const auto *Request = std::get_if<CallerRequest>(&E);
     if (Request == nullptr)
-      return {};
+      return Now < GivesUp ? Effects{} : Effects{Exit{0}};
     Target = Request->Request.Target;
     return {calls::SendReply{Request->Exchange, jsonReply(200, "\"server\"")},
             Exit{0}};
