--- a/packages/gateway/tests/RelayTest.cpp
+++ b/packages/gateway/tests/RelayTest.cpp
@@ -175,6 +175,35 @@
   BOOST_TEST(B.S.Relays.TakenById.empty());
 }
 
+/// Guards against a half event that reaches a caller in a complete answer by
+/// way of a relay: the server breaks off within the event, and ends properly.
+BOOST_FIXTURE_TEST_CASE(RelayedStreamThatEndsWithinAnEventIsNotComplete,
+                        RelayPair) {
+  call(HttpMethod::Post, "/s/1", "",
+       {{"X-Pimentoglade-Token-Count", "5000,1300"}});
+  pass();
+  std::string Forwarded;
+  // Both servers that the route allows break off.
+  for (int Server = 0; Server < 2; ++Server) {
+    calls::OpenUpstream Open = B.only<calls::OpenUpstream>();
+    B.sent(Open.Upstream);
+    B.head(Open.Upstream, 200, {{"Content-Type", "text/event-stream"}});
+    pass();
+    std::string Id = std::to_string(Server + 1);
+    B.event(
+        UpstreamData{Open.Upstream, "id: " + Id + "\ndata: x\n\nid: 9\nda"});
+    pass();
+    for (const calls::StreamBytes &Bytes : A.all<calls::StreamBytes>())
+      Forwarded += Bytes.Bytes;
+    B.event(UpstreamEnd{Open.Upstream, true});
+    if (Server == 0)
+      BOOST_TEST(A.all<calls::EndStream>().empty());
+    pass();
+  }
+  BOOST_TEST(Forwarded == "id: 1\ndata: x\n\nid: 2\ndata: x\n\n");
+  BOOST_TEST(!A.only<calls::EndStream>().IsComplete);
+}
+
 /// Guards against a slow caller whose stream fills the memory of both hosts:
 /// the server's answer is not read meanwhile, and that is no silence of the
 /// server.
