--- a/packages/shell/HttpServer.cpp
+++ b/packages/shell/HttpServer.cpp
@@ -252,7 +252,9 @@
 
 /// Called when the caller closes the connection. evhttp does not read while a
 /// reply is pending and would not notice the close. A caller that closes only
-/// its sending side counts as disconnected too.
+/// its sending side counts as disconnected too: both look the same until bytes
+/// are written to it, and servers must not work on for callers that have left
+/// (docs/design/platform.md).
 void HttpServer::Impl::onCallerClosed(evutil_socket_t, short, void *Self) {
   auto &Link = *static_cast<Connection *>(Self);
   Exchange *Open = Link.Server->find(Link.CurrentExchange);
