Callers' server: only connections with a whole reply wait for acknowledgements

Cause: a connection whose reply was broken off, or that got none, has nothing to protect; it was kept open as well, for up to 15 s, and its caller learned later that it is closed.

One whose last reply was handed over whole waits until the caller has it.

--- a/packages/shell/HttpServer.cpp
+++ b/packages/shell/HttpServer.cpp
@@ -62,6 +62,7 @@
     bool OptionsSet = false;        // The socket options are set.
     bool Replying = false; // Output comes from this server, not from evhttp.
     bool Closing = false;
+    bool Replied = false;  // The last reply is complete and handed over.
     bool Released = false; // By evhttp; its buffers are empty.
   };
 
@@ -164,6 +165,7 @@
 void HttpServer::Impl::onReplied(evhttp_request *, void *Self) {
   auto &Link = *static_cast<Connection *>(Self);
   Link.Replying = false;
+  Link.Replied = true;
   Link.IdleSince = steadyNow();
   Impl &Server = *Link.Server;
   ExchangeId Id = Link.CurrentExchange;
@@ -233,6 +235,7 @@
   ExchangeId Id{Server.NextExchange++};
   Link->CurrentExchange = Id;
   Link->Replying = true;
+  Link->Replied = false;
   Server.Exchanges[static_cast<std::uint64_t>(Id)] = {Request, Link};
   evhttp_connection_set_closecb(Evcon, &Impl::onClosed, &Server);
   Link->CloseEvent.reset(event_new(Server.Base, bufferevent_getfd(Link->Stream),
@@ -340,11 +343,13 @@
   evbuffer_drain(Input, evbuffer_get_length(Input));
 }
 
-/// Whether a connection that evhttp has released can be closed: the caller has
-/// all its output, takes no more of it, or sends no more itself. What it still
-/// sends is dropped, since bytes that come to a closed socket reset the
-/// connection, and the rest of the output is lost.
+/// Whether a connection that evhttp has released can be closed: its last reply
+/// was broken off, or the caller has all of it, takes no more of it, or sends
+/// no more itself. What it still sends is dropped, since bytes that come to a
+/// closed socket reset the connection, and the rest of the reply is lost.
 bool HttpServer::Impl::canClose(Connection &Link, Duration Now) {
+  if (!Link.Replied)
+    return true;
   evutil_socket_t Socket = bufferevent_getfd(Link.Stream);
   if (!discardInput(Socket))
     return true;
