Callers' server: only connections that it closes itself wait for acknowledgements

Cause: the fault is in closing a connection, as the reply announced, over what the caller has not read yet.

Change: the wait is for connections whose last reply announced the close, which a host does only while it stops.

--- a/packages/shell/HttpServer.cpp
+++ b/packages/shell/HttpServer.cpp
@@ -62,8 +62,8 @@
     bool OptionsSet = false;        // The socket options are set.
     bool Replying = false; // Output comes from this server, not from evhttp.
     bool Closing = false;
-    bool Replied = false;  // The last reply is complete and handed over.
-    bool Released = false; // By evhttp; its buffers are empty.
+    bool ClosesAfterReply = false; // As the reply announced.
+    bool Released = false;         // By evhttp; its buffers are empty.
   };
 
   event_base *Base;
@@ -165,7 +165,6 @@
 void HttpServer::Impl::onReplied(evhttp_request *, void *Self) {
   auto &Link = *static_cast<Connection *>(Self);
   Link.Replying = false;
-  Link.Replied = true;
   Link.IdleSince = steadyNow();
   Impl &Server = *Link.Server;
   ExchangeId Id = Link.CurrentExchange;
@@ -235,7 +234,6 @@
   ExchangeId Id{Server.NextExchange++};
   Link->CurrentExchange = Id;
   Link->Replying = true;
-  Link->Replied = false;
   Server.Exchanges[static_cast<std::uint64_t>(Id)] = {Request, Link};
   evhttp_connection_set_closecb(Evcon, &Impl::onClosed, &Server);
   Link->CloseEvent.reset(event_new(Server.Base, bufferevent_getfd(Link->Stream),
@@ -343,12 +341,13 @@
   evbuffer_drain(Input, evbuffer_get_length(Input));
 }
 
-/// Whether a connection that evhttp has released can be closed: its last reply
-/// was broken off, or the caller has all of it, takes no more of it, or sends
-/// no more itself. What it still sends is dropped, since bytes that come to a
-/// closed socket reset the connection, and the rest of the reply is lost.
+/// Whether a connection that evhttp has released can be closed: this server did
+/// not announce that, or the caller has the whole last reply, takes no more of
+/// it, or sends no more itself. What the caller still sends is dropped, since
+/// bytes that come to a closed socket reset the connection, and the rest of the
+/// reply is lost.
 bool HttpServer::Impl::canClose(Connection &Link, Duration Now) {
-  if (!Link.Replied)
+  if (!Link.ClosesAfterReply)
     return true;
   evutil_socket_t Socket = bufferevent_getfd(Link.Stream);
   if (!discardInput(Socket))
@@ -504,16 +503,21 @@
 
 namespace {
 
-/// Adds the headers of a reply. The connection stays open, whatever they say,
-/// if \p HasMore requests follow on it: the reply to the last one closes it.
-void addHeaders(evhttp_request *Request, const std::vector<HttpHeader> &Headers,
+/// Adds the headers of a reply; returns whether they close the connection. It
+/// stays open, whatever they say, if \p HasMore requests follow on it: the
+/// reply to the last one closes it.
+bool addHeaders(evhttp_request *Request, const std::vector<HttpHeader> &Headers,
                 bool HasMore) {
   evkeyvalq *Output = evhttp_request_get_output_headers(Request);
+  bool Closes = false;
   for (const HttpHeader &Header : Headers) {
-    if (HasMore && sameHeaderName(Header.Name, "Connection"))
+    bool IsClose = sameHeaderName(Header.Name, "Connection");
+    if (IsClose && HasMore)
       continue;
+    Closes = Closes || IsClose;
     evhttp_add_header(Output, Header.Name.c_str(), Header.Value.c_str());
   }
+  return Closes;
 }
 
 struct BufferDeleter {
@@ -535,7 +539,8 @@
     return;
   evhttp_request *Request = Open->Request;
   finish(*Open);
-  addHeaders(Request, Reply.Headers, hasMoreRequests(*Open->Link));
+  Open->Link->ClosesAfterReply =
+      addHeaders(Request, Reply.Headers, hasMoreRequests(*Open->Link));
   evhttp_send_reply(Request, Reply.Status, nullptr, bufferOf(Reply.Body).get());
 }
 
@@ -549,8 +554,8 @@
   if (!Exchange || Exchange->Streaming)
     return;
   Exchange->Streaming = true;
-  addHeaders(Exchange->Request, Headers,
-             Impl::hasMoreRequests(*Exchange->Link));
+  Exchange->Link->ClosesAfterReply = addHeaders(
+      Exchange->Request, Headers, Impl::hasMoreRequests(*Exchange->Link));
   evhttp_send_reply_start(Exchange->Request, Status, nullptr);
 }
 
