Logs: what led to a stream without its end, and whether callers had answers

Cause: a request's last line did not say whether its caller had the whole answer, and nothing joined a broken stream to the try that was given up and to why no other one followed. The hypotheses on the streams that the users lost could not be told apart. Change: "request" says what the caller got and names its exchange; "answer_broken_off" has the reason, the last failed try, its age, the servers given up, sends and time left, whether the host stops, and the configurations; "answer_unwritten" names an answer that had ended while its connection had not written all of it. Counters for both. No change of what is sent to anybody.

--- a/packages/gateway/Admission.cpp
+++ b/packages/gateway/Admission.cpp
@@ -121,6 +121,61 @@
   return &C;
 }
 
+/// Logs a stream that ends without its end, with what led to it: the attempt
+/// that failed last, and why no other one followed.
+void logBrokenOff(GatewayTurn &T, const GatewayCall &C, Code Number,
+                  const char *Reason) {
+  DecisionRecord Record = record(T, C, "answer_broken_off", Reason);
+  Record.add("code", static_cast<std::int64_t>(Number));
+  Record.add("stage", std::string(toString(C.Stage)));
+  Record.add("events", static_cast<std::int64_t>(C.Events.Events));
+  Record.add("since_event_ms", toMilliseconds(T.Now - C.LastEventAt));
+  Record.add("last_try_code", static_cast<std::int64_t>(C.LastFailure));
+  Record.add("last_try_reason", C.LastFailureReason);
+  constexpr std::int64_t NoneFailed = -1;
+  Record.add("since_last_try_ms",
+             C.LastFailureReason.empty()
+                 ? NoneFailed
+                 : toMilliseconds(T.Now - C.LastFailureAt));
+  std::string Servers;
+  for (const BackendId &Server : C.TriedServers)
+    Servers += (Servers.empty() ? "" : " ") + Server.Value;
+  Record.add("tried", std::move(Servers));
+  Record.add("sends", static_cast<std::int64_t>(C.Sends));
+  Record.add("sends_allowed", static_cast<std::int64_t>(C.MaxSends));
+  Record.add("time_left_ms", toMilliseconds(C.Deadline - T.Now));
+  Record.add("stopping", T.S.Stopping);
+  Record.add("routing", static_cast<std::int64_t>(C.Table->Config.Number));
+  Record.add("routing_in_force",
+             static_cast<std::int64_t>(T.S.Routes->Config.Number));
+  log(T, std::move(Record));
+  count(T, "pimento_answers_broken_off_total",
+        std::string("code=\"") + toString(Number) + "\"");
+}
+
+/// Logs an answer that ended as far as the call is concerned, and whose caller
+/// is gone before all of it was written. The call's line has the same exchange.
+void logUnwritten(GatewayTurn &T, ExchangeId Exchange) {
+  DecisionRecord Record{
+      "answer_unwritten",
+      {},
+      "the connection ended before all of the answer was written",
+      {}};
+  Record.add("exchange", static_cast<std::int64_t>(Exchange));
+  Record.add("stopping", T.S.Stopping);
+  log(T, std::move(Record));
+  count(T, "pimento_answers_unwritten_total");
+}
+
+/// What the caller got of its answer, in logs.
+const char *answerText(const GatewayCall &C, Code Result) {
+  if (Result == Code::CallerLeft)
+    return "caller_left";
+  if (Result == Code::Ok)
+    return "whole";
+  return C.Replying ? "broken_off" : "failure";
+}
+
 /// Holds a request for a short time right after the start, while the first
 /// configuration is expected. Returns false if the request must not be held.
 bool hold(GatewayTurn &T, ExchangeId Exchange, const HttpRequest &R,
@@ -219,6 +274,7 @@
     RetryAfter = NoServerRetryAfter;
   int Status = info(Number).HttpStatus;
   if (C.Replying) {
+    logBrokenOff(T, C, Number, Reason);
     T.Out.push_back(calls::EndStream{C.Exchange, false});
   } else if (isRelayed(C.Exchange)) {
     refuseRelayed(T, C.Exchange, Number, Reason, RetryAfter, C.Sends);
@@ -246,6 +302,8 @@
   Record.add("code", static_cast<std::int64_t>(Result));
   Record.add("sends", static_cast<std::int64_t>(C.Sends));
   Record.add("events", static_cast<std::int64_t>(C.Events.Events));
+  Record.add("answer", std::string(answerText(C, Result)));
+  Record.add("exchange", static_cast<std::int64_t>(C.Exchange));
   Record.add("relay", C.Attempt.Relay.Value);
   Record.add("relayed", C.IsRelayed);
   if (C.Info.PromptTokens > 0)
@@ -273,10 +331,15 @@
 void callerLeft(GatewayTurn &T, ExchangeId Exchange) {
   auto IsHeld = [&](const HeldRequest &H) { return H.Exchange == Exchange; };
   auto &Held = T.S.Held;
-  Held.erase(std::remove_if(Held.begin(), Held.end(), IsHeld), Held.end());
+  auto Dropped = std::remove_if(Held.begin(), Held.end(), IsHeld);
+  bool WasHeld = Dropped != Held.end();
+  Held.erase(Dropped, Held.end());
   auto Found = T.S.ByExchange.find(Exchange);
-  if (Found == T.S.ByExchange.end())
+  if (Found == T.S.ByExchange.end()) {
+    if (!WasHeld && !isRelayed(Exchange))
+      logUnwritten(T, Exchange);
     return;
+  }
   GatewayCall &C = *findCall(T, Found->second);
   T.S.ByExchange.erase(Found);
   C.Exchange = ExchangeId{};
--- a/packages/gateway/Attempt.cpp
+++ b/packages/gateway/Attempt.cpp
@@ -453,6 +453,8 @@
   if (!FaultyServer.empty())
     C.TriedServers.push_back(std::move(FaultyServer));
   C.LastFailure = Number;
+  C.LastFailureReason = Reason;
+  C.LastFailureAt = T.Now;
   bool Allowed = !C.MayHaveRun || (mayRunAgain(C) && !isSuspectOfCrashes(T, C));
   if (Allowed && maySendAgain(T, C)) {
     startAttempt(T, C);
--- a/packages/gateway/Gateway.h
+++ b/packages/gateway/Gateway.h
@@ -252,7 +252,9 @@
   std::vector<BackendId> TriedServers;
   BackendId FaultyServer; // Server at fault if the attempt fails; empty: the
                           // server that the attempt was sent to.
-  Code LastFailure = Code::Ok;
+  Code LastFailure = Code::Ok;   // Of the latest attempt that failed.
+  std::string LastFailureReason; // Of the same, for logs; empty: none failed.
+  TimePoint LastFailureAt{};
 
   CallAttempt Attempt;
   bool Placed = false;            // The placer counts the request on engines.
--- a/packages/gateway/tests/GatewayFixture.h
+++ b/packages/gateway/tests/GatewayFixture.h
@@ -192,6 +192,17 @@
       return Open.Request.Target != "/-/report" && !isProbe(Open.Upstream);
     });
   }
+  /// The only log line of this kind among the last effects.
+  DecisionRecord onlyLog(std::string_view Kind) const {
+    std::vector<DecisionRecord> Found;
+    for (const LogDecision &Line : all<LogDecision>()) {
+      if (Line.Record.Kind == Kind)
+        Found.push_back(Line.Record);
+    }
+    BOOST_REQUIRE_MESSAGE(Found.size() == 1,
+                          Kind << " lines: " << Found.size());
+    return Found.front();
+  }
   bool isProbe(UpstreamId Id) const { return Probes.count(Id) > 0; }
 
   template <class F> calls::OpenUpstream onlyOpen(F IsWanted) const {
@@ -234,4 +245,14 @@
   return headerValue(Open.Request.Headers, Name);
 }
 
+/// The text of a log line's field; empty if it has none.
+inline std::string textOf(const DecisionRecord &Record, std::string_view Name) {
+  for (const DecisionField &Field : Record.Fields) {
+    const auto *Text = std::get_if<std::string>(&Field.Value);
+    if (Field.Name == Name && Text != nullptr)
+      return *Text;
+  }
+  return "";
+}
+
 } // namespace pimento::testing
--- a/packages/gateway/tests/GatewayStreamTest.cpp
+++ b/packages/gateway/tests/GatewayStreamTest.cpp
@@ -41,6 +41,36 @@
   BOOST_TEST(R.S.Calls.empty());
 }
 
+/// Guards against a broken stream that no log line joins to the attempts that
+/// failed, and against answers of which no line says whether their callers got
+/// them.
+BOOST_AUTO_TEST_CASE(EndsOfAnswersAreLoggedWithWhatLedToThem) {
+  GatewayFixture R;
+  R.stream();
+  for (int Send = 0; Send < 2; ++Send) {
+    calls::OpenUpstream Open = R.onlySend();
+    R.sent(Open.Upstream);
+    R.head(Open.Upstream, 200);
+    std::string Id = std::to_string(Send + 1);
+    R.event(UpstreamData{Open.Upstream, "id: " + Id + "\ndata: a\n\n"});
+    R.failUpstream(Open.Upstream, true);
+  }
+  DecisionRecord Broken = R.onlyLog("answer_broken_off");
+  // Both engines, by their names.
+  BOOST_TEST(textOf(Broken, "tried").size() == std::string("e1 e2").size());
+  BOOST_TEST(textOf(Broken, "last_try_reason") == "the connection broke");
+  BOOST_TEST(textOf(R.onlyLog("request"), "answer") == "broken_off");
+  // The caller of a whole answer leaves before all of it was written.
+  ExchangeId Id = R.call(HttpMethod::Get, "/r/1");
+  UpstreamId Upstream = R.only<calls::OpenUpstream>().Upstream;
+  R.sent(Upstream);
+  R.head(Upstream, 200);
+  R.event(UpstreamEnd{Upstream, true});
+  BOOST_TEST(textOf(R.onlyLog("request"), "answer") == "whole");
+  R.event(ExchangeLeft{Id});
+  R.onlyLog("answer_unwritten");
+}
+
 BOOST_AUTO_TEST_CASE(WorkForADisconnectedCallerIsCancelled) {
   GatewayFixture R;
   ExchangeId Id = R.stream();
