Tests: silent servers that go on lose their streams (LOST), failing

A stream, a request or an idempotent call is given up for its server's silence, and the next server has no room, refuses, fails or is silent too; a whole stream without a length is called broken for a late report, which also counts as a crash; a host that lost its path for two seconds breaks off.

--- /dev/null
+++ b/packages/gateway/tests/SilentServerTest.cpp
@@ -0,0 +1,208 @@
+// Servers that are silent for a while and go on. Their silence alone ends no
+// answer: other servers are tried meanwhile, and the first to go on serves the
+// caller.
+
+#include "gateway/tests/GatewayFixture.h"
+
+using namespace pimento;
+using namespace pimento::testing;
+
+namespace {
+
+/// Announces that the server takes no more requests.
+void drain(GatewayFixture &R, const char *Id, const char *Address) {
+  SiteState M;
+  M.Sequence = R.S.Link.Sequence;
+  M.IsCurrent = true;
+  M.Leader = Control;
+  M.Config = 3;
+  ServerReport Report = server(Id, "llm", Address);
+  Report.Sequence = 2;
+  Report.Phase = ServerPhase::Draining;
+  M.Servers = {Report};
+  R.event(PeerMessage{Control, 1, M});
+}
+
+void drainOtherThan(GatewayFixture &R, const calls::OpenUpstream &Open) {
+  if (Open.Request.Address == "10.0.1.1:80")
+    drain(R, "e2", "10.0.1.2:80");
+  else
+    drain(R, "e1", "10.0.1.1:80");
+}
+
+/// Starts a stream and delivers its first event.
+calls::OpenUpstream beginStream(GatewayFixture &R) {
+  R.stream();
+  calls::OpenUpstream Open = R.onlySend();
+  R.sent(Open.Upstream);
+  R.head(Open.Upstream, 200, {{"Content-Type", "text/event-stream"}});
+  R.event(UpstreamData{Open.Upstream, "id: 1\ndata: a\n\n"});
+  return Open;
+}
+
+/// The server goes on with the second event and ends the stream.
+void checkGoesOn(GatewayFixture &R, const calls::OpenUpstream &Open) {
+  R.event(UpstreamData{Open.Upstream, "id: 2\ndata: b\n\n"});
+  BOOST_TEST_REQUIRE(R.all<calls::StreamBytes>().size() == 1U);
+  BOOST_TEST(R.only<calls::StreamBytes>().Bytes == "id: 2\ndata: b\n\n");
+  R.event(UpstreamEnd{Open.Upstream, true});
+  BOOST_TEST_REQUIRE(R.all<calls::EndStream>().size() == 1U);
+  BOOST_TEST(R.only<calls::EndStream>().IsComplete);
+  BOOST_TEST(R.S.Calls.empty());
+  BOOST_TEST(R.S.ByUpstream.empty());
+  BOOST_TEST(R.S.Engines.Placed.empty());
+}
+
+/// The request by which another server was tried in this time.
+calls::OpenUpstream nextTry(GatewayFixture &R, Duration Time) {
+  R.advance(Time);
+  BOOST_TEST(R.all<calls::EndStream>().empty());
+  return R.onlySend();
+}
+
+/// The query whether the engine of the only call still runs.
+UpstreamId endQuery(const GatewayFixture &R) {
+  BOOST_TEST_REQUIRE(R.S.EndQueries.size() == 1U);
+  return R.S.EndQueries.begin()->first;
+}
+
+void answerQuery(GatewayFixture &R, UpstreamId Query) {
+  R.event(UpstreamHead{Query, 200, {}});
+  R.event(UpstreamData{Query, R"({"pace":1,"born":1})"});
+  R.event(UpstreamEnd{Query, true});
+}
+
+} // namespace
+
+/// Guards against LOST: an engine was silent for a second, its stream was given
+/// up, and no other engine had room.
+BOOST_AUTO_TEST_CASE(StreamOfASilentEngineGoesOnIfNoOtherHasRoom) {
+  for (Duration Silence :
+       {milliseconds(1100), milliseconds(2000), milliseconds(3000)}) {
+    GatewayFixture R;
+    calls::OpenUpstream Open = beginStream(R);
+    drainOtherThan(R, Open);
+    R.advance(Silence);
+    BOOST_TEST(R.all<calls::EndStream>().empty());
+    BOOST_TEST(R.aborted().empty());
+    checkGoesOn(R, Open);
+  }
+}
+
+/// The same before the first event.
+BOOST_AUTO_TEST_CASE(RequestAtASilentEngineWaitsIfNoOtherHasRoom) {
+  GatewayFixture R;
+  R.stream();
+  calls::OpenUpstream Open = R.onlySend();
+  R.sent(Open.Upstream);
+  drainOtherThan(R, Open);
+  R.advance(seconds(2));
+  BOOST_TEST(R.all<calls::SendReply>().empty());
+  R.head(Open.Upstream, 200);
+  R.event(UpstreamData{Open.Upstream, "id: 1\ndata: a\n\n"});
+  checkGoesOn(R, Open);
+}
+
+/// Guards against LOST: the engine that was tried next refused the request, was
+/// not reached, broke off, or was silent as well, while the first one went on.
+BOOST_AUTO_TEST_CASE(StreamOfASilentEngineGoesOnIfTheNextOneFails) {
+  enum class Next { Refuses, IsNotReached, BreaksOff, FailsToAnswer, IsSilent };
+  for (Next How : {Next::Refuses, Next::IsNotReached, Next::BreaksOff,
+                   Next::FailsToAnswer, Next::IsSilent}) {
+    GatewayFixture R;
+    calls::OpenUpstream Open = beginStream(R);
+    calls::OpenUpstream Second = nextTry(R, milliseconds(1100));
+    BOOST_TEST(valueOf(Second, "Last-Event-Id") == "1");
+    if (How != Next::IsNotReached)
+      R.sent(Second.Upstream);
+    if (How == Next::Refuses)
+      R.head(Second.Upstream, 503, {{"X-Pimentoglade-Not-Executed", "1"}});
+    if (How == Next::FailsToAnswer)
+      R.head(Second.Upstream, 500);
+    if (How == Next::Refuses || How == Next::FailsToAnswer)
+      R.event(UpstreamEnd{Second.Upstream, true});
+    if (How == Next::IsNotReached || How == Next::BreaksOff)
+      R.failUpstream(Second.Upstream, How == Next::BreaksOff);
+    BOOST_TEST(R.all<calls::EndStream>().empty());
+    R.advance(milliseconds(300));
+    BOOST_TEST(R.all<calls::EndStream>().empty());
+    checkGoesOn(R, Open);
+  }
+}
+
+/// Guards against LOST: a stream without a length was whole, and was called
+/// broken since its engine's load report came late.
+BOOST_AUTO_TEST_CASE(WholeStreamIsCompleteThoughTheReportIsLate) {
+  for (Duration Late : {milliseconds(450), milliseconds(1000),
+                        milliseconds(1700), milliseconds(3000)}) {
+    GatewayFixture R;
+    calls::OpenUpstream Open = beginStream(R);
+    drainOtherThan(R, Open);
+    R.event(UpstreamEnd{Open.Upstream, false});
+    R.advance(Late);
+    BOOST_TEST(R.all<calls::EndStream>().empty());
+    answerQuery(R, endQuery(R));
+    BOOST_TEST_REQUIRE(R.all<calls::EndStream>().size() == 1U);
+    BOOST_TEST(R.only<calls::EndStream>().IsComplete);
+    BOOST_TEST(R.S.Calls.empty());
+    BOOST_TEST(R.S.EndQueries.empty());
+  }
+}
+
+/// Guards against false evidence: the engine of a whole stream counted as
+/// crashed, and the request as what crashed it, for a report that came late.
+BOOST_AUTO_TEST_CASE(LateReportIsNoCrash) {
+  GatewayFixture R;
+  calls::OpenUpstream Open = beginStream(R);
+  R.event(UpstreamEnd{Open.Upstream, false});
+  R.sent(nextTry(R, milliseconds(500)).Upstream);
+  R.advance(seconds(2));
+  BOOST_TEST(R.S.Quarantine.Crashes.empty());
+}
+
+/// The same for the query after an answer that broke off: the engine takes the
+/// connection, and answers after a second.
+BOOST_AUTO_TEST_CASE(LateAnswerAfterABrokenConnectionIsNoCrash) {
+  GatewayFixture R;
+  calls::OpenUpstream Open = beginStream(R);
+  R.failUpstream(Open.Upstream, true);
+  BOOST_TEST_REQUIRE(R.S.CrashChecks.size() == 1U);
+  UpstreamId Query = R.S.CrashChecks.begin()->first;
+  R.sent(Query);
+  R.advance(seconds(1));
+  R.event(UpstreamHead{Query, 200, {}});
+  R.advance(seconds(3));
+  BOOST_TEST(R.S.Quarantine.Crashes.empty());
+  BOOST_TEST(R.S.CrashChecks.empty());
+}
+
+/// Guards against an idempotent call that fails although its server answers in
+/// time: it was given up as late, and the next server refused it.
+BOOST_AUTO_TEST_CASE(LateAnswerIsDeliveredIfTheNextServerRefuses) {
+  GatewayFixture R;
+  R.call(HttpMethod::Get, "/r/1");
+  calls::OpenUpstream Open = R.onlySend();
+  R.sent(Open.Upstream);
+  R.advance(milliseconds(350));
+  calls::OpenUpstream Second = R.onlySend();
+  R.sent(Second.Upstream);
+  R.head(Second.Upstream, 503, {{"X-Pimentoglade-Not-Executed", "1"}});
+  R.event(UpstreamEnd{Second.Upstream, true});
+  BOOST_TEST(R.all<calls::SendReply>().empty());
+  R.head(Open.Upstream, 200);
+  R.event(UpstreamEnd{Open.Upstream, true});
+  BOOST_TEST_REQUIRE(R.all<calls::SendReply>().size() == 1U);
+  BOOST_TEST(R.only<calls::SendReply>().Reply.Status == 200);
+  BOOST_TEST(R.S.Calls.empty());
+}
+
+/// Guards against LOST: a host lost its path to a silent engine, found no host
+/// that takes the request, and broke the stream off; the path came back.
+BOOST_AUTO_TEST_CASE(StreamGoesOnAfterItsPathComesBack) {
+  GatewayFixture R;
+  calls::OpenUpstream Open = beginStream(R);
+  R.S.Relays.Paths.Services[ServiceId("llm")].State = PathState::Cut;
+  R.advance(seconds(2));
+  BOOST_TEST(R.all<calls::EndStream>().empty());
+  checkGoesOn(R, Open);
+}
