Crash checks: an engine that takes the connection and is late has not crashed

Seen: an engine that answers load queries after 0.5 s, and broke a connection, counted as crashed; its request and the parts of its prompt became suspects, and the engine was taken for dead. Cause: no answer within 400 ms was taken for a crash. Class: absence of news within a short limit counts as failure. Change: the connection is what a crashed engine does not take. One that takes it has 3 s to answer; one that closes it meanwhile has crashed. Plain servers were treated so before, without the longer time.

--- a/packages/gateway/CrashCheckPart.cpp
+++ b/packages/gateway/CrashCheckPart.cpp
@@ -9,8 +9,11 @@
 
 namespace {
 
-/// Time in which a server answers that it still runs.
+/// Time in which a server that still runs takes a connection.
 constexpr Duration CrashCheckTimeout = milliseconds(400);
+/// A server that took the connection may be slow to answer. One that closes it
+/// within this time has ended.
+constexpr Duration AnswerTimeout = seconds(3);
 
 CrashedRequest crashedRequest(const GatewayTurn &T, const GatewayCall &C) {
   CrashedRequest Request;
@@ -106,9 +109,9 @@
   return IsOther || Answer.Misdirected;
 }
 
-/// A plain server that is slow may answer a health check late.
+/// Whether the server took the connection and is only late with its answer.
 bool isSilent(const CrashCheck &Check, const UpstreamFailed &E) {
-  return !Check.IsEngine && E.Why.TimedOut;
+  return Check.IsConnected && E.Why.TimedOut;
 }
 
 } // namespace
@@ -163,6 +166,7 @@
   if (Found == T.S.CrashChecks.end())
     return false;
   Found->second.IsConnected = true;
+  Found->second.ExpiresAt = Found->second.CrashedAt + AnswerTimeout;
   pathReached(T, Found->second.Crash.Server);
   return true;
 }
@@ -175,9 +179,8 @@
   UpstreamId Query = Found->first;
   T.S.CrashChecks.erase(Found);
   if (const auto *Failed = std::get_if<UpstreamFailed>(&E)) {
-    bool IsSilentServer = isSilent(Check, *Failed) && Check.IsConnected;
-    if (IsSilentServer)
-      logCheck(T, Check, "no answer to the health check in time", false);
+    if (isSilent(Check, *Failed))
+      logCheck(T, Check, "no answer in time", false);
     else if (Check.IsConnected)
       checkConfirmed(T, Check, "the server closed the connection at once");
     else
@@ -202,10 +205,8 @@
     T.Out.push_back(calls::AbortUpstream{It->first});
     CrashCheck Check = std::move(It->second);
     It = Checks.erase(It);
-    if (!Check.IsEngine)
-      logCheck(T, Check, "no answer to the health check in time", false);
-    else if (Check.IsConnected)
-      checkConfirmed(T, Check, "no answer to the load query in time");
+    if (!Check.IsEngine || Check.IsConnected)
+      logCheck(T, Check, "no answer in time", false);
     else
       checkFailed(T, Check, "no connection for the load query in time");
   }
