Hedged requests: what is late goes on until another server has answered (LOST)

Cause: a try without an event for a second was ended at its server first; then another server was looked for. Where none had room, or it refused, failed or was silent too, the stream was broken off although its engine went on. The same for idempotent calls, relays that do not reply, and hosts that lost their path. Class: absence of news within a short limit counts as failure, and what was running is thrown away. Change: another server is tried beside the late attempt by a call without a caller, the hedge. The first to go on serves the caller; the other one is stopped. The hedge takes over if the attempt fails; it costs sends as attempts do, and retries only as it is sent.

--- a/packages/gateway/Admission.cpp
+++ b/packages/gateway/Admission.cpp
@@ -176,6 +176,22 @@
   return C.Replying ? "broken_off" : "failure";
 }
 
+/// Ends what the call has under way at servers, the placer and helpers.
+void endWork(GatewayTurn &T, GatewayCall &C) {
+  closeAttempt(T, C, true);
+  withdrawPermit(T, C);
+  freeReservations(T, C);
+  if (C.Placed)
+    reportStage(T, C, PlacementStage::Ended);
+}
+
+void eraseCall(GatewayTurn &T, const GatewayCall &C) {
+  if (C.CheckAt != TimePoint())
+    T.S.Timers.erase({C.CheckAt, C.Ticket});
+  T.S.ByExchange.erase(C.Exchange);
+  T.S.Calls.erase(C.Ticket);
+}
+
 /// Holds a request for a short time right after the start, while the first
 /// configuration is expected. Returns false if the request must not be held.
 bool hold(GatewayTurn &T, ExchangeId Exchange, const HttpRequest &R,
@@ -269,6 +285,10 @@
 
 void fail(GatewayTurn &T, GatewayCall &C, Code Number, const char *Reason,
           Duration RetryAfter) {
+  if (C.HedgeOf != 0) {
+    hedgeFailed(T, C, Reason);
+    return;
+  }
   bool NotRun = info(Number).Result == Outcome::NotRun;
   if (NotRun && RetryAfter == Duration::zero())
     RetryAfter = NoServerRetryAfter;
@@ -287,12 +307,9 @@
 
 void finish(GatewayTurn &T, GatewayCall &C, int Status, Code Result,
             const char *Reason) {
-  closeAttempt(T, C, true);
+  dropHedge(T, C, "the call has ended");
+  endWork(T, C);
   relayedEnds(T, C);
-  withdrawPermit(T, C);
-  freeReservations(T, C);
-  if (C.Placed)
-    reportStage(T, C, PlacementStage::Ended);
   DecisionRecord Record = record(T, C, "request", Reason);
   Record.add("route", C.Path->Name);
   Record.add("service", C.Service.Value);
@@ -322,10 +339,14 @@
   sample(T, "pimento_request_seconds", Kind, T.Now - C.Arrived);
   if (C.FirstEventAt != TimePoint())
     sample(T, "pimento_first_event_seconds", Kind, C.FirstEventAt - C.Arrived);
-  if (C.CheckAt != TimePoint())
-    T.S.Timers.erase({C.CheckAt, C.Ticket});
-  T.S.ByExchange.erase(C.Exchange);
-  T.S.Calls.erase(C.Ticket);
+  eraseCall(T, C);
+}
+
+void removeCall(GatewayTurn &T, GatewayCall &C) {
+  if (C.Stage == CallStage::Placing)
+    withdrawPlacement(T, C);
+  endWork(T, C);
+  eraseCall(T, C);
 }
 
 void callerLeft(GatewayTurn &T, ExchangeId Exchange) {
--- a/packages/gateway/Answer.cpp
+++ b/packages/gateway/Answer.cpp
@@ -13,9 +13,6 @@
 constexpr int StatusOk = 200;
 constexpr int FirstErrorStatus = 400;
 constexpr int FirstServerErrorStatus = 500;
-/// Time in which an engine answers that it still runs.
-constexpr Duration ConfirmationTimeout = milliseconds(400);
-constexpr std::size_t MaxReportBytes = 64U << 10U;
 
 GatewayCall *callOf(GatewayTurn &T, UpstreamId Upstream) {
   auto Found = T.S.ByUpstream.find(Upstream);
@@ -56,13 +53,19 @@
          (Answer.Stamped && Answer.ClientAttemptId == C.Info.ClientAttemptId);
 }
 
-void beginStream(GatewayTurn &T, GatewayCall &C) {
-  C.Attempt.IsForwarded = true;
-  if (C.Replying)
-    return;
-  C.Replying = true;
-  C.IsEventStream = C.Attempt.Answer.Events;
-  T.Out.push_back(calls::StartStream{C.Exchange, headFor(T, C.Attempt)});
+/// Whether the call's answer may be given to a caller: a hedge takes over,
+/// unless its answer is no continuation of what the caller has. It is then
+/// invalid.
+bool haveCaller(GatewayTurn &T, GatewayCall &C, const char *Reason) {
+  if (C.HedgeOf == 0)
+    return true;
+  if (mayTakeOver(C)) {
+    takeOver(T, C, Reason);
+    return true;
+  }
+  attemptFailed(T, C, true, Code::BackendFailed,
+                "the answer is of another kind than the one that was begun");
+  return false;
 }
 
 void forwardEvents(GatewayTurn &T, GatewayCall &C, std::string_view Bytes) {
@@ -80,6 +83,9 @@
   }
   if (Events.empty())
     return;
+  if (!haveCaller(T, C, "another server went on first"))
+    return;
+  dropHedge(T, C, "the server that was late went on");
   if (C.FirstEventAt == TimePoint())
     C.FirstEventAt = T.Now;
   else
@@ -96,19 +102,6 @@
     followReader(T, C);
 }
 
-/// Asks the engine that gave the stream for its load report. An engine that
-/// crashed between two events closes its connections as one that has finished
-/// does, but answers nothing any more; another one may answer at its address.
-void confirmEnd(GatewayTurn &T, GatewayCall &C) {
-  closeAttempt(T, C, false);
-  UpstreamId Id = queryLoad(T, C.Attempt.Address, C.Attempt.Server);
-  C.Stage = CallStage::Confirming;
-  C.Attempt.EndQuery = Id;
-  T.S.EndQueries[Id].Ticket = C.Ticket;
-  count(T, "pimento_end_queries_total");
-  checkAt(T, C, std::min(C.Deadline, T.Now + ConfirmationTimeout));
-}
-
 void streamCut(GatewayTurn &T, GatewayCall &C, const char *Reason) {
   attemptFailed(T, C, true, Code::StreamCut, Reason);
 }
@@ -118,41 +111,6 @@
   streamCut(T, C, Reason);
 }
 
-/// The engine that gave the call's stream has ended, so that the stream may
-/// have been broken off.
-void engineEnded(GatewayTurn &T, GatewayCall &C, bool IsUnreached) {
-  recordCrash(T, C, IsUnreached);
-  streamCut(T, C, "the engine ended with its stream");
-}
-
-/// Whether the answer to a load query is a load report of the engine that was
-/// asked, as far as its head tells.
-bool isFromEngine(const GatewayTurn &T, const GatewayCall &C,
-                  const UpstreamHead &E) {
-  AnswerInfo Answer = T.S.Platform.DecodeAnswer(E.Status, E.Headers);
-  bool IsOther = !Answer.Server.empty() && Answer.Server != C.Attempt.Server;
-  return E.Status == StatusOk && !IsOther;
-}
-
-/// The same as far as the report tells. An engine may start again with its id.
-bool isReportOf(const GatewayTurn &T, const GatewayCall &C,
-                const std::string &Report) {
-  IncarnationNumber Incarnation = T.S.Platform.DecodeReportIncarnation(Report);
-  constexpr IncarnationNumber NotGiven = 0;
-  return Incarnation == NotGiven || C.Attempt.ServerIncarnation == NotGiven ||
-         Incarnation == C.Attempt.ServerIncarnation;
-}
-
-void completeStream(GatewayTurn &T, GatewayCall &C) {
-  closeAttempt(T, C, false);
-  if (!C.Events.Partial.empty())
-    T.Out.push_back(
-        calls::StreamBytes{C.Exchange, std::move(C.Events.Partial)});
-  T.Out.push_back(calls::EndStream{C.Exchange, true});
-  noteComplete(T, C);
-  finish(T, C, StatusOk, Code::Ok, "");
-}
-
 bool isEventStream(const GatewayCall &C) {
   return C.Attempt.Answer.Events || C.OnEngine || C.Events.Events > 0 ||
          !C.Events.LastId.empty();
@@ -197,6 +155,8 @@
 }
 
 void deliver(GatewayTurn &T, GatewayCall &C) {
+  if (!haveCaller(T, C, "another server answered first"))
+    return;
   closeAttempt(T, C, false);
   recordCallSuccess(T, C);
   HttpReply Reply = headFor(T, C.Attempt);
@@ -237,7 +197,8 @@
   }
   bool Matches = matchesRequest(C) && !C.Attempt.Answer.NotRun;
   bool Failed = C.Attempt.Status >= FirstServerErrorStatus;
-  bool MayRetry = mayRunAgain(C) && maySendAgain(T, C);
+  bool IsHedged = C.Hedge != 0 || C.HedgeOf != 0;
+  bool MayRetry = IsHedged || (mayRunAgain(C) && maySendAgain(T, C));
   if (!Matches || (Failed && MayRetry) || C.Replying) {
     closeAttempt(T, C, false);
     attemptFailed(T, C, true, Code::BackendFailed,
@@ -251,6 +212,28 @@
 
 } // namespace
 
+void beginStream(GatewayTurn &T, GatewayCall &C) {
+  C.Attempt.IsForwarded = true;
+  if (C.Replying || C.HedgeOf != 0)
+    return;
+  C.Replying = true;
+  C.IsEventStream = C.Attempt.Answer.Events;
+  T.Out.push_back(calls::StartStream{C.Exchange, headFor(T, C.Attempt)});
+  replyBegan(T, C);
+}
+
+void completeStream(GatewayTurn &T, GatewayCall &C) {
+  if (!haveCaller(T, C, "another server ended the stream first"))
+    return;
+  closeAttempt(T, C, false);
+  if (!C.Events.Partial.empty())
+    T.Out.push_back(
+        calls::StreamBytes{C.Exchange, std::move(C.Events.Partial)});
+  T.Out.push_back(calls::EndStream{C.Exchange, true});
+  noteComplete(T, C);
+  finish(T, C, StatusOk, Code::Ok, "");
+}
+
 void upstreamHead(GatewayTurn &T, const UpstreamHead &E) {
   GatewayCall *C = callOf(T, E.Call);
   if (C == nullptr)
@@ -298,45 +281,4 @@
     endBufferedAnswer(T, *C);
 }
 
-bool confirmationEvent(GatewayTurn &T, const Event &E) {
-  auto Found = T.S.EndQueries.find(upstreamOf(E));
-  if (Found == T.S.EndQueries.end())
-    return false;
-  EndQuery &Query = Found->second;
-  GatewayCall &C = *findCall(T, Query.Ticket);
-  if (const auto *Failed = std::get_if<UpstreamFailed>(&E)) {
-    T.S.EndQueries.erase(Found);
-    C.Attempt.EndQuery = UpstreamId{};
-    engineEnded(T, C, /*IsUnreached=*/!Failed->Why.BytesSent);
-  } else if (const auto *Head = std::get_if<UpstreamHead>(&E)) {
-    if (!isFromEngine(T, C, *Head))
-      engineEnded(T, C, /*IsUnreached=*/false);
-  } else if (const auto *Data = std::get_if<UpstreamData>(&E)) {
-    if (Query.Report.size() + Data->Bytes.size() <= MaxReportBytes)
-      Query.Report += Data->Bytes;
-  } else if (std::holds_alternative<UpstreamEnd>(E)) {
-    std::string Report = std::move(Query.Report);
-    T.S.EndQueries.erase(Found);
-    C.Attempt.EndQuery = UpstreamId{};
-    if (isReportOf(T, C, Report))
-      completeStream(T, C);
-    else
-      engineEnded(T, C, /*IsUnreached=*/false);
-  }
-  return true;
-}
-
-void dropConfirmation(GatewayTurn &T, GatewayCall &C) {
-  if (C.Attempt.EndQuery == UpstreamId{})
-    return;
-  T.S.EndQueries.erase(C.Attempt.EndQuery);
-  T.Out.push_back(calls::AbortUpstream{C.Attempt.EndQuery});
-  C.Attempt.EndQuery = UpstreamId{};
-}
-
-void checkConfirming(GatewayTurn &T, GatewayCall &C) {
-  recordCrash(T, C, /*IsUnreached=*/false);
-  streamCut(T, C, "the engine is silent after the end of its stream");
-}
-
 } // namespace pimento::gateway
--- a/packages/gateway/Attempt.cpp
+++ b/packages/gateway/Attempt.cpp
@@ -97,24 +97,6 @@
   return Stall;
 }
 
-/// Time at which the current attempt is abandoned in favour of another one. A
-/// relay abandons its own attempts, so it is left more time. An answer that is
-/// held back for a slow reader is not overdue.
-TimePoint overdueAt(const GatewayCall &C) {
-  const Route &R = *C.Path;
-  if (C.UnreadBytes >= FlowWindowBytes / 2)
-    return TimePoint::max();
-  int Factor = C.Attempt.Relay.empty() ? 1 : RelayOverdueFactor;
-  if (R.Kind == CallKind::Stream) {
-    Duration Wait = stallTime(R);
-    if (C.Attempt.LastBytes == C.Attempt.Began)
-      Wait += C.Attempt.Forecast;
-    return C.Attempt.LastBytes + Factor * Wait;
-  }
-  return C.Attempt.Began +
-         Factor * std::max(MinOverdueTime, OverdueObjectives * R.Objective);
-}
-
 /// Time of the next probe whether the call's engine, which sends nothing, is
 /// dead. While it is, memory that others reserved for the call is of no use.
 TimePoint silenceCheckAt(const GatewayCall &C) {
@@ -127,34 +109,6 @@
                   A.SilenceProbeAt + SilenceProbeInterval);
 }
 
-/// Whether a later server reports the address of the call's server, which has
-/// ended then. Connections to the address are taken all the same.
-bool isAddressTaken(const Gateway &S, const CallAttempt &A) {
-  auto IsLater = [&](const auto &Known) {
-    const ServerReport &R = Known.second.Report;
-    return R.Address == A.Address && R.Phase != ServerPhase::Gone &&
-           R.Incarnation > A.ServerIncarnation;
-  };
-  const auto &Servers = S.Servers.Servers;
-  return std::any_of(Servers.begin(), Servers.end(), IsLater);
-}
-
-/// Whether the call's engine, which is silent, has lost its address to another
-/// one, or took no connection for long enough to be dead. A host that lost its
-/// path may still have an open one.
-bool isDead(const GatewayTurn &T, const GatewayCall &C) {
-  if (isAddressTaken(T.S, C.Attempt))
-    return true;
-  const PathWatch &W = T.S.Relays.Paths;
-  const BackendId &Server = C.Attempt.Server;
-  auto Path = W.Servers.find(Server);
-  if (W.Failed.count(Server) == 0 || Path == W.Servers.end() ||
-      T.Now < Path->second.FailedAt + DeadTime || isCutOff(T.S, C.Service))
-    return false;
-  return verdictOf(W, Server, Path->second.FailedAt, T.Now) ==
-         FailureVerdict::ServerAtFault;
-}
-
 bool isAtPlainServer(const GatewayCall &C) {
   return !C.OnEngine && !C.Attempt.Server.empty() && C.Attempt.Relay.empty();
 }
@@ -175,17 +129,8 @@
     else
       onCallDropped(T.S.Health, C.Attempt.Server);
   }
-  if (Fault != FaultSide::Path)
-    return;
-  FaultReport A;
-  A.What = C.OnEngine ? FaultReport::Kind::Engine : FaultReport::Kind::Plain;
-  A.Server = FaultyServer;
-  A.IsUnreached = !C.Attempt.BytesSent && FaultyServer == C.Attempt.Server;
-  A.Crash.Incarnation = C.Attempt.ServerIncarnation;
-  holdFaultReport(T, std::move(A));
-  // Without a connection the server has just been found not to be reached.
-  if (C.Attempt.BytesSent)
-    probePath(T, FaultyServer, /*IsForOthers=*/false);
+  if (Fault == FaultSide::Path)
+    holdPathFault(T, C, FaultyServer);
 }
 
 void logFailedAttempt(GatewayTurn &T, const GatewayCall &C, bool Ran,
@@ -269,6 +214,59 @@
 
 } // namespace
 
+TimePoint overdueAt(const GatewayCall &C) {
+  const Route &R = *C.Path;
+  // An answer that is held back for a slow reader is not late.
+  if (C.UnreadBytes >= FlowWindowBytes / 2)
+    return TimePoint::max();
+  // A relay tries other servers itself, so it is left more time.
+  int Factor = C.Attempt.Relay.empty() ? 1 : RelayOverdueFactor;
+  if (R.Kind == CallKind::Stream) {
+    Duration Wait = stallTime(R);
+    if (C.Attempt.LastBytes == C.Attempt.Began)
+      Wait += C.Attempt.Forecast;
+    return C.Attempt.LastBytes + Factor * Wait;
+  }
+  return C.Attempt.Began +
+         Factor * std::max(MinOverdueTime, OverdueObjectives * R.Objective);
+}
+
+bool isAddressTaken(const Gateway &S, const CallAttempt &A) {
+  auto IsLater = [&](const auto &Known) {
+    const ServerReport &R = Known.second.Report;
+    return R.Address == A.Address && R.Phase != ServerPhase::Gone &&
+           R.Incarnation > A.ServerIncarnation;
+  };
+  const auto &Servers = S.Servers.Servers;
+  return std::any_of(Servers.begin(), Servers.end(), IsLater);
+}
+
+bool isDead(const GatewayTurn &T, const GatewayCall &C) {
+  if (isAddressTaken(T.S, C.Attempt))
+    return true;
+  const PathWatch &W = T.S.Relays.Paths;
+  const BackendId &Server = C.Attempt.Server;
+  auto Path = W.Servers.find(Server);
+  if (W.Failed.count(Server) == 0 || Path == W.Servers.end() ||
+      T.Now < Path->second.FailedAt + DeadTime || isCutOff(T.S, C.Service))
+    return false;
+  return verdictOf(W, Server, Path->second.FailedAt, T.Now) ==
+         FailureVerdict::ServerAtFault;
+}
+
+void holdPathFault(GatewayTurn &T, const GatewayCall &C,
+                   const BackendId &FaultyServer) {
+  FaultReport A;
+  A.What = C.OnEngine ? FaultReport::Kind::Engine : FaultReport::Kind::Plain;
+  A.Server = FaultyServer;
+  A.IsUnreached = !C.Attempt.BytesSent && FaultyServer == C.Attempt.Server;
+  A.Crash.Incarnation = C.Attempt.ServerIncarnation;
+  holdFaultReport(T, std::move(A));
+  // Without a connection the server has just been found not to be reached.
+  if (C.Attempt.BytesSent)
+    probePath(T, FaultyServer, /*IsForOthers=*/false);
+}
+
 const std::vector<calls::PlainServer> &plainServers(const Gateway &S,
                                                     const ServiceId &Service) {
   static const std::vector<calls::PlainServer> None;
@@ -286,8 +284,10 @@
 }
 
 void scheduleCheck(GatewayTurn &T, GatewayCall &C) {
-  TimePoint At = std::min({C.Deadline, doubtAt(T, C), silenceCheckAt(C)});
-  if (mayRunAgain(C))
+  TimePoint At =
+      std::min({C.Deadline, doubtAt(T, C), silenceCheckAt(C), hedgeAt(C)});
+  // Of a hedge; see checkCall().
+  if (C.HedgeOf != 0)
     At = std::min(At, overdueAt(C));
   checkAt(T, C, std::max(At, T.Now + milliseconds(1)));
 }
@@ -299,10 +299,14 @@
 
 bool maySendAgain(GatewayTurn &T, const GatewayCall &C) {
   if (C.AttemptCount >= MaxServerAttempts || C.Sends >= C.MaxSends ||
-      T.Now + MinTimeLeft > C.Deadline || C.Exchange == ExchangeId{})
+      T.Now + MinTimeLeft > C.Deadline)
     return false;
-  return C.Sends == 0 || siteRetriesLeft(T.S.Retries, C.Service, T.S.RetryRules,
-                                         T.S.Link.Entries, T.Now) >= 1;
+  bool HasCaller = C.Exchange != ExchangeId{} || C.HedgeOf != 0;
+  if (!HasCaller)
+    return false;
+  bool IsRetry = C.Sends > 0 || C.HedgeOf != 0;
+  return !IsRetry || siteRetriesLeft(T.S.Retries, C.Service, T.S.RetryRules,
+                                     T.S.Link.Entries, T.Now) >= 1;
 }
 
 void sendToPlain(GatewayTurn &T, GatewayCall &C,
@@ -314,6 +318,17 @@
   sendAttempt(T, C, {});
 }
 
+bool chargeRetry(GatewayTurn &T, GatewayCall &C) {
+  if (!C.IsRetryDue)
+    return true;
+  C.IsRetryDue = false;
+  if (takeSiteRetry(T.S.Retries, C.Service, T.S.RetryRules, T.S.Link.Entries,
+                    T.Now))
+    return true;
+  fail(T, C, Code::BackendFailed, "the site's retries are used up");
+  return false;
+}
+
 void startAttempt(GatewayTurn &T, GatewayCall &C) {
   if (refuseQuarantined(T, C))
     return;
@@ -348,6 +363,8 @@
     attemptFailed(T, C, false, Code::NoBackend, toString(Block));
     return;
   }
+  if (!chargeRetry(T, C))
+    return;
   noteProbe(T, C);
   ForwardInfo Forward;
   Forward.TimeLeft = C.Deadline - T.Now;
@@ -376,6 +393,8 @@
   T.Out.push_back(
       calls::OpenUpstream{C.Attempt.Upstream, std::move(Request), C.Deadline});
   scheduleCheck(T, C);
+  if (C.HedgeOf != 0)
+    hedgeSent(T, C);
 }
 
 void upstreamSent(GatewayTurn &T, const UpstreamSent &E) {
@@ -456,6 +475,8 @@
   C.LastFailureReason = Reason;
   C.LastFailureAt = T.Now;
   bool Allowed = !C.MayHaveRun || (mayRunAgain(C) && !isSuspectOfCrashes(T, C));
+  if (Allowed && continueWithHedge(T, C))
+    return;
   if (Allowed && maySendAgain(T, C)) {
     startAttempt(T, C);
     return;
@@ -463,6 +484,45 @@
   fail(T, C, finalCode(C, Number), Reason);
 }
 
+namespace {
+
+/// Holds the call's silence against its server, once for each attempt.
+void accuseLate(GatewayTurn &T, GatewayCall &C) {
+  if (C.Attempt.IsAccused || !C.Attempt.Relay.empty())
+    return;
+  C.Attempt.IsAccused = true;
+  holdPathFault(T, C, C.Attempt.Server);
+}
+
+/// Tries another server for a call whose attempt is late. The attempt goes on.
+void checkLate(GatewayTurn &T, GatewayCall &C) {
+  std::uint64_t Ticket = C.Ticket;
+  if (T.Now >= hedgeAt(C)) {
+    accuseLate(T, C);
+    startHedge(T, C, "no answer or event from the backend server in time");
+  }
+  if (findCall(T, Ticket) != nullptr)
+    scheduleCheck(T, C);
+}
+
+/// Tries the next server for a hedge whose server is late as well. Without one
+/// the hedge goes on.
+void checkHedge(GatewayTurn &T, GatewayCall &H) {
+  if (T.Now < overdueAt(H)) {
+    scheduleCheck(T, H);
+    return;
+  }
+  if (!maySendAgain(T, H)) {
+    checkAt(T, H, H.Deadline);
+    return;
+  }
+  H.Attempt.Fault = FaultSide::Path;
+  attemptFailed(T, H, H.Attempt.BytesSent, Code::BackendFailed,
+                "no answer or event from the backend server in time");
+}
+
+} // namespace
+
 void checkCall(GatewayTurn &T, GatewayCall &C) {
   if (T.Now >= C.Deadline) {
     bool Waiting = !C.MayHaveRun && !C.Attempt.BytesSent;
@@ -499,7 +559,7 @@
   if (T.Now >= doubtAt(T, C))
     doubtPath(T, C);
   if (T.Now >= silenceCheckAt(C)) {
-    if (isDead(T, C)) {
+    if (isAddressTaken(T.S, C.Attempt) || (C.HedgeOf != 0 && isDead(T, C))) {
       C.Attempt.Fault = FaultSide::Path;
       attemptFailed(T, C, true, Code::BackendFailed,
                     "the engine is silent and takes no connection");
@@ -507,19 +567,16 @@
     }
     C.Attempt.SilenceProbeAt = T.Now;
     probePath(T, C.Attempt.Server, /*IsForOthers=*/false);
+    std::uint64_t Ticket = C.Ticket;
+    if (isDead(T, C))
+      serverIsDead(T, C);
+    if (findCall(T, Ticket) == nullptr)
+      return;
   }
-  if (!mayRunAgain(C) || T.Now < overdueAt(C)) {
-    scheduleCheck(T, C);
-    return;
-  }
-  // Without a permitted retry, the current attempt continues.
-  if (!maySendAgain(T, C)) {
-    checkAt(T, C, C.Deadline);
-    return;
-  }
-  C.Attempt.Fault = FaultSide::Path;
-  attemptFailed(T, C, C.Attempt.BytesSent, Code::BackendFailed,
-                "no answer or event from the backend server in time");
+  if (C.HedgeOf != 0)
+    checkHedge(T, C);
+  else
+    checkLate(T, C);
 }
 
 } // namespace pimento::gateway
--- a/packages/gateway/Gateway.cpp
+++ b/packages/gateway/Gateway.cpp
@@ -280,6 +280,11 @@
   T.S.Timers.emplace(At, C.Ticket);
 }
 
+void checkBy(GatewayTurn &T, GatewayCall &C, TimePoint At) {
+  if (C.CheckAt == TimePoint() || At < C.CheckAt)
+    checkAt(T, C, At);
+}
+
 UpstreamId upstreamOf(const Event &E) {
   if (const auto *Sent = std::get_if<UpstreamSent>(&E))
     return Sent->Call;
--- a/packages/gateway/Gateway.h
+++ b/packages/gateway/Gateway.h
@@ -18,12 +18,17 @@
 // * An answer reaches its caller complete or is recognizably truncated. It
 //   belongs to the request's own attempt and comes from the backend server that
 //   was addressed.
+// * An answer that may still come is not given up because it is late: its
+//   attempt goes on until another server has answered, or the time is up.
 // * Work for a caller that disconnected is cancelled, unless the request must
 //   run at most once and has been sent.
 //
 // Admission.cpp   routes and accounts
 // Attempt.cpp     attempts and their failures
 // Answer.cpp      answers and streams
+// ConfirmPart.cpp streams that ended with their connection: whether they are
+//                 whole
+// HedgePart.cpp   another server is tried while an attempt is late
 // PlacePart.cpp   placement on engines
 // ReservePart.cpp memory reservations at helpers
 // SpeedPart.cpp   load reports of engines suspected of being slow
@@ -203,6 +208,8 @@
   std::string Address;
   UpstreamId Upstream{}; // Open exchange with the server; zero: none.
   UpstreamId EndQuery{}; // Query that confirms the answer's end; zero: none.
+  TimePoint NextEndQueryAt{};  // The query is sent again, without an answer.
+  Duration EndQueryLimit = {}; // Of the latest query.
   TimePoint Began{};
   TimePoint HeadAt{};     // Receipt of the answer's head; the epoch: none.
   TimePoint LastBytes{};  // Last receipt of answer bytes; Began if none came.
@@ -212,6 +219,8 @@
   std::string Failure; // Of the connection, for logs; empty: none.
   FaultSide Fault = FaultSide::Server; // What a failure says.
   bool IsDoubted = false;     // The path was probed, since nothing came.
+  bool IsAccused = false;     // The server's silence was held against it.
+  bool IsDead = false;        // The silent engine takes no connection either.
   TimePoint SilenceProbeAt{}; // The silent engine was last probed.
   HostId Relay;   // Host that the request was handed over to; empty: none.
   ByteSink Taken; // Bytes of the relay's answer.
@@ -227,7 +236,7 @@
 /// An admitted request, from its arrival to its final answer.
 struct GatewayCall {
   std::uint64_t Ticket = 0; // Unique in this incarnation of the host.
-  ExchangeId Exchange{};    // Zero: the caller disconnected.
+  ExchangeId Exchange{};    // Zero: the caller disconnected, or it is a hedge.
   RequestInfo Info;
   HttpMethod Method = HttpMethod::Get;
   std::string Target;
@@ -256,6 +265,12 @@
   std::string LastFailureReason; // Of the same, for logs; empty: none failed.
   TimePoint LastFailureAt{};
 
+  std::uint64_t Hedge = 0;   // Ticket of the call's hedge; zero: none.
+  std::uint64_t HedgeOf = 0; // Of a hedge: ticket of the call that it hedges.
+  TimePoint HedgedAt{};      // Of a hedge: when it began.
+  TimePoint NextHedgeAt{};   // No hedge of the call begins before.
+  bool IsRetryDue = false;   // The retry budget is charged as it is sent.
+
   CallAttempt Attempt;
   bool Placed = false;            // The placer counts the request on engines.
   bool IsRemotePlacement = false; // Another host, the placer, was asked.
--- a/packages/gateway/GatewayTurn.h
+++ b/packages/gateway/GatewayTurn.h
@@ -26,6 +26,8 @@
 /// Schedules checkCall() for \p At, or for the call's next renewal of its
 /// reservations if that is earlier. Replaces an earlier schedule.
 void checkAt(GatewayTurn &T, GatewayCall &C, TimePoint At);
+/// Schedules checkCall() for \p At, unless it is scheduled for an earlier time.
+void checkBy(GatewayTurn &T, GatewayCall &C, TimePoint At);
 void log(GatewayTurn &T, DecisionRecord Record);
 /// Starts a decision record about a call, with its attempt id, ticket and age.
 DecisionRecord record(const GatewayTurn &T, const GatewayCall &C,
@@ -59,10 +61,55 @@
 /// \p C.
 void finish(GatewayTurn &T, GatewayCall &C, int Status, Code Result,
             const char *Reason);
+/// Ends a call that has no caller, or no more, without a result. Invalidates
+/// \p C.
+void removeCall(GatewayTurn &T, GatewayCall &C);
 /// Cancels the work for a caller that disconnected.
 void callerLeft(GatewayTurn &T, ExchangeId Exchange);
 
+// HedgePart.cpp
+/// Time at which another server is tried for the call, whose attempt is late;
+/// the maximum: never.
+TimePoint hedgeAt(const GatewayCall &C);
+/// Tries another server for the call while its attempt goes on, if it may run
+/// again and has sends left. May invalidate \p C.
+void startHedge(GatewayTurn &T, GatewayCall &C, const char *Reason);
+/// A hedge was sent to its server.
+void hedgeSent(GatewayTurn &T, GatewayCall &H);
+/// The call's engine is silent and takes no connection: the attempt ends once
+/// another server has been sent the request. May invalidate \p C.
+void serverIsDead(GatewayTurn &T, GatewayCall &C);
+/// The head of the call's answer was sent to the caller.
+void replyBegan(GatewayTurn &T, const GatewayCall &C);
+/// Whether the hedge's answer goes on with what the caller has.
+bool mayTakeOver(const GatewayCall &H);
+/// The hedge gets the caller of the call that it hedges, which ends with its
+/// attempt.
+void takeOver(GatewayTurn &T, GatewayCall &H, const char *Reason);
+/// The call's attempt failed: its hedge, if it has one, takes over. Returns
+/// whether it did; \p C is then invalid.
+bool continueWithHedge(GatewayTurn &T, GatewayCall &C);
+/// Ends the call's hedge, if it has one.
+void dropHedge(GatewayTurn &T, GatewayCall &C, const char *Reason);
+/// A hedge ended in vain; its call goes on. Invalidates \p H.
+void hedgeFailed(GatewayTurn &T, GatewayCall &H, const char *Reason);
+
 // Attempt.cpp
+/// Time at which the current attempt is late.
+TimePoint overdueAt(const GatewayCall &C);
+/// Whether a later server reports the address of the attempt's server, which
+/// has ended then. Connections to the address are taken all the same.
+bool isAddressTaken(const Gateway &S, const CallAttempt &A);
+/// Whether the call's engine, which is silent, took no connection for long
+/// enough to be dead. A host that lost its path may still have an open one.
+bool isDead(const GatewayTurn &T, const GatewayCall &C);
+/// Holds a failure of the call against the server, once this host's path to it
+/// is known not to be at fault.
+void holdPathFault(GatewayTurn &T, const GatewayCall &C,
+                   const BackendId &FaultyServer);
+/// Charges the retry budget for a call that is sent, if that is due. Returns
+/// false if there is no retry left; the call has ended then.
+bool chargeRetry(GatewayTurn &T, GatewayCall &C);
 /// Starts an attempt: chooses a backend server, or requests a placement on
 /// engines. May end the call.
 void startAttempt(GatewayTurn &T, GatewayCall &C);
@@ -106,12 +153,24 @@
 void upstreamData(GatewayTurn &T, const UpstreamData &E);
 void upstreamEnd(GatewayTurn &T, const UpstreamEnd &E);
 
+/// Sends the head of the call's answer to the caller, unless one was sent; that
+/// of a hedge waits until it takes over.
+void beginStream(GatewayTurn &T, GatewayCall &C);
+/// Ends the call's stream as complete. Invalidates \p C.
+void completeStream(GatewayTurn &T, GatewayCall &C);
+
+// ConfirmPart.cpp
+/// Asks the engine that gave the call's stream for its load report. An engine
+/// that crashed between two events closes its connections as one that has
+/// finished does, but answers nothing any more; another one may answer at its
+/// address.
+void confirmEnd(GatewayTurn &T, GatewayCall &C);
 /// Processes an event that belongs to the query by which the end of a stream is
 /// confirmed. Returns false for any other event.
 bool confirmationEvent(GatewayTurn &T, const Event &E);
 /// Drops the query of a call whose end is not confirmed yet.
 void dropConfirmation(GatewayTurn &T, GatewayCall &C);
-/// Handles the timer of a call whose end is not confirmed in time.
+/// Handles the timer of a call whose end is not confirmed yet.
 void checkConfirming(GatewayTurn &T, GatewayCall &C);
 
 // HeldBytes.cpp
@@ -176,9 +235,10 @@
 UpstreamRequest orderRequest(const Gateway &S, const std::string &Address,
                              EngineOrder Order);
 /// Asks an engine for its load report; returns the id of the query. Another
-/// engine at the address refuses it.
+/// engine at the address refuses it. \p MayReuse: an open connection may be
+/// used, which may have fallen silent by itself.
 UpstreamId queryLoad(GatewayTurn &T, const std::string &Address,
-                     const BackendId &Engine);
+                     const BackendId &Engine, bool MayReuse = true);
 /// Sends orders that reserve memory at the helpers of the call's placement.
 void reserve(GatewayTurn &T, GatewayCall &C);
 /// Schedules checkReserving() for the time at which unanswered orders fail.
--- a/packages/gateway/HandOverPart.cpp
+++ b/packages/gateway/HandOverPart.cpp
@@ -96,6 +96,8 @@
 }
 
 void sendToRelay(GatewayTurn &T, GatewayCall &C, const HostId &Relay) {
+  if (!chargeRetry(T, C))
+    return;
   Gateway &S = T.S;
   C.Attempt.Upstream = UpstreamId{S.NextUpstream++};
   C.Attempt.Relay = Relay;
@@ -123,6 +125,8 @@
   S.Relays.Peers.Hosts.at(Relay).InFlight += 1;
   countHandOver(T, "sent");
   scheduleCheck(T, C);
+  if (C.HedgeOf != 0)
+    hedgeSent(T, C);
 }
 
 /// Hands the call over, or lets it wait for a host that can take it.
@@ -302,10 +306,8 @@
     GatewayCall *C = findCall(T, Ticket);
     bool IsWaiting = C != nullptr && C->Attempt.Relay == Host &&
                      T.Now >= C->Attempt.LastBytes + RelaySilence;
-    // The answer to a request that may run once can still come.
-    if (IsWaiting && mayRunAgain(*C) && maySendAgain(T, *C))
-      relayAttemptFailed(T, *C, true, Code::BackendFailed,
-                         "the relay does not reply");
+    if (IsWaiting)
+      startHedge(T, *C, "the relay does not reply");
   }
 }
 
--- /dev/null
+++ b/packages/gateway/HedgePart.cpp
@@ -0,0 +1,197 @@
+// Hedged requests: while an attempt is late, another server is tried, and the
+// attempt goes on. A server's silence does not tell whether it has failed, so
+// nothing that may still be answered is given up before another server has
+// answered. The hedge is a call of its own without a caller. It replaces the
+// call that it hedges, and gets its caller, once its server has answered, or
+// once the late attempt has failed.
+
+#include "gateway/GatewayTurn.h"
+
+#include <algorithm>
+
+namespace pimento::gateway {
+
+namespace {
+
+/// Time from the beginning of a hedge, or from its end, to the next one.
+constexpr Duration HedgeInterval = milliseconds(500);
+
+GatewayCall *hedgeOf(GatewayTurn &T, const GatewayCall &C) {
+  return C.Hedge == 0 ? nullptr : findCall(T, C.Hedge);
+}
+
+void logHedge(GatewayTurn &T, const GatewayCall &C, const char *Kind,
+              const GatewayCall &H, const char *Reason) {
+  DecisionRecord Record = record(T, C, Kind, Reason);
+  Record.add("hedge", static_cast<std::int64_t>(H.Ticket));
+  Record.add("server", C.Attempt.Server.Value);
+  Record.add("relay", C.Attempt.Relay.Value);
+  Record.add("stage", std::string(toString(C.Stage)));
+  Record.add("events", static_cast<std::int64_t>(C.Events.Events));
+  Record.add("since_bytes_ms", toMilliseconds(T.Now - C.Attempt.LastBytes));
+  Record.add("hedge_server", H.Attempt.Server.Value);
+  Record.add("hedge_stage", std::string(toString(H.Stage)));
+  Record.add("hedge_sends", static_cast<std::int64_t>(H.Sends));
+  Record.add("hedge_ms", toMilliseconds(T.Now - H.HedgedAt));
+  log(T, std::move(Record));
+}
+
+void countHedge(GatewayTurn &T, const char *Result) {
+  count(T, "pimento_hedges_total", std::string("result=\"") + Result + "\"");
+}
+
+/// The hedge of \p C, which goes on after the last event that the caller has.
+GatewayCall hedgeFor(GatewayTurn &T, const GatewayCall &C) {
+  GatewayCall H;
+  H.Ticket = T.S.NextTicket++;
+  H.HedgeOf = C.Ticket;
+  H.HedgedAt = T.Now;
+  H.Info = C.Info;
+  H.Method = C.Method;
+  H.Target = C.Target;
+  H.Body = C.Body;
+  H.Digest = C.Digest;
+  H.Table = C.Table;
+  H.Path = C.Path;
+  H.Service = C.Service;
+  H.OnEngine = C.OnEngine;
+  H.Account = C.Account;
+  H.Priority = C.Priority;
+  H.Arrived = C.Arrived;
+  H.Deadline = C.Deadline;
+  H.IsRelayed = C.IsRelayed;
+  H.MaxSends = C.MaxSends - C.Sends;
+  H.AttemptCount = C.AttemptCount;
+  H.MayHaveRun = true;
+  H.IsRetryDue = true;
+  H.TriedServers = C.TriedServers;
+  if (!C.Attempt.Server.empty())
+    H.TriedServers.push_back(C.Attempt.Server);
+  H.Replying = C.Replying;
+  H.IsEventStream = C.IsEventStream;
+  H.Events = C.Events;
+  H.Events.Partial.clear();
+  return H;
+}
+
+/// Counts what the hedge did as done by \p C.
+void addSends(GatewayCall &C, const GatewayCall &H) {
+  C.Sends += H.Sends;
+  C.AttemptCount = H.AttemptCount;
+  for (const BackendId &Server : H.TriedServers) {
+    bool IsKnown = std::find(C.TriedServers.begin(), C.TriedServers.end(),
+                             Server) != C.TriedServers.end();
+    if (!IsKnown && Server != C.Attempt.Server)
+      C.TriedServers.push_back(Server);
+  }
+}
+
+/// Ends the hedge and lets its call, which goes on, wait for its server.
+void endHedge(GatewayTurn &T, GatewayCall &C, GatewayCall &H,
+              const char *Result, const char *Reason) {
+  logHedge(T, C, "hedge_ended", H, Reason);
+  countHedge(T, Result);
+  addSends(C, H);
+  C.Hedge = 0;
+  C.NextHedgeAt = T.Now + HedgeInterval;
+  checkBy(T, C, C.NextHedgeAt);
+  removeCall(T, H);
+}
+
+} // namespace
+
+TimePoint hedgeAt(const GatewayCall &C) {
+  if (!mayRunAgain(C) || C.Hedge != 0 || C.HedgeOf != 0)
+    return TimePoint::max();
+  return std::max(overdueAt(C), C.NextHedgeAt);
+}
+
+void startHedge(GatewayTurn &T, GatewayCall &C, const char *Reason) {
+  C.NextHedgeAt = T.Now + HedgeInterval;
+  bool MayHedge = C.Hedge == 0 && C.HedgeOf == 0 && !C.IsTrial &&
+                  mayRunAgain(C) && maySendAgain(T, C) &&
+                  !isSuspectOfCrashes(T, C);
+  if (!MayHedge)
+    return;
+  GatewayCall New = hedgeFor(T, C);
+  GatewayCall &H = T.S.Calls[New.Ticket];
+  H = std::move(New);
+  C.Hedge = H.Ticket;
+  logHedge(T, C, "hedge_started", H, Reason);
+  countHedge(T, "started");
+  startAttempt(T, H);
+}
+
+void hedgeSent(GatewayTurn &T, GatewayCall &H) {
+  GatewayCall *C = findCall(T, H.HedgeOf);
+  if (C != nullptr && C->Attempt.IsDead)
+    takeOver(T, H, "the engine is silent and takes no connection");
+}
+
+void serverIsDead(GatewayTurn &T, GatewayCall &C) {
+  C.Attempt.IsDead = true;
+  // Memory at helpers is of no use without the engine.
+  freeReservations(T, C);
+  GatewayCall *H = hedgeOf(T, C);
+  bool IsSent = H != nullptr && H->Attempt.Upstream != UpstreamId{};
+  if (IsSent)
+    takeOver(T, *H, "the engine is silent and takes no connection");
+  else if (H == nullptr && T.Now >= C.NextHedgeAt)
+    startHedge(T, C, "the engine is silent and takes no connection");
+}
+
+void replyBegan(GatewayTurn &T, const GatewayCall &C) {
+  GatewayCall *H = hedgeOf(T, C);
+  if (H == nullptr)
+    return;
+  H->Replying = true;
+  H->IsEventStream = C.IsEventStream;
+}
+
+bool mayTakeOver(const GatewayCall &H) {
+  return !H.Replying || !H.Attempt.IsForwarded ||
+         H.Attempt.Answer.Events == H.IsEventStream;
+}
+
+void takeOver(GatewayTurn &T, GatewayCall &H, const char *Reason) {
+  GatewayCall &C = *findCall(T, H.HedgeOf);
+  logHedge(T, C, "hedge_took_over", H, Reason);
+  countHedge(T, "took_over");
+  C.Hedge = 0;
+  H.HedgeOf = 0;
+  std::swap(H.Exchange, C.Exchange);
+  if (H.Exchange != ExchangeId{})
+    T.S.ByExchange[H.Exchange] = H.Ticket;
+  H.Sends += C.Sends;
+  H.MaxSends = C.MaxSends;
+  H.LastFailure = C.LastFailure;
+  H.LastFailureReason = C.LastFailureReason;
+  H.LastFailureAt = C.LastFailureAt;
+  H.FirstEventAt = C.FirstEventAt;
+  H.LastEventAt = C.LastEventAt;
+  H.LongestEventGap = C.LongestEventGap;
+  H.UnreadBytes = C.UnreadBytes;
+  removeCall(T, C);
+  if (H.Attempt.IsForwarded)
+    beginStream(T, H);
+}
+
+bool continueWithHedge(GatewayTurn &T, GatewayCall &C) {
+  GatewayCall *H = hedgeOf(T, C);
+  if (H == nullptr)
+    return false;
+  takeOver(T, *H, "the attempt that was late has failed");
+  return true;
+}
+
+void dropHedge(GatewayTurn &T, GatewayCall &C, const char *Reason) {
+  if (GatewayCall *H = hedgeOf(T, C))
+    endHedge(T, C, *H, "not_needed", Reason);
+}
+
+void hedgeFailed(GatewayTurn &T, GatewayCall &H, const char *Reason) {
+  GatewayCall *C = findCall(T, H.HedgeOf);
+  endHedge(T, *C, H, "failed", Reason);
+}
+
+} // namespace pimento::gateway
--- a/packages/gateway/PathPart.cpp
+++ b/packages/gateway/PathPart.cpp
@@ -110,11 +110,14 @@
     GatewayCall *C = findCall(T, Ticket);
     if (C == nullptr || !isStranded(*C, T.Now))
       continue;
-    if (C->Attempt.BytesSent && !maySendAgain(T, *C))
+    const char *Reason = "this host lost its path to the backend server";
+    if (C->Attempt.BytesSent) {
+      // The path may come back, and the answer with it.
+      startHedge(T, *C, Reason);
       continue;
+    }
     C->Attempt.Fault = FaultSide::Nobody;
-    attemptFailed(T, *C, C->Attempt.BytesSent, Code::NoPath,
-                  "this host lost its path to the backend server");
+    attemptFailed(T, *C, false, Code::NoPath, Reason);
   }
 }
 
--- a/packages/gateway/ReservePart.cpp
+++ b/packages/gateway/ReservePart.cpp
@@ -131,11 +131,12 @@
 }
 
 UpstreamId queryLoad(GatewayTurn &T, const std::string &Address,
-                     const BackendId &Engine) {
+                     const BackendId &Engine, bool MayReuse) {
   UpstreamId Id{T.S.NextUpstream++};
-  T.Out.push_back(calls::OpenUpstream{
-      Id, orderRequest(T.S, Address, T.S.Platform.EncodeLoadQuery(Engine)),
-      std::nullopt});
+  UpstreamRequest Request =
+      orderRequest(T.S, Address, T.S.Platform.EncodeLoadQuery(Engine));
+  Request.MayReuse = MayReuse;
+  T.Out.push_back(calls::OpenUpstream{Id, std::move(Request), std::nullopt});
   return Id;
 }
 
--- a/packages/gateway/StopPart.cpp
+++ b/packages/gateway/StopPart.cpp
@@ -34,6 +34,8 @@
     Tickets.push_back(Ticket);
   for (std::uint64_t Ticket : Tickets) {
     GatewayCall *C = findCall(T, Ticket);
+    if (C == nullptr)
+      continue; // A hedge ended with its call.
     bool Ran = C->MayHaveRun || C->Attempt.BytesSent;
     Code Number = Ran ? Code::StreamCut : Code::Draining;
     if (Ran && C->Path->Kind == CallKind::Once)
@@ -49,8 +51,10 @@
     if (!isAtServer(C) && isTooLateToSend(T, C))
       Tickets.push_back(Ticket);
   }
-  for (std::uint64_t Ticket : Tickets)
-    refuseLate(T, *findCall(T, Ticket));
+  for (std::uint64_t Ticket : Tickets) {
+    if (GatewayCall *C = findCall(T, Ticket))
+      refuseLate(T, *C);
+  }
 }
 
 } // namespace
--- a/packages/gateway/tests/SilentServerTest.cpp
+++ b/packages/gateway/tests/SilentServerTest.cpp
@@ -206,3 +206,137 @@
   BOOST_TEST(R.all<calls::EndStream>().empty());
   checkGoesOn(R, Open);
 }
+
+/// Guards against ORDER: two servers are at work on a stream. The one that goes
+/// on first serves the caller from then on; the other one is stopped, and what
+/// it has sent meanwhile is dropped.
+BOOST_AUTO_TEST_CASE(OnlyOneOfTwoServersServesTheStream) {
+  for (bool IsNextFirst : {false, true}) {
+    GatewayFixture R;
+    calls::OpenUpstream First = beginStream(R);
+    calls::OpenUpstream Second = nextTry(R, milliseconds(1100));
+    BOOST_TEST(Second.Request.Address != First.Request.Address);
+    R.sent(Second.Upstream);
+    R.head(Second.Upstream, 200, {{"Content-Type", "text/event-stream"}});
+    BOOST_TEST(R.all<calls::StartStream>().empty());
+    BOOST_TEST(R.aborted().empty());
+    const calls::OpenUpstream &Winner = IsNextFirst ? Second : First;
+    const calls::OpenUpstream &Loser = IsNextFirst ? First : Second;
+    R.event(UpstreamData{Winner.Upstream, "id: 2\ndata: b\n\n"});
+    BOOST_TEST_REQUIRE(R.all<calls::StreamBytes>().size() == 1U);
+    BOOST_TEST((R.aborted() == std::vector<UpstreamId>{Loser.Upstream}));
+    R.event(UpstreamData{Loser.Upstream, "id: 2\ndata: b\n\n"});
+    BOOST_TEST(R.LastEffects.empty());
+    R.event(UpstreamData{Winner.Upstream, "id: 3\ndata: c\n\n"});
+    BOOST_TEST(R.only<calls::StreamBytes>().Bytes == "id: 3\ndata: c\n\n");
+    R.event(UpstreamEnd{Winner.Upstream, true});
+    BOOST_TEST(R.only<calls::EndStream>().IsComplete);
+    BOOST_TEST(R.S.Calls.empty());
+    BOOST_TEST(R.S.ByUpstream.empty());
+    BOOST_TEST(R.S.Engines.Placed.empty());
+  }
+}
+
+/// Guards against a caller without a head, or with two: the server that was
+/// tried second answers a request that has no answer yet.
+BOOST_AUTO_TEST_CASE(HeadOfTheServerThatAnswersFirstReachesTheCaller) {
+  for (bool HasHead : {false, true}) {
+    GatewayFixture R;
+    R.stream();
+    calls::OpenUpstream First = R.onlySend();
+    R.sent(First.Upstream);
+    calls::OpenUpstream Second = nextTry(R, milliseconds(1600));
+    R.sent(Second.Upstream);
+    R.head(Second.Upstream, 200);
+    BOOST_TEST(R.all<calls::StartStream>().empty());
+    std::size_t Heads = 0;
+    if (HasHead) {
+      R.head(First.Upstream, 200);
+      Heads += R.all<calls::StartStream>().size();
+    }
+    R.event(UpstreamData{Second.Upstream, "id: 1\ndata: a\n\n"});
+    Heads += R.all<calls::StartStream>().size();
+    BOOST_TEST(Heads == 1U);
+    BOOST_TEST(R.only<calls::StreamBytes>().Bytes == "id: 1\ndata: a\n\n");
+    R.event(UpstreamEnd{Second.Upstream, true});
+    BOOST_TEST(R.only<calls::EndStream>().IsComplete);
+    BOOST_TEST(R.S.Calls.empty());
+  }
+}
+
+/// Guards against BUDGET: the late attempt fails while another server is at
+/// work, and a third one is sent the request.
+BOOST_AUTO_TEST_CASE(ServerThatWasTriedGoesOnAfterTheFirstFails) {
+  GatewayFixture R;
+  calls::OpenUpstream First = beginStream(R);
+  calls::OpenUpstream Second = nextTry(R, milliseconds(1100));
+  R.sent(Second.Upstream);
+  R.failUpstream(First.Upstream, true);
+  for (const calls::OpenUpstream &Open : R.all<calls::OpenUpstream>())
+    BOOST_TEST(Open.Request.Target == "/-/report");
+  BOOST_TEST(R.all<calls::EndStream>().empty());
+  R.head(Second.Upstream, 200, {{"Content-Type", "text/event-stream"}});
+  checkGoesOn(R, Second);
+}
+
+/// Guards against GONE: the caller leaves while two servers are at work.
+BOOST_AUTO_TEST_CASE(BothServersStopWhenTheCallerLeaves) {
+  GatewayFixture R;
+  ExchangeId Caller = R.stream();
+  calls::OpenUpstream First = R.onlySend();
+  R.sent(First.Upstream);
+  calls::OpenUpstream Second = nextTry(R, milliseconds(1600));
+  R.sent(Second.Upstream);
+  R.event(ExchangeLeft{Caller});
+  BOOST_TEST(R.aborted().size() == 2U);
+  BOOST_TEST(R.S.Calls.empty());
+  BOOST_TEST(R.S.ByUpstream.empty());
+  BOOST_TEST(R.S.Engines.Placed.empty());
+}
+
+/// Guards against BUDGET: a server that is silent again and again, and goes on
+/// each time, costs no more sends than the route allows.
+BOOST_AUTO_TEST_CASE(SilentServerCostsNoMoreSendsThanAllowed) {
+  GatewayFixture R;
+  calls::OpenUpstream Open = beginStream(R);
+  std::size_t Sends = 1;
+  for (int Event = 2; Event <= 5; ++Event) {
+    R.advance(milliseconds(1500));
+    for (const calls::OpenUpstream &Next : R.all<calls::OpenUpstream>()) {
+      if (Next.Request.Target != "/s/1")
+        continue;
+      Sends += 1;
+      R.sent(Next.Upstream);
+    }
+    R.event(UpstreamData{Open.Upstream,
+                         "id: " + std::to_string(Event) + "\ndata: x\n\n"});
+    BOOST_TEST(R.all<calls::StreamBytes>().size() == 1U);
+  }
+  BOOST_TEST(Sends == 2U);
+}
+
+/// Guards against retries that are used up by requests which no engine got:
+/// only what is sent to another server is charged.
+BOOST_AUTO_TEST_CASE(RefusedPlacesCostNoRetries) {
+  GatewayFixture R;
+  calls::OpenUpstream Open = beginStream(R);
+  drainOtherThan(R, Open);
+  R.advance(seconds(6));
+  BOOST_TEST(R.S.Retries.at(ServiceId("llm")).Retries.empty());
+  BOOST_TEST(R.all<calls::EndStream>().empty());
+}
+
+/// Guards against TWICE: a call that may run once has no second server, however
+/// late its answer is.
+BOOST_AUTO_TEST_CASE(LateCallThatRunsOnceHasNoSecondServer) {
+  GatewayFixture R;
+  R.call(HttpMethod::Post, "/w/1");
+  calls::OpenUpstream Open = R.onlySend();
+  R.sent(Open.Upstream);
+  R.advance(milliseconds(590));
+  for (const calls::OpenUpstream &Next : R.all<calls::OpenUpstream>())
+    BOOST_TEST(Next.Request.Target != "/w/1");
+  R.head(Open.Upstream, 200);
+  R.event(UpstreamEnd{Open.Upstream, true});
+  BOOST_TEST(R.only<calls::SendReply>().Reply.Status == 200);
+}
