Ends of streams: a late load report breaks no whole stream (LOST)

Cause: such a stream is confirmed by a query of the engine's load report; no answer within 400 ms counted as a crash, and the stream as cut. Change: a report, a refused or broken connection, or another server at the address decide. A busy engine's refusal says nothing.

--- a/packages/gateway/ConfirmPart.cpp
+++ b/packages/gateway/ConfirmPart.cpp
@@ -1,5 +1,7 @@
 // Streams without a length that ended with their connection: whether they are
-// whole.
+// whole. The engine that gave the stream is asked for its load report. Its
+// answer, a refused connection, or another server at its address decide; that
+// it is late says nothing.
 
 #include "gateway/GatewayTurn.h"
 
@@ -10,28 +12,46 @@
 namespace {
 
 constexpr int StatusOk = 200;
-/// Time in which an engine answers that it still runs.
+constexpr int StatusTooManyRequests = 429;
+constexpr int FirstServerErrorStatus = 500;
+/// An engine usually answers within this time. Afterwards another server is
+/// asked for the rest of the stream as well.
 constexpr Duration ConfirmationTimeout = milliseconds(400);
+/// A query without an answer is sent again after this time over a new
+/// connection, since the open one may have fallen silent. Each later query has
+/// twice the time of the one before.
+constexpr Duration FirstQueryLimit = milliseconds(1200);
+/// Interval at which an engine that does not answer is looked at.
+constexpr Duration CheckInterval = milliseconds(400);
 constexpr std::size_t MaxReportBytes = 64U << 10U;
 
-void streamCut(GatewayTurn &T, GatewayCall &C, const char *Reason) {
-  attemptFailed(T, C, true, Code::StreamCut, Reason);
+/// Sends the query. \p MayReuse: over an open connection, if there is one.
+void askEngine(GatewayTurn &T, GatewayCall &C, Duration Limit, bool MayReuse) {
+  dropConfirmation(T, C);
+  UpstreamId Id = queryLoad(T, C.Attempt.Address, C.Attempt.Server, MayReuse);
+  C.Attempt.EndQuery = Id;
+  C.Attempt.EndQueryLimit = Limit;
+  C.Attempt.NextEndQueryAt = T.Now + Limit;
+  T.S.EndQueries[Id].Ticket = C.Ticket;
+  count(T, "pimento_end_queries_total");
 }
 
 /// The engine that gave the call's stream has ended, so that the stream may
 /// have been broken off.
 void engineEnded(GatewayTurn &T, GatewayCall &C, bool IsUnreached) {
   recordCrash(T, C, IsUnreached);
-  streamCut(T, C, "the engine ended with its stream");
+  attemptFailed(T, C, true, Code::StreamCut,
+                "the engine ended with its stream");
 }
 
-/// Whether the answer to a load query is a load report of the engine that was
-/// asked, as far as its head tells.
-bool isFromEngine(const GatewayTurn &T, const GatewayCall &C,
-                  const UpstreamHead &E) {
-  AnswerInfo Answer = T.S.Platform.DecodeAnswer(E.Status, E.Headers);
-  bool IsOther = !Answer.Server.empty() && Answer.Server != C.Attempt.Server;
-  return E.Status == StatusOk && !IsOther;
+/// Whether the answer to a load query is one of another server, as far as its
+/// head tells.
+bool isFromOther(const GatewayCall &C, const AnswerInfo &Answer, int Status) {
+  if (!Answer.Server.empty() && Answer.Server != C.Attempt.Server)
+    return true;
+  bool IsBusy =
+      Status == StatusTooManyRequests || Status >= FirstServerErrorStatus;
+  return Status != StatusOk && !IsBusy;
 }
 
 /// The same as far as the report tells. An engine may start again with its id.
@@ -43,15 +63,57 @@
          Incarnation == C.Attempt.ServerIncarnation;
 }
 
+/// Whether the query failed in a way that says nothing of the engine. A kept
+/// connection may have been closed for being idle.
+bool saysNothing(const UpstreamFailure &Why) {
+  return Why.TimedOut || Why.IsLocal || Why.Malformed ||
+         (Why.IsKept && Why.BytesSent);
+}
+
+/// The query ended without an answer to it; it is sent again.
+void queryFailed(GatewayTurn &T, GatewayCall &C, Duration Wait) {
+  dropConfirmation(T, C);
+  C.Attempt.NextEndQueryAt = T.Now + Wait;
+  checkBy(T, C, C.Attempt.NextEndQueryAt);
+}
+
+void endQueryFailed(GatewayTurn &T, GatewayCall &C,
+                    const UpstreamFailure &Why) {
+  C.Attempt.EndQuery = UpstreamId{};
+  bool IsUnreached = !Why.BytesSent;
+  if (!saysNothing(Why)) {
+    engineEnded(T, C, IsUnreached);
+    return;
+  }
+  if (IsUnreached && !Why.IsLocal)
+    pathFailed(T, C.Attempt.Server);
+  queryFailed(T, C, Why.IsKept ? Duration::zero() : CheckInterval);
+}
+
+void endQueryHead(GatewayTurn &T, GatewayCall &C, const UpstreamHead &E) {
+  AnswerInfo Answer = T.S.Platform.DecodeAnswer(E.Status, E.Headers);
+  if (isFromOther(C, Answer, E.Status))
+    engineEnded(T, C, /*IsUnreached=*/false);
+  else if (E.Status != StatusOk)
+    queryFailed(T, C, CheckInterval);
+}
+
+void endQueryAnswered(GatewayTurn &T, GatewayCall &C,
+                      const std::string &Report) {
+  C.Attempt.EndQuery = UpstreamId{};
+  if (isReportOf(T, C, Report))
+    completeStream(T, C);
+  else
+    engineEnded(T, C, /*IsUnreached=*/false);
+}
+
 } // namespace
 
 void confirmEnd(GatewayTurn &T, GatewayCall &C) {
   closeAttempt(T, C, false);
-  UpstreamId Id = queryLoad(T, C.Attempt.Address, C.Attempt.Server);
   C.Stage = CallStage::Confirming;
-  C.Attempt.EndQuery = Id;
-  T.S.EndQueries[Id].Ticket = C.Ticket;
-  count(T, "pimento_end_queries_total");
+  C.NextHedgeAt = std::max(C.NextHedgeAt, T.Now + ConfirmationTimeout);
+  askEngine(T, C, FirstQueryLimit, /*MayReuse=*/true);
   checkAt(T, C, std::min(C.Deadline, T.Now + ConfirmationTimeout));
 }
 
@@ -63,22 +125,16 @@
   GatewayCall &C = *findCall(T, Query.Ticket);
   if (const auto *Failed = std::get_if<UpstreamFailed>(&E)) {
     T.S.EndQueries.erase(Found);
-    C.Attempt.EndQuery = UpstreamId{};
-    engineEnded(T, C, /*IsUnreached=*/!Failed->Why.BytesSent);
+    endQueryFailed(T, C, Failed->Why);
   } else if (const auto *Head = std::get_if<UpstreamHead>(&E)) {
-    if (!isFromEngine(T, C, *Head))
-      engineEnded(T, C, /*IsUnreached=*/false);
+    endQueryHead(T, C, *Head);
   } else if (const auto *Data = std::get_if<UpstreamData>(&E)) {
     if (Query.Report.size() + Data->Bytes.size() <= MaxReportBytes)
       Query.Report += Data->Bytes;
   } else if (std::holds_alternative<UpstreamEnd>(E)) {
     std::string Report = std::move(Query.Report);
     T.S.EndQueries.erase(Found);
-    C.Attempt.EndQuery = UpstreamId{};
-    if (isReportOf(T, C, Report))
-      completeStream(T, C);
-    else
-      engineEnded(T, C, /*IsUnreached=*/false);
+    endQueryAnswered(T, C, Report);
   }
   return true;
 }
@@ -92,8 +148,18 @@
 }
 
 void checkConfirming(GatewayTurn &T, GatewayCall &C) {
-  recordCrash(T, C, /*IsUnreached=*/false);
-  streamCut(T, C, "the engine is silent after the end of its stream");
+  if (isDead(T, C)) {
+    engineEnded(T, C, /*IsUnreached=*/false);
+    return;
+  }
+  if (T.Now >= C.Attempt.NextEndQueryAt)
+    askEngine(T, C, 2 * C.Attempt.EndQueryLimit, /*MayReuse=*/false);
+  probePath(T, C.Attempt.Server, /*IsForOthers=*/false);
+  std::uint64_t Ticket = C.Ticket;
+  if (T.Now >= C.NextHedgeAt)
+    startHedge(T, C, "the engine is silent after the end of its stream");
+  if (GatewayCall *Open = findCall(T, Ticket))
+    checkAt(T, *Open, std::min(Open->Deadline, T.Now + CheckInterval));
 }
 
 } // namespace pimento::gateway
--- a/packages/gateway/tests/SilentServerTest.cpp
+++ b/packages/gateway/tests/SilentServerTest.cpp
@@ -340,3 +340,70 @@
   R.event(UpstreamEnd{Open.Upstream, true});
   BOOST_TEST(R.only<calls::SendReply>().Reply.Status == 200);
 }
+
+/// Guards against a caller that waits for the end of a whole stream: another
+/// server, which has nothing to add, ends it while the first one is silent.
+BOOST_AUTO_TEST_CASE(EmptyRestOfAnotherServerEndsTheStream) {
+  GatewayFixture R;
+  calls::OpenUpstream Open = beginStream(R);
+  R.event(UpstreamEnd{Open.Upstream, false});
+  calls::OpenUpstream Second = nextTry(R, milliseconds(500));
+  R.sent(Second.Upstream);
+  R.head(Second.Upstream, 200, {{"Content-Type", "text/event-stream"}});
+  R.event(UpstreamEnd{Second.Upstream, true});
+  BOOST_TEST_REQUIRE(R.all<calls::EndStream>().size() == 1U);
+  BOOST_TEST(R.only<calls::EndStream>().IsComplete);
+  BOOST_TEST(R.S.Calls.empty());
+  BOOST_TEST(R.S.EndQueries.empty());
+}
+
+/// Guards against an engine whose end is taken for silence: it refuses the
+/// connection of the query, or another one answers at its address.
+BOOST_AUTO_TEST_CASE(StreamOfAnEndedEngineIsNotComplete) {
+  for (bool IsReplaced : {false, true}) {
+    GatewayFixture R;
+    calls::OpenUpstream Open = beginStream(R);
+    drainOtherThan(R, Open);
+    R.event(UpstreamEnd{Open.Upstream, false});
+    R.advance(milliseconds(700));
+    UpstreamId Query = endQuery(R);
+    if (IsReplaced)
+      R.event(UpstreamHead{Query, 421, {}});
+    else
+      R.failUpstream(Query, false);
+    std::vector<calls::EndStream> Ends = R.all<calls::EndStream>();
+    R.advance(seconds(12));
+    for (const calls::EndStream &End : R.all<calls::EndStream>())
+      Ends.push_back(End);
+    BOOST_TEST_REQUIRE(Ends.size() == 1U);
+    BOOST_TEST(!Ends.front().IsComplete);
+  }
+}
+
+/// Guards against queries that stop at one failure which says nothing of the
+/// engine: a timeout, a busy engine, a kept connection that was closed.
+BOOST_AUTO_TEST_CASE(QueryWithoutAnAnswerIsSentAgain) {
+  enum class How { TimedOut, Busy, KeptConnectionClosed };
+  for (How Failure : {How::TimedOut, How::Busy, How::KeptConnectionClosed}) {
+    GatewayFixture R;
+    calls::OpenUpstream Open = beginStream(R);
+    drainOtherThan(R, Open);
+    R.event(UpstreamEnd{Open.Upstream, false});
+    UpstreamFailure Why;
+    Why.BytesSent = Failure == How::KeptConnectionClosed;
+    Why.TimedOut = Failure == How::TimedOut;
+    Why.IsKept = Failure == How::KeptConnectionClosed;
+    UpstreamId First = endQuery(R);
+    if (Failure == How::Busy)
+      R.event(UpstreamHead{First, 503, {}});
+    else
+      R.event(UpstreamFailed{First, Why});
+    R.advance(milliseconds(900));
+    BOOST_TEST(R.all<calls::EndStream>().empty());
+    UpstreamId Second = endQuery(R);
+    BOOST_TEST((Second != First));
+    answerQuery(R, Second);
+    BOOST_TEST_REQUIRE(R.all<calls::EndStream>().size() == 1U);
+    BOOST_TEST(R.only<calls::EndStream>().IsComplete);
+  }
+}
