Package placement: the placer, its engines' costs and queues leave gateway/

Change: Placer, its search and queue, costs and speeds of engines, the read queue, limits' budgets and the queue for permits are a package of their own, with their tests (placementTest).

--- a/bench/PlacerFleet.cpp
+++ b/bench/PlacerFleet.cpp
@@ -1,9 +1,9 @@
 #include "PlacerFleet.h"
 
 #include "base/Random.h"
-#include "gateway/EngineCost.h"
-#include "gateway/EngineSpeed.h"
-#include "gateway/Placer.h"
+#include "placement/EngineCost.h"
+#include "placement/EngineSpeed.h"
+#include "placement/Placer.h"
 
 #include <algorithm>
 #include <cmath>
--- a/packages/gateway/SpeedPart.cpp
+++ b/packages/gateway/SpeedPart.cpp
@@ -1,7 +1,7 @@
 // Queries the load reports of engines that are suspected of being slow.
 
-#include "gateway/EngineSpeed.h"
 #include "gateway/GatewayTurn.h"
+#include "placement/EngineSpeed.h"
 
 namespace pimento::gateway {
 
--- a/packages/gateway/EngineCost.cpp
+++ b/packages/placement/EngineCost.cpp
@@ -1,4 +1,4 @@
-#include "gateway/EngineCost.h"
+#include "placement/EngineCost.h"
 
 #include <algorithm>
 
--- a/packages/gateway/EngineSpeed.cpp
+++ b/packages/placement/EngineSpeed.cpp
@@ -1,4 +1,4 @@
-#include "gateway/EngineSpeed.h"
+#include "placement/EngineSpeed.h"
 
 #include <algorithm>
 
--- a/packages/gateway/EngineSpeed.h
+++ b/packages/placement/EngineSpeed.h
@@ -17,7 +17,7 @@
 //===----------------------------------------------------------------------===//
 #pragma once
 
-#include "gateway/Placer.h"
+#include "placement/Placer.h"
 
 namespace pimento {
 
--- a/packages/gateway/LimitBudget.cpp
+++ b/packages/placement/LimitBudget.cpp
@@ -1,4 +1,4 @@
-#include "gateway/LimitBudget.h"
+#include "placement/LimitBudget.h"
 
 #include <algorithm>
 
--- a/packages/gateway/PermitQueue.cpp
+++ b/packages/placement/PermitQueue.cpp
@@ -1,4 +1,4 @@
-#include "gateway/PermitQueue.h"
+#include "placement/PermitQueue.h"
 
 #include <algorithm>
 #include <tuple>
--- a/packages/gateway/PermitQueue.h
+++ b/packages/placement/PermitQueue.h
@@ -12,8 +12,8 @@
 //===----------------------------------------------------------------------===//
 #pragma once
 
-#include "gateway/LimitBudget.h"
-#include "gateway/ReadQueue.h"
+#include "placement/LimitBudget.h"
+#include "placement/ReadQueue.h"
 #include "wire/SiteMessages.h"
 
 #include <map>
--- a/packages/gateway/Placer.cpp
+++ b/packages/placement/Placer.cpp
@@ -1,8 +1,8 @@
-#include "gateway/Placer.h"
+#include "placement/Placer.h"
 
-#include "gateway/EngineCost.h"
-#include "gateway/EngineSpeed.h"
-#include "gateway/PlacerInternal.h"
+#include "placement/EngineCost.h"
+#include "placement/EngineSpeed.h"
+#include "placement/PlacerInternal.h"
 
 #include <algorithm>
 
--- a/packages/gateway/Placer.h
+++ b/packages/placement/Placer.h
@@ -25,8 +25,8 @@
 #pragma once
 
 #include "base/Decision.h"
-#include "gateway/LimitBudget.h"
-#include "gateway/ReadQueue.h"
+#include "placement/LimitBudget.h"
+#include "placement/ReadQueue.h"
 #include "routing/Routing.h"
 #include "routing/Servers.h"
 #include "wire/SiteMessages.h"
--- a/packages/gateway/PlacerInternal.h
+++ b/packages/placement/PlacerInternal.h
@@ -7,7 +7,7 @@
 //===----------------------------------------------------------------------===//
 #pragma once
 
-#include "gateway/PlacerSearch.h"
+#include "placement/PlacerSearch.h"
 
 namespace pimento::placer {
 
--- a/packages/gateway/PlacerQueue.cpp
+++ b/packages/placement/PlacerQueue.cpp
@@ -1,8 +1,8 @@
 // Requests that wait for engines: in which order engines are searched for, when
 // a plan is accepted, and when a request is refused.
 
-#include "gateway/EngineCost.h"
-#include "gateway/PlacerInternal.h"
+#include "placement/EngineCost.h"
+#include "placement/PlacerInternal.h"
 
 #include <algorithm>
 
--- a/packages/gateway/PlacerSearch.cpp
+++ b/packages/placement/PlacerSearch.cpp
@@ -1,6 +1,6 @@
-#include "gateway/PlacerSearch.h"
+#include "placement/PlacerSearch.h"
 
-#include "gateway/EngineCost.h"
+#include "placement/EngineCost.h"
 
 #include <algorithm>
 #include <array>
--- a/packages/gateway/PlacerSearch.h
+++ b/packages/placement/PlacerSearch.h
@@ -7,7 +7,7 @@
 //===----------------------------------------------------------------------===//
 #pragma once
 
-#include "gateway/Placer.h"
+#include "placement/Placer.h"
 
 #include <optional>
 
--- a/packages/gateway/ReadQueue.cpp
+++ b/packages/placement/ReadQueue.cpp
@@ -1,4 +1,4 @@
-#include "gateway/ReadQueue.h"
+#include "placement/ReadQueue.h"
 
 #include <algorithm>
 
--- a/packages/gateway/tests/PermitQueueTest.cpp
+++ b/packages/placement/tests/PermitQueueTest.cpp
@@ -1,6 +1,7 @@
+#define BOOST_TEST_MODULE placement
 #include <boost/test/unit_test.hpp>
 
-#include "gateway/PermitQueue.h"
+#include "placement/PermitQueue.h"
 
 using namespace pimento;
 
--- a/packages/gateway/tests/PlacerTest.cpp
+++ b/packages/placement/tests/PlacerTest.cpp
@@ -1,8 +1,8 @@
 #include <boost/test/unit_test.hpp>
 
-#include "gateway/EngineCost.h"
-#include "gateway/EngineSpeed.h"
-#include "gateway/Placer.h"
+#include "placement/EngineCost.h"
+#include "placement/EngineSpeed.h"
+#include "placement/Placer.h"
 
 #include <set>
 
--- a/packages/gateway/tests/ReadQueueTest.cpp
+++ b/packages/placement/tests/ReadQueueTest.cpp
@@ -1,6 +1,6 @@
 #include <boost/test/unit_test.hpp>
 
-#include "gateway/ReadQueue.h"
+#include "placement/ReadQueue.h"
 
 using namespace pimento;
 
