Relays: a hedge goes by another relay than the one that is late (LOST)

Cause: the hedge of a request that a relay is late with could be handed to the same relay, which tries other servers by itself: it would cost a send and a place for nothing. Change: the choice of a relay leaves out the one of the late attempt. A case in which a relayed stream's engine is silent for 3 s, the engine that the relay tries next breaks off, and no other relay is known.

--- a/packages/gateway/HandOverPart.cpp
+++ b/packages/gateway/HandOverPart.cpp
@@ -129,10 +129,16 @@
     hedgeSent(T, C);
 }
 
+/// The relay that is late with the call that \p C hedges; empty: there is none.
+HostId lateRelay(GatewayTurn &T, const GatewayCall &C) {
+  const GatewayCall *Late = C.HedgeOf == 0 ? nullptr : findCall(T, C.HedgeOf);
+  return Late == nullptr ? HostId() : Late->Attempt.Relay;
+}
+
 /// Hands the call over, or lets it wait for a host that can take it.
 void handOver(GatewayTurn &T, GatewayCall &C) {
   HostId Relay = chooseRelay(T.S.Relays.Peers, C.Service, T.S.Engines.Here,
-                             T.S.Rng, T.Now);
+                             T.S.Rng, T.Now, lateRelay(T, C));
   if (!Relay.empty()) {
     sendToRelay(T, C, Relay);
     return;
--- a/packages/gateway/tests/RelayTest.cpp
+++ b/packages/gateway/tests/RelayTest.cpp
@@ -204,6 +204,43 @@
   BOOST_TEST(!A.only<calls::EndStream>().IsComplete);
 }
 
+/// Guards against LOST by way of a relay: its engine was silent, neither host
+/// found another one, and one of them broke the stream off.
+BOOST_FIXTURE_TEST_CASE(RelayedStreamOfASilentEngineGoesOn, RelayPair) {
+  call(HttpMethod::Post, "/s/1", "",
+       {{"X-Pimentoglade-Token-Count", "5000,1300"}});
+  pass();
+  calls::OpenUpstream Open = B.only<calls::OpenUpstream>();
+  B.sent(Open.Upstream);
+  B.head(Open.Upstream, 200, {{"Content-Type", "text/event-stream"}});
+  pass();
+  B.event(UpstreamData{Open.Upstream, "id: 1\ndata: a\n\n"});
+  pass();
+  BOOST_TEST(A.only<calls::StreamBytes>().Bytes == "id: 1\ndata: a\n\n");
+  for (int Step = 0; Step < 30; ++Step) {
+    A.advance(milliseconds(100));
+    B.advance(milliseconds(100));
+    pass();
+    BOOST_TEST(A.all<calls::EndStream>().empty());
+    for (const calls::OpenUpstream &Next : B.all<calls::OpenUpstream>()) {
+      if (Next.Request.Target == "/s/1")
+        B.failUpstream(Next.Upstream, true);
+    }
+    pass();
+  }
+  B.event(UpstreamData{Open.Upstream, "id: 2\ndata: b\n\n"});
+  pass();
+  BOOST_TEST_REQUIRE(A.all<calls::StreamBytes>().size() == 1U);
+  BOOST_TEST(A.only<calls::StreamBytes>().Bytes == "id: 2\ndata: b\n\n");
+  B.event(UpstreamEnd{Open.Upstream, true});
+  pass();
+  BOOST_TEST_REQUIRE(A.all<calls::EndStream>().size() == 1U);
+  BOOST_TEST(A.only<calls::EndStream>().IsComplete);
+  BOOST_TEST(A.S.Calls.empty());
+  BOOST_TEST(B.S.Calls.empty());
+  BOOST_TEST(B.S.Relays.Taken.empty());
+}
+
 /// Guards against a slow caller whose stream fills the memory of both hosts:
 /// the server's answer is not read meanwhile, and that is no silence of the
 /// server.
--- a/packages/relay/RelayPeers.cpp
+++ b/packages/relay/RelayPeers.cpp
@@ -159,8 +159,10 @@
 }
 
 HostId chooseRelay(const RelayPeers &P, const ServiceId &Service,
-                   const DataCentreId &Here, Random &Rng, TimePoint Now) {
+                   const DataCentreId &Here, Random &Rng, TimePoint Now,
+                   const HostId &Avoid) {
   HostList Hosts = usableHosts(P, Service, Now);
+  Hosts.erase(std::remove(Hosts.begin(), Hosts.end(), Avoid), Hosts.end());
   if (Hosts.empty())
     return HostId();
   HostList Near;
--- a/packages/relay/RelayPeers.h
+++ b/packages/relay/RelayPeers.h
@@ -69,10 +69,11 @@
 /// Hosts whose replies are overdue. They count as lost.
 std::vector<HostId> takeSilentHosts(RelayPeers &P, TimePoint Now);
 
-/// The host that is to get the next request of the service; empty if none is
-/// known to reach it.
+/// The host that is to get the next request of the service; empty if none but
+/// \p Avoid is known to reach it.
 HostId chooseRelay(const RelayPeers &P, const ServiceId &Service,
-                   const DataCentreId &Here, Random &Rng, TimePoint Now);
+                   const DataCentreId &Here, Random &Rng, TimePoint Now,
+                   const HostId &Avoid = HostId());
 /// Number of hosts that chooseRelay() chooses from.
 std::size_t relayCount(const RelayPeers &P, const ServiceId &Service,
                        TimePoint Now);
