--- a/packages/gateway/Attempt.cpp
+++ b/packages/gateway/Attempt.cpp
@@ -193,8 +193,7 @@
 /// Whether a server is at work on the call's current try, or is being asked
 /// whether it was to the end.
 bool isAtServer(const GatewayCall &C) {
-  return C.Attempt.Upstream != UpstreamId{} ||
-         C.Attempt.EndQuery != UpstreamId{};
+  return C.Attempt.Upstream != UpstreamId{} || !C.Attempt.EndQueries.empty();
 }
 
 /// Ends the exchange of a failed attempt, if it is still open.
--- a/packages/gateway/ConfirmPart.cpp
+++ b/packages/gateway/ConfirmPart.cpp
@@ -17,9 +17,9 @@
 /// An engine usually answers within this time. Afterwards another server is
 /// asked for the rest of the stream as well.
 constexpr Duration ConfirmationTimeout = milliseconds(400);
-/// A query without an answer is sent again after this time over a new
+/// Without an answer another query is sent after this time over a new
 /// connection, since the open one may have fallen silent. Each later query has
-/// twice the time of the one before.
+/// twice the time of the one before; the first answer to any of them counts.
 constexpr Duration FirstQueryLimit = milliseconds(1200);
 /// Interval at which an engine that does not answer is looked at.
 constexpr Duration CheckInterval = milliseconds(400);
@@ -27,9 +27,8 @@
 
 /// Sends the query. \p MayReuse: over an open connection, if there is one.
 void askEngine(GatewayTurn &T, GatewayCall &C, Duration Limit, bool MayReuse) {
-  dropConfirmation(T, C);
   UpstreamId Id = queryLoad(T, C.Attempt.Address, C.Attempt.Server, MayReuse);
-  C.Attempt.EndQuery = Id;
+  C.Attempt.EndQueries.push_back(Id);
   C.Attempt.EndQueryLimit = Limit;
   C.Attempt.NextEndQueryAt = T.Now + Limit;
   T.S.EndQueries[Id].Ticket = C.Ticket;
@@ -70,16 +69,22 @@
          (Why.IsKept && Why.BytesSent);
 }
 
-/// The query ended without an answer to it; it is sent again.
-void queryFailed(GatewayTurn &T, GatewayCall &C, Duration Wait) {
-  dropConfirmation(T, C);
+/// Forgets a query that has ended, or will not be answered.
+void forgetQuery(GatewayTurn &T, GatewayCall &C, UpstreamId Query) {
+  T.S.EndQueries.erase(Query);
+  std::vector<UpstreamId> &Pending = C.Attempt.EndQueries;
+  Pending.erase(std::remove(Pending.begin(), Pending.end(), Query),
+                Pending.end());
+}
+
+/// A query ended in a way that says nothing; another one is sent.
+void askAgainAfter(GatewayTurn &T, GatewayCall &C, Duration Wait) {
   C.Attempt.NextEndQueryAt = T.Now + Wait;
   checkBy(T, C, C.Attempt.NextEndQueryAt);
 }
 
 void endQueryFailed(GatewayTurn &T, GatewayCall &C,
                     const UpstreamFailure &Why) {
-  C.Attempt.EndQuery = UpstreamId{};
   bool IsUnreached = !Why.BytesSent;
   if (!saysNothing(Why)) {
     engineEnded(T, C, IsUnreached);
@@ -87,20 +92,22 @@
   }
   if (IsUnreached && !Why.IsLocal)
     pathFailed(T, C.Attempt.Server);
-  queryFailed(T, C, Why.IsKept ? Duration::zero() : CheckInterval);
+  askAgainAfter(T, C, Why.IsKept ? Duration::zero() : CheckInterval);
 }
 
 void endQueryHead(GatewayTurn &T, GatewayCall &C, const UpstreamHead &E) {
   AnswerInfo Answer = T.S.Platform.DecodeAnswer(E.Status, E.Headers);
-  if (isFromOther(C, Answer, E.Status))
+  if (isFromOther(C, Answer, E.Status)) {
     engineEnded(T, C, /*IsUnreached=*/false);
-  else if (E.Status != StatusOk)
-    queryFailed(T, C, CheckInterval);
+  } else if (E.Status != StatusOk) {
+    forgetQuery(T, C, E.Call);
+    T.Out.push_back(calls::AbortUpstream{E.Call});
+    askAgainAfter(T, C, CheckInterval);
+  }
 }
 
 void endQueryAnswered(GatewayTurn &T, GatewayCall &C,
                       const std::string &Report) {
-  C.Attempt.EndQuery = UpstreamId{};
   if (isReportOf(T, C, Report))
     completeStream(T, C);
   else
@@ -124,27 +131,27 @@
   EndQuery &Query = Found->second;
   GatewayCall &C = *findCall(T, Query.Ticket);
   if (const auto *Failed = std::get_if<UpstreamFailed>(&E)) {
-    T.S.EndQueries.erase(Found);
+    forgetQuery(T, C, Failed->Call);
     endQueryFailed(T, C, Failed->Why);
   } else if (const auto *Head = std::get_if<UpstreamHead>(&E)) {
     endQueryHead(T, C, *Head);
   } else if (const auto *Data = std::get_if<UpstreamData>(&E)) {
     if (Query.Report.size() + Data->Bytes.size() <= MaxReportBytes)
       Query.Report += Data->Bytes;
-  } else if (std::holds_alternative<UpstreamEnd>(E)) {
+  } else if (const auto *End = std::get_if<UpstreamEnd>(&E)) {
     std::string Report = std::move(Query.Report);
-    T.S.EndQueries.erase(Found);
+    forgetQuery(T, C, End->Call);
     endQueryAnswered(T, C, Report);
   }
   return true;
 }
 
 void dropConfirmation(GatewayTurn &T, GatewayCall &C) {
-  if (C.Attempt.EndQuery == UpstreamId{})
-    return;
-  T.S.EndQueries.erase(C.Attempt.EndQuery);
-  T.Out.push_back(calls::AbortUpstream{C.Attempt.EndQuery});
-  C.Attempt.EndQuery = UpstreamId{};
+  for (UpstreamId Query : C.Attempt.EndQueries) {
+    T.S.EndQueries.erase(Query);
+    T.Out.push_back(calls::AbortUpstream{Query});
+  }
+  C.Attempt.EndQueries.clear();
 }
 
 void checkConfirming(GatewayTurn &T, GatewayCall &C) {
--- a/packages/gateway/Gateway.h
+++ b/packages/gateway/Gateway.h
@@ -207,9 +207,10 @@
   IncarnationNumber ServerIncarnation = 0;
   std::string Address;
   UpstreamId Upstream{}; // Open exchange with the server; zero: none.
-  UpstreamId EndQuery{}; // Query that confirms the answer's end; zero: none.
-  TimePoint NextEndQueryAt{};  // The query is sent again, without an answer.
-  Duration EndQueryLimit = {}; // Of the latest query.
+  std::vector<UpstreamId> EndQueries; // Pending queries whether the answer that
+                                      // has ended is whole.
+  TimePoint NextEndQueryAt{};         // Another one is sent, without an answer.
+  Duration EndQueryLimit = {};        // Of the latest query.
   TimePoint Began{};
   TimePoint HeadAt{};     // Receipt of the answer's head; the epoch: none.
   TimePoint LastBytes{};  // Last receipt of answer bytes; Began if none came.
--- a/packages/gateway/GatewayTurn.h
+++ b/packages/gateway/GatewayTurn.h
@@ -168,7 +168,7 @@
 /// Processes an event that belongs to the query by which the end of a stream is
 /// confirmed. Returns false for any other event.
 bool confirmationEvent(GatewayTurn &T, const Event &E);
-/// Drops the query of a call whose end is not confirmed yet.
+/// Drops the queries of a call whose end is not confirmed yet.
 void dropConfirmation(GatewayTurn &T, GatewayCall &C);
 /// Handles the timer of a call whose end is not confirmed yet.
 void checkConfirming(GatewayTurn &T, GatewayCall &C);
--- a/packages/gateway/tests/SilentServerTest.cpp
+++ b/packages/gateway/tests/SilentServerTest.cpp
@@ -60,10 +60,10 @@
   return R.onlySend();
 }
 
-/// The query whether the engine of the only call still runs.
+/// The latest query whether the engine of the only call still runs.
 UpstreamId endQuery(const GatewayFixture &R) {
-  BOOST_TEST_REQUIRE(R.S.EndQueries.size() == 1U);
-  return R.S.EndQueries.begin()->first;
+  BOOST_TEST_REQUIRE(!R.S.EndQueries.empty());
+  return R.S.EndQueries.rbegin()->first;
 }
 
 void answerQuery(GatewayFixture &R, UpstreamId Query) {
@@ -139,9 +139,10 @@
     calls::OpenUpstream Open = beginStream(R);
     drainOtherThan(R, Open);
     R.event(UpstreamEnd{Open.Upstream, false});
+    UpstreamId Query = endQuery(R);
     R.advance(Late);
     BOOST_TEST(R.all<calls::EndStream>().empty());
-    answerQuery(R, endQuery(R));
+    answerQuery(R, Query);
     BOOST_TEST_REQUIRE(R.all<calls::EndStream>().size() == 1U);
     BOOST_TEST(R.only<calls::EndStream>().IsComplete);
     BOOST_TEST(R.S.Calls.empty());
@@ -149,6 +150,24 @@
   }
 }
 
+/// Guards against a query that is never answered, since the connection that it
+/// was sent over has fallen silent for good: the one over a new connection is.
+BOOST_AUTO_TEST_CASE(EndIsConfirmedOverANewConnection) {
+  GatewayFixture R;
+  calls::OpenUpstream Open = beginStream(R);
+  drainOtherThan(R, Open);
+  R.event(UpstreamEnd{Open.Upstream, false});
+  UpstreamId First = endQuery(R);
+  R.advance(milliseconds(1700));
+  UpstreamId Second = endQuery(R);
+  BOOST_TEST((Second != First));
+  answerQuery(R, Second);
+  BOOST_TEST((R.aborted() == std::vector<UpstreamId>{First}));
+  BOOST_TEST(R.only<calls::EndStream>().IsComplete);
+  BOOST_TEST(R.S.Calls.empty());
+  BOOST_TEST(R.S.EndQueries.empty());
+}
+
 /// Guards against false evidence: the engine of a whole stream counted as
 /// crashed, and the request as what crashed it, for a report that came late.
 BOOST_AUTO_TEST_CASE(LateReportIsNoCrash) {
