Hedges: a dead engine is left once another one has taken the request (LOST)

Cause: an engine that takes no connection for a second was left as soon as a connection to another one was begun; that one took none either. Change: it is left once the other engine has taken the connection and the request was sent.

--- a/packages/gateway/Attempt.cpp
+++ b/packages/gateway/Attempt.cpp
@@ -392,8 +392,6 @@
   T.Out.push_back(
       calls::OpenUpstream{C.Attempt.Upstream, std::move(Request), C.Deadline});
   scheduleCheck(T, C);
-  if (C.HedgeOf != 0)
-    hedgeSent(T, C);
 }
 
 void upstreamSent(GatewayTurn &T, const UpstreamSent &E) {
@@ -406,6 +404,8 @@
   C.Attempt.BytesSent = true;
   C.Attempt.IsKept = E.IsKept;
   C.Sends += 1;
+  if (C.HedgeOf != 0)
+    hedgeSent(T, C);
   if (!E.IsKept)
     pathReached(T, C.Attempt.Server);
 }
--- a/packages/gateway/GatewayTurn.h
+++ b/packages/gateway/GatewayTurn.h
@@ -74,7 +74,7 @@
 /// Tries another server for the call while its attempt goes on, if it may run
 /// again and has sends left. May invalidate \p C.
 void startHedge(GatewayTurn &T, GatewayCall &C, const char *Reason);
-/// A hedge was sent to its server.
+/// A hedge was sent to its server, over a connection that the server took.
 void hedgeSent(GatewayTurn &T, GatewayCall &H);
 /// The call's engine is silent and takes no connection: the attempt ends once
 /// another server has been sent the request. May invalidate \p C.
--- a/packages/gateway/HedgePart.cpp
+++ b/packages/gateway/HedgePart.cpp
@@ -133,7 +133,7 @@
   // Memory at helpers is of no use without the engine.
   freeReservations(T, C);
   GatewayCall *H = hedgeOf(T, C);
-  bool IsSent = H != nullptr && H->Attempt.Upstream != UpstreamId{};
+  bool IsSent = H != nullptr && H->Attempt.BytesSent;
   if (IsSent)
     takeOver(T, *H, "the engine is silent and takes no connection");
   else if (H == nullptr && T.Now >= C.NextHedgeAt)
