Stops: a whole stream waits for its engine's report until the process ends (LOST)

Cause: all open calls are ended 0.9 s before the end of the grace, among them those that only wait for the report which confirms their end. Change: these are ended 0.4 s before the end of the process; a report that comes until then completes the stream. Reports that come later still lose it; nothing else tells a whole stream from a broken one.

--- a/packages/gateway/StopPart.cpp
+++ b/packages/gateway/StopPart.cpp
@@ -17,6 +17,9 @@
 constexpr Duration StopReserve = milliseconds(900);
 /// Time reserved before the limit for the end of the process.
 constexpr Duration ExitReserve = milliseconds(100);
+/// Time reserved before the end of the process to send the end of an answer, and
+/// to tell a control host what servers may still be at work on.
+constexpr Duration EndReserve = milliseconds(400);
 /// Time for an answer after its first event. A request that is sent later than
 /// this before the end of all calls would be cut.
 constexpr Duration AnswerTime = milliseconds(1000);
@@ -27,11 +30,20 @@
          C.Stage == CallStage::Confirming;
 }
 
-/// Ends all open calls with an error answer.
+/// Whether the caller of the call has all that its server sent, and only waits
+/// for the end.
+bool mayStillEnd(const GatewayTurn &T, const GatewayCall &C) {
+  return C.Stage == CallStage::Confirming && T.Now < T.S.ExitBy - EndReserve;
+}
+
+/// Ends all open calls with an error answer, but for those whose end can still
+/// be sent.
 void failOpenCalls(GatewayTurn &T) {
   std::vector<std::uint64_t> Tickets;
-  for (const auto &[Ticket, C] : T.S.Calls)
-    Tickets.push_back(Ticket);
+  for (const auto &[Ticket, C] : T.S.Calls) {
+    if (!mayStillEnd(T, C))
+      Tickets.push_back(Ticket);
+  }
   for (std::uint64_t Ticket : Tickets) {
     GatewayCall *C = findCall(T, Ticket);
     if (C == nullptr)
--- a/packages/gateway/tests/StopTest.cpp
+++ b/packages/gateway/tests/StopTest.cpp
@@ -157,3 +157,39 @@
   TimePoint FirstExit = R.StopRequestedAt + milliseconds(2900);
   BOOST_TEST((FirstExit + Exits[0].FlushTime <= R.StopRequestedAt + Grace));
 }
+
+/// Guards against LOST: all events of a stream without a length were passed on,
+/// and the stream was broken off at the end of all calls, since its engine's
+/// load report had not come yet. The time of the process is not over then.
+BOOST_AUTO_TEST_CASE(WholeStreamEndsWithinTheGraceThoughTheReportIsLate) {
+  for (bool IsInTime : {true, false}) {
+    StopFixture R;
+    R.stop();
+    R.runUntil(milliseconds(2800));
+    R.stream();
+    calls::OpenUpstream Open = R.onlySend();
+    R.sent(Open.Upstream);
+    R.head(Open.Upstream, 200, {{"Content-Type", "text/event-stream"}});
+    int Events = 0;
+    for (; R.Now < R.StopRequestedAt + milliseconds(6500); ++Events) {
+      R.event(UpstreamData{Open.Upstream, "id: " + std::to_string(Events + 1) +
+                                              "\ndata: a\n\n"});
+      R.runUntil(R.Now - R.StopRequestedAt + milliseconds(250));
+    }
+    R.event(UpstreamEnd{Open.Upstream, false});
+    BOOST_TEST_REQUIRE(R.S.EndQueries.size() == 1U);
+    UpstreamId Query = R.S.EndQueries.begin()->first;
+    R.runUntil(milliseconds(7400));
+    BOOST_TEST(R.seen<calls::EndStream>().empty());
+    if (IsInTime) {
+      R.event(UpstreamHead{Query, 200, {}});
+      R.event(UpstreamData{Query, R"({"pace":1,"born":1})"});
+      R.event(UpstreamEnd{Query, true});
+      R.keep();
+    }
+    R.runUntil(Grace);
+    BOOST_TEST_REQUIRE(R.seen<calls::EndStream>().size() == 1U);
+    BOOST_TEST(R.seen<calls::EndStream>().front().IsComplete == IsInTime);
+    BOOST_TEST(!R.seen<Exit>().empty());
+  }
+}
