Relays: a hedge for which a relay has no server costs no retry (BUDGET)

Cause: the retry budget is charged as a request is handed to a relay, whatever the relay does with it. Change: a refusal that sent nothing gives the retry back, and the hedge's next send is charged again.

--- a/packages/gateway/HandOverPart.cpp
+++ b/packages/gateway/HandOverPart.cpp
@@ -125,8 +125,6 @@
   S.Relays.Peers.Hosts.at(Relay).InFlight += 1;
   countHandOver(T, "sent");
   scheduleCheck(T, C);
-  if (C.HedgeOf != 0)
-    hedgeSent(T, C);
 }
 
 /// The relay that is late with the call that \p C hedges; empty: there is none.
@@ -284,6 +282,11 @@
   countSends(*C, std::max<std::uint32_t>(M.Sends, M.MayHaveRun ? 1 : 0));
   if (!M.MayHaveRun)
     C->Attempt.BytesSent = false;
+  // Only what reached a server counts as a retry.
+  if (!M.MayHaveRun && M.Sends == 0 && C->HedgeOf != 0) {
+    returnSiteRetry(T.S.Retries, C->Service);
+    C->IsRetryDue = true;
+  }
   if (M.IsOfHost) {
     avoidRelay(T.S.Relays.Peers, From, T.Now);
     relayAttemptFailed(T, *C, M.MayHaveRun, M.Number, M.Reason.c_str());
--- a/packages/gateway/RepeatBudget.cpp
+++ b/packages/gateway/RepeatBudget.cpp
@@ -49,4 +49,10 @@
   return true;
 }
 
+void returnSiteRetry(SiteRetryBudget &Budget, const ServiceId &Service) {
+  auto Found = Budget.find(Service);
+  if (Found != Budget.end() && !Found->second.Retries.empty())
+    Found->second.Retries.pop_back();
+}
+
 } // namespace pimento
--- a/packages/gateway/RepeatBudget.h
+++ b/packages/gateway/RepeatBudget.h
@@ -41,6 +41,9 @@
                    const SiteRetryLimits &Limits, std::uint64_t Hosts,
                    TimePoint Now);
 
+/// Gives the latest retry back, which reached no server.
+void returnSiteRetry(SiteRetryBudget &Budget, const ServiceId &Service);
+
 /// Retries that this host may still send in the current window.
 double siteRetriesLeft(SiteRetryBudget &Budget, const ServiceId &Service,
                        const SiteRetryLimits &Limits, std::uint64_t Hosts,
--- a/packages/gateway/tests/RelayTest.cpp
+++ b/packages/gateway/tests/RelayTest.cpp
@@ -510,3 +510,37 @@
   BOOST_TEST((Reply.Exchange == Caller));
   BOOST_TEST(Reply.Reply.Status == 200);
 }
+
+/// Guards against retries that are used up by relays which have no server for
+/// the request: streams whose connections broke had none left.
+BOOST_FIXTURE_TEST_CASE(HedgeThatARelayRefusesCostsNoRetry, RelayPair) {
+  call(HttpMethod::Post, "/s/1", "",
+       {{"X-Pimentoglade-Token-Count", "5000,1300"}});
+  pass();
+  std::size_t Refused = 0;
+  for (int Step = 0; Step < 40; ++Step) {
+    for (auto &[Host, Peer] : A.S.Relays.Peers.Hosts) {
+      Peer.PendingQuery = 0;
+      Peer.AvoidUntil = TimePoint();
+    }
+    A.S.Relays.Paths.Services[ServiceId("llm")].State = PathState::Cut;
+    reaches(Other);
+    A.advance(milliseconds(100));
+    for (const SendPeer &Send : A.all<SendPeer>()) {
+      const auto *Request = std::get_if<RelayRequest>(&Send.Content);
+      if (Request == nullptr)
+        continue;
+      BOOST_TEST(Send.To == Other);
+      RelayRefusal Refusal;
+      Refusal.Id = Request->Id;
+      Refusal.Number = Code::NoBackend;
+      Refusal.Reason = "no engine can answer in time";
+      A.event(PeerMessage{Other, Incarnation, Refusal});
+      BOOST_TEST(A.all<calls::SendReply>().empty());
+      Refused += 1;
+    }
+  }
+  BOOST_TEST(Refused >= 2U);
+  BOOST_TEST(A.S.Retries[ServiceId("llm")].Retries.empty());
+  BOOST_TEST(A.S.Calls.size() == 1U);
+}
