Hedges: only an answer ends a late attempt; findings of the review (LOST)

Cause: an independent review of the fix found places that kept the fault's shape, and errors of the hedges' bookkeeping, by reading. Change, each by a finding: - A silent engine that takes no connection was left once another one took the request, which could still refuse it. Three more cases of SilentServerTest.

--- a/packages/gateway/Attempt.cpp
+++ b/packages/gateway/Attempt.cpp
@@ -35,6 +35,11 @@
 /// event would find no caller.
 constexpr double MaxStallShare = 0.6;
 
+bool wasTried(const GatewayCall &C, const BackendId &Server) {
+  return std::find(C.TriedServers.begin(), C.TriedServers.end(), Server) !=
+         C.TriedServers.end();
+}
+
 /// Returns the servers of this data centre that are healthy, little loaded and
 /// untried, or all servers if there are none.
 std::vector<calls::PlainServer> nearServers(const GatewayTurn &T,
@@ -46,10 +51,8 @@
     bool Ejected = Health != nullptr &&
                    (Health->EjectedUntil > T.Now || Health->IsHalfOpen);
     bool Busy = Health != nullptr && Health->InFlight >= 2;
-    bool AlreadyTried = std::find(C.TriedServers.begin(), C.TriedServers.end(),
-                                  Server.Backend) != C.TriedServers.end();
-    return Server.DataCentre != T.S.Engines.Here || Ejected || AlreadyTried ||
-           Busy;
+    return Server.DataCentre != T.S.Engines.Here || Ejected ||
+           wasTried(C, Server.Backend) || Busy;
   };
   Near.erase(std::remove_if(Near.begin(), Near.end(), IsUnfit), Near.end());
   return Near.empty() ? usableServers(T, C) : Near;
@@ -71,6 +74,10 @@
          "no backend server of the service is available");
     return;
   }
+  if (C.HedgeOf != 0 && wasTried(C, Choice.Server->Backend)) {
+    fail(T, C, Code::NoBackend, "no other backend server is available");
+    return;
+  }
   if (needsPermit(T.S, *Choice.Server))
     askForPermit(T, C);
   else
@@ -285,9 +292,6 @@
 void scheduleCheck(GatewayTurn &T, GatewayCall &C) {
   TimePoint At =
       std::min({C.Deadline, doubtAt(T, C), silenceCheckAt(C), hedgeAt(C)});
-  // Of a hedge; see checkCall().
-  if (C.HedgeOf != 0)
-    At = std::min(At, overdueAt(C));
   checkAt(T, C, std::max(At, T.Now + milliseconds(1)));
 }
 
@@ -331,7 +335,7 @@
 void startAttempt(GatewayTurn &T, GatewayCall &C) {
   if (refuseQuarantined(T, C))
     return;
-  if (C.Sends > 0)
+  if (C.Sends > 0 && !C.IsRetryDue)
     takeSiteRetry(T.S.Retries, C.Service, T.S.RetryRules, T.S.Link.Entries,
                   T.Now);
   beginAttempt(T, C);
@@ -404,8 +408,6 @@
   C.Attempt.BytesSent = true;
   C.Attempt.IsKept = E.IsKept;
   C.Sends += 1;
-  if (C.HedgeOf != 0)
-    hedgeSent(T, C);
   if (!E.IsKept)
     pathReached(T, C.Attempt.Server);
 }
@@ -504,22 +506,6 @@
     scheduleCheck(T, C);
 }
 
-/// Tries the next server for a hedge whose server is late as well. Without one
-/// the hedge goes on.
-void checkHedge(GatewayTurn &T, GatewayCall &H) {
-  if (T.Now < overdueAt(H)) {
-    scheduleCheck(T, H);
-    return;
-  }
-  if (!maySendAgain(T, H)) {
-    checkAt(T, H, H.Deadline);
-    return;
-  }
-  H.Attempt.Fault = FaultSide::Path;
-  attemptFailed(T, H, H.Attempt.BytesSent, Code::BackendFailed,
-                "no answer or event from the backend server in time");
-}
-
 } // namespace
 
 void checkCall(GatewayTurn &T, GatewayCall &C) {
@@ -572,10 +558,7 @@
     if (findCall(T, Ticket) == nullptr)
       return;
   }
-  if (C.HedgeOf != 0)
-    checkHedge(T, C);
-  else
-    checkLate(T, C);
+  checkLate(T, C);
 }
 
 } // namespace pimento::gateway
--- a/packages/gateway/ConfirmPart.cpp
+++ b/packages/gateway/ConfirmPart.cpp
@@ -21,6 +21,7 @@
 /// connection, since the open one may have fallen silent. Each later query has
 /// twice the time of the one before; the first answer to any of them counts.
 constexpr Duration FirstQueryLimit = milliseconds(1200);
+constexpr Duration MaxQueryLimit = seconds(10);
 /// Interval at which an engine that does not answer is looked at.
 constexpr Duration CheckInterval = milliseconds(400);
 constexpr std::size_t MaxReportBytes = 64U << 10U;
@@ -118,6 +119,8 @@
 
 void confirmEnd(GatewayTurn &T, GatewayCall &C) {
   closeAttempt(T, C, false);
+  // The engine has ended its run, whole or not.
+  freeReservations(T, C);
   C.Stage = CallStage::Confirming;
   C.NextHedgeAt = std::max(C.NextHedgeAt, T.Now + ConfirmationTimeout);
   askEngine(T, C, FirstQueryLimit, /*MayReuse=*/true);
@@ -155,12 +158,13 @@
 }
 
 void checkConfirming(GatewayTurn &T, GatewayCall &C) {
-  if (isDead(T, C)) {
+  if (isAddressTaken(T.S, C.Attempt)) {
     engineEnded(T, C, /*IsUnreached=*/false);
     return;
   }
   if (T.Now >= C.Attempt.NextEndQueryAt)
-    askEngine(T, C, 2 * C.Attempt.EndQueryLimit, /*MayReuse=*/false);
+    askEngine(T, C, std::min(2 * C.Attempt.EndQueryLimit, MaxQueryLimit),
+              /*MayReuse=*/false);
   probePath(T, C.Attempt.Server, /*IsForOthers=*/false);
   std::uint64_t Ticket = C.Ticket;
   if (T.Now >= C.NextHedgeAt)
--- a/packages/gateway/Gateway.h
+++ b/packages/gateway/Gateway.h
@@ -221,7 +221,7 @@
   FaultSide Fault = FaultSide::Server; // What a failure says.
   bool IsDoubted = false;     // The path was probed, since nothing came.
   bool IsAccused = false;     // The server's silence was held against it.
-  bool IsDead = false;        // The silent engine takes no connection either.
+  bool HasNoHedge = false;    // No hedge may begin, as a log line says.
   TimePoint SilenceProbeAt{}; // The silent engine was last probed.
   HostId Relay;   // Host that the request was handed over to; empty: none.
   ByteSink Taken; // Bytes of the relay's answer.
--- a/packages/gateway/GatewayTurn.h
+++ b/packages/gateway/GatewayTurn.h
@@ -74,10 +74,8 @@
 /// Tries another server for the call while its attempt goes on, if it may run
 /// again and has sends left. May invalidate \p C.
 void startHedge(GatewayTurn &T, GatewayCall &C, const char *Reason);
-/// A hedge was sent to its server, over a connection that the server took.
-void hedgeSent(GatewayTurn &T, GatewayCall &H);
-/// The call's engine is silent and takes no connection: the attempt ends once
-/// another server has been sent the request. May invalidate \p C.
+/// The call's engine is silent and takes no connection: releases memory at
+/// helpers, and tries another server at once. May invalidate \p C.
 void serverIsDead(GatewayTurn &T, GatewayCall &C);
 /// The head of the call's answer was sent to the caller.
 void replyBegan(GatewayTurn &T, const GatewayCall &C);
--- a/packages/gateway/HedgePart.cpp
+++ b/packages/gateway/HedgePart.cpp
@@ -40,6 +40,25 @@
   count(T, "pimento_hedges_total", std::string("result=\"") + Result + "\"");
 }
 
+/// Logs once for each attempt that no other server is tried beside it.
+void logNoHedge(GatewayTurn &T, GatewayCall &C, const char *Reason) {
+  countHedge(T, "not_allowed");
+  if (C.Attempt.HasNoHedge)
+    return;
+  C.Attempt.HasNoHedge = true;
+  DecisionRecord Record = record(T, C, "hedge_not_started", Reason);
+  Record.add("server", C.Attempt.Server.Value);
+  Record.add("sends", static_cast<std::int64_t>(C.Sends));
+  Record.add("sends_allowed", static_cast<std::int64_t>(C.MaxSends));
+  Record.add("tries", static_cast<std::int64_t>(C.AttemptCount));
+  Record.add("retries_left",
+             siteRetriesLeft(T.S.Retries, C.Service, T.S.RetryRules,
+                             T.S.Link.Entries, T.Now));
+  Record.add("trial", C.IsTrial);
+  Record.add("suspect", isSuspectOfCrashes(T, C));
+  log(T, std::move(Record));
+}
+
 /// The hedge of \p C, which goes on after the last event that the caller has.
 GatewayCall hedgeFor(GatewayTurn &T, const GatewayCall &C) {
   GatewayCall H;
@@ -77,6 +96,7 @@
 /// Counts what the hedge did as done by \p C.
 void addSends(GatewayCall &C, const GatewayCall &H) {
   C.Sends += H.Sends;
+  C.MayHaveRun = C.MayHaveRun || H.Sends > 0;
   C.AttemptCount = H.AttemptCount;
   for (const BackendId &Server : H.TriedServers) {
     bool IsKnown = std::find(C.TriedServers.begin(), C.TriedServers.end(),
@@ -108,11 +128,14 @@
 
 void startHedge(GatewayTurn &T, GatewayCall &C, const char *Reason) {
   C.NextHedgeAt = T.Now + HedgeInterval;
-  bool MayHedge = C.Hedge == 0 && C.HedgeOf == 0 && !C.IsTrial &&
-                  mayRunAgain(C) && maySendAgain(T, C) &&
-                  !isSuspectOfCrashes(T, C);
-  if (!MayHedge)
+  bool IsPossible = C.Hedge == 0 && C.HedgeOf == 0 && mayRunAgain(C);
+  if (!IsPossible)
+    return;
+  bool IsOver = T.S.Stopping && T.Now >= T.S.StopAt;
+  if (IsOver || C.IsTrial || !maySendAgain(T, C) || isSuspectOfCrashes(T, C)) {
+    logNoHedge(T, C, Reason);
     return;
+  }
   GatewayCall New = hedgeFor(T, C);
   GatewayCall &H = T.S.Calls[New.Ticket];
   H = std::move(New);
@@ -122,21 +145,10 @@
   startAttempt(T, H);
 }
 
-void hedgeSent(GatewayTurn &T, GatewayCall &H) {
-  GatewayCall *C = findCall(T, H.HedgeOf);
-  if (C != nullptr && C->Attempt.IsDead)
-    takeOver(T, H, "the engine is silent and takes no connection");
-}
-
 void serverIsDead(GatewayTurn &T, GatewayCall &C) {
-  C.Attempt.IsDead = true;
   // Memory at helpers is of no use without the engine.
   freeReservations(T, C);
-  GatewayCall *H = hedgeOf(T, C);
-  bool IsSent = H != nullptr && H->Attempt.BytesSent;
-  if (IsSent)
-    takeOver(T, *H, "the engine is silent and takes no connection");
-  else if (H == nullptr && T.Now >= C.NextHedgeAt)
+  if (C.Hedge == 0 && T.Now >= C.NextHedgeAt)
     startHedge(T, C, "the engine is silent and takes no connection");
 }
 
@@ -174,12 +186,19 @@
   removeCall(T, C);
   if (H.Attempt.IsForwarded)
     beginStream(T, H);
+  if (H.Stage == CallStage::Sent || H.Stage == CallStage::Answering)
+    scheduleCheck(T, H);
 }
 
 bool continueWithHedge(GatewayTurn &T, GatewayCall &C) {
   GatewayCall *H = hedgeOf(T, C);
   if (H == nullptr)
     return false;
+  if (!mayTakeOver(*H)) {
+    dropHedge(T, C,
+              "the answer is of another kind than the one that was begun");
+    return false;
+  }
   takeOver(T, *H, "the attempt that was late has failed");
   return true;
 }
--- a/packages/gateway/HeldBytes.cpp
+++ b/packages/gateway/HeldBytes.cpp
@@ -67,8 +67,11 @@
 
 std::size_t heldBytes(const Gateway &S) {
   std::size_t Sum = 0;
-  for (const auto &[Ticket, C] : S.Calls)
-    Sum += C.Body.size() + C.Attempt.Body.size() + C.Events.Partial.size();
+  for (const auto &[Ticket, C] : S.Calls) {
+    Sum += C.Attempt.Body.size() + C.Events.Partial.size();
+    // A hedge shares the body of its call.
+    Sum += C.HedgeOf == 0 ? C.Body.size() : 0;
+  }
   for (const HeldRequest &Held : S.Held)
     Sum += Held.Request.Body.size();
   for (const auto &[Id, Body] : S.Relays.Bodies)
--- a/packages/gateway/StopPart.cpp
+++ b/packages/gateway/StopPart.cpp
@@ -17,8 +17,8 @@
 constexpr Duration StopReserve = milliseconds(900);
 /// Time reserved before the limit for the end of the process.
 constexpr Duration ExitReserve = milliseconds(100);
-/// Time reserved before the end of the process to send the end of an answer, and
-/// to tell a control host what servers may still be at work on.
+/// Time reserved before the end of the process to send the end of an answer,
+/// and to tell a control host what servers may still be at work on.
 constexpr Duration EndReserve = milliseconds(400);
 /// Time for an answer after its first event. A request that is sent later than
 /// this before the end of all calls would be cut.
@@ -30,10 +30,12 @@
          C.Stage == CallStage::Confirming;
 }
 
-/// Whether the caller of the call has all that its server sent, and only waits
-/// for the end.
-bool mayStillEnd(const GatewayTurn &T, const GatewayCall &C) {
-  return C.Stage == CallStage::Confirming && T.Now < T.S.ExitBy - EndReserve;
+/// Whether the caller of the call, or of the one that it hedges, has all that
+/// its server sent, and only waits for the end.
+bool mayStillEnd(GatewayTurn &T, const GatewayCall &C) {
+  const GatewayCall *Hedged = C.HedgeOf == 0 ? &C : findCall(T, C.HedgeOf);
+  return Hedged != nullptr && Hedged->Stage == CallStage::Confirming &&
+         T.Now < T.S.ExitBy - EndReserve;
 }
 
 /// Ends all open calls with an error answer, but for those whose end can still
--- a/packages/gateway/tests/GatewayEngineTest.cpp
+++ b/packages/gateway/tests/GatewayEngineTest.cpp
@@ -379,8 +379,12 @@
       R.Gone = {BackendId(Open.Request.Address == "10.0.1.1:80" ? "e1" : "e2")};
     R.advance(milliseconds(2900));
     std::vector<UpstreamId> Aborted = R.aborted();
-    if (IsDark) { // The other engine takes the connection.
-      R.sent(R.onlySend().Upstream);
+    if (IsDark) { // The other engine answers.
+      calls::OpenUpstream Next = R.onlySend();
+      R.sent(Next.Upstream);
+      R.head(Next.Upstream, 200);
+      R.event(UpstreamData{Next.Upstream, "id: 1\ndata: a\n\n"});
+      BOOST_TEST(R.all<calls::StreamBytes>().size() == 1U);
       Aborted = R.aborted();
     }
     bool IsGivenUp = std::find(Aborted.begin(), Aborted.end(), Open.Upstream) !=
@@ -389,6 +393,29 @@
   }
 }
 
+/// Guards against LEAK: memory stayed reserved at the helper of an engine that
+/// went dark, since no other engine took the request.
+BOOST_AUTO_TEST_CASE(MemoryForADarkEngineIsReleasedWithinThreeSeconds) {
+  GatewayFixture R;
+  R.call(HttpMethod::Post, "/l/1",
+         {{"X-Pimentoglade-Token-Count", "300000,700"},
+          {"X-Pimentoglade-Deadline-Ms", "15000"}});
+  calls::OpenUpstream Reserve = R.only<calls::OpenUpstream>();
+  R.event(UpstreamHead{Reserve.Upstream, 200, {}});
+  R.event(UpstreamEnd{Reserve.Upstream, true});
+  calls::OpenUpstream Open = R.only<calls::OpenUpstream>();
+  R.sent(Open.Upstream);
+  R.Gone = {BackendId(Open.Request.Address == "10.0.1.1:80" ? "e1" : "e2")};
+  R.advance(seconds(3));
+  bool IsReleased = false;
+  for (const calls::OpenUpstream &Order : R.all<calls::OpenUpstream>())
+    IsReleased = IsReleased ||
+                 Order.Request.Body.text().find("release") != std::string::npos;
+  BOOST_TEST(IsReleased);
+  for (const auto &[Ticket, C] : R.S.Calls)
+    BOOST_TEST(C.Reserved.empty());
+}
+
 /// Guards against memory at helpers that is renewed for an engine which went
 /// dark, and whose address another server has by now: probes of it find a
 /// server.
--- a/packages/gateway/tests/SilentServerTest.cpp
+++ b/packages/gateway/tests/SilentServerTest.cpp
@@ -426,3 +426,63 @@
     BOOST_TEST(R.only<calls::EndStream>().IsComplete);
   }
 }
+
+/// Guards against LOST: an engine was silent and took no connection for a
+/// while, another one took the request and refused it, and the first one was
+/// left before that.
+BOOST_AUTO_TEST_CASE(EngineThatTakesNoConnectionMayStillGoOn) {
+  GatewayFixture R;
+  calls::OpenUpstream Open = beginStream(R);
+  R.Gone = {BackendId(Open.Request.Address == "10.0.1.1:80" ? "e1" : "e2")};
+  calls::OpenUpstream Second = nextTry(R, milliseconds(1100));
+  R.sent(Second.Upstream);
+  R.advance(milliseconds(1900));
+  R.head(Second.Upstream, 503, {{"X-Pimentoglade-Not-Executed", "1"}});
+  R.event(UpstreamEnd{Second.Upstream, true});
+  BOOST_TEST(R.all<calls::EndStream>().empty());
+  checkGoesOn(R, Open);
+}
+
+/// Guards against LOST and false evidence: a whole stream without a length was
+/// broken off, and its engine taken for crashed, since it took no connection
+/// for two seconds.
+BOOST_AUTO_TEST_CASE(WholeStreamIsCompleteAfterItsEngineTakesConnectionsAgain) {
+  GatewayFixture R;
+  calls::OpenUpstream Open = beginStream(R);
+  R.Gone = {BackendId(Open.Request.Address == "10.0.1.1:80" ? "e1" : "e2")};
+  drainOtherThan(R, Open);
+  R.event(UpstreamEnd{Open.Upstream, false});
+  R.advance(milliseconds(2500));
+  BOOST_TEST(R.all<calls::EndStream>().empty());
+  BOOST_TEST(R.S.Quarantine.Crashes.empty());
+  R.Gone.clear();
+  answerQuery(R, endQuery(R));
+  BOOST_TEST_REQUIRE(R.all<calls::EndStream>().size() == 1U);
+  BOOST_TEST(R.only<calls::EndStream>().IsComplete);
+}
+
+/// Guards against two runs of a call at one server: the only server is late,
+/// and there is no other one.
+BOOST_AUTO_TEST_CASE(LateCallIsNotSentToItsServerAgain) {
+  GatewayFixture R;
+  SiteState M;
+  M.Sequence = R.S.Link.Sequence;
+  M.IsCurrent = true;
+  M.Leader = Control;
+  M.Config = 3;
+  ServerReport Leaving = server("p2", "plain", "10.0.2.2:80");
+  Leaving.Sequence = 2;
+  Leaving.Phase = ServerPhase::Draining;
+  M.Servers = {Leaving};
+  R.event(PeerMessage{Control, 1, M});
+  R.call(HttpMethod::Get, "/r/1");
+  calls::OpenUpstream Open = R.onlySend();
+  BOOST_TEST(Open.Request.Address == "10.0.2.1:80");
+  R.sent(Open.Upstream);
+  R.advance(milliseconds(500));
+  for (const calls::OpenUpstream &Next : R.all<calls::OpenUpstream>())
+    BOOST_TEST(Next.Request.Target != "/r/1");
+  R.head(Open.Upstream, 200);
+  R.event(UpstreamEnd{Open.Upstream, true});
+  BOOST_TEST(R.only<calls::SendReply>().Reply.Status == 200);
+}
