Look-ups: a silent server's call stays open while another server is tried

Cause: a look-up without a reply head for 2 s was ended at its server, and only then another server was looked for.

Change: checkCall() leaves the call open as a late call (LateCalls.cpp) and backs off as before. The first whole answer below status 500 is sent, the other calls are aborted. Where the next attempt fails without another retry, or no server is left, the newest late call is the call in flight again. The silence counts against the server once.

--- a/packages/calls/Calls.cpp
+++ b/packages/calls/Calls.cpp
@@ -333,6 +333,7 @@
   Context C{State, Dir, Now, Out};
   Event E;
   E.Kind = EventKind::Sent;
+  E.Upstream = Upstream;
   dispatchUpstream(C, Upstream, E);
 }
 
@@ -342,6 +343,7 @@
   Context C{State, Dir, Now, Out};
   Event E;
   E.Kind = EventKind::Head;
+  E.Upstream = Upstream;
   E.Status = Status;
   E.Headers = &Headers;
   dispatchUpstream(C, Upstream, E);
@@ -353,6 +355,7 @@
   Context C{State, Dir, Now, Out};
   Event E;
   E.Kind = EventKind::Data;
+  E.Upstream = Upstream;
   E.Bytes = Bytes;
   dispatchUpstream(C, Upstream, E);
 }
@@ -362,6 +365,7 @@
   Context C{State, Dir, Now, Out};
   Event E;
   E.Kind = EventKind::End;
+  E.Upstream = Upstream;
   dispatchUpstream(C, Upstream, E);
 }
 
@@ -371,6 +375,7 @@
   Context C{State, Dir, Now, Out};
   Event E;
   E.Kind = EventKind::Failed;
+  E.Upstream = Upstream;
   E.Failure = &Why;
   dispatchUpstream(C, Upstream, E);
 }
--- a/packages/calls/Calls.h
+++ b/packages/calls/Calls.h
@@ -106,7 +106,8 @@
   std::uint32_t MaxResumes = 4;
   // Lease of memory reserved at the members of a group.
   Duration ReservationLease = seconds(2);
-  // A repeatable call without a reply head moves to another server after this.
+  // A repeatable call without a reply head is sent to another server as well
+  // after this.
   Duration LookupTimeout = seconds(2);
   // How long a call may still answer after the caller's deadline.
   Duration SettleTime = seconds(10);
@@ -160,6 +161,18 @@
   TimePoint At;
 };
 
+/// A repeatable call at a server that sent no reply head within LookupTimeout.
+/// It stays open while other servers are tried.
+struct LateCall {
+  UpstreamId Upstream{};
+  BackendId Server;
+  bool Sent = false;               // A byte may have been sent.
+  bool MayReuseConnection = false; // The call may use an idle connection.
+  int Status = 0;                  // HTTP status; zero: none yet.
+  std::vector<HttpHeader> Headers;
+  std::string Answer;
+};
+
 /// The part of a request that calls a plain service.
 struct CallPart {
   PlainCall Params;
@@ -176,6 +189,8 @@
   int Status = 0;                  // HTTP status of the answer; zero: none yet.
   std::vector<HttpHeader> Headers;
   std::string Answer;
+  bool WasLate = false; // The server's silence counts as its outcome already.
+  std::vector<LateCall> Late; // At silent servers, in order of sending.
 };
 
 /// One request in progress.
--- a/packages/calls/CallsInternal.h
+++ b/packages/calls/CallsInternal.h
@@ -9,6 +9,7 @@
 //   GenerationStream.cpp an engine's answer
 //   PlainCalls.cpp       claims and the choice of a server
 //   PlainUpstream.cpp    a plain server's answer
+//   LateCalls.cpp        repeatable calls at servers that are silent
 //   Cleanups.cpp         cancels and claim outcomes repeated after the answer
 //
 //===----------------------------------------------------------------------===//
@@ -39,6 +40,7 @@
   const std::vector<HttpHeader> *Headers = nullptr;
   int Status = 0;
   std::string_view Bytes;
+  UpstreamId Upstream{}; // Of Sent, Head, Data, End and Failed.
   std::uint64_t Pending = 0;
 };
 
@@ -137,8 +139,32 @@
 void concludeAttempt(Context &C, Request &R, AttemptEnd End, bool Cancel);
 void keepReservations(Context &C, Request &R);
 
+/// The plain servers of the service of \p R.
+const std::vector<PlainServer> &serversOf(const Context &C, const Request &R);
 /// Chooses a plain server and calls it.
 void sendCall(Context &C, Request &R);
+/// Whether the service has a server that was not tried for \p R.
+bool hasUntriedServer(const Context &C, const Request &R);
+/// Whether a late call of \p R is open at \p Server.
+bool hasLateCall(const Request &R, const BackendId &Server);
+/// Leaves the call in flight open as a late call, so that another server can be
+/// tried.
+void keepLateCall(Request &R);
+/// Makes the newest late call the call in flight; false if there is none.
+bool resumeLateCall(Context &C, Request &R);
+/// Aborts all late calls.
+void dropLateCalls(Context &C, Request &R);
+/// Whether \p E belongs to a late call.
+bool isLate(const Request &R, const Event &E);
+/// Ends the request with the answer of its call in flight.
+void answerCall(Context &C, Request &R);
+/// Whether the body has the length that the headers state.
+bool lengthFits(const std::vector<HttpHeader> &Headers,
+                const std::string &Answer);
+/// Whether the answer's head belongs to \p R; records whether the server echoes
+/// request ids.
+bool acceptHead(Context &C, const Request &R, const BackendId &Server,
+                const std::vector<HttpHeader> &Headers, bool ReusedConnection);
 /// Sends the first claim request of the queue that is not durable yet, so that
 /// claims become durable in order of arrival.
 void sendNextClaim(Context &C, const TurnQueue &Queue);
@@ -182,6 +208,11 @@
 PIMENTO_HANDLER(readData)
 PIMENTO_HANDLER(endStream)
 PIMENTO_HANDLER(failStream)
+PIMENTO_HANDLER(noteLateSent)
+PIMENTO_HANDLER(readLateHead)
+PIMENTO_HANDLER(readLateData)
+PIMENTO_HANDLER(endLate)
+PIMENTO_HANDLER(failLate)
 PIMENTO_HANDLER(readCallHead)
 PIMENTO_HANDLER(readCallData)
 PIMENTO_HANDLER(endCall)
--- a/packages/calls/Outcomes.cpp
+++ b/packages/calls/Outcomes.cpp
@@ -26,6 +26,7 @@
   R.Wake = C.Now + C.S.Times.DeliveryIdleTimeout;
   R.Pending += Bytes;
   R.Generation.reset();
+  dropLateCalls(C, R);
   R.Call.reset();
 }
 
@@ -69,8 +70,11 @@
     Bytes += R.Generation->Params.Prompt.size() + R.Generation->Text.size() +
              R.Generation->CurrentAttempt.Refusal.size() +
              R.Generation->CurrentAttempt.Stream.Reader.Partial.size();
-  if (R.Call)
-    Bytes += R.Call->Params.Body.size() + R.Call->Answer.size();
+  if (!R.Call)
+    return Bytes;
+  Bytes += R.Call->Params.Body.size() + R.Call->Answer.size();
+  for (const LateCall &Late : R.Call->Late)
+    Bytes += Late.Answer.size();
   return Bytes;
 }
 
--- a/packages/calls/PlainCalls.cpp
+++ b/packages/calls/PlainCalls.cpp
@@ -12,12 +12,6 @@
   return {R.Service, R.Account, R.Call->Params.Key};
 }
 
-const std::vector<PlainServer> &serversOf(const Context &C, const Request &R) {
-  static const std::vector<PlainServer> None;
-  auto Found = C.Dir.Servers.find(R.Service);
-  return Found == C.Dir.Servers.end() ? None : Found->second;
-}
-
 /// Whether \p Path is \p Prefix or below it, in whole segments.
 bool isBelow(std::string_view Path, std::string_view Prefix) {
   if (Path.substr(0, Prefix.size()) != Prefix)
@@ -102,8 +96,26 @@
     sendCall(C, R);
 }
 
+/// The servers that a call may be sent to next: those without a late call of
+/// this request.
+std::vector<PlainServer> serversWithoutLateCall(const Context &C,
+                                                const Request &R) {
+  std::vector<PlainServer> Servers;
+  for (const PlainServer &Server : serversOf(C, R)) {
+    if (!hasLateCall(R, Server.Backend))
+      Servers.push_back(Server);
+  }
+  return Servers;
+}
+
 } // namespace
 
+const std::vector<PlainServer> &serversOf(const Context &C, const Request &R) {
+  static const std::vector<PlainServer> None;
+  auto Found = C.Dir.Servers.find(R.Service);
+  return Found == C.Dir.Servers.end() ? None : Found->second;
+}
+
 const CallRule *callRule(const ServiceRule &Service, std::string_view Method,
                          std::string_view Path) {
   const CallRule *Best = nullptr;
@@ -207,7 +219,11 @@
 
 void sendCall(Context &C, Request &R) {
   CallPart &Call = *R.Call;
-  const std::vector<PlainServer> &Servers = serversOf(C, R);
+  std::vector<PlainServer> Others;
+  if (!Call.Late.empty())
+    Others = serversWithoutLateCall(C, R);
+  const std::vector<PlainServer> &Servers =
+      Call.Late.empty() ? serversOf(C, R) : Others;
   ServerChoice Choice =
       chooseServer(C.S.Health, Servers, R.Avoid, C.S.Rng, C.Now);
   decide(C, "route", R.Id, toString(Choice.Reason))
@@ -216,6 +232,8 @@
       .add("healthy", static_cast<std::int64_t>(Choice.Healthy))
       .add("candidates", static_cast<std::int64_t>(Choice.Candidates));
   if (Choice.Server == nullptr) {
+    if (resumeLateCall(C, R))
+      return;
     if (!Call.Repeatable)
       endClaim(C, R, ClaimOutcome::NotRun);
     answerProblem(
@@ -231,6 +249,7 @@
   Call.Sent = false;
   Call.Status = 0;
   Call.Answer.clear();
+  Call.WasLate = false;
   // An idle connection may be half closed, so a call that may run only once
   // never uses one. Servers that don't echo request ids don't get one either,
   // because an answer could not be matched to its request.
--- a/packages/calls/PlainUpstream.cpp
+++ b/packages/calls/PlainUpstream.cpp
@@ -9,13 +9,13 @@
 
 namespace {
 
-const std::vector<PlainServer> &serversOf(const Context &C, const Request &R) {
-  static const std::vector<PlainServer> None;
-  auto Found = C.Dir.Servers.find(R.Service);
-  return Found == C.Dir.Servers.end() ? None : Found->second;
-}
-
+/// Counts the outcome of the call in flight for its server, unless the server's
+/// silence was counted already.
 void endServerCall(Context &C, Request &R, bool Succeeded) {
+  if (R.Call->WasLate) {
+    onCallDropped(C.S.Health, R.Call->Server);
+    return;
+  }
   onCallEnded(C.S.Health, R.Call->Server, Succeeded, serversOf(C, R), C.Now);
   if (!Succeeded)
     R.Avoid.push_back(R.Call->Server);
@@ -39,13 +39,13 @@
 }
 
 /// Ends an attempt of a repeatable call without a usable answer: schedules a
-/// retry or sends the final answer.
+/// retry, goes on with a late call or sends the final answer.
 void failRepeatableCall(Context &C, Request &R, Problem Why) {
   abortUpstream(C, R);
   R.LastFailure = std::move(Why);
   if (acquireRetry(C, R))
     backOff(C, R);
-  else
+  else if (!resumeLateCall(C, R))
     answerProblem(C, R, R.LastFailure);
 }
 
@@ -59,15 +59,6 @@
   failRepeatableCall(C, R, {Code::BackendFailed, Why, {}});
 }
 
-bool lengthFits(const CallPart &Call) {
-  std::string_view Text = headerValue(Call.Headers, "Content-Length");
-  if (Text.empty())
-    return true;
-  std::size_t Length = 0;
-  std::from_chars(Text.data(), Text.data() + Text.size(), Length);
-  return Length == Call.Answer.size();
-}
-
 HttpReply replyOf(const Request &R) {
   HttpReply Reply;
   Reply.Status = R.Call->Status;
@@ -132,37 +123,68 @@
       backOff(C, R);
       return;
     }
+    if (resumeLateCall(C, R))
+      return;
   }
   if (!R.Call->Repeatable)
     endClaim(C, R, ClaimOutcome::Answered);
   if (R.State == Phase::Settling)
     R.State = Phase::Ended;
   else
-    answerReply(C, R, replyOf(R));
+    answerCall(C, R);
 }
 
 } // namespace
 
-void noteCallSent(Context & /*C*/, Request &R, const Event & /*E*/) {
-  R.Call->Sent = true;
+void answerCall(Context &C, Request &R) { answerReply(C, R, replyOf(R)); }
+
+bool lengthFits(const std::vector<HttpHeader> &Headers,
+                const std::string &Answer) {
+  std::string_view Text = headerValue(Headers, "Content-Length");
+  if (Text.empty())
+    return true;
+  std::size_t Length = 0;
+  std::from_chars(Text.data(), Text.data() + Text.size(), Length);
+  return Length == Answer.size();
+}
+
+bool acceptHead(Context &C, const Request &R, const BackendId &Server,
+                const std::vector<HttpHeader> &Headers, bool ReusedConnection) {
+  std::string_view Echo = headerValue(Headers, "X-Request-Id");
+  auto Found = C.S.Health.Servers.find(Server);
+  if (Found != C.S.Health.Servers.end())
+    Found->second.EchoesIds = !Echo.empty();
+  if (Echo == toString(R.Id) || (Echo.empty() && !ReusedConnection))
+    return true;
+  count(C, "pimento_crossed_answers_total");
+  return false;
+}
+
+void noteCallSent(Context &C, Request &R, const Event &E) {
+  if (isLate(R, E))
+    noteLateSent(C, R, E);
+  else
+    R.Call->Sent = true;
 }
 
 void readCallHead(Context &C, Request &R, const Event &E) {
+  if (isLate(R, E)) {
+    readLateHead(C, R, E);
+    return;
+  }
   CallPart &Call = *R.Call;
   Call.Sent = true;
   Call.Status = E.Status;
   Call.Headers = *E.Headers;
-  std::string_view Echo = headerValue(Call.Headers, "X-Request-Id");
-  auto Server = C.S.Health.Servers.find(Call.Server);
-  if (Server != C.S.Health.Servers.end())
-    Server->second.EchoesIds = !Echo.empty();
-  if (Echo == toString(R.Id) || (Echo.empty() && !Call.MayReuseConnection))
-    return;
-  count(C, "pimento_crossed_answers_total");
-  failWithoutAnswer(C, R, "the answer has another request id or none");
+  if (!acceptHead(C, R, Call.Server, Call.Headers, Call.MayReuseConnection))
+    failWithoutAnswer(C, R, "the answer has another request id or none");
 }
 
 void readCallData(Context &C, Request &R, const Event &E) {
+  if (isLate(R, E)) {
+    readLateData(C, R, E);
+    return;
+  }
   CallPart &Call = *R.Call;
   Call.Answer += E.Bytes;
   if (Call.Answer.size() <= C.S.Limits.AnswerBytes)
@@ -176,10 +198,14 @@
   answerProblem(C, R, {Code::AnswerTooLarge, "", {}});
 }
 
-void endCall(Context &C, Request &R, const Event & /*E*/) {
+void endCall(Context &C, Request &R, const Event &E) {
+  if (isLate(R, E)) {
+    endLate(C, R, E);
+    return;
+  }
   forgetUpstream(C, R);
   const CallPart &Call = *R.Call;
-  if (Call.Status == 0 || !lengthFits(Call))
+  if (Call.Status == 0 || !lengthFits(Call.Headers, Call.Answer))
     failWithoutAnswer(C, R, "the answer is truncated");
   else if (provesNotRun(Call.Status, Call.Headers))
     refusedByServer(C, R);
@@ -188,6 +214,10 @@
 }
 
 void failCall(Context &C, Request &R, const Event &E) {
+  if (isLate(R, E)) {
+    failLate(C, R, E);
+    return;
+  }
   forgetUpstream(C, R);
   bool MayBeSent = E.Failure->BytesSent || R.Call->Sent;
   if (MayBeSent) {
@@ -215,12 +245,15 @@
     return;
   }
   R.Wake = C.Now + C.S.Times.LookupTimeout;
-  bool HasOtherServer = R.Avoid.size() + 1 < serversOf(C, R).size();
-  if (Call.Status != 0 || !HasOtherServer || !acquireRetry(C, R))
+  if (Call.Status != 0 || !hasUntriedServer(C, R) || !acquireRetry(C, R))
     return;
-  endServerCall(C, R, /*Succeeded=*/false);
-  abortUpstream(C, R);
+  if (!Call.WasLate) {
+    recordOutcome(C.S.Health, Call.Server, /*Succeeded=*/false, serversOf(C, R),
+                  C.Now);
+    R.Avoid.push_back(Call.Server);
+  }
   R.MayHaveRun = R.MayHaveRun || Call.Sent;
+  keepLateCall(R);
   R.LastFailure = {codeByProof(R, Code::ConnectFailed, Code::BackendFailed),
                    "the server sent no reply head within the timeout",
                    {}};
--- a/packages/calls/Transitions.cpp
+++ b/packages/calls/Transitions.cpp
@@ -41,6 +41,7 @@
 void remove(Context &C, Request &R) {
   setHeldBytes(C, R, 0);
   abortUpstream(C, R);
+  dropLateCalls(C, R);
   C.S.Timers.erase({R.Indexed, R.Id});
   C.S.Exchanges.erase(static_cast<std::uint64_t>(R.Exchange));
   C.S.Requests.erase(R.Id);
--- a/packages/calls/tests/World.h
+++ b/packages/calls/tests/World.h
@@ -73,6 +73,10 @@
   bool LateAnswer = false;       // A final answer arrived after the limit.
   bool ForeignAnswer = false;    // The answer has bytes of another request.
   bool IncompleteAnswer = false; // The answer looks complete but is not.
+  TimePoint HostLimit; // The earlier of Limit and the service's longest limit.
+  // Look-ups: when the first whole answer of a server arrives, by the host's
+  // clock.
+  TimePoint AnswerArrives = TimePoint::max();
   TimePoint FinalAt;
   std::string Request; // Request id in the answer.
   std::string Outcome; // Final answer's outcome: "answered", "not_run", ...
@@ -191,6 +195,8 @@
               const std::string &Attempt, std::size_t Offset);
   void serveLedger(const std::shared_ptr<Connection> &C,
                    const UpstreamRequest &R);
+  void noteLookUpAnswer(const HostId &Host, const std::string &Body,
+                        Duration Wait);
 
   void requestGrant(const HostId &Host, const GrantRequest &A);
   void propose(const HostId &Host, const ProposeClaims &E);
