Streams of engines: a silent call stays open until the resumed one has a byte

Cause: a stream without a byte for 5 s was aborted, and then resumed over a new connection.

Change: the silent call stays open beside the resumed one; several connections may read one attempt (docs/ENGINE-PROTOCOL.md). The first byte of either decides, the other one is aborted. After four resumes without a token the silent call goes on where the caller has seen a part or no retry is left, and is resumed again after the next silence. An engine that answers that it does not know the attempt, or the end of the silent connection, decide as before.

--- a/packages/calls/Calls.h
+++ b/packages/calls/Calls.h
@@ -98,11 +98,13 @@
   Duration ClaimRepeatInterval = milliseconds(500);
   // Interval at which a claim is renewed while its call runs.
   Duration ClaimRenewalInterval = seconds(2);
-  // An engine's stream without any byte for this long is resumed.
+  // An engine's stream without any byte for this long is resumed, and its call
+  // stays open until the resumed one has a byte.
   Duration StreamIdleTimeout = seconds(5);
   // Delay before a broken stream is resumed; doubles with each resume.
   Duration ResumeDelay = milliseconds(50);
-  // Resumes without a token in between before the attempt fails.
+  // Resumes without a token in between before the attempt fails, or its silent
+  // call goes on.
   std::uint32_t MaxResumes = 4;
   // Lease of memory reserved at the members of a group.
   Duration ReservationLease = seconds(2);
@@ -125,6 +127,18 @@
   Duration ResultTime = minutes(2);
 };
 
+/// A call to an engine that sent nothing within StreamIdleTimeout. It stays
+/// open while the stream is resumed over another connection: as long as it is
+/// open, the engine keeps the attempt.
+struct SilentCall {
+  UpstreamId Upstream{}; // 0: none.
+  EngineStream Stream;
+  int Status = 0; // HTTP status of the reply; zero: no head yet.
+  std::vector<HttpHeader> Headers;
+  std::string Refusal;
+  bool Resumed = false;
+};
+
 /// One attempt at one engine or at a group of engines.
 struct EngineAttempt {
   AttemptId Id;
@@ -143,6 +157,7 @@
   std::string Refusal;  // Body of a reply whose status is not 200.
   TimePoint LastByte;   // When the engine last sent anything.
   bool Resumed = false; // The upstream call resumes a running attempt.
+  SilentCall Silent;    // Open beside the upstream call.
 };
 
 /// The part of a request that generates text.
--- a/packages/calls/CallsInternal.h
+++ b/packages/calls/CallsInternal.h
@@ -130,8 +130,13 @@
 void failAttempt(Context &C, Request &R, const AttemptFailure &Why);
 /// Sends the prompt to the engine, or to the leader of a group.
 void sendGenerate(Context &C, Request &R);
-/// Schedules the resume of a broken stream, or fails the attempt after
-/// RequestTimings::MaxResumes resumes without a token.
+/// As failAttempt(), where a retry was acquired before.
+void retryAttempt(Context &C, Request &R, const AttemptFailure &Why);
+/// Aborts the attempt's silent call, if there is one.
+void dropSilentCall(Context &C, Request &R);
+/// Schedules the resume of a broken stream. After RequestTimings::MaxResumes
+/// resumes without a token the attempt fails; if it has a silent call and no
+/// other engine can be asked, that call goes on.
 void resumeLater(Context &C, Request &R, const char *Reason);
 /// Ends the current attempt. With \p Cancel, it is cancelled at its engines
 /// before its grant is released; otherwise the grant is released at once. If no
--- a/packages/calls/Generation.cpp
+++ b/packages/calls/Generation.cpp
@@ -77,6 +77,7 @@
 
 void concludeAttempt(Context &C, Request &R, AttemptEnd End, bool Cancel) {
   EngineAttempt &T = R.Generation->CurrentAttempt;
+  dropSilentCall(C, R);
   abortUpstream(C, R);
   R.MayHaveRun = R.MayHaveRun || T.SentAt != TimePoint();
   if (T.CurrentGrant.Engines.empty()) {
@@ -94,7 +95,10 @@
   startCleanup(C, std::move(Work));
 }
 
-void failAttempt(Context &C, Request &R, const AttemptFailure &Why) {
+namespace {
+
+/// Ends the attempt as failed and frees its engines.
+void endFailedAttempt(Context &C, Request &R, const AttemptFailure &Why) {
   EngineAttempt &T = R.Generation->CurrentAttempt;
   if (Why.ProvedNotRun)
     T.SentAt = TimePoint();
@@ -107,6 +111,17 @@
   Code Number = R.Streaming ? Code::StreamCut
                             : codeByProof(R, Why.NotRun, Code::BackendFailed);
   R.LastFailure = {Number, Why.Detail, {}};
+}
+
+} // namespace
+
+void retryAttempt(Context &C, Request &R, const AttemptFailure &Why) {
+  endFailedAttempt(C, R, Why);
+  backOff(C, R);
+}
+
+void failAttempt(Context &C, Request &R, const AttemptFailure &Why) {
+  endFailedAttempt(C, R, Why);
   if (acquireRetry(C, R))
     backOff(C, R);
   else
--- a/packages/calls/GenerationStream.cpp
+++ b/packages/calls/GenerationStream.cpp
@@ -187,14 +187,93 @@
       {Code::RefusedByBackend, "the engine refused: " + Why.Detail, Proved});
 }
 
+bool hasSilentCall(const Request &R) {
+  return R.Generation->CurrentAttempt.Silent.Upstream != UpstreamId();
+}
+
+bool isOfSilentCall(const Request &R, const Event &E) {
+  return R.Generation && hasSilentCall(R) &&
+         R.Generation->CurrentAttempt.Silent.Upstream == E.Upstream;
+}
+
+/// Leaves the upstream call open as the silent call. One that is open already
+/// is kept instead, and the upstream call is aborted by resumeLater().
+void keepSilentCall(Request &R) {
+  EngineAttempt &T = R.Generation->CurrentAttempt;
+  if (hasSilentCall(R))
+    return;
+  T.Silent = {R.Upstream,           std::move(T.Stream),  T.Status,
+              std::move(T.Headers), std::move(T.Refusal), T.Resumed};
+  R.Upstream = UpstreamId();
+}
+
+/// The silent call is the upstream call again.
+void continueSilentCall(Context &C, Request &R) {
+  EngineAttempt &T = R.Generation->CurrentAttempt;
+  abortUpstream(C, R);
+  SilentCall Call = std::move(T.Silent);
+  T.Silent = SilentCall();
+  R.Upstream = Call.Upstream;
+  T.Stream = std::move(Call.Stream);
+  T.Status = Call.Status;
+  T.Headers = std::move(Call.Headers);
+  T.Refusal = std::move(Call.Refusal);
+  T.Resumed = Call.Resumed;
+  T.LastByte = C.Now;
+  R.State = Phase::Generating;
+  R.Wake = C.Now + std::min(C.S.Times.StreamIdleTimeout,
+                            C.S.Times.ReservationLease / 3);
+}
+
+void forgetSilentCall(Context &C, Request &R) {
+  SilentCall &Call = R.Generation->CurrentAttempt.Silent;
+  C.S.Upstreams.erase(static_cast<std::uint64_t>(Call.Upstream));
+  Call = SilentCall();
+}
+
+void failSilentCall(Context &C, Request &R, const Event &E) {
+  EngineAttempt &T = R.Generation->CurrentAttempt;
+  if (E.Failure->BytesSent && T.SentAt == TimePoint())
+    T.SentAt = C.Now;
+  forgetSilentCall(C, R);
+}
+
+/// The engine did not resume the stream: asks for another engine, or goes on
+/// with the silent call.
+void endResumes(Context &C, Request &R, const char *Reason) {
+  AttemptFailure Why{Code::BackendFailed, Reason, false};
+  if (!hasSilentCall(R)) {
+    failAttempt(C, R, Why);
+    return;
+  }
+  if (acquireRetry(C, R)) {
+    retryAttempt(C, R, Why);
+    return;
+  }
+  EngineAttempt &T = R.Generation->CurrentAttempt;
+  T.Resumes = 0;
+  decide(C, "resume", R.Id, "the silent engine's call continues")
+      .add("backend", T.CurrentGrant.Engines[0].Backend.Value)
+      .add("offset", static_cast<std::int64_t>(T.NextOffset));
+  continueSilentCall(C, R);
+}
+
 } // namespace
 
+void dropSilentCall(Context &C, Request &R) {
+  if (!hasSilentCall(R))
+    return;
+  C.Out.List.emplace_back(
+      AbortUpstream{R.Generation->CurrentAttempt.Silent.Upstream});
+  forgetSilentCall(C, R);
+}
+
 void resumeLater(Context &C, Request &R, const char *Reason) {
   EngineAttempt &T = R.Generation->CurrentAttempt;
   abortUpstream(C, R);
   ++T.Resumes;
   if (T.Resumes > C.S.Times.MaxResumes) {
-    failAttempt(C, R, {Code::BackendFailed, Reason, false});
+    endResumes(C, R, Reason);
     return;
   }
   Duration Wait = C.S.Times.ResumeDelay * (1 << (T.Resumes - 1));
@@ -232,6 +311,8 @@
 
 void readHead(Context &C, Request &R, const Event &E) {
   noteSent(C, R, E);
+  if (isOfSilentCall(R, E))
+    continueSilentCall(C, R);
   R.Generation->CurrentAttempt.Status = E.Status;
   R.Generation->CurrentAttempt.Headers = *E.Headers;
   R.Generation->CurrentAttempt.LastByte = C.Now;
@@ -239,6 +320,10 @@
 
 void readData(Context &C, Request &R, const Event &E) {
   EngineAttempt &T = R.Generation->CurrentAttempt;
+  if (isOfSilentCall(R, E))
+    continueSilentCall(C, R);
+  else if (T.Status == 200)
+    dropSilentCall(C, R); // The resumed call replaces it.
   T.LastByte = C.Now;
   if (T.Status != 200) {
     readReserveData(C, R, E);
@@ -258,7 +343,11 @@
     C.Out.List.emplace_back(NoteProgress{T.Id, T.Prefilled, T.NextOffset});
 }
 
-void endStream(Context &C, Request &R, const Event & /*E*/) {
+void endStream(Context &C, Request &R, const Event &E) {
+  if (isOfSilentCall(R, E)) {
+    forgetSilentCall(C, R);
+    return;
+  }
   EngineAttempt &T = R.Generation->CurrentAttempt;
   C.S.Upstreams.erase(static_cast<std::uint64_t>(R.Upstream));
   R.Upstream = UpstreamId();
@@ -275,6 +364,10 @@
 }
 
 void failStream(Context &C, Request &R, const Event &E) {
+  if (isOfSilentCall(R, E)) {
+    failSilentCall(C, R, E);
+    return;
+  }
   EngineAttempt &T = R.Generation->CurrentAttempt;
   C.S.Upstreams.erase(static_cast<std::uint64_t>(R.Upstream));
   R.Upstream = UpstreamId();
@@ -301,6 +394,7 @@
   keepReservations(C, R);
   updatePause(C, R);
   if (!R.Paused && C.Now - T.LastByte >= C.S.Times.StreamIdleTimeout) {
+    keepSilentCall(R);
     resumeLater(C, R, "the engine sent nothing within the idle timeout");
     return;
   }
--- a/packages/calls/Outcomes.cpp
+++ b/packages/calls/Outcomes.cpp
@@ -69,7 +69,8 @@
   if (R.Generation)
     Bytes += R.Generation->Params.Prompt.size() + R.Generation->Text.size() +
              R.Generation->CurrentAttempt.Refusal.size() +
-             R.Generation->CurrentAttempt.Stream.Reader.Partial.size();
+             R.Generation->CurrentAttempt.Stream.Reader.Partial.size() +
+             R.Generation->CurrentAttempt.Silent.Stream.Reader.Partial.size();
   if (!R.Call)
     return Bytes;
   Bytes += R.Call->Params.Body.size() + R.Call->Answer.size();
--- a/packages/calls/tests/WorldHosts.cpp
+++ b/packages/calls/tests/WorldHosts.cpp
@@ -115,6 +115,12 @@
     return;
   EverCrashed = true;
   P.crash(Host);
+  for (auto &[Key, C] : Connections) {
+    bool IsReader = C->Host == Host && C->Open;
+    C->Open = C->Open && C->Host != Host;
+    if (IsReader)
+      closeReader(*C);
+  }
   for (auto &[Exchange, Call] : Calls) {
     if (Call.Host == Host && Call.FinalAnswers == 0)
       Call.HostDied = true;
