Relay links: an idle link stays open while a relayed request is open

Cause: a link for relayed requests was closed after 10 s without a message. Path queries keep it busy only while the path is lost.

Change: PeerLinks asks IsRelaying before it closes an idle link. An entry host answers by the requests that it handed over to that host and those that it took from it. A host that has ended is found by TCP keep-alive, as before. The idle time can be set, for the test.

Failed before, without the question in onDeadline(): the new case IdleRelayLinkStaysOpenWhileARequestIsOpen, two checks (the link was lost on both sides). What SiteProcess.cpp answers for an entry host has no test of its own.

--- a/packages/shell/HostProgram.h
+++ b/packages/shell/HostProgram.h
@@ -28,6 +28,9 @@
   /// Bytes of callers' requests and of their answers in the state; empty: not
   /// counted.
   std::function<std::size_t()> HeldBytes;
+  /// Whether a request is open that this host handed over to the given host, or
+  /// took from it; empty: never.
+  std::function<bool(const HostId &)> IsRelaying;
 };
 
 /// Returns a random seed from the system's entropy source.
--- a/packages/shell/PeerLinks.cpp
+++ b/packages/shell/PeerLinks.cpp
@@ -28,8 +28,9 @@
 /// answer.
 constexpr Duration MaxRedialDelay = milliseconds(800);
 constexpr std::size_t MaxLinks = 4096;
-/// A link for relayed requests is closed after this time without a message.
-constexpr Duration RelayIdleTime = seconds(10);
+/// A link for relayed requests is closed after this time without a message, if
+/// none of them is open: a server may need longer for an answer.
+constexpr Duration DefaultRelayIdleTime = seconds(10);
 
 std::string makeNonce() {
   std::array<unsigned char, 16> Bytes{};
@@ -91,6 +92,7 @@
   std::unique_ptr<evconnlistener, ListenerDeleter> Listener;
   std::unique_ptr<Timer> Reaper;
   LinkCounters Counters;
+  Duration RelayIdleTime = DefaultRelayIdleTime;
 
   static void onAccept(evconnlistener *, evutil_socket_t Socket, sockaddr *,
                        int, void *Self);
@@ -126,6 +128,10 @@
     drop(L, Code::PeerUnauthorized, "the link handshake timed out");
     return;
   }
+  if (Hooks.IsRelaying && Hooks.IsRelaying(L.Host)) {
+    restartIdleTime(L);
+    return;
+  }
   L.Socket->close();
   markDead(L);
 }
@@ -366,6 +372,8 @@
   Data->dial(To, *Found, Lane);
 }
 
+void PeerLinks::setRelayIdleTime(Duration Time) { Data->RelayIdleTime = Time; }
+
 const LinkCounters &PeerLinks::counters() const { return Data->Counters; }
 
 } // namespace pimento
--- a/packages/shell/PeerLinks.h
+++ b/packages/shell/PeerLinks.h
@@ -5,7 +5,8 @@
 // number of messages while the link is being set up, and drops messages beyond
 // that bound: every protocol between hosts tolerates message loss. Messages of
 // different lanes (laneOf()) use different links, so that none waits for the
-// other's bytes. A link for relayed requests is closed when it is idle.
+// other's bytes. A link for relayed requests is closed when it is idle and no
+// such request is open.
 //
 //===----------------------------------------------------------------------===//
 #pragma once
@@ -28,6 +29,9 @@
       Received;
   /// The last working link of the lane to a host was closed.
   std::function<void(HostId, LinkLane)> Lost;
+  /// Whether a relayed request of either side is open, so that the link for
+  /// these stays open although it is idle. Empty: never.
+  std::function<bool(const HostId &)> IsRelaying;
   /// A link was refused or closed because of an error. Detail is for logs.
   std::function<void(Code, std::string Detail)> Refused;
 };
@@ -59,6 +63,8 @@
   /// Sends or queues a message; it may be lost. A message to an unknown host is
   /// ignored.
   void send(const HostId &To, const Message &M);
+  /// How long a link for relayed requests may be idle; 10 s by default.
+  void setRelayIdleTime(Duration Time);
   const LinkCounters &counters() const;
 
 private:
--- a/packages/shell/Process.cpp
+++ b/packages/shell/Process.cpp
@@ -260,6 +260,7 @@
     else
       dispatch(RelayLinkLost{Host});
   };
+  Hooks.IsRelaying = Program.IsRelaying;
   Hooks.Refused = [this](Code Number, std::string Detail) {
     DecisionRecord Record;
     Record.Kind = "link_refused";
--- a/packages/shell/SiteProcess.cpp
+++ b/packages/shell/SiteProcess.cpp
@@ -51,6 +51,16 @@
   return Program;
 }
 
+/// Whether a request is open that this host handed over to \p Host, or took
+/// from it.
+bool isRelaying(const Gateway &S, const HostId &Host) {
+  auto Peer = S.Relays.Peers.Hosts.find(Host);
+  if (Peer != S.Relays.Peers.Hosts.end() && Peer->second.InFlight > 0)
+    return true;
+  auto Taken = S.Relays.TakenById.lower_bound({Host, 0});
+  return Taken != S.Relays.TakenById.end() && Taken->first.first == Host;
+}
+
 } // namespace
 
 int runSiteHost(const Settings &S, const std::string &File,
@@ -85,6 +95,9 @@
   HostProgram Program =
       makeProgram(S, File, State, &reduceGateway, &gatewayGauges);
   Program.HeldBytes = [State] { return heldBytes(*State); };
+  Program.IsRelaying = [State](const HostId &Host) {
+    return isRelaying(*State, Host);
+  };
   return runProgram(S, Folder, Incarnation, std::move(Program));
 }
 
--- a/packages/shell/tests/LinksTest.cpp
+++ b/packages/shell/tests/LinksTest.cpp
@@ -19,6 +19,7 @@
   std::vector<HostId> Lost;
   std::vector<HostId> LostRelays;
   std::unique_ptr<PeerLinks> Links;
+  bool IsRelaying = false;
 
   void start(event_base *Base, IncarnationNumber Incarnation,
              const std::string &Token, const std::vector<PeerSettings> &Peers) {
@@ -29,6 +30,7 @@
     Hooks.Lost = [this](const HostId &Peer, LinkLane Lane) {
       (Lane == LinkLane::Site ? Lost : LostRelays).push_back(Peer);
     };
+    Hooks.IsRelaying = [this](const HostId &) { return IsRelaying; };
     Hooks.Refused = [this](Code C, const std::string &) {
       Refused.push_back(C);
     };
@@ -128,6 +130,24 @@
   BOOST_TEST(A.LostRelays.size() == 1U);
 }
 
+/// Guards against a link that is closed while a relayed request waits for its
+/// server: both hosts would give the request up, although its server goes on.
+BOOST_FIXTURE_TEST_CASE(IdleRelayLinkStaysOpenWhileARequestIsOpen, HostPair) {
+  A.IsRelaying = true;
+  A.start(Base.get(), 1, "secret", Peers);
+  B.start(Base.get(), 2, "secret", Peers);
+  A.Links->setRelayIdleTime(milliseconds(100));
+  A.Links->send(B.Name, RelayRequest());
+  BOOST_TEST(until([&] { return B.Received.size() == 1; }));
+  runUntil(Base.get(), milliseconds(500), [] { return false; });
+  BOOST_TEST(A.LostRelays.empty());
+  BOOST_TEST(B.LostRelays.empty());
+  // The request has ended.
+  A.IsRelaying = false;
+  BOOST_TEST(
+      until([&] { return !A.LostRelays.empty() && !B.LostRelays.empty(); }));
+}
+
 /// Guards against a caller, or another process, that hands over requests as a
 /// host of the site.
 BOOST_FIXTURE_TEST_CASE(RelayedRequestNeedsTheProofOfAHost, HostPair) {
