Final fault: tests for lost disks while all other hosts lose power

No test struck at that moment, nor while writes were under way; no fault of the product was found.

Change: ControlSite cuts writes off at any step, keeps parts of what was not synced or nothing (FakeDisk::loseAllUnsynced) and gives disks their own speed.

--- a/packages/control/tests/ControlSite.h
+++ b/packages/control/tests/ControlSite.h
@@ -49,6 +49,7 @@
   /// Receives messages to hosts that are not control hosts; States is then not
   /// filled. Unset: States is.
   std::function<void(const HostId &From, const SendPeer &)> OnOtherHost;
+  std::map<HostId, Duration> SlowDisks; // Time of a write; others: 2 ms.
   std::uint64_t Failures = 1; // Control hosts that may be lost at once.
   std::uint64_t NextExchange = 1;
   IncarnationNumber NextIncarnation = 1;
@@ -98,10 +99,30 @@
 
   void losePower(const HostId &Name) {
     Net.crash(Name);
+    Unfinished.erase(Name);
     Disks.at(Name)->loseUnsynced();
   }
+  /// Loses power during a disk write, if one is under way: it is cut off at any
+  /// of its steps. Of what was not synced, parts are kept, or nothing.
+  void losePowerInWrite(const HostId &Name) {
+    FakeDisk &Files = *Disks.at(Name);
+    constexpr std::uint64_t StepsOfWrite = 4;
+    auto Cut = Unfinished.find(Name);
+    if (Net.running(Name) && Cut != Unfinished.end()) {
+      Files.CrashAt = Files.Steps + 1 + below(Files.Rng, StepsOfWrite);
+      (void)writeBatch(Net.node(Name).Files, {Cut->second});
+      Files.CrashAt = 0;
+    }
+    Net.crash(Name);
+    Unfinished.erase(Name);
+    if (below(Files.Rng, 2) == 0)
+      Files.loseUnsynced();
+    else
+      Files.loseAllUnsynced();
+  }
   void loseDisk(const HostId &Name) {
     Net.crash(Name);
+    Unfinished.erase(Name);
     Kept.erase(Name);
     Disks.erase(Name);
   }
@@ -215,6 +236,8 @@
   }
 
 private:
+  std::map<HostId, DiskWrite> Unfinished; // Write under way by host.
+
   Settings settings(const HostId &Name, bool First) const {
     Settings S;
     S.Host.Name = Name;
@@ -257,9 +280,13 @@
   }
 
   void write(ControlNode &N, const DiskWrite &Write) {
-    constexpr Duration DiskTime = milliseconds(2);
+    auto Slow = SlowDisks.find(N.Name);
+    Duration DiskTime =
+        Slow == SlowDisks.end() ? milliseconds(2) : Slow->second;
+    Unfinished[N.Name] = Write;
     Net.perform(N.Name, DiskTime,
                 [this, Write](ControlNode &Node, TimePoint Now) {
+                  Unfinished.erase(Node.Name);
                   Failure Why;
                   bool Done = valueOr<bool>(
                       [&]() -> Result<bool> {
--- a/packages/gateway/tests/SpreadTest.cpp
+++ b/packages/gateway/tests/SpreadTest.cpp
@@ -303,3 +303,58 @@
   BOOST_TEST(Stale.sum() == 0U);
   BOOST_TEST(Below == 0U);
 }
+
+/// The final fault of the users' pages: a control host loses its disk right
+/// after an acknowledgement, and all other hosts, entry hosts too, lose power
+/// at the same moment. Guards against a site that learns an older configuration
+/// from a host that was not lost, and against one that does not serve again.
+BOOST_AUTO_TEST_CASE(AllHostsHaveTheConfigurationAfterALostDiskAndLossOfPower) {
+  constexpr std::uint64_t Seeds = 24;
+  constexpr std::size_t EntryHosts = 9;
+  constexpr Duration RecoverTime = seconds(12);
+  for (std::uint64_t Seed = 1; Seed <= Seeds; ++Seed) {
+    SpreadSite Site(Seed, EntryHosts);
+    Random Rng(Seed);
+    std::vector<HostId> Names;
+    for (const auto &[Name, Entry] : Site.Entries)
+      Names.push_back(Name);
+    for (std::uint64_t Number : {8U, 12U}) {
+      Site.put({Number, 100, 15000 + Number});
+      BOOST_TEST_REQUIRE(Site.runUntil(
+          seconds(10), [&] { return Site.Sent[Number].Status != 0; }));
+      BOOST_TEST_REQUIRE(Site.Sent[Number].Status == 200);
+    }
+    for (const HostId &Name : Names)
+      Site.kill(Name);
+    std::size_t Lost = below(Rng, Site.Control.Seeds.size());
+    for (std::size_t I = 0; I < Site.Control.Seeds.size(); ++I) {
+      if (I == Lost)
+        Site.Control.loseDisk(Site.Control.Seeds[I]);
+      else
+        Site.Control.losePowerInWrite(Site.Control.Seeds[I]);
+    }
+    Site.run(milliseconds(static_cast<std::int64_t>(500 + below(Rng, 1100))));
+    // Entry hosts may be back before the control hosts or after them.
+    bool EntriesFirst = below(Rng, 2) == 0;
+    if (!EntriesFirst)
+      Site.Control.startAll(false);
+    for (const HostId &Name : Names) {
+      Site.run(milliseconds(static_cast<std::int64_t>(below(Rng, 60))));
+      Site.restart(Name);
+    }
+    if (EntriesFirst)
+      Site.Control.startAll(false);
+    std::size_t Older = 0;
+    auto CountOlder = [&] {
+      for (const auto &[Name, Entry] : Site.Entries) {
+        std::uint64_t Number = SpreadSite::inForce(Entry);
+        Older += Number != 0 && Number < 12 ? 1 : 0;
+      }
+      return Site.hostsBelow(12) == 0;
+    };
+    BOOST_TEST(Site.runUntil(RecoverTime, CountOlder),
+               "seed " << Seed << ": " << Site.hostsBelow(12)
+                       << " hosts without the configuration");
+    BOOST_TEST(Older == 0U, "seed " << Seed);
+  }
+}
--- a/packages/testing/FakeDisk.h
+++ b/packages/testing/FakeDisk.h
@@ -76,6 +76,15 @@
       tear(*Name.second);
   }
 
+  /// The same, and nothing of what was not synced has reached the disk.
+  void loseAllUnsynced() {
+    Dead = false;
+    Names = SyncedNames;
+    Pending.clear();
+    for (auto &Name : Names)
+      Name.second->Cache = Name.second->Synced;
+  }
+
   void wipe() {
     Names.clear();
     SyncedNames.clear();
