Stops: at their end a connection tells whether a stream is whole (LOST)

Cause: a host that ends can wait for the report no longer, and took that for a broken stream. Change: when it ends, such a stream is whole if the engine has taken a connection since the stream's end, and no later server reports its address. A crashed engine refuses connections. While there is time the report decides, as before.

--- a/packages/gateway/ConfirmPart.cpp
+++ b/packages/gateway/ConfirmPart.cpp
@@ -122,6 +122,7 @@
   // The engine has ended its run, whole or not.
   freeReservations(T, C);
   C.Stage = CallStage::Confirming;
+  C.Attempt.EndedAt = T.Now;
   C.NextHedgeAt = std::max(C.NextHedgeAt, T.Now + ConfirmationTimeout);
   askEngine(T, C, FirstQueryLimit, /*MayReuse=*/true);
   checkAt(T, C, std::min(C.Deadline, T.Now + ConfirmationTimeout));
@@ -149,6 +150,14 @@
   return true;
 }
 
+bool mayBeWhole(const GatewayTurn &T, const GatewayCall &C) {
+  if (C.Stage != CallStage::Confirming || isAddressTaken(T.S, C.Attempt))
+    return false;
+  const auto &Paths = T.S.Relays.Paths.Servers;
+  auto Path = Paths.find(C.Attempt.Server);
+  return Path != Paths.end() && Path->second.ReachedAt > C.Attempt.EndedAt;
+}
+
 void dropConfirmation(GatewayTurn &T, GatewayCall &C) {
   for (UpstreamId Query : C.Attempt.EndQueries) {
     T.S.EndQueries.erase(Query);
--- a/packages/gateway/Gateway.h
+++ b/packages/gateway/Gateway.h
@@ -209,8 +209,9 @@
   UpstreamId Upstream{}; // Open exchange with the server; zero: none.
   std::vector<UpstreamId> EndQueries; // Pending queries whether the answer that
                                       // has ended is whole.
-  TimePoint NextEndQueryAt{};         // Another one is sent, without an answer.
-  Duration EndQueryLimit = {};        // Of the latest query.
+  TimePoint EndedAt{};         // The connection ended, of such an answer.
+  TimePoint NextEndQueryAt{};  // Another one is sent, without an answer.
+  Duration EndQueryLimit = {}; // Of the latest query.
   TimePoint Began{};
   TimePoint HeadAt{};     // Receipt of the answer's head; the epoch: none.
   TimePoint LastBytes{};  // Last receipt of answer bytes; Began if none came.
--- a/packages/gateway/GatewayTurn.h
+++ b/packages/gateway/GatewayTurn.h
@@ -166,6 +166,10 @@
 /// Processes an event that belongs to the query by which the end of a stream is
 /// confirmed. Returns false for any other event.
 bool confirmationEvent(GatewayTurn &T, const Event &E);
+/// Whether the engine has taken a connection since its stream ended, which one
+/// that crashed does not; less certain than its report. False unless the call
+/// waits for that.
+bool mayBeWhole(const GatewayTurn &T, const GatewayCall &C);
 /// Drops the queries of a call whose end is not confirmed yet.
 void dropConfirmation(GatewayTurn &T, GatewayCall &C);
 /// Handles the timer of a call whose end is not confirmed yet.
--- a/packages/gateway/StopPart.cpp
+++ b/packages/gateway/StopPart.cpp
@@ -39,7 +39,8 @@
 }
 
 /// Ends all open calls with an error answer, but for those whose end can still
-/// be sent.
+/// be sent. No report comes any more: the connection that an engine has taken
+/// decides whether its stream is whole.
 void failOpenCalls(GatewayTurn &T) {
   std::vector<std::uint64_t> Tickets;
   for (const auto &[Ticket, C] : T.S.Calls) {
@@ -50,6 +51,10 @@
     GatewayCall *C = findCall(T, Ticket);
     if (C == nullptr)
       continue; // A hedge ended with its call.
+    if (mayBeWhole(T, *C)) {
+      completeStream(T, *C);
+      continue;
+    }
     bool Ran = C->MayHaveRun || C->Attempt.BytesSent;
     Code Number = Ran ? Code::StreamCut : Code::Draining;
     if (Ran && C->Path->Kind == CallKind::Once)
