Relays: a hedge that a relay refuses unsent costs no try (LOST)

Cause: a hedge counts as a try once a relay is asked, also if the relay has no server for it and sends nothing. Change: such a refusal takes the try back, as it gives the retry back since. Relays that refused are avoided for a while, which bounds how often they are asked. Result: HedgeThatARelayRefusesCostsNoTry failed before (the stream was broken off when its relay was lost) and passes; all cases of gatewayTest pass.

--- a/packages/gateway/HandOverPart.cpp
+++ b/packages/gateway/HandOverPart.cpp
@@ -282,10 +282,12 @@
   countSends(*C, std::max<std::uint32_t>(M.Sends, M.MayHaveRun ? 1 : 0));
   if (!M.MayHaveRun)
     C->Attempt.BytesSent = false;
-  // Only what reached a server counts as a retry.
+  // Only what reached a server counts as a retry or a try. How often relays are
+  // asked is bounded, since one that refused is avoided for a while.
   if (!M.MayHaveRun && M.Sends == 0 && C->HedgeOf != 0) {
     returnSiteRetry(T.S.Retries, C->Service);
     C->IsRetryDue = true;
+    C->AttemptCount -= 1;
   }
   if (M.IsOfHost) {
     avoidRelay(T.S.Relays.Peers, From, T.Now);
--- a/packages/gateway/tests/RelayTest.cpp
+++ b/packages/gateway/tests/RelayTest.cpp
@@ -511,36 +511,71 @@
   BOOST_TEST(Reply.Reply.Status == 200);
 }
 
-/// Guards against retries that are used up by relays which have no server for
-/// the request: streams whose connections broke had none left.
-BOOST_FIXTURE_TEST_CASE(HedgeThatARelayRefusesCostsNoRetry, RelayPair) {
-  call(HttpMethod::Post, "/s/1", "",
-       {{"X-Pimentoglade-Token-Count", "5000,1300"}});
-  pass();
+namespace {
+
+/// A stream whose relay is silent, while the other relay refuses its hedges
+/// unsent.
+struct SilentRelay : RelayPair {
   std::size_t Refused = 0;
-  for (int Step = 0; Step < 40; ++Step) {
+
+  SilentRelay() {
+    call(HttpMethod::Post, "/s/1", "",
+         {{"X-Pimentoglade-Token-Count", "5000,1300"}});
+    pass();
+  }
+  void refuseHedgesFor(Duration Time) {
+    for (TimePoint End = A.Now + Time; A.Now < End;) {
+      otherReaches();
+      A.advance(milliseconds(100));
+      for (const SendPeer &Send : A.all<SendPeer>()) {
+        const auto *Request = std::get_if<RelayRequest>(&Send.Content);
+        if (Request == nullptr)
+          continue;
+        BOOST_TEST(Send.To == Other);
+        refuse(Request->Id);
+        BOOST_TEST(A.all<calls::SendReply>().empty());
+        Refused += 1;
+      }
+    }
+  }
+  /// The other relay reaches servers, and this host does not.
+  void otherReaches() {
     for (auto &[Host, Peer] : A.S.Relays.Peers.Hosts) {
       Peer.PendingQuery = 0;
       Peer.AvoidUntil = TimePoint();
     }
     A.S.Relays.Paths.Services[ServiceId("llm")].State = PathState::Cut;
     reaches(Other);
-    A.advance(milliseconds(100));
-    for (const SendPeer &Send : A.all<SendPeer>()) {
-      const auto *Request = std::get_if<RelayRequest>(&Send.Content);
-      if (Request == nullptr)
-        continue;
-      BOOST_TEST(Send.To == Other);
-      RelayRefusal Refusal;
-      Refusal.Id = Request->Id;
-      Refusal.Number = Code::NoBackend;
-      Refusal.Reason = "no engine can answer in time";
-      A.event(PeerMessage{Other, Incarnation, Refusal});
-      BOOST_TEST(A.all<calls::SendReply>().empty());
-      Refused += 1;
-    }
   }
+
+private:
+  void refuse(std::uint64_t Request) {
+    RelayRefusal Refusal;
+    Refusal.Id = Request;
+    Refusal.Number = Code::NoBackend;
+    Refusal.Reason = "no engine can answer in time";
+    A.event(PeerMessage{Other, Incarnation, Refusal});
+  }
+};
+
+} // namespace
+
+/// Guards against retries that are used up by relays which have no server for
+/// the request: streams whose connections broke had none left.
+BOOST_FIXTURE_TEST_CASE(HedgeThatARelayRefusesCostsNoRetry, SilentRelay) {
+  refuseHedgesFor(seconds(4));
   BOOST_TEST(Refused >= 2U);
   BOOST_TEST(A.S.Retries[ServiceId("llm")].Retries.empty());
   BOOST_TEST(A.S.Calls.size() == 1U);
 }
+
+/// Guards against LOST at a host without a path: relays refused the hedges of a
+/// stream unsent, so often that it had no try left when its own relay was lost.
+BOOST_FIXTURE_TEST_CASE(HedgeThatARelayRefusesCostsNoTry, SilentRelay) {
+  refuseHedgesFor(seconds(7));
+  otherReaches();
+  A.event(RelayLinkLost{B.S.Self});
+  BOOST_TEST(A.all<calls::EndStream>().empty());
+  BOOST_TEST(A.all<calls::SendReply>().empty());
+  BOOST_TEST(count<RelayRequest>(A.all<SendPeer>()) == 1U);
+}
