Tests: a late relay's refusal while another relay is at work (LOST)

A host that is cut off hands a stream to a relay; the relay is late, and the request is tried at another relay as well. Then the first one refuses (no engine can answer in time). Expected: the second relay's answer reaches the caller.

--- a/packages/gateway/tests/RelayTest.cpp
+++ b/packages/gateway/tests/RelayTest.cpp
@@ -544,3 +544,58 @@
   BOOST_TEST(A.S.Retries[ServiceId("llm")].Retries.empty());
   BOOST_TEST(A.S.Calls.size() == 1U);
 }
+
+/// Guards against LOST: the relay that was late refused a request at last, and
+/// the caller got the refusal while another relay was at work on it.
+BOOST_FIXTURE_TEST_CASE(RefusalOfALateRelayLeavesTheHedgeAtWork, RelayPair) {
+  call(HttpMethod::Post, "/s/1", "",
+       {{"X-Pimentoglade-Token-Count", "5000,1300"}});
+  std::uint64_t First = 0;
+  for (const SendPeer &Send : A.all<SendPeer>()) {
+    if (const auto *Request = std::get_if<RelayRequest>(&Send.Content))
+      First = Request->Id;
+  }
+  BOOST_TEST_REQUIRE(First != 0U);
+  std::uint64_t Second = 0;
+  for (int Step = 0; Step < 40 && Second == 0; ++Step) {
+    for (auto &[Host, Peer] : A.S.Relays.Peers.Hosts) {
+      Peer.PendingQuery = 0;
+      Peer.AvoidUntil = TimePoint();
+    }
+    A.S.Relays.Paths.Services[ServiceId("llm")].State = PathState::Cut;
+    reaches(Other);
+    A.advance(milliseconds(100));
+    for (const SendPeer &Send : A.all<SendPeer>()) {
+      if (const auto *Request = std::get_if<RelayRequest>(&Send.Content))
+        Second = Request->Id;
+    }
+  }
+  BOOST_TEST_REQUIRE(Second != 0U);
+  RelayRefusal Refusal;
+  Refusal.Id = First;
+  Refusal.Number = Code::NoBackend;
+  Refusal.Reason = "no engine can answer in time";
+  A.event(PeerMessage{B.S.Self, Incarnation, Refusal});
+  BOOST_TEST(A.all<calls::SendReply>().empty());
+  BOOST_TEST_REQUIRE(A.S.Calls.size() == 1U);
+  RelayHead Head;
+  Head.Id = Second;
+  Head.Status = 200;
+  Head.Headers = {{"X-Pimentoglade-Attempt-Id", "id1"},
+                  {"X-Pimentoglade-Replica-Stamp", "s"},
+                  {"Content-Type", "text/event-stream"}};
+  A.event(PeerMessage{Other, Incarnation, Head});
+  RelayData Data;
+  Data.Id = Second;
+  Data.Bytes.Data = "id: 1\ndata: a\n\n";
+  A.event(PeerMessage{Other, Incarnation, Data});
+  BOOST_TEST_REQUIRE(A.all<calls::StreamBytes>().size() == 1U);
+  RelayEnd End;
+  End.Id = Second;
+  End.IsComplete = true;
+  End.Size = Data.Bytes.Data.size();
+  End.Sends = 1;
+  A.event(PeerMessage{Other, Incarnation, End});
+  BOOST_TEST(A.only<calls::EndStream>().IsComplete);
+  BOOST_TEST(A.S.Calls.empty());
+}
