Relays: a late relay's refusal leaves the hedge at work (LOST)

Cause: onRelayRefusal() ends the call where the refusal is not of the host only, also while a hedge of the call is open. Change: the hedge takes over, as after any other failure of the late attempt. Measured: RefusalOfALateRelayLeavesTheHedgeAtWork fails before, passes after.

--- a/packages/gateway/HandOverPart.cpp
+++ b/packages/gateway/HandOverPart.cpp
@@ -295,6 +295,8 @@
   countHandOver(T, "refused");
   C->MayHaveRun = C->MayHaveRun || M.MayHaveRun;
   closeAttempt(T, *C, /*Abort=*/false);
+  if (continueWithHedge(T, *C))
+    return;
   fail(T, *C, finalCode(*C, M.Number), M.Reason.c_str(), M.RetryAfter);
 }
 
