Tests: a hedge without a retry leaves its plain server idle

A hedge waits for a permit of a limited plain server; the site's retries are used up meanwhile. Expected: the server counts no call in flight afterwards.

--- a/packages/gateway/tests/SilentServerTest.cpp
+++ b/packages/gateway/tests/SilentServerTest.cpp
@@ -486,3 +486,39 @@
   R.event(UpstreamEnd{Open.Upstream, true});
   BOOST_TEST(R.only<calls::SendReply>().Reply.Status == 200);
 }
+
+/// Guards against a plain server that counts as busy for good: a permit for a
+/// hedge came after the site's retries had been used up.
+BOOST_AUTO_TEST_CASE(HedgeWithoutARetryLeavesItsServerIdle) {
+  GatewayFixture R;
+  R.call(HttpMethod::Get, "/r/1");
+  calls::OpenUpstream First = R.onlySend();
+  R.sent(First.Upstream);
+  BackendId Other(First.Request.Address == "10.0.2.1:80" ? "p2" : "p1");
+  ServerLimit Limit;
+  Limit.Server = Other;
+  Limit.Incarnation = 1;
+  Limit.PerSecond = 10;
+  R.event(PeerMessage{Control, 1, LimitNotice{Limit}});
+  R.advance(milliseconds(190));
+  LimitBucket &Permits = R.S.Permits.Buckets.at(Other);
+  Permits.Tokens = 0;
+  Permits.FilledAt = R.Now;
+  std::size_t Waited = 0;
+  for (int Step = 0; Step < 35; ++Step) {
+    R.tick(milliseconds(10));
+    for (const auto &[Ticket, C] : R.S.Calls) {
+      if (C.Stage != CallStage::AwaitingPermit)
+        continue;
+      Waited += 1;
+      std::deque<TimePoint> &Used = R.S.Retries[ServiceId("plain")].Retries;
+      Used.assign(1000, R.Now);
+    }
+  }
+  BOOST_TEST(Waited > 0U);
+  R.head(First.Upstream, 200);
+  R.event(UpstreamEnd{First.Upstream, true});
+  BOOST_TEST(R.S.Calls.empty());
+  for (const auto &[Server, Health] : R.S.Health.Servers)
+    BOOST_TEST(Health.InFlight == 0U, Server.Value);
+}
