Hedges: one without a retry counts no more at its plain server

Cause: sendToPlain() counts the call before chargeRetry() may end it; no exchange is open then, so that closeAttempt() does not take the count back. Change: chargeRetry() does. Measured: HedgeWithoutARetryLeavesItsServerIdle fails before, passes after.

--- a/packages/gateway/Attempt.cpp
+++ b/packages/gateway/Attempt.cpp
@@ -328,6 +328,8 @@
   if (takeSiteRetry(T.S.Retries, C.Service, T.S.RetryRules, T.S.Link.Entries,
                     T.Now))
     return true;
+  if (isAtPlainServer(C))
+    onCallDropped(T.S.Health, C.Attempt.Server);
   fail(T, C, Code::BackendFailed, "the site's retries are used up");
   return false;
 }
