--- a/packages/gateway/tests/SilentServerTest.cpp
+++ b/packages/gateway/tests/SilentServerTest.cpp
@@ -522,3 +522,25 @@
   for (const auto &[Server, Health] : R.S.Health.Servers)
     BOOST_TEST(Health.InFlight == 0U, Server.Value);
 }
+
+/// Guards against a plain server that counts as busy for good: its streams end.
+BOOST_AUTO_TEST_CASE(StreamOfAPlainServerThatEndedLeavesItIdle) {
+  GatewayFixture R;
+  std::string Text = RoutingText;
+  Text.replace(Text.find(R"("version":3)"), 11, R"("version":4)");
+  std::string Feed =
+      R"({"name":"feed","host":"h","pathPrefix":"/f/","routeType":"streaming",)"
+      R"("timeoutMs":10000,"sloMs":300,"itlTargetMs":250,"service":"plain",)"
+      R"("maxAttempts":2,"resumable":true},)";
+  Text.insert(Text.find(R"({"name":"read")"), Feed);
+  R.deliverSiteState(Text.c_str(), 4);
+  R.call(HttpMethod::Get, "/f/1");
+  calls::OpenUpstream Open = R.onlySend();
+  R.sent(Open.Upstream);
+  R.head(Open.Upstream, 200, {{"Content-Type", "text/event-stream"}});
+  R.event(UpstreamData{Open.Upstream, "id: 1\ndata: a\n\n"});
+  R.event(UpstreamEnd{Open.Upstream, true});
+  BOOST_TEST(R.only<calls::EndStream>().IsComplete);
+  for (const auto &[Server, Health] : R.S.Health.Servers)
+    BOOST_TEST(Health.InFlight == 0U, Server.Value);
+}
