Streams: a plain server's whole stream counts as answered

Cause: completeStream() does not tell the health of plain servers that the call has ended. Change: it does, as deliver() does. Measured: StreamOfAPlainServerThatEndedLeavesItIdle fails before, passes after.

--- a/packages/gateway/Answer.cpp
+++ b/packages/gateway/Answer.cpp
@@ -226,6 +226,7 @@
   if (!haveCaller(T, C, "another server ended the stream first"))
     return;
   closeAttempt(T, C, false);
+  recordCallSuccess(T, C);
   if (!C.Events.Partial.empty())
     T.Out.push_back(
         calls::StreamBytes{C.Exchange, std::move(C.Events.Partial)});
