Tests: an attempt that is not sent yet counts beside its hedge (BUDGET)

A call of a route with one attempt has no connection yet when it is late (a host that was held up, an objective of a stream below the time to connect). Expected: no second server.

--- a/packages/gateway/tests/SilentServerTest.cpp
+++ b/packages/gateway/tests/SilentServerTest.cpp
@@ -544,3 +544,18 @@
   for (const auto &[Server, Health] : R.S.Health.Servers)
     BOOST_TEST(Health.InFlight == 0U, Server.Value);
 }
+
+/// Guards against BUDGET: another server was tried while the connection of the
+/// first attempt was not made yet, and the request of a route that allows one
+/// server reached two.
+BOOST_AUTO_TEST_CASE(UnsentAttemptCountsWhileAnotherServerIsTried) {
+  GatewayFixture R;
+  R.call(HttpMethod::Get, "/o/1");
+  calls::OpenUpstream First = R.onlySend();
+  R.advance(milliseconds(250));
+  std::size_t Sends = 1;
+  for (const calls::OpenUpstream &Open : R.all<calls::OpenUpstream>())
+    Sends += Open.Request.Target == "/o/1" ? 1 : 0;
+  R.sent(First.Upstream);
+  BOOST_TEST(Sends == 1U);
+}
