Hedges: an attempt that is not sent yet counts (BUDGET)

Cause: the sends left to a hedge are those of the route without the ones sent; the late attempt may still get its connection, and send. Change: it counts as sent for its hedge. Measured: UnsentAttemptCountsWhileAnotherServerIsTried fails before, passes after.

--- a/packages/gateway/HedgePart.cpp
+++ b/packages/gateway/HedgePart.cpp
@@ -36,6 +36,12 @@
   log(T, std::move(Record));
 }
 
+/// Sends of the call, with that of an attempt that has no connection yet.
+std::uint32_t sendsWithOpen(const GatewayCall &C) {
+  bool IsUnsent = C.Attempt.Upstream != UpstreamId{} && !C.Attempt.BytesSent;
+  return C.Sends + (IsUnsent ? 1 : 0);
+}
+
 void countHedge(GatewayTurn &T, const char *Result) {
   count(T, "pimento_hedges_total", std::string("result=\"") + Result + "\"");
 }
@@ -79,7 +85,7 @@
   H.Arrived = C.Arrived;
   H.Deadline = C.Deadline;
   H.IsRelayed = C.IsRelayed;
-  H.MaxSends = C.MaxSends - C.Sends;
+  H.MaxSends = C.MaxSends - sendsWithOpen(C);
   H.AttemptCount = C.AttemptCount;
   H.MayHaveRun = true;
   H.IsRetryDue = true;
@@ -132,7 +138,8 @@
   if (!IsPossible)
     return;
   bool IsOver = T.S.Stopping && T.Now >= T.S.StopAt;
-  if (IsOver || C.IsTrial || !maySendAgain(T, C) || isSuspectOfCrashes(T, C)) {
+  bool IsAllowed = maySendAgain(T, C) && sendsWithOpen(C) < C.MaxSends;
+  if (IsOver || C.IsTrial || !IsAllowed || isSuspectOfCrashes(T, C)) {
     logNoHedge(T, C, Reason);
     return;
   }
