--- a/packages/gateway/tests/SilentServerTest.cpp
+++ b/packages/gateway/tests/SilentServerTest.cpp
@@ -559,3 +559,21 @@
   R.sent(First.Upstream);
   BOOST_TEST(Sends == 1U);
 }
+
+/// Guards against streams that hang until their deadline: their callers were
+/// slow for a while, and the engine fell silent after they had caught up.
+BOOST_AUTO_TEST_CASE(SilenceIsNoticedAfterTheCallerHasCaughtUp) {
+  GatewayFixture R;
+  ExchangeId Caller = R.stream();
+  calls::OpenUpstream Open = R.onlySend();
+  R.sent(Open.Upstream);
+  R.head(Open.Upstream, 200, {{"Content-Type", "text/event-stream"}});
+  std::string Long(FlowWindowBytes * 3 / 4, 'x');
+  R.event(UpstreamData{Open.Upstream, "id: 1\ndata: " + Long + "\n\n"});
+  R.advance(milliseconds(1500));
+  R.event(ExchangeDrained{Caller, 0});
+  R.event(UpstreamData{Open.Upstream, "id: 2\ndata: b\n\n"});
+  R.event(ExchangeDrained{Caller, 0});
+  calls::OpenUpstream Second = nextTry(R, milliseconds(1500));
+  BOOST_TEST(valueOf(Second, "Last-Event-Id") == "2");
+}
