Streams: silence counts again once the caller has caught up

Cause: while half a window is unread no silence counts, and the next check of the call is set to its deadline; nothing sets it anew as the caller reads on. Change: this is done as the unread bytes fall below half a window, also at relays. Measured: SilenceIsNoticedAfterTheCallerHasCaughtUp fails before, passes after.

--- a/packages/gateway/GatewayTurn.h
+++ b/packages/gateway/GatewayTurn.h
@@ -182,6 +182,9 @@
 /// An answer of \p Size bytes has grown by \p Added: fails the attempts with
 /// the longest answers while this host holds too many bytes. May end calls.
 void boundAnswers(GatewayTurn &T, std::size_t Size, std::size_t Added);
+/// Sets the bytes of its stream that the caller has not read. Once it has
+/// caught up, its server's silence counts again.
+void setUnread(GatewayTurn &T, GatewayCall &C, std::size_t Bytes);
 /// Stops reading the stream's answer while its caller lags behind, and reads on
 /// once it does not.
 void followReader(GatewayTurn &T, GatewayCall &C);
--- a/packages/gateway/HandOverPart.cpp
+++ b/packages/gateway/HandOverPart.cpp
@@ -327,7 +327,7 @@
   if (Found == T.S.ByExchange.end())
     return;
   GatewayCall &C = *findCall(T, Found->second);
-  C.UnreadBytes = std::min(C.UnreadBytes, PendingBytes);
+  setUnread(T, C, std::min(C.UnreadBytes, PendingBytes));
   if (!C.Attempt.Relay.empty() && C.Attempt.Upstream != UpstreamId{})
     grantAnswer(T, C);
   else
--- a/packages/gateway/HeldBytes.cpp
+++ b/packages/gateway/HeldBytes.cpp
@@ -48,6 +48,17 @@
   }
 }
 
+void setUnread(GatewayTurn &T, GatewayCall &C, std::size_t Bytes) {
+  bool WasBehind = C.UnreadBytes >= FlowWindowBytes / 2;
+  C.UnreadBytes = Bytes;
+  bool IsAtServer =
+      C.Stage == CallStage::Sent || C.Stage == CallStage::Answering;
+  if (!WasBehind || Bytes >= FlowWindowBytes / 2 || !IsAtServer)
+    return;
+  C.Attempt.LastBytes = T.Now;
+  scheduleCheck(T, C);
+}
+
 void followReader(GatewayTurn &T, GatewayCall &C) {
   bool Pause = C.Attempt.IsPaused ? C.UnreadBytes > FlowWindowBytes / 2
                                   : C.UnreadBytes > FlowWindowBytes;
--- a/packages/gateway/RelayPart.cpp
+++ b/packages/gateway/RelayPart.cpp
@@ -110,7 +110,7 @@
 }
 
 void pauseServer(GatewayTurn &T, RelayedRequest &R, GatewayCall &C) {
-  C.UnreadBytes = pendingBytes(R.Answer);
+  setUnread(T, C, pendingBytes(R.Answer));
   bool Pause = R.IsPaused ? C.UnreadBytes > HoldBackBytes / 2
                           : C.UnreadBytes > HoldBackBytes;
   if (Pause == R.IsPaused || C.Attempt.Upstream == UpstreamId{})
