Tests: an empty rest without a length is not held against its engine

A whole stream without a length waits for a late load report; another engine is asked for the rest, and has nothing to add. Expected: the other engine is not avoided.

--- a/packages/gateway/tests/SilentServerTest.cpp
+++ b/packages/gateway/tests/SilentServerTest.cpp
@@ -577,3 +577,20 @@
   calls::OpenUpstream Second = nextTry(R, milliseconds(1500));
   BOOST_TEST(valueOf(Second, "Last-Event-Id") == "2");
 }
+
+/// Guards against sound engines that are avoided: each was asked for the rest
+/// of a stream that was whole, and had nothing to add.
+BOOST_AUTO_TEST_CASE(EmptyRestWithoutALengthIsNotHeldAgainstItsEngine) {
+  GatewayFixture R;
+  calls::OpenUpstream Open = beginStream(R);
+  R.event(UpstreamEnd{Open.Upstream, false});
+  UpstreamId Query = endQuery(R);
+  calls::OpenUpstream Second = nextTry(R, milliseconds(500));
+  R.sent(Second.Upstream);
+  R.head(Second.Upstream, 200, {{"Content-Type", "text/event-stream"}});
+  R.event(UpstreamEnd{Second.Upstream, false});
+  R.advance(milliseconds(20));
+  answerQuery(R, Query);
+  BackendId Engine(Second.Request.Address == "10.0.1.1:80" ? "e1" : "e2");
+  BOOST_TEST((R.S.Engines.Engines.at(Engine).AvoidUntil <= R.Now));
+}
