Streams: an empty rest is not held against its server

Cause: an empty rest without a length counts as broken off, and as a failure of the server that was asked for it. Change: it still does not end the stream, and a crash is still looked for, but the server is not accused. Measured: EmptyRestWithoutALengthIsNotHeldAgainstItsEngine fails before, passes after.

--- a/packages/gateway/Answer.cpp
+++ b/packages/gateway/Answer.cpp
@@ -131,7 +131,8 @@
 /// server that crashes ends as well, but none that crashes marks the end.
 void endStream(GatewayTurn &T, GatewayCall &C, bool IsDelimited) {
   const char *Reason = "the backend server's stream ended too early";
-  switch (judgeEnd(endedAnswer(C, IsDelimited))) {
+  EndedAnswer Answer = endedAnswer(C, IsDelimited);
+  switch (judgeEnd(Answer)) {
   case AnswerEnd::Complete:
     completeStream(T, C);
     return;
@@ -139,6 +140,9 @@
     confirmEnd(T, C);
     return;
   case AnswerEnd::BrokenOff:
+    // Nothing may be left of the stream. A crash is found by its query.
+    if (Answer.IsRest && !Answer.IsWithinEvent)
+      C.Attempt.Fault = FaultSide::Nobody;
     if (IsDelimited)
       streamCut(T, C, Reason);
     else
