Tests: a third server while two are silent

A route allows three servers; the first two are silent. Expected: the third one is tried, as does by its code (not run). Seen: none until the deadline, since a call has one hedge and a hedge has none.

--- a/packages/gateway/tests/SilentServerTest.cpp
+++ b/packages/gateway/tests/SilentServerTest.cpp
@@ -594,3 +594,32 @@
   BackendId Engine(Second.Request.Address == "10.0.1.1:80" ? "e1" : "e2");
   BOOST_TEST((R.S.Engines.Engines.at(Engine).AvoidUntil <= R.Now));
 }
+
+/// Guards against requests without an answer: the first two engines are silent,
+/// and a third one, which the route allows, is never tried.
+BOOST_AUTO_TEST_CASE(ThirdServerIsTriedIfTheSecondIsSilentAsWell) {
+  GatewayFixture R;
+  std::string Text = RoutingText;
+  Text.replace(Text.find(R"("version":3)"), 11, R"("version":4)");
+  Text.replace(Text.find(R"("maxAttempts":2)"), 15, R"("maxAttempts":3)");
+  R.deliverSiteState(Text.c_str(), 4);
+  SiteState M;
+  M.Sequence = R.S.Link.Sequence;
+  M.IsCurrent = true;
+  M.Leader = Control;
+  M.Config = 4;
+  M.Servers = {server("e3", "llm", "10.0.1.3:80")};
+  R.event(PeerMessage{Control, 1, M});
+  beginStream(R);
+  std::size_t Sends = 1;
+  for (int Step = 0; Step < 60; ++Step) {
+    R.advance(milliseconds(100));
+    for (const calls::OpenUpstream &Open : R.all<calls::OpenUpstream>()) {
+      if (Open.Request.Target != "/s/1")
+        continue;
+      Sends += 1;
+      R.sent(Open.Upstream);
+    }
+  }
+  BOOST_TEST(Sends == 3U);
+}
