Tests: relays together send a request to no more servers than allowed (BUDGET)

A host that is cut off hands a stream to a relay whose engine is silent. The relay tries a second engine after a second; a second later the host hands the request to another relay, with one send left. Expected: two servers, as the route allows. A relay is left all sends of the route, and the host counts one of them.

--- a/packages/gateway/tests/RelayTest.cpp
+++ b/packages/gateway/tests/RelayTest.cpp
@@ -599,3 +599,40 @@
   BOOST_TEST(A.only<calls::EndStream>().IsComplete);
   BOOST_TEST(A.S.Calls.empty());
 }
+
+/// Guards against BUDGET: a relay tries a second server for its silent one, and
+/// the host has another relay send the request to a third.
+BOOST_FIXTURE_TEST_CASE(RelaysTogetherSendARequestNoMoreThanAllowed,
+                        RelayPair) {
+  call(HttpMethod::Post, "/s/1", "",
+       {{"X-Pimentoglade-Token-Count", "5000,1300"}});
+  pass();
+  calls::OpenUpstream Open = B.only<calls::OpenUpstream>();
+  B.sent(Open.Upstream);
+  std::size_t Sends = 1;
+  for (int Step = 0; Step < 60; ++Step) {
+    for (auto &[Host, Peer] : A.S.Relays.Peers.Hosts) {
+      Peer.PendingQuery = 0;
+      Peer.AvoidUntil = TimePoint();
+    }
+    A.S.Relays.Paths.Services[ServiceId("llm")].State = PathState::Cut;
+    reaches(B.S.Self);
+    reaches(Other);
+    A.advance(milliseconds(100));
+    B.advance(milliseconds(100));
+    std::vector<SendPeer> Sent = A.all<SendPeer>();
+    Sends += static_cast<std::size_t>(
+        std::count_if(Sent.begin(), Sent.end(), [](const SendPeer &Send) {
+          return Send.To == Other &&
+                 std::holds_alternative<RelayRequest>(Send.Content);
+        }));
+    for (const calls::OpenUpstream &Next : B.all<calls::OpenUpstream>()) {
+      if (Next.Request.Target != "/s/1")
+        continue;
+      Sends += 1;
+      B.sent(Next.Upstream);
+    }
+    pass();
+  }
+  BOOST_TEST(Sends == 2U);
+}
