Tests: hedges that reach no server leave their tries to the stream (LOST)

A stream is late; for 4 s no connection to the other engine is made. Then it takes connections again, and the connection to the first one breaks. Expected: the stream goes on at the other engine. Seen: it is never asked, and the stream is broken off.

--- a/packages/gateway/tests/SilentServerTest.cpp
+++ b/packages/gateway/tests/SilentServerTest.cpp
@@ -623,3 +623,35 @@
   }
   BOOST_TEST(Sends == 3U);
 }
+
+/// Guards against LOST: no server was reached for a while by the hedges of a
+/// late stream, and none was left to it when its own connection broke.
+BOOST_AUTO_TEST_CASE(HedgesThatReachNoServerLeaveTheirTriesToTheStream) {
+  GatewayFixture R;
+  calls::OpenUpstream First = beginStream(R);
+  std::size_t Tries = 0;
+  for (int Step = 0; Step < 40; ++Step) {
+    R.advance(milliseconds(100));
+    for (const calls::OpenUpstream &Open : R.all<calls::OpenUpstream>()) {
+      if (Open.Request.Target != "/s/1")
+        continue;
+      Tries += 1;
+      R.failUpstream(Open.Upstream, false);
+    }
+  }
+  BOOST_TEST(Tries >= 1U);
+  // Servers are reached again.
+  std::size_t Sends = 0;
+  auto CountSends = [&] {
+    for (const calls::OpenUpstream &Open : R.all<calls::OpenUpstream>())
+      Sends += Open.Request.Target == "/s/1" ? 1 : 0;
+  };
+  R.advance(seconds(1));
+  CountSends();
+  R.failUpstream(First.Upstream, true);
+  CountSends();
+  R.advance(seconds(1));
+  CountSends();
+  BOOST_TEST(R.all<calls::EndStream>().empty());
+  BOOST_TEST(Sends == 1U);
+}
