Hedges: one that reached no server leaves its tries to the next (LOST)

Cause: the servers and tries of a failed hedge count for its call, also where no byte was sent. A server that took no connection once was never asked again, and hedges that relays refused unsent used up the six tries of a request.

--- a/packages/gateway/HedgePart.cpp
+++ b/packages/gateway/HedgePart.cpp
@@ -99,8 +99,11 @@
   return H;
 }
 
-/// Counts what the hedge did as done by \p C.
+/// Counts what the hedge did as done by \p C. One that reached no server leaves
+/// its tries to the next.
 void addSends(GatewayCall &C, const GatewayCall &H) {
+  if (H.Sends == 0)
+    return;
   C.Sends += H.Sends;
   C.MayHaveRun = C.MayHaveRun || H.Sends > 0;
   C.AttemptCount = H.AttemptCount;
