Merge: findings of the review, each with its test

A hedge without a send leaves its tries to the next one, which covers what took back for refusals of relays alone; its line goes, its test stays.

--- a/packages/gateway/HandOverPart.cpp
+++ b/packages/gateway/HandOverPart.cpp
@@ -282,12 +282,10 @@
   countSends(*C, std::max<std::uint32_t>(M.Sends, M.MayHaveRun ? 1 : 0));
   if (!M.MayHaveRun)
     C->Attempt.BytesSent = false;
-  // Only what reached a server counts as a retry or a try. How often relays are
-  // asked is bounded, since one that refused is avoided for a while.
+  // Only what reached a server counts as a retry.
   if (!M.MayHaveRun && M.Sends == 0 && C->HedgeOf != 0) {
     returnSiteRetry(T.S.Retries, C->Service);
     C->IsRetryDue = true;
-    C->AttemptCount -= 1;
   }
   if (M.IsOfHost) {
     avoidRelay(T.S.Relays.Peers, From, T.Now);
@@ -297,6 +295,8 @@
   countHandOver(T, "refused");
   C->MayHaveRun = C->MayHaveRun || M.MayHaveRun;
   closeAttempt(T, *C, /*Abort=*/false);
+  if (continueWithHedge(T, *C))
+    return;
   fail(T, *C, finalCode(*C, M.Number), M.Reason.c_str(), M.RetryAfter);
 }
 
@@ -327,7 +327,7 @@
   if (Found == T.S.ByExchange.end())
     return;
   GatewayCall &C = *findCall(T, Found->second);
-  C.UnreadBytes = std::min(C.UnreadBytes, PendingBytes);
+  setUnread(T, C, std::min(C.UnreadBytes, PendingBytes));
   if (!C.Attempt.Relay.empty() && C.Attempt.Upstream != UpstreamId{})
     grantAnswer(T, C);
   else
--- a/packages/gateway/tests/SilentServerTest.cpp
+++ b/packages/gateway/tests/SilentServerTest.cpp
@@ -486,3 +486,172 @@
   R.event(UpstreamEnd{Open.Upstream, true});
   BOOST_TEST(R.only<calls::SendReply>().Reply.Status == 200);
 }
+
+/// Guards against a plain server that counts as busy for good: a permit for a
+/// hedge came after the site's retries had been used up.
+BOOST_AUTO_TEST_CASE(HedgeWithoutARetryLeavesItsServerIdle) {
+  GatewayFixture R;
+  R.call(HttpMethod::Get, "/r/1");
+  calls::OpenUpstream First = R.onlySend();
+  R.sent(First.Upstream);
+  BackendId Other(First.Request.Address == "10.0.2.1:80" ? "p2" : "p1");
+  ServerLimit Limit;
+  Limit.Server = Other;
+  Limit.Incarnation = 1;
+  Limit.PerSecond = 10;
+  R.event(PeerMessage{Control, 1, LimitNotice{Limit}});
+  R.advance(milliseconds(190));
+  LimitBucket &Permits = R.S.Permits.Buckets.at(Other);
+  Permits.Tokens = 0;
+  Permits.FilledAt = R.Now;
+  std::size_t Waited = 0;
+  for (int Step = 0; Step < 35; ++Step) {
+    R.tick(milliseconds(10));
+    for (const auto &[Ticket, C] : R.S.Calls) {
+      if (C.Stage != CallStage::AwaitingPermit)
+        continue;
+      Waited += 1;
+      std::deque<TimePoint> &Used = R.S.Retries[ServiceId("plain")].Retries;
+      Used.assign(1000, R.Now);
+    }
+  }
+  BOOST_TEST(Waited > 0U);
+  R.head(First.Upstream, 200);
+  R.event(UpstreamEnd{First.Upstream, true});
+  BOOST_TEST(R.S.Calls.empty());
+  for (const auto &[Server, Health] : R.S.Health.Servers)
+    BOOST_TEST(Health.InFlight == 0U, Server.Value);
+}
+
+/// Guards against a plain server that counts as busy for good: its streams end.
+BOOST_AUTO_TEST_CASE(StreamOfAPlainServerThatEndedLeavesItIdle) {
+  GatewayFixture R;
+  std::string Text = RoutingText;
+  Text.replace(Text.find(R"("version":3)"), 11, R"("version":4)");
+  std::string Feed =
+      R"({"name":"feed","host":"h","pathPrefix":"/f/","routeType":"streaming",)"
+      R"("timeoutMs":10000,"sloMs":300,"itlTargetMs":250,"service":"plain",)"
+      R"("maxAttempts":2,"resumable":true},)";
+  Text.insert(Text.find(R"({"name":"read")"), Feed);
+  R.deliverSiteState(Text.c_str(), 4);
+  R.call(HttpMethod::Get, "/f/1");
+  calls::OpenUpstream Open = R.onlySend();
+  R.sent(Open.Upstream);
+  R.head(Open.Upstream, 200, {{"Content-Type", "text/event-stream"}});
+  R.event(UpstreamData{Open.Upstream, "id: 1\ndata: a\n\n"});
+  R.event(UpstreamEnd{Open.Upstream, true});
+  BOOST_TEST(R.only<calls::EndStream>().IsComplete);
+  for (const auto &[Server, Health] : R.S.Health.Servers)
+    BOOST_TEST(Health.InFlight == 0U, Server.Value);
+}
+
+/// Guards against BUDGET: another server was tried while the connection of the
+/// first attempt was not made yet, and the request of a route that allows one
+/// server reached two.
+BOOST_AUTO_TEST_CASE(UnsentAttemptCountsWhileAnotherServerIsTried) {
+  GatewayFixture R;
+  R.call(HttpMethod::Get, "/o/1");
+  calls::OpenUpstream First = R.onlySend();
+  R.advance(milliseconds(250));
+  std::size_t Sends = 1;
+  for (const calls::OpenUpstream &Open : R.all<calls::OpenUpstream>())
+    Sends += Open.Request.Target == "/o/1" ? 1 : 0;
+  R.sent(First.Upstream);
+  BOOST_TEST(Sends == 1U);
+}
+
+/// Guards against streams that hang until their deadline: their callers were
+/// slow for a while, and the engine fell silent after they had caught up.
+BOOST_AUTO_TEST_CASE(SilenceIsNoticedAfterTheCallerHasCaughtUp) {
+  GatewayFixture R;
+  ExchangeId Caller = R.stream();
+  calls::OpenUpstream Open = R.onlySend();
+  R.sent(Open.Upstream);
+  R.head(Open.Upstream, 200, {{"Content-Type", "text/event-stream"}});
+  std::string Long(FlowWindowBytes * 3 / 4, 'x');
+  R.event(UpstreamData{Open.Upstream, "id: 1\ndata: " + Long + "\n\n"});
+  R.advance(milliseconds(1500));
+  R.event(ExchangeDrained{Caller, 0});
+  R.event(UpstreamData{Open.Upstream, "id: 2\ndata: b\n\n"});
+  R.event(ExchangeDrained{Caller, 0});
+  calls::OpenUpstream Second = nextTry(R, milliseconds(1500));
+  BOOST_TEST(valueOf(Second, "Last-Event-Id") == "2");
+}
+
+/// Guards against sound engines that are avoided: each was asked for the rest
+/// of a stream that was whole, and had nothing to add.
+BOOST_AUTO_TEST_CASE(EmptyRestWithoutALengthIsNotHeldAgainstItsEngine) {
+  GatewayFixture R;
+  calls::OpenUpstream Open = beginStream(R);
+  R.event(UpstreamEnd{Open.Upstream, false});
+  UpstreamId Query = endQuery(R);
+  calls::OpenUpstream Second = nextTry(R, milliseconds(500));
+  R.sent(Second.Upstream);
+  R.head(Second.Upstream, 200, {{"Content-Type", "text/event-stream"}});
+  R.event(UpstreamEnd{Second.Upstream, false});
+  R.advance(milliseconds(20));
+  answerQuery(R, Query);
+  BackendId Engine(Second.Request.Address == "10.0.1.1:80" ? "e1" : "e2");
+  BOOST_TEST((R.S.Engines.Engines.at(Engine).AvoidUntil <= R.Now));
+}
+
+/// Guards against requests without an answer: the first two engines are silent,
+/// and a third one, which the route allows, is never tried.
+BOOST_AUTO_TEST_CASE(ThirdServerIsTriedIfTheSecondIsSilentAsWell) {
+  GatewayFixture R;
+  std::string Text = RoutingText;
+  Text.replace(Text.find(R"("version":3)"), 11, R"("version":4)");
+  Text.replace(Text.find(R"("maxAttempts":2)"), 15, R"("maxAttempts":3)");
+  R.deliverSiteState(Text.c_str(), 4);
+  SiteState M;
+  M.Sequence = R.S.Link.Sequence;
+  M.IsCurrent = true;
+  M.Leader = Control;
+  M.Config = 4;
+  M.Servers = {server("e3", "llm", "10.0.1.3:80")};
+  R.event(PeerMessage{Control, 1, M});
+  beginStream(R);
+  std::size_t Sends = 1;
+  for (int Step = 0; Step < 60; ++Step) {
+    R.advance(milliseconds(100));
+    for (const calls::OpenUpstream &Open : R.all<calls::OpenUpstream>()) {
+      if (Open.Request.Target != "/s/1")
+        continue;
+      Sends += 1;
+      R.sent(Open.Upstream);
+    }
+  }
+  BOOST_TEST(Sends == 3U);
+}
+
+/// Guards against LOST: no server was reached for a while by the hedges of a
+/// late stream, and none was left to it when its own connection broke.
+BOOST_AUTO_TEST_CASE(HedgesThatReachNoServerLeaveTheirTriesToTheStream) {
+  GatewayFixture R;
+  calls::OpenUpstream First = beginStream(R);
+  std::size_t Tries = 0;
+  for (int Step = 0; Step < 40; ++Step) {
+    R.advance(milliseconds(100));
+    for (const calls::OpenUpstream &Open : R.all<calls::OpenUpstream>()) {
+      if (Open.Request.Target != "/s/1")
+        continue;
+      Tries += 1;
+      R.failUpstream(Open.Upstream, false);
+    }
+  }
+  BOOST_TEST(Tries >= 1U);
+  // Servers are reached again.
+  std::size_t Sends = 0;
+  auto CountSends = [&] {
+    for (const calls::OpenUpstream &Open : R.all<calls::OpenUpstream>())
+      Sends += Open.Request.Target == "/s/1" ? 1 : 0;
+  };
+  R.advance(seconds(1));
+  CountSends();
+  R.failUpstream(First.Upstream, true);
+  CountSends();
+  R.advance(seconds(1));
+  CountSends();
+  BOOST_TEST(R.all<calls::EndStream>().empty());
+  BOOST_TEST(Sends == 1U);
+}
