Relays: a host and its relays together keep to the route's attempts (BUDGET)

Seen by the review: a host that is cut off handed a stream to a relay whose engine was silent; the relay tried a second engine, then the host had another relay send the request to a third, where the route allows two. Cause: a relay got all sends that were left, and the host counted one of them. Change: what the relay is allowed counts as sent until the relay says how many it used; a call that may run again keeps one send back for another relay. Where the relay has used its own, the host goes on. A relay with a single send cannot try another server, so that it is late as soon as a server is. Result: RelaysTogetherSendARequestNoMoreThanAllowed failed before (3 servers) and passes. HostGoesOnWhereARelayHasUsedItsSends is new and held before as well.

--- a/packages/gateway/Attempt.cpp
+++ b/packages/gateway/Attempt.cpp
@@ -225,8 +225,8 @@
   // An answer that is held back for a slow reader is not late.
   if (C.UnreadBytes >= FlowWindowBytes / 2)
     return TimePoint::max();
-  // A relay tries other servers itself, so it is left more time.
-  int Factor = C.Attempt.Relay.empty() ? 1 : RelayOverdueFactor;
+  // A relay that may try other servers itself is left more time.
+  int Factor = C.Attempt.RelaySends > 1 ? RelayOverdueFactor : 1;
   if (R.Kind == CallKind::Stream) {
     Duration Wait = stallTime(R);
     if (C.Attempt.LastBytes == C.Attempt.Began)
--- a/packages/gateway/Gateway.h
+++ b/packages/gateway/Gateway.h
@@ -224,9 +224,11 @@
   bool IsAccused = false;     // The server's silence was held against it.
   bool HasNoHedge = false;    // No hedge may begin, as a log line says.
   TimePoint SilenceProbeAt{}; // The silent engine was last probed.
-  HostId Relay;   // Host that the request was handed over to; empty: none.
-  ByteSink Taken; // Bytes of the relay's answer.
-  int Status = 0; // HTTP status; zero: no head yet.
+  HostId Relay; // Host that the request was handed over to; empty: none.
+  std::uint32_t RelaySends = 0; // Servers that the relay may send it to; they
+                                // count as sends until the relay says how many.
+  ByteSink Taken;               // Bytes of the relay's answer.
+  int Status = 0;               // HTTP status; zero: no head yet.
   std::vector<HttpHeader> Headers;
   AnswerInfo Answer;
   std::string Body;         // Body of an answer that is buffered.
--- a/packages/gateway/HandOverPart.cpp
+++ b/packages/gateway/HandOverPart.cpp
@@ -52,6 +52,13 @@
        NoPathRetryAfter);
 }
 
+/// Servers that a relay may send the call to. One that may run again keeps a
+/// send for another relay, in case the first one is late with its answer.
+std::uint32_t sendsForRelay(const GatewayCall &C) {
+  std::uint32_t Left = C.MaxSends - std::min(C.Sends, C.MaxSends);
+  return mayRunAgain(C) && Left > 1 ? Left - 1 : Left;
+}
+
 RelayRequest relayRequest(const GatewayTurn &T, const GatewayCall &C) {
   RelayRequest M;
   M.Id = static_cast<std::uint64_t>(C.Attempt.Upstream);
@@ -64,7 +71,7 @@
   M.TimeLeft = C.Deadline - T.Now;
   M.Waited = T.Now - C.Arrived;
   M.Routing = T.S.Routes ? T.S.Routes->Config.Number : 0;
-  M.SendsLeft = C.MaxSends - std::min(C.Sends, C.MaxSends);
+  M.SendsLeft = C.Attempt.RelaySends;
   M.Avoid = C.TriedServers;
   return M;
 }
@@ -101,6 +108,7 @@
   Gateway &S = T.S;
   C.Attempt.Upstream = UpstreamId{S.NextUpstream++};
   C.Attempt.Relay = Relay;
+  C.Attempt.RelaySends = sendsForRelay(C);
   C.Attempt.Began = T.Now;
   C.Attempt.LastBytes = T.Now;
   C.Events.Partial.clear();
@@ -119,7 +127,7 @@
   }
   // From now on the relay may send it, whatever becomes of the link.
   C.Attempt.BytesSent = true;
-  C.Sends += 1;
+  C.Sends += C.Attempt.RelaySends;
   C.AttemptCount += 1;
   S.ByUpstream[C.Attempt.Upstream] = C.Ticket;
   S.Relays.Peers.Hosts.at(Relay).InFlight += 1;
@@ -172,10 +180,18 @@
   attemptFailed(T, C, Ran, Number, Reason);
 }
 
-/// The relay's own count of sends replaces the one that this host assumed.
+/// The relay's own count of sends replaces those that it was allowed.
 void countSends(GatewayCall &C, std::uint32_t Sends) {
   C.Sends += Sends;
-  C.Sends -= 1;
+  C.Sends -= C.Attempt.RelaySends;
+  C.Attempt.RelaySends = Sends;
+}
+
+/// Whether the relay refuses the call since it has used the sends that it was
+/// allowed, and others are left.
+bool hasUsedItsSends(GatewayTurn &T, const GatewayCall &C,
+                     const RelayRefusal &M) {
+  return M.Sends > 0 && mayRunAgain(C) && maySendAgain(T, C);
 }
 
 void grantAnswer(GatewayTurn &T, GatewayCall &C) {
@@ -293,6 +309,11 @@
     return;
   }
   countHandOver(T, "refused");
+  if (hasUsedItsSends(T, *C, M)) {
+    C->Attempt.Fault = FaultSide::Nobody;
+    attemptFailed(T, *C, M.MayHaveRun, M.Number, M.Reason.c_str());
+    return;
+  }
   C->MayHaveRun = C->MayHaveRun || M.MayHaveRun;
   closeAttempt(T, *C, /*Abort=*/false);
   if (continueWithHedge(T, *C))
--- a/packages/gateway/tests/RelayTest.cpp
+++ b/packages/gateway/tests/RelayTest.cpp
@@ -402,9 +402,28 @@
   B.event(UpstreamEnd{Open.Upstream, true});
   BOOST_TEST(B.S.Paused.size() == 1U);
   BOOST_TEST(A.S.Paused.empty());
+  pass();
+  BOOST_TEST(A.all<calls::SendReply>().empty());
   BOOST_TEST(B.onlySend().Request.Address != Open.Request.Address);
 }
 
+/// Guards against a request that ends with its first server's failure: the relay
+/// has used the sends that the host left it, and the host keeps one for nothing.
+BOOST_FIXTURE_TEST_CASE(HostGoesOnWhereARelayHasUsedItsSends, RelayPair) {
+  call(HttpMethod::Get, "/r/1");
+  for (int Server = 0; Server < 2; ++Server) {
+    pass();
+    BOOST_TEST(A.all<calls::SendReply>().empty());
+    calls::OpenUpstream Open = B.onlySend();
+    B.sent(Open.Upstream);
+    B.head(Open.Upstream, 500);
+    B.event(UpstreamEnd{Open.Upstream, true});
+  }
+  pass();
+  BOOST_TEST(A.only<calls::SendReply>().Reply.Status == 500);
+  BOOST_TEST(B.all<calls::OpenUpstream>().empty());
+}
+
 /// Guards against memory that grows with what other hosts send.
 BOOST_FIXTURE_TEST_CASE(RelaysAreBounded, RelayPair) {
   RelayRequest M;
