--- a/packages/gateway/tests/StopTest.cpp
+++ b/packages/gateway/tests/StopTest.cpp
@@ -199,3 +199,31 @@
     BOOST_TEST(!R.seen<Exit>().empty());
   }
 }
+
+/// Guards against MIXED: an engine crashed with two streams, another process
+/// took its address unreported and is silent, and both streams were called
+/// whole.
+BOOST_AUTO_TEST_CASE(StreamsThatBrokeOffTogetherAreNotWhole) {
+  StopFixture R;
+  R.stop();
+  R.runUntil(milliseconds(2800));
+  std::vector<calls::OpenUpstream> Opens;
+  for (int I = 0; I < 8; ++I) {
+    R.stream();
+    Opens.push_back(R.onlySend());
+    UpstreamId Id = Opens.back().Upstream;
+    R.sent(Id);
+    R.head(Id, 200, {{"Content-Type", "text/event-stream"}});
+    R.event(UpstreamData{Id, "id: 1\ndata: a\n\n"});
+  }
+  R.runUntil(milliseconds(3500));
+  for (const calls::OpenUpstream &Open : Opens) {
+    if (Open.Request.Address == Opens.front().Request.Address)
+      R.event(UpstreamEnd{Open.Upstream, false});
+  }
+  R.runUntil(Grace);
+  std::size_t Whole = 0;
+  for (const calls::EndStream &End : R.seen<calls::EndStream>())
+    Whole += End.IsComplete ? 1 : 0;
+  BOOST_TEST(Whole == 0U);
+}
