Hedges: a hedge that is late has one of its own

Cause: a call had one hedge, and a hedge none. Change: a hedge that is late has a hedge like any call, as long as sends are left. Taking over moves it up by one call; what ends a hedge ends those below it.

--- a/packages/gateway/Answer.cpp
+++ b/packages/gateway/Answer.cpp
@@ -57,12 +57,10 @@
 /// unless its answer is no continuation of what the caller has. It is then
 /// invalid.
 bool haveCaller(GatewayTurn &T, GatewayCall &C, const char *Reason) {
-  if (C.HedgeOf == 0)
-    return true;
-  if (mayTakeOver(C)) {
+  while (C.HedgeOf != 0 && mayTakeOver(C))
     takeOver(T, C, Reason);
+  if (C.HedgeOf == 0)
     return true;
-  }
   attemptFailed(T, C, true, Code::BackendFailed,
                 "the answer is of another kind than the one that was begun");
   return false;
--- a/packages/gateway/Gateway.h
+++ b/packages/gateway/Gateway.h
@@ -269,7 +269,8 @@
   std::string LastFailureReason; // Of the same, for logs; empty: none failed.
   TimePoint LastFailureAt{};
 
-  std::uint64_t Hedge = 0;   // Ticket of the call's hedge; zero: none.
+  std::uint64_t Hedge = 0;   // Ticket of the call's hedge; zero: none. A hedge
+                             // may have one, too.
   std::uint64_t HedgeOf = 0; // Of a hedge: ticket of the call that it hedges.
   TimePoint HedgedAt{};      // Of a hedge: when it began.
   TimePoint NextHedgeAt{};   // No hedge of the call begins before.
--- a/packages/gateway/HedgePart.cpp
+++ b/packages/gateway/HedgePart.cpp
@@ -42,6 +42,13 @@
   return C.Sends + (IsUnsent ? 1 : 0);
 }
 
+/// Whether a hedge of the call may begin. One that is a hedge itself, and late,
+/// may have another, but not once it has used its sends.
+bool mayHaveHedge(const GatewayCall &C) {
+  bool IsLast = C.HedgeOf != 0 && sendsWithOpen(C) >= C.MaxSends;
+  return mayRunAgain(C) && C.Hedge == 0 && !IsLast;
+}
+
 void countHedge(GatewayTurn &T, const char *Result) {
   count(T, "pimento_hedges_total", std::string("result=\"") + Result + "\"");
 }
@@ -118,6 +125,7 @@
 /// Ends the hedge and lets its call, which goes on, wait for its server.
 void endHedge(GatewayTurn &T, GatewayCall &C, GatewayCall &H,
               const char *Result, const char *Reason) {
+  dropHedge(T, H, Reason);
   logHedge(T, C, "hedge_ended", H, Reason);
   countHedge(T, Result);
   addSends(C, H);
@@ -130,15 +138,14 @@
 } // namespace
 
 TimePoint hedgeAt(const GatewayCall &C) {
-  if (!mayRunAgain(C) || C.Hedge != 0 || C.HedgeOf != 0)
+  if (!mayHaveHedge(C))
     return TimePoint::max();
   return std::max(overdueAt(C), C.NextHedgeAt);
 }
 
 void startHedge(GatewayTurn &T, GatewayCall &C, const char *Reason) {
   C.NextHedgeAt = T.Now + HedgeInterval;
-  bool IsPossible = C.Hedge == 0 && C.HedgeOf == 0 && mayRunAgain(C);
-  if (!IsPossible)
+  if (!mayHaveHedge(C))
     return;
   bool IsOver = T.S.Stopping && T.Now >= T.S.StopAt;
   bool IsAllowed = maySendAgain(T, C) && sendsWithOpen(C) < C.MaxSends;
@@ -168,6 +175,7 @@
     return;
   H->Replying = true;
   H->IsEventStream = C.IsEventStream;
+  replyBegan(T, *H);
 }
 
 bool mayTakeOver(const GatewayCall &H) {
@@ -180,7 +188,9 @@
   logHedge(T, C, "hedge_took_over", H, Reason);
   countHedge(T, "took_over");
   C.Hedge = 0;
-  H.HedgeOf = 0;
+  H.HedgeOf = C.HedgeOf;
+  if (GatewayCall *Hedged = findCall(T, H.HedgeOf))
+    Hedged->Hedge = H.Ticket;
   std::swap(H.Exchange, C.Exchange);
   if (H.Exchange != ExchangeId{})
     T.S.ByExchange[H.Exchange] = H.Ticket;
--- a/packages/gateway/StopPart.cpp
+++ b/packages/gateway/StopPart.cpp
@@ -33,7 +33,9 @@
 /// Whether the caller of the call, or of the one that it hedges, has all that
 /// its server sent, and only waits for the end.
 bool mayStillEnd(GatewayTurn &T, const GatewayCall &C) {
-  const GatewayCall *Hedged = C.HedgeOf == 0 ? &C : findCall(T, C.HedgeOf);
+  const GatewayCall *Hedged = &C;
+  while (Hedged != nullptr && Hedged->HedgeOf != 0)
+    Hedged = findCall(T, Hedged->HedgeOf);
   return Hedged != nullptr && Hedged->Stage == CallStage::Confirming &&
          T.Now < T.S.ExitBy - EndReserve;
 }
--- a/packages/gateway/tests/RelayTest.cpp
+++ b/packages/gateway/tests/RelayTest.cpp
@@ -407,8 +407,9 @@
   BOOST_TEST(B.onlySend().Request.Address != Open.Request.Address);
 }
 
-/// Guards against a request that ends with its first server's failure: the relay
-/// has used the sends that the host left it, and the host keeps one for nothing.
+/// Guards against a request that ends with its first server's failure: the
+/// relay has used the sends that the host left it, and the host keeps one for
+/// nothing.
 BOOST_FIXTURE_TEST_CASE(HostGoesOnWhereARelayHasUsedItsSends, RelayPair) {
   call(HttpMethod::Get, "/r/1");
   for (int Server = 0; Server < 2; ++Server) {
