--- a/packages/gateway/Answer.cpp
+++ b/packages/gateway/Answer.cpp
@@ -57,12 +57,10 @@
 /// unless its answer is no continuation of what the caller has. It is then
 /// invalid.
 bool haveCaller(GatewayTurn &T, GatewayCall &C, const char *Reason) {
-  if (C.HedgeOf == 0)
-    return true;
-  if (mayTakeOver(C)) {
+  while (C.HedgeOf != 0 && mayTakeOver(C))
     takeOver(T, C, Reason);
+  if (C.HedgeOf == 0)
     return true;
-  }
   attemptFailed(T, C, true, Code::BackendFailed,
                 "the answer is of another kind than the one that was begun");
   return false;
@@ -131,7 +129,8 @@
 /// server that crashes ends as well, but none that crashes marks the end.
 void endStream(GatewayTurn &T, GatewayCall &C, bool IsDelimited) {
   const char *Reason = "the backend server's stream ended too early";
-  switch (judgeEnd(endedAnswer(C, IsDelimited))) {
+  EndedAnswer Answer = endedAnswer(C, IsDelimited);
+  switch (judgeEnd(Answer)) {
   case AnswerEnd::Complete:
     completeStream(T, C);
     return;
@@ -139,6 +138,9 @@
     confirmEnd(T, C);
     return;
   case AnswerEnd::BrokenOff:
+    // Nothing may be left of the stream. A crash is found by its query.
+    if (Answer.IsRest && !Answer.IsWithinEvent)
+      C.Attempt.Fault = FaultSide::Nobody;
     if (IsDelimited)
       streamCut(T, C, Reason);
     else
@@ -226,6 +228,7 @@
   if (!haveCaller(T, C, "another server ended the stream first"))
     return;
   closeAttempt(T, C, false);
+  recordCallSuccess(T, C);
   if (!C.Events.Partial.empty())
     T.Out.push_back(
         calls::StreamBytes{C.Exchange, std::move(C.Events.Partial)});
