HTTP server: three source files by subject

Cause: HttpServer.cpp had 616 lines with three jobs. Change: HttpServer.cpp keeps the set-up and the replies (222 lines), HttpServerEvents.cpp has the callbacks of libevent (187) and HttpServerSweep.cpp the timeouts and limits (151); their state is in HttpServerImpl.h (117). Result: shellTest lists the same 51 lines of content before and after, and passes; gatewayTest (222 lines, the same) passes.

--- /dev/null
+++ b/packages/shell/HttpServerEvents.cpp
@@ -0,0 +1,187 @@
+// Callbacks of libevent: connections that are accepted, requests that are read,
+// replies that are written, and callers that close the connection.
+
+#include "shell/HttpServerImpl.h"
+
+#include "base/Problem.h"
+#include "shell/EvhttpMessages.h"
+#include "shell/SocketOptions.h"
+
+#include <cstdlib>
+
+namespace pimento {
+
+bufferevent *HttpServer::Impl::accept(event_base *Base, void *Self) {
+  auto &Server = *static_cast<Impl *>(Self);
+  // The socket stays open until the last reference to the bufferevent is
+  // released: if evhttp closed it while the bufferevent exists, it would
+  // disturb the next socket with the same descriptor.
+  bufferevent *Stream = bufferevent_socket_new(Base, -1, BEV_OPT_CLOSE_ON_FREE);
+  if (!Stream)
+    return nullptr;
+  bufferevent_incref(Stream);
+  auto Link = std::make_unique<Connection>();
+  Link->Server = &Server;
+  Link->Stream = Stream;
+  Link->IdleSince = steadyNow();
+  Link->ErrorPageEvent.reset(
+      event_new(Base, -1, 0, &Impl::replaceErrorPage, Link.get()));
+  event_priority_set(Link->ErrorPageEvent.get(), HighPriority);
+  evbuffer_add_cb(bufferevent_get_input(Stream), &Impl::onInput, Link.get());
+  evbuffer_add_cb(bufferevent_get_output(Stream), &Impl::onOutput, Link.get());
+  Server.Connections.emplace(Stream, std::move(Link));
+  return Stream;
+}
+
+void HttpServer::Impl::onInput(evbuffer *, const evbuffer_cb_info *Info,
+                               void *Self) {
+  auto &Link = *static_cast<Connection *>(Self);
+  bool Begins = Info->n_added > 0 && Link.CurrentExchange == ExchangeId{} &&
+                Link.ReadingSince == Duration::zero();
+  if (Begins)
+    dropRead(Link);
+  countRead(Link, Info->n_added);
+  if (!Begins)
+    return;
+  Link.ReadingSince = steadyNow();
+  Link.Replying = false;
+}
+
+void HttpServer::Impl::countRead(Connection &Link, std::size_t Bytes) {
+  Link.ReadBytes += Bytes;
+  Link.Server->ReadingBytes += Bytes;
+}
+
+void HttpServer::Impl::dropRead(Connection &Link) {
+  Link.Server->ReadingBytes -= Link.ReadBytes;
+  Link.ReadBytes = 0;
+}
+
+/// Called when a reply is fully written. Part of the next request may have
+/// arrived already.
+void HttpServer::Impl::onReplied(evhttp_request *, void *Self) {
+  auto &Link = *static_cast<Connection *>(Self);
+  Link.Replying = false;
+  Link.IdleSince = steadyNow();
+  Impl &Server = *Link.Server;
+  ExchangeId Id = Link.CurrentExchange;
+  Server.forget(Id);
+  Server.Hooks.Drained(Id, 0);
+  if (evbuffer_get_length(bufferevent_get_input(Link.Stream)) > 0)
+    Link.ReadingSince = steadyNow();
+}
+
+void HttpServer::Impl::onOutput(evbuffer *, const evbuffer_cb_info *Info,
+                                void *Self) {
+  auto &Link = *static_cast<Connection *>(Self);
+  Link.Server->OutputBytes += Info->n_added;
+  Link.Server->OutputBytes -= Info->n_deleted;
+  if (Info->n_added > 0 && !Link.Replying && !Link.Closing)
+    event_active(Link.ErrorPageEvent.get(), 0, 0);
+}
+
+/// Replaces an error page of evhttp by a problem reply. The page has not been
+/// sent yet: evhttp writes from the event loop, and this event has a higher
+/// priority.
+void HttpServer::Impl::replaceErrorPage(evutil_socket_t, short, void *Self) {
+  auto &Link = *static_cast<Connection *>(Self);
+  if (Link.Replying || Link.Closing)
+    return;
+  evbuffer *Output = bufferevent_get_output(Link.Stream);
+  constexpr std::size_t StatusLineBytes = 12; // "HTTP/1.1 413"
+  char Start[StatusLineBytes + 1] = {};
+  if (evbuffer_copyout(Output, Start, StatusLineBytes) !=
+      static_cast<ev_ssize_t>(StatusLineBytes))
+    return;
+  int Status = std::atoi(Start + StatusLineBytes - 3);
+  constexpr int FirstErrorStatus = 400;
+  if (Status < FirstErrorStatus)
+    return;
+  Code Number = codeFromStatus(Status);
+  // evhttp reports headers above its size limit as malformed.
+  if (Number == Code::BadRequest &&
+      Link.ReadBytes > Link.Server->Limits.HeaderBytes)
+    Number = Code::HeaderTooLarge;
+  std::string Text = formatProblemReply(Number, "");
+  Link.Closing = true;
+  evbuffer_unfreeze(Output, 1);
+  evbuffer_drain(Output, evbuffer_get_length(Output));
+  evbuffer_add(Output, Text.data(), Text.size());
+  evbuffer_freeze(Output, 1);
+  Link.Server->Hooks.Refused(Number);
+}
+
+HttpServer::Impl::Connection *
+HttpServer::Impl::connectionOf(evhttp_connection *Link) {
+  auto Found = Connections.find(evhttp_connection_get_bufferevent(Link));
+  return Found == Connections.end() ? nullptr : Found->second.get();
+}
+
+void HttpServer::Impl::onRequest(evhttp_request *Request, void *Self) {
+  auto &Server = *static_cast<Impl *>(Self);
+  evhttp_connection *Evcon = evhttp_request_get_connection(Request);
+  Connection *Link = Server.connectionOf(Evcon);
+  if (!Link)
+    return;
+  Link->ReadingSince = Duration::zero();
+  dropRead(*Link);
+  if (!Link->OptionsSet)
+    setSocketOptions(bufferevent_getfd(Link->Stream), CallerSilence);
+  Link->OptionsSet = true;
+  ExchangeId Id{Server.NextExchange++};
+  Link->CurrentExchange = Id;
+  Link->Replying = true;
+  Server.Exchanges[static_cast<std::uint64_t>(Id)] = {Request, Link};
+  evhttp_connection_set_closecb(Evcon, &Impl::onClosed, &Server);
+  Link->CloseEvent.reset(event_new(Server.Base, bufferevent_getfd(Link->Stream),
+                                   EV_CLOSED, &Impl::onCallerClosed, Link));
+  event_add(Link->CloseEvent.get(), nullptr);
+  HttpRequest Read = convert(Request);
+  if (hasBlankName(Read)) {
+    Server.Hooks.Refused(Code::BadRequest);
+    Server.reply(
+        Id,
+        problemReply(
+            {Code::BadRequest, "a header's name ends with a blank", {}, {}}));
+    return;
+  }
+  Server.Hooks.Request(Id, std::move(Read));
+}
+
+/// Called when the caller closes the connection. evhttp does not read while a
+/// reply is pending and would not notice the close. A caller that closes only
+/// its sending side counts as disconnected too: both look the same until bytes
+/// are written to it, and servers must not work on for callers that have left
+/// (docs/design/platform.md).
+void HttpServer::Impl::onCallerClosed(evutil_socket_t, short, void *Self) {
+  auto &Link = *static_cast<Connection *>(Self);
+  Exchange *Open = Link.Server->find(Link.CurrentExchange);
+  if (Open)
+    evhttp_connection_free(evhttp_request_get_connection(Open->Request));
+}
+
+void HttpServer::Impl::onClosed(evhttp_connection *Evcon, void *Self) {
+  auto &Server = *static_cast<Impl *>(Self);
+  Connection *Link = Server.connectionOf(Evcon);
+  if (!Link || Link->CurrentExchange == ExchangeId{})
+    return;
+  ExchangeId Id = Link->CurrentExchange;
+  Server.forget(Id);
+  Server.Hooks.Left(Id);
+}
+
+void HttpServer::Impl::onFlushed(evhttp_connection *Evcon, void *Self) {
+  auto &Server = *static_cast<Impl *>(Self);
+  Connection *Link = Server.connectionOf(Evcon);
+  if (!Link || Link->CurrentExchange == ExchangeId{})
+    return;
+  ExchangeId Id = Link->CurrentExchange;
+  std::size_t Pending =
+      evbuffer_get_length(bufferevent_get_output(Link->Stream));
+  Server.Hooks.Drained(Id, Pending);
+  Exchange *Written = Server.find(Id);
+  if (Pending == 0 && Written && Written->Breaking)
+    Server.closeConnection(Id);
+}
+
+} // namespace pimento
--- /dev/null
+++ b/packages/shell/HttpServerImpl.h
@@ -0,0 +1,117 @@
+//===- HttpServerImpl.h - State of the HTTP server --------------*- C++ -*-===//
+//
+// Not for users of HttpServer. By source file:
+//   HttpServer.cpp        set-up, replies and exchanges in progress
+//   HttpServerEvents.cpp  callbacks of libevent: connections that are accepted,
+//                         requests that are read, replies that are written
+//   HttpServerSweep.cpp   timeouts and limits of connections
+//
+//===----------------------------------------------------------------------===//
+#pragma once
+
+#include "shell/HttpServer.h"
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/http.h>
+
+#include <unordered_map>
+
+namespace pimento {
+
+inline Duration steadyNow() {
+  return std::chrono::steady_clock::now().time_since_epoch();
+}
+
+struct HttpServer::Impl {
+  static constexpr Duration SweepInterval = milliseconds(100);
+
+  struct Connection;
+
+  struct Exchange {
+    evhttp_request *Request = nullptr;
+    Connection *Link = nullptr;
+    bool Streaming = false;
+    bool Ended = false; // The reply is complete; its bytes are being written.
+    bool Breaking = false; // Close the connection once the output is written.
+    std::size_t Pending = SIZE_MAX; // Unsent reply bytes, as last reported.
+  };
+
+  /// One accepted connection. Holds a reference to the bufferevent, because
+  /// evhttp does not report when it releases a connection that never sent a
+  /// request.
+  struct Connection {
+    Impl *Server = nullptr;
+    bufferevent *Stream = nullptr;
+    EventPtr ErrorPageEvent; // Replaces an error page written by evhttp.
+    EventPtr CloseEvent;     // Detects that the caller closed before its reply.
+    ExchangeId CurrentExchange{}; // Exchange in progress; zero: none.
+    Duration ReadingSince = Duration::zero(); // Zero: no request is being read.
+    Duration IdleSince = Duration::zero();
+    std::size_t ReadBytes = 0;      // Bytes read of the current request.
+    std::size_t Unacknowledged = 0; // Of a released connection's output.
+    bool OptionsSet = false;        // The socket options are set.
+    bool Replying = false; // Output comes from this server, not from evhttp.
+    bool Closing = false;
+    bool ClosesAfterReply = false; // As the reply announced.
+    bool Released = false;         // By evhttp; its buffers are empty.
+  };
+
+  event_base *Base;
+  HttpServerLimits Limits;
+  HttpServerHooks Hooks;
+  std::uint64_t &NextExchange;
+  evhttp *Http = nullptr;
+  evhttp_bound_socket *Listener = nullptr;
+  std::unordered_map<bufferevent *, std::unique_ptr<Connection>> Connections;
+  std::unordered_map<std::uint64_t, Exchange> Exchanges;
+  std::size_t ReadingBytes = 0; // Sum of ReadBytes.
+  std::size_t OutputBytes = 0;  // In the output buffers of all connections.
+  std::unique_ptr<Timer> Sweep;
+
+  Impl(event_base *TheBase, HttpServerLimits TheLimits,
+       HttpServerHooks TheHooks, std::uint64_t &Next)
+      : Base(TheBase), Limits(TheLimits), Hooks(std::move(TheHooks)),
+        NextExchange(Next) {}
+
+  // HttpServerEvents.cpp
+
+  static bufferevent *accept(event_base *Base, void *Self);
+  static void onRequest(evhttp_request *Request, void *Self);
+  static void onClosed(evhttp_connection *Link, void *Self);
+  static void onFlushed(evhttp_connection *Link, void *Self);
+  static void onInput(evbuffer *, const evbuffer_cb_info *Info, void *Link);
+  static void onOutput(evbuffer *, const evbuffer_cb_info *Info, void *Link);
+  static void onCallerClosed(evutil_socket_t, short, void *Link);
+  static void onReplied(evhttp_request *, void *Link);
+  static void replaceErrorPage(evutil_socket_t, short, void *Link);
+
+  Connection *connectionOf(evhttp_connection *Link);
+  static void countRead(Connection &Link, std::size_t Bytes);
+  static void dropRead(Connection &Link);
+
+  // HttpServerSweep.cpp
+
+  /// Enforces the timeouts and limits of all connections. Starts the timer of
+  /// its next call.
+  void sweep();
+  void shedReaders();
+  bool expire(Connection &Link, Duration Now);
+  void refuseConnection(Connection &Link, Code Number, const char *Detail);
+  void reportProgress(Connection &Link, Exchange &E, Duration Now);
+  static bool isReleased(Connection &Link);
+  static void release(Connection &Link);
+  static bool canClose(Connection &Link, Duration Now);
+
+  // HttpServer.cpp
+
+  void reply(ExchangeId Id, const HttpReply &Reply);
+  Exchange *find(ExchangeId Id);
+  Exchange *findOpen(ExchangeId Id);
+  void forget(ExchangeId Id);
+  void closeConnection(ExchangeId Id);
+  static bool hasMoreRequests(const Connection &Link);
+  static void finish(Exchange &E);
+};
+
+} // namespace pimento
