--- a/packages/replica/Append.cpp
+++ b/packages/replica/Append.cpp
@@ -100,6 +100,16 @@
   return P.Window < (P.Probing ? 1 : S.Config.WindowMessages);
 }
 
+/// Records that the member answered a request that was sent at \p SentAt.
+void confirm(MemberProgress &P, const ReplicaHeader &H, Duration SentAt,
+             TimePoint Now) {
+  TimePoint Sent(SentAt);
+  P.Start = std::max(P.Start, H.Start);
+  P.LastReply = Now;
+  if (Sent <= Now)
+    P.ConfirmedAt = std::max(P.ConfirmedAt, Sent);
+}
+
 } // namespace
 
 MemberProgress *findProgress(ReplicaState &S, const HostId &Host,
@@ -111,13 +121,19 @@
   return nullptr;
 }
 
-void confirm(MemberProgress &P, const ReplicaHeader &H, Duration SentAt,
-             TimePoint Now) {
-  TimePoint Sent(SentAt);
-  P.Start = std::max(P.Start, H.Start);
-  P.LastReply = Now;
-  if (Sent <= Now)
-    P.ConfirmedAt = std::max(P.ConfirmedAt, Sent);
+MemberProgress *acceptReply(ReplicaState &S, const HostId &From,
+                            const ReplicaHeader &Header, Duration SentAt,
+                            TimePoint Now, ReplicaEffects &E) {
+  if (Header.Term > S.Hard.Term) {
+    becomeFollower(S, Header.Term, Now, "a member has a newer term", E);
+    return nullptr;
+  }
+  MemberProgress *P = findProgress(S, From, Header.Incarnation);
+  if (S.Role != ReplicaRole::Leader || Header.Term != S.Hard.Term ||
+      P == nullptr)
+    return nullptr;
+  confirm(*P, Header, SentAt, Now);
+  return P;
 }
 
 void replicate(ReplicaState &S, MemberProgress &P, bool Heartbeat,
@@ -173,15 +189,9 @@
 
 void onAppendReply(ReplicaState &S, const HostId &From, const AppendReply &M,
                    TimePoint Now, ReplicaEffects &E) {
-  if (M.Header.Term > S.Hard.Term) {
-    becomeFollower(S, M.Header.Term, Now, "a member has a newer term", E);
-    return;
-  }
-  MemberProgress *P = findProgress(S, From, M.Header.Incarnation);
-  if (S.Role != ReplicaRole::Leader || M.Header.Term != S.Hard.Term ||
-      P == nullptr)
+  MemberProgress *P = acceptReply(S, From, M.Header, M.SentAt, Now, E);
+  if (P == nullptr)
     return;
-  confirm(*P, M.Header, M.SentAt, Now);
   if (M.Accepted) {
     if (M.Match > lastIndex(S))
       return;
--- a/packages/replica/Chunks.cpp
+++ b/packages/replica/Chunks.cpp
@@ -51,15 +51,9 @@
 
 void onSnapshotReply(ReplicaState &S, const HostId &From,
                      const SnapshotReply &M, TimePoint Now, ReplicaEffects &E) {
-  if (M.Header.Term > S.Hard.Term) {
-    becomeFollower(S, M.Header.Term, Now, "a member has a newer term", E);
+  MemberProgress *P = acceptReply(S, From, M.Header, M.SentAt, Now, E);
+  if (P == nullptr)
     return;
-  }
-  MemberProgress *P = findProgress(S, From, M.Header.Incarnation);
-  if (S.Role != ReplicaRole::Leader || M.Header.Term != S.Hard.Term ||
-      P == nullptr)
-    return;
-  confirm(*P, M.Header, M.SentAt, Now);
   if (!P->SendingSnapshot || M.Index != P->OutgoingSnapshot.Index ||
       M.Checksum != P->Checksum)
     return;
--- a/packages/replica/Internal.h
+++ b/packages/replica/Internal.h
@@ -113,6 +113,13 @@
 
 MemberProgress *findProgress(ReplicaState &S, const HostId &Host,
                              IncarnationNumber Incarnation);
+/// Begins the handling of a member's reply to a request that this leader sent
+/// at \p SentAt, and records that the member answered. Returns the member's
+/// progress; null if the reply has no effect, since it is of another term or
+/// disk. Steps down if the member has a newer term.
+MemberProgress *acceptReply(ReplicaState &S, const HostId &From,
+                            const ReplicaHeader &Header, Duration SentAt,
+                            TimePoint Now, ReplicaEffects &E);
 /// Sends the entries that \p P lacks, as far as its window allows. With
 /// \p Heartbeat, sends at least one message, empty if necessary.
 void replicate(ReplicaState &S, MemberProgress &P, bool Heartbeat,
@@ -124,9 +131,6 @@
                      const AppendRequest &M, TimePoint Now, ReplicaEffects &E);
 void onAppendReply(ReplicaState &S, const HostId &From, const AppendReply &M,
                    TimePoint Now, ReplicaEffects &E);
-/// Records that the member answered a request that was sent at \p SentAt.
-void confirm(MemberProgress &P, const ReplicaHeader &H, Duration SentAt,
-             TimePoint Now);
 
 // Chunks.cpp
 
