Control tests: one function forms a site

Cause: nine cases and the fixture started all hosts and waited for a leader in the same two lines, and the five hosts' names stood twice. Change: formSite() and Five in ControlFixture.h; the same requirement of a leader within ten seconds.

--- a/packages/control/tests/ControlFixture.h
+++ b/packages/control/tests/ControlFixture.h
@@ -14,16 +14,21 @@
 inline const std::vector<std::string> Three = {"10.0.0.1", "10.0.0.2",
                                                "10.0.0.3"};
 
+inline const std::vector<std::string> Five = {
+    "10.0.0.1", "10.0.0.2", "10.0.0.3", "10.0.0.4", "10.0.0.5"};
+
+/// Starts the hosts for the first time and waits for a leader.
+inline HostId formSite(ControlSite &Site) {
+  Site.startAll(true);
+  HostId Leader = Site.waitForLeader(seconds(10));
+  BOOST_TEST_REQUIRE(!Leader.empty());
+  return Leader;
+}
+
 /// Three control hosts with a leader.
 struct Fixture {
   ControlSite Site{11, Three};
-  HostId Leader;
-
-  Fixture() {
-    Site.startAll(true);
-    Leader = Site.waitForLeader(seconds(10));
-    BOOST_TEST_REQUIRE(!Leader.empty());
-  }
+  HostId Leader = formSite(Site);
 
   HostId follower() {
     for (const HostId &Name : Site.Seeds) {
--- a/packages/control/tests/FinalFaultTest.cpp
+++ b/packages/control/tests/FinalFaultTest.cpp
@@ -130,8 +130,6 @@
   }
 };
 
-const std::vector<std::string> FiveHosts = {"10.0.0.1", "10.0.0.2", "10.0.0.3",
-                                            "10.0.0.4", "10.0.0.5"};
 constexpr std::uint64_t FinalFaultSeeds = 40;
 
 } // namespace
@@ -141,8 +139,7 @@
 BOOST_AUTO_TEST_CASE(AcknowledgedConfigurationsSurviveALostDiskAndLossOfPower) {
   for (std::uint64_t Seed = 1; Seed <= FinalFaultSeeds; ++Seed) {
     ControlSite Site(Seed, Three);
-    Site.startAll(true);
-    BOOST_TEST_REQUIRE(!Site.waitForLeader(seconds(10)).empty());
+    formSite(Site);
     FinalFault Fault(Site, Seed);
     for (int Round = 0; Round < 3; ++Round) {
       Fault.acknowledgeNow();
@@ -157,8 +154,7 @@
 BOOST_AUTO_TEST_CASE(LostDiskAndLossOfPowerRightAfterAnEarlierLostDisk) {
   for (std::uint64_t Seed = 1; Seed <= FinalFaultSeeds; ++Seed) {
     ControlSite Site(Seed, Three);
-    Site.startAll(true);
-    BOOST_TEST_REQUIRE(!Site.waitForLeader(seconds(10)).empty());
+    formSite(Site);
     FinalFault Fault(Site, Seed);
     Fault.acknowledgeNext();
     HostId Earlier = Site.Seeds[Fault.any(3)];
@@ -178,15 +174,14 @@
 /// gone for good, or has just lost its disk, when the disk of another is lost.
 BOOST_AUTO_TEST_CASE(LostDiskAndLossOfPowerWhileAVoterIsReplaced) {
   for (std::uint64_t Seed = 1; Seed <= FinalFaultSeeds; ++Seed) {
-    ControlSite Site(Seed, FiveHosts);
+    ControlSite Site(Seed, Five);
     Site.Failures = 2;
-    Site.startAll(true);
-    BOOST_TEST_REQUIRE(!Site.waitForLeader(seconds(10)).empty());
+    formSite(Site);
     Site.Net.runFor(seconds(5));
     FinalFault Fault(Site, Seed);
     Fault.acknowledgeNext();
-    std::size_t Replaced = Fault.any(FiveHosts.size());
-    std::size_t Lost = (Replaced + 1 + Fault.any(4)) % FiveHosts.size();
+    std::size_t Replaced = Fault.any(Five.size());
+    std::size_t Lost = (Replaced + 1 + Fault.any(4)) % Five.size();
     HostId New = Seed % 2 == 0 ? Site.Seeds[Replaced] : HostId("10.0.9.1");
     Site.loseDisk(Site.Seeds[Replaced]);
     Site.Net.runFor(Fault.upTo(milliseconds(2500)));
@@ -203,8 +198,7 @@
 BOOST_AUTO_TEST_CASE(LostDiskAndLossOfPowerRightAfterAReplacement) {
   for (std::uint64_t Seed = 1; Seed <= FinalFaultSeeds; ++Seed) {
     ControlSite Site(Seed, Three);
-    Site.startAll(true);
-    BOOST_TEST_REQUIRE(!Site.waitForLeader(seconds(10)).empty());
+    formSite(Site);
     FinalFault Fault(Site, Seed);
     Fault.acknowledgeNext();
     Fault.replaceOne();
@@ -223,8 +217,7 @@
   int Recovered = 0;
   for (std::uint64_t Seed = 1; Seed <= 2 * FinalFaultSeeds; ++Seed) {
     ControlSite Site(Seed, Three);
-    Site.startAll(true);
-    BOOST_TEST_REQUIRE(!Site.waitForLeader(seconds(10)).empty());
+    formSite(Site);
     FinalFault Fault(Site, Seed);
     Fault.acknowledgeNext();
     Fault.replaceOne();
--- a/packages/control/tests/LostHostTest.cpp
+++ b/packages/control/tests/LostHostTest.cpp
@@ -11,8 +11,7 @@
 BOOST_AUTO_TEST_CASE(AcknowledgedConfigurationsSurvivePowerLoss) {
   for (std::uint64_t Seed = 1; Seed <= 12; ++Seed) {
     ControlSite Site(Seed, Three);
-    Site.startAll(true);
-    BOOST_TEST_REQUIRE(!Site.waitForLeader(seconds(10)).empty());
+    formSite(Site);
     std::uint64_t Number = 0;
     for (int Round = 0; Round < 4; ++Round) {
       Number += 1 + Seed % 3;
@@ -32,8 +31,7 @@
 BOOST_AUTO_TEST_CASE(DisksLostOneAfterAnotherAreReplaced) {
   for (std::uint64_t Seed = 1; Seed <= 6; ++Seed) {
     ControlSite Site(Seed, Three);
-    Site.startAll(true);
-    BOOST_TEST_REQUIRE(!Site.waitForLeader(seconds(10)).empty());
+    formSite(Site);
     std::uint64_t Number = 0;
     for (int Round = 0; Round < 6; ++Round) {
       BOOST_TEST_REQUIRE(Site.putUntilAcknowledged(++Number));
@@ -72,13 +70,10 @@
 /// few: two disks are lost right after an acknowledgement, while all others
 /// lose power.
 BOOST_AUTO_TEST_CASE(TwoLostDisksOfFiveAreBorne) {
-  const std::vector<std::string> Five = {"10.0.0.1", "10.0.0.2", "10.0.0.3",
-                                         "10.0.0.4", "10.0.0.5"};
   for (std::uint64_t Seed = 1; Seed <= 12; ++Seed) {
     ControlSite Site(Seed, Five);
     Site.Failures = 2;
-    Site.startAll(true);
-    BOOST_TEST_REQUIRE(!Site.waitForLeader(seconds(10)).empty());
+    formSite(Site);
     Site.Net.runFor(seconds(5));
     BOOST_TEST_REQUIRE(Site.putUntilAcknowledged(7));
     std::size_t First = Seed % Five.size();
@@ -111,8 +106,7 @@
       Site.Net.runFor(
           milliseconds(static_cast<std::int64_t>(below(Rng, Most))));
     };
-    Site.startAll(true);
-    BOOST_TEST_REQUIRE(!Site.waitForLeader(seconds(10)).empty());
+    formSite(Site);
     std::uint64_t Number = 1;
     Site.putUntilAcknowledged(Number);
     HostId Wiped = Site.Seeds[below(Rng, 3)];
