Replica tests: one proposeMany()

Change: it is a function of Cluster. Result: replicaTest lists the same 34 lines of content before and after, and passes. Release build, x86-64.

--- a/packages/replica/tests/Cluster.h
+++ b/packages/replica/tests/Cluster.h
@@ -192,6 +192,15 @@
     return true;
   }
 
+  /// Proposes commands one after the other, then runs on for a while.
+  void proposeMany(const HostId &Leader, int Count) {
+    for (int I = 0; I < Count; ++I) {
+      propose(Leader, "command " + std::to_string(I));
+      Net.runFor(milliseconds(2));
+    }
+    Net.runFor(milliseconds(300));
+  }
+
   std::string violation() const {
     for (const auto &Check : Checks) {
       if (!Check.second.violation().empty())
--- a/packages/replica/tests/ReplicaTest.cpp
+++ b/packages/replica/tests/ReplicaTest.cpp
@@ -19,14 +19,6 @@
     Net.runFor(milliseconds(300));
   }
 
-  void proposeMany(const HostId &Leader, int Count) {
-    for (int I = 0; I < Count; ++I) {
-      propose(Leader, "command " + std::to_string(I));
-      Net.runFor(milliseconds(2));
-    }
-    Net.runFor(milliseconds(300));
-  }
-
   bool transfer(const HostId &From, const HostId &To = HostId()) {
     return act(From, 0, [&](ReplicaState &S, TimePoint Now, ReplicaEffects &E) {
       return transferLeadership(S, To, Now, E);
