Calls: an attempt at a silent engine is kept while another engine is tried

What callers saw: a failure, if the scheduler refused the second engine of a request whose first engine was silent over an open connection and took no connection, though the first engine would have answered. Cause: after four resumes the attempt was cancelled before the scheduler had granted another engine. Change: the attempt is kept (KeptAttempts.cpp) with its silent call, resumed every five seconds, the reservations of its group renewed, while the next attempt backs off, asks, reserves and generates. The first bytes of the kept engine, or the first token of the next one, decide; the loser is withdrawn or cancelled, and its grant is released once its engines have confirmed. After a refusal, or a last attempt that failed, the newest kept attempt is the current one again and pays for a further retry. A kept one whose connection ends leaves the next one alone. Running and SilentStream move from GenerationTest.cpp to tests/Streams.h unchanged.

--- a/packages/calls/Calls.cpp
+++ b/packages/calls/Calls.cpp
@@ -287,6 +287,9 @@
     dispatch(C, G.Attempt.Request, E);
     return;
   }
+  auto Found = State.Requests.find(G.Attempt.Request);
+  if (Found != State.Requests.end() && isKept(Found->second, G.Attempt))
+    return; // A repeat of the grant in use.
   // The attempt has ended. If its engines are still being cancelled, the
   // release that follows informs the scheduler; otherwise return the grant.
   if (State.Cleanups.count(G.Attempt) == 0)
@@ -385,7 +388,11 @@
   Context C{State, Dir, Now, Out};
   while (!State.Timers.empty() && State.Timers.begin()->first <= Now) {
     RequestId Id = State.Timers.begin()->second;
-    const Request &R = State.Requests.at(Id);
+    Request &R = State.Requests.at(Id);
+    if (followKept(C, R)) {
+      reindex(C, R);
+      continue;
+    }
     Event E;
     E.Kind = R.Deadline <= Now ? EventKind::Deadline : EventKind::Wake;
     dispatch(C, Id, E);
--- a/packages/calls/Calls.h
+++ b/packages/calls/Calls.h
@@ -127,9 +127,9 @@
   Duration ResultTime = minutes(2);
 };
 
-/// A call to an engine that sent nothing within StreamIdleTimeout. It stays
-/// open while the stream is resumed over another connection: as long as it is
-/// open, the engine keeps the attempt.
+/// A call to an engine beside the upstream call. One that sent nothing within
+/// StreamIdleTimeout stays open while the stream is resumed over another
+/// connection: as long as it is open, the engine keeps the attempt.
 struct SilentCall {
   UpstreamId Upstream{}; // 0: none.
   EngineStream Stream;
@@ -160,6 +160,15 @@
   SilentCall Silent;    // Open beside the upstream call.
 };
 
+/// An attempt at a silent engine that goes on while another engine is tried.
+/// Its silent call stays open.
+struct KeptAttempt {
+  EngineAttempt Attempt;
+  std::string Text;     // Answer so far; unused for streamed answers.
+  SilentCall Resume;    // Asks the engine to resume the stream.
+  TimePoint NextResume; // When the engine is asked again.
+};
+
 /// The part of a request that generates text.
 struct GenerationPart {
   Completion Params;
@@ -167,7 +176,8 @@
   std::uint64_t PromptTokens = 0;      // Estimate of the prompt's length.
   std::uint32_t Weight = 1;            // Paid priority.
   EngineAttempt CurrentAttempt;
-  std::string Text; // Answer so far; unused for streamed answers.
+  std::string Text;              // Answer so far; unused for streamed answers.
+  std::vector<KeptAttempt> Kept; // At silent engines, in order of sending.
 };
 
 /// When a claim request was sent. A lease on sending starts at that time.
--- a/packages/calls/CallsInternal.h
+++ b/packages/calls/CallsInternal.h
@@ -9,6 +9,7 @@
 //   GenerationStream.cpp an engine's answer
 //   PlainCalls.cpp       claims and the choice of a server
 //   PlainUpstream.cpp    a plain server's answer
+//   KeptAttempts.cpp     attempts at silent engines, beside another attempt
 //   LateCalls.cpp        repeatable calls at servers that are silent
 //   Cleanups.cpp         cancels and claim outcomes repeated after the answer
 //
@@ -61,7 +62,8 @@
 /// Whether \p Row allows \p Next as the next phase.
 bool allows(const Transition &Row, Phase Next);
 
-/// Updates CallsState::Timers after a change of Wake or Deadline.
+/// Updates CallsState::Timers after a change of Wake, Deadline or the kept
+/// attempts.
 void reindex(Context &C, Request &R);
 
 /// Runs the handler of \p E and removes the request once it has ended. An
@@ -126,23 +128,49 @@
   bool ProvedNotRun = false; // The engine refused the attempt unexecuted.
 };
 /// Ends the current attempt as failed: frees its engines, then schedules a
-/// retry or sends the final answer.
+/// retry, goes on with a kept attempt or sends the final answer.
 void failAttempt(Context &C, Request &R, const AttemptFailure &Why);
 /// Sends the prompt to the engine, or to the leader of a group.
 void sendGenerate(Context &C, Request &R);
-/// As failAttempt(), where a retry was acquired before.
-void retryAttempt(Context &C, Request &R, const AttemptFailure &Why);
-/// Aborts the attempt's silent call, if there is one.
-void dropSilentCall(Context &C, Request &R);
+/// Lets the next grant request avoid the engine of \p T.
+void avoidEngine(Request &R, const EngineAttempt &T);
+/// Aborts a silent call, if it is open.
+void dropSilentCall(Context &C, SilentCall &Call);
+/// Makes the silent call of the current attempt the upstream call again.
+void continueSilentCall(Context &C, Request &R);
 /// Schedules the resume of a broken stream. After RequestTimings::MaxResumes
-/// resumes without a token the attempt fails; if it has a silent call and no
-/// other engine can be asked, that call goes on.
+/// resumes without a token the attempt fails; if it has a silent call, that
+/// call goes on, while another engine is asked for if a retry is allowed.
 void resumeLater(Context &C, Request &R, const char *Reason);
 /// Ends the current attempt. With \p Cancel, it is cancelled at its engines
 /// before its grant is released; otherwise the grant is released at once. If no
 /// engine was granted yet, the grant request is withdrawn.
 void concludeAttempt(Context &C, Request &R, AttemptEnd End, bool Cancel);
-void keepReservations(Context &C, Request &R);
+/// As concludeAttempt() for the granted attempt \p T, whose calls have ended.
+void releaseEngines(Context &C, Request &R, const EngineAttempt &T,
+                    AttemptEnd End, bool Cancel);
+/// Whether no engine of \p T can hold anything: no byte was sent.
+bool holdsNothing(const EngineAttempt &T);
+/// Renews the reservations of a group's members, if that is due.
+void keepReservations(Context &C, const RequestId &Id, EngineAttempt &T);
+
+/// Keeps the current attempt, whose silent call goes on, and backs off before
+/// another engine is asked for.
+void keepAttempt(Context &C, Request &R, const AttemptFailure &Why);
+/// Makes the newest kept attempt the current one; false if there is none.
+bool resumeKept(Context &C, Request &R);
+/// Ends all kept attempts, because another one answers or the request ends.
+void dropKept(Context &C, Request &R);
+/// Whether \p Attempt is a kept attempt of \p R.
+bool isKept(const Request &R, const AttemptId &Attempt);
+/// Handles an event of a kept attempt's call: the first bytes make it the
+/// current attempt. Returns false if \p E belongs to another call.
+bool handleKept(Context &C, Request &R, const Event &E);
+/// When followKept() has work to do next; TimePoint::max(): never.
+TimePoint nextKeptWork(const Request &R);
+/// Resumes kept attempts and renews their reservations. Returns whether
+/// anything was due.
+bool followKept(Context &C, Request &R);
 
 /// The plain servers of the service of \p R.
 const std::vector<PlainServer> &serversOf(const Context &C, const Request &R);
@@ -209,6 +237,7 @@
 PIMENTO_HANDLER(readReserveData)
 PIMENTO_HANDLER(endReserve)
 PIMENTO_HANDLER(failReserve)
+PIMENTO_HANDLER(readKept)
 PIMENTO_HANDLER(readHead)
 PIMENTO_HANDLER(readData)
 PIMENTO_HANDLER(endStream)
--- a/packages/calls/Generation.cpp
+++ b/packages/calls/Generation.cpp
@@ -44,8 +44,7 @@
   R.Wake = C.Now + C.S.Times.ReservationLease;
 }
 
-Release reportOf(const Context &C, const Request &R, AttemptEnd End) {
-  const EngineAttempt &T = R.Generation->CurrentAttempt;
+Release reportOf(const Context &C, const EngineAttempt &T, AttemptEnd End) {
   Release Report;
   Report.Attempt = T.Id;
   Report.End = End;
@@ -77,14 +76,18 @@
 
 void concludeAttempt(Context &C, Request &R, AttemptEnd End, bool Cancel) {
   EngineAttempt &T = R.Generation->CurrentAttempt;
-  dropSilentCall(C, R);
+  dropSilentCall(C, T.Silent);
   abortUpstream(C, R);
-  R.MayHaveRun = R.MayHaveRun || T.SentAt != TimePoint();
-  if (T.CurrentGrant.Engines.empty()) {
+  if (T.CurrentGrant.Engines.empty())
     withdraw(C, T.Id);
-    return;
-  }
-  Release Report = reportOf(C, R, End);
+  else
+    releaseEngines(C, R, T, End, Cancel);
+}
+
+void releaseEngines(Context &C, Request &R, const EngineAttempt &T,
+                    AttemptEnd End, bool Cancel) {
+  R.MayHaveRun = R.MayHaveRun || T.SentAt != TimePoint();
+  Release Report = reportOf(C, T, End);
   if (!Cancel) {
     C.Out.List.emplace_back(SendRelease{Report});
     return;
@@ -95,6 +98,18 @@
   startCleanup(C, std::move(Work));
 }
 
+bool holdsNothing(const EngineAttempt &T) {
+  return !isGroup(T.CurrentGrant) && T.SentAt == TimePoint();
+}
+
+void avoidEngine(Request &R, const EngineAttempt &T) {
+  if (T.CurrentGrant.Engines.empty())
+    return;
+  const BackendId &Engine = T.CurrentGrant.Engines[0].Backend;
+  if (std::find(R.Avoid.begin(), R.Avoid.end(), Engine) == R.Avoid.end())
+    R.Avoid.push_back(Engine);
+}
+
 namespace {
 
 /// Ends the attempt as failed and frees its engines.
@@ -102,9 +117,8 @@
   EngineAttempt &T = R.Generation->CurrentAttempt;
   if (Why.ProvedNotRun)
     T.SentAt = TimePoint();
-  bool HoldsNothing = !isGroup(T.CurrentGrant) && T.SentAt == TimePoint();
-  if (!T.CurrentGrant.Engines.empty())
-    R.Avoid.push_back(T.CurrentGrant.Engines[0].Backend);
+  bool HoldsNothing = holdsNothing(T);
+  avoidEngine(R, T);
   concludeAttempt(C, R,
                   HoldsNothing ? AttemptEnd::Unused : AttemptEnd::Cancelled,
                   !HoldsNothing);
@@ -115,16 +129,11 @@
 
 } // namespace
 
-void retryAttempt(Context &C, Request &R, const AttemptFailure &Why) {
-  endFailedAttempt(C, R, Why);
-  backOff(C, R);
-}
-
 void failAttempt(Context &C, Request &R, const AttemptFailure &Why) {
   endFailedAttempt(C, R, Why);
   if (acquireRetry(C, R))
     backOff(C, R);
-  else
+  else if (!resumeKept(C, R))
     answerProblem(C, R, R.LastFailure);
 }
 
@@ -186,6 +195,8 @@
 }
 
 void useRefusal(Context &C, Request &R, const Event &E) {
+  if (resumeKept(C, R))
+    return;
   Problem Why{E.Refused->Reason, "", R.Id, E.Refused->RetryAfter};
   if (info(Why.Number).Result != Outcome::NotRun)
     Why.Number = Code::NoBackend;
@@ -231,18 +242,24 @@
   answerProblem(C, R, Why);
 }
 
-void readReserveHead(Context & /*C*/, Request &R, const Event &E) {
+void readReserveHead(Context &C, Request &R, const Event &E) {
+  if (handleKept(C, R, E))
+    return;
   R.Generation->CurrentAttempt.Status = E.Status;
   R.Generation->CurrentAttempt.Headers = *E.Headers;
 }
 
-void readReserveData(Context & /*C*/, Request &R, const Event &E) {
+void readReserveData(Context &C, Request &R, const Event &E) {
+  if (handleKept(C, R, E))
+    return;
   constexpr std::size_t KeptBytes = 4096;
   std::string &Kept = R.Generation->CurrentAttempt.Refusal;
   Kept += E.Bytes.substr(0, KeptBytes - std::min(KeptBytes, Kept.size()));
 }
 
-void endReserve(Context &C, Request &R, const Event & /*E*/) {
+void endReserve(Context &C, Request &R, const Event &E) {
+  if (handleKept(C, R, E))
+    return;
   EngineAttempt &T = R.Generation->CurrentAttempt;
   R.Upstream = UpstreamId();
   if (T.Status != 200) {
@@ -261,6 +278,8 @@
 }
 
 void failReserve(Context &C, Request &R, const Event &E) {
+  if (handleKept(C, R, E))
+    return;
   R.Upstream = UpstreamId();
   failAttempt(
       C, R,
@@ -275,8 +294,7 @@
                "a member of the group did not answer the reservation", false});
 }
 
-void keepReservations(Context &C, Request &R) {
-  EngineAttempt &T = R.Generation->CurrentAttempt;
+void keepReservations(Context &C, const RequestId &Id, EngineAttempt &T) {
   if (!isGroup(T.CurrentGrant) || C.Now < T.NextReservation)
     return;
   T.NextReservation = C.Now + C.S.Times.ReservationLease / 3;
@@ -285,7 +303,7 @@
     openUpstreamFor(C,
                     reserveRequest(Member.Address, T.Id, Member.Tokens,
                                    C.S.Times.ReservationLease),
-                    {UpstreamUse::KeepReserved, R.Id, T.Id});
+                    {UpstreamUse::KeepReserved, Id, T.Id});
   }
 }
 
--- a/packages/calls/GenerationStream.cpp
+++ b/packages/calls/GenerationStream.cpp
@@ -96,6 +96,7 @@
     resumeLater(C, R, "the stream skipped tokens");
     return;
   }
+  dropKept(C, R);
   ++G.CurrentAttempt.NextOffset;
   G.CurrentAttempt.Resumes = 0;
   noteFirstToken(C, R);
@@ -207,7 +208,8 @@
   R.Upstream = UpstreamId();
 }
 
-/// The silent call is the upstream call again.
+} // namespace
+
 void continueSilentCall(Context &C, Request &R) {
   EngineAttempt &T = R.Generation->CurrentAttempt;
   abortUpstream(C, R);
@@ -225,8 +227,9 @@
                             C.S.Times.ReservationLease / 3);
 }
 
-void forgetSilentCall(Context &C, Request &R) {
-  SilentCall &Call = R.Generation->CurrentAttempt.Silent;
+namespace {
+
+void forgetSilentCall(Context &C, SilentCall &Call) {
   C.S.Upstreams.erase(static_cast<std::uint64_t>(Call.Upstream));
   Call = SilentCall();
 }
@@ -235,11 +238,11 @@
   EngineAttempt &T = R.Generation->CurrentAttempt;
   if (E.Failure->BytesSent && T.SentAt == TimePoint())
     T.SentAt = C.Now;
-  forgetSilentCall(C, R);
+  forgetSilentCall(C, T.Silent);
 }
 
-/// The engine did not resume the stream: asks for another engine, or goes on
-/// with the silent call.
+/// The engine did not resume the stream. A silent call goes on, and another
+/// engine is asked for if a retry is allowed.
 void endResumes(Context &C, Request &R, const char *Reason) {
   AttemptFailure Why{Code::BackendFailed, Reason, false};
   if (!hasSilentCall(R)) {
@@ -247,7 +250,7 @@
     return;
   }
   if (acquireRetry(C, R)) {
-    retryAttempt(C, R, Why);
+    keepAttempt(C, R, Why);
     return;
   }
   EngineAttempt &T = R.Generation->CurrentAttempt;
@@ -260,12 +263,11 @@
 
 } // namespace
 
-void dropSilentCall(Context &C, Request &R) {
-  if (!hasSilentCall(R))
+void dropSilentCall(Context &C, SilentCall &Call) {
+  if (Call.Upstream == UpstreamId())
     return;
-  C.Out.List.emplace_back(
-      AbortUpstream{R.Generation->CurrentAttempt.Silent.Upstream});
-  forgetSilentCall(C, R);
+  C.Out.List.emplace_back(AbortUpstream{Call.Upstream});
+  forgetSilentCall(C, Call);
 }
 
 void resumeLater(Context &C, Request &R, const char *Reason) {
@@ -295,7 +297,7 @@
   T.Resumed = true;
   T.LastByte = C.Now;
   R.State = Phase::Generating;
-  keepReservations(C, R);
+  keepReservations(C, R.Id, T);
   openUpstream(
       C, R,
       resumeRequest(T.CurrentGrant.Engines[0].Address, T.Id, T.NextOffset));
@@ -303,13 +305,17 @@
                             C.S.Times.ReservationLease / 3);
 }
 
-void noteSent(Context &C, Request &R, const Event & /*E*/) {
+void noteSent(Context &C, Request &R, const Event &E) {
+  if (handleKept(C, R, E))
+    return;
   EngineAttempt &T = R.Generation->CurrentAttempt;
   if (T.SentAt == TimePoint())
     T.SentAt = C.Now;
 }
 
 void readHead(Context &C, Request &R, const Event &E) {
+  if (handleKept(C, R, E))
+    return;
   noteSent(C, R, E);
   if (isOfSilentCall(R, E))
     continueSilentCall(C, R);
@@ -319,11 +325,13 @@
 }
 
 void readData(Context &C, Request &R, const Event &E) {
+  if (handleKept(C, R, E))
+    return;
   EngineAttempt &T = R.Generation->CurrentAttempt;
   if (isOfSilentCall(R, E))
     continueSilentCall(C, R);
   else if (T.Status == 200)
-    dropSilentCall(C, R); // The resumed call replaces it.
+    dropSilentCall(C, T.Silent); // The resumed call replaces it.
   T.LastByte = C.Now;
   if (T.Status != 200) {
     readReserveData(C, R, E);
@@ -334,7 +342,8 @@
   std::string Chunk;
   for (const EngineEvent &Event : Events) {
     handleEvent(C, R, Event, Chunk);
-    if (R.State != Phase::Generating)
+    // After a failure a kept attempt may be the current one.
+    if (R.State != Phase::Generating || R.Upstream != E.Upstream)
       return;
   }
   flushChunk(C, R, Chunk);
@@ -344,8 +353,10 @@
 }
 
 void endStream(Context &C, Request &R, const Event &E) {
+  if (handleKept(C, R, E))
+    return;
   if (isOfSilentCall(R, E)) {
-    forgetSilentCall(C, R);
+    forgetSilentCall(C, R.Generation->CurrentAttempt.Silent);
     return;
   }
   EngineAttempt &T = R.Generation->CurrentAttempt;
@@ -364,6 +375,8 @@
 }
 
 void failStream(Context &C, Request &R, const Event &E) {
+  if (handleKept(C, R, E))
+    return;
   if (isOfSilentCall(R, E)) {
     failSilentCall(C, R, E);
     return;
@@ -391,7 +404,7 @@
 
 void checkStream(Context &C, Request &R, const Event & /*E*/) {
   EngineAttempt &T = R.Generation->CurrentAttempt;
-  keepReservations(C, R);
+  keepReservations(C, R.Id, T);
   updatePause(C, R);
   if (!R.Paused && C.Now - T.LastByte >= C.S.Times.StreamIdleTimeout) {
     keepSilentCall(R);
--- a/packages/calls/LateCalls.cpp
+++ b/packages/calls/LateCalls.cpp
@@ -117,6 +117,8 @@
 }
 
 void noteLateSent(Context &C, Request &R, const Event &E) {
+  if (handleKept(C, R, E))
+    return;
   LateCall *Late = R.Call ? findLate(R, E.Upstream) : nullptr;
   if (Late != nullptr)
     noteRun(R, *Late);
@@ -125,6 +127,8 @@
 }
 
 void readLateHead(Context &C, Request &R, const Event &E) {
+  if (handleKept(C, R, E))
+    return;
   LateCall *Late = R.Call ? findLate(R, E.Upstream) : nullptr;
   if (Late == nullptr) {
     ignore(C, R, E);
@@ -138,6 +142,8 @@
 }
 
 void readLateData(Context &C, Request &R, const Event &E) {
+  if (handleKept(C, R, E))
+    return;
   LateCall *Late = R.Call ? findLate(R, E.Upstream) : nullptr;
   if (Late == nullptr) {
     ignore(C, R, E);
@@ -149,6 +155,8 @@
 }
 
 void endLate(Context &C, Request &R, const Event &E) {
+  if (handleKept(C, R, E))
+    return;
   LateCall *Late = R.Call ? findLate(R, E.Upstream) : nullptr;
   if (Late == nullptr) {
     ignore(C, R, E);
@@ -170,6 +178,8 @@
 }
 
 void failLate(Context &C, Request &R, const Event &E) {
+  if (handleKept(C, R, E))
+    return;
   LateCall *Late = R.Call ? findLate(R, E.Upstream) : nullptr;
   if (Late == nullptr) {
     ignore(C, R, E);
--- a/packages/calls/Outcomes.cpp
+++ b/packages/calls/Outcomes.cpp
@@ -25,6 +25,7 @@
   R.Deadline = TimePoint::max();
   R.Wake = C.Now + C.S.Times.DeliveryIdleTimeout;
   R.Pending += Bytes;
+  dropKept(C, R);
   R.Generation.reset();
   dropLateCalls(C, R);
   R.Call.reset();
@@ -66,11 +67,15 @@
 
 std::uint64_t bufferedBytes(const Request &R) {
   std::uint64_t Bytes = 0;
-  if (R.Generation)
+  if (R.Generation) {
     Bytes += R.Generation->Params.Prompt.size() + R.Generation->Text.size() +
              R.Generation->CurrentAttempt.Refusal.size() +
              R.Generation->CurrentAttempt.Stream.Reader.Partial.size() +
              R.Generation->CurrentAttempt.Silent.Stream.Reader.Partial.size();
+    for (const KeptAttempt &Kept : R.Generation->Kept)
+      Bytes +=
+          Kept.Text.size() + Kept.Attempt.Silent.Stream.Reader.Partial.size();
+  }
   if (!R.Call)
     return Bytes;
   Bytes += R.Call->Params.Body.size() + R.Call->Answer.size();
--- a/packages/calls/Transitions.cpp
+++ b/packages/calls/Transitions.cpp
@@ -41,6 +41,7 @@
 void remove(Context &C, Request &R) {
   setHeldBytes(C, R, 0);
   abortUpstream(C, R);
+  dropKept(C, R);
   dropLateCalls(C, R);
   C.S.Timers.erase({R.Indexed, R.Id});
   C.S.Exchanges.erase(static_cast<std::uint64_t>(R.Exchange));
@@ -74,7 +75,7 @@
 }
 
 void reindex(Context &C, Request &R) {
-  TimePoint Next = std::min(R.Wake, R.Deadline);
+  TimePoint Next = std::min({R.Wake, R.Deadline, nextKeptWork(R)});
   if (Next == R.Indexed)
     return;
   C.S.Timers.erase({R.Indexed, R.Id});
--- a/packages/calls/tests/FaultsTest.cpp
+++ b/packages/calls/tests/FaultsTest.cpp
@@ -336,3 +336,43 @@
     BOOST_REQUIRE_MESSAGE(Last > 0, "seed " << Seed << ": nothing ran");
   }
 }
+
+// Engines that are silent and take no connection: attempts are kept while other
+// engines are tried, so that two answers of one request may come at once.
+BOOST_AUTO_TEST_CASE(InvariantsHoldWhileAttemptsAtSilentEnginesAreKept) {
+  std::size_t Kept = 0;
+  std::size_t Answered = 0;
+  for (std::uint64_t Seed : seeds(1000)) {
+    Session S(Seed);
+    S.W.Faults = WorldFaults();
+    S.W.Faults.EngineSilent = 0.6;
+    S.W.Faults.EngineConnect = 0.6;
+    S.W.Faults.GrantLost = 0.3;
+    S.W.Faults.GrantTwice = 0.2;
+    S.W.Faults.CallerLeaves = 0.1;
+    for (int I = 0; I < 40; ++I) {
+      HostId Host = S.anyHost();
+      std::uint64_t Exchange = S.W.complete(
+          Host, below(S.Rng, 2) == 0, between(S.Rng, seconds(5), seconds(60)));
+      if (uniform(S.Rng) < S.W.Faults.CallerLeaves)
+        S.disconnectLater(Exchange);
+      S.W.P.runFor(between(S.Rng, milliseconds(1), milliseconds(2000)));
+      for (const HostId &Each : S.W.Hosts) {
+        for (const auto &[Id, R] : S.W.P.node(Each).Calls.Requests)
+          Kept += R.Generation && !R.Generation->Kept.empty() ? 1 : 0;
+      }
+    }
+    S.W.runWithoutFaults(seconds(100));
+    for (std::string (*Check)(Session &) : {findViolation, findLeak}) {
+      std::string Violation = Check(S);
+      BOOST_REQUIRE_MESSAGE(Violation.empty(),
+                            "seed " << Seed << ": " << Violation);
+    }
+    for (const auto &[Exchange, Call] : S.W.Calls)
+      Answered += Call.Outcome == "answered" ? 1 : 0;
+  }
+  BOOST_TEST_MESSAGE("kept " << Kept << ", answered " << Answered);
+  // The faults must keep enough attempts to check.
+  for (std::size_t Count : {Kept, Answered})
+    BOOST_TEST((std::getenv("PIMENTO_SEED") != nullptr || Count > 500U));
+}
--- a/packages/calls/tests/GenerationTest.cpp
+++ b/packages/calls/tests/GenerationTest.cpp
@@ -1,78 +1,12 @@
 #include <boost/test/unit_test.hpp>
 
-#include "Rig.h"
-#include "testing/KnownRed.h"
+#include "Streams.h"
 
 using namespace pimento;
 using namespace pimento::calls;
 
 namespace {
 
-/// A request with an open stream from its engine.
-struct Running {
-  Rig &R;
-  ExchangeId Exchange{};
-  AttemptId Attempt;
-  UpstreamId Call{};
-
-  Running(Rig &Host, bool Stream) : R(Host) {
-    Exchange = R.complete(Stream);
-    Attempt = R.one<SendGrantRequest>().Content.Attempt;
-    R.grant(Attempt);
-    Call = R.one<OpenUpstream>().Upstream;
-    R.sent(Call);
-    R.head(Call, 200);
-  }
-  std::string token(std::uint64_t Offset, const std::string &Text) {
-    R.data(Call, tokenLine(Attempt, Offset, Text));
-    std::string Written;
-    for (const StreamBytes &S : R.all<StreamBytes>())
-      Written += S.Bytes;
-    return Written;
-  }
-  /// Waits until the host resumes the broken stream at the same engine, and
-  /// returns the new upstream call.
-  OpenUpstream resume() {
-    R.passAll(milliseconds(60));
-    OpenUpstream Again = R.one<OpenUpstream>();
-    Call = Again.Upstream;
-    return Again;
-  }
-};
-
-/// A stream without a byte for longer than the idle timeout, which the host
-/// resumes over another connection.
-struct SilentStream {
-  Rig &R;
-  Running &G;
-  UpstreamId Silent{};
-  OpenUpstream Resume;
-
-  SilentStream(Rig &Host, Running &Stream) : R(Host), G(Stream) {
-    Silent = G.Call;
-    R.passAll(milliseconds(5060));
-    BOOST_TEST(R.none<AbortUpstream>());
-    Resume = R.one<OpenUpstream>();
-    G.Call = Resume.Upstream;
-  }
-  /// Lets this resume and those that follow fail to connect.
-  void failResumes() {
-    for (std::uint32_t I = 1; I < R.S.Times.MaxResumes; ++I) {
-      R.fail(G.Call, false);
-      R.passAll(milliseconds(500));
-      G.Call = R.one<OpenUpstream>().Upstream;
-    }
-    R.fail(G.Call, false);
-    G.Call = Silent;
-  }
-  void checkNothingIsLeft() {
-    R.drained(G.Exchange);
-    BOOST_TEST(idle(R.S));
-    BOOST_TEST(R.S.Upstreams.empty());
-    BOOST_TEST(R.S.Bytes == 0U);
-  }
-};
-
 bool isDone(const std::string &Bytes) {
   return Bytes.find("[DONE]") != std::string::npos;
 }
@@ -438,7 +372,6 @@
 // The scheduler has no other engine for an attempt whose engine is silent: the
 // caller gets the answer of the first engine, which goes on.
 BOOST_AUTO_TEST_CASE(SilentEngineIsKeptWhileAnotherOneIsAsked) {
-  const char *Case = "SilentEngineIsKeptWhileAnotherOneIsAsked";
   Rig R;
   Running G(R, false);
   SilentStream S(R, G);
@@ -449,11 +382,9 @@
   R.clear();
   onRefusal(R.S, {Asked[0].Content.Attempt, Code::QueueFull, seconds(3), {}, 0},
             R.Dir, R.Now, R.Out);
-  testing::checkUnlessKnownRed(Case, R.none<SendReply>(),
-                               "a refusal is the final answer");
+  BOOST_TEST(R.none<SendReply>());
   R.data(S.Silent, tokenLine(G.Attempt, 0, "one") + endLine(G.Attempt, 1));
-  testing::checkUnlessKnownRed(Case, R.all<SendReply>().size() == 1U,
-                               "the first engine's answer is dropped");
+  BOOST_TEST(R.all<SendReply>().size() == 1U);
 }
 
 BOOST_AUTO_TEST_CASE(AllGroupMembersAreReservedBeforeGeneration) {
