Calls: tests of a kept engine's late prompt, late refusal and held bytes

Cause: of 32 mechanisms of kept attempts that were switched off one by one (trials, not kept) two failed no test: the prompt that reaches the kept engine late counts as run, and the body of its refusal, after a head in time, is no answer. A third, the held bytes of its text, was not tried, since no test read it. Change: two cases, and a second variant of LateRefusalOfTheKeptEngineLeavesTheNextOneAlone.

--- a/packages/calls/tests/KeptEndingsTest.cpp
+++ b/packages/calls/tests/KeptEndingsTest.cpp
@@ -151,25 +151,70 @@
 // A refusal of the engine that arrives late is not an answer: the next engine's
 // answer would be dropped for it.
 BOOST_AUTO_TEST_CASE(LateRefusalOfTheKeptEngineLeavesTheNextOneAlone) {
-  Rig R;
-  R.complete(false);
-  AttemptId First = R.one<SendGrantRequest>().Content.Attempt;
-  R.grant(First);
-  UpstreamId Silent = R.one<OpenUpstream>().Upstream;
-  R.sent(Silent);
-  while (R.none<SendGrantRequest>()) {
-    R.pass(milliseconds(10));
-    std::vector<OpenUpstream> Resumes = R.all<OpenUpstream>();
-    if (!Resumes.empty())
-      R.fail(Resumes[0].Upstream, false);
+  // Its head arrives late, or its body after a head in time.
+  for (bool HeadInTime : {false, true}) {
+    Rig R;
+    R.complete(false);
+    AttemptId First = R.one<SendGrantRequest>().Content.Attempt;
+    R.grant(First);
+    UpstreamId Silent = R.one<OpenUpstream>().Upstream;
+    R.sent(Silent);
+    if (HeadInTime)
+      R.head(Silent, 503, {{"X-Not-Run", "1"}});
+    while (R.none<SendGrantRequest>()) {
+      R.pass(milliseconds(10));
+      std::vector<OpenUpstream> Resumes = R.all<OpenUpstream>();
+      if (!Resumes.empty())
+        R.fail(Resumes[0].Upstream, false);
+    }
+    AttemptId Second = R.one<SendGrantRequest>().Content.Attempt;
+    R.grant(Second, "e2");
+    UpstreamId Next = R.one<OpenUpstream>().Upstream;
+    R.head(Next, 200);
+    if (HeadInTime)
+      R.data(Silent, "{}");
+    else
+      R.head(Silent, 503, {{"X-Not-Run", "1"}});
+    BOOST_TEST((R.one<AbortUpstream>().Upstream == Silent));
+    BOOST_TEST((R.one<OpenUpstream>().Request.Method == HttpMethod::Delete));
+    R.data(Next, tokenLine(Second, 0, "new") + endLine(Second, 1));
+    BOOST_TEST(answerText(R) == "new");
   }
-  AttemptId Second = R.one<SendGrantRequest>().Content.Attempt;
-  R.grant(Second, "e2");
-  UpstreamId Next = R.one<OpenUpstream>().Upstream;
-  R.head(Next, 200);
-  R.head(Silent, 503, {{"X-Not-Run", "1"}});
-  BOOST_TEST((R.one<AbortUpstream>().Upstream == Silent));
-  BOOST_TEST((R.one<OpenUpstream>().Request.Method == HttpMethod::Delete));
-  R.data(Next, tokenLine(Second, 0, "new") + endLine(Second, 1));
-  BOOST_TEST(answerText(R) == "new");
+}
+
+// The prompt reaches the kept engine only while another one is asked for: "not
+// run" would be false, and the engine would not be cancelled.
+BOOST_AUTO_TEST_CASE(PromptSentToAKeptEngineCountsAsRun) {
+  for (bool Sent : {false, true}) {
+    Rig R;
+    R.complete(false, {{"X-Request-Timeout-Ms", "60000"}});
+    R.grant(R.one<SendGrantRequest>().Content.Attempt);
+    UpstreamId Silent = R.one<OpenUpstream>().Upstream;
+    while (R.none<SendGrantRequest>())
+      R.pass(milliseconds(10)); // No call is connected, and none fails.
+    if (Sent)
+      R.sent(Silent);
+    while (R.none<SendReply>())
+      R.pass(milliseconds(10));
+    BOOST_TEST(outcome(R.one<SendReply>()) == (Sent ? "failed" : "not_run"));
+    std::size_t Cancels = 0;
+    for (const OpenUpstream &Call : R.all<OpenUpstream>())
+      Cancels += Call.Request.Method == HttpMethod::Delete ? 1 : 0;
+    BOOST_TEST(Cancels == (Sent ? 1U : 0U));
+    BOOST_TEST(R.all<SendRelease>().size() == (Sent ? 0U : 1U));
+  }
+}
+
+// Text of a kept attempt takes memory: the host's limit would not hold.
+BOOST_AUTO_TEST_CASE(TextOfAKeptAttemptCountsAsHeld) {
+  Rig R;
+  Running G(R, false);
+  G.token(0, std::string(5000, 'x'));
+  std::uint64_t Held = R.S.Bytes;
+  BOOST_TEST(Held > 5000U);
+  KeptStream K(R, G);
+  BOOST_TEST(R.S.Bytes == Held);
+  UpstreamId Next = K.startNext();
+  R.data(Next, tokenLine(K.Next.Attempt, 0, "new"));
+  BOOST_TEST(R.S.Bytes < 5000U);
 }
