Logs: the stop line tells whether callers had not read all replies (LOST)

Change: the stop line has replies_unwritten. Result: StopLineTellsWhetherRepliesWereUnwritten, with a caller that reads nothing; the field did not exist before.

--- a/packages/shell/Process.cpp
+++ b/packages/shell/Process.cpp
@@ -118,9 +118,10 @@
   std::deque<Event> EventQueue; // Events raised while another is being handled.
   bool Dispatching = false;
   int ExitStatus = 0;
-  Timer ExitTimer;     // Set after an Exit effect.
-  TimePoint ExitBy{};  // The process then exits although replies are unwritten.
-  TimePoint TickDue{}; // Expiry of TickTimer; the epoch: not set.
+  Timer ExitTimer;    // Set after an Exit effect.
+  TimePoint ExitBy{}; // The process then exits although replies are unwritten.
+  bool IsCutShort = false; // It did so.
+  TimePoint TickDue{};     // Expiry of TickTimer; the epoch: not set.
 };
 
 /// Whether connections can be made from the address; true if it is empty.
@@ -314,6 +315,7 @@
   DecisionRecord Last;
   Last.Kind = "stop";
   Last.add("status", static_cast<std::int64_t>(ExitStatus));
+  Last.add("replies_unwritten", IsCutShort);
   Log.write(LogLevel::Info, Last);
   return ExitStatus;
 }
@@ -557,10 +559,12 @@
 /// are still being read.
 void Process::exitWhenWritten() {
   bool IsBusy = CallerServer.isBusy() || OperatorServer.isBusy();
-  if (IsBusy && steadyNow() < ExitBy)
+  if (IsBusy && steadyNow() < ExitBy) {
     ExitTimer.start(FlushCheckInterval);
-  else
-    event_base_loopexit(Base.get(), nullptr);
+    return;
+  }
+  IsCutShort = IsBusy;
+  event_base_loopexit(Base.get(), nullptr);
 }
 
 } // namespace
--- a/packages/shell/tests/ProcessTest.cpp
+++ b/packages/shell/tests/ProcessTest.cpp
@@ -4,8 +4,12 @@
 #include "shell/HostProgram.h"
 #include "shell/tests/Socket.h"
 
+#include <cstdio>
+#include <functional>
+#include <iostream>
 #include <stdexcept>
 #include <thread>
+#include <unistd.h>
 
 using namespace pimento;
 using namespace pimento::test;
@@ -34,6 +38,23 @@
   return P;
 }
 
+/// What the call writes to the standard error, where log lines go by default.
+std::string standardErrorOf(const std::function<void()> &Call) {
+  std::FILE *Kept = std::tmpfile();
+  std::clog.flush();
+  int Before = dup(STDERR_FILENO);
+  dup2(fileno(Kept), STDERR_FILENO);
+  Call();
+  std::clog.flush();
+  dup2(Before, STDERR_FILENO);
+  close(Before);
+  std::string Text(static_cast<std::size_t>(std::ftell(Kept)), '\0');
+  std::rewind(Kept);
+  Text.resize(std::fread(Text.data(), 1, Text.size(), Kept));
+  std::fclose(Kept);
+  return Text;
+}
+
 } // namespace
 
 /// Guards against one unexpected error that takes a whole process down.
@@ -145,6 +166,33 @@
   BOOST_TEST(Received >= AnswerBytes);
 }
 
+/// Guards against a lost answer that no log line tells of: the process ended
+/// before its caller had read it, and its request counts as answered.
+BOOST_AUTO_TEST_CASE(StopLineTellsWhetherRepliesWereUnwritten) {
+  constexpr std::size_t AnswerBytes = 12U << 20U; // More than sockets hold.
+  Settings S = settings();
+  HostProgram P = program();
+  P.Reduce = [&](const Event &E, TimePoint) -> Effects {
+    const auto *Request = std::get_if<CallerRequest>(&E);
+    if (Request == nullptr)
+      return {};
+    HttpReply Reply = jsonReply(200, std::string(AnswerBytes, 'x'));
+    return {calls::SendReply{Request->Exchange, Reply},
+            Exit{0, milliseconds(200)}};
+  };
+  std::thread Caller([&] {
+    std::this_thread::sleep_for(milliseconds(200));
+    RawSocket Socket(S.Host.CallerAddress);
+    Socket.write("GET / HTTP/1.1\r\n\r\n");
+    std::this_thread::sleep_for(milliseconds(800));
+  });
+  DataFolder Folder;
+  std::string Lines =
+      standardErrorOf([&] { BOOST_TEST(runProgram(S, Folder, 1, P) == 0); });
+  Caller.join();
+  BOOST_TEST(Lines.find("\"replies_unwritten\":true") != std::string::npos);
+}
+
 /// Guards against a caller's path that the host answers itself: a route may
 /// have it, and the host's figures are nobody else's.
 BOOST_AUTO_TEST_CASE(PathsOfCallersAreNotTheHostsOwn) {
