Answers: a stream broken off right behind its head ends its connection

Cause: an engine's head and the end of its connection came at once, without an event. breakStream waits until the output is written; only a chunk's callback reports that, and there was none. The connection stayed open for the idle timeout, two minutes. Result: the new test failed before, and passes in 20 of 20 runs; the 21 cases of HttpTest.cpp pass, linked on their own. The whole test program, the site tests and the trial with the changed program were not run.

--- a/packages/shell/HttpServer.cpp
+++ b/packages/shell/HttpServer.cpp
@@ -371,6 +371,12 @@
   if (isReleased(Link))
     return canClose(Link, Now);
   Exchange *Open = find(Link.CurrentExchange);
+  // evhttp does not report when a head without a chunk behind it is written.
+  if (Open && Open->Breaking &&
+      evbuffer_get_length(bufferevent_get_output(Link.Stream)) == 0) {
+    closeConnection(Link.CurrentExchange);
+    return false;
+  }
   if (Link.Closing || (Open && !Open->Ended))
     return false;
   if (Open)
--- a/packages/shell/tests/HttpTest.cpp
+++ b/packages/shell/tests/HttpTest.cpp
@@ -227,6 +227,23 @@
   BOOST_TEST(!Written.empty());
 }
 
+/// Guards against a caller that waited two minutes: nobody looked whether the
+/// head of a stream was written that was broken off before its first chunk.
+BOOST_FIXTURE_TEST_CASE(StreamBrokenOffRightBehindItsHeadFails, Fixture) {
+  UpstreamRequest R;
+  R.Address = Address;
+  R.Target = "/";
+  open(R);
+  BOOST_TEST(until([&] { return !Requests.empty(); }));
+  ExchangeId Id = Requests[0].first;
+  Server.startStream(Id, 200, {});
+  Server.breakStream(Id);
+  BOOST_TEST(until([&] { return Failure.has_value(); }));
+  BOOST_TEST(Body.empty());
+  BOOST_TEST(!Ended);
+  BOOST_TEST(Server.exchanges() == 0U);
+}
+
 BOOST_FIXTURE_TEST_CASE(EndedRepliesAreReportedWhenWritten, Fixture) {
   UpstreamRequest R;
   R.Address = Address;
