--- a/packages/gateway/HedgePart.cpp
+++ b/packages/gateway/HedgePart.cpp
@@ -36,6 +36,19 @@
   log(T, std::move(Record));
 }
 
+/// Sends of the call, with that of an attempt that has no connection yet.
+std::uint32_t sendsWithOpen(const GatewayCall &C) {
+  bool IsUnsent = C.Attempt.Upstream != UpstreamId{} && !C.Attempt.BytesSent;
+  return C.Sends + (IsUnsent ? 1 : 0);
+}
+
+/// Whether a hedge of the call may begin. One that is a hedge itself, and late,
+/// may have another, but not once it has used its sends.
+bool mayHaveHedge(const GatewayCall &C) {
+  bool IsLast = C.HedgeOf != 0 && sendsWithOpen(C) >= C.MaxSends;
+  return mayRunAgain(C) && C.Hedge == 0 && !IsLast;
+}
+
 void countHedge(GatewayTurn &T, const char *Result) {
   count(T, "pimento_hedges_total", std::string("result=\"") + Result + "\"");
 }
@@ -79,7 +92,7 @@
   H.Arrived = C.Arrived;
   H.Deadline = C.Deadline;
   H.IsRelayed = C.IsRelayed;
-  H.MaxSends = C.MaxSends - C.Sends;
+  H.MaxSends = C.MaxSends - sendsWithOpen(C);
   H.AttemptCount = C.AttemptCount;
   H.MayHaveRun = true;
   H.IsRetryDue = true;
@@ -93,8 +106,11 @@
   return H;
 }
 
-/// Counts what the hedge did as done by \p C.
+/// Counts what the hedge did as done by \p C. One that reached no server leaves
+/// its tries to the next.
 void addSends(GatewayCall &C, const GatewayCall &H) {
+  if (H.Sends == 0)
+    return;
   C.Sends += H.Sends;
   C.MayHaveRun = C.MayHaveRun || H.Sends > 0;
   C.AttemptCount = H.AttemptCount;
@@ -109,6 +125,7 @@
 /// Ends the hedge and lets its call, which goes on, wait for its server.
 void endHedge(GatewayTurn &T, GatewayCall &C, GatewayCall &H,
               const char *Result, const char *Reason) {
+  dropHedge(T, H, Reason);
   logHedge(T, C, "hedge_ended", H, Reason);
   countHedge(T, Result);
   addSends(C, H);
@@ -121,18 +138,18 @@
 } // namespace
 
 TimePoint hedgeAt(const GatewayCall &C) {
-  if (!mayRunAgain(C) || C.Hedge != 0 || C.HedgeOf != 0)
+  if (!mayHaveHedge(C))
     return TimePoint::max();
   return std::max(overdueAt(C), C.NextHedgeAt);
 }
 
 void startHedge(GatewayTurn &T, GatewayCall &C, const char *Reason) {
   C.NextHedgeAt = T.Now + HedgeInterval;
-  bool IsPossible = C.Hedge == 0 && C.HedgeOf == 0 && mayRunAgain(C);
-  if (!IsPossible)
+  if (!mayHaveHedge(C))
     return;
   bool IsOver = T.S.Stopping && T.Now >= T.S.StopAt;
-  if (IsOver || C.IsTrial || !maySendAgain(T, C) || isSuspectOfCrashes(T, C)) {
+  bool IsAllowed = maySendAgain(T, C) && sendsWithOpen(C) < C.MaxSends;
+  if (IsOver || C.IsTrial || !IsAllowed || isSuspectOfCrashes(T, C)) {
     logNoHedge(T, C, Reason);
     return;
   }
@@ -158,6 +175,7 @@
     return;
   H->Replying = true;
   H->IsEventStream = C.IsEventStream;
+  replyBegan(T, *H);
 }
 
 bool mayTakeOver(const GatewayCall &H) {
@@ -170,7 +188,9 @@
   logHedge(T, C, "hedge_took_over", H, Reason);
   countHedge(T, "took_over");
   C.Hedge = 0;
-  H.HedgeOf = 0;
+  H.HedgeOf = C.HedgeOf;
+  if (GatewayCall *Hedged = findCall(T, H.HedgeOf))
+    Hedged->Hedge = H.Ticket;
   std::swap(H.Exchange, C.Exchange);
   if (H.Exchange != ExchangeId{})
     T.S.ByExchange[H.Exchange] = H.Ticket;
--- a/packages/gateway/tests/RelayTest.cpp
+++ b/packages/gateway/tests/RelayTest.cpp
@@ -37,6 +37,16 @@
     for (const char *Service : {"plain", "llm"})
       A.S.Relays.Peers.Hosts.at(Host).ReachesAt[ServiceId(Service)] = A.Now;
   }
+  /// Host A reaches no engine, and these hosts have just replied that they do.
+  void cutOffFromEngines(const std::vector<HostId> &Relays) {
+    for (auto &[Host, Peer] : A.S.Relays.Peers.Hosts) {
+      Peer.PendingQuery = 0;
+      Peer.AvoidUntil = TimePoint();
+    }
+    A.S.Relays.Paths.Services[ServiceId("llm")].State = PathState::Cut;
+    for (const HostId &Relay : Relays)
+      reaches(Relay);
+  }
   ExchangeId call(HttpMethod Method, const char *Target, std::string Body = "",
                   std::vector<HttpHeader> More = {}) {
     ExchangeId Id{A.NextExchange++};
@@ -392,9 +402,29 @@
   B.event(UpstreamEnd{Open.Upstream, true});
   BOOST_TEST(B.S.Paused.size() == 1U);
   BOOST_TEST(A.S.Paused.empty());
+  pass();
+  BOOST_TEST(A.all<calls::SendReply>().empty());
   BOOST_TEST(B.onlySend().Request.Address != Open.Request.Address);
 }
 
+/// Guards against a request that ends with its first server's failure: the
+/// relay has used the sends that the host left it, and the host keeps one for
+/// nothing.
+BOOST_FIXTURE_TEST_CASE(HostGoesOnWhereARelayHasUsedItsSends, RelayPair) {
+  call(HttpMethod::Get, "/r/1");
+  for (int Server = 0; Server < 2; ++Server) {
+    pass();
+    BOOST_TEST(A.all<calls::SendReply>().empty());
+    calls::OpenUpstream Open = B.onlySend();
+    B.sent(Open.Upstream);
+    B.head(Open.Upstream, 500);
+    B.event(UpstreamEnd{Open.Upstream, true});
+  }
+  pass();
+  BOOST_TEST(A.only<calls::SendReply>().Reply.Status == 500);
+  BOOST_TEST(B.all<calls::OpenUpstream>().empty());
+}
+
 /// Guards against memory that grows with what other hosts send.
 BOOST_FIXTURE_TEST_CASE(RelaysAreBounded, RelayPair) {
   RelayRequest M;
@@ -525,7 +555,7 @@
   }
   void refuseHedgesFor(Duration Time) {
     for (TimePoint End = A.Now + Time; A.Now < End;) {
-      otherReaches();
+      cutOffFromEngines({Other});
       A.advance(milliseconds(100));
       for (const SendPeer &Send : A.all<SendPeer>()) {
         const auto *Request = std::get_if<RelayRequest>(&Send.Content);
@@ -539,14 +569,7 @@
     }
   }
   /// The other relay reaches servers, and this host does not.
-  void otherReaches() {
-    for (auto &[Host, Peer] : A.S.Relays.Peers.Hosts) {
-      Peer.PendingQuery = 0;
-      Peer.AvoidUntil = TimePoint();
-    }
-    A.S.Relays.Paths.Services[ServiceId("llm")].State = PathState::Cut;
-    reaches(Other);
-  }
+  void otherReaches() { cutOffFromEngines({Other}); }
 
 private:
   void refuse(std::uint64_t Request) {
@@ -573,9 +596,90 @@
 /// stream unsent, so often that it had no try left when its own relay was lost.
 BOOST_FIXTURE_TEST_CASE(HedgeThatARelayRefusesCostsNoTry, SilentRelay) {
   refuseHedgesFor(seconds(7));
-  otherReaches();
+  cutOffFromEngines({Other});
   A.event(RelayLinkLost{B.S.Self});
   BOOST_TEST(A.all<calls::EndStream>().empty());
   BOOST_TEST(A.all<calls::SendReply>().empty());
   BOOST_TEST(count<RelayRequest>(A.all<SendPeer>()) == 1U);
 }
+
+/// Guards against LOST: the relay that was late refused a request at last, and
+/// the caller got the refusal while another relay was at work on it.
+BOOST_FIXTURE_TEST_CASE(RefusalOfALateRelayLeavesTheHedgeAtWork, RelayPair) {
+  call(HttpMethod::Post, "/s/1", "",
+       {{"X-Pimentoglade-Token-Count", "5000,1300"}});
+  std::uint64_t First = 0;
+  for (const SendPeer &Send : A.all<SendPeer>()) {
+    if (const auto *Request = std::get_if<RelayRequest>(&Send.Content))
+      First = Request->Id;
+  }
+  BOOST_TEST_REQUIRE(First != 0U);
+  std::uint64_t Second = 0;
+  for (int Step = 0; Step < 40 && Second == 0; ++Step) {
+    cutOffFromEngines({Other});
+    A.advance(milliseconds(100));
+    for (const SendPeer &Send : A.all<SendPeer>()) {
+      if (const auto *Request = std::get_if<RelayRequest>(&Send.Content))
+        Second = Request->Id;
+    }
+  }
+  BOOST_TEST_REQUIRE(Second != 0U);
+  RelayRefusal Refusal;
+  Refusal.Id = First;
+  Refusal.Number = Code::NoBackend;
+  Refusal.Reason = "no engine can answer in time";
+  A.event(PeerMessage{B.S.Self, Incarnation, Refusal});
+  BOOST_TEST(A.all<calls::SendReply>().empty());
+  BOOST_TEST_REQUIRE(A.S.Calls.size() == 1U);
+  RelayHead Head;
+  Head.Id = Second;
+  Head.Status = 200;
+  Head.Headers = {{"X-Pimentoglade-Attempt-Id", "id1"},
+                  {"X-Pimentoglade-Replica-Stamp", "s"},
+                  {"Content-Type", "text/event-stream"}};
+  A.event(PeerMessage{Other, Incarnation, Head});
+  RelayData Data;
+  Data.Id = Second;
+  Data.Bytes.Data = "id: 1\ndata: a\n\n";
+  A.event(PeerMessage{Other, Incarnation, Data});
+  BOOST_TEST_REQUIRE(A.all<calls::StreamBytes>().size() == 1U);
+  RelayEnd End;
+  End.Id = Second;
+  End.IsComplete = true;
+  End.Size = Data.Bytes.Data.size();
+  End.Sends = 1;
+  A.event(PeerMessage{Other, Incarnation, End});
+  BOOST_TEST(A.only<calls::EndStream>().IsComplete);
+  BOOST_TEST(A.S.Calls.empty());
+}
+
+/// Guards against BUDGET: a relay tries a second server for its silent one, and
+/// the host has another relay send the request to a third.
+BOOST_FIXTURE_TEST_CASE(RelaysTogetherSendARequestNoMoreThanAllowed,
+                        RelayPair) {
+  call(HttpMethod::Post, "/s/1", "",
+       {{"X-Pimentoglade-Token-Count", "5000,1300"}});
+  pass();
+  calls::OpenUpstream Open = B.only<calls::OpenUpstream>();
+  B.sent(Open.Upstream);
+  std::size_t Sends = 1;
+  for (int Step = 0; Step < 60; ++Step) {
+    cutOffFromEngines({B.S.Self, Other});
+    A.advance(milliseconds(100));
+    B.advance(milliseconds(100));
+    std::vector<SendPeer> Sent = A.all<SendPeer>();
+    Sends += static_cast<std::size_t>(
+        std::count_if(Sent.begin(), Sent.end(), [](const SendPeer &Send) {
+          return Send.To == Other &&
+                 std::holds_alternative<RelayRequest>(Send.Content);
+        }));
+    for (const calls::OpenUpstream &Next : B.all<calls::OpenUpstream>()) {
+      if (Next.Request.Target != "/s/1")
+        continue;
+      Sends += 1;
+      B.sent(Next.Upstream);
+    }
+    pass();
+  }
+  BOOST_TEST(Sends == 2U);
+}
