Start: a reload that comes before the event loop does not end the process

Cause: a process handles SIGHUP once its event loop is set up. Before, while it reads settings and its disk, the signal ends it.

--- a/apps/pimentoglade.cpp
+++ b/apps/pimentoglade.cpp
@@ -7,6 +7,7 @@
 
 #include <gflags/gflags.h>
 
+#include <csignal>
 #include <iostream>
 
 DEFINE_string(settings, "", "INI file that describes this host");
@@ -36,6 +37,8 @@
 } // namespace
 
 int main(int Argc, char **Argv) {
+  // Until the event loop handles it: the settings are read anyway.
+  std::signal(SIGHUP, SIG_IGN);
   gflags::ParseCommandLineNonHelpFlags(&Argc, &Argv, true);
   if (FLAGS_help) {
     std::cout << Usage;
