--- a/packages/gateway/tests/RelayHedgeTest.cpp
+++ b/packages/gateway/tests/RelayHedgeTest.cpp
@@ -33,8 +33,6 @@
       }
     }
   }
-  /// The other relay reaches servers, and this host does not.
-  void otherReaches() { cutOffFromEngines({Other}); }
 
 private:
   void refuse(std::uint64_t Request) {
