review: case 7, a crowd of connections hangs an entry host

Callers open 4,400 connections to each of two entry hosts, whose processes have the 4,100 descriptors of their machine, and stop one byte short of the end of their requests. accept() then fails in each turn of the event loop: the hosts spin and answer nothing until the crowd leaves.

--- a/review/standins-2/reviewsite.py
+++ b/review/standins-2/reviewsite.py
@@ -10,6 +10,7 @@
 import os
 import pathlib
 import random
+import resource
 import shutil
 import socket
 import sys
@@ -341,10 +342,34 @@
     return call(f"{host.ip}:{site.ready_port}", "GET", "/-/readyz")[0] == 200
 
 
-def run_case(play, entries=1):
+class LimitedSite(Site):
+    """A site whose entry hosts have a limit of descriptors each, and write
+    their logs to nowhere."""
+
+    def __init__(self, folder, entries, descriptors):
+        super().__init__(PROGRAM, folder, entries)
+        self.descriptors = descriptors
+
+    def __enter__(self):
+        for host in self.entries:
+            (self.folder / (host.name + ".log")).symlink_to(os.devnull)
+        site = super().__enter__()
+        for host in self.entries:
+            resource.prlimit(host.process.pid, resource.RLIMIT_NOFILE,
+                             (self.descriptors, self.descriptors))
+        return site
+
+
+def make_site(folder, entries, descriptors):
+    if descriptors is None:
+        return Site(PROGRAM, folder, entries)
+    return LimitedSite(folder, entries, descriptors)
+
+
+def run_case(play, entries=1, descriptors=None):
     """Starts a site, plays the case on it and ends everything. \p play gets the
     site, the record and whether there is to be trouble; it returns an exit
-    status."""
+    status. \p descriptors: the limit of each entry host's own process."""
     trouble = os.environ.get("TROUBLE", "1") != "0"
     folder = pathlib.Path(sys.argv[0]).resolve().parent
     record = Record(folder / "record.txt")
@@ -354,7 +379,7 @@
     work = pathlib.Path(tempfile.mkdtemp(prefix="review-"))
     result = NOT_RUN
     try:
-        with Site(PROGRAM, work / "site", entries) as site:
+        with make_site(work / "site", entries, descriptors) as site:
             result = play(site, record, trouble)
     finally:
         keep = os.environ.get("KEEP_LOGS")
