--- a/review/standins-2/reviewsite.py
+++ b/review/standins-2/reviewsite.py
@@ -123,7 +123,7 @@
     slots = 16
 
     def __init__(self, record, name, service, controls, ip="127.0.0.1",
-                 zone="north", port=0):
+                 zone="north", listener=None):
         self.record, self.name, self.service = record, name, service
         self.controls, self.zone = controls, zone
         self.born = int(time.time() * 1000)
@@ -131,7 +131,7 @@
         self.ended = False
         self.runs = []  # Time, first line, attempt id and body of each run.
         self.lock = threading.Lock()
-        self.listener = socket.create_server((ip, port), backlog=128)
+        self.listener = listener or socket.create_server((ip, 0), backlog=128)
         self.address = "%s:%d" % self.listener.getsockname()
         self.open = set()
         threading.Thread(target=self.accept, daemon=True).start()
