review: the scripts end what they started and tell errors from breaks

An error in a script's own program gave the status of a broken rule; it gives 2 now. A script that is stopped for its time ends its processes first.

--- a/review/standins-2/reviewsite.py
+++ b/review/standins-2/reviewsite.py
@@ -12,6 +12,7 @@
 import random
 import resource
 import shutil
+import signal
 import socket
 import sys
 import tempfile
@@ -30,7 +31,9 @@
 TENANT = "hule930"
 HOST_NAME = "ficu95.example"
 HEARTBEAT_SECONDS = 0.4
-BROKEN, HELD, NOT_RUN = 1, 0, 2
+# Exit statuses of a case's program; run.sh gives 1, 0 and 2 for them, and 2 for
+# all others, such as that of an error in the program itself.
+BROKEN, HELD, NOT_RUN = 10, 0, 2
 
 
 class Record:
@@ -376,6 +379,8 @@
     if not PROGRAM.exists():
         record.write(f"{PROGRAM} is missing")
         return NOT_RUN
+    # All processes are ended, also where the time is over.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(NOT_RUN))
     work = pathlib.Path(tempfile.mkdtemp(prefix="review-"))
     result = NOT_RUN
     try:
