review: the cases begin once all machines are in touch

Case 9 sent its first requests before the hosts had run for contactMs, for which its rule excuses them.

--- a/review/9/run.py
+++ b/review/9/run.py
@@ -13,9 +13,10 @@
 sys.path.insert(0, str(STANDINS))
 sys.dont_write_bytecode = True
 
-from reviewsite import (BROKEN, HELD, NOT_RUN, Backend, Stream,  # noqa: E402
-                        answer, configuration, connect, fields_of, is_ready, put,
-                        request_head, route, run_case, service, wait_until)
+from reviewsite import (  # noqa: E402
+    BROKEN, CONTACT_SECONDS, HELD, NOT_RUN, Backend, Stream, answer,
+    configuration, connect, fields_of, is_ready, put, request_head, route,
+    run_case, service, wait_until)
 
 ROUNDS = 10         # One client leaves in each, and one stays.
 WORK_SECONDS = 4.0     # Of a replica on a request.
@@ -109,7 +110,7 @@
         wait_until(lambda: is_ready(site, entry), 15)
     if not is_up:
         return NOT_RUN
-    time.sleep(1)
+    time.sleep(CONTACT_SECONDS)
     closes, outcomes, clients = {}, [], []
     before, began = processor_seconds(entry), time.monotonic()
     for number in range(ROUNDS):
--- a/review/standins-2/reviewsite.py
+++ b/review/standins-2/reviewsite.py
@@ -31,6 +31,9 @@
 TENANT = "hule930"
 HOST_NAME = "ficu95.example"
 HEARTBEAT_SECONDS = 0.4
+# contactMs of the pages, and a little more: machines are in touch that long after
+# their start.
+CONTACT_SECONDS = 3.5
 # Exit statuses of a case's program; run.sh gives 1, 0 and 2 for them, and 2 for
 # all others, such as that of an error in the program itself.
 BROKEN, HELD, NOT_RUN = 10, 0, 2
