--- a/packages/control/ControlHost.cpp
+++ b/packages/control/ControlHost.cpp
@@ -86,12 +86,18 @@
     auto IsSameExchange = [&](const auto &Pending) {
       return Pending.Exchange == E.Exchange;
     };
+    std::size_t Before = T.S.PendingPuts.size() + T.S.PendingEvacuations.size();
     auto &Puts = T.S.PendingPuts;
     Puts.erase(std::remove_if(Puts.begin(), Puts.end(), IsSameExchange),
                Puts.end());
     auto &Orders = T.S.PendingEvacuations;
     Orders.erase(std::remove_if(Orders.begin(), Orders.end(), IsSameExchange),
                  Orders.end());
+    if (Puts.size() + Orders.size() == Before)
+      return;
+    DecisionRecord Record{"operator_left", {}, leftReason(E.How), {}};
+    Record.add("exchange", static_cast<std::int64_t>(E.Exchange));
+    log(T, std::move(Record));
   }
   void operator()(const DiskWritten &E) const { onLogWritten(T, E.Ticket); }
   void operator()(const DiskFailed &E) const {
--- a/packages/gateway/Admission.cpp
+++ b/packages/gateway/Admission.cpp
@@ -350,12 +350,19 @@
   eraseCall(T, C);
 }
 
-void callerLeft(GatewayTurn &T, ExchangeId Exchange) {
+void callerLeft(GatewayTurn &T, ExchangeId Exchange, const char *Reason) {
   auto IsHeld = [&](const HeldRequest &H) { return H.Exchange == Exchange; };
   auto &Held = T.S.Held;
-  auto Dropped = std::remove_if(Held.begin(), Held.end(), IsHeld);
+  auto Dropped = std::find_if(Held.begin(), Held.end(), IsHeld);
   bool WasHeld = Dropped != Held.end();
-  Held.erase(Dropped, Held.end());
+  if (WasHeld) {
+    DecisionRecord Record{"held_request_dropped", {}, Reason, {}};
+    Record.add(
+        "try",
+        T.S.Platform.DecodeRequestInfo(Dropped->Request).ClientAttemptId);
+    log(T, std::move(Record));
+    Held.erase(Dropped);
+  }
   auto Found = T.S.ByExchange.find(Exchange);
   if (Found == T.S.ByExchange.end()) {
     if (!WasHeld && !isRelayed(Exchange))
@@ -369,8 +376,9 @@
   // it half done.
   bool AtServer = C.Stage == CallStage::Sent || C.Stage == CallStage::Answering;
   if (C.Path->Kind == CallKind::Once && AtServer && C.Attempt.BytesSent)
-    return;
-  finish(T, C, 0, Code::CallerLeft, "the caller left");
+    log(T, record(T, C, "call_goes_on", Reason));
+  else
+    finish(T, C, 0, Code::CallerLeft, Reason);
 }
 
 } // namespace pimento::gateway
--- a/packages/gateway/Gateway.cpp
+++ b/packages/gateway/Gateway.cpp
@@ -128,7 +128,9 @@
   void operator()(const OperatorRequest &E) const {
     operatorCall(T, E.Exchange, E.Request);
   }
-  void operator()(const ExchangeLeft &E) const { callerLeft(T, E.Exchange); }
+  void operator()(const ExchangeLeft &E) const {
+    callerLeft(T, E.Exchange, leftReason(E.How));
+  }
   void operator()(const UpstreamSent &E) const {
     if (!crashCheckConnected(T, E) && !pathProbeEvent(T, Original))
       upstreamSent(T, E);
--- a/packages/gateway/GatewayTurn.h
+++ b/packages/gateway/GatewayTurn.h
@@ -65,7 +65,7 @@
 /// \p C.
 void removeCall(GatewayTurn &T, GatewayCall &C);
 /// Cancels the work for a caller that disconnected.
-void callerLeft(GatewayTurn &T, ExchangeId Exchange);
+void callerLeft(GatewayTurn &T, ExchangeId Exchange, const char *Reason);
 
 // HedgePart.cpp
 /// Time at which another server is tried for the call, whose attempt is late;
--- a/packages/gateway/RelayPart.cpp
+++ b/packages/gateway/RelayPart.cpp
@@ -306,15 +306,25 @@
   sendAnswer(T, T.S.Relays.TakenById.at({From, M.Id}), *R);
 }
 
-void onRelayCancel(GatewayTurn &T, const HostId &From, std::uint64_t Id) {
+namespace {
+
+/// Ends a request that this host relays, since nobody waits for its answer.
+void endTaken(GatewayTurn &T, const HostId &From, std::uint64_t Id,
+              const char *Reason) {
   auto Found = T.S.Relays.TakenById.find({From, Id});
   if (Found == T.S.Relays.TakenById.end())
     return;
   ExchangeId Exchange = Found->second;
-  callerLeft(T, Exchange);
+  callerLeft(T, Exchange, Reason);
   eraseTaken(T, Exchange);
 }
 
+} // namespace
+
+void onRelayCancel(GatewayTurn &T, const HostId &From, std::uint64_t Id) {
+  endTaken(T, From, Id, "the host that handed the request over cancelled it");
+}
+
 void dropTaken(GatewayTurn &T, const HostId &From) {
   std::vector<std::uint64_t> Ids;
   for (const auto &[Key, Exchange] : T.S.Relays.TakenById) {
@@ -322,7 +332,7 @@
       Ids.push_back(Key.second);
   }
   for (std::uint64_t Id : Ids)
-    onRelayCancel(T, From, Id);
+    endTaken(T, From, Id, "the host that handed the request over is lost");
 }
 
 } // namespace pimento::gateway
--- a/packages/load/tests/RunTest.cpp
+++ b/packages/load/tests/RunTest.cpp
@@ -67,7 +67,7 @@
           std::max<std::size_t>(PeakConcurrency, Server->exchanges());
       answer(*Server, Id, R);
     };
-    Hooks.Left = [](ExchangeId) {};
+    Hooks.Left = [](ExchangeId, ConnectionEnd) {};
     Hooks.Drained = [](ExchangeId, std::size_t) {};
     Hooks.Refused = [](Code) {};
     HttpServerLimits Limits;
--- a/packages/node/Events.h
+++ b/packages/node/Events.h
@@ -6,6 +6,7 @@
 //===----------------------------------------------------------------------===//
 #pragma once
 
+#include "base/ConnectionEnd.h"
 #include "base/Decision.h"
 #include "base/Http.h"
 #include "base/Ids.h"
@@ -65,9 +66,10 @@
   HttpRequest Request;
 };
 
-/// The client of an exchange closed its connection; the id is no longer valid.
+/// The connection of an exchange ended; the id is no longer valid.
 struct ExchangeLeft {
   ExchangeId Exchange{};
+  ConnectionEnd How = ConnectionEnd::Close;
 };
 
 /// Part of a reply was written to the caller's connection.
--- a/packages/shell/HttpClient.cpp
+++ b/packages/shell/HttpClient.cpp
@@ -113,7 +113,8 @@
     bufferevent *Stream = nullptr;
     std::size_t SkippedBytes = 0; // Of answers to other requests.
     bool Connected = false;
-    bool Dead = false; // To be freed by the reaper; callbacks ignore it.
+    bool HasEnded = false; // Its end was reported.
+    bool Dead = false;     // To be freed by the reaper; callbacks ignore it.
     Duration IdleUntil = Duration::zero(); // Latest time for reuse while idle.
 
     UpstreamId Call{}; // Current call; zero: none.
@@ -122,6 +123,7 @@
     std::unique_ptr<AnswerParser> Parser;
     bool Sent = false;
     bool IsKept = false;     // Used for an earlier call.
+    bool Answering = false;  // The head of the answer has come.
     bool Mismatched = false; // The answer being read belongs to another
                              // request, or is a 1xx answer.
     bool Reusable = false;
@@ -159,16 +161,29 @@
   void read(Connection &C);
   void complete(Connection &C);
   void fail(Connection &C, UpstreamFailure Why);
+  void noteEnd(Connection &C, ConnectionEnd How);
   void keepIdle(Connection &C);
   void discard(Connection &C);
   void sweep();
 };
 
+/// Reports how a connection ended that had been made; its first end counts.
+void HttpClient::Impl::noteEnd(Connection &C, ConnectionEnd How) {
+  if (!C.Connected || C.HasEnded)
+    return;
+  C.HasEnded = true;
+  ConnectionUse Use =
+      C.Answering ? ConnectionUse::Answering : ConnectionUse::Waiting;
+  if (Hooks.Ended)
+    Hooks.Ended(How, C.Call == UpstreamId{} ? ConnectionUse::Idle : Use);
+}
+
 /// Closes a connection. A libevent callback of the connection may still be on
 /// the stack, so the reaper timer frees it later.
 void HttpClient::Impl::discard(Connection &C) {
   if (C.Dead)
     return;
+  noteEnd(C, ConnectionEnd::Host);
   C.Dead = true;
   C.ConnectTimer.reset();
   bufferevent_disable(C.Stream, EV_READ | EV_WRITE);
@@ -217,6 +232,9 @@
     setSocketOptions(bufferevent_getfd(C.Stream), ServerSilence);
     return;
   }
+  bool IsError = (What & BEV_EVENT_ERROR) != 0;
+  Client.noteEnd(C, IsError ? endOfError(EVUTIL_SOCKET_ERROR())
+                            : ConnectionEnd::Close);
   if (C.Call == UpstreamId{}) {
     Client.discard(C);
     return;
@@ -306,6 +324,7 @@
   }
   if (C.Mismatched)
     return;
+  C.Answering = true;
   C.MaxIdleTime = idleTimeFrom(Headers);
   Hooks.Head(C.Call, Status, std::move(Headers));
 }
@@ -332,6 +351,8 @@
       evbuffer_get_length(Input) == 0 && evbuffer_get_length(Output) == 0;
   bool Keep = Delimited && Clean && C.Reusable && C.Parser->keepsAlive() &&
               C.MaxIdleTime > Duration::zero();
+  if (!Keep)
+    noteEnd(C, ConnectionEnd::Host);
   Calls.erase(static_cast<std::uint64_t>(Id));
   C.Call = UpstreamId{};
   if (Keep)
@@ -441,6 +462,7 @@
 
 void HttpClient::Impl::start(Connection &C) {
   C.Sent = false;
+  C.Answering = false;
   C.SkippedBytes = 0;
   C.Reusable = true;
   resetParser(C);
@@ -502,6 +524,7 @@
   if (Found == Data->Calls.end())
     return;
   Impl::Connection &C = *Found->second;
+  Data->noteEnd(C, ConnectionEnd::Host);
   Data->Calls.erase(Found);
   C.Call = UpstreamId{};
   Data->discard(C);
--- a/packages/shell/HttpClient.h
+++ b/packages/shell/HttpClient.h
@@ -11,6 +11,7 @@
 //===----------------------------------------------------------------------===//
 #pragma once
 
+#include "base/ConnectionEnd.h"
 #include "base/Http.h"
 #include "shell/EventLoop.h"
 
@@ -33,6 +34,9 @@
   /// order, after it had received the whole request.
   std::function<void(UpstreamId, bool Delimited)> End;
   std::function<void(UpstreamId, UpstreamFailure)> Failed;
+  /// A connection ended; it was idle, waiting or answering. Empty: not
+  /// reported.
+  std::function<void(ConnectionEnd, ConnectionUse)> Ended;
 };
 
 /// Totals since the client was created.
--- a/packages/shell/HttpServer.cpp
+++ b/packages/shell/HttpServer.cpp
@@ -50,13 +50,13 @@
   chargeHead(Link, 0);
   Exchanges.erase(static_cast<std::uint64_t>(Id));
   Link.CurrentExchange = ExchangeId{};
-  Link.CloseEvent.reset();
 }
 
 void HttpServer::Impl::closeConnection(ExchangeId Id) {
   Exchange *Found = find(Id);
   evhttp_connection *Evcon = evhttp_request_get_connection(Found->Request);
   Found->Link->Closing = true;
+  noteEnd(*Found->Link, ConnectionEnd::Host);
   forget(Id);
   evhttp_connection_free(Evcon);
 }
@@ -86,7 +86,8 @@
 }
 
 HttpServer::~HttpServer() {
-  Data->Hooks.Left = [](ExchangeId) {};
+  Data->Hooks.Left = [](ExchangeId, ConnectionEnd) {};
+  Data->Hooks.Ended = nullptr;
   Data->Sweep.reset();
   auto &Servers = Data->Intake.Servers;
   Servers.erase(std::remove(Servers.begin(), Servers.end(), Data.get()),
--- a/packages/shell/HttpServer.h
+++ b/packages/shell/HttpServer.h
@@ -13,6 +13,7 @@
 #pragma once
 
 #include "base/Codes.h"
+#include "base/ConnectionEnd.h"
 #include "base/Http.h"
 #include "shell/EventLoop.h"
 
@@ -38,9 +39,11 @@
 
 struct HttpServerHooks {
   std::function<void(ExchangeId, HttpRequest)> Request;
-  /// The caller closed the connection before its reply was written. The id is
-  /// invalid afterwards.
-  std::function<void(ExchangeId)> Left;
+  /// The connection ended before its reply was written. The id is invalid
+  /// afterwards.
+  std::function<void(ExchangeId, ConnectionEnd)> Left;
+  /// A connection ended, with or without a request. Empty: not reported.
+  std::function<void(ConnectionEnd, ConnectionUse)> Ended;
   /// Part of a reply was written to the socket; the argument is the number of
   /// bytes still pending. If it is 0 and the reply has ended, the id is invalid
   /// afterwards.
--- a/packages/shell/HttpServerEvents.cpp
+++ b/packages/shell/HttpServerEvents.cpp
@@ -1,5 +1,5 @@
 // Callbacks of libevent: connections that are accepted, requests that are read,
-// replies that are written, and callers that close the connection.
+// and replies that are written.
 
 #include "shell/HttpServerImpl.h"
 
@@ -42,6 +42,8 @@
   evbuffer_add_cb(bufferevent_get_input(Stream), &Impl::onInput, Link.get());
   evbuffer_add_cb(bufferevent_get_output(Stream), &Impl::onOutput, Link.get());
   setMaxInput(*Link, Server.maxInputBytes());
+  Server.Accepted.push_back(Link.get());
+  event_active(Server.AcceptedEvent.get(), 0, 0);
   Server.Connections.emplace(Stream, std::move(Link));
   return Stream;
 }
@@ -93,6 +95,7 @@
     Number = Code::HeaderTooLarge;
   std::string Text = formatProblemReply(Number, "");
   Link.Closing = true;
+  Link.Server->noteEnd(Link, ConnectionEnd::Host);
   evbuffer_unfreeze(Output, 1);
   evbuffer_drain(Output, evbuffer_get_length(Output));
   evbuffer_add(Output, Text.data(), Text.size());
@@ -127,9 +130,9 @@
   Link->Replying = true;
   Server.Exchanges[static_cast<std::uint64_t>(Id)] = {Request, Link};
   evhttp_connection_set_closecb(Evcon, &Impl::onClosed, &Server);
-  Link->CloseEvent.reset(event_new(Server.Base, bufferevent_getfd(Link->Stream),
-                                   EV_CLOSED, &Impl::onCallerClosed, Link));
-  event_add(Link->CloseEvent.get(), nullptr);
+  // An end that was reported before is one of this request as well.
+  if (!Link->Watched)
+    Server.watch(*Link);
   HttpRequest Read = convert(Request);
   if (hasBlankName(Read)) {
     Server.Hooks.Refused(Code::BadRequest);
@@ -147,28 +150,6 @@
   Server.Hooks.Request(Id, std::move(Read));
 }
 
-/// Called when the caller closes the connection. evhttp does not read while a
-/// reply is pending and would not notice the close. A caller that closes only
-/// its sending side counts as disconnected too: both look the same until bytes
-/// are written to it, and servers must not work on for callers that have left
-/// (docs/design/platform.md).
-void HttpServer::Impl::onCallerClosed(evutil_socket_t, short, void *Self) {
-  auto &Link = *static_cast<Connection *>(Self);
-  Exchange *Open = Link.Server->find(Link.CurrentExchange);
-  if (Open)
-    evhttp_connection_free(evhttp_request_get_connection(Open->Request));
-}
-
-void HttpServer::Impl::onClosed(evhttp_connection *Evcon, void *Self) {
-  auto &Server = *static_cast<Impl *>(Self);
-  Connection *Link = Server.connectionOf(Evcon);
-  if (!Link || Link->CurrentExchange == ExchangeId{})
-    return;
-  ExchangeId Id = Link->CurrentExchange;
-  Server.forget(Id);
-  Server.Hooks.Left(Id);
-}
-
 void HttpServer::Impl::onFlushed(evhttp_connection *Evcon, void *Self) {
   auto &Server = *static_cast<Impl *>(Self);
   Connection *Link = Server.connectionOf(Evcon);
--- a/packages/shell/HttpServerImpl.h
+++ b/packages/shell/HttpServerImpl.h
@@ -4,6 +4,7 @@
 //   HttpServer.cpp        set-up, replies and exchanges in progress
 //   HttpServerEvents.cpp  callbacks of libevent: connections that are accepted,
 //                         requests that are read, replies that are written
+//   HttpServerEnds.cpp    connections that end
 //   HttpServerIntake.cpp  bytes that arrive, and what they are charged
 //   HttpServerSweep.cpp   timeouts and limits of connections
 //
@@ -11,6 +12,7 @@
 #pragma once
 
 #include "intake/RequestScan.h"
+#include "shell/HangupWatch.h"
 #include "shell/HttpIntake.h"
 #include "shell/HttpServer.h"
 
@@ -18,6 +20,7 @@
 #include <event2/bufferevent.h>
 #include <event2/http.h>
 
+#include <optional>
 #include <unordered_map>
 #include <vector>
 
@@ -49,8 +52,7 @@
   struct Connection {
     Impl *Server = nullptr;
     bufferevent *Stream = nullptr;
-    EventPtr ErrorPageEvent; // Replaces an error page written by evhttp.
-    EventPtr CloseEvent;     // Detects that the caller closed before its reply.
+    EventPtr ErrorPageEvent;      // Replaces an error page written by evhttp.
     ExchangeId CurrentExchange{}; // Exchange in progress; zero: none.
     Duration ReadingSince = Duration::zero(); // Zero: no request is being read.
     Duration IdleSince = Duration::zero();
@@ -59,7 +61,9 @@
     std::size_t Charged = 0;               // To the account, for it.
     std::size_t HeadCharged = 0;    // For the head of the request in progress.
     std::size_t Unacknowledged = 0; // Of a released connection's output.
-    bool OptionsSet = false;        // The socket options are set.
+    std::optional<ConnectionEnd> End; // None: it has not ended.
+    bool Watched = false;             // Its end will be reported.
+    bool OptionsSet = false;          // The socket options are set.
     bool Replying = false; // Output comes from this server, not from evhttp.
     bool Closing = false;
     bool ClosesAfterReply = false; // As the reply announced.
@@ -83,6 +87,9 @@
   std::unique_ptr<HttpIntake> OwnIntake; // Null: shared with other servers.
   HttpIntake &Intake;
   std::unique_ptr<Timer> Sweep;
+  HangupWatch Watch;
+  std::vector<Connection *> Accepted; // In this turn; not watched yet.
+  EventPtr AcceptedEvent;
 
   Impl(event_base *TheBase, HttpServerLimits TheLimits,
        HttpServerHooks TheHooks, std::uint64_t &Next, HttpIntake *Shared)
@@ -91,17 +98,18 @@
         OwnIntake(Shared ? nullptr
                          : std::make_unique<HttpIntake>(Limits.HeldBytes,
                                                         Hooks.OtherHeldBytes)),
-        Intake(Shared ? *Shared : *OwnIntake) {}
+        Intake(Shared ? *Shared : *OwnIntake), Watch(Base, &Impl::onHangup),
+        AcceptedEvent(event_new(Base, -1, 0, &Impl::watchAccepted, this)) {
+    event_priority_set(AcceptedEvent.get(), HighPriority);
+  }
 
   // HttpServerEvents.cpp
 
   static bufferevent *accept(event_base *Base, void *Self);
   static void onRequest(evhttp_request *Request, void *Self);
-  static void onClosed(evhttp_connection *Link, void *Self);
   static void onFlushed(evhttp_connection *Link, void *Self);
   static void onInput(evbuffer *, const evbuffer_cb_info *Info, void *Link);
   static void onOutput(evbuffer *, const evbuffer_cb_info *Info, void *Link);
-  static void onCallerClosed(evutil_socket_t, short, void *Link);
   static void onReplied(evhttp_request *, void *Link);
   static void replaceErrorPage(evutil_socket_t, short, void *Link);
 
@@ -116,6 +124,15 @@
   static void endReading(Connection &Link);
   void countOutput(std::size_t Added, std::size_t Deleted);
 
+  // HttpServerEnds.cpp
+
+  static void watchAccepted(evutil_socket_t, short, void *Self);
+  static void onHangup(void *Link);
+  static void onClosed(evhttp_connection *Link, void *Self);
+  void watch(Connection &Link);
+  ConnectionUse useOf(const Connection &Link);
+  void noteEnd(Connection &Link, ConnectionEnd End);
+
   // HttpServerSweep.cpp
 
   /// Enforces the timeouts and limits of all connections. Starts the timer of
--- a/packages/shell/HttpServerSweep.cpp
+++ b/packages/shell/HttpServerSweep.cpp
@@ -21,6 +21,7 @@
 void HttpServer::Impl::refuseConnection(Connection &Link, Code Number,
                                         const char *Detail) {
   Link.Closing = true;
+  noteEnd(Link, ConnectionEnd::Host);
   evutil_socket_t Socket = bufferevent_getfd(Link.Stream);
   std::string Text = formatProblemReply(Number, Detail);
   if (::send(Socket, Text.data(), Text.size(), MSG_NOSIGNAL | MSG_DONTWAIT) < 0)
@@ -59,6 +60,10 @@
 }
 
 void HttpServer::Impl::release(Connection &Link) {
+  bool EndedByHost = Link.ClosesAfterReply || Link.Closing;
+  Link.Server->noteEnd(Link, EndedByHost
+                                 ? ConnectionEnd::Host
+                                 : endOf(bufferevent_getfd(Link.Stream)));
   Link.Released = true;
   Link.ReadingSince = Duration::zero();
   charge(Link, 0);
@@ -112,6 +117,7 @@
     refuseConnection(Link, Code::RequestTimeout, "");
   else if (!Reading && Now - Link.IdleSince > Limits.IdleTimeout) {
     Link.Closing = true;
+    noteEnd(Link, ConnectionEnd::Host);
     ::shutdown(bufferevent_getfd(Link.Stream), SHUT_RDWR);
   } else if (!Open && Connections.size() > Limits.Connections)
     refuseConnection(Link, Code::Overloaded, "too many connections");
@@ -137,8 +143,9 @@
       break;
     Freed += Size;
     Intake.Counters.Answers += 1;
-    evhttp_connection_free(
-        evhttp_request_get_connection(Exchanges.at(Id).Request));
+    Exchange &E = Exchanges.at(Id);
+    noteEnd(*E.Link, ConnectionEnd::Host);
+    evhttp_connection_free(evhttp_request_get_connection(E.Request));
   }
   return Freed;
 }
--- a/packages/shell/PeerLinks.cpp
+++ b/packages/shell/PeerLinks.cpp
@@ -106,7 +106,7 @@
   void onHello(Link &L, const Hello &H);
   Peer *findPeer(const HostId &Host);
   void drop(Link &L, Code Number, std::string Detail);
-  void markDead(Link &L);
+  void markDead(Link &L, ConnectionEnd How);
   void onDeadline(Link &L);
   void restartIdleTime(Link &L);
   void dial(const HostId &To, Peer &P, LinkLane Lane);
@@ -133,7 +133,7 @@
     return;
   }
   L.Socket->close();
-  markDead(L);
+  markDead(L, ConnectionEnd::Host);
 }
 
 /// A host keeps its site links open, and relay links only while it uses them.
@@ -146,7 +146,7 @@
   WebSocketHooks Result;
   Result.Open = [this, &L] { sendChallenge(L); };
   Result.Frame = [this, &L](std::string_view Frame) { receive(L, Frame); };
-  Result.Closed = [this, &L] { markDead(L); };
+  Result.Closed = [this, &L](ConnectionEnd How) { markDead(L, How); };
   return Result;
 }
 
@@ -156,10 +156,12 @@
 
 /// Marks a link as closed. A websocketpp callback of the link may still be on
 /// the stack, so the reaper timer destroys the link later.
-void PeerLinks::Impl::markDead(Link &L) {
+void PeerLinks::Impl::markDead(Link &L, ConnectionEnd How) {
   if (L.Dead)
     return;
   bool WasReady = L.ready();
+  if (Hooks.Ended)
+    Hooks.Ended(How, WasReady ? ConnectionUse::Idle : ConnectionUse::Waiting);
   L.Dead = true;
   L.Deadline->stop();
   Reaper->start(Duration::zero());
@@ -171,7 +173,7 @@
   if (L.Dead)
     return;
   L.Socket->close();
-  markDead(L);
+  markDead(L, ConnectionEnd::Host);
   Hooks.Refused(Number, std::move(Detail));
 }
 
@@ -279,7 +281,7 @@
   L.Lane = Lane;
   L.Socket = WebSocket::dial(Base, P.Address, hooksOf(L));
   if (!L.Socket)
-    markDead(L);
+    markDead(L, ConnectionEnd::Host);
 }
 
 PeerLinks::Impl::Link *PeerLinks::Impl::readyLink(const HostId &To,
--- a/packages/shell/PeerLinks.h
+++ b/packages/shell/PeerLinks.h
@@ -12,6 +12,7 @@
 #pragma once
 
 #include "base/Codes.h"
+#include "base/ConnectionEnd.h"
 #include "base/Ids.h"
 #include "base/Settings.h"
 #include "shell/EventLoop.h"
@@ -32,6 +33,9 @@
   /// Whether a relayed request of either side is open, so that the link for
   /// these stays open although it is idle. Empty: never.
   std::function<bool(const HostId &)> IsRelaying;
+  /// A link ended; it was idle, or waiting for its handshake. Empty: not
+  /// reported.
+  std::function<void(ConnectionEnd, ConnectionUse)> Ended;
   /// A link was refused or closed because of an error. Detail is for logs.
   std::function<void(Code, std::string Detail)> Refused;
 };
--- a/packages/shell/Process.cpp
+++ b/packages/shell/Process.cpp
@@ -1,6 +1,7 @@
 #include "shell/Process.h"
 
 #include "base/Problem.h"
+#include "shell/ConnectionMetrics.h"
 #include "shell/DataFolder.h"
 #include "shell/EventLoop.h"
 #include "shell/HostProgram.h"
@@ -208,7 +209,10 @@
       dispatch(CallerRequest{Id, std::move(Request), CallerServer.heldBytes()});
     };
   }
-  Hooks.Left = [this](ExchangeId Id) { dispatch(ExchangeLeft{Id}); };
+  Hooks.Left = [this](ExchangeId Id, ConnectionEnd How) {
+    dispatch(ExchangeLeft{Id, How});
+  };
+  Hooks.Ended = countEnds(MetricsStore, ForOperators ? "operator" : "caller");
   Hooks.Drained = [this](ExchangeId Id, std::size_t Pending) {
     dispatch(ExchangeDrained{Id, Pending});
   };
@@ -227,7 +231,8 @@
       return;
     MetricsServer.reply(Id, problemReply({Code::NotFound, "", {}, {}}));
   };
-  Hooks.Left = [](ExchangeId) {};
+  Hooks.Left = [](ExchangeId, ConnectionEnd) {};
+  Hooks.Ended = countEnds(MetricsStore, "metrics");
   Hooks.Drained = [](ExchangeId, std::size_t) {};
   Hooks.Refused = [](Code) {};
   return Hooks;
@@ -251,6 +256,7 @@
   Hooks.Failed = [this](UpstreamId Id, UpstreamFailure Why) {
     dispatch(UpstreamFailed{Id, std::move(Why)});
   };
+  Hooks.Ended = countEnds(MetricsStore, "server");
   return Hooks;
 }
 
@@ -266,6 +272,7 @@
     else
       dispatch(RelayLinkLost{Host});
   };
+  Hooks.Ended = countEnds(MetricsStore, "peer");
   Hooks.IsRelaying = Program.IsRelaying;
   Hooks.Refused = [this](Code Number, std::string Detail) {
     DecisionRecord Record;
@@ -450,33 +457,15 @@
 }
 
 void Process::recordGauges() {
-  auto Gauge = [this](const char *Name, double Value) {
-    MetricsStore.record({SampleKind::Gauge, Name, "", Value});
-  };
   for (const MetricSample &Sample : Program.Gauges(Program.Now()))
     MetricsStore.record(Sample);
   for (const MetricSample &Sample : intakeGauges(Intake))
     MetricsStore.record(Sample);
-  const LinkCounters &C = Links.counters();
-  Gauge("pimento_caller_connections",
-        static_cast<double>(CallerServer.connections()));
-  Gauge("pimento_caller_exchanges",
-        static_cast<double>(CallerServer.exchanges()));
-  Gauge("pimento_caller_pending_bytes",
-        static_cast<double>(CallerServer.pendingBytes()));
-  Gauge("pimento_upstream_calls", static_cast<double>(Client.calls()));
-  Gauge("pimento_link_sent_bytes", static_cast<double>(C.BytesSent));
-  Gauge("pimento_link_received_bytes", static_cast<double>(C.BytesReceived));
-  Gauge("pimento_link_sent_messages", static_cast<double>(C.MessagesSent));
-  Gauge("pimento_link_dropped_messages",
-        static_cast<double>(C.MessagesDropped));
-  const HttpClientCounters &Out = Client.counters();
-  Gauge("pimento_upstream_connections",
-        static_cast<double>(Client.connections()));
-  Gauge("pimento_upstream_opened", static_cast<double>(Out.Opened));
-  Gauge("pimento_upstream_reused", static_cast<double>(Out.Reused));
-  Gauge("pimento_upstream_strays", static_cast<double>(Out.MismatchedAnswers));
-  Gauge("pimento_log_lines_dropped", static_cast<double>(Log.linesDropped()));
+  for (const MetricSample &Sample :
+       connectionGauges(CallerServer, Client, Links.counters()))
+    MetricsStore.record(Sample);
+  MetricsStore.record({SampleKind::Gauge, "pimento_log_lines_dropped", "",
+                       static_cast<double>(Log.linesDropped())});
 }
 
 void Process::onSignal(evutil_socket_t, short, void *Self) {
--- a/packages/shell/SocketState.cpp
+++ b/packages/shell/SocketState.cpp
@@ -41,6 +41,36 @@
   return Info.tcpi_state == TCP_CLOSE_WAIT && unacknowledgedBytes(Socket) == 0;
 }
 
+ConnectionEnd endOf(evutil_socket_t Socket) {
+  int Error = 0;
+  socklen_t Size = sizeof(Error);
+  if (::getsockopt(Socket, SOL_SOCKET, SO_ERROR, &Error, &Size) != 0)
+    return ConnectionEnd::Host;
+  if (Error != 0)
+    return endOfError(Error);
+  tcp_info Info{};
+  Size = sizeof(Info);
+  if (::getsockopt(Socket, IPPROTO_TCP, TCP_INFO, &Info, &Size) != 0)
+    return ConnectionEnd::Host;
+  switch (Info.tcpi_state) {
+  case TCP_CLOSE: // Its error was read already.
+    return ConnectionEnd::Reset;
+  case TCP_CLOSE_WAIT:
+  case TCP_LAST_ACK:
+  case TCP_CLOSING:
+  case TCP_TIME_WAIT:
+    return ConnectionEnd::Close;
+  default:
+    return ConnectionEnd::Host;
+  }
+}
+
+ConnectionEnd endOfError(int Error) {
+  bool IsSilence =
+      Error == ETIMEDOUT || Error == EHOSTUNREACH || Error == ENETUNREACH;
+  return IsSilence ? ConnectionEnd::Silence : ConnectionEnd::Reset;
+}
+
 bool discardInput(evutil_socket_t Socket) {
   char Chunk[ChunkBytes];
   for (std::size_t Read = 0; Read < MaxDiscardedBytes; Read += ChunkBytes) {
--- a/packages/shell/SocketState.h
+++ b/packages/shell/SocketState.h
@@ -6,6 +6,8 @@
 //===----------------------------------------------------------------------===//
 #pragma once
 
+#include "base/ConnectionEnd.h"
+
 #include <event2/util.h>
 
 #include <cstddef>
@@ -24,6 +26,13 @@
 /// reset that follows the end of the output is no error to a reader.
 bool hasEndedInOrder(evutil_socket_t Socket);
 
+/// How a connection ended, before this host shut anything down: Host, if the
+/// other side has not ended it. Takes the socket's error away.
+ConnectionEnd endOf(evutil_socket_t Socket);
+
+/// How a connection ended whose read or write failed with \p Error, of errno.
+ConnectionEnd endOfError(int Error);
+
 /// Reads and drops what the socket has received. Returns whether the other side
 /// may send more: it has neither closed the connection nor reset it.
 bool discardInput(evutil_socket_t Socket);
--- a/packages/shell/WebSocket.cpp
+++ b/packages/shell/WebSocket.cpp
@@ -2,6 +2,7 @@
 
 #include "shell/Address.h"
 #include "shell/SocketOptions.h"
+#include "shell/SocketState.h"
 #include "wire/Messages.h"
 
 #include <event2/buffer.h>
@@ -50,7 +51,7 @@
   template <class Connection> void attach(Connection &Link);
   void startClient();
   void feed();
-  void disconnect();
+  void disconnect(ConnectionEnd How);
 };
 
 /// A websocketpp connection with a pending read holds a reference to itself,
@@ -65,12 +66,12 @@
     bufferevent_free(Stream);
 }
 
-void WebSocket::Impl::disconnect() {
+void WebSocket::Impl::disconnect(ConnectionEnd How) {
   if (Dead)
     return;
   Dead = true;
   bufferevent_disable(Stream, EV_READ | EV_WRITE);
-  Hooks.Closed();
+  Hooks.Closed(How);
 }
 
 /// Sets the handlers that server and client connections share.
@@ -91,8 +92,10 @@
         if (!Dead)
           Hooks.Frame(Message->get_payload());
       });
-  Link->set_close_handler([this](const connection_hdl &) { disconnect(); });
-  Link->set_fail_handler([this](const connection_hdl &) { disconnect(); });
+  Link->set_close_handler(
+      [this](const connection_hdl &) { disconnect(ConnectionEnd::Close); });
+  Link->set_fail_handler(
+      [this](const connection_hdl &) { disconnect(ConnectionEnd::Host); });
   Link->set_max_message_size(MaxFrameBytes);
 }
 
@@ -127,8 +130,11 @@
       Data.startClient();
     return;
   }
+  bool IsError = (What & BEV_EVENT_ERROR) != 0;
+  ConnectionEnd How =
+      IsError ? endOfError(EVUTIL_SOCKET_ERROR()) : ConnectionEnd::Close;
   Data.feed();
-  Data.disconnect();
+  Data.disconnect(How);
 }
 
 WebSocket::WebSocket(std::unique_ptr<Impl> TheData)
--- a/packages/shell/WebSocket.h
+++ b/packages/shell/WebSocket.h
@@ -7,6 +7,7 @@
 //===----------------------------------------------------------------------===//
 #pragma once
 
+#include "base/ConnectionEnd.h"
 #include "shell/EventLoop.h"
 
 #include <event2/util.h>
@@ -23,7 +24,7 @@
   std::function<void(std::string_view)> Frame;
   /// The connection is closed. The WebSocket may be destroyed afterwards, but
   /// not within this hook.
-  std::function<void()> Closed;
+  std::function<void(ConnectionEnd)> Closed;
 };
 
 class WebSocket {
--- a/packages/shell/tests/HttpTest.cpp
+++ b/packages/shell/tests/HttpTest.cpp
@@ -56,7 +56,7 @@
     H.Request = [this](ExchangeId Id, HttpRequest R) {
       Requests.emplace_back(Id, std::move(R));
     };
-    H.Left = [this](ExchangeId Id) { Left.push_back(Id); };
+    H.Left = [this](ExchangeId Id, ConnectionEnd) { Left.push_back(Id); };
     H.Drained = [this](ExchangeId Id, std::size_t Pending) {
       Drained.emplace_back(Id, Pending);
       if (Pending == 0)
@@ -362,7 +362,7 @@
     H.Request = [this](ExchangeId Id, HttpRequest R) {
       Requests.emplace_back(Id, std::move(R));
     };
-    H.Left = [](ExchangeId) {};
+    H.Left = [](ExchangeId, ConnectionEnd) {};
     H.Drained = [](ExchangeId, std::size_t) {};
     H.Refused = [this](Code C) { Refused.push_back(C); };
     H.OtherHeldBytes = [this] { return OtherBytes; };
--- a/packages/shell/tests/Socket.h
+++ b/packages/shell/tests/Socket.h
@@ -1,9 +1,11 @@
 //===- Socket.h - Sockets and event loops for tests -------------*- C++ -*-===//
 #pragma once
 
+#include "base/ConnectionEnd.h"
 #include "shell/EventLoop.h"
 
 #include <arpa/inet.h>
+#include <linux/filter.h>
 #include <netinet/in.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -47,6 +49,20 @@
   return true;
 }
 
+/// Lets the socket reset its connection when it is closed.
+inline void resetOnClose(int Socket) {
+  linger Now{1, 0};
+  ::setsockopt(Socket, SOL_SOCKET, SO_LINGER, &Now, sizeof(Now));
+}
+
+/// Drops all that arrives at the socket, acknowledgements too, so that its side
+/// is silent, as one whose host has lost its power.
+inline void dropArrivals(int Socket) {
+  sock_filter Drop[] = {{BPF_RET | BPF_K, 0, 0, 0}};
+  sock_fprog Program{1, Drop};
+  ::setsockopt(Socket, SOL_SOCKET, SO_ATTACH_FILTER, &Program, sizeof(Program));
+}
+
 /// Blocking TCP connection with non-blocking reads.
 class RawSocket {
 public:
@@ -62,7 +78,10 @@
     Connected = ::connect(Socket, reinterpret_cast<sockaddr *>(&Target),
                           sizeof(Target)) == 0;
   }
-  ~RawSocket() { ::close(Socket); }
+  ~RawSocket() {
+    if (Socket >= 0)
+      ::close(Socket);
+  }
   RawSocket(const RawSocket &) = delete;
   RawSocket &operator=(const RawSocket &) = delete;
 
@@ -70,6 +89,20 @@
     ::send(Socket, Bytes.data(), Bytes.size(), MSG_NOSIGNAL);
   }
 
+  /// Ends the connection from this side.
+  void end(ConnectionEnd How) {
+    if (How == ConnectionEnd::Silence) {
+      dropArrivals(Socket);
+      return;
+    }
+    if (How == ConnectionEnd::Reset)
+      resetOnClose(Socket);
+    ::close(Socket);
+    Socket = -1;
+  }
+  /// Closes the sending side alone.
+  void endOutput() const { ::shutdown(Socket, SHUT_WR); }
+
   /// Appends the available bytes to Received. Returns true once the other side
   /// has closed the connection.
   bool readAvailable() {
