--- a/packages/routing/Adapter.h
+++ b/packages/routing/Adapter.h
@@ -129,6 +129,9 @@
                                const RoutingConfig *Before,
                                RoutingConfig &C) = nullptr;
   RequestInfo (*DecodeRequestInfo)(const HttpRequest &R) = nullptr;
+  /// Whether a header, named in lower case, concerns the connection, the caller
+  /// or this system, so that it may not stand in a trailer.
+  bool (*IsReservedField)(std::string_view Name) = nullptr;
   /// Returns all headers of a request to a backend server.
   std::vector<HttpHeader> (*EncodeForward)(const RequestInfo &C,
                                            const ForwardInfo &F) = nullptr;
--- a/packages/shell/AnswerParser.h
+++ b/packages/shell/AnswerParser.h
@@ -33,7 +33,8 @@
   AnswerParser &operator=(const AnswerParser &) = delete;
 
   /// Parses the next bytes and calls the hooks. Returns how many of them belong
-  /// to the answer. On a syntax error, or where a head or a line has no end,
+  /// to the answer. On a syntax error, where a head or a line has no end, or
+  /// where the head leaves a choice of where the answer ends,
   /// all bytes count as consumed and failed() holds afterwards. Calls after the
   /// end of the answer or a failure return 0.
   std::size_t feed(std::string_view Bytes);
--- a/packages/shell/EvhttpMessages.cpp
+++ b/packages/shell/EvhttpMessages.cpp
@@ -6,7 +6,6 @@
 #include <event2/http.h>
 #include <event2/keyvalq_struct.h>
 
-#include <algorithm>
 #include <cstdlib>
 
 namespace pimento {
@@ -41,7 +40,7 @@
 
 } // namespace
 
-HttpRequest convert(evhttp_request *Request) {
+HttpRequest convert(evhttp_request *Request, std::size_t HeadFields) {
   HttpRequest Result;
   Result.Method = methodOf(evhttp_request_get_command(Request));
   const evhttp_uri *Uri = evhttp_request_get_evhttp_uri(Request);
@@ -57,20 +56,14 @@
   if (const char *Target = evhttp_request_get_uri(Request))
     Result.Target = Target;
   const evkeyvalq *Headers = evhttp_request_get_input_headers(Request);
-  for (const evkeyval *Entry = Headers->tqh_first; Entry;
+  for (const evkeyval *Entry = Headers->tqh_first;
+       Entry && Result.Headers.size() < HeadFields;
        Entry = Entry->next.tqe_next)
     Result.Headers.push_back({Entry->key, Entry->value});
   Result.Body = drainBuffer(evhttp_request_get_input_buffer(Request));
   return Result;
 }
 
-bool hasBlankName(const HttpRequest &R) {
-  auto EndsBlank = [](const HttpHeader &H) {
-    return !H.Name.empty() && (H.Name.back() == ' ' || H.Name.back() == '\t');
-  };
-  return std::any_of(R.Headers.begin(), R.Headers.end(), EndsBlank);
-}
-
 Code codeFromStatus(int Status) {
   switch (Status) {
   case 413:
--- a/packages/shell/EvhttpMessages.h
+++ b/packages/shell/EvhttpMessages.h
@@ -5,18 +5,16 @@
 #include "base/Codes.h"
 #include "base/Http.h"
 
+#include <cstddef>
 #include <string>
 
 struct evhttp_request;
 
 namespace pimento {
 
-/// Returns the request that evhttp has read, and takes its body away.
-HttpRequest convert(evhttp_request *Request);
-
-/// Whether a header's name ends with a blank. A server may drop the blank, and
-/// take the header for one that only this host may set.
-bool hasBlankName(const HttpRequest &R);
+/// Returns the request that evhttp has read, and takes its body away. The first
+/// \p HeadFields fields are those of the head; the trailer's are left out.
+HttpRequest convert(evhttp_request *Request, std::size_t HeadFields);
 
 /// Maps the HTTP status of a refusal by evhttp to a result code.
 Code codeFromStatus(int Status);
--- a/packages/shell/HostProgram.h
+++ b/packages/shell/HostProgram.h
@@ -13,6 +13,7 @@
 
 #include <functional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace pimento {
@@ -31,6 +32,9 @@
   /// Whether a request is open that this host handed over to the given host, or
   /// took from it; empty: never.
   std::function<bool(const HostId &)> IsRelaying;
+  /// Whether a header, named in lower case, concerns the connection, the caller
+  /// or this system, so that it may not stand in a trailer. Null: none does.
+  bool (*IsReservedField)(std::string_view Name) = nullptr;
 };
 
 /// Returns a random seed from the system's entropy source.
--- a/packages/shell/HttpClient.cpp
+++ b/packages/shell/HttpClient.cpp
@@ -90,6 +90,21 @@
     static_cast<void>(Owner.release());
 }
 
+/// Whether the head can be written without a second meaning, whoever sent the
+/// parts of it to this host.
+bool isSendable(const UpstreamRequest &R) {
+  constexpr std::string_view LineEnds("\r\n\0", 3);
+  constexpr std::string_view NotInNames("\r\n\0 \t:", 6);
+  constexpr std::string_view NotInTargets("\r\n\0 \t", 5);
+  auto IsSendableField = [&](const HttpHeader &H) {
+    return !H.Name.empty() &&
+           H.Name.find_first_of(NotInNames) == std::string::npos &&
+           H.Value.find_first_of(LineEnds) == std::string::npos;
+  };
+  return R.Target.find_first_of(NotInTargets) == std::string::npos &&
+         std::all_of(R.Headers.begin(), R.Headers.end(), IsSendableField);
+}
+
 std::string formatHead(const UpstreamRequest &R) {
   std::string Text =
       std::string(toString(R.Method)) + " " + R.Target + " HTTP/1.1\r\n";
@@ -488,6 +503,13 @@
 HttpClient::~HttpClient() = default;
 
 void HttpClient::open(UpstreamId Id, const UpstreamRequest &Request) {
+  if (!isSendable(Request)) {
+    UpstreamFailure Why = failure("the request has bytes that HTTP forbids");
+    Why.BytesSent = false;
+    Why.IsLocal = true;
+    Data->Hooks.Failed(Id, std::move(Why));
+    return;
+  }
   Impl::Connection *C =
       Request.MayReuse ? Data->takeIdle(poolOf(Request)) : nullptr;
   bool Reused = C != nullptr;
--- a/packages/shell/HttpServer.cpp
+++ b/packages/shell/HttpServer.cpp
@@ -155,8 +155,9 @@
     return;
   evhttp_request *Request = Open->Request;
   finish(*Open);
-  Open->Link->ClosesAfterReply =
-      addHeaders(Request, Reply.Headers, hasMoreRequests(*Open->Link));
+  Connection &Link = *Open->Link;
+  Link.ClosesAfterReply = addHeaders(Request, Reply.Headers,
+                                     !Link.EndsHere && hasMoreRequests(Link));
   evhttp_send_reply(Request, Reply.Status, nullptr, bufferOf(Reply.Body).get());
 }
 
--- a/packages/shell/HttpServer.h
+++ b/packages/shell/HttpServer.h
@@ -6,8 +6,9 @@
 // Serves callers and operators. Each complete request is passed to
 // Hooks.Request with a new exchange id (one request and its reply); the reply
 // follows through reply() or startStream(). Requests that evhttp itself refuses
-// (too large, malformed) and requests that arrive too slowly get a problem
-// reply (application/problem+json) as well.
+// (too large, malformed), those whose end is not certain (intake/RequestScan.h)
+// and those that arrive too slowly get a problem reply
+// (application/problem+json) as well.
 //
 //===----------------------------------------------------------------------===//
 #pragma once
@@ -35,6 +36,9 @@
   /// Bytes of all requests and replies, for a server that shares no HttpIntake.
   /// While there are more, unfinished requests are refused.
   std::size_t HeldBytes = SIZE_MAX;
+  /// Whether a header, named in lower case, may not stand in a trailer, besides
+  /// those of the framing. Null: none.
+  bool (*IsReservedField)(std::string_view Name) = nullptr;
 };
 
 struct HttpServerHooks {
--- a/packages/shell/HttpServerEvents.cpp
+++ b/packages/shell/HttpServerEvents.cpp
@@ -13,6 +13,16 @@
 
 namespace {
 
+HttpReply uncertainReply() {
+  HttpReply Reply =
+      problemReply({Code::BadRequest,
+                    "the end of the request's body is not certain",
+                    {},
+                    {}});
+  Reply.Headers.push_back({"Connection", "close"});
+  return Reply;
+}
+
 HttpReply overloadedReply() {
   constexpr Duration RetryAfter = seconds(1);
   return problemReply({Code::Overloaded,
@@ -133,13 +143,12 @@
   // An end that was reported before is one of this request as well.
   if (!Link->Watched)
     Server.watch(*Link);
-  HttpRequest Read = convert(Request);
-  if (hasBlankName(Read)) {
+  HttpRequest Read = convert(Request, Link->Scan.HeadFields);
+  if (!agreesOnEnd(*Link, Read)) {
+    Link->EndsHere = true;
+    dropInput(*Link);
     Server.Hooks.Refused(Code::BadRequest);
-    Server.reply(
-        Id,
-        problemReply(
-            {Code::BadRequest, "a header's name ends with a blank", {}, {}}));
+    Server.reply(Id, uncertainReply());
     return;
   }
   if (!Server.Intake.admit(Read.Body.size())) {
--- a/packages/shell/HttpServerImpl.h
+++ b/packages/shell/HttpServerImpl.h
@@ -67,7 +67,8 @@
     bool Replying = false; // Output comes from this server, not from evhttp.
     bool Closing = false;
     bool ClosesAfterReply = false; // As the reply announced.
-    bool Released = false;         // By evhttp; its buffers are empty.
+    bool EndsHere = false; // Nothing behind the request in progress is read.
+    bool Released = false; // By evhttp; its buffers are empty.
 
     /// Whether a request is being read that can still be refused.
     bool isUnfinished() const {
@@ -116,6 +117,7 @@
   Connection *connectionOf(evhttp_connection *Link);
   std::size_t maxInputBytes() const;
   static void beginReading(Connection &Link);
+  static bool agreesOnEnd(const Connection &Link, const HttpRequest &Read);
   static void scanInput(Connection &Link, std::size_t Offset);
   static void charge(Connection &Link, std::size_t Bytes);
   static void chargeHead(Connection &Link, std::size_t Bytes);
--- a/packages/shell/HttpServerIntake.cpp
+++ b/packages/shell/HttpServerIntake.cpp
@@ -36,12 +36,15 @@
 /// Begins a request with the bytes that are in the input already.
 void HttpServer::Impl::beginReading(Connection &Link) {
   Link.Scan = RequestScan();
+  Link.Scan.IsReserved = Link.Server->Limits.IsReservedField;
   Link.ReadingSince = steadyNow();
   Link.Replying = false;
   scanInput(Link, 0);
 }
 
-/// Follows the bytes of the input from \p Offset on, and charges them.
+/// Follows the bytes of the input from \p Offset on, and charges them. evhttp
+/// has not seen them yet: of a request whose end is not certain, it sees none
+/// of those that make it so, and none behind them.
 void HttpServer::Impl::scanInput(Connection &Link, std::size_t Offset) {
   evbuffer *Input = bufferevent_get_input(Link.Stream);
   Link.LastInput = steadyNow();
@@ -54,6 +57,18 @@
   for (const evbuffer_iovec &Piece : Pieces)
     scan(Link.Scan, {static_cast<const char *>(Piece.iov_base), Piece.iov_len});
   charge(Link, cost(Link.Scan));
+  if (Link.Scan.Fault != nullptr)
+    Link.Server->refuseConnection(Link, Code::BadRequest, Link.Scan.Fault);
+}
+
+/// Whether evhttp has read what the scan takes for the request, and no more: it
+/// decides by the method whether it reads a body, and its versions differ.
+bool HttpServer::Impl::agreesOnEnd(const Connection &Link,
+                                   const HttpRequest &Read) {
+  const RequestScan &S = Link.Scan;
+  std::size_t Unread = evbuffer_get_length(bufferevent_get_input(Link.Stream));
+  return S.Part == RequestPart::Whole && S.Bytes - Unread == S.WholeBytes &&
+         Read.Body.size() == S.BodyBytes;
 }
 
 /// Sets what is charged for the request that is being read.
--- a/packages/shell/Process.cpp
+++ b/packages/shell/Process.cpp
@@ -180,6 +180,7 @@
   L.HeaderBytes = Config.Limits.HeaderBytes;
   L.Connections = Config.Limits.Connections;
   L.ReadTimeout = Config.Limits.ReadTimeout;
+  L.IsReservedField = Program.IsReservedField;
   return L;
 }
 
--- a/packages/shell/SiteProcess.cpp
+++ b/packages/shell/SiteProcess.cpp
@@ -83,9 +83,10 @@
     Start.KeptServers = loadServers(Folder);
     auto State =
         std::make_shared<ControlHost>(makeControlHost(Start, bootNow()));
-    return runProgram(
-        S, Folder, Incarnation,
-        makeProgram(S, File, State, &reduceControl, &controlGauges));
+    HostProgram Program =
+        makeProgram(S, File, State, &reduceControl, &controlGauges);
+    Program.IsReservedField = Platform.IsReservedField;
+    return runProgram(S, Folder, Incarnation, std::move(Program));
   }
   GatewayStart Start;
   Start.Config = S;
@@ -95,6 +96,7 @@
   auto State = std::make_shared<Gateway>(makeGateway(Start, bootNow()));
   HostProgram Program =
       makeProgram(S, File, State, &reduceGateway, &gatewayGauges);
+  Program.IsReservedField = Platform.IsReservedField;
   Program.HeldBytes = [State] { return heldBytes(*State); };
   Program.IsRelaying = [State](const HostId &Host) {
     return isRelaying(*State, Host);
--- a/packages/shell/tests/CallerEndTest.cpp
+++ b/packages/shell/tests/CallerEndTest.cpp
@@ -234,6 +234,7 @@
 /// send nothing or have sent ahead; and against a loop that they keep awake.
 BOOST_FIXTURE_TEST_CASE(SlowCallersAreNotGone, Fixture) {
   std::vector<std::unique_ptr<RawSocket>> Callers;
+  Callers.reserve(States.size());
   for (const StateRow &Row : States)
     Callers.push_back(open(Row.S));
   wait(QuietTime);
