shell: an end is not reported to a connection that is gone

Callers saw their connections closed, and nobody was served until a restart.

If an event of high priority asks for another turn in between, as accepting and error pages do, a close by the caller was reported to freed memory.

Change: a socket leaves the watch before its connection is freed.

--- a/packages/shell/HangupWatch.cpp
+++ b/packages/shell/HangupWatch.cpp
@@ -33,6 +33,10 @@
          ::epoll_ctl(Queue, EPOLL_CTL_ADD, Socket, &Wanted) == 0;
 }
 
+void HangupWatch::remove(evutil_socket_t Socket) {
+  ::epoll_ctl(Queue, EPOLL_CTL_DEL, Socket, nullptr);
+}
+
 void HangupWatch::onReady(evutil_socket_t, short, void *Self) {
   static_cast<HangupWatch *>(Self)->report();
 }
--- a/packages/shell/HangupWatch.h
+++ b/packages/shell/HangupWatch.h
@@ -2,6 +2,7 @@
 //
 //   HangupWatch Watch(Base, [](void *Owner) { ... });
 //   Watch.add(Socket, Owner);   // Once for each end that is to be reported.
+//   Watch.remove(Socket);       // Before the owner goes.
 //
 // libevent reports a connection that was reset, or that timed out, as readable
 // and writable only. An event that waits for the close alone is not called
@@ -35,9 +36,12 @@
   HangupWatch(const HangupWatch &) = delete;
   HangupWatch &operator=(const HangupWatch &) = delete;
 
-  /// Reports the end of the connection once, also one that came before. The
-  /// owner outlives the socket. Returns false if the system refuses.
+  /// Reports the end of the connection once, also one that came before. Returns
+  /// false if the system refuses.
   bool add(evutil_socket_t Socket, void *Owner);
+  /// Forgets a socket before its owner goes. Its close may come later: libevent
+  /// closes the sockets of its bufferevents in a later turn.
+  void remove(evutil_socket_t Socket);
 
 private:
   static void onReady(evutil_socket_t, short, void *Self);
--- a/packages/shell/HttpServerSweep.cpp
+++ b/packages/shell/HttpServerSweep.cpp
@@ -157,6 +157,7 @@
       ++It;
       continue;
     }
+    Watch.remove(bufferevent_getfd(It->second->Stream));
     bufferevent_decref(It->second->Stream);
     It = Connections.erase(It);
   }
--- a/packages/shell/tests/CallerEndTest.cpp
+++ b/packages/shell/tests/CallerEndTest.cpp
@@ -6,10 +6,13 @@
 #include "shell/tests/LoopTurns.h"
 #include "shell/tests/Socket.h"
 
+#include <malloc.h>
+
 #include <algorithm>
 #include <csignal>
 #include <memory>
 #include <string>
+#include <thread>
 #include <vector>
 
 using namespace pimento;
@@ -319,3 +322,34 @@
   for (const EndedLink &E : Ended)
     BOOST_TEST(toString(E.How) == toString(ConnectionEnd::Host));
 }
+
+/// Guards against an end that is reported to a connection which is gone: its
+/// socket is closed in a later turn, and the caller's close may come before.
+BOOST_FIXTURE_TEST_CASE(EndsOfReleasedConnectionsAreNotReported, Fixture) {
+  constexpr std::size_t Count = 64;
+  mallopt(M_PERTURB, 1); // Freed memory is overwritten.
+  std::vector<std::unique_ptr<RawSocket>> Callers;
+  for (std::size_t I = 0; I < Count; ++I)
+    Callers.push_back(open(State::Waiting));
+  for (ExchangeId Id : Requests)
+    Server.abort(Id);
+  // A turn in which the server lets go of the connections, then the callers
+  // close, and an event of high priority asks for another turn at once.
+  EventPtr Urgent(event_new(
+      Base.get(), -1, 0, [](evutil_socket_t, short, void *) {}, nullptr));
+  event_priority_set(Urgent.get(), HighPriority);
+  Timer Close(Base.get(), [&] {
+    BOOST_TEST(Server.connections() == 0U);
+    for (const auto &Caller : Callers)
+      Caller->end(ConnectionEnd::Close);
+    event_active(Urgent.get(), 0, 0);
+  });
+  Close.start(milliseconds(150));
+  Timer Block(Base.get(),
+              [] { std::this_thread::sleep_for(milliseconds(300)); });
+  Block.start(Duration::zero());
+  wait(2 * QuietTime);
+  mallopt(M_PERTURB, 0);
+  BOOST_TEST(Ended.size() == Count);
+  BOOST_TEST(Left.empty());
+}
